--- /dev/null
+++ b/src/cicadahook/__init__.py
@@ -0,0 +1,1 @@
+"""cicadahook serves many models on few accelerators."""
--- /dev/null
+++ b/src/cicadahook/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions only: no sockets, files, sleeps, wall clock or global random."""
--- /dev/null
+++ b/src/cicadahook/core/digests.py
@@ -0,0 +1,13 @@
+"""Hashes of texts, the same on every node."""
+
+import xxhash
+
+
+def number(text: str, seed: int = 0) -> int:
+    """Return a 64-bit hash of `text`."""
+    return xxhash.xxh64_intdigest(text.encode(), seed)
+
+
+def name(text: str) -> str:
+    """Return a 128-bit hash of `text` as 32 hexadecimal digits."""
+    return xxhash.xxh3_128_hexdigest(text.encode())
--- /dev/null
+++ b/src/cicadahook/core/request.py
@@ -0,0 +1,42 @@
+"""A caller's request as the core sees it."""
+
+import dataclasses
+import datetime
+import enum
+
+
+class Priority(enum.IntEnum):
+    """Who waits for the answer; lower is served first."""
+
+    INTERACTIVE = 0
+    NORMAL = 1
+    BACKGROUND = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A caller's request.
+
+    Attributes:
+        id: echoed to the caller and written to logs.
+        row: name of the row it is for.
+        path: path on the upstream.
+        arrived: when it arrived.
+        deadline: when its answer stops being useful.
+        priority: who waits for it.
+        key: idempotency key; empty if none was sent.
+        is_idempotent: whether it may run more than once.
+        prefix: text whose upstream cache may serve it; may be empty.
+        fingerprint: hash of its content, equal for repeats of it.
+    """
+
+    id: str
+    row: str
+    path: str
+    arrived: datetime.datetime
+    deadline: datetime.datetime
+    priority: Priority = Priority.NORMAL
+    key: str = ""
+    is_idempotent: bool = True
+    prefix: str = ""
+    fingerprint: str = ""
--- /dev/null
+++ b/src/cicadahook/core/view.py
@@ -0,0 +1,194 @@
+"""Views: what a control tells its entry, and what an entry reports back."""
+
+import dataclasses
+import enum
+import functools
+
+from cicadahook.core import table as table_lib
+
+
+class UpstreamKind(enum.StrEnum):
+    """What runs on an upstream VM."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class UpstreamState(enum.StrEnum):
+    """Whether an upstream takes new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+class CopyState(enum.StrEnum):
+    """Where a copy of a row stands on an upstream."""
+
+    LOADING = "loading"
+    SERVING = "serving"
+    UNLOADING = "unloading"
+
+
+class MemberState(enum.StrEnum):
+    """What the members believe of one of them."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Upstream:
+    """An upstream VM as last seen.
+
+    Attributes:
+        address: `host:port` of its HTTP API.
+        zone: its availability zone.
+        kind: what runs on it.
+        service: for a plain service, the name of its row.
+        state: whether it takes new work.
+        capacity_bytes: accelerator memory, in bytes.
+        incarnation: changes whenever its process restarts.
+        in_flight: requests in flight by its own, lagging report.
+        role: role it was ordered to take, such as `prefill`.
+    """
+
+    address: str
+    zone: str
+    kind: UpstreamKind
+    service: str = ""
+    state: UpstreamState = UpstreamState.LIVE
+    capacity_bytes: int = 0
+    incarnation: str = ""
+    in_flight: int = 0
+    role: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """A copy of a row on an upstream."""
+
+    row: str
+    upstream: str
+    version: str
+    state: CopyState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """An entry VM of the system.
+
+    Attributes:
+        name: the VM's name, unique and stable while it lives.
+        entry: `host:port` of its entry's HTTP API.
+        control: `host:port` of its control's HTTP API.
+        zone: its availability zone.
+        state: what the members believe of it.
+        incarnation: raised by the member itself to refute a suspicion.
+        generation: table generation that it last said it has in force.
+    """
+
+    name: str
+    entry: str
+    control: str
+    zone: str
+    state: MemberState = MemberState.ALIVE
+    incarnation: int = 0
+    generation: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """Requests that other entries have in flight at an upstream."""
+
+    upstream: str
+    in_flight: int
+
+
+@dataclasses.dataclass(frozen=True)
+class View:
+    """All that an entry needs to route requests; immutable.
+
+    Attributes:
+        control: name of the control that made it.
+        number: counts the views of that control.
+        table: the table in force.
+        upstreams: all upstreams known.
+        copies: all copies known.
+        members: all entry VMs known.
+        peer_loads: in-flight requests of the other entries.
+    """
+
+    control: str = ""
+    number: int = 0
+    table: table_lib.Table = table_lib.Table()
+    upstreams: tuple[Upstream, ...] = ()
+    copies: tuple[Copy, ...] = ()
+    members: tuple[Member, ...] = ()
+    peer_loads: tuple[PeerLoad, ...] = ()
+
+    @functools.cached_property
+    def upstream_by_address(self) -> dict[str, Upstream]:
+        """Upstreams by address."""
+        return {upstream.address: upstream for upstream in self.upstreams}
+
+    @functools.cached_property
+    def serving(self) -> dict[str, tuple[Upstream, ...]]:
+        """Live upstreams that hold a serving copy, by row name."""
+        found: dict[str, list[Upstream]] = {}
+        for copy in self.copies:
+            upstream = self.upstream_by_address.get(copy.upstream)
+            if upstream is None or upstream.state is not UpstreamState.LIVE:
+                continue
+            if copy.state is CopyState.SERVING:
+                found.setdefault(copy.row, []).append(upstream)
+        return {row: tuple(upstreams) for row, upstreams in found.items()}
+
+    def upstreams_for(self, row: table_lib.Row) -> tuple[Upstream, ...]:
+        """Return the live upstreams that can serve `row`."""
+        if row.kind is not table_lib.RowKind.SERVICE:
+            return self.serving.get(row.name, ())
+        return tuple(
+            upstream
+            for upstream in self.upstreams
+            if upstream.service == row.name
+            and upstream.state is UpstreamState.LIVE
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowDemand:
+    """Requests that arrived for a row since the previous report."""
+
+    row: str
+    arrivals: int
+    refusals: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamUse:
+    """What an entry has in flight at an upstream."""
+
+    upstream: str
+    in_flight: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """What an entry tells its control, a few times a second.
+
+    Attributes:
+        entry: `host:port` of the entry.
+        generation: table generation that the entry has in force.
+        draining: whether the entry is leaving.
+        uses: what it has in flight.
+        demands: arrivals by row since its previous report.
+    """
+
+    entry: str
+    generation: int
+    draining: bool = False
+    uses: tuple[UpstreamUse, ...] = ()
+    demands: tuple[RowDemand, ...] = ()
--- /dev/null
+++ b/src/cicadahook/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, clients and timers round the core."""
--- /dev/null
+++ b/src/cicadahook/net/answers.py
@@ -0,0 +1,121 @@
+"""Answers to callers, streamed or whole, in the OpenAI form."""
+
+from collections.abc import AsyncIterator
+import dataclasses
+import json
+from typing import Any, Final
+
+from aiohttp import web
+
+from cicadahook.core import errors
+from cicadahook.core import request as request_lib
+from cicadahook.net import headers
+from cicadahook.net import http as http_lib
+
+END_EVENT: Final = b"data: [DONE]\n\n"
+
+
+@dataclasses.dataclass(frozen=True)
+class Form:
+    """Which of the OpenAI answers a caller wants."""
+
+    is_chat: bool
+
+    @property
+    def whole_object(self) -> str:
+        """The `object` field of a whole answer."""
+        return "chat.completion" if self.is_chat else "text_completion"
+
+    def read_text(self, chunk: dict[str, Any]) -> str:
+        """Return the text in one chunk of an upstream's answer."""
+        choice = chunk["choices"][0]
+        if self.is_chat:
+            return str(choice["delta"].get("content") or "")
+        return str(choice.get("text") or "")
+
+    def join(
+        self, request: request_lib.Request, parts: list[str]
+    ) -> dict[str, Any]:
+        """Return the whole answer made of `parts`."""
+        content = "".join(parts)
+        choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
+        if self.is_chat:
+            choice["message"] = {"role": "assistant", "content": content}
+        else:
+            choice["text"] = content
+        return {
+            "id": request.id,
+            "object": self.whole_object,
+            "created": int(request.arrived.timestamp()),
+            "model": request.row,
+            "choices": [choice],
+            "usage": {
+                "prompt_tokens": len(request.prefix.split()),
+                "completion_tokens": len(parts),
+                "total_tokens": len(request.prefix.split()) + len(parts),
+            },
+        }
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """A plain service's answer, kept so that resends get the same one."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+    def respond(self, request: request_lib.Request) -> web.Response:
+        """Return the answer to `request`."""
+        return web.Response(
+            body=self.body,
+            status=self.status,
+            content_type=self.content_type,
+            headers={headers.REQUEST_HEADER: request.id},
+        )
+
+
+async def send_whole(
+    request: request_lib.Request,
+    form: Form,
+    chunks: AsyncIterator[dict[str, Any]],
+) -> web.Response:
+    """Collect all chunks, then answer at once."""
+    texts = [form.read_text(chunk) async for chunk in chunks]
+    parts = [text for text in texts if text]
+    return web.json_response(
+        form.join(request, parts),
+        headers={headers.REQUEST_HEADER: request.id},
+    )
+
+
+async def send_stream(
+    http: web.Request,
+    request: request_lib.Request,
+    chunks: AsyncIterator[dict[str, Any]],
+) -> web.StreamResponse:
+    """Relay chunks as they come; an error after the first is an event."""
+    response = web.StreamResponse(
+        headers={
+            "Content-Type": "text/event-stream",
+            headers.REQUEST_HEADER: request.id,
+        }
+    )
+    try:
+        async for chunk in chunks:
+            if not response.prepared:
+                await response.prepare(http)
+            await response.write(encode_event({**chunk, "id": request.id}))
+    except errors.RefusalError as refusal:
+        if not response.prepared:
+            raise
+        await response.write(encode_event(http_lib.error_body(refusal)))
+    else:
+        await response.write(END_EVENT)
+    await response.write_eof()
+    return response
+
+
+def encode_event(chunk: dict[str, Any]) -> bytes:
+    """Return `chunk` as one server-sent event."""
+    return b"data: " + json.dumps(chunk).encode() + b"\n\n"
--- /dev/null
+++ b/src/cicadahook/net/engine.py
@@ -0,0 +1,91 @@
+"""Client of the engines' control API: state and orders."""
+
+import dataclasses
+import datetime
+from typing import Final
+
+import aiohttp
+import pydantic
+
+from cicadahook.core import errors
+from cicadahook.core import record
+from cicadahook.core import view
+
+CALL_TIMEOUT: Final = datetime.timedelta(seconds=2)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineCopy:
+    """A copy that an engine reports."""
+
+    row: str
+    version: str
+    state: view.CopyState
+    memory_bytes: int
+    base: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineState:
+    """What an engine reports of itself; it lags behind the truth."""
+
+    incarnation: str
+    capacity_bytes: int
+    used_bytes: int
+    copies: tuple[EngineCopy, ...]
+    state: view.UpstreamState
+    in_flight: int = 0
+    fencing: int = 0
+    role: str = ""
+
+
+_STATE: Final = pydantic.TypeAdapter(EngineState)
+
+
+@dataclasses.dataclass
+class EngineClient:
+    """Calls engines over HTTP."""
+
+    session: aiohttp.ClientSession
+
+    async def fetch_state(self, address: str) -> EngineState:
+        """Return what the engine at `address` reports.
+
+        Raises:
+            errors.UpstreamError: it did not answer, or not in time.
+        """
+        try:
+            async with self.session.get(
+                f"http://{address}/state", timeout=_timeout()
+            ) as response:
+                response.raise_for_status()
+                return _STATE.validate_json(await response.read())
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            raise errors.UpstreamError(f"{address}: {error!r}") from error
+
+    async def send_order(self, address: str, order: record.Order) -> None:
+        """Send `order`; return once the engine has answered that it took it.
+
+        Raises:
+            errors.OrderRefusedError: the engine answered that it did not.
+            errors.UpstreamError: no answer; it may still arrive.
+        """
+        body = dataclasses.asdict(order)
+        try:
+            async with self.session.post(
+                f"http://{address}/orders", json=body, timeout=_timeout()
+            ) as response:
+                if response.status >= 500 and response.status != 507:
+                    raise errors.UpstreamError(
+                        f"{address}: status {response.status}"
+                    )
+                if response.status >= 400:
+                    raise errors.OrderRefusedError(
+                        f"{address}: {await response.text()}"
+                    )
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise errors.UpstreamError(f"{address}: {error!r}") from error
+
+
+def _timeout() -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(total=CALL_TIMEOUT.total_seconds())
--- /dev/null
+++ b/src/cicadahook/net/headers.py
@@ -0,0 +1,138 @@
+"""Callers' headers and bodies, checked and turned into typed requests."""
+
+import dataclasses
+import datetime
+import re
+from typing import Any, Final
+import uuid
+
+from aiohttp import web
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import digests
+from cicadahook.core import errors
+from cicadahook.core import request as request_lib
+
+DEADLINE_HEADER: Final = "X-Deadline-Ms"
+PRIORITY_HEADER: Final = "X-Priority"
+KEY_HEADER: Final = "Idempotency-Key"
+REQUEST_HEADER: Final = "X-Request-Id"
+ATTEMPT_HEADER: Final = "X-Attempt-Id"
+DEFAULT_DEADLINE: Final = datetime.timedelta(seconds=60)
+DEADLINE_LIMIT_MS: Final = 24 * 3600 * 1000
+TOKEN_PATTERN: Final = re.compile(r"[!-~]{1,200}")
+MAX_TOKENS_LIMIT: Final = 1_000_000
+
+
+def read_request(
+    http: web.Request, row: str, clock: clock_lib.Clock
+) -> request_lib.Request:
+    """Return the typed request of the headers of `http`.
+
+    Raises:
+        errors.RefusalError: a header is not allowed; names it.
+    """
+    now = clock.now()
+    return request_lib.Request(
+        id=_read_token(http, REQUEST_HEADER) or uuid.uuid4().hex,
+        row=row,
+        path=http.path,
+        arrived=now,
+        deadline=now + _read_deadline(http),
+        priority=_read_priority(http),
+        key=_read_token(http, KEY_HEADER),
+    )
+
+
+def _read_token(http: web.Request, name: str) -> str:
+    """Return a header that must be a short visible text, or empty."""
+    value = http.headers.get(name, "")
+    if value and not TOKEN_PATTERN.fullmatch(value):
+        raise _bad_header(name, "must be 1 to 200 visible ASCII characters")
+    return value
+
+
+def _read_deadline(http: web.Request) -> datetime.timedelta:
+    value = http.headers.get(DEADLINE_HEADER)
+    if value is None:
+        return DEFAULT_DEADLINE
+    if not (value.isascii() and value.isdigit()) or len(value) > 9:
+        raise _bad_header(DEADLINE_HEADER, "must be a whole number of ms")
+    milliseconds = int(value)
+    if not 0 < milliseconds <= DEADLINE_LIMIT_MS:
+        raise _bad_header(
+            DEADLINE_HEADER, f"must be 1 to {DEADLINE_LIMIT_MS} ms"
+        )
+    return datetime.timedelta(milliseconds=milliseconds)
+
+
+def _read_priority(http: web.Request) -> request_lib.Priority:
+    value = http.headers.get(PRIORITY_HEADER, "normal")
+    try:
+        return request_lib.Priority[value.upper()]
+    except KeyError as error:
+        allowed = ", ".join(
+            name.lower() for name in request_lib.Priority.__members__
+        )
+        raise _bad_header(
+            PRIORITY_HEADER, f"must be one of {allowed}"
+        ) from error
+
+
+def _bad_header(name: str, reason: str) -> errors.RefusalError:
+    return errors.RefusalError("bad_header", f"header {name}: {reason}", 400)
+
+
+def with_content(
+    request: request_lib.Request, body: dict[str, Any], is_chat: bool
+) -> request_lib.Request:
+    """Return `request` with prefix and fingerprint of its checked body.
+
+    Raises:
+        errors.RefusalError: a field is missing or not allowed; names it.
+    """
+    _check_tokens(body)
+    prompt = _read_chat(body) if is_chat else _read_prompt(body)
+    digest = digests.name(f"{request.row}\n{prompt}")
+    return dataclasses.replace(request, prefix=prompt, fingerprint=digest)
+
+
+def _check_tokens(body: dict[str, Any]) -> None:
+    count = body.get("max_tokens", 1)
+    is_count = isinstance(count, int) and not isinstance(count, bool)
+    if not is_count or not 0 < count <= MAX_TOKENS_LIMIT:
+        raise _bad_field("max_tokens", f"must be 1 to {MAX_TOKENS_LIMIT}")
+    if not isinstance(body.get("stream", False), bool):
+        raise _bad_field("stream", "must be true or false")
+
+
+def _read_chat(body: dict[str, Any]) -> str:
+    """Return the text of all messages."""
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise _bad_field("messages", "must be a list with a message or more")
+    if not all(isinstance(message, dict) for message in messages):
+        raise _bad_field("messages", "must hold objects")
+    return "\n".join(
+        f"{message.get('role')}: {message.get('content')}"
+        for message in messages
+    )
+
+
+def _read_prompt(body: dict[str, Any]) -> str:
+    prompt = body.get("prompt")
+    if not isinstance(prompt, str):
+        raise _bad_field("prompt", "must be a text")
+    return prompt
+
+
+def read_model(body: dict[str, Any]) -> str:
+    """Return the model that the body names."""
+    model = body.get("model")
+    if not isinstance(model, str) or not model:
+        raise _bad_field("model", "must be the name of a model or adapter")
+    return model
+
+
+def _bad_field(name: str, reason: str) -> errors.RefusalError:
+    return errors.RefusalError("bad_field", f"field {name}: {reason}", 400)
--- /dev/null
+++ b/src/cicadahook/net/http.py
@@ -0,0 +1,139 @@
+"""What all HTTP servers share: start and stop, errors, JSON bodies."""
+
+import dataclasses
+import json
+from typing import Any, Final
+
+from aiohttp import web
+
+from cicadahook.core import errors
+from cicadahook.net import logs
+
+BODY_LIMIT_BYTES: Final = 4 * 1024 * 1024
+SHUTDOWN_SECONDS: Final = 60.0
+
+logger: Final = logs.create_logger("http")
+
+
+@dataclasses.dataclass
+class Server:
+    """An HTTP server on one address.
+
+    Attributes:
+        app: the application to serve.
+        host: IP address to listen on.
+        port: TCP port; 0 takes a free one, found in `address` after start.
+    """
+
+    app: web.Application
+    host: str
+    port: int
+
+    def __post_init__(self) -> None:
+        self.runner = web.AppRunner(
+            self.app,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+            access_log=None,
+        )
+
+    async def start(self) -> None:
+        """Listen; raises OSError when the address is taken."""
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, self.host, self.port)
+        await site.start()
+        self.port = self.runner.addresses[0][1]
+
+    async def stop(self) -> None:
+        """Stop listening, wait for open requests, then close."""
+        await self.runner.cleanup()
+
+    @property
+    def address(self) -> str:
+        """The `host:port` that it listens on."""
+        return f"{self.host}:{self.port}"
+
+
+def error_response(refusal: errors.RefusalError) -> web.Response:
+    """Return `refusal` in the OpenAI error envelope."""
+    headers = {}
+    if refusal.retry_after is not None:
+        seconds = max(1, round(refusal.retry_after.total_seconds()))
+        headers["Retry-After"] = str(seconds)
+    return web.json_response(
+        error_body(refusal), status=refusal.status, headers=headers
+    )
+
+
+def error_body(refusal: errors.RefusalError) -> dict[str, Any]:
+    """Return the OpenAI error envelope of `refusal`."""
+    kind = "invalid_request_error" if refusal.status < 500 else "server_error"
+    return {
+        "error": {
+            "message": refusal.reason,
+            "type": kind,
+            "code": refusal.code,
+            "outcome": refusal.outcome.value,
+        },
+        "outcome": refusal.outcome.value,
+        "code": refusal.code,
+    }
+
+
+@web.middleware
+async def error_middleware(
+    request: web.Request, handler: Any
+) -> web.StreamResponse:
+    """Turn exceptions into error answers, so that none ends the process."""
+    try:
+        response: web.StreamResponse = await handler(request)
+        return response
+    except errors.RefusalError as refusal:
+        return error_response(refusal)
+    except web.HTTPRequestEntityTooLarge as error:
+        return error_response(
+            errors.RefusalError(
+                "body_too_large", f"body: {error.text}", error.status
+            )
+        )
+    except web.HTTPException as error:
+        reason = f"{request.method} {request.path}: {error.reason}"
+        return error_response(
+            errors.RefusalError("bad_request", reason, error.status)
+        )
+    except Exception:  # pylint: disable=broad-exception-caught
+        logger.exception("Request %s failed.", request.path)
+        return error_response(
+            errors.RefusalError(
+                "internal_error",
+                "the server failed; see its log",
+                500,
+                errors.Outcome.UNKNOWN,
+            )
+        )
+
+
+def create_app() -> web.Application:
+    """Return an application that answers errors in the envelope."""
+    return web.Application(
+        client_max_size=BODY_LIMIT_BYTES, middlewares=[error_middleware]
+    )
+
+
+async def read_object(request: web.Request) -> dict[str, Any]:
+    """Return the request's JSON object.
+
+    Raises:
+        errors.RefusalError: the body is not a JSON object.
+    """
+    try:
+        body = await request.json()
+    except (json.JSONDecodeError, UnicodeDecodeError) as error:
+        raise errors.RefusalError(
+            "bad_json", f"body: not valid JSON: {error}", 400
+        ) from error
+    if not isinstance(body, dict):
+        raise errors.RefusalError(
+            "bad_json", "body: must be a JSON object", 400
+        )
+    return body
--- /dev/null
+++ b/src/cicadahook/net/metrics.py
@@ -0,0 +1,56 @@
+"""Metrics by OpenTelemetry, shown in the Prometheus text form."""
+
+import functools
+from typing import Final
+
+from aiohttp import web
+from opentelemetry import metrics
+from opentelemetry.exporter.otlp.proto.http import metric_exporter
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics import export
+import prometheus_client
+
+METER_NAME: Final = "cicadahook"
+
+
+def setup(otlp_endpoint: str) -> None:
+    """Collect metrics, and push them to `otlp_endpoint` if there is one."""
+    readers: list[export.MetricReader] = [PrometheusMetricReader()]
+    if otlp_endpoint:
+        exporter = metric_exporter.OTLPMetricExporter(endpoint=otlp_endpoint)
+        readers.append(export.PeriodicExportingMetricReader(exporter))
+    metrics.set_meter_provider(MeterProvider(metric_readers=readers))
+
+
+@functools.cache
+def create_counter(name: str, description: str) -> metrics.Counter:
+    """Return the counter called `name`."""
+    return metrics.get_meter(METER_NAME).create_counter(
+        name, description=description
+    )
+
+
+def count_refusal(code: str, node: str) -> None:
+    """Count a request refused for the reason `code`."""
+    counter = create_counter(
+        "cicada_refusals", "Requests refused, by reason and node."
+    )
+    counter.add(1, {"reason": code, "node": node})
+
+
+def count_retry(reason: str, node: str) -> None:
+    """Count a further attempt made for `reason`."""
+    counter = create_counter(
+        "cicada_retries", "Further attempts, by reason and node."
+    )
+    counter.add(1, {"reason": reason, "node": node})
+
+
+async def show(request: web.Request) -> web.Response:
+    """Answer all metrics in the Prometheus text form."""
+    del request
+    return web.Response(
+        body=prometheus_client.generate_latest(),
+        headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
+    )
--- /dev/null
+++ b/src/cicadahook/programs/__init__.py
@@ -0,0 +1,1 @@
+"""One module a program: settings, wiring, start, drain, exit."""
--- /dev/null
+++ b/src/cicadahook/programs/control.py
@@ -0,0 +1,55 @@
+"""cicada-control: table, members, upstreams, placement, operators' API."""
+
+import aiohttp
+
+from cicadahook.core import placement
+from cicadahook.core import view
+from cicadahook.net import clock
+from cicadahook.net import control as control_lib
+from cicadahook.net import http as http_lib
+from cicadahook.programs import daemon
+from cicadahook.programs import settings as settings_lib
+
+
+class ControlDaemon:
+    """A control with its server."""
+
+    def __init__(
+        self,
+        settings: settings_lib.ControlSettings,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        own = view.Member(
+            name=settings.name,
+            entry=settings.entry,
+            control=f"{settings.host}:{settings.port}",
+            zone=settings.zone,
+        )
+        mode = control_lib.ControlMode(
+            own=own,
+            key_value=settings.key_value,
+            vm_list=settings.vm_list,
+            placement=placement.PlacementMode(
+                settings.placement_policy, settings.move_price
+            ),
+        )
+        self.control = control_lib.Control(mode, clock.SystemClock(), session)
+        self.server = http_lib.Server(
+            self.control.create_app(), settings.host, settings.port
+        )
+
+    async def start(self) -> None:
+        """Listen, and start the tasks."""
+        await self.server.start()
+        self.control.start()
+
+    async def stop(self) -> None:
+        """Leave, then close."""
+        await self.control.stop()
+        await self.server.stop()
+
+
+def main() -> None:
+    """Run cicada-control."""
+    settings = settings_lib.parse_or_exit(settings_lib.ControlSettings)
+    daemon.run(settings, lambda session: ControlDaemon(settings, session))
--- /dev/null
+++ b/src/cicadahook/programs/daemon.py
@@ -0,0 +1,83 @@
+"""What all daemons share: signals, start, graceful stop."""
+
+import asyncio
+import contextlib
+import signal
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Final, Protocol
+
+import aiohttp
+
+from cicadahook.core import errors
+from cicadahook.net import logs
+from cicadahook.net import metrics
+from cicadahook.programs import settings as settings_lib
+
+STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+CONNECTION_LIMIT: Final = 0
+CALL_SECONDS: Final = 10.0
+
+logger: Final = logs.create_logger("daemon")
+
+
+class Daemon(Protocol):
+    """A program that starts, runs, and stops gracefully."""
+
+    async def start(self) -> None:
+        """Start to serve."""
+
+    async def stop(self) -> None:
+        """Stop without cutting off any request."""
+
+
+@contextlib.asynccontextmanager
+async def open_session() -> AsyncIterator[aiohttp.ClientSession]:
+    """Yield an HTTP session without a limit on connections."""
+    connector = aiohttp.TCPConnector(limit=CONNECTION_LIMIT)
+    timeout = aiohttp.ClientTimeout(total=CALL_SECONDS)
+    async with aiohttp.ClientSession(
+        connector=connector, timeout=timeout
+    ) as session:
+        yield session
+
+
+def run(
+    settings: settings_lib.CommonSettings,
+    create: Callable[[aiohttp.ClientSession], Daemon],
+) -> None:
+    """Run a daemon until a stop signal; exit with code 0 after a clean stop."""
+    logs.setup(settings.log_format, settings.log_level)
+    metrics.setup(settings.otlp_endpoint)
+
+    async def serve() -> None:
+        async with open_session() as session:
+            daemon = create(session)
+            await daemon.start()
+            await wait_for_stop()
+            await daemon.stop()
+
+    run_main(serve)
+
+
+def run_main(main: Callable[[], Awaitable[None]]) -> None:
+    """Run `main`; exit with code 1 and a sentence on an expected error."""
+
+    async def body() -> None:
+        await main()
+
+    try:
+        asyncio.run(body())
+    except (errors.CicadaError, OSError) as error:
+        print(error, file=sys.stderr)
+        sys.exit(1)
+
+
+async def wait_for_stop() -> None:
+    """Return at the first stop signal."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+    logger.info("Stops.")
--- /dev/null
+++ b/src/cicadahook/programs/entry.py
@@ -0,0 +1,63 @@
+"""cicada-entry: faces callers."""
+
+import asyncio
+import contextlib
+import datetime
+
+import aiohttp
+
+from cicadahook.core import routing
+from cicadahook.net import clock
+from cicadahook.net import entry as entry_lib
+from cicadahook.net import http as http_lib
+from cicadahook.net import links
+from cicadahook.programs import daemon
+from cicadahook.programs import settings as settings_lib
+
+
+class EntryDaemon:
+    """An entry with its server and its link to a control."""
+
+    def __init__(
+        self,
+        settings: settings_lib.EntrySettings,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        mode = entry_lib.EntryMode(
+            name=settings.name,
+            zone=settings.zone,
+            keep=datetime.timedelta(seconds=settings.keep_seconds),
+            routing=routing.RoutingMode(settings.routing_policy, settings.zone),
+        )
+        self.entry = entry_lib.Entry(mode, clock.SystemClock(), session)
+        self.server = http_lib.Server(
+            self.entry.create_app(), settings.host, settings.port
+        )
+        self.link = links.LinkClient(
+            settings.controls,
+            session,
+            self.entry.take_view,
+            self.entry.create_report,
+        )
+        self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen, and link to a control."""
+        await self.server.start()
+        self.entry.address = self.server.address
+        self.task = asyncio.create_task(self.link.run())
+
+    async def stop(self) -> None:
+        """Finish open requests, then close."""
+        self.entry.is_draining = True
+        await self.server.stop()
+        if self.task is not None:
+            self.task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.task
+
+
+def main() -> None:
+    """Run cicada-entry."""
+    settings = settings_lib.parse_or_exit(settings_lib.EntrySettings)
+    daemon.run(settings, lambda session: EntryDaemon(settings, session))
--- /dev/null
+++ b/src/cicadahook/programs/local.py
@@ -0,0 +1,246 @@
+"""cicada-local: the whole system on loopback in one process, to try it."""
+
+import asyncio
+import contextlib
+from typing import Any, Final
+
+import aiohttp
+import fire
+
+from cicadahook.core import table as table_lib
+from cicadahook.net import http as http_lib
+from cicadahook.net import logs
+from cicadahook.net import metrics
+from cicadahook.programs import control
+from cicadahook.programs import daemon
+from cicadahook.programs import entry
+from cicadahook.programs import settings as settings_lib
+from cicadahook.standins import engine
+from cicadahook.standins import keyvalue
+from cicadahook.standins import service
+from cicadahook.standins import vmlist
+from cicadahook.standins import weights
+
+HOST: Final = "127.0.0.1"
+VM_COUNT: Final = 4
+ZONE_COUNT: Final = 3
+ENGINE_COUNT: Final = 3
+ENTRY_OFFSET: Final = 1
+CONTROL_OFFSET: Final = 11
+KEY_VALUE_OFFSET: Final = 20
+VM_LIST_OFFSET: Final = 21
+WEIGHTS_OFFSET: Final = 22
+ENGINE_OFFSET: Final = 31
+SERVICE_OFFSET: Final = 41
+DEFAULT_BASE_PORT: Final = 8400
+READY_POLL_SECONDS: Final = 0.05
+GIGABYTE: Final = 1_000_000_000
+
+ROWS: Final = (
+    table_lib.Row(
+        "inspector",
+        table_lib.RowKind.MODEL,
+        memory_bytes=20 * GIGABYTE,
+        min_copies=2,
+        priority=10,
+    ),
+    table_lib.Row(
+        "simplifier",
+        table_lib.RowKind.MODEL,
+        memory_bytes=15 * GIGABYTE,
+        min_copies=2,
+    ),
+    table_lib.Row(
+        "inspector-beams",
+        table_lib.RowKind.ADAPTER,
+        base="inspector",
+        memory_bytes=GIGABYTE,
+    ),
+    table_lib.Row(
+        "portal", table_lib.RowKind.SERVICE, non_idempotent=("/bookings",)
+    ),
+)
+
+GUIDE: Final = """\
+cicadahook runs on loopback. Try:
+  curl http://{host}:{entry}/v1/models
+  curl http://{host}:{entry}/v1/chat/completions -H 'Content-Type: application/json' \\
+    -d '{{"model": "inspector", "messages": [{{"role": "user", "content": "hello"}}]}}'
+  cicadactl table show
+Press Ctrl-C to stop."""
+
+
+class LocalSystem:
+    """Four entry VMs and all stand-ins.
+
+    Attributes:
+        base_port: all ports count from it.
+    """
+
+    def __init__(self, base_port: int, session: aiohttp.ClientSession) -> None:
+        self.base_port = base_port
+        self.session = session
+        weight_store = f"{HOST}:{base_port + WEIGHTS_OFFSET}"
+        self.key_value = keyvalue.KeyValueStandin()
+        self.weights = weights.WeightsStandin(
+            weights.WeightsMode(loads_per_second=20.0, full_speed_loads=4)
+        )
+        self.engines = [
+            engine.EngineStandin(engine.EngineMode(weights=weight_store))
+            for _ in range(ENGINE_COUNT)
+        ]
+        self.service = service.ServiceStandin()
+        self.vm_list = vmlist.VmListStandin(self._list_vms())
+        self.standins = self._create_servers()
+        self.daemons: list[daemon.Daemon] = [
+            create(index)
+            for index in range(VM_COUNT)
+            for create in (self._create_control, self._create_entry)
+        ]
+
+    def _list_vms(self) -> tuple[vmlist.ListedVm, ...]:
+        """Return the upstream VMs."""
+        engines = [
+            vmlist.ListedVm(
+                self._address(ENGINE_OFFSET + index), _zone(index), "engine"
+            )
+            for index in range(ENGINE_COUNT)
+        ]
+        portal = vmlist.ListedVm(
+            self._address(SERVICE_OFFSET), _zone(0), "service", "portal"
+        )
+        return (*engines, portal)
+
+    def _create_servers(self) -> list[http_lib.Server]:
+        """Return the servers of the stand-ins."""
+        parts: list[tuple[Any, int]] = [
+            (self.key_value, KEY_VALUE_OFFSET),
+            (self.vm_list, VM_LIST_OFFSET),
+            (self.weights, WEIGHTS_OFFSET),
+            (self.service, SERVICE_OFFSET),
+        ]
+        for index, part in enumerate(self.engines):
+            parts.append((part, ENGINE_OFFSET + index))
+        return [
+            http_lib.Server(part.create_app(), HOST, self.base_port + offset)
+            for part, offset in parts
+        ]
+
+    def _create_control(self, index: int) -> daemon.Daemon:
+        settings = settings_lib.ControlSettings(
+            name=f"vm{index + 1}",
+            host=HOST,
+            zone=_zone(index),
+            port=self.base_port + CONTROL_OFFSET + index,
+            entry=self._address(ENTRY_OFFSET + index),
+            key_value=self._address(KEY_VALUE_OFFSET),
+            vm_list=self._address(VM_LIST_OFFSET),
+        )
+        return control.ControlDaemon(settings, self.session)
+
+    def _create_entry(self, index: int) -> daemon.Daemon:
+        others = [(index + step) % VM_COUNT for step in range(VM_COUNT)]
+        settings = settings_lib.EntrySettings(
+            name=f"vm{index + 1}",
+            host=HOST,
+            zone=_zone(index),
+            port=self.base_port + ENTRY_OFFSET + index,
+            controls=tuple(
+                self._address(CONTROL_OFFSET + other) for other in others
+            ),
+        )
+        return entry.EntryDaemon(settings, self.session)
+
+    def _address(self, offset: int) -> str:
+        return f"{HOST}:{self.base_port + offset}"
+
+    async def start(self) -> None:
+        """Start everything; return once requests are served."""
+        for server in self.standins:
+            await server.start()
+        for part in self.daemons:
+            await part.start()
+        await self._fill_table()
+        await self._wait_until_placed()
+
+    async def _fill_table(self) -> None:
+        """Write the example rows."""
+        rows = [
+            {
+                "name": row.name,
+                "kind": row.kind.value,
+                "base": row.base,
+                "memory_bytes": row.memory_bytes,
+                "min_copies": row.min_copies,
+                "priority": row.priority,
+                "non_idempotent": row.non_idempotent,
+            }
+            for row in ROWS
+        ]
+        url = f"http://{self._address(CONTROL_OFFSET)}/table/rows"
+        async with self.session.put(url, json={"rows": rows}) as response:
+            response.raise_for_status()
+
+    async def _wait_until_placed(self) -> None:
+        """Wait until each entry has a copy of every row."""
+        entries = [
+            part for part in self.daemons if isinstance(part, entry.EntryDaemon)
+        ]
+        while not all(_is_placed(part) for part in entries):
+            await asyncio.sleep(READY_POLL_SECONDS)
+
+    async def stop(self) -> None:
+        """Stop entries, controls, then the stand-ins."""
+        for part in reversed(self.daemons):
+            await part.stop()
+        for server in reversed(self.standins):
+            await server.stop()
+
+
+def _zone(index: int) -> str:
+    return f"zone{index % ZONE_COUNT + 1}"
+
+
+def _is_placed(part: entry.EntryDaemon) -> bool:
+    """Whether all example rows can be served by an entry."""
+    view = part.entry.view
+    return len(view.table.rows) >= len(ROWS) and all(
+        view.upstreams_for(row) for row in view.table.rows
+    )
+
+
+def run(
+    seconds: float = 0.0,
+    base_port: int = DEFAULT_BASE_PORT,
+    log_level: str = "WARNING",
+) -> None:
+    """Run the whole system on loopback.
+
+    Args:
+        seconds: stop gracefully after so many seconds; 0 runs until Ctrl-C.
+        base_port: entries listen from base_port + 1, controls from + 11.
+        log_level: DEBUG, INFO, WARNING or ERROR.
+    """
+    logs.setup(logs.LogFormat.PLAIN, log_level)
+    metrics.setup("")
+
+    async def serve() -> None:
+        async with daemon.open_session() as session:
+            system = LocalSystem(base_port, session)
+            await system.start()
+            print(
+                GUIDE.format(host=HOST, entry=base_port + ENTRY_OFFSET),
+                flush=True,
+            )
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    daemon.wait_for_stop(), seconds if seconds > 0 else None
+                )
+            await system.stop()
+
+    daemon.run_main(serve)
+
+
+def main() -> None:
+    """Run cicada-local."""
+    fire.Fire(run, name="cicada-local")
--- /dev/null
+++ b/src/cicadahook/programs/settings.py
@@ -0,0 +1,138 @@
+"""Settings of the programs: flags and environment, validated in one place."""
+
+import sys
+from typing import Annotated, Final, TypeVar
+
+import pydantic
+import pydantic_settings
+
+from cicadahook.core import errors
+from cicadahook.core import placement
+from cicadahook.core import routing
+from cicadahook.net import logs
+
+ENVIRONMENT_PREFIX: Final = "CICADA_"
+USAGE_EXIT_CODE: Final = 2
+
+Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
+Address = Annotated[str, pydantic.Field(pattern=r"^[^\s:/]+:\d{1,5}$")]
+Seconds = Annotated[float, pydantic.Field(gt=0, le=86400)]
+SettingsT = TypeVar("SettingsT", bound="CommonSettings")
+
+
+def _check_policy(kind: str, known: dict[str, object], value: str) -> str:
+    if value not in known:
+        allowed = ", ".join(sorted(known))
+        raise ValueError(f"{kind} must be one of {allowed}")
+    return value
+
+
+def _check_routing(value: str) -> str:
+    return _check_policy("routing policy", dict(routing.POLICIES), value)
+
+
+def _check_placement(value: str) -> str:
+    return _check_policy("placement policy", dict(placement.POLICIES), value)
+
+
+class CommonSettings(pydantic_settings.BaseSettings):
+    """What all daemons take."""
+
+    model_config = pydantic_settings.SettingsConfigDict(
+        env_prefix=ENVIRONMENT_PREFIX,
+        cli_kebab_case=True,
+        cli_implicit_flags=True,
+        extra="forbid",
+    )
+
+    name: str = pydantic.Field(
+        "vm1", min_length=1, description="name of this VM"
+    )
+    host: str = pydantic.Field(
+        "127.0.0.1", description="IP address to listen on"
+    )
+    zone: str = pydantic.Field("zone1", description="availability zone")
+    log_format: logs.LogFormat = pydantic.Field(
+        logs.LogFormat.PLAIN, description="form of log lines"
+    )
+    log_level: str = pydantic.Field(
+        "INFO",
+        pattern="^(DEBUG|INFO|WARNING|ERROR)$",
+        description="least severity logged: DEBUG, INFO, WARNING or ERROR",
+    )
+    otlp_endpoint: str = pydantic.Field(
+        "", description="URL that metrics are pushed to by OTLP; empty: none"
+    )
+
+
+class EntrySettings(CommonSettings):
+    """Settings of cicada-entry."""
+
+    port: Port = pydantic.Field(8401, description="TCP port to listen on")
+    controls: tuple[Address, ...] = pydantic.Field(
+        ("127.0.0.1:8411",),
+        min_length=1,
+        description="host:port of the controls, this VM's own first",
+    )
+    keep_seconds: Seconds = pydantic.Field(
+        5.0, description="seconds that callers may keep an address answer"
+    )
+    routing_policy: Annotated[str, pydantic.AfterValidator(_check_routing)] = (
+        pydantic.Field("least_in_flight", description="routing policy")
+    )
+
+
+class ControlSettings(CommonSettings):
+    """Settings of cicada-control."""
+
+    port: Port = pydantic.Field(8411, description="TCP port to listen on")
+    entry: Address = pydantic.Field(
+        "127.0.0.1:8401", description="host:port of this VM's entry"
+    )
+    key_value: Address = pydantic.Field(
+        "127.0.0.1:8420", description="host:port of the key-value service"
+    )
+    vm_list: Address = pydantic.Field(
+        "127.0.0.1:8421", description="host:port of the VM list"
+    )
+    placement_policy: Annotated[
+        str, pydantic.AfterValidator(_check_placement)
+    ] = pydantic.Field("static", description="placement policy")
+    move_price: float = pydantic.Field(
+        1.0,
+        ge=0,
+        description="requests in time that one move must earn",
+    )
+
+
+def parse(settings_type: type[SettingsT], arguments: list[str]) -> SettingsT:
+    """Return the settings in `arguments` and the environment.
+
+    Raises:
+        errors.SettingsError: a value is not allowed; names flag and value.
+    """
+    try:
+        return settings_type(_cli_parse_args=arguments)
+    except pydantic.ValidationError as error:
+        lines = [_describe(detail) for detail in error.errors()]
+        raise errors.SettingsError("\n".join(lines)) from error
+    except pydantic_settings.SettingsError as error:
+        raise errors.SettingsError(str(error)) from error
+
+
+def _describe(detail: object) -> str:
+    """Return flag, value and what is allowed of one validation error."""
+    assert isinstance(detail, dict), "pydantic lists errors as dicts"
+    place = str(detail["loc"][0]) if detail["loc"] else "settings"
+    name = place.lower().removeprefix(ENVIRONMENT_PREFIX.lower())
+    flag = "--" + name.replace("_", "-")
+    return f"{flag}: {detail['input']!r} is not allowed: {detail['msg']}"
+
+
+def parse_or_exit(settings_type: type[SettingsT]) -> SettingsT:
+    """Return the settings of this process, or exit with code 2."""
+    try:
+        return parse(settings_type, sys.argv[1:])
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(USAGE_EXIT_CODE)
--- /dev/null
+++ b/src/cicadahook/standins/faults.py
@@ -0,0 +1,89 @@
+"""Faults that a test or an experiment orders from a stand-in over HTTP."""
+
+import asyncio
+import dataclasses
+from typing import Any, Generic, TypeVar
+
+from aiohttp import web
+import pydantic
+
+
+@dataclasses.dataclass(frozen=True)
+class Faults:
+    """Faults that every stand-in knows; the defaults are none.
+
+    Attributes:
+        down: answer 503 without doing anything.
+        silent: accept the call, do nothing and never answer.
+        latency_seconds: wait this long before each call.
+        lose_replies: do the work of so many calls and drop their answers.
+    """
+
+    down: bool = False
+    silent: bool = False
+    latency_seconds: float = 0.0
+    lose_replies: int = 0
+
+
+FaultsT = TypeVar("FaultsT", bound=Faults)
+
+
+class FaultControl(Generic[FaultsT]):
+    """Holds the faults in force and applies them to each call."""
+
+    def __init__(self, none: FaultsT) -> None:
+        self.faults = none
+        self.adapter = pydantic.TypeAdapter(type(none))
+
+    def install(self, app: web.Application) -> None:
+        """Add the middleware and the `/faults` routes to `app`."""
+        app.middlewares.append(self.middleware)
+        app.router.add_get("/faults", self.show)
+        app.router.add_put("/faults", self.replace)
+
+    async def show(self, request: web.Request) -> web.Response:
+        """Answer the faults in force."""
+        del request
+        return web.json_response(dataclasses.asdict(self.faults))
+
+    async def replace(self, request: web.Request) -> web.Response:
+        """Put the faults of the request's body in force."""
+        try:
+            self.faults = self.adapter.validate_json(await request.read())
+        except pydantic.ValidationError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        return await self.show(request)
+
+    @web.middleware
+    async def middleware(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        """Apply the faults in force to one call."""
+        if request.path == "/faults":
+            return await self._answer(request, handler)
+        faults = self.faults
+        if faults.latency_seconds:
+            await asyncio.sleep(faults.latency_seconds)
+        if faults.silent:
+            await asyncio.Event().wait()
+        if faults.down:
+            raise web.HTTPServiceUnavailable(text="down as ordered")
+        response = await self._answer(request, handler)
+        if self.faults.lose_replies > 0:
+            self.faults = dataclasses.replace(
+                self.faults, lose_replies=self.faults.lose_replies - 1
+            )
+            drop_connection(request)
+        return response
+
+    async def _answer(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        response: web.StreamResponse = await handler(request)
+        return response
+
+
+def drop_connection(request: web.Request) -> None:
+    """Close the caller's connection without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
--- /dev/null
+++ b/src/cicadahook/standins/keyvalue.py
@@ -0,0 +1,244 @@
+"""Stand-in for the platform's key-value service."""
+
+import asyncio
+import dataclasses
+import itertools
+import time
+from typing import Any, Final
+
+from aiohttp import web
+
+from cicadahook.standins import faults
+
+VALUE_LIMIT_BYTES: Final = 1024 * 1024
+LEASE_CHECK_SECONDS: Final = 0.1
+RATE_WINDOW_SECONDS: Final = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyValueMode:
+    """Limits of the service, in calls a second; 0 is no limit."""
+
+    reads_per_second: int = 2000
+    writes_per_second: int = 300
+
+
+@dataclasses.dataclass
+class Item:
+    """A stored key; a removed one keeps its revision with no value."""
+
+    value: str | None
+    revision: int
+    lease: str = ""
+
+
+@dataclasses.dataclass
+class Lease:
+    """A lease and when it lapses, in seconds of the monotonic clock."""
+
+    ttl_seconds: float
+    lapses: float
+
+
+class KeyValueStandin:
+    """Compare-and-swap, leases and watches over HTTP, in memory."""
+
+    def __init__(self, mode: KeyValueMode = KeyValueMode()) -> None:
+        self.mode = mode
+        self.items: dict[str, Item] = {}
+        self.leases: dict[str, Lease] = {}
+        self.revision = 0
+        self.lease_numbers = itertools.count(1)
+        self.changed = asyncio.Event()
+        self.faults = faults.FaultControl(faults.Faults())
+        self.window_start = 0.0
+        self.window_reads = 0
+        self.window_writes = 0
+        self.reads = 0
+        self.writes = 0
+
+    def create_app(self) -> web.Application:
+        """Return the application that serves the protocol."""
+        app = web.Application(client_max_size=2 * VALUE_LIMIT_BYTES)
+        self.faults.install(app)
+        app.middlewares.append(self.rate_middleware)
+        app.router.add_get("/v1/keys", self.list_keys)
+        app.router.add_get("/v1/keys/{key:.+}", self.get_key)
+        app.router.add_put("/v1/keys/{key:.+}", self.put_key)
+        app.router.add_delete("/v1/keys/{key:.+}", self.delete_key)
+        app.router.add_get("/v1/watch", self.watch)
+        app.router.add_post("/v1/leases", self.grant)
+        app.router.add_put("/v1/leases/{lease}", self.renew)
+        app.router.add_delete("/v1/leases/{lease}", self.revoke)
+        app.router.add_get("/calls", self.show_calls)
+        app.cleanup_ctx.append(self._expire_leases)
+        return app
+
+    @web.middleware
+    async def rate_middleware(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        """Refuse calls beyond the allowed rates."""
+        is_protocol = request.path.startswith("/v1/")
+        if is_protocol and not self._take_call(request.method == "GET"):
+            raise web.HTTPTooManyRequests(text="call rate exceeded")
+        response: web.StreamResponse = await handler(request)
+        return response
+
+    def _take_call(self, is_read: bool) -> bool:
+        """Count a call; return whether its rate is still allowed."""
+        now = time.monotonic()
+        if now - self.window_start >= RATE_WINDOW_SECONDS:
+            self.window_start = now
+            self.window_reads = 0
+            self.window_writes = 0
+        if is_read:
+            self.reads += 1
+            self.window_reads += 1
+            limit, count = self.mode.reads_per_second, self.window_reads
+        else:
+            self.writes += 1
+            self.window_writes += 1
+            limit, count = self.mode.writes_per_second, self.window_writes
+        return not limit or count <= limit
+
+    async def show_calls(self, request: web.Request) -> web.Response:
+        """Answer the number of calls so far."""
+        del request
+        return web.json_response({"reads": self.reads, "writes": self.writes})
+
+    async def list_keys(self, request: web.Request) -> web.Response:
+        """Answer all keys under a prefix."""
+        return self._answer_items(request.query.get("prefix", ""), 0, True)
+
+    async def get_key(self, request: web.Request) -> web.Response:
+        """Answer one key, or 404."""
+        key = request.match_info["key"]
+        item = self.items.get(key)
+        if item is None or item.value is None:
+            return web.json_response({"error": "absent"}, status=404)
+        return web.json_response(_describe(key, item))
+
+    async def put_key(self, request: web.Request) -> web.Response:
+        """Write a key if its revision is the expected one, else 409."""
+        body = await request.json()
+        key = request.match_info["key"]
+        value = str(body["value"])
+        if len(value.encode()) > VALUE_LIMIT_BYTES:
+            raise web.HTTPRequestEntityTooLarge(
+                VALUE_LIMIT_BYTES, len(value.encode())
+            )
+        expected = body.get("expected_revision")
+        if expected is not None and expected != self._live_revision(key):
+            return web.json_response({"error": "conflict"}, status=409)
+        lease = str(body.get("lease", ""))
+        if lease and lease not in self.leases:
+            return web.json_response({"error": "lease lapsed"}, status=409)
+        self._write(key, value, lease)
+        return web.json_response({"revision": self.revision})
+
+    async def delete_key(self, request: web.Request) -> web.Response:
+        """Remove a key if its revision is the expected one, else 409."""
+        key = request.match_info["key"]
+        expected = request.query.get("expected_revision")
+        if expected is not None and int(expected) != self._live_revision(key):
+            return web.json_response({"error": "conflict"}, status=409)
+        if self._live_revision(key):
+            self._write(key, None, "")
+        return web.json_response({"revision": self.revision})
+
+    async def watch(self, request: web.Request) -> web.Response:
+        """Answer changes under a prefix once there are any."""
+        prefix = request.query.get("prefix", "")
+        after = int(request.query.get("after", "0"))
+        end = time.monotonic() + float(request.query.get("wait_seconds", "0"))
+        while not self._has_changes(prefix, after):
+            left = end - time.monotonic()
+            if left <= 0:
+                break
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except TimeoutError:
+                break
+        return self._answer_items(prefix, after, False)
+
+    async def grant(self, request: web.Request) -> web.Response:
+        """Answer a new lease."""
+        ttl = float((await request.json())["ttl_seconds"])
+        lease = f"lease-{next(self.lease_numbers)}"
+        self.leases[lease] = Lease(ttl, time.monotonic() + ttl)
+        return web.json_response({"lease": lease})
+
+    async def renew(self, request: web.Request) -> web.Response:
+        """Renew a lease, or answer 404 if it has lapsed."""
+        lease = self.leases.get(request.match_info["lease"])
+        if lease is None:
+            return web.json_response({"error": "lapsed"}, status=404)
+        lease.lapses = time.monotonic() + lease.ttl_seconds
+        return web.json_response({})
+
+    async def revoke(self, request: web.Request) -> web.Response:
+        """End a lease and remove its keys."""
+        self._end_lease(request.match_info["lease"])
+        return web.json_response({})
+
+    def _live_revision(self, key: str) -> int:
+        """Return the revision of `key`, or 0 if it is absent."""
+        item = self.items.get(key)
+        return item.revision if item and item.value is not None else 0
+
+    def _write(self, key: str, value: str | None, lease: str) -> None:
+        """Store `value` and wake all watches."""
+        self.revision += 1
+        self.items[key] = Item(value, self.revision, lease)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _has_changes(self, prefix: str, after: int) -> bool:
+        return any(
+            key.startswith(prefix) and item.revision > after
+            for key, item in self.items.items()
+        )
+
+    def _answer_items(
+        self, prefix: str, after: int, is_live_only: bool
+    ) -> web.Response:
+        """Answer the items under `prefix` newer than `after`."""
+        entries = [
+            _describe(key, item)
+            for key, item in sorted(self.items.items())
+            if key.startswith(prefix)
+            and item.revision > after
+            and not (is_live_only and item.value is None)
+        ]
+        return web.json_response(
+            {"entries": entries, "revision": self.revision}
+        )
+
+    def _end_lease(self, lease: str) -> None:
+        """Remove a lease and its keys."""
+        self.leases.pop(lease, None)
+        held = [key for key, item in self.items.items() if item.lease == lease]
+        for key in held:
+            self._write(key, None, "")
+
+    async def _expire_leases(self, app: web.Application) -> Any:
+        """Run the task that ends lapsed leases while the app runs."""
+        del app
+        task = asyncio.create_task(self._check_leases())
+        yield
+        task.cancel()
+
+    async def _check_leases(self) -> None:
+        while True:
+            await asyncio.sleep(LEASE_CHECK_SECONDS)
+            now = time.monotonic()
+            for name, lease in list(self.leases.items()):
+                if lease.lapses < now:
+                    self._end_lease(name)
+
+
+def _describe(key: str, item: Item) -> dict[str, Any]:
+    """Return the JSON form of an item; revision 0 if it was removed."""
+    revision = item.revision if item.value is not None else 0
+    return {"key": key, "value": item.value or "", "revision": revision}
--- /dev/null
+++ b/src/cicadahook/standins/service.py
@@ -0,0 +1,45 @@
+"""Stand-in for a plain service that must not run a booking twice."""
+
+import collections
+import itertools
+
+from aiohttp import web
+
+from cicadahook.standins import faults
+
+
+class ServiceStandin:
+    """Counts each booking that it ran, by the caller's booking name."""
+
+    def __init__(self) -> None:
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.numbers = itertools.count(1)
+        self.faults = faults.FaultControl(faults.Faults())
+
+    def create_app(self) -> web.Application:
+        """Return the application that serves bookings."""
+        app = web.Application()
+        self.faults.install(app)
+        app.router.add_get("/healthz", self.check)
+        app.router.add_post("/bookings", self.book)
+        app.router.add_get("/bookings", self.show_runs)
+        return app
+
+    async def check(self, request: web.Request) -> web.Response:
+        """Answer that the service lives."""
+        del request
+        return web.json_response({"state": "live"})
+
+    async def book(self, request: web.Request) -> web.Response:
+        """Run a booking and count it under its name."""
+        body = await request.json()
+        name = str(body.get("name", ""))
+        self.runs[name] += 1
+        return web.json_response(
+            {"booking": next(self.numbers), "name": name}, status=201
+        )
+
+    async def show_runs(self, request: web.Request) -> web.Response:
+        """Answer how often each booking ran."""
+        del request
+        return web.json_response(dict(self.runs))
--- /dev/null
+++ b/src/cicadahook/standins/weights.py
@@ -0,0 +1,65 @@
+"""Stand-in for the weight store: limited in rate and in concurrency."""
+
+import asyncio
+import dataclasses
+import time
+
+from aiohttp import web
+
+from cicadahook.standins import faults
+
+
+@dataclasses.dataclass(frozen=True)
+class WeightsMode:
+    """Limits of the store.
+
+    Attributes:
+        loads_per_second: loads that may start a second.
+        full_speed_loads: loads that run at full speed at once; beyond, each
+            takes longer in proportion.
+        load_seconds: time of one load at full speed.
+    """
+
+    loads_per_second: float = 1.0
+    full_speed_loads: int = 2
+    load_seconds: float = 0.2
+
+
+class WeightsStandin:
+    """Serves weights as an empty body after the time that they take."""
+
+    def __init__(self, mode: WeightsMode = WeightsMode()) -> None:
+        self.mode = mode
+        self.next_start = 0.0
+        self.active = 0
+        self.loads = 0
+        self.faults = faults.FaultControl(faults.Faults())
+
+    def create_app(self) -> web.Application:
+        """Return the application that serves weights."""
+        app = web.Application()
+        self.faults.install(app)
+        app.router.add_get("/weights/{row}/{version}", self.fetch)
+        app.router.add_get("/loads", self.show_loads)
+        return app
+
+    async def fetch(self, request: web.Request) -> web.Response:
+        """Answer one load after its turn and its time."""
+        del request
+        now = time.monotonic()
+        start = max(now, self.next_start)
+        self.next_start = start + 1.0 / self.mode.loads_per_second
+        await asyncio.sleep(start - now)
+        self.active += 1
+        try:
+            slowdown = max(1.0, self.active / self.mode.full_speed_loads)
+            await asyncio.sleep(self.mode.load_seconds * slowdown)
+        finally:
+            self.active -= 1
+        self.loads += 1
+        return web.Response()
+
+    async def show_loads(self, request: web.Request) -> web.Response:
+        """Answer the number of loads so far."""
+        del request
+        return web.json_response({"loads": self.loads, "active": self.active})
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,54 @@
+"""Shared fixtures."""
+
+from collections.abc import AsyncIterator
+import os
+import socket
+from typing import Final
+
+import pytest
+import pytest_asyncio
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.programs import daemon
+from cicadahook.programs import local
+
+FIRST_PORT: Final = 12000
+BLOCK_SIZE: Final = 50
+BLOCK_COUNT: Final = 400
+
+
+@pytest.fixture
+def clock() -> clock_lib.ManualClock:
+    """Return a clock that the test moves."""
+    return clock_lib.ManualClock()
+
+
+def find_base_port() -> int:
+    """Return a port from which a block of ports is free.
+
+    Blocks lie below the range that the kernel gives to outgoing connections.
+    """
+    start = os.getpid() % BLOCK_COUNT
+    for step in range(BLOCK_COUNT):
+        block = (start + step) % BLOCK_COUNT
+        base = FIRST_PORT + block * BLOCK_SIZE
+        if all(is_free(base + offset) for offset in range(BLOCK_SIZE)):
+            return base
+    raise OSError("no free block of ports")
+
+
+def is_free(port: int) -> bool:
+    """Whether a server could listen on `port`."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return probe.connect_ex((local.HOST, port)) != 0
+
+
+@pytest_asyncio.fixture
+async def system() -> AsyncIterator[local.LocalSystem]:
+    """Yield the whole system with its stand-ins, in this process."""
+    async with daemon.open_session() as session:
+        running = local.LocalSystem(find_base_port(), session)
+        await running.start()
+        yield running
+        await running.stop()
