--- a/src/cicadahook/core/view.py
+++ b/src/cicadahook/core/view.py
@@ -1,6 +1,7 @@
 """Views: what a control tells its entry, and what an entry reports back."""
 
 import dataclasses
+import datetime
 import enum
 import functools
 
@@ -101,10 +102,47 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerLoad:
-    """Requests that other entries have in flight at an upstream."""
+    """What the other entries report of an upstream.
+
+    Attributes:
+        upstream: its address.
+        in_flight: sum of what they have in flight there.
+        limit: mean of the concurrency limits that they learned; 0 is none.
+    """
 
     upstream: str
     in_flight: int
+    limit: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerRowLoad:
+    """What the other entries report of a row.
+
+    Attributes:
+        row: its name.
+        in_flight: sum of what they have in flight for it.
+        arrivals_per_second: sum of their arrival rates.
+    """
+
+    row: str
+    in_flight: int
+    arrivals_per_second: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspect:
+    """A request that was running where upstreams died.
+
+    Attributes:
+        fingerprint: hash of its content.
+        deaths: incarnations of the upstreams that died while it ran.
+        last_seen: time of the latest of these deaths.
+    """
+
+    fingerprint: str
+    deaths: tuple[str, ...]
+    last_seen: datetime.datetime
 
 
 @dataclasses.dataclass(frozen=True)
@@ -118,7 +156,9 @@
         upstreams: all upstreams known.
         copies: all copies known.
         members: all entry VMs known.
-        peer_loads: in-flight requests of the other entries.
+        peer_loads: what the other entries report of upstreams.
+        peer_row_loads: what the other entries report of rows.
+        suspects: requests suspected of crashing upstreams, from all entries.
     """
 
     control: str = ""
@@ -128,6 +168,8 @@
     copies: tuple[Copy, ...] = ()
     members: tuple[Member, ...] = ()
     peer_loads: tuple[PeerLoad, ...] = ()
+    peer_row_loads: tuple[PeerRowLoad, ...] = ()
+    suspects: tuple[Suspect, ...] = ()
 
     @functools.cached_property
     def upstream_by_address(self) -> dict[str, Upstream]:
@@ -160,19 +202,34 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RowDemand:
-    """Requests that arrived for a row since the previous report."""
+    """What an entry saw of a row since its previous report.
+
+    Attributes:
+        row: its name.
+        arrivals: requests that arrived.
+        refusals: requests that were refused.
+        in_flight: requests in flight now.
+    """
 
     row: str
     arrivals: int
     refusals: int = 0
+    in_flight: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamUse:
-    """What an entry has in flight at an upstream."""
+    """What an entry has in flight at an upstream.
+
+    Attributes:
+        upstream: its address.
+        in_flight: requests in flight.
+        limit: concurrency limit that the entry learned; 0 is none yet.
+    """
 
     upstream: str
     in_flight: int
+    limit: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -185,6 +242,7 @@
         draining: whether the entry is leaving.
         uses: what it has in flight.
         demands: arrivals by row since its previous report.
+        suspects: requests that this entry suspects of crashing upstreams.
     """
 
     entry: str
@@ -192,3 +250,4 @@
     draining: bool = False
     uses: tuple[UpstreamUse, ...] = ()
     demands: tuple[RowDemand, ...] = ()
+    suspects: tuple[Suspect, ...] = ()
--- /dev/null
+++ b/src/cicadahook/net/completions.py
@@ -0,0 +1,109 @@
+"""Chat and text completions: from the caller's request to its answer."""
+
+from collections.abc import AsyncIterator
+import itertools
+from typing import Any, Final
+
+from aiohttp import web
+
+from cicadahook.core import admission
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import errors
+from cicadahook.core import request as request_lib
+from cicadahook.core import table as table_lib
+from cicadahook.net import answers
+from cicadahook.net import attempts
+from cicadahook.net import dispatch
+from cicadahook.net import headers
+from cicadahook.net import http as http_lib
+from cicadahook.net import logs
+
+logger: Final = logs.create_logger("completions")
+
+
+class CompletionsApi:
+    """Serves the OpenAI completions of all models and adapters."""
+
+    def __init__(
+        self,
+        name: str,
+        clock: clock_lib.Clock,
+        dispatcher: dispatch.Dispatcher,
+        caller: attempts.UpstreamCaller,
+    ) -> None:
+        self.name = name
+        self.clock = clock
+        self.dispatcher = dispatcher
+        self.caller = caller
+        self.numbers = itertools.count(1)
+
+    def install(self, app: web.Application) -> None:
+        """Add the routes to `app`."""
+        app.router.add_post("/v1/chat/completions", self.complete_chat)
+        app.router.add_post("/v1/completions", self.complete_text)
+
+    async def complete_chat(self, http: web.Request) -> web.StreamResponse:
+        """Answer a chat completion."""
+        return await self._complete(http, answers.Form(is_chat=True))
+
+    async def complete_text(self, http: web.Request) -> web.StreamResponse:
+        """Answer a text completion."""
+        return await self._complete(http, answers.Form(is_chat=False))
+
+    async def _complete(
+        self, http: web.Request, form: answers.Form
+    ) -> web.StreamResponse:
+        """Check, route and answer a completion."""
+        body = await http_lib.read_object(http)
+        row = self._find_row(headers.read_model(body))
+        request = headers.with_content(
+            headers.read_request(http, row.name, self.clock),
+            body,
+            form.is_chat,
+        )
+        self.dispatcher.note_arrival(row)
+        chunks = self._attempt(request, row, body)
+        if body.get("stream"):
+            return await answers.send_stream(http, request, chunks)
+        return await answers.send_whole(request, form, chunks)
+
+    def _find_row(self, name: str) -> table_lib.Row:
+        """Return the model or adapter called `name`."""
+        row = self.dispatcher.view.table.find(name)
+        if row is None or not row.is_placed:
+            raise errors.RefusalError(
+                "unknown_model", f"model {name!r} is not in the table", 404
+            )
+        return row
+
+    async def _attempt(
+        self,
+        request: request_lib.Request,
+        row: table_lib.Row,
+        body: dict[str, Any],
+    ) -> AsyncIterator[dict[str, Any]]:
+        """Yield the chunks of one attempt."""
+        grant = await self.dispatcher.acquire(request, row)
+        attempt = attempts.Attempt(
+            id=f"{self.name}-{next(self.numbers)}-{request.id}",
+            upstream=grant.upstream,
+            path=request.path,
+            body=body,
+            timeout=request.deadline - self.clock.now(),
+        )
+        end = admission.AttemptEnd.CANCELLED
+        try:
+            async for chunk in self.caller.stream(attempt):
+                yield chunk
+            end = admission.AttemptEnd.SERVED
+        except errors.UpstreamError as error:
+            end = admission.AttemptEnd.FAILED
+            logger.warning("Request %s failed: %s.", request.id, error)
+            raise errors.RefusalError(
+                "upstream_failed",
+                "the upstream did not give a whole answer",
+                502,
+                errors.Outcome.UNKNOWN,
+            ) from error
+        finally:
+            self.dispatcher.release(grant, admission.AttemptResult(end))
--- a/src/cicadahook/programs/cicadactl.py
+++ b/src/cicadahook/programs/cicadactl.py
@@ -1,21 +1,18 @@
 """cicadactl: the operators' command-line client."""
 
-import asyncio
-from collections.abc import Mapping
 import json
 import os
 import sys
 from typing import Any, Final
 
-import aiohttp
 import fire
 import tabulate
 
 from cicadahook.core import errors
+from cicadahook.programs import calls
 
 DEFAULT_CONTROL: Final = "127.0.0.1:8411"
 CONTROL_VARIABLE: Final = "CICADA_CONTROL"
-CALL_SECONDS: Final = 10.0
 FAILED_EXIT_CODE: Final = 1
 TABLE_COLUMNS: Final = (
     "name",
@@ -29,10 +26,6 @@
 )
 
 
-class CallError(errors.CicadaError):
-    """A control refused a call or did not answer."""
-
-
 class TableCommands:
     """Shows and edits the table."""
 
@@ -41,7 +34,7 @@
 
     def show(self, as_json: bool = False) -> None:
         """Print all rows."""
-        answer = _call(self.control, "GET", "/table")
+        answer = calls.call(self.control, "GET", "/table")
         if as_json:
             print(json.dumps(answer, indent=2))
             return
@@ -54,7 +47,7 @@
     def set(self, name: str, kind: str = "model", **columns: Any) -> None:
         """Add or replace the row NAME; give columns as flags."""
         row = {"name": name, "kind": kind, **columns}
-        answer = _call(self.control, "PUT", "/table/rows", {"rows": [row]})
+        answer = calls.call(self.control, "PUT", "/table/rows", {"rows": [row]})
         print(f"accepted as generation {answer['generation']}")
 
 
@@ -74,34 +67,7 @@
 
     def status(self) -> None:
         """Print the state that the control sees, as JSON."""
-        print(json.dumps(_call(self.control, "GET", "/status"), indent=2))
-
-
-def _call(
-    control: str,
-    method: str,
-    path: str,
-    body: Mapping[str, Any] | None = None,
-) -> dict[str, Any]:
-    """Return the answer of a control."""
-    return asyncio.run(_call_async(control, method, path, body))
-
-
-async def _call_async(
-    control: str, method: str, path: str, body: Mapping[str, Any] | None
-) -> dict[str, Any]:
-    timeout = aiohttp.ClientTimeout(total=CALL_SECONDS)
-    try:
-        async with aiohttp.ClientSession(timeout=timeout) as session:
-            async with session.request(
-                method, f"http://{control}{path}", json=body
-            ) as response:
-                answer: dict[str, Any] = await response.json()
-                if response.status >= 400:
-                    raise CallError(answer["error"]["message"])
-                return answer
-    except (aiohttp.ClientError, TimeoutError) as error:
-        raise CallError(f"control {control} did not answer: {error}") from error
+        print(json.dumps(calls.call(self.control, "GET", "/status"), indent=2))
 
 
 def main() -> None:
--- a/src/cicadahook/schema/link.capnp
+++ b/src/cicadahook/schema/link.capnp
@@ -56,6 +56,19 @@
 struct PeerLoad {
   upstream @0 :Text;
   inFlight @1 :UInt32;
+  limit @2 :Float64;
+}
+
+struct PeerRowLoad {
+  row @0 :Text;
+  inFlight @1 :UInt32;
+  arrivalsPerSecond @2 :Float64;
+}
+
+struct Suspect {
+  fingerprint @0 :Text;
+  deaths @1 :List(Text);
+  lastSeen @2 :Text;
 }
 
 struct View {
@@ -66,17 +79,21 @@
   copies @4 :List(Copy);
   members @5 :List(Member);
   peerLoads @6 :List(PeerLoad);
+  peerRowLoads @7 :List(PeerRowLoad);
+  suspects @8 :List(Suspect);
 }
 
 struct RowDemand {
   row @0 :Text;
   arrivals @1 :UInt32;
   refusals @2 :UInt32;
+  inFlight @3 :UInt32;
 }
 
 struct UpstreamUse {
   upstream @0 :Text;
   inFlight @1 :UInt32;
+  limit @2 :Float64;
 }
 
 struct Report {
@@ -85,4 +102,5 @@
   draining @2 :Bool;
   uses @3 :List(UpstreamUse);
   demands @4 :List(RowDemand);
+  suspects @5 :List(Suspect);
 }
