Load the OTLP exporter only where an endpoint is set

Cause: a control took 62.2 MB resident before any state, against 64 MB for all of it; importing the exporter with protobuf was part of it. Interpreter flags (-OO, one malloc arena) were tried and change nothing.

--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -1,25 +1,26 @@
 """Metrics by OpenTelemetry, shown in the Prometheus text form."""
 
 import functools
+import importlib
 from typing import Final
 
 from aiohttp import web
 from opentelemetry import metrics
-from opentelemetry.exporter.otlp.proto.http import metric_exporter
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics import export
 import prometheus_client
 
 METER_NAME: Final = "cicadahook"
+OTLP_MODULE: Final = "cicadahook.net.otlp"
 
 
 def setup(otlp_endpoint: str) -> None:
     """Collect metrics, and push them to `otlp_endpoint` if there is one."""
     readers: list[export.MetricReader] = [PrometheusMetricReader()]
     if otlp_endpoint:
-        exporter = metric_exporter.OTLPMetricExporter(endpoint=otlp_endpoint)
-        readers.append(export.PeriodicExportingMetricReader(exporter))
+        otlp = importlib.import_module(OTLP_MODULE)
+        readers.append(otlp.create_reader(otlp_endpoint))
     metrics.set_meter_provider(MeterProvider(metric_readers=readers))
 
 
