--- a/benchmarks/codec.py
+++ b/benchmarks/codec.py
@@ -1,18 +1,22 @@
-"""Measures size and time of an encoded view against the number of rows.
+"""Measures size and time of encoded views and patches against rows.
 
 Run: python benchmarks/codec.py
 """
 
+from collections.abc import Callable
+import dataclasses
 import json
 import time
 from typing import Final
 
+from cicadahook.core import patch
 from cicadahook.core import table
 from cicadahook.core import view
 from cicadahook.net import codec
 
 SIZES: Final = (10, 100, 1500)
 REPEATS: Final = 5
+PATCHES: Final = codec.Codec(patch.ViewPatch, "patch")
 
 
 def create_view(size: int) -> view.View:
@@ -29,23 +33,37 @@
 
 
 def measure(size: int) -> dict[str, float]:
-    """Return size and times of a view of `size` rows."""
-    subject = create_view(size)
-    started = time.perf_counter()
-    for _ in range(REPEATS):
-        data = codec.VIEWS.encode(subject)
-    encoded = time.perf_counter()
-    for _ in range(REPEATS):
-        codec.VIEWS.decode(data)
-    decoded = time.perf_counter()
+    """Return size and times of a whole view and of a patch of one copy."""
+    old = create_view(size)
+    moved = dataclasses.replace(old.copies[0], upstream="10.0.0.2:80")
+    new = dataclasses.replace(
+        old, number=old.number + 1, copies=(moved, *old.copies[1:])
+    )
+    whole = codec.VIEWS.encode(new)
+    part = PATCHES.encode(patch.diff(old, new))
     return {
         "rows": size,
-        "bytes": len(data),
-        "encode_ms": (encoded - started) / REPEATS * 1000,
-        "decode_ms": (decoded - encoded) / REPEATS * 1000,
+        "view_bytes": len(whole),
+        "view_encode_ms": time_ms(lambda: codec.VIEWS.encode(new)),
+        "view_decode_ms": time_ms(lambda: codec.VIEWS.decode(whole)),
+        "patch_bytes": len(part),
+        "patch_encode_ms": time_ms(
+            lambda: PATCHES.encode(patch.diff(old, new))
+        ),
+        "patch_decode_ms": time_ms(
+            lambda: patch.apply(old, PATCHES.decode(part))
+        ),
     }
 
 
+def time_ms(call: Callable[[], object]) -> float:
+    """Return the mean time of `call`, in milliseconds."""
+    started = time.perf_counter()
+    for _ in range(REPEATS):
+        call()
+    return round((time.perf_counter() - started) / REPEATS * 1000, 3)
+
+
 if __name__ == "__main__":
     for count in SIZES:
         print(json.dumps(measure(count)))
