--- /dev/null
+++ b/benchmarks/processes.py
@@ -0,0 +1,236 @@
+"""Measures real daemons: memory, processor time, bytes, key-value calls.
+
+Run: python benchmarks/processes.py [--seconds 10]
+
+Starts one control and one entry with stand-ins as separate processes on
+loopback, then reads the processor time of each from the kernel.
+"""
+
+import asyncio
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import time
+from typing import Any, Final
+
+import aiohttp
+import fire
+
+HOST: Final = "127.0.0.1"
+BASE_PORT: Final = 9700
+BIN: Final = pathlib.Path(sys.executable).parent
+START_SECONDS: Final = 20.0
+POLL_SECONDS: Final = 0.1
+MODEL: Final = "model-0"
+TICKS_PER_SECOND: Final = os.sysconf("SC_CLK_TCK")
+
+
+@dataclasses.dataclass(frozen=True)
+class Use:
+    """What a process used since it started.
+
+    Attributes:
+        cpu_seconds: processor time.
+        resident_mb: memory resident now.
+    """
+
+    cpu_seconds: float
+    resident_mb: float
+
+
+@dataclasses.dataclass(frozen=True)
+class System:
+    """The processes that are measured."""
+
+    entry: subprocess.Popen[bytes]
+    control: subprocess.Popen[bytes]
+
+
+def port(offset: int) -> int:
+    """Return the port at `offset`."""
+    return BASE_PORT + offset
+
+
+def url(offset: int, path: str) -> str:
+    """Return the URL of `path` at the port `offset`."""
+    return f"http://{HOST}:{port(offset)}{path}"
+
+
+def read_use(process: subprocess.Popen[bytes]) -> Use:
+    """Return what `process` used so far."""
+    stat = pathlib.Path(f"/proc/{process.pid}/stat").read_text("ascii")
+    fields = stat.rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    pages = int(fields[21])
+    return Use(
+        ticks / TICKS_PER_SECOND,
+        pages * os.sysconf("SC_PAGE_SIZE") / 1_000_000,
+    )
+
+
+@contextlib.contextmanager
+def run_system() -> Iterator[System]:
+    """Yield a running system; stop its processes afterwards."""
+    address = f"{HOST}:{port(0)}"
+    commands = [
+        ["cicada-standin", "keyvalue", "--port", str(port(20))],
+        ["cicada-standin", "vmlist", "--port", str(port(21))],
+        ["cicada-standin", "engine", "--port", str(port(31)), "--knee=1000"],
+        [
+            "cicada-control",
+            f"--port={port(11)}",
+            f"--entry={address}",
+            f"--key-value={HOST}:{port(20)}",
+            f"--vm-list={HOST}:{port(21)}",
+        ],
+        [
+            "cicada-entry",
+            f"--port={port(0)}",
+            f"--controls={HOST}:{port(11)}",
+        ],
+    ]
+    with contextlib.ExitStack() as stack:
+        started = []
+        for command in commands:
+            process = subprocess.Popen(
+                [str(BIN / command[0]), *command[1:]],
+                stdout=subprocess.DEVNULL,
+                stderr=subprocess.DEVNULL,
+            )
+            stack.callback(process.wait)
+            stack.callback(process.terminate)
+            started.append(process)
+        yield System(entry=started[4], control=started[3])
+
+
+async def call(
+    session: aiohttp.ClientSession, method: str, target: str, body: Any
+) -> Any:
+    """Return the JSON answer of one call, tried until it works."""
+    end = time.monotonic() + START_SECONDS
+    while True:
+        with contextlib.suppress(aiohttp.ClientError):
+            async with session.request(method, target, json=body) as response:
+                if response.status < 400:
+                    return await response.json()
+        if time.monotonic() > end:
+            raise TimeoutError(target)
+        await asyncio.sleep(POLL_SECONDS)
+
+
+async def prepare(session: aiohttp.ClientSession, row_count: int) -> None:
+    """Fill VM list and table; return once a request is served."""
+    vms = [{"address": f"{HOST}:{port(31)}", "zone": "z1", "kind": "engine"}]
+    await call(session, "PUT", url(21, "/vms"), vms)
+    rows = [
+        {"name": f"model-{index}", "kind": "model", "memory_bytes": 1000}
+        for index in range(row_count)
+    ]
+    await call(session, "PUT", url(11, "/table/rows"), {"rows": rows})
+    probe = {**body_of(1), "stream": False}
+    await call(session, "POST", url(0, "/v1/completions"), probe)
+
+
+def body_of(tokens: int) -> dict[str, Any]:
+    """Return a streamed completion of so many tokens."""
+    return {
+        "model": MODEL,
+        "prompt": "measure",
+        "max_tokens": tokens,
+        "stream": True,
+    }
+
+
+async def load(
+    session: aiohttp.ClientSession, rate: float, tokens: int, seconds: float
+) -> int:
+    """Send requests at `rate` a second; return how many were served."""
+
+    async def send() -> bool:
+        target = url(0, "/v1/completions")
+        async with session.post(target, json=body_of(tokens)) as response:
+            answer = await response.read()
+        return answer.endswith(b"data: [DONE]\n\n")
+
+    tasks = []
+    for _ in range(int(rate * seconds)):
+        tasks.append(asyncio.create_task(send()))
+        await asyncio.sleep(1 / rate)
+    return sum(await asyncio.gather(*tasks))
+
+
+async def measure_rest(
+    session: aiohttp.ClientSession, system: System, seconds: float
+) -> dict[str, float]:
+    """Return what the daemons use a second with no load."""
+    calls = await call(session, "GET", url(20, "/calls"), None)
+    before = read_use(system.control), read_use(system.entry)
+    await asyncio.sleep(seconds)
+    after = read_use(system.control), read_use(system.entry)
+    calls_after = await call(session, "GET", url(20, "/calls"), None)
+    return {
+        "control_core_percent": _percent(before[0], after[0], seconds),
+        "entry_core_percent": _percent(before[1], after[1], seconds),
+        "control_resident_mb": after[0].resident_mb,
+        "entry_resident_mb": after[1].resident_mb,
+        "kv_reads_per_second": (calls_after["reads"] - calls["reads"])
+        / seconds,
+        "kv_writes_per_second": (calls_after["writes"] - calls["writes"])
+        / seconds,
+    }
+
+
+def _percent(before: Use, after: Use, seconds: float) -> float:
+    return 100 * (after.cpu_seconds - before.cpu_seconds) / seconds
+
+
+async def measure_load(
+    session: aiohttp.ClientSession,
+    system: System,
+    rate: float,
+    tokens: int,
+    seconds: float,
+) -> dict[str, float]:
+    """Return the entry's processor time for each request."""
+    before = read_use(system.entry)
+    served = await load(session, rate, tokens, seconds)
+    after = read_use(system.entry)
+    cpu = after.cpu_seconds - before.cpu_seconds
+    return {
+        "rate": rate,
+        "tokens": tokens,
+        "sent": int(rate * seconds),
+        "served": served,
+        "entry_cpu_ms_per_request": 1000 * cpu / max(served, 1),
+        "entry_resident_mb": after.resident_mb,
+    }
+
+
+async def measure(row_count: int, seconds: float) -> None:
+    """Print all figures at one size of table."""
+    connector = aiohttp.TCPConnector(limit=0)
+    with run_system() as system:
+        async with aiohttp.ClientSession(connector=connector) as session:
+            await prepare(session, row_count)
+            rest = await measure_rest(session, system, seconds)
+            print(json.dumps({"rows": row_count, **rest}), flush=True)
+            for rate, tokens in ((20.0, 1), (20.0, 33), (20.0, 65)):
+                figures = await measure_load(
+                    session, system, rate, tokens, seconds
+                )
+                print(json.dumps(figures), flush=True)
+
+
+def main(seconds: float = 8.0, rows: tuple[int, ...] = (1, 200)) -> None:
+    """Measure at each size of table."""
+    for row_count in rows:
+        asyncio.run(measure(row_count, seconds))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
