Admit requests by a state machine with learned limits and queues

Cause: attempts were granted at once, without a limit, and routed by this entry's own counts only, so overload reached the upstreams. Change: a deterministic machine in core/ holds learned concurrency limits, row limits and queues, and refuses early with a time to come back; net/dispatch.py puts futures and a timer round it.

--- /dev/null
+++ b/src/cicadahook/core/admitter.py
@@ -0,0 +1,396 @@
+"""Admission at an entry: who may make an attempt now, and at which upstream."""
+
+from collections.abc import Iterator
+import dataclasses
+import datetime
+import itertools
+from typing import Final
+
+from cicadahook.core import admission
+from cicadahook.core import affinity
+from cicadahook.core import estimates
+from cicadahook.core import loads as loads_lib
+from cicadahook.core import queues
+from cicadahook.core import quotas
+from cicadahook.core import routing
+from cicadahook.core import shares
+from cicadahook.core import table as table_lib
+from cicadahook.core import view as view_lib
+
+MIN_CHANCE: Final = 0.1
+MIN_QUEUE_CHANCE: Final = 0.4
+MIN_PACE_TOKENS: Final = 4
+MIN_PACE_SECONDS: Final = 1e-6
+MIN_RETRY_AFTER: Final = datetime.timedelta(seconds=1)
+MAX_RETRY_AFTER: Final = datetime.timedelta(minutes=1)
+PROBE_PERIOD: Final = datetime.timedelta(seconds=5)
+POLL_PERIOD: Final = datetime.timedelta(milliseconds=100)
+LIVE_STATES: Final = frozenset(
+    {view_lib.MemberState.ALIVE, view_lib.MemberState.SUSPECT}
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """A granted attempt that has not ended.
+
+    Attributes:
+        grant: the leave given.
+        in_flight: requests in flight at the upstream when it was given.
+    """
+
+    grant: admission.Grant
+    in_flight: float
+
+
+class Admitter:
+    """Decides on requests as a deterministic state machine.
+
+    Each message gives decisions; a request that got none waits, and is granted
+    or refused by its deadline if `wake_at` is kept to.
+
+    Attributes:
+        view: the newest view.
+        attempts: granted attempts that have not ended, by grant number.
+    """
+
+    def __init__(self, mode: admission.AdmissionMode) -> None:
+        self.mode = mode
+        self.policy = routing.create_policy(mode.routing)
+        self.view = view_lib.View()
+        self.loads = loads_lib.Loads()
+        self.quotas = quotas.Quotas()
+        self.queue = queues.WaitingQueue(mode.queue_limit)
+        self.prefixes = affinity.PrefixMemory()
+        self.work: dict[str, estimates.WorkEstimate] = {}
+        self.attempts: dict[int, Attempt] = {}
+        self.last_grants: dict[str, datetime.datetime] = {}
+        self.numbers = itertools.count(1)
+
+    def handle(
+        self, message: admission.Message, now: datetime.datetime
+    ) -> list[admission.Decision]:
+        """Return the decisions that follow from `message`."""
+        match message:
+            case admission.Arrived():
+                return list(self._arrive(message, now))
+            case admission.Left():
+                self.queue.remove(message.ticket)
+                return []
+            case admission.Ended():
+                self._end(message, now)
+            case admission.ViewChanged():
+                self._take_view(message.view)
+            case admission.Woken():
+                pass
+        return list(self._serve_waiting(now))
+
+    def wake_at(self, now: datetime.datetime) -> datetime.datetime | None:
+        """Return when to send `Woken`, or None if nothing waits."""
+        if not self.queue.waiters:
+            return None
+        heads = (lane.head for lane in self.queue.lanes.values())
+        earliest = min(head.request.deadline for head in heads)
+        return min(earliest, now + POLL_PERIOD)
+
+    def _take_view(self, view: view_lib.View) -> None:
+        """Use `view` from now on, and forget rows that are gone."""
+        self.view = view
+        fleet = self._place_in_fleet()
+        self.loads.take_view(view, fleet)
+        self.quotas.take_view(view, fleet)
+        for memory in (self.work, self.last_grants):
+            for name in [name for name in memory if not view.table.find(name)]:
+                del memory[name]
+
+    def _place_in_fleet(self) -> shares.Fleet:
+        names = sorted(
+            member.name
+            for member in self.view.members
+            if member.state in LIVE_STATES
+        )
+        if self.mode.entry not in names:
+            return shares.Fleet(len(names) + 1, len(names))
+        return shares.Fleet(len(names), names.index(self.mode.entry))
+
+    def _arrive(
+        self, message: admission.Arrived, now: datetime.datetime
+    ) -> Iterator[admission.Decision]:
+        """Grant, refuse or queue a new request."""
+        waiter = queues.Waiter(
+            message.ticket, message.request, message.row, message.excluded, now
+        )
+        if not message.is_retry:
+            pause = self.quotas.admit(message.row, now)
+            if pause is not None:
+                yield _refuse(waiter, admission.RefusalCode.ROW_RATE, pause)
+                return
+        key = queues.create_key(waiter)
+        decision = None
+        if key not in self.queue.lanes:
+            decision = self._decide(waiter, now)
+        if decision is None:
+            decision = self._check_wait(waiter, now)
+        if decision is not None:
+            yield decision
+            return
+        yield from self._enqueue(waiter)
+
+    def _enqueue(self, waiter: queues.Waiter) -> Iterator[admission.Decision]:
+        """Queue a request; a full queue refuses the least urgent one."""
+        if len(self.queue) >= self.queue.limit:
+            victim = self.queue.find_victim(waiter.request.priority)
+            refused = victim or waiter
+            yield _refuse(
+                refused, admission.RefusalCode.OVERLOADED, MIN_RETRY_AFTER
+            )
+            if victim is None:
+                return
+            self.queue.remove(victim.ticket)
+        self.queue.push(waiter)
+
+    def _serve_waiting(
+        self, now: datetime.datetime
+    ) -> Iterator[admission.Decision]:
+        """Decide on waiting requests until all lanes are blocked."""
+        blocked: set[queues.LaneKey] = set()
+        while len(blocked) < len(self.queue.lanes):
+            for lane in self.queue.order(now):
+                if lane.key in blocked:
+                    continue
+                decision = self._decide(lane.head, now)
+                if decision is None:
+                    blocked.add(lane.key)
+                    continue
+                if isinstance(decision, admission.Granted):
+                    self.queue.charge(lane)
+                self.queue.remove(decision.ticket)
+                yield decision
+                break
+
+    def _decide(
+        self, waiter: queues.Waiter, now: datetime.datetime
+    ) -> admission.Decision | None:
+        """Grant or refuse a request now, or return None if it must wait."""
+        candidates = self._find_candidates(waiter)
+        if not candidates:
+            return _refuse(
+                waiter, admission.RefusalCode.NO_COPY, MIN_RETRY_AFTER
+            )
+        loads = self._create_loads(waiter, candidates, now)
+        if self._is_hopeless(waiter, loads, now):
+            return _refuse(
+                waiter, admission.RefusalCode.TOO_LATE, MIN_RETRY_AFTER
+            )
+        if not self.quotas.has_room(waiter.row, now):
+            return None
+        chosen = self.policy.choose(waiter.request, loads)
+        if chosen is None:
+            return None
+        return self._grant(waiter, chosen, now)
+
+    def _find_candidates(
+        self, waiter: queues.Waiter
+    ) -> tuple[view_lib.Upstream, ...]:
+        upstreams = self.view.upstreams_for(waiter.row)
+        if not waiter.excluded:
+            return upstreams
+        return tuple(
+            upstream
+            for upstream in upstreams
+            if upstream.address not in waiter.excluded
+        )
+
+    def _create_loads(
+        self,
+        waiter: queues.Waiter,
+        candidates: tuple[view_lib.Upstream, ...],
+        now: datetime.datetime,
+    ) -> list[routing.Load]:
+        """Return what is known of each candidate for this request."""
+        affinities = self.prefixes.rate(
+            waiter.row.name,
+            waiter.request.prefix,
+            tuple(upstream.address for upstream in candidates),
+            now,
+        )
+        return [
+            self._create_load(waiter, upstream, holds, now)
+            for upstream, holds in zip(candidates, affinities, strict=True)
+        ]
+
+    def _create_load(
+        self,
+        waiter: queues.Waiter,
+        upstream: view_lib.Upstream,
+        holds: float,
+        now: datetime.datetime,
+    ) -> routing.Load:
+        known = self.loads.get(upstream.address)
+        work = self._work(waiter.row)
+        in_flight = known.predict_in_flight(self.loads.fleet.entries)
+        pace = self.loads.predict_pace(known, in_flight + 1, now)
+        seconds = work.median * pace if work.samples else 0.0
+        has_room = known.own < self.loads.allow(known, now)
+        slack = (waiter.request.deadline - now).total_seconds()
+        if not has_room:
+            slack -= seconds / max(1, known.own)
+        return routing.Load(
+            upstream,
+            in_flight,
+            known.limit,
+            has_room,
+            seconds,
+            work.chance(slack, pace),
+            holds,
+        )
+
+    def _work(self, row: table_lib.Row) -> estimates.WorkEstimate:
+        return self.work.setdefault(row.name, estimates.WorkEstimate())
+
+    def _is_hopeless(
+        self,
+        waiter: queues.Waiter,
+        loads: list[routing.Load],
+        now: datetime.datetime,
+    ) -> bool:
+        """Whether the request can't end in time on any upstream.
+
+        A row that got nothing for a while is tried anyway, so that a wrong
+        estimate corrects itself.
+        """
+        if waiter.request.deadline <= now:
+            return True
+        if max(load.chance for load in loads) >= MIN_CHANCE:
+            return False
+        last = self.last_grants.get(waiter.row.name)
+        return last is not None and now - last < PROBE_PERIOD
+
+    def _check_wait(
+        self, waiter: queues.Waiter, now: datetime.datetime
+    ) -> admission.Refused | None:
+        """Refuse a request that would probably wait for too long."""
+        wait = self._predict_wait(waiter, now)
+        late = dataclasses.replace(
+            waiter.request, deadline=waiter.request.deadline - wait
+        )
+        loads = self._create_loads(
+            dataclasses.replace(waiter, request=late),
+            self._find_candidates(waiter),
+            now,
+        )
+        if max(load.chance for load in loads) >= MIN_QUEUE_CHANCE:
+            return None
+        return _refuse(waiter, admission.RefusalCode.OVERLOADED, wait)
+
+    def _predict_wait(
+        self, waiter: queues.Waiter, now: datetime.datetime
+    ) -> datetime.timedelta:
+        """Return the expected wait behind the requests queued so far."""
+        own = {upstream.address for upstream in self._find_candidates(waiter)}
+        ahead = 0.0
+        for lane in self.queue.ahead_of(queues.create_key(waiter)):
+            theirs = {
+                upstream.address
+                for upstream in self._find_candidates(lane.head)
+            }
+            part = len(own & theirs) / max(1, len(theirs))
+            ahead += part * len(lane.heap)
+        seconds = ahead * self._predict_interval(waiter, own, now)
+        return min(datetime.timedelta(seconds=seconds), MAX_RETRY_AFTER)
+
+    def _predict_interval(
+        self, waiter: queues.Waiter, addresses: set[str], now: datetime.datetime
+    ) -> float:
+        """Return the seconds between ends of attempts at `addresses`."""
+        work = self._work(waiter.row)
+        rate = 0.0
+        for address in addresses:
+            known = self.loads.get(address)
+            in_flight = known.predict_in_flight(self.loads.fleet.entries)
+            pace = self.loads.predict_pace(known, in_flight, now)
+            if not work.samples or not pace:
+                return 0.0
+            rate += self.loads.allow(known, now) / (work.median * pace)
+        return 1 / rate if rate else 0.0
+
+    def _grant(
+        self,
+        waiter: queues.Waiter,
+        chosen: routing.Load,
+        now: datetime.datetime,
+    ) -> admission.Granted:
+        """Give leave for an attempt at the chosen upstream."""
+        address = chosen.upstream.address
+        known = self.loads.get(address)
+        assert known.own < self.loads.allow(known, now), f"{address} over limit"
+        known.own += 1
+        self.quotas.start(waiter.row.name)
+        self.prefixes.note(waiter.row.name, waiter.request.prefix, address, now)
+        self.last_grants[waiter.row.name] = now
+        grant = admission.Grant(
+            next(self.numbers), waiter.row.name, chosen.upstream, now
+        )
+        self.attempts[grant.number] = Attempt(grant, chosen.in_flight + 1)
+        return admission.Granted(waiter.ticket, grant)
+
+    def _end(self, message: admission.Ended, now: datetime.datetime) -> None:
+        """Free the slot of an attempt and learn from it; ends once."""
+        attempt = self.attempts.pop(message.number)
+        address = attempt.grant.upstream.address
+        known = self.loads.get(address)
+        in_flight = known.predict_in_flight(self.loads.fleet.entries)
+        known.own -= 1
+        assert known.own >= 0, f"{address}: more ends than grants"
+        self.quotas.end(attempt.grant.row)
+        pace = self._read_pace(attempt.grant, message.result, now)
+        if pace:
+            mean = (attempt.in_flight + in_flight) / 2
+            self.loads.learn(known, mean, pace, now)
+
+    def _read_pace(
+        self,
+        grant: admission.Grant,
+        result: admission.AttemptResult,
+        now: datetime.datetime,
+    ) -> float:
+        """Learn a row's work; return seconds per unit, 0 if not seen."""
+        work = self.work.setdefault(grant.row, estimates.WorkEstimate())
+        elapsed = max(MIN_PACE_SECONDS, (now - grant.granted).total_seconds())
+        units = max(1, result.tokens)
+        if result.per_token:
+            elapsed = result.per_token.total_seconds() * units
+        match result.end:
+            case admission.AttemptEnd.SERVED:
+                work.add(units)
+                return elapsed / units
+            case admission.AttemptEnd.FAILED:
+                return 0.0
+            case admission.AttemptEnd.TIMED_OUT:
+                work.add_cut(units)
+        return elapsed / units if units >= MIN_PACE_TOKENS else 0.0
+
+
+def _refuse(
+    waiter: queues.Waiter,
+    code: admission.RefusalCode,
+    retry_after: datetime.timedelta,
+) -> admission.Refused:
+    return admission.Refused(
+        waiter.ticket,
+        code,
+        REASONS[code].format(row=waiter.row.name),
+        max(MIN_RETRY_AFTER, retry_after),
+    )
+
+
+REASONS: Final = {
+    admission.RefusalCode.NO_COPY: "no upstream serves {row!r} at the moment",
+    admission.RefusalCode.TOO_LATE: (
+        "a request to {row!r} can't be served before its deadline"
+    ),
+    admission.RefusalCode.OVERLOADED: (
+        "{row!r} has more work waiting than can be served in time"
+    ),
+    admission.RefusalCode.ROW_RATE: "{row!r} is over its rate limit",
+}
--- /dev/null
+++ b/src/cicadahook/core/limits.py
@@ -0,0 +1,143 @@
+"""Learned concurrency limits: where more requests stop being served sooner."""
+
+import dataclasses
+import datetime
+import math
+from typing import Final
+
+INITIAL_LIMIT: Final = 16.0
+BUCKET_RATIO: Final = 1.2
+MIN_BUCKET_SAMPLES: Final = 4
+MAX_BUCKET_SAMPLES: Final = 40
+BUCKET_LIFE: Final = datetime.timedelta(minutes=10)
+GROWTH: Final = 1.5
+HEADROOM: Final = 1.1
+SATURATED_RATIO: Final = 1.15
+PACE_GAIN: Final = 0.1
+TRUST_LIFE_SECONDS: Final = 20.0
+
+
+@dataclasses.dataclass
+class Bucket:
+    """Samples taken at about the same number of requests in flight.
+
+    Attributes:
+        in_flight: mean of the requests in flight.
+        pace: mean seconds per unit of work.
+        samples: how many samples count, up to MAX_BUCKET_SAMPLES.
+        updated: time of the newest sample.
+    """
+
+    in_flight: float
+    pace: float
+    samples: int
+    updated: datetime.datetime
+
+    @property
+    def throughput(self) -> float:
+        """Units of work a second over all requests in flight."""
+        return self.in_flight / self.pace
+
+    def add(
+        self, in_flight: float, pace: float, now: datetime.datetime
+    ) -> None:
+        """Take one more sample."""
+        self.samples = min(self.samples + 1, MAX_BUCKET_SAMPLES)
+        self.in_flight += (in_flight - self.in_flight) / self.samples
+        self.pace += (pace - self.pace) / self.samples
+        self.updated = now
+
+
+class LimitLearner:
+    """Learns speed and knee of one upstream from finished attempts.
+
+    Below the knee a unit of work takes a constant time; beyond it the time
+    grows in proportion, so the throughput stays at its greatest value. By
+    Little's law the knee is that throughput times the constant time. Samples
+    are averaged by the number in flight, so a single slow answer moves little.
+
+    Attributes:
+        knee: requests in flight that give the greatest throughput; 0 until
+            enough samples were taken.
+        limit: concurrency limit; INITIAL_LIMIT until a knee is known.
+        pace: recent seconds per unit of work up to the knee; 0 is unknown.
+        updated: time of the newest sample.
+    """
+
+    def __init__(self) -> None:
+        self.buckets: dict[int, Bucket] = {}
+        self.knee = 0.0
+        self.limit = INITIAL_LIMIT
+        self.pace = 0.0
+        self.updated: datetime.datetime | None = None
+
+    def add(
+        self, in_flight: float, pace: float, now: datetime.datetime
+    ) -> None:
+        """Take a sample: `pace` seconds per unit with `in_flight` requests."""
+        assert pace > 0, f"pace must be above 0, not {pace}"
+        in_flight = max(1.0, in_flight)
+        index = round(math.log(in_flight, BUCKET_RATIO))
+        bucket = self.buckets.get(index)
+        if bucket is None:
+            self.buckets[index] = Bucket(in_flight, pace, 1, now)
+        else:
+            bucket.add(in_flight, pace, now)
+        self._update_limit(now)
+        self._update_pace(in_flight, pace)
+        self.updated = now
+
+    def _update_limit(self, now: datetime.datetime) -> None:
+        """Derive knee and limit from the buckets that are full enough."""
+        self.buckets = {
+            index: bucket
+            for index, bucket in self.buckets.items()
+            if now - bucket.updated < BUCKET_LIFE
+        }
+        known = [
+            bucket
+            for bucket in self.buckets.values()
+            if bucket.samples >= MIN_BUCKET_SAMPLES
+        ]
+        if not known:
+            return
+        base = min(bucket.pace for bucket in known)
+        self.knee = base * max(bucket.throughput for bucket in known)
+        fullest = max(known, key=lambda bucket: bucket.in_flight)
+        if fullest.pace < base * SATURATED_RATIO:
+            self.limit = max(self.limit, GROWTH * fullest.in_flight)
+            return
+        self.limit = max(1.0, HEADROOM * self.knee)
+
+    def _update_pace(self, in_flight: float, pace: float) -> None:
+        """Average what the sample would have shown below the knee."""
+        level = pace / self._slowdown(in_flight)
+        if not self.pace:
+            self.pace = level
+        self.pace += PACE_GAIN * (level - self.pace)
+
+    def _slowdown(self, in_flight: float) -> float:
+        return max(1.0, in_flight / self.knee) if self.knee else 1.0
+
+    def predict_pace(
+        self, in_flight: float, usual: float, now: datetime.datetime
+    ) -> float:
+        """Return the expected seconds per unit with `in_flight` requests.
+
+        `usual` is the pace of the other upstreams; what was learned here goes
+        over to it while no new samples come, so that an upstream that was slow
+        is tried again. 0 is returned if nothing is known.
+        """
+        if self.updated is None:
+            return usual
+        age = (now - self.updated).total_seconds()
+        trust = math.exp(-max(0.0, age) / TRUST_LIFE_SECONDS)
+        level = trust * self.pace + (1 - trust) * (usual or self.pace)
+        return level * self._slowdown(in_flight)
+
+
+def combine(own: float, peers: float) -> float:
+    """Return the limit in force of an own and the peers' mean; 0 is none."""
+    if not own or not peers:
+        return own or peers or INITIAL_LIMIT
+    return (own + peers) / 2
--- /dev/null
+++ b/src/cicadahook/core/loads.py
@@ -0,0 +1,146 @@
+"""What an entry knows of its upstreams: in flight, limits, speed."""
+
+from collections.abc import Iterable
+import dataclasses
+import datetime
+import statistics
+
+from cicadahook.core import limits
+from cicadahook.core import shares
+from cicadahook.core import view as view_lib
+
+
+@dataclasses.dataclass
+class UpstreamLoad:
+    """One upstream as this entry sees it.
+
+    Attributes:
+        service: name of the row that it serves, if it is a plain service.
+        incarnation: process that the learned figures stand for.
+        own: in flight from this entry.
+        own_reported: the same when the newest view came.
+        peers: in flight from the other entries by that view.
+        peer_limit: mean of the limits that they learned; 0 is none.
+        learner: what was learned of its limit and speed.
+    """
+
+    service: str = ""
+    incarnation: str = ""
+    own: int = 0
+    own_reported: int = 0
+    peers: int = 0
+    peer_limit: float = 0.0
+    learner: limits.LimitLearner = dataclasses.field(
+        default_factory=limits.LimitLearner
+    )
+
+    @property
+    def limit(self) -> float:
+        """Concurrency limit in force over all entries."""
+        learned = self.learner.limit if self.learner.knee else 0.0
+        return limits.combine(learned, self.peer_limit)
+
+    @property
+    def usage(self) -> shares.Usage:
+        """What is in flight against the limit."""
+        return shares.Usage(self.own, self.own_reported, self.peers)
+
+    def predict_in_flight(self, entries: int) -> float:
+        """Return the requests in flight, corrected for the report's lag.
+
+        The other entries are taken to have sent since the report as this one
+        did, as they see the same figures.
+        """
+        sent = self.own - self.own_reported
+        peers = self.peers + sent * (entries - 1)
+        return self.own + max(0.0, peers)
+
+
+class Loads:
+    """All upstreams, by address."""
+
+    def __init__(self) -> None:
+        self.by_address: dict[str, UpstreamLoad] = {}
+        self.fleet = shares.Fleet()
+        self.usual_paces: dict[str, float] = {}
+
+    def get(self, address: str) -> UpstreamLoad:
+        """Return the upstream at `address`."""
+        load = self.by_address.get(address)
+        if load is None:
+            load = self.by_address[address] = UpstreamLoad()
+        return load
+
+    def take_view(self, view: view_lib.View, fleet: shares.Fleet) -> None:
+        """Take what a new view says of upstreams; forget those gone."""
+        self.fleet = fleet
+        peers = {load.upstream: load for load in view.peer_loads}
+        for upstream in view.upstreams:
+            load = self.get(upstream.address)
+            load.service = upstream.service
+            if load.incarnation != upstream.incarnation:
+                load.incarnation = upstream.incarnation
+                load.learner = limits.LimitLearner()
+            self._take_peers(load, upstream, peers.get(upstream.address))
+        gone = [
+            address
+            for address, load in self.by_address.items()
+            if not load.own and address not in view.upstream_by_address
+        ]
+        for address in gone:
+            del self.by_address[address]
+
+    def _take_peers(
+        self,
+        load: UpstreamLoad,
+        upstream: view_lib.Upstream,
+        peer: view_lib.PeerLoad | None,
+    ) -> None:
+        """Take the peers' use; without it, what the upstream reports."""
+        if peer is not None:
+            load.peers = peer.in_flight
+            load.peer_limit = peer.limit
+        else:
+            load.peers = max(0, upstream.in_flight - load.own_reported)
+            load.peer_limit = 0.0
+        load.own_reported = load.own
+
+    def allow(self, load: UpstreamLoad, now: datetime.datetime) -> int:
+        """Return how many this entry may have in flight at the upstream."""
+        return shares.allow(load.limit, load.usage, self.fleet, now)
+
+    def learn(
+        self,
+        load: UpstreamLoad,
+        in_flight: float,
+        pace: float,
+        now: datetime.datetime,
+    ) -> None:
+        """Take a sample of the upstream's speed."""
+        load.learner.add(in_flight, pace, now)
+        known = [
+            other.learner.pace
+            for other in self.by_address.values()
+            if other.learner.pace and other.service == load.service
+        ]
+        self.usual_paces[load.service] = statistics.median(known)
+
+    def predict_pace(
+        self, load: UpstreamLoad, in_flight: float, now: datetime.datetime
+    ) -> float:
+        """Return the expected seconds per unit of work; 0 is unknown."""
+        usual = self.usual_paces.get(load.service, 0.0)
+        return load.learner.predict_pace(in_flight, usual, now)
+
+    def create_uses(self) -> tuple[view_lib.UpstreamUse, ...]:
+        """Return in-flight counts and learned limits, for the reports."""
+        return tuple(_create_uses(self.by_address.items()))
+
+
+def _create_uses(
+    items: Iterable[tuple[str, UpstreamLoad]],
+) -> Iterable[view_lib.UpstreamUse]:
+    for address, load in items:
+        limit = load.learner.limit if load.learner.knee else 0.0
+        if load.own or limit:
+            yield view_lib.UpstreamUse(address, load.own, limit)
--- /dev/null
+++ b/src/cicadahook/core/shares.py
@@ -0,0 +1,60 @@
+"""Shares of a fleet-wide limit, held without a call per request."""
+
+import dataclasses
+import datetime
+import math
+from typing import Final
+
+TURN_SECONDS: Final = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fleet:
+    """Where this entry stands among the live entries.
+
+    Attributes:
+        entries: number of live entries, 1 or more.
+        rank: place of this entry among them, from 0.
+    """
+
+    entries: int = 1
+    rank: int = 0
+
+    def has_turn(self, spare: int, now: datetime.datetime) -> bool:
+        """Whether this entry holds one of `spare` slots that go round."""
+        turn = math.floor(now.timestamp() / TURN_SECONDS)
+        return (self.rank + turn) % self.entries < spare
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """What is in flight against one limit.
+
+    Attributes:
+        own: in flight from this entry now.
+        own_reported: the same when the newest view came.
+        peers: in flight from the other entries by that view.
+    """
+
+    own: int = 0
+    own_reported: int = 0
+    peers: int = 0
+
+
+def allow(
+    limit: float, usage: Usage, fleet: Fleet, now: datetime.datetime
+) -> int:
+    """Return how many this entry may have in flight of `limit`.
+
+    An entry always has an equal share. What the others leave unused is split
+    evenly once per view, since each of them sees it at the same time. Slots
+    that don't divide go round by time.
+    """
+    whole = max(1, math.floor(limit))
+    share, spare = divmod(whole, fleet.entries)
+    share += fleet.has_turn(spare, now)
+    unused = whole - usage.peers - usage.own_reported
+    if unused <= 0:
+        return share
+    grown = usage.own_reported + unused // fleet.entries
+    return max(share, grown)
--- a/src/cicadahook/net/dispatch.py
+++ b/src/cicadahook/net/dispatch.py
@@ -1,38 +1,53 @@
-"""Admission at an entry: who may make an attempt now, and at which upstream."""
+"""Admission at an entry: futures and a timer round the state machine."""
 
+import asyncio
 import collections
-import datetime
 import itertools
 from typing import Final
 
 from cicadahook.core import admission
+from cicadahook.core import admitter
 from cicadahook.core import clock as clock_lib
-from cicadahook.core import errors
 from cicadahook.core import request as request_lib
-from cicadahook.core import routing
 from cicadahook.core import table as table_lib
 from cicadahook.core import view as view_lib
+from cicadahook.net import logs
+from cicadahook.net import metrics
 
-RETRY_AFTER: Final = datetime.timedelta(seconds=1)
+GRANTED: Final = "granted"
+CALLER_LEFT: Final = "caller_left"
+
+logger: Final = logs.create_logger("dispatch")
 
 
 class Dispatcher:
     """Grants attempts by the newest view.
 
     Attributes:
-        view: the newest view; set by its owner.
-        in_flight: granted attempts that have not ended, by upstream.
+        admitter: the state machine that decides.
+        waiting: who waits for a decision, by ticket.
     """
 
     def __init__(
-        self, mode: routing.RoutingMode, clock: clock_lib.Clock
+        self, mode: admission.AdmissionMode, clock: clock_lib.Clock
     ) -> None:
+        self.mode = mode
         self.clock = clock
-        self.policy = routing.create_policy(mode)
-        self.view = view_lib.View()
-        self.in_flight: collections.Counter[str] = collections.Counter()
+        self.admitter = admitter.Admitter(mode)
+        self.waiting: dict[int, asyncio.Future[admission.Decision]] = {}
         self.arrivals: collections.Counter[str] = collections.Counter()
-        self.numbers = itertools.count(1)
+        self.refusals: collections.Counter[str] = collections.Counter()
+        self.tickets = itertools.count(1)
+        self.timer: asyncio.TimerHandle | None = None
+
+    @property
+    def view(self) -> view_lib.View:
+        """The newest view."""
+        return self.admitter.view
+
+    @view.setter
+    def view(self, new: view_lib.View) -> None:
+        self._handle(admission.ViewChanged(new))
 
     def note_arrival(self, row: table_lib.Row) -> None:
         """Count a request that arrived for `row`, once per request."""
@@ -43,50 +58,119 @@
         request: request_lib.Request,
         row: table_lib.Row,
         excluded: frozenset[str] = frozenset(),
+        is_retry: bool = False,
     ) -> admission.Grant:
         """Wait for leave to make an attempt; `excluded` upstreams get none.
 
-        Every grant must be passed to `release` once.
+        Every grant must be passed to `release` once. A retry of a request that
+        had a grant before does not count against the rate of its row.
 
         Raises:
             errors.RefusalError: the request is refused, not run.
         """
-        candidates = tuple(
-            upstream
-            for upstream in self.view.upstreams_for(row)
-            if upstream.address not in excluded
+        ticket = next(self.tickets)
+        future: asyncio.Future[admission.Decision]
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[ticket] = future
+        self._handle(
+            admission.Arrived(ticket, request, row, excluded, is_retry)
         )
-        if not candidates:
-            raise errors.RefusalError(
-                "no_copy",
-                f"no upstream serves {row.name!r} at the moment",
-                503,
-                retry_after=RETRY_AFTER,
+        try:
+            decision = await future
+        except asyncio.CancelledError:
+            self._leave(ticket, future)
+            raise
+        if isinstance(decision, admission.Refused):
+            self.refusals[row.name] += 1
+            raise decision.create_error()
+        return decision.grant
+
+    def _leave(
+        self, ticket: int, future: asyncio.Future[admission.Decision]
+    ) -> None:
+        """Stop waiting; a grant that came at the same time is given back."""
+        self.waiting.pop(ticket, None)
+        self._count(CALLER_LEFT)
+        if future.cancelled() or not future.done():
+            self._handle(admission.Left(ticket))
+            return
+        decision = future.result()
+        if isinstance(decision, admission.Granted):
+            self.release(
+                decision.grant,
+                admission.AttemptResult(admission.AttemptEnd.CANCELLED),
             )
-        upstream = self.policy.choose(request, candidates, self.in_flight)
-        self.in_flight[upstream.address] += 1
-        return admission.Grant(
-            next(self.numbers), row.name, upstream, self.clock.now()
-        )
 
     def release(
         self, grant: admission.Grant, result: admission.AttemptResult
     ) -> None:
         """Take note that the attempt of `grant` has ended."""
-        del result
-        self.in_flight[grant.upstream.address] -= 1
+        self._handle(admission.Ended(grant.number, result))
 
-    def create_uses(self) -> tuple[view_lib.UpstreamUse, ...]:
-        """Return what this entry has in flight."""
-        return tuple(
-            view_lib.UpstreamUse(address, count)
-            for address, count in self.in_flight.items()
-            if count
+    def _handle(self, message: admission.Message) -> None:
+        """Pass a message to the machine and carry out its decisions."""
+        now = self.clock.now()
+        for decision in self.admitter.handle(message, now):
+            self._carry_out(decision)
+        self._set_timer()
+
+    def _carry_out(self, decision: admission.Decision) -> None:
+        """Tell the waiting request."""
+        future = self.waiting.pop(decision.ticket)
+        if isinstance(decision, admission.Granted):
+            self._count(GRANTED)
+        else:
+            self._count(decision.code.value)
+            logger.debug("Refused: %s.", decision.reason)
+        if not future.done():
+            future.set_result(decision)
+            return
+        # The caller left while this decision was made.
+        if isinstance(decision, admission.Granted):
+            asyncio.get_running_loop().call_soon(
+                self.release,
+                decision.grant,
+                admission.AttemptResult(admission.AttemptEnd.CANCELLED),
+            )
+
+    def _count(self, result: str) -> None:
+        counter = metrics.create_counter(
+            "cicada_admissions", "Decisions of admission, by result and node."
         )
+        counter.add(1, {"result": result, "node": self.mode.entry})
+
+    def _set_timer(self) -> None:
+        """Wake the machine when it asked for it."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        now = self.clock.now()
+        wake_at = self.admitter.wake_at(now)
+        if wake_at is None:
+            return
+        delay = max(0.0, (wake_at - now).total_seconds())
+        self.timer = asyncio.get_running_loop().call_later(delay, self._wake)
+
+    def _wake(self) -> None:
+        self.timer = None
+        self._handle(admission.Woken())
+
+    def create_uses(self) -> tuple[view_lib.UpstreamUse, ...]:
+        """Return what this entry has in flight and the limits it learned."""
+        return self.admitter.loads.create_uses()
 
     def take_demands(self) -> tuple[view_lib.RowDemand, ...]:
-        """Return the arrivals since the previous call."""
+        """Return what was seen of each row since the previous call."""
         arrivals, self.arrivals = self.arrivals, collections.Counter()
+        refusals, self.refusals = self.refusals, collections.Counter()
+        quotas = self.admitter.quotas
+        in_flight = {
+            name: quota.own for name, quota in quotas.rows.items() if quota.own
+        }
+        names = sorted(arrivals.keys() | refusals.keys() | in_flight.keys())
         return tuple(
-            view_lib.RowDemand(row, count) for row, count in arrivals.items()
+            view_lib.RowDemand(
+                name, arrivals[name], refusals[name], in_flight.get(name, 0)
+            )
+            for name in names
         )
--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -7,9 +7,9 @@
 import aiohttp
 from aiohttp import web
 
+from cicadahook.core import admission
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
-from cicadahook.core import routing
 from cicadahook.core import view as view_lib
 from cicadahook.net import attempts
 from cicadahook.net import completions
@@ -34,13 +34,13 @@
         name: name of its VM.
         zone: its availability zone.
         keep: how long callers may keep an address answer.
-        routing: how upstreams are chosen.
+        admission: how requests are admitted and routed.
     """
 
     name: str
     zone: str
     keep: datetime.timedelta
-    routing: routing.RoutingMode
+    admission: admission.AdmissionMode
 
 
 class Entry:
@@ -53,7 +53,7 @@
         session: aiohttp.ClientSession,
     ) -> None:
         self.mode = mode
-        self.dispatcher = dispatch.Dispatcher(mode.routing, clock)
+        self.dispatcher = dispatch.Dispatcher(mode.admission, clock)
         self.completions = completions.CompletionsApi(
             mode.name,
             clock,
--- a/src/cicadahook/programs/entry.py
+++ b/src/cicadahook/programs/entry.py
@@ -6,6 +6,8 @@
 
 import aiohttp
 
+from cicadahook.core import admission
+from cicadahook.core import digests
 from cicadahook.core import routing
 from cicadahook.net import clock
 from cicadahook.net import entry as entry_lib
@@ -27,7 +29,7 @@
             name=settings.name,
             zone=settings.zone,
             keep=datetime.timedelta(seconds=settings.keep_seconds),
-            routing=routing.RoutingMode(settings.routing_policy, settings.zone),
+            admission=_create_admission(settings),
         )
         self.entry = entry_lib.Entry(mode, clock.SystemClock(), session)
         self.server = http_lib.Server(
@@ -57,6 +59,18 @@
                 await self.task
 
 
+def _create_admission(
+    settings: settings_lib.EntrySettings,
+) -> admission.AdmissionMode:
+    # Entries that drew the same numbers would choose the same upstreams.
+    seed = digests.number(settings.name)
+    return admission.AdmissionMode(
+        routing.RoutingMode(settings.routing_policy, settings.zone, seed),
+        settings.name,
+        settings.queue_limit,
+    )
+
+
 def main() -> None:
     """Run cicada-entry."""
     settings = settings_lib.parse_or_exit(settings_lib.EntrySettings)
--- a/src/cicadahook/programs/settings.py
+++ b/src/cicadahook/programs/settings.py
@@ -6,6 +6,7 @@
 import pydantic
 import pydantic_settings
 
+from cicadahook.core import admission
 from cicadahook.core import errors
 from cicadahook.core import placement
 from cicadahook.core import routing
@@ -78,7 +79,13 @@
         5.0, description="seconds that callers may keep an address answer"
     )
     routing_policy: Annotated[str, pydantic.AfterValidator(_check_routing)] = (
-        pydantic.Field("least_in_flight", description="routing policy")
+        pydantic.Field("deadline", description="routing policy")
+    )
+    queue_limit: int = pydantic.Field(
+        admission.QUEUE_LIMIT,
+        ge=1,
+        le=100_000,
+        description="requests that may wait at this entry at once",
     )
 
 
