--- a/src/cicadahook/core/limits.py
+++ b/src/cicadahook/core/limits.py
@@ -57,8 +57,8 @@
     are averaged by the number in flight, so a single slow answer moves little.
 
     Attributes:
-        knee: requests in flight that give the greatest throughput; 0 until
-            enough samples were taken.
+        knee: requests in flight that give the greatest throughput, as far as
+            was seen; 0 until enough samples were taken.
         limit: concurrency limit; INITIAL_LIMIT until a knee is known.
         pace: recent seconds per unit of work up to the knee; 0 is unknown.
         updated: time of the newest sample.
@@ -102,11 +102,13 @@
         if not known:
             return
         base = min(bucket.pace for bucket in known)
-        self.knee = base * max(bucket.throughput for bucket in known)
         fullest = max(known, key=lambda bucket: bucket.in_flight)
         if fullest.pace < base * SATURATED_RATIO:
+            # The knee was not reached yet, so it may be anywhere above.
             self.limit = max(self.limit, GROWTH * fullest.in_flight)
+            self.knee = self.limit
             return
+        self.knee = base * max(bucket.throughput for bucket in known)
         self.limit = max(1.0, HEADROOM * self.knee)
 
     def _update_pace(self, in_flight: float, pace: float) -> None:
