--- a/src/cicadahook/core/admitter.py
+++ b/src/cicadahook/core/admitter.py
@@ -18,6 +18,7 @@
 from cicadahook.core import view as view_lib
 
 MIN_CHANCE: Final = 0.1
+MIN_BUSY_CHANCE: Final = 0.5
 MIN_QUEUE_CHANCE: Final = 0.4
 MIN_PACE_TOKENS: Final = 4
 MIN_PACE_SECONDS: Final = 1e-6
@@ -254,14 +255,16 @@
         loads: list[routing.Load],
         now: datetime.datetime,
     ) -> bool:
-        """Whether the request can't end in time on any upstream.
+        """Whether the request will hardly end in time on any upstream.
 
+        While others wait, a slot is not spent on one that will probably fail.
         A row that got nothing for a while is tried anyway, so that a wrong
         estimate corrects itself.
         """
         if waiter.request.deadline <= now:
             return True
-        if max(load.chance for load in loads) >= MIN_CHANCE:
+        least = MIN_BUSY_CHANCE if self.queue.waiters else MIN_CHANCE
+        if max(load.chance for load in loads) >= least:
             return False
         last = self.last_grants.get(waiter.row.name)
         return last is not None and now - last < PROBE_PERIOD
