--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -526,7 +526,10 @@
         "policy": policy,
     }
     line |= {name: round(value, 4) for name, value in mean.items()}
-    for label, base in (("bare_rr", f"{BARE}round_robin"), ("rr", "round_robin")):
+    for label, base in (
+        ("bare_rr", f"{BARE}round_robin"),
+        ("rr", "round_robin"),
+    ):
         other = means.get((site, slowdown, load, base))
         if other and other["share"]:
             line[f"to_{label}"] = round(mean["share"] / other["share"], 3)
--- a/src/cicadahook/core/admitter.py
+++ b/src/cicadahook/core/admitter.py
@@ -79,7 +79,8 @@
                 self.queue.remove(message.ticket)
                 return []
             case admission.Ended():
-                self._end(message, now)
+                ended = self._end(message, now)
+                return list(self._serve_waiting(now, ended))
             case admission.ViewChanged():
                 self._take_view(message.view)
             case admission.Woken():
@@ -151,11 +152,18 @@
         self.queue.push(waiter)
 
     def _serve_waiting(
-        self, now: datetime.datetime
+        self, now: datetime.datetime, ended: admission.Grant | None = None
     ) -> Iterator[admission.Decision]:
-        """Decide on waiting requests until all lanes are blocked."""
-        blocked: set[queues.LaneKey] = set()
+        """Decide on waiting requests until all lanes are blocked.
+
+        If an attempt ended, only its slot is given away, or its row's.
+        """
+        blocked = set(self._find_unaffected(ended)) if ended else set()
         while len(blocked) < len(self.queue.lanes):
+            if ended and not self._has_room(ended.upstream, now):
+                blocked |= {
+                    key for key in self.queue.lanes if key.row != ended.row
+                }
             for lane in self.queue.order(now):
                 if lane.key in blocked:
                     continue
@@ -169,6 +177,26 @@
                 yield decision
                 break
 
+    def _find_unaffected(
+        self, ended: admission.Grant
+    ) -> Iterator[queues.LaneKey]:
+        """Yield the lanes whose requests can't use the slot of `ended`."""
+        return (
+            lane.key
+            for lane in self.queue.lanes.values()
+            if lane.key.row != ended.row
+            and not any(
+                upstream.address == ended.upstream.address
+                for upstream in self._find_candidates(lane.head)
+            )
+        )
+
+    def _has_room(
+        self, upstream: view_lib.Upstream, now: datetime.datetime
+    ) -> bool:
+        known = self.loads.get(upstream.address)
+        return known.own < self.loads.allow(known, now)
+
     def _decide(
         self, waiter: queues.Waiter, now: datetime.datetime
     ) -> admission.Decision | None:
@@ -337,8 +365,10 @@
         self.attempts[grant.number] = Attempt(grant, chosen.in_flight + 1)
         return admission.Granted(waiter.ticket, grant)
 
-    def _end(self, message: admission.Ended, now: datetime.datetime) -> None:
-        """Free the slot of an attempt and learn from it; ends once."""
+    def _end(
+        self, message: admission.Ended, now: datetime.datetime
+    ) -> admission.Grant:
+        """Free the slot of an attempt and learn from it; return its grant."""
         attempt = self.attempts.pop(message.number)
         address = attempt.grant.upstream.address
         known = self.loads.get(address)
@@ -350,6 +380,7 @@
         if pace:
             mean = (attempt.in_flight + in_flight) / 2
             self.loads.learn(known, mean, pace, now)
+        return attempt.grant
 
     def _read_pace(
         self,
