Soak the real processes and check the promises from outside

The promises were tested in one process only. tests/soak starts four entries, four controls and the stand-ins as separate processes, kills, freezes and replaces them, orders faults and checks bookings, answers, memory, table generations, planned stops and recovery by a seeded schedule.

--- a/src/cicadahook/standins/engine.py
+++ b/src/cicadahook/standins/engine.py
@@ -120,6 +120,7 @@
         self.silenced: set[Any] = set()
         self.orders_seen: collections.Counter[str] = collections.Counter()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.started = 0
         self.completions = 0
 
     @property
@@ -205,6 +206,7 @@
                 "state": "leaving" if self.is_leaving else "live",
                 "in_flight": self._lagging_load(),
                 "crashes": self.crashes,
+                "started": self.started,
                 "completions": self.completions,
             }
         )
@@ -359,6 +361,7 @@
         if copy is None:
             return _refuse("not_resident", 404)
         copy.in_flight += 1
+        self.started += 1
         try:
             return await self._generate(request, wanted)
         finally:
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised runs of the real processes, checked from outside."""
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,219 @@
+"""Callers of a soak run: chats compared whole, bookings sent again."""
+
+import asyncio
+import dataclasses
+import json
+import random
+import time
+from typing import Any, Final
+
+import aiohttp
+
+from cicadahook.standins import text
+from soak import ledger as ledger_lib
+from soak import processes
+
+IN_FLIGHT_LIMIT: Final = 100
+CALL_SECONDS: Final = 12.0
+BOOKING_SHARE: Final = 0.3
+BOOKING_SENDS: Final = 4
+RESEND_SECONDS: Final = 0.3
+EXCUSED_SECONDS: Final = 1.0
+TOKENS: Final = (4, 40)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Addresses:
+    """An address answer and until when it may be kept."""
+
+    entries: tuple[str, ...]
+    key_prefix: str
+    lapses: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What came back from one send; status 0 if nothing whole did."""
+
+    status: int
+    content: bytes = b""
+
+    @property
+    def outcome(self) -> str:
+        """The `outcome` that the answer states, or `unknown`."""
+        try:
+            return str(json.loads(self.content)["outcome"])
+        except (ValueError, KeyError, TypeError):
+            return "unknown"
+
+
+class Callers:
+    """Sends requests at a steady random rate until cancelled."""
+
+    def __init__(
+        self,
+        system: processes.System,
+        session: aiohttp.ClientSession,
+        ledger: ledger_lib.Ledger,
+        rng: random.Random,
+    ) -> None:
+        self.system = system
+        self.session = session
+        self.ledger = ledger
+        self.rng = rng
+        self.addresses = Addresses((), "", 0.0)
+        self.by_address = {entry.address: entry for entry in system.entries}
+        self.count = 0
+
+    async def run(self, rate: float) -> None:
+        """Send `rate` requests a second on average."""
+        async with asyncio.TaskGroup() as group:
+            tasks: set[asyncio.Task[None]] = set()
+            while True:
+                await asyncio.sleep(self.rng.expovariate(rate))
+                if len(tasks) >= IN_FLIGHT_LIMIT:
+                    self.ledger.counts["held_back"] += 1
+                    continue
+                is_booking = self.rng.random() < BOOKING_SHARE
+                task = group.create_task(
+                    self.book() if is_booking else self.chat()
+                )
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+
+    async def locate(self) -> Addresses:
+        """Return addresses to use, kept until they lapse."""
+        if time.monotonic() < self.addresses.lapses:
+            return self.addresses
+        entry = self.rng.choice(self.system.entries)
+        asked = time.monotonic()
+        answer = await self._send(entry.address, "GET", "/v1/locate", {}, {})
+        if answer.status == 200:
+            body = json.loads(answer.content)
+            self.addresses = Addresses(
+                tuple(item["address"] for item in body["entries"]),
+                body["key_prefix"],
+                asked + body["keep_seconds"],
+            )
+        return self.addresses
+
+    async def chat(self) -> None:
+        """Ask for a completion and compare the answer."""
+        self.count += 1
+        model = self.rng.choice(processes.MODELS)
+        tokens = self.rng.randint(*TOKENS)
+        is_stream = self.rng.random() < 0.5
+        prompt = f"soak {self.ledger.seed} {self.count}"
+        body = {
+            "model": model,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": tokens,
+            "stream": is_stream,
+        }
+        addresses = await self.locate()
+        if not addresses.entries:
+            return
+        entry = self.rng.choice(addresses.entries)
+        answer = await self._send(
+            entry, "POST", "/v1/chat/completions", body, {}
+        )
+        wanted = text.whole_answer(model, f"user: {prompt}", tokens)
+        self._check_chat(answer, is_stream, wanted, f"{entry} {prompt}")
+
+    def _check_chat(
+        self, answer: Answer, is_stream: bool, wanted: str, name: str
+    ) -> None:
+        """Check that a whole answer is the caller's own."""
+        if answer.status != 200:
+            self.ledger.counts[f"chat_{answer.status}"] += 1
+            return
+        read = _read_stream if is_stream else _read_whole
+        content, is_whole = read(answer.content)
+        self.ledger.counts["chat_whole" if is_whole else "chat_error"] += 1
+        is_own = content == wanted if is_whole else wanted.startswith(content)
+        if not is_own:
+            self.ledger.note_broken(
+                "whole own answer",
+                f"{name}: wanted {wanted!r}, got {content!r}",
+            )
+
+    async def book(self) -> None:
+        """Send a booking, again with the same key while in doubt."""
+        self.count += 1
+        name = f"booking-{self.ledger.seed}-{self.count}"
+        booking = self.ledger.bookings[name] = ledger_lib.Booking()
+        is_own_key = self.rng.random() < 0.5
+        key = ""
+        for _ in range(BOOKING_SENDS):
+            addresses = await self.locate()
+            if not addresses.entries:
+                continue
+            prefix = "" if is_own_key else addresses.key_prefix
+            key = key or f"{prefix}{name}"
+            answer = await self._send(
+                self.rng.choice(addresses.entries),
+                "POST",
+                "/services/portal/bookings",
+                {"name": name},
+                {"Idempotency-Key": key},
+            )
+            self.ledger.counts[f"booking_{answer.status}"] += 1
+            booking.has_run |= answer.status == 201
+            booking.is_doubtful |= (
+                answer.status != 201 and answer.outcome != "not_run"
+            )
+            await asyncio.sleep(RESEND_SECONDS)
+            if booking.has_run and self.rng.random() < 0.5:
+                return
+
+    async def _send(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: dict[str, Any],
+        headers: dict[str, str],
+    ) -> Answer:
+        """Send once; a cut without a kill or pause breaks a promise."""
+        entry = self.by_address[address]
+        sent = time.monotonic()
+        timeout = aiohttp.ClientTimeout(total=CALL_SECONDS)
+        try:
+            async with self.session.request(
+                method,
+                f"http://{address}{path}",
+                json=body,
+                headers=headers,
+                timeout=timeout,
+            ) as response:
+                return Answer(response.status, await response.read())
+        except aiohttp.ClientConnectorError:
+            self.ledger.counts["not_connected"] += 1
+        except TimeoutError:
+            self.ledger.counts["timed_out"] += 1
+        except aiohttp.ClientError as error:
+            self.ledger.counts["cut"] += 1
+            if entry.disturbed < sent - EXCUSED_SECONDS:
+                self.ledger.note_broken(
+                    "no request is cut", f"{entry.name} {path}: {error!r}"
+                )
+        return Answer(0)
+
+
+def _read_whole(content: bytes) -> tuple[str, bool]:
+    """Return the text of an answer in one piece, which is always whole."""
+    message = json.loads(content)["choices"][0]["message"]
+    return str(message["content"]), True
+
+
+def _read_stream(content: bytes) -> tuple[str, bool]:
+    """Return the text of a stream and whether it has its end marker."""
+    parts: list[str] = []
+    for line in content.splitlines():
+        event = line.removeprefix(b"data: ").strip()
+        if event == b"[DONE]":
+            return "".join(parts), True
+        chunk = json.loads(event) if event else {}
+        for choice in chunk.get("choices", ()):
+            parts.append(choice["delta"].get("content") or "")
+    return "".join(parts), False
--- /dev/null
+++ b/tests/soak/ledger.py
@@ -0,0 +1,105 @@
+"""What a soak run saw, and the promises that it found broken."""
+
+import collections
+import dataclasses
+import time
+from typing import Any, Final
+
+SHOWN_LIMIT: Final = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """A promise that did not hold.
+
+    Attributes:
+        promise: its short name.
+        detail: what was seen.
+        at_seconds: time since the run began.
+    """
+
+    promise: str
+    detail: str
+    at_seconds: float
+
+
+@dataclasses.dataclass
+class Booking:
+    """The answers to all sends of one booking.
+
+    Attributes:
+        has_run: whether an answer said that it ran.
+        is_doubtful: whether an answer was lost or said `unknown`.
+    """
+
+    has_run: bool = False
+    is_doubtful: bool = False
+
+
+class Ledger:
+    """Collects counts, bookings and broken promises."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self.began = time.monotonic()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.bookings: dict[str, Booking] = {}
+        self.broken: list[Broken] = []
+        self.generations: dict[str, int] = {}
+
+    @property
+    def elapsed_seconds(self) -> float:
+        """Time since the run began."""
+        return round(time.monotonic() - self.began, 2)
+
+    def note_broken(self, promise: str, detail: str) -> None:
+        """Record a broken promise and print it."""
+        self.broken.append(Broken(promise, detail, self.elapsed_seconds))
+        print(f"BROKEN {self.elapsed_seconds} {promise}: {detail}", flush=True)
+
+    def note_generation(self, node: str, generation: int) -> None:
+        """Check that the table of `node` did not go back, restarts included."""
+        newest = self.generations.get(node, 0)
+        if 0 < generation < newest:
+            self.note_broken(
+                "table never reverts", f"{node}: {newest} to {generation}"
+            )
+        self.generations[node] = max(newest, generation)
+
+    def check_bookings(self, runs: collections.Counter[str]) -> None:
+        """Compare the answers with the service's own count of `runs`."""
+        for name, booking in self.bookings.items():
+            count = runs[name]
+            if count > 1:
+                self.note_broken("at most once", f"{name} ran {count} times")
+            if booking.has_run and not count:
+                self.note_broken("ran is true", f"{name} did not run")
+            is_not_run = not (booking.has_run or booking.is_doubtful)
+            if is_not_run and count:
+                self.note_broken("not_run is true", f"{name} ran")
+
+    def describe(self) -> dict[str, Any]:
+        """Return the JSON form of the whole run."""
+        return {
+            "seed": self.seed,
+            "seconds": self.elapsed_seconds,
+            "counts": dict(sorted(self.counts.items())),
+            "bookings": len(self.bookings),
+            "generations": self.generations,
+            "broken": self._describe_broken(),
+        }
+
+    def _describe_broken(self) -> dict[str, Any]:
+        """Return how often each promise was broken, and the first times."""
+        grouped: dict[str, list[Broken]] = collections.defaultdict(list)
+        for item in self.broken:
+            grouped[item.promise].append(item)
+        return {
+            promise: {
+                "times": len(items),
+                "first": [
+                    dataclasses.asdict(item) for item in items[:SHOWN_LIMIT]
+                ],
+            }
+            for promise, items in grouped.items()
+        }
--- /dev/null
+++ b/tests/soak/observer.py
@@ -0,0 +1,202 @@
+"""Looks at the running system from outside and checks the promises."""
+
+import asyncio
+import collections
+import dataclasses
+import time
+from typing import Any, Final
+
+import aiohttp
+
+from soak import ledger as ledger_lib
+from soak import processes
+
+POLL_SECONDS: Final = 0.3
+CALL_SECONDS: Final = 2.0
+EDIT_PAUSE_SECONDS: Final = 2.0
+LEAVING_GRACE_SECONDS: Final = 3.0
+RECOVERY_SECONDS: Final = 30.0
+PROBE_DEADLINE_MS: Final = "3000"
+
+
+@dataclasses.dataclass
+class Leaving:
+    """An engine that the VM list shows as leaving.
+
+    Attributes:
+        engine: its process.
+        since: monotonic time at which the list showed it.
+        started: requests that it had started when the grace time was over.
+    """
+
+    engine: processes.Process
+    since: float
+    started: int | None = None
+
+
+class Observer:
+    """Polls engines and controls, edits the table, checks the end."""
+
+    def __init__(
+        self,
+        system: processes.System,
+        session: aiohttp.ClientSession,
+        ledger: ledger_lib.Ledger,
+    ) -> None:
+        self.system = system
+        self.session = session
+        self.ledger = ledger
+        self.leaving: Leaving | None = None
+        self.weights = {1.0}
+        self.generation = 0
+
+    async def run(self) -> None:
+        """Poll and edit until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._poll())
+            group.create_task(self._edit())
+
+    async def _poll(self) -> None:
+        while True:
+            await self.look()
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def look(self) -> None:
+        """Check engines and controls once."""
+        await asyncio.gather(
+            *map(self._check_engine, self.system.engines),
+            *map(self._check_control, self.system.controls),
+        )
+
+    async def _check_engine(self, engine: processes.Process) -> None:
+        state = await self.fetch(engine, "/state")
+        if state is None:
+            return
+        if state["overcommits"]:
+            self.ledger.note_broken("no overcommit", f"{engine.name}: {state}")
+        leaving = self.leaving
+        if leaving is None or leaving.engine is not engine:
+            return
+        if time.monotonic() < leaving.since + LEAVING_GRACE_SECONDS:
+            return
+        if leaving.started is not None and state["started"] > leaving.started:
+            self.ledger.note_broken(
+                "nothing new to the leaving",
+                f"{engine.name}: {state['started'] - leaving.started}",
+            )
+        leaving.started = state["started"]
+
+    async def _check_control(self, control: processes.Process) -> None:
+        shown = await self.fetch(control, "/table")
+        if shown is not None:
+            self.ledger.note_generation(control.name, shown["generation"])
+
+    async def _edit(self) -> None:
+        """Change a weight now and then, through each control in turn."""
+        weight = 1.0
+        while True:
+            await asyncio.sleep(EDIT_PAUSE_SECONDS)
+            weight += 1.0
+            turn = int(weight) % len(self.system.controls)
+            await self._set_weight(self.system.controls[turn], weight)
+
+    async def _set_weight(
+        self, control: processes.Process, weight: float
+    ) -> None:
+        """Edit a row; after a lost answer either weight may be in force."""
+        row = {**processes.ROWS[0], "weight": weight}
+        self.weights.add(weight)
+        timeout = aiohttp.ClientTimeout(total=CALL_SECONDS)
+        url = f"http://{control.address}/table/rows"
+        try:
+            async with self.session.put(
+                url, json={"rows": [row]}, timeout=timeout
+            ) as response:
+                self.ledger.counts[f"edit_{response.status}"] += 1
+                if response.status == 200:
+                    self.weights = {weight}
+                    answer = await response.json()
+                    self.generation = answer["generation"]
+        except (aiohttp.ClientError, TimeoutError):
+            self.ledger.counts["edit_lost"] += 1
+
+    async def fetch(self, part: processes.Process, path: str) -> Any:
+        """Return the JSON answer of a process, or None without one."""
+        timeout = aiohttp.ClientTimeout(total=CALL_SECONDS)
+        url = f"http://{part.address}{path}"
+        try:
+            async with self.session.get(url, timeout=timeout) as response:
+                return await response.json() if response.ok else None
+        except (aiohttp.ClientError, TimeoutError):
+            return None
+
+    async def wait_until_well(self, promise: str) -> None:
+        """Wait until each entry serves all and each control is up to date."""
+        began = time.monotonic()
+        missing = await self._find_missing()
+        while missing and time.monotonic() < began + RECOVERY_SECONDS:
+            await asyncio.sleep(POLL_SECONDS)
+            missing = await self._find_missing()
+        took = time.monotonic() - began
+        self.ledger.counts[f"milliseconds_until_{promise}"] = int(took * 1000)
+        for detail in missing:
+            self.ledger.note_broken(promise, detail)
+
+    async def check_end(self) -> None:
+        """Check what must hold once the faults have stopped."""
+        await self.wait_until_well("recovered")
+        await self.look()
+        runs: collections.Counter[str] = collections.Counter()
+        for service in self.system.services:
+            runs.update(await self.fetch(service, "/bookings"))
+        self.ledger.check_bookings(runs)
+
+    async def _find_missing(self) -> list[str]:
+        """Return rows that an entry can't serve and nodes that lag."""
+        parts = await asyncio.gather(
+            *map(self._check_in_force, self.system.controls),
+            *(
+                self._check_reachable(entry, model)
+                for entry in self.system.entries
+                for model in processes.MODELS
+            ),
+        )
+        return [part for part in parts if part]
+
+    async def _check_in_force(self, control: processes.Process) -> str:
+        """Return what is wrong with the table of `control`."""
+        shown = await self.fetch(control, "/table")
+        if shown is None:
+            return f"{control.name} does not answer"
+        weight = next(
+            (
+                row["weight"]
+                for row in shown["rows"]
+                if row["name"] == processes.ROWS[0]["name"]
+            ),
+            None,
+        )
+        is_old = shown["generation"] < self.generation
+        if is_old or weight not in self.weights:
+            return (
+                f"{control.name} has table {shown['generation']}, weight"
+                f" {weight}; accepted {self.generation}, {self.weights}"
+            )
+        return ""
+
+    async def _check_reachable(
+        self, entry: processes.Process, model: str
+    ) -> str:
+        """Return why `entry` does not serve `model`, or nothing."""
+        body = {"model": model, "prompt": "probe", "max_tokens": 2}
+        url = f"http://{entry.address}/v1/completions"
+        headers = {"X-Deadline-Ms": PROBE_DEADLINE_MS}
+        try:
+            async with self.session.post(
+                url, json=body, headers=headers
+            ) as response:
+                if response.status == 200:
+                    return ""
+                return f"{entry.name} {model}: {await response.text()}"
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return f"{entry.name} {model}: {error!r}"
--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,233 @@
+"""The processes of a soak run, started and ended by their own ids."""
+
+import asyncio
+from collections.abc import Iterator
+import dataclasses
+import pathlib
+import signal
+import sys
+import time
+from typing import Final
+
+import aiohttp
+
+from cicadahook.programs import local
+
+START_SECONDS: Final = 20.0
+STOP_SECONDS: Final = 60.0
+POLL_SECONDS: Final = 0.1
+SERVICE_COUNT: Final = 2
+ROWS: Final = (
+    {
+        "name": "inspector",
+        "kind": "model",
+        "memory_bytes": 20_000_000_000,
+        "min_copies": 2,
+    },
+    {
+        "name": "simplifier",
+        "kind": "model",
+        "memory_bytes": 15_000_000_000,
+        "min_copies": 2,
+    },
+    {
+        "name": "beams",
+        "kind": "adapter",
+        "base": "inspector",
+        "memory_bytes": 1_000_000_000,
+    },
+    {"name": "portal", "kind": "service", "non_idempotent": ["/bookings"]},
+)
+MODELS: Final = tuple(
+    str(row["name"]) for row in ROWS if row["kind"] != "service"
+)
+
+
+@dataclasses.dataclass
+class Process:
+    """One process; a new one takes its place after each stop.
+
+    Attributes:
+        name: name in messages and of its log file.
+        command: program and flags.
+        address: `host:port` where it listens.
+        log: file that its output is appended to.
+        disturbed: monotonic time of the last kill or pause.
+        child: the running process.
+    """
+
+    name: str
+    command: tuple[str, ...]
+    address: str
+    log: pathlib.Path
+    disturbed: float = 0.0
+    child: asyncio.subprocess.Process | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.child is not None and self.child.returncode is None
+
+    async def start(self, session: aiohttp.ClientSession) -> None:
+        """Start it and wait until it answers."""
+        program = pathlib.Path(sys.executable).with_name(self.command[0])
+        with self.log.open("ab") as output:
+            self.child = await asyncio.create_subprocess_exec(
+                program, *self.command[1:], stdout=output, stderr=output
+            )
+        async with asyncio.timeout(START_SECONDS):
+            while not await self._is_answering(session):
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def _is_answering(self, session: aiohttp.ClientSession) -> bool:
+        if not self.is_running:
+            raise RuntimeError(f"{self.name} did not start; see {self.log}")
+        try:
+            async with session.get(f"http://{self.address}/healthz"):
+                return True
+        except aiohttp.ClientError:
+            return False
+
+    async def kill(self) -> None:
+        """End it at once."""
+        self.disturbed = time.monotonic()
+        await self._end(signal.SIGKILL)
+
+    async def stop(self) -> int:
+        """Ask it to stop; return its exit code."""
+        return await self._end(signal.SIGTERM)
+
+    def pause(self) -> None:
+        """Freeze it."""
+        self.disturbed = time.monotonic()
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a frozen process go on."""
+        self._signal(signal.SIGCONT)
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.child is not None and self.child.returncode is None:
+            self.child.send_signal(number)
+
+    async def _end(self, number: signal.Signals) -> int:
+        assert self.child is not None, f"{self.name} was never started"
+        self._signal(number)
+        async with asyncio.timeout(STOP_SECONDS):
+            return await self.child.wait()
+
+
+class System:
+    """All processes of one run, on loopback."""
+
+    def __init__(self, base_port: int, logs: pathlib.Path) -> None:
+        self.base_port = base_port
+        self.logs = logs
+        self.key_value = self._standin("keyvalue", local.KEY_VALUE_OFFSET)
+        self.vm_list = self._standin("vmlist", local.VM_LIST_OFFSET)
+        self.weights = self._standin(
+            "weights", local.WEIGHTS_OFFSET, "--loads-per-second=5"
+        )
+        self.engines = [
+            self._standin(
+                "engine",
+                local.ENGINE_OFFSET + index,
+                f"--weights={self.weights.address}",
+                f"--checks-fencing={index != 1}",
+            )
+            for index in range(local.ENGINE_COUNT)
+        ]
+        self.services = [
+            self._standin("service", local.SERVICE_OFFSET + index)
+            for index in range(SERVICE_COUNT)
+        ]
+        self.controls = [self._control(i) for i in range(local.VM_COUNT)]
+        self.entries = [self._entry(i) for i in range(local.VM_COUNT)]
+
+    @property
+    def standins(self) -> tuple[Process, ...]:
+        """The platform and the upstreams."""
+        platform = (self.key_value, self.vm_list, self.weights)
+        return (*platform, *self.engines, *self.services)
+
+    @property
+    def processes(self) -> tuple[Process, ...]:
+        """All processes, in the order of their start."""
+        return (*self.standins, *self.controls, *self.entries)
+
+    def _address(self, offset: int) -> str:
+        return f"{local.HOST}:{self.base_port + offset}"
+
+    def _process(self, name: str, offset: int, *command: str) -> Process:
+        flags = (*command, f"--port={self.base_port + offset}")
+        log = self.logs / f"{name}.log"
+        return Process(name, flags, self._address(offset), log)
+
+    def _standin(self, kind: str, offset: int, *flags: str) -> Process:
+        name = f"{kind}-{offset}"
+        return self._process(name, offset, "cicada-standin", kind, *flags)
+
+    def _control(self, index: int) -> Process:
+        return self._process(
+            f"control-{index}",
+            local.CONTROL_OFFSET + index,
+            "cicada-control",
+            f"--name=vm{index}",
+            f"--zone=zone{index % local.ZONE_COUNT}",
+            f"--entry={self._address(local.ENTRY_OFFSET + index)}",
+            f"--key-value={self.key_value.address}",
+            f"--vm-list={self.vm_list.address}",
+        )
+
+    def _entry(self, index: int) -> Process:
+        others = (
+            self._address(
+                local.CONTROL_OFFSET + (index + step) % local.VM_COUNT
+            )
+            for step in range(local.VM_COUNT)
+        )
+        return self._process(
+            f"entry-{index}",
+            local.ENTRY_OFFSET + index,
+            "cicada-entry",
+            f"--name=vm{index}",
+            f"--zone=zone{index % local.ZONE_COUNT}",
+            "--keep-seconds=1",
+            *(f"--controls={control}" for control in others),
+        )
+
+    async def start(self, session: aiohttp.ClientSession) -> None:
+        """Start all, list the VMs and fill the table."""
+        for group in (self.standins, self.controls, self.entries):
+            await asyncio.gather(*(part.start(session) for part in group))
+        await self.list_vms(session)
+        url = f"http://{self.controls[0].address}/table/rows"
+        async with session.put(url, json={"rows": ROWS}) as response:
+            response.raise_for_status()
+
+    async def list_vms(
+        self, session: aiohttp.ClientSession, leaving: Process | None = None
+    ) -> None:
+        """Put all upstreams on the VM list, one of them perhaps leaving."""
+        vms = list(self._describe_vms(leaving))
+        url = f"http://{self.vm_list.address}/vms"
+        async with session.put(url, json=vms) as response:
+            response.raise_for_status()
+
+    def _describe_vms(self, leaving: Process | None) -> Iterator[object]:
+        for index, part in enumerate((*self.engines, *self.services)):
+            is_engine = part in self.engines
+            yield {
+                "address": part.address,
+                "zone": f"zone{index % local.ZONE_COUNT}",
+                "kind": "engine" if is_engine else "service",
+                "service": "" if is_engine else "portal",
+                "state": "leaving" if part is leaving else "live",
+            }
+
+    async def end(self) -> None:
+        """End every process that still runs."""
+        running = [part for part in self.processes if part.is_running]
+        for part in running:
+            part.resume()
+        await asyncio.gather(*(part.kill() for part in running))
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,100 @@
+"""Runs the real processes under random faults and checks the promises.
+
+    python tests/soak/run.py --seconds 60 --seed 1
+
+Prints a JSON summary. Exits 0 if every promise held, 1 if one was broken,
+3 if the run itself failed.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+from typing import Final
+
+import aiohttp
+
+sys.path.insert(0, str(pathlib.Path(__file__).parents[1]))
+
+# pylint: disable=wrong-import-position
+import conftest
+from soak import callers as callers_lib
+from soak import faults as faults_lib
+from soak import ledger as ledger_lib
+from soak import observer as observer_lib
+from soak import processes
+
+BROKEN_EXIT_CODE: Final = 1
+FAILED_EXIT_CODE: Final = 3
+SETTLE_SECONDS: Final = 2.0
+
+
+async def soak(
+    seconds: float, seed: int, rate: float, logs: pathlib.Path
+) -> ledger_lib.Ledger:
+    """Run once; return what was seen."""
+    ledger = ledger_lib.Ledger(seed)
+    system = processes.System(conftest.find_base_port(), logs)
+    async with aiohttp.ClientSession() as session:
+        try:
+            await system.start(session)
+            observer = observer_lib.Observer(system, session, ledger)
+            callers = callers_lib.Callers(
+                system, session, ledger, random.Random(seed)
+            )
+            faults = faults_lib.Faults(
+                system, session, ledger, observer, random.Random(seed + 1)
+            )
+            await observer.wait_until_well("started")
+            watching = asyncio.create_task(observer.run())
+            load = asyncio.create_task(callers.run(rate))
+            await faults.run(seconds)
+            await _end(load)
+            await asyncio.sleep(SETTLE_SECONDS)
+            await _end(watching)
+            await observer.check_end()
+        finally:
+            await system.end()
+    return ledger
+
+
+async def _end(task: asyncio.Task[None]) -> None:
+    """Cancel a task; raise the error that ended it before, if one did."""
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+def main() -> None:
+    """Run by the flags of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--rate", type=float, default=20.0)
+    flags = parser.parse_args()
+    logs = pathlib.Path(tempfile.mkdtemp(prefix="cicada-soak-"))
+    print(f"logs in {logs}", flush=True)
+
+    async def run() -> ledger_lib.Ledger:
+        task = asyncio.current_task()
+        assert task is not None, "runs in a task"
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        return await soak(flags.seconds, flags.seed, flags.rate, logs)
+
+    try:
+        ledger = asyncio.run(run())
+    except (OSError, RuntimeError, ExceptionGroup, TimeoutError) as error:
+        print(f"the run failed: {error!r}", file=sys.stderr)
+        sys.exit(FAILED_EXIT_CODE)
+    print(json.dumps(ledger.describe(), indent=2))
+    sys.exit(BROKEN_EXIT_CODE if ledger.broken else 0)
+
+
+if __name__ == "__main__":
+    main()
