--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -53,8 +53,10 @@
     async with daemon.open_session() as session:
         running = local.LocalSystem(find_base_port(), session, operator_token)
         await running.start()
-        yield running
-        await running.stop()
+        try:
+            yield running
+        finally:
+            await running.stop()
 
 
 @pytest_asyncio.fixture
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -19,8 +19,8 @@
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
 
-@pytest.fixture
-def ctl(
+@pytest.fixture(name="ctl")
+def create_ctl(
     shared_system: local.LocalSystem, monkeypatch: pytest.MonkeyPatch
 ) -> Ctl:
     """Return a function that runs cicadactl and returns its exit code."""
