Accept edits row by row, and keep the table whole over lost replies and restored copies

Cause: an edit was checked against the whole table, a lost reply of the head's write was reported as a failure, and a service restored from an older copy would have taken a node's table back. Change: edits name rows with the base they were made from; the head carries a unique write id and its recent history; a write without a reply is resolved by reading; a head that lacks accepted edits is published again or merged; pages can come from peers. Calls to the service pass a budget with priorities and a breaker with a half-open probe, and are counted by kind and caller. Found by the stateful test: a lost reply to a refused write was reported as unknown although a read settles it; an outage while pages are written is now reported as not accepted.

--- a/src/cicadahook/core/errors.py
+++ b/src/cicadahook/core/errors.py
@@ -90,6 +90,10 @@
     """The service did not answer; a write may or may not have taken effect."""
 
 
+class KeyValueNotSentError(KeyValueUnavailableError):
+    """The call was held back by the budget or breaker and had no effect."""
+
+
 class KeyValueConflictError(KeyValueError):
     """A compare-and-swap found another revision than the expected one."""
 
--- a/src/cicadahook/core/pages.py
+++ b/src/cicadahook/core/pages.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterable, Mapping
 import dataclasses
+import datetime
 from typing import Final
 
 import pydantic
@@ -11,6 +12,8 @@
 from cicadahook.core import table as table_lib
 
 PAGE_COUNT: Final = 16
+HISTORY_LIMIT: Final = 50
+HISTORY_NAME_LIMIT: Final = 2000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,6 +24,25 @@
     content: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Version:
+    """An accepted edit.
+
+    Attributes:
+        generation: generation that it made.
+        writer: unique id of the write: node, start of the node, write number.
+        operator: who made the edit.
+        time: when it was sent to be accepted.
+        rows: names of the rows that changed.
+    """
+
+    generation: int
+    writer: str
+    operator: str
+    time: datetime.datetime
+    rows: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Head:
     """The accepted version of the table.
@@ -28,18 +50,65 @@
     Attributes:
         generation: number of accepted edits.
         pages: names of the pages that make up the table.
-        writer: node and write number, so that a lost reply can be resolved.
+        writer: id of the write that made it, so that a lost reply can be
+            resolved.
+        history: recent accepted edits, the newest first.
     """
 
     generation: int = 0
     pages: tuple[str, ...] = ()
     writer: str = ""
+    history: tuple[Version, ...] = ()
+
+    def includes(self, writer: str) -> bool:
+        """Whether the write `writer` is known to be part of this version."""
+        return any(version.writer == writer for version in self.history)
 
 
 _ROWS: Final = pydantic.TypeAdapter(tuple[table_lib.Row, ...])
 _HEAD: Final = pydantic.TypeAdapter(Head)
 
 
+def create_head(
+    stored_pages: Iterable[Page],
+    version: Version,
+    history: Iterable[Version],
+) -> Head:
+    """Return the head that `version` makes on top of `history`."""
+    return Head(
+        version.generation,
+        tuple(page.name for page in stored_pages),
+        version.writer,
+        _trim((version, *history)),
+    )
+
+
+def join_histories(*heads: Head) -> tuple[Version, ...]:
+    """Return the accepted edits of all `heads`, the newest first."""
+    by_writer = {
+        version.writer: version for head in heads for version in head.history
+    }
+    return tuple(
+        sorted(
+            by_writer.values(),
+            key=lambda version: (version.generation, version.writer),
+            reverse=True,
+        )
+    )
+
+
+def _trim(history: tuple[Version, ...]) -> tuple[Version, ...]:
+    """Return the newest versions that fit beside the page names."""
+    kept = 1
+    names = len(history[0].rows)
+    for version in history[1:HISTORY_LIMIT]:
+        names += len(version.rows)
+        if names > HISTORY_NAME_LIMIT:
+            break
+        kept += 1
+    return history[:kept]
+
+
 def split(rows: Iterable[table_lib.Row]) -> tuple[Page, ...]:
     """Return the pages of `rows`; a row's page depends on its name only."""
     groups: dict[int, list[table_lib.Row]] = collections.defaultdict(list)
--- /dev/null
+++ b/src/cicadahook/core/tablesync.py
@@ -0,0 +1,94 @@
+"""Which version of the table a node has in force; it never goes back."""
+
+import enum
+
+from cicadahook.core import edits
+from cicadahook.core import errors
+from cicadahook.core import pages
+from cicadahook.core import table as table_lib
+
+
+class Verdict(enum.StrEnum):
+    """What to do about the head found in the key-value service."""
+
+    KEEP = "keep"
+    APPLY = "apply"
+    REPUBLISH = "republish"
+    MERGE = "merge"
+
+
+class TableSync:
+    """Holds the table in force and judges heads from service and peers.
+
+    Attributes:
+        head: head of the table in force.
+        table: the table in force.
+        contents: contents of the pages seen, by name.
+    """
+
+    def __init__(self) -> None:
+        self.head = pages.Head()
+        self.table = table_lib.Table()
+        self.contents: dict[str, str] = {}
+
+    def judge(self, stored: pages.Head) -> Verdict:
+        """Return what to do about `stored`, the head in the service.
+
+        A service restored from an older copy shows a head that ours already
+        includes, and after an edit on that copy one of another branch.
+        """
+        if stored.writer == self.head.writer:
+            return Verdict.KEEP
+        if not self.head.generation or stored.includes(self.head.writer):
+            return Verdict.APPLY
+        if not stored.generation or self.head.includes(stored.writer):
+            return Verdict.REPUBLISH
+        oldest = stored.history[-1].generation if stored.history else 0
+        if oldest > self.head.generation:
+            return Verdict.APPLY
+        ours = self.head.history[-1].generation if self.head.history else 0
+        if ours > stored.generation:
+            return Verdict.REPUBLISH
+        return Verdict.MERGE
+
+    def is_ahead(self, head: pages.Head) -> bool:
+        """Whether `head`, from a peer, is newer than the one in force."""
+        return head.generation > self.head.generation
+
+    def find_missing(self, head: pages.Head) -> tuple[str, ...]:
+        """Return the names of the pages of `head` not seen yet."""
+        return tuple(name for name in head.pages if name not in self.contents)
+
+    def put_in_force(self, head: pages.Head) -> bool:
+        """Put `head` in force if it is newer; all its pages must be known."""
+        if not self.is_ahead(head):
+            return False
+        table = pages.join(head, self.contents)
+        assert table.generation > self.table.generation, "table went back"
+        self.head = head
+        self.table = table
+        self.contents = {name: self.contents[name] for name in head.pages}
+        return True
+
+    def merge(self, stored: pages.Head) -> tuple[table_lib.Row, ...]:
+        """Return our rows with the edits made only on the branch `stored`.
+
+        Its edits are the later ones: they were made on an older copy after
+        ours had been lost from the service. If the result is not allowed,
+        ours stand. All pages of `stored` must be known.
+        """
+        changed = {
+            name
+            for version in stored.history
+            if not self.head.includes(version.writer)
+            for name in version.rows
+        }
+        theirs = pages.join(stored, self.contents)
+        row_edits = tuple(
+            edits.RowEdit(name, theirs.find(name), self.table.find(name))
+            for name in sorted(changed)
+        )
+        try:
+            return edits.apply(self.table.rows, edits.Changes(row_edits))
+        except errors.RowError:
+            return self.table.rows
--- a/src/cicadahook/net/control.py
+++ b/src/cicadahook/net/control.py
@@ -9,8 +9,8 @@
 from aiohttp import web
 import reactivex
 from reactivex import operators as ops
-from reactivex import subject
 
+from cicadahook.core import budget
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import placement
 from cicadahook.core import table as table_lib
@@ -59,10 +59,12 @@
         self.mode = mode
         self.clock = clock
         client = keyvalue.KeyValueClient(mode.key_value, session)
-        self.store = tables.TableStore(client, mode.own.name)
-        self.tables: subject.BehaviorSubject[table_lib.Table] = (
-            subject.BehaviorSubject(table_lib.Table())
+        self.store = tables.TableStore(
+            client.for_caller("table", budget.Priority.HIGH),
+            mode.own.name,
+            clock,
         )
+        self.tables = self.store.tables
         self.fleet = fleet_lib.FleetWatcher(mode.vm_list, session)
         self.registry = members.MemberRegistry(client, mode.own)
         self.links = links.LinkServer(self.take_report)
@@ -117,7 +119,8 @@
     def start(self) -> None:
         """Start the tasks."""
         for coroutine in (
-            self._follow_table(),
+            self.store.run(),
+            self.store.run_catch_up(),
             self.fleet.run(),
             self.registry.run(),
             self.placer.run(),
@@ -133,13 +136,6 @@
                 await task
         await self.registry.leave()
 
-    async def _follow_table(self) -> None:
-        """Put each accepted table in force; never an older one."""
-        async for table in self.store.follow():
-            if table.generation > self.tables.value.generation:
-                logger.info("Table %d is in force.", table.generation)
-                self.tables.on_next(table)
-
     async def check_health(self, request: web.Request) -> web.Response:
         """Answer that the process lives."""
         del request
--- a/src/cicadahook/net/keyvalue.py
+++ b/src/cicadahook/net/keyvalue.py
@@ -1,18 +1,28 @@
 """Client of the platform's key-value service."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 import dataclasses
 import datetime
+import random
 from typing import Any, Final
 import urllib.parse
 
 import aiohttp
 
+from cicadahook.core import budget
+from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
+from cicadahook.net import clock as net_clock
+from cicadahook.net import metrics
 
 CALL_TIMEOUT: Final = datetime.timedelta(seconds=2)
+BUDGET_WAIT: Final = datetime.timedelta(seconds=2)
+RESOLVE_TIMEOUT: Final = datetime.timedelta(seconds=8)
 WATCH_WAIT: Final = datetime.timedelta(seconds=20)
+FIRST_BACKOFF: Final = datetime.timedelta(seconds=0.2)
+LONGEST_BACKOFF: Final = datetime.timedelta(seconds=5)
+BREAKER_THRESHOLD: Final = 5
 ABSENT_REVISION: Final = 0
 
 
@@ -33,6 +43,25 @@
     revision: int
 
 
+class Gate:
+    """What all calls of a node pass: clock, jitter, budget and breaker."""
+
+    def __init__(
+        self,
+        clock: clock_lib.Clock | None = None,
+        rng: random.Random | None = None,
+        mode: budget.BudgetMode = budget.BudgetMode(),
+    ) -> None:
+        self.clock = clock or net_clock.SystemClock()
+        self.rng = rng or random.Random()
+        self.budget = budget.CallBudget(mode, self.clock.now())
+        self.breaker = budget.Breaker(BREAKER_THRESHOLD, self.create_backoff())
+
+    def create_backoff(self) -> budget.Backoff:
+        """Return pauses for one sequence of retries."""
+        return budget.Backoff(FIRST_BACKOFF, LONGEST_BACKOFF, self.rng)
+
+
 @dataclasses.dataclass
 class KeyValueClient:
     """Calls the key-value service over HTTP.
@@ -40,14 +69,28 @@
     Attributes:
         address: `host:port` of the service.
         session: the HTTP session to use; owned by the caller.
+        caller: part of the program that calls, for the counters.
+        priority: how urgent its calls are.
+        gate: limits shared by all clients of this node.
     """
 
     address: str
     session: aiohttp.ClientSession
+    caller: str = "other"
+    priority: budget.Priority = budget.Priority.NORMAL
+    gate: Gate = dataclasses.field(default_factory=Gate)
+
+    def for_caller(
+        self,
+        caller: str,
+        priority: budget.Priority = budget.Priority.NORMAL,
+    ) -> "KeyValueClient":
+        """Return a client for another part of the same node."""
+        return dataclasses.replace(self, caller=caller, priority=priority)
 
     async def get(self, key: str) -> Entry:
         """Return the entry of `key`; its revision is 0 if it is absent."""
-        status, body = await self._call("GET", _key_path(key))
+        status, body = await self._call("get", "GET", _key_path(key))
         if status == 404:
             return Entry(key, "", ABSENT_REVISION)
         return Entry(key, body["value"], body["revision"])
@@ -55,7 +98,7 @@
     async def list(self, prefix: str) -> Snapshot:
         """Return all entries whose key starts with `prefix`."""
         query = urllib.parse.urlencode({"prefix": prefix})
-        _, body = await self._call("GET", f"/v1/keys?{query}")
+        _, body = await self._call("list", "GET", f"/v1/keys?{query}")
         return _parse_snapshot(body)
 
     async def put(
@@ -65,38 +108,104 @@
 
         Raises:
             errors.KeyValueConflictError: the revision was another one.
+            errors.KeyValueNotSentError: the write was held back.
             errors.KeyValueUnavailableError: no answer; the write may or may
                 not have taken effect.
         """
         body = {"value": value, "expected_revision": expected, "lease": lease}
-        status, answer = await self._call("PUT", _key_path(key), body)
+        status, answer = await self._call("put", "PUT", _key_path(key), body)
         if status == 409:
             raise errors.KeyValueConflictError(f"key {key!r} has changed")
         revision: int = answer["revision"]
         return revision
 
+    async def put_unique(
+        self,
+        key: str,
+        value: str,
+        expected: int,
+        is_included: Callable[[str], bool],
+    ) -> None:
+        """Write `key` like `put`, and resolve a lost reply by reading.
+
+        Args:
+            key: key to write.
+            value: new value; no other write may ever carry the same.
+            expected: revision that the key must have.
+            is_included: tells from the value of the key whether this write
+                took effect, also if later ones followed it.
+
+        Raises:
+            errors.KeyValueConflictError: the write has no effect.
+            errors.KeyValueUnavailableError: still unknown after a while.
+        """
+        deadline = self.gate.clock.now() + RESOLVE_TIMEOUT
+        backoff = self.gate.create_backoff()
+        is_sent = False
+        while True:
+            try:
+                await self._put_once(key, value, expected, is_included, is_sent)
+                return
+            except errors.KeyValueUnavailableError as error:
+                is_sent = is_sent or not isinstance(
+                    error, errors.KeyValueNotSentError
+                )
+                if self.gate.clock.now() >= deadline:
+                    raise _describe_unresolved(key, is_sent) from error
+                await self.sleep(backoff.fail())
+
+    async def _put_once(
+        self,
+        key: str,
+        value: str,
+        expected: int,
+        is_included: Callable[[str], bool],
+        is_sent: bool,
+    ) -> None:
+        """Write once; after a lost reply, only if a read shows no effect.
+
+        A repeated write cannot take effect twice: both expect one revision.
+        """
+        if is_sent:
+            entry = await self.get(key)
+            if is_included(entry.value):
+                count_event("lost_reply_resolved", self.caller)
+                return
+            if entry.revision < expected:
+                raise errors.KeyValueUnavailableError(f"{key!r}: stale read")
+            if entry.revision > expected:
+                raise errors.KeyValueConflictError(f"key {key!r} has changed")
+        try:
+            await self.put(key, value, expected)
+        except errors.KeyValueConflictError as error:
+            if not is_sent:
+                raise
+            raise errors.KeyValueUnavailableError(
+                f"{key!r}: an earlier write arrived"
+            ) from error
+
     async def delete(self, key: str, expected: int) -> None:
         """Remove `key` if its revision is `expected`."""
         path = f"{_key_path(key)}?expected_revision={expected}"
-        status, _ = await self._call("DELETE", path)
+        status, _ = await self._call("delete", "DELETE", path)
         if status == 409:
             raise errors.KeyValueConflictError(f"key {key!r} has changed")
 
     async def grant(self, ttl: datetime.timedelta) -> str:
         """Return a new lease that lapses `ttl` after its last renewal."""
         body = {"ttl_seconds": ttl.total_seconds()}
-        _, answer = await self._call("POST", "/v1/leases", body)
+        _, answer = await self._call("grant", "POST", "/v1/leases", body)
         lease: str = answer["lease"]
         return lease
 
     async def renew(self, lease: str) -> bool:
         """Renew `lease`; return False if it has lapsed."""
-        status, _ = await self._call("PUT", f"/v1/leases/{lease}")
+        status, _ = await self._call("renew", "PUT", f"/v1/leases/{lease}")
         return status == 200
 
     async def revoke(self, lease: str) -> None:
         """End `lease` and remove its keys."""
-        await self._call("DELETE", f"/v1/leases/{lease}")
+        await self._call("revoke", "DELETE", f"/v1/leases/{lease}")
 
     async def watch(self, prefix: str, after: int) -> Snapshot:
         """Wait for changes under `prefix` after revision `after`.
@@ -112,7 +221,10 @@
             }
         )
         _, body = await self._call(
-            "GET", f"/v1/watch?{query}", timeout=WATCH_WAIT + CALL_TIMEOUT
+            "watch",
+            "GET",
+            f"/v1/watch?{query}",
+            timeout=WATCH_WAIT + CALL_TIMEOUT,
         )
         return _parse_snapshot(body)
 
@@ -121,26 +233,72 @@
     ) -> AsyncIterator[Snapshot]:
         """Yield the whole state under `prefix`, then again at each change.
 
-        After an error it waits for `pause` and reads the whole state again.
+        Every watch is followed by a read, so a watch that missed a change
+        delays it by one wait at most. After an error it waits for at least
+        `pause`, longer after each further error and with jitter.
         """
+        backoff = self.gate.create_backoff()
         while True:
             try:
                 snapshot = await self.list(prefix)
+                backoff.succeed()
                 yield snapshot
-                changed = await self.watch(prefix, snapshot.revision)
-                while not changed.entries:
-                    changed = await self.watch(prefix, changed.revision)
+                await self.watch(prefix, snapshot.revision)
             except errors.KeyValueUnavailableError:
-                await asyncio.sleep(pause.total_seconds())
+                count_event("watch_rearmed", self.caller)
+                await self.sleep(max(pause, backoff.fail()))
+
+    async def sleep(self, pause: datetime.timedelta) -> None:
+        """Wait for `pause`."""
+        await asyncio.sleep(pause.total_seconds())
 
     async def _call(
         self,
+        kind: str,
         method: str,
         path: str,
         body: dict[str, Any] | None = None,
         timeout: datetime.timedelta = CALL_TIMEOUT,
     ) -> tuple[int, dict[str, Any]]:
-        """Return the status and body of one call."""
+        """Return the status and body of one call, if gate and service allow."""
+        await self._pass_budget()
+        breaker = self.gate.breaker
+        if not breaker.enter(self.gate.clock.now()):
+            count_event("breaker_open", self.caller)
+            raise errors.KeyValueNotSentError(f"{method} {path}: breaker open")
+        count_call(kind, self.caller)
+        try:
+            answer = await self._send(method, path, body, timeout)
+        except errors.KeyValueUnavailableError:
+            count_event("call_failed", self.caller)
+            breaker.fail(self.gate.clock.now())
+            raise
+        except BaseException:
+            breaker.abandon(self.gate.clock.now())
+            raise
+        breaker.succeed()
+        return answer
+
+    async def _pass_budget(self) -> None:
+        """Wait for a call of the budget; refuse after BUDGET_WAIT."""
+        deadline = self.gate.clock.now() + BUDGET_WAIT
+        while True:
+            now = self.gate.clock.now()
+            wait = self.gate.budget.take(self.priority, now)
+            if not wait:
+                return
+            if now + wait > deadline:
+                count_event("budget_exhausted", self.caller)
+                raise errors.KeyValueNotSentError("call budget exhausted")
+            await self.sleep(wait)
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        timeout: datetime.timedelta,
+    ) -> tuple[int, dict[str, Any]]:
         try:
             async with self.session.request(
                 method,
@@ -153,12 +311,37 @@
                         f"{method} {path}: status {response.status}"
                     )
                 return response.status, await response.json()
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise errors.KeyValueUnavailableError(
                 f"{method} {path}: {error!r}"
             ) from error
 
 
+def count_call(kind: str, caller: str) -> None:
+    """Count a call made to the service."""
+    counter = metrics.create_counter(
+        "cicada_keyvalue_calls", "Calls to the key-value service."
+    )
+    counter.add(1, {"kind": kind, "caller": caller})
+
+
+def count_event(event: str, caller: str) -> None:
+    """Count a call that was held back, failed, or was resolved later."""
+    counter = metrics.create_counter(
+        "cicada_keyvalue_events", "Failures of key-value calls, by event."
+    )
+    counter.add(1, {"event": event, "caller": caller})
+
+
+def _describe_unresolved(
+    key: str, is_sent: bool
+) -> errors.KeyValueUnavailableError:
+    """Return the error of a write that was given up."""
+    if not is_sent:
+        return errors.KeyValueNotSentError(f"key {key!r}: not written")
+    return errors.KeyValueUnavailableError(f"key {key!r}: outcome unknown")
+
+
 def _key_path(key: str) -> str:
     """Return the path of `key`."""
     return f"/v1/keys/{urllib.parse.quote(key)}"
--- a/src/cicadahook/net/operators.py
+++ b/src/cicadahook/net/operators.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 import pydantic
 
+from cicadahook.core import edits
 from cicadahook.core import errors
 from cicadahook.core import table as table_lib
 from cicadahook.core import view as view_lib
@@ -13,6 +14,8 @@
 from cicadahook.net import links
 from cicadahook.net import tables
 
+OPERATOR: Final = "operator"
+
 _ROWS: Final = pydantic.TypeAdapter(tuple[table_lib.Row, ...])
 _VIEW: Final = pydantic.TypeAdapter(view_lib.View)
 
@@ -48,15 +51,15 @@
         """Add or replace rows, all or none."""
         body = await http_lib.read_object(request)
         rows = _parse_rows(body.get("rows"))
-
-        def change(old: tuple[table_lib.Row, ...]) -> tuple[table_lib.Row, ...]:
-            merged = {row.name: row for row in (*old, *rows)}
-            return tuple(merged.values())
-
         try:
-            table = await self.store.edit(change)
+            changes = edits.create_changes(self.store.sync.table, rows)
+            table = await self.store.edit(changes, OPERATOR)
         except errors.RowError as error:
             raise errors.RefusalError("bad_row", str(error), 400) from error
+        except errors.EditConflictError as error:
+            raise errors.RefusalError(
+                "edit_conflict", str(error), 409
+            ) from error
         except errors.KeyValueError as error:
             raise errors.RefusalError(
                 "keyvalue_unavailable",
--- a/src/cicadahook/net/tables.py
+++ b/src/cicadahook/net/tables.py
@@ -1,100 +1,325 @@
-"""The table in the key-value service: reading, following and editing it."""
+"""The table of a node: following, healing and editing what is accepted."""
 
-from collections.abc import AsyncIterator, Callable
-import dataclasses
+from collections.abc import Awaitable, Callable
 import datetime
+import itertools
 from typing import Final
 
+from reactivex import subject
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import digests
+from cicadahook.core import edits
 from cicadahook.core import errors
 from cicadahook.core import pages
 from cicadahook.core import table as table_lib
+from cicadahook.core import tablesync
 from cicadahook.net import keyvalue
+from cicadahook.net import logs
+from cicadahook.net import metrics
 
 HEAD_KEY: Final = "table/head"
 PAGE_PREFIX: Final = "table/pages/"
 RETRY_PAUSE: Final = datetime.timedelta(seconds=0.5)
-EDIT_TRIES: Final = 8
+REPAIR_SPREAD: Final = datetime.timedelta(seconds=1)
+CATCH_UP_PAUSE: Final = datetime.timedelta(seconds=0.3)
+EDIT_TRIES: Final = 12
+PEER_TRIES: Final = 3
+REPAIR_AUTHOR: Final = "cicada-control"
+
+FetchFromPeer = Callable[[str, str], Awaitable[str]]
 
-Edit = Callable[[tuple[table_lib.Row, ...]], tuple[table_lib.Row, ...]]
+logger: Final = logs.create_logger("tables")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredTable:
-    """A table with the revision of its head."""
+class PeerError(errors.CicadaError):
+    """A peer did not give what it was asked for."""
 
-    table: table_lib.Table
-    revision: int
+
+async def _fetch_nothing(peer: str, path: str) -> str:
+    """Stand in for the fetch of a node without peers."""
+    raise PeerError(f"{peer}{path}: no peer links")
 
 
 class TableStore:
-    """Reads and edits the table; keeps the pages that it has seen."""
+    """Keeps the newest accepted table in force on `tables`, and edits it.
+
+    Attributes:
+        sync: judges heads and holds the table in force.
+        tables: the table in force, then each later one.
+        fetch_from_peer: fetches a path of a peer's control; set by its owner.
+        peers: addresses of live peers' controls; set by its owner.
+        highest: highest generation that any peer says is in force.
+    """
 
-    def __init__(self, client: keyvalue.KeyValueClient, node: str) -> None:
+    def __init__(
+        self,
+        client: keyvalue.KeyValueClient,
+        node: str,
+        clock: clock_lib.Clock,
+    ) -> None:
         self.client = client
         self.node = node
-        self.contents: dict[str, str] = {}
-
-    async def read(self) -> StoredTable:
-        """Return the accepted table."""
-        return await self._resolve(await self.client.get(HEAD_KEY))
+        self.clock = clock
+        self.sync = tablesync.TableSync()
+        self.tables: subject.BehaviorSubject[table_lib.Table] = (
+            subject.BehaviorSubject(table_lib.Table())
+        )
+        self.fetch_from_peer: FetchFromPeer = _fetch_nothing
+        self.peers: tuple[str, ...] = ()
+        self.highest = 0
+        self.session = int(clock.now().timestamp() * 1_000_000)
+        self.write_numbers = itertools.count(1)
 
-    async def follow(self) -> AsyncIterator[table_lib.Table]:
-        """Yield the table now, then again after each accepted edit."""
+    async def run(self) -> None:
+        """Follow the accepted table until cancelled."""
         async for snapshot in self.client.follow(HEAD_KEY, RETRY_PAUSE):
-            for entry in snapshot.entries:
-                yield (await self._resolve(entry)).table
+            entry = keyvalue.Entry(HEAD_KEY, "", keyvalue.ABSENT_REVISION)
+            entry = next(iter(snapshot.entries), entry)
+            try:
+                await self._follow_head(entry)
+            except errors.KeyValueError as error:
+                logger.warning("Head not taken up: %s.", error)
+                await self.client.sleep(RETRY_PAUSE)
 
-    async def edit(self, change: Edit) -> table_lib.Table:
-        """Apply `change` to the accepted rows and have the result accepted.
+    async def run_catch_up(self) -> None:
+        """Fetch from peers whatever gossip says is newer, until cancelled."""
+        while True:
+            await self.client.sleep(CATCH_UP_PAUSE)
+            if self.highest > self.sync.head.generation:
+                await self.catch_up()
+
+    async def catch_up(self) -> None:
+        """Ask a few peers for a newer table, in random order."""
+        count = min(PEER_TRIES, len(self.peers))
+        for peer in self.client.gate.rng.sample(self.peers, count):
+            try:
+                await self._pull(peer)
+            except (PeerError, ValueError) as error:
+                logger.info("Nothing from peer %s: %s.", peer, error)
+            if self.sync.head.generation >= self.highest:
+                return
+
+    async def edit(
+        self, changes: edits.Changes, operator: str
+    ) -> table_lib.Table:
+        """Have `changes` accepted, all or none; return the accepted table.
+
+        Edits of other rows that come first are kept. An edit that is already
+        in force is accepted without a new generation.
 
         Raises:
             errors.RowError: a row of the result is not allowed.
-            errors.EditConflictError: raised by `change`.
-            errors.KeyValueError: the service failed.
+            errors.EditConflictError: a row was changed meanwhile.
+            errors.KeyValueNotSentError: the edit was not accepted.
+            errors.KeyValueConflictError: the edit was not accepted.
+            errors.KeyValueUnavailableError: the edit may be accepted or not.
         """
+        backoff = self.client.gate.create_backoff()
         for _ in range(EDIT_TRIES):
-            stored = await self.read()
-            rows = table_lib.validate(change(stored.table.rows))
+            revision = await self._prepare_edit()
+            rows = edits.apply(self.sync.table.rows, changes)
+            if rows == self.sync.table.rows:
+                return self.sync.table
             try:
-                return await self._accept(stored, rows)
+                await self._accept(revision, rows, changes.names, operator)
+                return self.sync.table
+            except errors.KeyValueConflictError:
+                count_edit("rebased")
+                await self.client.sleep(backoff.fail() / 4)
+        raise errors.KeyValueConflictError("the table keeps changing")
+
+    async def _prepare_edit(self) -> int:
+        """Read the accepted table; a failure means that nothing was edited."""
+        try:
+            return await self._read_newest()
+        except errors.KeyValueUnavailableError as error:
+            raise errors.KeyValueNotSentError(f"not edited: {error}") from error
+
+    def history(self) -> tuple[pages.Version, ...]:
+        """Return the recent accepted edits, the newest first."""
+        return self.sync.head.history
+
+    def dump_head(self) -> str:
+        """Return the head in force as JSON, for peers."""
+        return pages.dump_head(self.sync.head)
+
+    def find_page(self, name: str) -> str | None:
+        """Return the content of a page of the table in force, for peers."""
+        return self.sync.contents.get(name)
+
+    async def _follow_head(self, entry: keyvalue.Entry) -> None:
+        """Take up the head that the service shows, or heal it."""
+        head = _parse_entry(entry)
+        verdict = self.sync.judge(head)
+        if verdict in (tablesync.Verdict.KEEP, tablesync.Verdict.APPLY):
+            await self._apply(head)
+            return
+        # All nodes see an old head at once: they spread out, read once more,
+        # and all but the first find it healed.
+        await self.client.sleep(
+            REPAIR_SPREAD * self.client.gate.rng.uniform(0.0, 1.0)
+        )
+        await self._read_newest()
+
+    async def _read_newest(self) -> int:
+        """Put the accepted table in force; return its head's revision.
+
+        Raises:
+            errors.KeyValueError: the service failed, or kept changing.
+        """
+        if self.highest > self.sync.head.generation:
+            await self.catch_up()
+        for _ in range(EDIT_TRIES):
+            entry = await self.client.get(HEAD_KEY)
+            head = _parse_entry(entry)
+            verdict = self.sync.judge(head)
+            if verdict is tablesync.Verdict.KEEP:
+                return entry.revision
+            if verdict is tablesync.Verdict.APPLY:
+                await self._apply(head)
+                if self.sync.head.writer == head.writer:
+                    return entry.revision
+                continue
+            try:
+                await self._repair(verdict, head, entry.revision)
             except errors.KeyValueConflictError:
                 continue
         raise errors.KeyValueConflictError("the table keeps changing")
 
+    async def _repair(
+        self, verdict: tablesync.Verdict, stored: pages.Head, revision: int
+    ) -> None:
+        """Replace a head that lacks accepted edits."""
+        count_edit(verdict.value)
+        logger.warning(
+            "Service shows table %d, %d is in force: %s.",
+            stored.generation,
+            self.sync.head.generation,
+            verdict.value,
+        )
+        if verdict is tablesync.Verdict.MERGE:
+            await self._fetch_pages(stored)
+            rows = self.sync.merge(stored)
+            await self._accept(revision, rows, (), REPAIR_AUTHOR, stored)
+            return
+        head = self.sync.head
+        contents = self.sync.contents
+        for name in head.pages:
+            await self._write_page(pages.Page(name, contents[name]))
+        await self.client.put_unique(
+            HEAD_KEY,
+            pages.dump_head(head),
+            revision,
+            lambda value: _includes(value, head.writer),
+        )
+
     async def _accept(
-        self, stored: StoredTable, rows: tuple[table_lib.Row, ...]
-    ) -> table_lib.Table:
+        self,
+        revision: int,
+        rows: tuple[table_lib.Row, ...],
+        names: tuple[str, ...],
+        operator: str,
+        merged: pages.Head = pages.Head(),
+    ) -> None:
         """Write the pages of `rows`, then move the head to them."""
+        known = self.sync.head
         new_pages = pages.split(rows)
         for page in new_pages:
-            await self._write_page(page)
-        head = pages.Head(
-            stored.table.generation + 1,
-            tuple(page.name for page in new_pages),
-            self.node,
+            if page.name not in known.pages or merged.generation:
+                await self._write_page(page)
+        version = pages.Version(
+            max(known.generation, merged.generation) + 1,
+            f"{self.node}/{self.session}/{next(self.write_numbers)}",
+            operator,
+            self.clock.now(),
+            names,
+        )
+        history = pages.join_histories(known, merged)
+        head = pages.create_head(new_pages, version, history)
+        await self.client.put_unique(
+            HEAD_KEY,
+            pages.dump_head(head),
+            revision,
+            lambda value: _includes(value, head.writer),
         )
-        await self.client.put(HEAD_KEY, pages.dump_head(head), stored.revision)
-        return table_lib.Table(head.generation, rows)
+        self.sync.contents.update(
+            (page.name, page.content) for page in new_pages
+        )
+        self._put_in_force(head)
 
     async def _write_page(self, page: pages.Page) -> None:
-        """Store `page` unless it is known to be stored."""
-        if page.name in self.contents:
-            return
+        """Store `page` unless it is there: equal names mean equal pages."""
         try:
-            await self.client.put(
-                PAGE_PREFIX + page.name, page.content, keyvalue.ABSENT_REVISION
+            await self.client.put_unique(
+                PAGE_PREFIX + page.name,
+                page.content,
+                keyvalue.ABSENT_REVISION,
+                lambda value: value == page.content,
             )
         except errors.KeyValueConflictError:
-            pass  # Pages are immutable: the one that is there is the same.
-        self.contents[page.name] = page.content
-
-    async def _resolve(self, entry: keyvalue.Entry) -> StoredTable:
-        """Return the table of a head entry."""
-        if entry.revision == keyvalue.ABSENT_REVISION:
-            return StoredTable(table_lib.Table(), entry.revision)
-        head = pages.parse_head(entry.value)
-        for name in head.pages:
-            if name not in self.contents:
-                page = await self.client.get(PAGE_PREFIX + name)
-                self.contents[name] = page.value
-        return StoredTable(pages.join(head, self.contents), entry.revision)
+            logger.debug("Page %s is stored already.", page.name)
+        except errors.KeyValueUnavailableError as error:
+            raise errors.KeyValueNotSentError(
+                f"page {page.name} not stored: {error}"
+            ) from error
+
+    async def _apply(self, head: pages.Head) -> None:
+        """Put a head of the service in force."""
+        await self._fetch_pages(head)
+        self._put_in_force(head)
+
+    async def _fetch_pages(self, head: pages.Head) -> None:
+        """Read the missing pages of `head` from the service."""
+        while missing := self.sync.find_missing(head):
+            name = missing[0]
+            entry = await self.client.get(PAGE_PREFIX + name)
+            if digests.name(entry.value) != name:
+                raise errors.KeyValueUnavailableError(f"page {name} is lost")
+            self.sync.contents[name] = entry.value
+
+    async def _pull(self, peer: str) -> None:
+        """Take up the table of a peer if it follows from ours."""
+        head = pages.parse_head(await self.fetch_from_peer(peer, "/peer/head"))
+        if not self.sync.is_ahead(head):
+            return
+        if self.sync.judge(head) is not tablesync.Verdict.APPLY:
+            logger.warning("Peer %s has another branch.", peer)
+            return
+        while missing := self.sync.find_missing(head):
+            name = missing[0]
+            content = await self.fetch_from_peer(peer, f"/peer/pages/{name}")
+            if digests.name(content) != name:
+                raise PeerError(f"page {name} is not what its name says")
+            self.sync.contents[name] = content
+        if self._put_in_force(head):
+            count_edit("pulled_from_peer")
+
+    def _put_in_force(self, head: pages.Head) -> bool:
+        """Put `head` in force unless a newer one came while it was read."""
+        if not self.sync.put_in_force(head):
+            return False
+        self.highest = max(self.highest, head.generation)
+        logger.info("Table %d is in force.", head.generation)
+        self.tables.on_next(self.sync.table)
+        return True
+
+
+def count_edit(event: str) -> None:
+    """Count what became of an edit or a head."""
+    counter = metrics.create_counter(
+        "cicada_table_events", "Repairs and retries of the table, by event."
+    )
+    counter.add(1, {"event": event})
+
+
+def _parse_entry(entry: keyvalue.Entry) -> pages.Head:
+    """Return the head in `entry`; generation 0 if there is none."""
+    if entry.revision == keyvalue.ABSENT_REVISION:
+        return pages.Head()
+    return pages.parse_head(entry.value)
+
+
+def _includes(value: str, writer: str) -> bool:
+    """Whether the head in `value` follows from the write `writer`."""
+    return bool(value) and pages.parse_head(value).includes(writer)
--- /dev/null
+++ b/tests/test_tables.py
@@ -0,0 +1,449 @@
+"""The table of several nodes: races, lost replies, outages, restored copies."""
+
+from collections.abc import Coroutine, Generator
+import dataclasses
+import datetime
+import random
+from typing import Any, Final, cast
+import urllib.parse
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import edits
+from cicadahook.core import errors
+from cicadahook.core import pages
+from cicadahook.core import table as table_lib
+from cicadahook.net import keyvalue
+from cicadahook.net import tables
+
+NODE_COUNT: Final = 3
+ROW_NAMES: Final = ("a", "b", "c")
+STEP_LIMIT: Final = 5000
+
+
+class Turn:
+    """Gives the driver a turn, so that it decides who goes on."""
+
+    def __await__(self) -> Generator[None, None, None]:
+        yield
+
+
+@dataclasses.dataclass
+class Service:
+    """A key-value service in memory.
+
+    Attributes:
+        items: value and revision by key.
+        fault: what happens to the calls: none, down, lost_reply.
+    """
+
+    items: dict[str, tuple[str, int]] = dataclasses.field(default_factory=dict)
+    revision: int = 0
+    fault: str = "none"
+
+    def answer(
+        self, method: str, key: str, body: dict[str, Any] | None
+    ) -> tuple[int, dict[str, Any]]:
+        """Return status and body of a call."""
+        value, revision = self.items.get(key, ("", 0))
+        if method == "GET":
+            status = 200 if revision else 404
+            return status, {"value": value, "revision": revision}
+        assert body is not None
+        if body["expected_revision"] != revision:
+            return 409, {}
+        self.revision += 1
+        self.items[key] = (body["value"], self.revision)
+        return 200, {"revision": self.revision}
+
+
+class FakeClient(keyvalue.KeyValueClient):
+    """The real client over a service in memory, with a turn at each call."""
+
+    service: Service
+    clock: clock_lib.ManualClock
+
+    async def sleep(self, pause: Any) -> None:
+        """Advance the clock instead of waiting."""
+        self.clock.advance(pause)
+        await Turn()
+
+    async def _send(
+        self, method: str, path: str, body: Any, timeout: Any
+    ) -> tuple[int, dict[str, Any]]:
+        await Turn()
+        if self.service.fault == "down":
+            raise errors.KeyValueUnavailableError("down")
+        key = urllib.parse.unquote(path.removeprefix("/v1/keys/"))
+        answer = self.service.answer(method, key, body)
+        if self.service.fault == "lost_reply" and method == "PUT":
+            raise errors.KeyValueUnavailableError("reply lost")
+        return answer
+
+
+def create_store(
+    service: Service, clock: clock_lib.ManualClock, name: str
+) -> tables.TableStore:
+    """Return the store of a node that has just started."""
+    clock.advance(datetime.timedelta(milliseconds=1))
+    gate = keyvalue.Gate(clock, random.Random(name))
+    client = FakeClient("service", cast(Any, None), gate=gate)
+    client.service = service
+    client.clock = clock
+    return tables.TableStore(client, name, clock)
+
+
+def finish(task: Coroutine[Any, Any, Any]) -> Any:
+    """Run `task` to its end and return its result."""
+    for _ in range(STEP_LIMIT):
+        try:
+            task.send(None)
+        except StopIteration as stop:
+            return stop.value
+    raise AssertionError("task does not end")
+
+
+def create_row(name: str, value: int) -> table_lib.Row:
+    """Return a row that holds `value`."""
+    return table_lib.Row(
+        name,
+        table_lib.RowKind.MODEL,
+        memory_bytes=1,
+        rate_per_second=float(value),
+    )
+
+
+def read_value(table: table_lib.Table, name: str) -> int:
+    """Return the value of a row; 0 if there is none."""
+    row = table.find(name)
+    return int(row.rate_per_second) if row else 0
+
+
+@dataclasses.dataclass
+class EditRun:
+    """An edit in progress: sets `names` to `value`, the bases as seen."""
+
+    value: int
+    bases: dict[str, int]
+    node: int
+    task: Coroutine[Any, Any, Any]
+
+
+class TableMachine(stateful.RuleBasedStateMachine):
+    """Nodes, operators and a failing service against the accepted edits."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = clock_lib.ManualClock()
+        self.service = Service()
+        self.stores = [self.start(index) for index in range(NODE_COUNT)]
+        self.seen: list[dict[str, list[int]]] = [{} for _ in self.stores]
+        self.generations = [0] * NODE_COUNT
+        self.value = 0
+        self.runs: list[EditRun] = []
+        self.others: list[tuple[int, Coroutine[Any, Any, Any]]] = []
+        self.accepted: dict[int, dict[str, int]] = {}
+        self.unknown: set[int] = set()
+        self.bases: dict[int, dict[str, int]] = {}
+        self.refused: set[int] = set()
+        self.backup: dict[str, tuple[str, int]] = {}
+
+    def start(self, index: int) -> tables.TableStore:
+        """Return the store of a restarted node, with its peer links."""
+        store = create_store(self.service, self.clock, f"vm{index}")
+
+        async def fetch(peer: str, path: str) -> str:
+            await Turn()
+            other = self.stores[int(peer)]
+            if path == "/peer/head":
+                return other.dump_head()
+            content = other.find_page(path.removeprefix("/peer/pages/"))
+            if content is None:
+                raise tables.PeerError("page is gone")
+            return content
+
+        store.fetch_from_peer = fetch
+        store.peers = tuple(
+            str(other) for other in range(NODE_COUNT) if other != index
+        )
+        return store
+
+    @stateful.rule(
+        node=st.integers(0, NODE_COUNT - 1),
+        names=st.sets(st.sampled_from(ROW_NAMES), min_size=1, max_size=2),
+    )
+    def begin_edit(self, node: int, names: set[str]) -> None:
+        """Start an edit from what the node shows."""
+        store = self.stores[node]
+        self.clock.advance(datetime.timedelta(seconds=1))
+        self.value += 1
+        rows = [create_row(name, self.value) for name in sorted(names)]
+        changes = edits.create_changes(store.sync.table, rows)
+        bases = {name: read_value(store.sync.table, name) for name in names}
+        self.bases[self.value] = bases
+        task = store.edit(changes, f"operator{node}")
+        self.runs.append(EditRun(self.value, bases, node, task))
+
+    @stateful.precondition(lambda self: self.runs)
+    @stateful.rule(pick=st.integers(0, 9), turns=st.integers(1, 12))
+    def go_on(self, pick: int, turns: int) -> None:
+        """Let one edit make some calls."""
+        for _ in range(turns):
+            if self.runs:
+                self.step(self.runs[pick % len(self.runs)])
+
+    def step(self, run: EditRun) -> None:
+        """Let one edit make one call."""
+        try:
+            run.task.send(None)
+            return
+        except StopIteration:
+            self.accepted[run.value] = run.bases
+        except errors.EditConflictError:
+            self.refused.add(run.value)
+        except (errors.KeyValueNotSentError, errors.KeyValueConflictError):
+            self.refused.add(run.value)
+        except errors.KeyValueUnavailableError:
+            self.unknown.add(run.value)
+        self.runs.remove(run)
+
+    @stateful.rule(node=st.integers(0, NODE_COUNT - 1))
+    def begin_follow(self, node: int) -> None:
+        """Let a node look at the head or at its peers."""
+        self.others.append((node, self.follow(self.stores[node])))
+
+    async def follow(self, store: tables.TableStore) -> None:
+        """Do what a node does when its watch answers or peers are ahead."""
+        store.highest = max(self.generations)
+        try:
+            if store.highest > store.sync.head.generation:
+                await store.catch_up()
+            entry = await store.client.get(tables.HEAD_KEY)
+            await store._follow_head(entry)  # pylint: disable=protected-access
+        except errors.KeyValueError:
+            pass
+
+    @stateful.precondition(lambda self: self.others)
+    @stateful.rule(pick=st.integers(0, 9), turns=st.integers(1, 20))
+    def go_on_following(self, pick: int, turns: int) -> None:
+        """Let a node that looks make some calls."""
+        for _ in range(turns):
+            if self.others:
+                item = self.others[pick % len(self.others)]
+                try:
+                    item[1].send(None)
+                except StopIteration:
+                    self.others.remove(item)
+
+    @stateful.rule(
+        fault=st.sampled_from(["none", "none", "down", "lost_reply"])
+    )
+    def set_fault(self, fault: str) -> None:
+        """Change how the service fails."""
+        self.service.fault = fault
+
+    @stateful.rule()
+    def take_backup(self) -> None:
+        """Copy the service."""
+        self.backup = dict(self.service.items)
+
+    @stateful.precondition(lambda self: not self.runs and self.is_known())
+    @stateful.rule()
+    def restore_backup(self) -> None:
+        """Restore the service from the copy."""
+        self.service.items = dict(self.backup)
+
+    @stateful.precondition(lambda self: self.is_stored())
+    @stateful.rule(node=st.integers(0, NODE_COUNT - 1))
+    def restart(self, node: int) -> None:
+        """Restart a node; it has nothing in force."""
+        self.unknown |= {run.value for run in self.runs if run.node == node}
+        for run in [run for run in self.runs if run.node == node]:
+            self.runs.remove(run)
+            run.task.close()
+        for item in [item for item in self.others if item[0] == node]:
+            self.others.remove(item)
+            item[1].close()
+        self.stores[node] = self.start(node)
+        self.seen[node] = {}
+        self.generations[node] = 0
+
+    def stored_head(self) -> pages.Head:
+        """Return the head in the service."""
+        value, _ = self.service.items.get(tables.HEAD_KEY, ("", 0))
+        return pages.parse_head(value) if value else pages.Head()
+
+    def is_known(self) -> bool:
+        """Whether some node has all in force that the service has."""
+        head = self.stored_head()
+        return any(
+            store.sync.head.writer == head.writer for store in self.stores
+        )
+
+    def is_stored(self) -> bool:
+        """Whether the service has all that any node has in force."""
+        head = self.stored_head()
+        return all(
+            head.includes(store.sync.head.writer)
+            for store in self.stores
+            if store.sync.head.generation
+        )
+
+    @stateful.invariant()
+    def table_never_goes_back(self) -> None:
+        """Check generations and values against what was seen."""
+        for index, store in enumerate(self.stores):
+            table = store.sync.table
+            assert table.generation >= self.generations[index]
+            self.generations[index] = table.generation
+            for name in ROW_NAMES:
+                values = self.seen[index].setdefault(name, [0])
+                value = read_value(table, name)
+                if value != values[-1]:
+                    assert value not in values, f"{name} reverted to {value}"
+                    values.append(value)
+                assert value not in self.refused, "a refused edit is in force"
+
+    @stateful.invariant()
+    def edits_are_whole(self) -> None:
+        """Check that no table has a part of an edit."""
+        for store in self.stores:
+            table = store.sync.table
+            for name in ROW_NAMES:
+                bases = self.bases.get(read_value(table, name), {})
+                for other, base in bases.items():
+                    is_undone = read_value(table, other) == base
+                    assert not is_undone, "half of an edit is in force"
+
+    def teardown(self) -> None:
+        """End all faults and check what all nodes agree on."""
+        self.service.fault = "none"
+        self.clock.advance(datetime.timedelta(minutes=1))
+        while self.runs:
+            self.step(self.runs[0])
+        for _, task in self.others:
+            task.close()
+        for _ in range(2):
+            for store in self.stores:
+                finish(self.follow(store))
+        self.table_never_goes_back()
+        heads = {store.sync.head.writer for store in self.stores}
+        assert heads == {self.stored_head().writer}
+        self.check_accepted(self.stores[0].sync.table)
+
+    def check_accepted(self, table: table_lib.Table) -> None:
+        """Assert that no accepted edit was reverted."""
+        for name in ROW_NAMES:
+            final = read_value(table, name)
+            for value, bases in self.accepted.items():
+                is_lost = name in bases and bases[name] == final
+                assert not is_lost, f"accepted {value} of {name} is lost"
+
+
+TableMachine.TestCase.settings = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+test_table_of_several_nodes = TableMachine.TestCase
+
+
+@pytest.fixture(name="service")
+def create_service() -> Service:
+    """Return an empty service."""
+    return Service()
+
+
+def test_race_on_one_row_shows_both_values(
+    service: Service, clock: clock_lib.ManualClock
+) -> None:
+    first, second = (create_store(service, clock, name) for name in "xy")
+    for store, value in ((first, 1), (second, 2)):
+        changes = edits.create_changes(
+            table_lib.Table(), [create_row("a", value)]
+        )
+        if store is first:
+            finish(store.edit(changes, "ana"))
+            continue
+        with pytest.raises(errors.EditConflictError) as caught:
+            finish(store.edit(changes, "ben"))
+    assert '"rate_per_second":1.0' in caught.value.theirs
+    assert '"rate_per_second":2.0' in caught.value.yours
+    assert second.sync.table == first.sync.table
+    assert [version.operator for version in first.history()] == ["ana"]
+
+
+def test_races_on_different_rows_are_both_accepted(
+    service: Service, clock: clock_lib.ManualClock
+) -> None:
+    stores = [create_store(service, clock, name) for name in "xy"]
+    tasks = [
+        store.edit(
+            edits.create_changes(table_lib.Table(), [create_row(name, 1)]), ""
+        )
+        for store, name in zip(stores, "ab")
+    ]
+    tasks[1].send(None)
+    finish(tasks[0])
+    assert [row.name for row in finish(tasks[1]).rows] == ["a", "b"]
+
+
+def test_lost_reply_is_resolved_by_reading(
+    service: Service, clock: clock_lib.ManualClock
+) -> None:
+    store = create_store(service, clock, "x")
+    service.fault = "lost_reply"
+    task = store.edit(
+        edits.create_changes(table_lib.Table(), [create_row("a", 1)]), "ana"
+    )
+    assert finish(task).generation == 1
+    assert pages.parse_head(service.items[tables.HEAD_KEY][0]).generation == 1
+
+
+def test_node_restarted_in_an_outage_learns_from_a_peer(
+    service: Service, clock: clock_lib.ManualClock
+) -> None:
+    old, new = (create_store(service, clock, name) for name in "xy")
+    rows = [create_row("a", 1)]
+    finish(old.edit(edits.create_changes(table_lib.Table(), rows), "ana"))
+    service.fault = "down"
+
+    async def fetch(peer: str, path: str) -> str:
+        assert peer == "old"
+        name = path.removeprefix("/peer/pages/")
+        return old.find_page(name) or old.dump_head()
+
+    new.peers = ("old",)
+    new.fetch_from_peer = fetch
+    new.highest = 1
+    finish(new.catch_up())
+    assert new.sync.table == old.sync.table
+
+
+def test_restored_copy_with_an_edit_on_it_is_merged(
+    service: Service, clock: clock_lib.ManualClock
+) -> None:
+    old = create_store(service, clock, "old")
+
+    def edit(store: tables.TableStore, name: str, value: int) -> None:
+        changes = edits.create_changes(
+            store.sync.table, [create_row(name, value)]
+        )
+        finish(store.edit(changes, "ana"))
+
+    edit(old, "a", 1)
+    backup = dict(service.items)
+    edit(old, "b", 2)
+    service.items = backup
+    new = create_store(service, clock, "new")
+    edit(new, "c", 3)
+    head = finish(old.client.get(tables.HEAD_KEY))
+    finish(old._follow_head(head))  # pylint: disable=protected-access
+    assert [row.name for row in old.sync.table.rows] == ["a", "b", "c"]
+    assert old.sync.table.generation == 3
