--- a/src/cicadahook/core/sheets.py
+++ b/src/cicadahook/core/sheets.py
@@ -173,7 +173,7 @@
 
 
 def _convert(column: str, text: str) -> Cell:
-    """Return `text` in the type of `column`; ValueError says what it must be."""
+    """Return `text` in the type of `column`, or raise ValueError."""
     default = getattr(DEFAULTS, column)
     match default:
         case table_lib.RowKind():
--- a/src/cicadahook/net/operators.py
+++ b/src/cicadahook/net/operators.py
@@ -11,6 +11,7 @@
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import edits
 from cicadahook.core import errors
+from cicadahook.core import pages
 from cicadahook.core import table as table_lib
 from cicadahook.core import view as view_lib
 from cicadahook.net import http as http_lib
@@ -27,6 +28,7 @@
 
 _ROWS: Final = pydantic.TypeAdapter(tuple[table_lib.Row, ...])
 _EDITS: Final = pydantic.TypeAdapter(tuple[edits.RowEdit, ...])
+_HISTORY: Final = pydantic.TypeAdapter(tuple[pages.Version, ...])
 _VIEW: Final = pydantic.TypeAdapter(view_lib.View)
 
 
@@ -66,6 +68,7 @@
         app.router.add_get("/table", self.show_table)
         app.router.add_put("/table/rows", self.set_rows)
         app.router.add_post("/table/edits", self.edit_rows)
+        app.router.add_get("/table/history", self.show_history)
         app.router.add_get("/status", self.show_status)
         app.router.add_get("/in-force", self.show_in_force)
 
@@ -86,6 +89,12 @@
         rows = _ROWS.dump_python(table.rows, mode="json")
         return web.json_response({"generation": table.generation, "rows": rows})
 
+    async def show_history(self, request: web.Request) -> web.Response:
+        """Answer the recent accepted edits, the newest first."""
+        del request
+        versions = _HISTORY.dump_python(self.store.history(), mode="json")
+        return web.json_response({"versions": versions})
+
     async def show_status(self, request: web.Request) -> web.Response:
         """Answer the newest view."""
         del request
@@ -138,15 +147,18 @@
         """Have `wanted` accepted and answer the generation."""
         operator = str(body.get("operator") or UNNAMED_OPERATOR)
         try:
-            table = await self._accept(edits.Changes(wanted), operator)
+            table = await self.store.edit(edits.Changes(wanted), operator)
         except errors.RowError as error:
             raise errors.RefusalError("bad_row", str(error), 400) from error
         except errors.EditConflictError as error:
             raise errors.RefusalError(
                 "edit_conflict", str(error), 409
             ) from error
-        except errors.KeyValueConflictError as error:
-            raise errors.RefusalError("table_busy", str(error), 503) from error
+        except (
+            errors.KeyValueConflictError,
+            errors.KeyValueNotSentError,
+        ) as error:
+            raise errors.RefusalError("not_edited", str(error), 503) from error
         except errors.KeyValueError as error:
             raise errors.RefusalError(
                 "keyvalue_unavailable",
@@ -157,13 +169,6 @@
         logger.info("Table %d accepted for %s.", table.generation, operator)
         return web.json_response({"generation": table.generation})
 
-    async def _accept(
-        self, changes: edits.Changes, operator: str
-    ) -> table_lib.Table:
-        """Return the table that `changes` made."""
-        del operator
-        return await self.store.edit(lambda rows: edits.apply(rows, changes))
-
     def _check_token(self, request: web.Request) -> None:
         """Refuse a change without the operators' token.
 
--- a/src/cicadahook/programs/table_commands.py
+++ b/src/cicadahook/programs/table_commands.py
@@ -5,6 +5,7 @@
 import json as json_lib
 import pathlib
 import sys
+import textwrap
 import time
 from typing import Any, Final
 
@@ -19,6 +20,8 @@
 
 WAIT_SECONDS: Final = 6.0
 POLL_SECONDS: Final = 0.2
+TIME_WIDTH: Final = len("2026-01-01T00:00:00")
+ROWS_WIDTH: Final = 60
 LIVE_STATES: Final = frozenset({"alive", "suspect"})
 
 _ROWS: Final = pydantic.TypeAdapter(tuple[table_lib.Row, ...])
@@ -145,6 +148,24 @@
         change = edits.RowEdit(base.name, None, base)
         send_edits(self.caller, [change], wait)
 
+    def history(self, json: bool = False) -> None:
+        """Print the recent accepted edits, the newest first."""
+        answer = self.caller.call("GET", "/table/history")
+        if json:
+            print(json_lib.dumps(answer, indent=2))
+            return
+        cells = [
+            [
+                version["generation"],
+                version["time"][:TIME_WIDTH],
+                version["operator"],
+                textwrap.shorten(", ".join(version["rows"]), ROWS_WIDTH),
+            ]
+            for version in answer["versions"]
+        ]
+        headers = ("generation", "time (UTC)", "operator", "rows")
+        print(tabulate.tabulate(cells, headers=headers))
+
     def export(self, file: str = "-") -> None:
         """Write all rows as CSV to FILE, or to standard output."""
         content = sheets.format_sheet(fetch_table(self.caller).rows)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -46,6 +46,9 @@
     assert await ctl("table", "show", "simplifier", "--json") == 0
     (row,) = json.loads(capsys.readouterr().out)["rows"]
     assert (row["weight"], row["min_copies"]) == (2.5, 2)
+    assert await ctl("table", "history", "--json") == 0
+    newest = json.loads(capsys.readouterr().out)["versions"][0]
+    assert newest["rows"] == ["simplifier"]
 
 
 async def test_sheet_round_trip_changes_only_edited_cells(
