Show the control room one live page, the same from every control

Nothing showed operators what goes wrong as it happens. Every control now serves a page at / that is fed by server-sent events: problems first, then rows, upstreams, entry VMs, refusals and retries of the last minute, and the age of each figure. Figures are asked from each VM's control only while a screen watches, so an unwatched system pays nothing.

--- a/src/cicadahook/net/control.py
+++ b/src/cicadahook/net/control.py
@@ -17,6 +17,7 @@
 from cicadahook.core import table as table_lib
 from cicadahook.core import view as view_lib
 from cicadahook.net import engine
+from cicadahook.net import figures
 from cicadahook.net import fleet as fleet_lib
 from cicadahook.net import http as http_lib
 from cicadahook.net import keyvalue
@@ -27,6 +28,7 @@
 from cicadahook.net import operators
 from cicadahook.net import placer
 from cicadahook.net import tables
+from cicadahook.net import wall
 
 logger: Final = logs.create_logger("control")
 
@@ -75,8 +77,14 @@
         self.placer = placer.Placer(
             mode.own.name, client, engine.EngineClient(session), mode.placement
         )
+        self.figures = figures.FigureKeeper(
+            mode.own.name, mode.own.entry, clock, session
+        )
         self.operators = operators.OperatorsApi(
-            mode.own.name, self.store, self.links, clock, mode.operator_token
+            self.figures, self.store, self.links, mode.operator_token
+        )
+        self.wall = wall.WallApi(
+            self.figures, self.links, clock, session, lambda: self.fleet.polls
         )
         self.view_count = 0
         self.tasks: list[asyncio.Task[None]] = []
@@ -90,6 +98,7 @@
         app.router.add_get("/metrics", metrics.show)
         app.router.add_get(links.LINK_PATH, self.links.serve)
         self.operators.install(app)
+        self.wall.install(app)
         return app
 
     def _connect(self) -> None:
@@ -127,7 +136,7 @@
     def take_report(self, report: view_lib.Report) -> None:
         """Note what an entry reports."""
         logger.debug("Report of %s.", report.entry)
-        self.operators.take_report(report)
+        self.figures.take_report(report)
 
     def start(self) -> None:
         """Start the tasks."""
--- /dev/null
+++ b/src/cicadahook/net/figures.py
@@ -0,0 +1,173 @@
+"""First-hand figures of a VM: its entries' reports, its entry's counters."""
+
+import collections
+import dataclasses
+import datetime
+from typing import Final
+
+import aiohttp
+from prometheus_client import parser
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import view as view_lib
+from cicadahook.core import wall
+from cicadahook.net import logs
+
+FORGET_ENTRY_AFTER: Final = datetime.timedelta(seconds=10)
+RATE_WINDOW: Final = datetime.timedelta(seconds=5)
+COUNT_WINDOW: Final = datetime.timedelta(seconds=60)
+SCRAPE_PAUSE: Final = datetime.timedelta(seconds=0.5)
+SCRAPE_TIMEOUT: Final = datetime.timedelta(seconds=0.5)
+REFUSALS: Final = "cicada_refusals_total"
+RETRIES: Final = "cicada_retries_total"
+
+logger: Final = logs.create_logger("figures")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimedReport:
+    """A report of an entry and when it came."""
+
+    report: view_lib.Report
+    received: datetime.datetime
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scrape:
+    """An entry's counters by (metric, reason) at one time."""
+
+    totals: collections.Counter[tuple[str, str]]
+    taken: datetime.datetime
+
+
+class FigureKeeper:
+    """Keeps the newest reports, and reads counters when it is asked.
+
+    Attributes:
+        node: name of this VM.
+        entry: `host:port` of this VM's entry.
+        reports: recent reports by entry, the newest last.
+        scrapes: recent counters of this VM's entry, the newest last.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        entry: str,
+        clock: clock_lib.Clock,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self.node = node
+        self.entry = entry
+        self.clock = clock
+        self.session = session
+        self.reports: dict[str, collections.deque[TimedReport]] = {}
+        self.scrapes: collections.deque[Scrape] = collections.deque()
+
+    def take_report(self, report: view_lib.Report) -> None:
+        """Keep a report of an entry, and forget entries gone silent."""
+        now = self.clock.now()
+        kept = self.reports.setdefault(report.entry, collections.deque())
+        kept.append(TimedReport(report, now))
+        while kept[0].received < now - RATE_WINDOW:
+            kept.popleft()
+        self.reports = {
+            entry: reports
+            for entry, reports in self.reports.items()
+            if reports[-1].received >= now - FORGET_ENTRY_AFTER
+        }
+
+    def describe_entries(self) -> tuple[wall.EntryFigures, ...]:
+        """Return what the entries linked to this control reported."""
+        now = self.clock.now()
+        return tuple(
+            _describe_entry(reports, now)
+            for _, reports in sorted(self.reports.items())
+        )
+
+    async def describe(self, generation: int) -> wall.NodeFigures:
+        """Return all figures; reads the entry's counters if they are old."""
+        now = self.clock.now()
+        if not self.scrapes or now - self.scrapes[-1].taken > SCRAPE_PAUSE:
+            await self._scrape(now)
+        return wall.NodeFigures(
+            node=self.node,
+            generation=generation,
+            entries=self.describe_entries(),
+            refusals=self._count(REFUSALS),
+            retries=self._count(RETRIES),
+        )
+
+    async def _scrape(self, now: datetime.datetime) -> None:
+        """Read the counters of this VM's entry."""
+        timeout = aiohttp.ClientTimeout(total=SCRAPE_TIMEOUT.total_seconds())
+        url = f"http://{self.entry}/metrics"
+        try:
+            async with self.session.get(url, timeout=timeout) as response:
+                totals = _parse_totals(await response.text(), self.node)
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            logger.info("Counters of %s not read: %r.", self.entry, error)
+            return
+        if self.scrapes and _has_restarted(self.scrapes[-1].totals, totals):
+            self.scrapes.clear()
+            self.scrapes.append(Scrape(collections.Counter(), now))
+        self.scrapes.append(Scrape(totals, now))
+        while self.scrapes[0].taken < now - COUNT_WINDOW:
+            self.scrapes.popleft()
+
+    def _count(self, metric: str) -> tuple[wall.ReasonCount, ...]:
+        """Return the increase of a counter in the window, by reason."""
+        if not self.scrapes:
+            return ()
+        oldest, newest = self.scrapes[0].totals, self.scrapes[-1].totals
+        return tuple(
+            wall.ReasonCount(reason, total - oldest[name, reason])
+            for (name, reason), total in sorted(newest.items())
+            if name == metric
+        )
+
+
+def _describe_entry(
+    reports: collections.deque[TimedReport], now: datetime.datetime
+) -> wall.EntryFigures:
+    """Return the newest report of an entry, with rates over the window."""
+    newest = reports[-1].report
+    arrivals: collections.Counter[str] = collections.Counter()
+    for timed in reports:
+        for demand in timed.report.demands:
+            arrivals[demand.row] += demand.arrivals
+    in_flight = {demand.row: demand.in_flight for demand in newest.demands}
+    window_seconds = RATE_WINDOW.total_seconds()
+    return wall.EntryFigures(
+        entry=newest.entry,
+        generation=newest.generation,
+        is_draining=newest.draining,
+        age_seconds=(now - reports[-1].received).total_seconds(),
+        uses=newest.uses,
+        rows=tuple(
+            wall.RowRate(row, in_flight.get(row, 0), count / window_seconds)
+            for row, count in sorted(arrivals.items())
+        ),
+    )
+
+
+def _parse_totals(
+    content: str, node: str
+) -> collections.Counter[tuple[str, str]]:
+    """Return a node's refusals and retries by reason, from Prometheus text."""
+    totals: collections.Counter[tuple[str, str]] = collections.Counter()
+    for family in parser.text_string_to_metric_families(content):
+        for sample in family.samples:
+            is_own = sample.labels.get("node") == node
+            if is_own and sample.name in (REFUSALS, RETRIES):
+                reason = sample.labels.get("reason", "")
+                totals[sample.name, reason] += int(sample.value)
+    return totals
+
+
+def _has_restarted(
+    old: collections.Counter[tuple[str, str]],
+    new: collections.Counter[tuple[str, str]],
+) -> bool:
+    """Whether a counter fell, as it does when the process is a new one."""
+    return any(new[key] < total for key, total in old.items())
--- a/src/cicadahook/net/fleet.py
+++ b/src/cicadahook/net/fleet.py
@@ -61,6 +61,7 @@
             Fleet()
         )
         self.vms: tuple[ListedVm, ...] = ()
+        self.polls = 0
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -71,6 +72,7 @@
                 tuple(seen.upstream for seen in sightings),
                 tuple(copy for seen in sightings for copy in seen.copies),
             )
+            self.polls += 1
             if fleet != self.fleets.value:
                 self.fleets.on_next(fleet)
             await asyncio.sleep(POLL_PAUSE.total_seconds())
--- a/src/cicadahook/net/operators.py
+++ b/src/cicadahook/net/operators.py
@@ -1,19 +1,17 @@
 """The operators' HTTP API of a control."""
 
-import dataclasses
-import datetime
 import hmac
 from typing import Any, Final
 
 from aiohttp import web
 import pydantic
 
-from cicadahook.core import clock as clock_lib
 from cicadahook.core import edits
 from cicadahook.core import errors
 from cicadahook.core import pages
 from cicadahook.core import table as table_lib
 from cicadahook.core import view as view_lib
+from cicadahook.net import figures
 from cicadahook.net import http as http_lib
 from cicadahook.net import links
 from cicadahook.net import logs
@@ -22,7 +20,6 @@
 
 TOKEN_SCHEME: Final = "Bearer "
 UNNAMED_OPERATOR: Final = "operator"
-FORGET_ENTRY_AFTER: Final = datetime.timedelta(seconds=10)
 
 logger: Final = logs.create_logger("operators")
 
@@ -32,36 +29,24 @@
 _VIEW: Final = pydantic.TypeAdapter(view_lib.View)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EntryReport:
-    """The newest report of an entry and when it came."""
-
-    report: view_lib.Report
-    received: datetime.datetime
-
-
 class OperatorsApi:
     """Shows the state and edits the table.
 
     Attributes:
-        node: name of this VM.
-        reports: newest report of each entry that is linked to this control.
+        keeper: what the linked entries reported.
     """
 
     def __init__(
         self,
-        node: str,
+        keeper: figures.FigureKeeper,
         store: tables.TableStore,
         link_server: links.LinkServer,
-        clock: clock_lib.Clock,
         token: str,
     ) -> None:
-        self.node = node
+        self.keeper = keeper
         self.store = store
         self.links = link_server
-        self.clock = clock
         self.token = token
-        self.reports: dict[str, EntryReport] = {}
 
     def install(self, app: web.Application) -> None:
         """Add the routes to `app`."""
@@ -72,16 +57,6 @@
         app.router.add_get("/status", self.show_status)
         app.router.add_get("/in-force", self.show_in_force)
 
-    def take_report(self, report: view_lib.Report) -> None:
-        """Keep the newest report of an entry."""
-        now = self.clock.now()
-        self.reports[report.entry] = EntryReport(report, now)
-        self.reports = {
-            entry: kept
-            for entry, kept in self.reports.items()
-            if now - kept.received < FORGET_ENTRY_AFTER
-        }
-
     async def show_table(self, request: web.Request) -> web.Response:
         """Answer the table in force on this node."""
         del request
@@ -105,18 +80,17 @@
     async def show_in_force(self, request: web.Request) -> web.Response:
         """Answer the table generation of this node and its linked entries."""
         del request
-        now = self.clock.now()
         return web.json_response(
             {
-                "node": self.node,
+                "node": self.keeper.node,
                 "generation": self.links.views.value.table.generation,
                 "entries": [
                     {
-                        "entry": entry,
-                        "generation": kept.report.generation,
-                        "age_seconds": (now - kept.received).total_seconds(),
+                        "entry": entry.entry,
+                        "generation": entry.generation,
+                        "age_seconds": entry.age_seconds,
                     }
-                    for entry, kept in sorted(self.reports.items())
+                    for entry in self.keeper.describe_entries()
                 ],
             }
         )
@@ -136,7 +110,7 @@
         )
 
     async def edit_rows(self, request: web.Request) -> web.Response:
-        """Change rows, all or none, unless one is not as the operator saw it."""
+        """Change rows, all or none, if each is as the operator saw it."""
         self._check_token(request)
         body = await http_lib.read_object(request)
         return await self._edit(_parse(_EDITS, body, "edits"), body)
@@ -180,7 +154,7 @@
         sent = request.headers.get("Authorization", "")
         wanted = TOKEN_SCHEME + self.token
         if not hmac.compare_digest(sent.encode(), wanted.encode()):
-            metrics.count_refusal("bad_token", self.node)
+            metrics.count_refusal("bad_token", self.keeper.node)
             raise errors.RefusalError(
                 "bad_token",
                 "header Authorization: must carry the operators' token",
--- /dev/null
+++ b/src/cicadahook/net/wall.py
@@ -0,0 +1,155 @@
+"""The live page for the control room's wall screen."""
+
+import asyncio
+from collections.abc import Callable
+import datetime
+import importlib.resources
+import json
+from typing import Final
+
+import aiohttp
+from aiohttp import web
+import pydantic
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import view as view_lib
+from cicadahook.core import wall
+from cicadahook.core import wall_build
+from cicadahook.net import figures
+from cicadahook.net import links
+from cicadahook.net import logs
+
+POLL_PAUSE: Final = datetime.timedelta(seconds=0.7)
+CALL_TIMEOUT: Final = datetime.timedelta(seconds=1)
+NODE_PATH: Final = "/wall/node"
+ANY_ORIGIN: Final = {"Access-Control-Allow-Origin": "*"}
+
+logger: Final = logs.create_logger("wall")
+
+_NODE: Final = pydantic.TypeAdapter(wall.NodeFigures)
+_WALL: Final = pydantic.TypeAdapter(wall.Wall)
+
+
+class WallApi:
+    """Gathers the figures of all nodes while a screen watches.
+
+    Attributes:
+        answers: newest figures by node, and when they came.
+        watchers: screens connected now.
+    """
+
+    def __init__(
+        self,
+        keeper: figures.FigureKeeper,
+        link_server: links.LinkServer,
+        clock: clock_lib.Clock,
+        session: aiohttp.ClientSession,
+        count_polls: Callable[[], int],
+    ) -> None:
+        self.keeper = keeper
+        self.links = link_server
+        self.clock = clock
+        self.session = session
+        self.count_polls = count_polls
+        self.answers: dict[
+            str, tuple[wall.NodeFigures | None, datetime.datetime]
+        ] = {}
+        self.polls = -1
+        self.polled = clock.now()
+        self.watchers = 0
+        self.is_stopping = False
+        self.fresh = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+
+    def install(self, app: web.Application) -> None:
+        """Add the routes to `app`."""
+        app.router.add_get("/", self.show_page)
+        app.router.add_get(NODE_PATH, self.show_node)
+        app.router.add_get("/wall/events", self.send_events)
+        app.on_shutdown.append(self.stop)
+
+    async def show_page(self, request: web.Request) -> web.Response:
+        """Answer the page."""
+        del request
+        files = importlib.resources.files("cicadahook.net")
+        content = (files / "wall.html").read_text(encoding="utf-8")
+        return web.Response(text=content, content_type="text/html")
+
+    async def show_node(self, request: web.Request) -> web.Response:
+        """Answer the figures that this node knows first-hand."""
+        del request
+        generation = self.links.views.value.table.generation
+        node = await self.keeper.describe(generation)
+        return web.json_response(_NODE.dump_python(node, mode="json"))
+
+    async def send_events(self, request: web.Request) -> web.StreamResponse:
+        """Send what to show after each poll, as server-sent events."""
+        headers = {"Content-Type": "text/event-stream", **ANY_ORIGIN}
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        self.watchers += 1
+        if self.task is None or self.task.done():
+            self.task = asyncio.create_task(self._poll())
+        try:
+            while not self.is_stopping:
+                await self.fresh.wait()
+                await response.write(self._encode())
+        except ConnectionError:
+            logger.info("A screen left.")
+        finally:
+            self.watchers -= 1
+        return response
+
+    async def stop(self, app: web.Application) -> None:
+        """End all event streams."""
+        del app
+        self.is_stopping = True
+        self.fresh.set()
+
+    def _encode(self) -> bytes:
+        """Return what to show now as one event."""
+        now = self.clock.now()
+        answers = {
+            name: wall.Answer(node, (now - taken).total_seconds())
+            for name, (node, taken) in self.answers.items()
+        }
+        shown = wall_build.create_wall(
+            self.links.views.value,
+            answers,
+            round((now - self.polled).total_seconds(), 1),
+        )
+        content = json.dumps(_WALL.dump_python(shown, mode="json"))
+        return f"data: {content}\n\n".encode()
+
+    async def _poll(self) -> None:
+        """Ask all nodes for their figures while a screen watches."""
+        while self.watchers and not self.is_stopping:
+            members = self.links.views.value.members
+            await asyncio.gather(*map(self._ask, members))
+            names = {member.name for member in members}
+            self.answers = {
+                name: answer
+                for name, answer in self.answers.items()
+                if name in names
+            }
+            if self.count_polls() != self.polls:
+                self.polls = self.count_polls()
+                self.polled = self.clock.now()
+            self.fresh.set()
+            self.fresh = asyncio.Event()
+            await asyncio.sleep(POLL_PAUSE.total_seconds())
+
+    async def _ask(self, member: view_lib.Member) -> None:
+        """Take the figures of one node; keep the last ones without answer."""
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT.total_seconds())
+        url = f"http://{member.control}{NODE_PATH}"
+        now = self.clock.now()
+        self.answers.setdefault(member.name, (None, now))
+        try:
+            async with self.session.get(url, timeout=timeout) as response:
+                response.raise_for_status()
+                node = _NODE.validate_json(await response.read())
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            logger.info("Figures of %s not read: %r.", member.name, error)
+            return
+        self.answers[member.name] = (node, self.clock.now())
--- a/src/cicadahook/programs/table_commands.py
+++ b/src/cicadahook/programs/table_commands.py
@@ -250,4 +250,5 @@
 
 
 # `import` is a keyword: no method can be defined under that name.
+# pylint: disable-next=protected-access
 setattr(TableCommands, "import", TableCommands._import)
