--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 import pytest_asyncio
 
 from cicadahook.core import clock as clock_lib
+from cicadahook.net import metrics
 from cicadahook.programs import daemon
 from cicadahook.programs import local
 
@@ -24,6 +25,12 @@
     return clock_lib.ManualClock()
 
 
+@pytest.fixture(scope="session", autouse=True)
+def collect_metrics() -> None:
+    """Collect metrics as the programs do; they may be set up only once."""
+    metrics.setup("")
+
+
 def find_base_port() -> int:
     """Return a port from which a block of ports is free.
 
