--- a/src/cicadahook/net/control.py
+++ b/src/cicadahook/net/control.py
@@ -9,13 +9,15 @@
 from aiohttp import web
 import reactivex
 from reactivex import operators as ops
-from reactivex import subject
 
+from cicadahook.core import budget
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import drains
 from cicadahook.core import placement
 from cicadahook.core import table as table_lib
 from cicadahook.core import view as view_lib
 from cicadahook.net import engine
+from cicadahook.net import figures
 from cicadahook.net import fleet as fleet_lib
 from cicadahook.net import http as http_lib
 from cicadahook.net import keyvalue
@@ -26,6 +28,7 @@
 from cicadahook.net import operators
 from cicadahook.net import placer
 from cicadahook.net import tables
+from cicadahook.net import wall
 
 logger: Final = logs.create_logger("control")
 
@@ -39,12 +42,15 @@
         key_value: `host:port` of the key-value service.
         vm_list: `host:port` of the VM list.
         placement: how copies are placed.
+        operator_token: what operators must send to change anything; empty
+            lets everyone.
     """
 
     own: view_lib.Member
     key_value: str
     vm_list: str
     placement: placement.PlacementMode
+    operator_token: str = ""
 
 
 class Control:
@@ -59,16 +65,27 @@
         self.mode = mode
         self.clock = clock
         client = keyvalue.KeyValueClient(mode.key_value, session)
-        self.store = tables.TableStore(client, mode.own.name)
-        self.tables: subject.BehaviorSubject[table_lib.Table] = (
-            subject.BehaviorSubject(table_lib.Table())
+        self.store = tables.TableStore(
+            client.for_caller("table", budget.Priority.HIGH),
+            mode.own.name,
+            clock,
         )
+        self.tables = self.store.tables
         self.fleet = fleet_lib.FleetWatcher(mode.vm_list, session)
         self.registry = members.MemberRegistry(client, mode.own)
         self.links = links.LinkServer(self.take_report)
         self.placer = placer.Placer(
             mode.own.name, client, engine.EngineClient(session), mode.placement
         )
+        self.figures = figures.FigureKeeper(
+            mode.own.name, mode.own.entry, clock, session
+        )
+        self.operators = operators.OperatorsApi(
+            self.figures, self.store, self.links, mode.operator_token
+        )
+        self.wall = wall.WallApi(
+            self.figures, self.links, clock, session, lambda: self.fleet.polls
+        )
         self.view_count = 0
         self.tasks: list[asyncio.Task[None]] = []
         self._connect()
@@ -80,7 +97,8 @@
         app.router.add_get("/readyz", self.check_ready)
         app.router.add_get("/metrics", metrics.show)
         app.router.add_get(links.LINK_PATH, self.links.serve)
-        operators.OperatorsApi(self.store, self.links).install(app)
+        self.operators.install(app)
+        self.wall.install(app)
         return app
 
     def _connect(self) -> None:
@@ -93,9 +111,12 @@
 
     def _give_table(self, table: table_lib.Table) -> None:
         self.placer.table = table
+        self._give_fleet(self.fleet.fleets.value)
 
     def _give_fleet(self, fleet: fleet_lib.Fleet) -> None:
-        self.placer.fleet = fleet
+        """Give the fleet to the placer, drained upstreams as leaving."""
+        marked = drains.mark_for_placement(fleet.upstreams, self.tables.value)
+        self.placer.fleet = dataclasses.replace(fleet, upstreams=marked)
 
     def _create_view(self, parts: Any) -> view_lib.View:
         """Return the next view."""
@@ -105,19 +126,23 @@
             control=self.mode.own.name,
             number=self.view_count,
             table=table,
-            upstreams=fleet.upstreams,
+            upstreams=drains.mark_for_routing(
+                fleet.upstreams, fleet.copies, table
+            ),
             copies=fleet.copies,
-            members=known,
+            members=drains.mark_members(known, table),
         )
 
     def take_report(self, report: view_lib.Report) -> None:
         """Note what an entry reports."""
         logger.debug("Report of %s.", report.entry)
+        self.figures.take_report(report)
 
     def start(self) -> None:
         """Start the tasks."""
         for coroutine in (
-            self._follow_table(),
+            self.store.run(),
+            self.store.run_catch_up(),
             self.fleet.run(),
             self.registry.run(),
             self.placer.run(),
@@ -133,13 +158,6 @@
                 await task
         await self.registry.leave()
 
-    async def _follow_table(self) -> None:
-        """Put each accepted table in force; never an older one."""
-        async for table in self.store.follow():
-            if table.generation > self.tables.value.generation:
-                logger.info("Table %d is in force.", table.generation)
-                self.tables.on_next(table)
-
     async def check_health(self, request: web.Request) -> web.Response:
         """Answer that the process lives."""
         del request
--- a/src/cicadahook/net/operators.py
+++ b/src/cicadahook/net/operators.py
@@ -1,34 +1,61 @@
 """The operators' HTTP API of a control."""
 
-import dataclasses
+import hmac
 from typing import Any, Final
 
 from aiohttp import web
 import pydantic
 
+from cicadahook.core import edits
 from cicadahook.core import errors
+from cicadahook.core import pages
 from cicadahook.core import table as table_lib
 from cicadahook.core import view as view_lib
+from cicadahook.net import figures
 from cicadahook.net import http as http_lib
 from cicadahook.net import links
+from cicadahook.net import logs
+from cicadahook.net import metrics
 from cicadahook.net import tables
 
+TOKEN_SCHEME: Final = "Bearer "
+UNNAMED_OPERATOR: Final = "operator"
+
+logger: Final = logs.create_logger("operators")
+
 _ROWS: Final = pydantic.TypeAdapter(tuple[table_lib.Row, ...])
+_EDITS: Final = pydantic.TypeAdapter(tuple[edits.RowEdit, ...])
+_HISTORY: Final = pydantic.TypeAdapter(tuple[pages.Version, ...])
 _VIEW: Final = pydantic.TypeAdapter(view_lib.View)
 
 
-@dataclasses.dataclass
 class OperatorsApi:
-    """Shows the state and edits the table."""
+    """Shows the state and edits the table.
 
-    store: tables.TableStore
-    links: links.LinkServer
+    Attributes:
+        keeper: what the linked entries reported.
+    """
+
+    def __init__(
+        self,
+        keeper: figures.FigureKeeper,
+        store: tables.TableStore,
+        link_server: links.LinkServer,
+        token: str,
+    ) -> None:
+        self.keeper = keeper
+        self.store = store
+        self.links = link_server
+        self.token = token
 
     def install(self, app: web.Application) -> None:
         """Add the routes to `app`."""
         app.router.add_get("/table", self.show_table)
         app.router.add_put("/table/rows", self.set_rows)
+        app.router.add_post("/table/edits", self.edit_rows)
+        app.router.add_get("/table/history", self.show_history)
         app.router.add_get("/status", self.show_status)
+        app.router.add_get("/in-force", self.show_in_force)
 
     async def show_table(self, request: web.Request) -> web.Response:
         """Answer the table in force on this node."""
@@ -37,6 +64,12 @@
         rows = _ROWS.dump_python(table.rows, mode="json")
         return web.json_response({"generation": table.generation, "rows": rows})
 
+    async def show_history(self, request: web.Request) -> web.Response:
+        """Answer the recent accepted edits, the newest first."""
+        del request
+        versions = _HISTORY.dump_python(self.store.history(), mode="json")
+        return web.json_response({"versions": versions})
+
     async def show_status(self, request: web.Request) -> web.Response:
         """Answer the newest view."""
         del request
@@ -44,19 +77,62 @@
             _VIEW.dump_python(self.links.views.value, mode="json")
         )
 
+    async def show_in_force(self, request: web.Request) -> web.Response:
+        """Answer the table generation of this node and its linked entries."""
+        del request
+        return web.json_response(
+            {
+                "node": self.keeper.node,
+                "generation": self.links.views.value.table.generation,
+                "entries": [
+                    {
+                        "entry": entry.entry,
+                        "generation": entry.generation,
+                        "age_seconds": entry.age_seconds,
+                    }
+                    for entry in self.keeper.describe_entries()
+                ],
+            }
+        )
+
     async def set_rows(self, request: web.Request) -> web.Response:
-        """Add or replace rows, all or none."""
+        """Add or replace whole rows, all or none, whatever they were."""
+        self._check_token(request)
         body = await http_lib.read_object(request)
-        rows = _parse_rows(body.get("rows"))
+        rows = _parse(_ROWS, body, "rows")
+        seen = self.links.views.value.table
+        return await self._edit(
+            tuple(
+                edits.RowEdit(row.name, row, seen.find(row.name))
+                for row in rows
+            ),
+            body,
+        )
 
-        def change(old: tuple[table_lib.Row, ...]) -> tuple[table_lib.Row, ...]:
-            merged = {row.name: row for row in (*old, *rows)}
-            return tuple(merged.values())
+    async def edit_rows(self, request: web.Request) -> web.Response:
+        """Change rows, all or none, if each is as the operator saw it."""
+        self._check_token(request)
+        body = await http_lib.read_object(request)
+        return await self._edit(_parse(_EDITS, body, "edits"), body)
 
+    async def _edit(
+        self, wanted: tuple[edits.RowEdit, ...], body: dict[str, Any]
+    ) -> web.Response:
+        """Have `wanted` accepted and answer the generation."""
+        operator = str(body.get("operator") or UNNAMED_OPERATOR)
         try:
-            table = await self.store.edit(change)
+            table = await self.store.edit(edits.Changes(wanted), operator)
         except errors.RowError as error:
             raise errors.RefusalError("bad_row", str(error), 400) from error
+        except errors.EditConflictError as error:
+            raise errors.RefusalError(
+                "edit_conflict", str(error), 409
+            ) from error
+        except (
+            errors.KeyValueConflictError,
+            errors.KeyValueNotSentError,
+        ) as error:
+            raise errors.RefusalError("not_edited", str(error), 503) from error
         except errors.KeyValueError as error:
             raise errors.RefusalError(
                 "keyvalue_unavailable",
@@ -64,16 +140,35 @@
                 503,
                 errors.Outcome.UNKNOWN,
             ) from error
+        logger.info("Table %d accepted for %s.", table.generation, operator)
         return web.json_response({"generation": table.generation})
 
+    def _check_token(self, request: web.Request) -> None:
+        """Refuse a change without the operators' token.
+
+        Raises:
+            errors.RefusalError: the token is missing or another one.
+        """
+        if not self.token:
+            return
+        sent = request.headers.get("Authorization", "")
+        wanted = TOKEN_SCHEME + self.token
+        if not hmac.compare_digest(sent.encode(), wanted.encode()):
+            metrics.count_refusal("bad_token", self.keeper.node)
+            raise errors.RefusalError(
+                "bad_token",
+                "header Authorization: must carry the operators' token",
+                401,
+            )
+
 
-def _parse_rows(value: Any) -> tuple[table_lib.Row, ...]:
-    """Return the rows of a request's body."""
+def _parse(adapter: Any, body: dict[str, Any], field: str) -> Any:
+    """Return a field of a request's body in the type of `adapter`."""
     try:
-        return _ROWS.validate_python(value)
+        return adapter.validate_python(body.get(field))
     except pydantic.ValidationError as error:
         first = error.errors()[0]
-        place = ".".join(str(part) for part in first["loc"])
+        place = ".".join(str(part) for part in (field, *first["loc"]))
         raise errors.RefusalError(
-            "bad_row", f"rows.{place}: {first['msg']}", 400
+            "bad_row", f"{place}: {first['msg']}", 400
         ) from error
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Shared fixtures."""
 
 from collections.abc import AsyncIterator
+import contextlib
 import os
 import socket
 from typing import Final
@@ -9,6 +10,7 @@
 import pytest_asyncio
 
 from cicadahook.core import clock as clock_lib
+from cicadahook.net import metrics
 from cicadahook.programs import daemon
 from cicadahook.programs import local
 
@@ -23,6 +25,12 @@
     return clock_lib.ManualClock()
 
 
+@pytest.fixture(scope="session", autouse=True)
+def collect_metrics() -> None:
+    """Collect metrics as the programs do; they may be set up only once."""
+    metrics.setup("")
+
+
 def find_base_port() -> int:
     """Return a port from which a block of ports is free.
 
@@ -44,11 +52,29 @@
         return probe.connect_ex((local.HOST, port)) != 0
 
 
-@pytest_asyncio.fixture
-async def system() -> AsyncIterator[local.LocalSystem]:
-    """Yield the whole system with its stand-ins, in this process."""
+@contextlib.asynccontextmanager
+async def run_system(
+    operator_token: str = "",
+) -> AsyncIterator[local.LocalSystem]:
+    """Run the whole system with its stand-ins, in this process."""
     async with daemon.open_session() as session:
-        running = local.LocalSystem(find_base_port(), session)
+        running = local.LocalSystem(find_base_port(), session, operator_token)
         await running.start()
+        try:
+            yield running
+        finally:
+            await running.stop()
+
+
+@pytest_asyncio.fixture
+async def system() -> AsyncIterator[local.LocalSystem]:
+    """Yield a system of the test's own."""
+    async with run_system() as running:
+        yield running
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def shared_system() -> AsyncIterator[local.LocalSystem]:
+    """Yield a system that the tests of a module share."""
+    async with run_system() as running:
         yield running
-        await running.stop()
