Run non-idempotent calls at most once, over all entries

Cause: records lay in one entry's memory, so a resend to another entry, or after a restart, ran a call again; the HTTP client also repeats a PUT or DELETE by itself when the server closes the connection. Change: keys with an issued prefix are run by the process that the prefix names only, and forwarded to it; other keys are claimed in the key-value service first; records go to two other entries on a planned stop; calls that must run once use fresh connections without the client's own repeat. Conclusion: a stateful test over three entries counts at most one run a key.

--- a/src/cicadahook/net/answers.py
+++ b/src/cicadahook/net/answers.py
@@ -57,24 +57,6 @@
         }
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServiceAnswer:
-    """A plain service's answer, kept so that resends get the same one."""
-
-    status: int
-    content_type: str
-    body: bytes
-
-    def respond(self, request: request_lib.Request) -> web.Response:
-        """Return the answer to `request`."""
-        return web.Response(
-            body=self.body,
-            status=self.status,
-            content_type=self.content_type,
-            headers={headers.REQUEST_HEADER: request.id},
-        )
-
-
 async def send_whole(
     request: request_lib.Request,
     form: Form,
--- /dev/null
+++ b/src/cicadahook/net/claims.py
@@ -0,0 +1,97 @@
+"""Claims of idempotency keys in the key-value service."""
+
+import asyncio
+import dataclasses
+import datetime
+from typing import Final
+
+import pydantic
+
+from cicadahook.core import digests
+from cicadahook.core import errors
+from cicadahook.core import idempotency
+from cicadahook.net import keyvalue
+from cicadahook.net import logs
+
+CLAIM_PREFIX: Final = "claims/"
+SAVE_PAUSE: Final = datetime.timedelta(seconds=0.5)
+SAVE_PAUSE_LIMIT: Final = datetime.timedelta(seconds=10)
+
+logger: Final = logs.create_logger("claims")
+
+_CLAIM: Final = pydantic.TypeAdapter(idempotency.Claim)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """A claim as the service holds it, and its revision."""
+
+    claim: idempotency.Claim
+    revision: int
+
+
+class ClaimStore:
+    """Writes and reads claims."""
+
+    def __init__(self, client: keyvalue.KeyValueClient) -> None:
+        self.client = client
+
+    async def make(self, wanted: idempotency.MakeClaim) -> Found:
+        """Write a claim; return the one in force, ours or another's.
+
+        Raises:
+            errors.KeyValueError: it is not known which one is in force.
+        """
+        key = wanted.claim.record.key
+        try:
+            revision = await self.client.put(
+                _path(key), _encode(wanted.claim), wanted.expected
+            )
+        except errors.KeyValueError:
+            # Lost replies and conflicts both end in a read: it shows whether
+            # the claim in force is ours.
+            found = await self.read(key)
+            if found is None:
+                raise
+            return found
+        return Found(wanted.claim, revision)
+
+    async def read(self, key: str) -> Found | None:
+        """Return the claim of `key`, or None if there is none."""
+        entry = await self.client.get(_path(key))
+        if entry.revision == keyvalue.ABSENT_REVISION:
+            return None
+        return Found(_CLAIM.validate_json(entry.value), entry.revision)
+
+    async def settle(self, effect: idempotency.Settlement) -> None:
+        """Write the end of our claim; go on until that is certain."""
+        pause = SAVE_PAUSE
+        while True:
+            try:
+                await self._settle_once(effect)
+                return
+            except errors.KeyValueError as error:
+                logger.warning("Claim not settled yet: %s.", error)
+            await asyncio.sleep(pause.total_seconds())
+            pause = min(2 * pause, SAVE_PAUSE_LIMIT)
+
+    async def _settle_once(self, effect: idempotency.Settlement) -> None:
+        record = effect.claim.record
+        found = await self.read(record.key)
+        if found is None or found.claim.record.token != record.token:
+            return
+        if isinstance(effect, idempotency.DropClaim):
+            await self.client.delete(_path(record.key), found.revision)
+        elif found.claim != effect.claim:
+            await self.client.put(
+                _path(record.key), _encode(effect.claim), found.revision
+            )
+
+
+def _path(key: str) -> str:
+    """Return the service's key, which allows fewer characters than ours."""
+    return CLAIM_PREFIX + digests.name(key)
+
+
+def _encode(claim: idempotency.Claim) -> str:
+    return _CLAIM.dump_json(claim).decode()
--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -1,7 +1,10 @@
 """The entry's HTTP API: what callers see."""
 
+import asyncio
 import dataclasses
 import datetime
+import random
+import secrets
 from typing import Any, Final
 
 import aiohttp
@@ -9,19 +12,28 @@
 
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
+from cicadahook.core import idempotency
+from cicadahook.core import keys
+from cicadahook.core import locate
 from cicadahook.core import routing
 from cicadahook.core import view as view_lib
 from cicadahook.net import attempts
+from cicadahook.net import claims
 from cicadahook.net import completions
 from cicadahook.net import dispatch
+from cicadahook.net import headers
 from cicadahook.net import http as http_lib
+from cicadahook.net import keyvalue
 from cicadahook.net import logs
 from cicadahook.net import metrics
+from cicadahook.net import once as once_lib
+from cicadahook.net import peers
 from cicadahook.net import services
 
-LIVE_STATES: Final = frozenset(
-    {view_lib.MemberState.ALIVE, view_lib.MemberState.SUSPECT}
-)
+INCARNATION_BYTES: Final = 8
+OPEN_POLL: Final = datetime.timedelta(seconds=0.02)
+SETTLE_LIMIT: Final = datetime.timedelta(seconds=5)
+CALLER_PATHS: Final = ("/v1/chat/", "/v1/completions", "/services/")
 
 logger: Final = logs.create_logger("entry")
 
@@ -35,12 +47,20 @@
         zone: its availability zone.
         keep: how long callers may keep an address answer.
         routing: how upstreams are chosen.
+        key_value: `host:port` of the key-value service.
+        records: how records of non-idempotent calls are kept.
+        peer_key: secret that all entries share.
+        drain: how long a stop waits for kept address answers to lapse.
     """
 
     name: str
     zone: str
     keep: datetime.timedelta
     routing: routing.RoutingMode
+    key_value: str
+    records: idempotency.LedgerMode
+    peer_key: str
+    drain: datetime.timedelta
 
 
 class Entry:
@@ -51,8 +71,11 @@
         mode: EntryMode,
         clock: clock_lib.Clock,
         session: aiohttp.ClientSession,
+        fresh_session: aiohttp.ClientSession,
     ) -> None:
         self.mode = mode
+        self.owner = keys.Owner(mode.name, secrets.token_hex(INCARNATION_BYTES))
+        self.random = random.Random(self.owner.incarnation)
         self.dispatcher = dispatch.Dispatcher(mode.routing, clock)
         self.completions = completions.CompletionsApi(
             mode.name,
@@ -60,8 +83,19 @@
             self.dispatcher,
             attempts.UpstreamCaller(session),
         )
-        self.services = services.ServicesApi(clock, self.dispatcher, session)
+        self.peers = peers.PeerClient(fresh_session, mode.peer_key)
+        self.ledger = idempotency.Ledger(mode.records, self.owner, clock)
+        self.once = once_lib.OnceRunner(
+            self.ledger,
+            claims.ClaimStore(keyvalue.KeyValueClient(mode.key_value, session)),
+            clock,
+        )
+        self.services = services.ServicesApi(
+            clock, self.dispatcher, fresh_session, self.once, self.peers
+        )
         self.is_draining = False
+        self.is_closing = False
+        self.open_requests = 0
         self.address = ""
 
     @property
@@ -79,7 +113,9 @@
         app.router.add_get("/v1/models", self.list_models)
         self.completions.install(app)
         self.services.install(app)
+        peers.install(app, self.ledger, self.mode.peer_key)
         app.middlewares.append(self.count_refusals)
+        app.middlewares.append(self.count_open)
         return app
 
     def take_view(self, new: view_lib.View) -> None:
@@ -116,6 +152,55 @@
             metrics.count_refusal(refusal.code, self.mode.name)
             raise
 
+    @web.middleware
+    async def count_open(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        """Count the open requests of callers; refuse new ones at the end."""
+        if not request.path.startswith(CALLER_PATHS):
+            response: web.StreamResponse = await handler(request)
+            return response
+        if self.is_closing and headers.KEY_HEADER not in request.headers:
+            raise errors.RefusalError(
+                "draining",
+                "this entry is leaving; ask another one",
+                503,
+                retry_after=idempotency.RETRY_AFTER,
+            )
+        self.open_requests += 1
+        try:
+            response = await handler(request)
+            return response
+        finally:
+            self.open_requests -= 1
+
+    async def drain(self) -> None:
+        """Serve until kept address answers have lapsed, then finish.
+
+        No request is cut off: each ends by itself, at its deadline at the
+        latest. The records of non-idempotent calls go to other entries.
+        """
+        self.is_draining = True
+        logger.info("Drains for %s.", self.mode.drain)
+        await asyncio.sleep(self.mode.drain.total_seconds())
+        self.is_closing = True
+        await self.once.finish(SETTLE_LIMIT)
+        while self.open_requests:
+            await asyncio.sleep(OPEN_POLL.total_seconds())
+        await self._hand_over()
+
+    async def _hand_over(self) -> None:
+        """Give all records to other live entries."""
+        others = tuple(
+            member
+            for member in self.view.members
+            if member.state in locate.STATE_RANKS
+            and member.entry != self.address
+        )
+        parts = self.ledger.hand_over()
+        taken = await self.peers.hand_over(parts, others)
+        logger.info("Records are kept by %d other entries.", taken)
+
     async def check_health(self, request: web.Request) -> web.Response:
         """Answer that the process lives."""
         del request
@@ -131,21 +216,19 @@
 
     async def locate(self, request: web.Request) -> web.Response:
         """Answer the entries that a caller should use, nearest zone first."""
-        zone = request.query.get("zone", self.mode.zone)
-        live = [
-            member
-            for member in self.view.members
-            if member.state in LIVE_STATES
-        ]
-        live.sort(key=lambda member: (member.zone != zone, member.name))
+        chosen = locate.Locator(self.address, self.random).choose(
+            self.view.members,
+            request.query.get("zone", self.mode.zone),
+            self.is_draining,
+        )
         return web.json_response(
             {
                 "entries": [
                     {"address": member.entry, "zone": member.zone}
-                    for member in live
+                    for member in chosen
                 ],
                 "keep_seconds": self.mode.keep.total_seconds(),
-                "key_prefix": f"{self.mode.name}.",
+                "key_prefix": self.ledger.issue_prefix(),
             }
         )
 
--- /dev/null
+++ b/src/cicadahook/net/once.py
@@ -0,0 +1,167 @@
+"""Runs non-idempotent calls at most once, whoever resends them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import datetime
+from typing import Final
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import errors
+from cicadahook.core import idempotency
+from cicadahook.core import request as request_lib
+from cicadahook.net import claims as claims_lib
+from cicadahook.net import logs
+
+# Makes the call once. A RefusalError with the outcome `not_run` promises that
+# no byte of the call reached an upstream.
+RunCall = Callable[[], Awaitable[idempotency.Answer]]
+
+logger: Final = logs.create_logger("once")
+
+
+class OnceRunner:
+    """Applies the effects of a ledger.
+
+    A run has its own task, so it goes on when its caller leaves, and its
+    answer is recorded for the resend.
+    """
+
+    def __init__(
+        self,
+        ledger: idempotency.Ledger,
+        claims: claims_lib.ClaimStore,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self.ledger = ledger
+        self.claims = claims
+        self.clock = clock
+        self.runs: dict[str, asyncio.Task[idempotency.Answer]] = {}
+        self.settlements: set[asyncio.Task[None]] = set()
+
+    async def call(
+        self, request: request_lib.Request, run: RunCall
+    ) -> idempotency.Answer | idempotency.Forward:
+        """Return the answer to `request`, running it if it never ran.
+
+        Raises:
+            errors.RefusalError: there is no answer; tells the outcome.
+        """
+        call = idempotency.Call(request.key, request.fingerprint)
+        decision = self.ledger.admit(call)
+        match decision:
+            case idempotency.Forward():
+                return decision
+            case idempotency.Replay(answer):
+                return answer
+            case idempotency.Refuse(error):
+                raise error
+            case idempotency.Run() | idempotency.MakeClaim():
+                self._start(call, decision, run)
+        return await self._wait(request)
+
+    def _start(
+        self,
+        call: idempotency.Call,
+        decision: idempotency.Decision,
+        run: RunCall,
+    ) -> None:
+        assert call.key not in self.runs, f"{call.key} is already running"
+        task = asyncio.create_task(self._follow(call, decision, run))
+        self.runs[call.key] = task
+        task.add_done_callback(lambda _: self.runs.pop(call.key))
+        task.add_done_callback(_retrieve)
+
+    async def _wait(self, request: request_lib.Request) -> idempotency.Answer:
+        """Wait for the run of the request's key until its deadline."""
+        left = request.deadline - self.clock.now()
+        task = self.runs[request.key]
+        done, _ = await asyncio.wait({task}, timeout=left.total_seconds())
+        if done:
+            return task.result()
+        raise errors.RefusalError(
+            "deadline_passed",
+            "the call is still running; send it again with the same key",
+            504,
+            errors.Outcome.UNKNOWN,
+            idempotency.RETRY_AFTER,
+        )
+
+    async def _follow(
+        self,
+        call: idempotency.Call,
+        decision: idempotency.Decision,
+        run: RunCall,
+    ) -> idempotency.Answer:
+        """Claim the key until that is decided, then do as decided."""
+        while isinstance(decision, idempotency.MakeClaim):
+            decision = await self._claim(call, decision)
+        match decision:
+            case idempotency.Run():
+                return await self._run(call.key, run)
+            case idempotency.Replay(answer):
+                return answer
+            case idempotency.Refuse(error):
+                raise error
+        raise AssertionError(f"{decision} cannot follow a claim")
+
+    async def _claim(
+        self, call: idempotency.Call, wanted: idempotency.MakeClaim
+    ) -> idempotency.Decision:
+        try:
+            found = await self.claims.make(wanted)
+        except errors.KeyValueError as error:
+            logger.warning("Key not claimed: %s.", error)
+            return self.ledger.lose_claim(call.key)
+        return self.ledger.find_claim(call, found.claim, found.revision)
+
+    async def _run(self, key: str, run: RunCall) -> idempotency.Answer:
+        """Run the call of `key` and settle its record, however it ends."""
+        try:
+            answer = await run()
+        except errors.RefusalError as error:
+            if error.outcome is errors.Outcome.NOT_RUN:
+                self._start_settlement(self.ledger.settle_not_run(key))
+            else:
+                self._start_settlement(self.ledger.settle_unknown(key))
+            raise
+        except BaseException:
+            self._start_settlement(self.ledger.settle_unknown(key))
+            raise
+        self._start_settlement(self.ledger.settle_answered(key, answer))
+        return answer
+
+    def _start_settlement(self, effect: idempotency.Settlement | None) -> None:
+        if effect is None:
+            return
+        task = asyncio.create_task(self._settle(effect))
+        self.settlements.add(task)
+        task.add_done_callback(self.settlements.discard)
+
+    async def _settle(self, effect: idempotency.Settlement) -> None:
+        await self.claims.settle(effect)
+        if isinstance(effect, idempotency.SaveClaim):
+            self.ledger.note_saved(effect.claim.record.key)
+
+    async def finish(self, settle_limit: datetime.timedelta) -> None:
+        """Run no new call, and wait for those that run.
+
+        Each run ends soon after its deadline. Claims that the key-value
+        service does not take within `settle_limit` stay as they are, which
+        resends read as a call that may be running.
+        """
+        self.ledger.seal()
+        while self.runs:
+            await asyncio.wait(set(self.runs.values()))
+        if not self.settlements:
+            return
+        _, late = await asyncio.wait(
+            set(self.settlements), timeout=settle_limit.total_seconds()
+        )
+        for task in late:
+            task.cancel()
+
+
+def _retrieve(task: asyncio.Task[idempotency.Answer]) -> None:
+    """Mark the task's error as seen, also when no caller waits any more."""
+    if not task.cancelled():
+        task.exception()
--- /dev/null
+++ b/src/cicadahook/net/peers.py
@@ -0,0 +1,265 @@
+"""Calls between entries: forwarded requests and records handed over."""
+
+from collections.abc import Iterator
+import dataclasses
+import datetime
+import hashlib
+import hmac
+import itertools
+from typing import Final
+
+import aiohttp
+from aiohttp import web
+import pydantic
+
+from cicadahook.core import errors
+from cicadahook.core import idempotency
+from cicadahook.core import keys
+from cicadahook.core import view as view_lib
+from cicadahook.net import headers
+from cicadahook.net import logs
+
+FORWARDED_HEADER: Final = "X-Cicada-Forwarded"
+SIGNATURE_HEADER: Final = "X-Cicada-Signature"
+RECORDS_PATH: Final = "/internal/records"
+MISDIRECTED_STATUS: Final = 421
+HEIR_COUNT: Final = 2
+SEARCHED_HEIRS: Final = 4
+CALL_TIMEOUT: Final = datetime.timedelta(seconds=5)
+CONNECT_TIMEOUT: Final = datetime.timedelta(seconds=1)
+FORWARD_TRIES: Final = 2
+GONE_STATES: Final = frozenset({view_lib.MemberState.DEAD})
+
+logger: Final = logs.create_logger("peers")
+
+_HAND_OVER: Final = pydantic.TypeAdapter(idempotency.HandOver)
+
+
+@dataclasses.dataclass(frozen=True)
+class ForwardedCall:
+    """A caller's call on its way to the owner of its key.
+
+    Attributes:
+        method: HTTP method.
+        path: path and query.
+        body: its body.
+        content_type: type of the body.
+        key: idempotency key.
+        id: request id.
+        left: time until its deadline.
+    """
+
+    method: str
+    path: str
+    body: bytes
+    content_type: str
+    key: str
+    id: str
+    left: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True)
+class ForwardedAnswer:
+    """What another entry answered."""
+
+    status: int
+    content_type: str
+    body: bytes
+    retry_after: str
+
+    def respond(self, request_id: str) -> web.Response:
+        """Return the answer for the caller."""
+        found = {headers.REQUEST_HEADER: request_id}
+        if self.retry_after:
+            found["Retry-After"] = self.retry_after
+        return web.Response(
+            body=self.body,
+            status=self.status,
+            content_type=self.content_type,
+            headers=found,
+        )
+
+
+class PeerClient:
+    """Calls other entries, each time on a fresh connection.
+
+    A connection that has gone silent is thus never used again.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, peer_key: str) -> None:
+        self.session = session
+        self.peer_key = peer_key
+
+    async def forward(
+        self,
+        call: ForwardedCall,
+        owner: keys.Owner,
+        members: tuple[view_lib.Member, ...],
+    ) -> ForwardedAnswer:
+        """Return the answer of the owner or of an heir of its records.
+
+        Raises:
+            errors.RefusalError: none of them answered for the key.
+        """
+        for member in _candidates(owner, members):
+            for _ in range(FORWARD_TRIES):
+                # A second try is safe: the owner runs a key only once.
+                try:
+                    answer = await self._send(call, member.entry)
+                except (aiohttp.ClientError, TimeoutError) as error:
+                    logger.warning(
+                        "Call not forwarded to %s: %r.", member.entry, error
+                    )
+                    continue
+                if answer.status != MISDIRECTED_STATUS:
+                    return answer
+                break
+        raise errors.RefusalError(
+            "owner_gone",
+            "the entry of this key is gone, so it is not known whether the"
+            " call ran",
+            502,
+            errors.Outcome.UNKNOWN,
+        )
+
+    async def _send(self, call: ForwardedCall, address: str) -> ForwardedAnswer:
+        async with self.session.request(
+            call.method,
+            f"http://{address}{call.path}",
+            data=call.body,
+            headers={
+                "Content-Type": call.content_type,
+                "Connection": "close",
+                headers.KEY_HEADER: call.key,
+                headers.REQUEST_HEADER: call.id,
+                headers.DEADLINE_HEADER: str(
+                    max(1, call.left // datetime.timedelta(milliseconds=1))
+                ),
+                FORWARDED_HEADER: "1",
+            },
+            timeout=aiohttp.ClientTimeout(
+                total=call.left.total_seconds(),
+                connect=CONNECT_TIMEOUT.total_seconds(),
+            ),
+            allow_redirects=False,
+        ) as response:
+            body = await response.read()
+            return ForwardedAnswer(
+                response.status,
+                response.content_type,
+                body,
+                response.headers.get("Retry-After", ""),
+            )
+
+    async def hand_over(
+        self,
+        parts: tuple[idempotency.HandOver, ...],
+        members: tuple[view_lib.Member, ...],
+    ) -> int:
+        """Give records to heirs; return how many took all of the first owner.
+
+        The parts of an owner come one after the other.
+        """
+        taken: list[int] = []
+        for owner, group in itertools.groupby(parts, _read_owner):
+            heirs = keys.rank_heirs(owner, members)[:SEARCHED_HEIRS]
+            taken.append(await self._give_all(heirs, tuple(group)))
+        return taken[0]
+
+    async def _give_all(
+        self,
+        heirs: list[view_lib.Member],
+        parts: tuple[idempotency.HandOver, ...],
+    ) -> int:
+        """Give the records of one owner to enough heirs."""
+        bodies = [_HAND_OVER.dump_json(part) for part in parts]
+        taken = 0
+        for heir in heirs:
+            if taken == HEIR_COUNT:
+                break
+            if await self._give(heir.entry, bodies):
+                taken += 1
+        return taken
+
+    async def _give(self, address: str, bodies: list[bytes]) -> bool:
+        """Return whether the entry at `address` has taken all `bodies`."""
+        for body in bodies:
+            if not await self._post(address, body):
+                return False
+        return True
+
+    async def _post(self, address: str, body: bytes) -> bool:
+        signature = sign(self.peer_key, body)
+        try:
+            async with self.session.post(
+                f"http://{address}{RECORDS_PATH}",
+                data=body,
+                headers={SIGNATURE_HEADER: signature, "Connection": "close"},
+                timeout=aiohttp.ClientTimeout(CALL_TIMEOUT.total_seconds()),
+            ) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError) as error:
+            logger.warning("Records not taken by %s: %r.", address, error)
+            return False
+
+
+def _read_owner(part: idempotency.HandOver) -> keys.Owner:
+    return part.owner
+
+
+def _candidates(
+    owner: keys.Owner, members: tuple[view_lib.Member, ...]
+) -> Iterator[view_lib.Member]:
+    """Yield who may answer for `owner`: itself, then its heirs."""
+    for member in members:
+        if member.name == owner.entry:
+            yield member
+    others = (
+        member
+        for member in members
+        if member.name != owner.entry and member.state not in GONE_STATES
+    )
+    yield from keys.rank_heirs(owner, others)[:SEARCHED_HEIRS]
+
+
+def sign(peer_key: str, body: bytes) -> str:
+    """Return the MAC of a message between entries."""
+    return hmac.new(peer_key.encode(), body, hashlib.sha256).hexdigest()
+
+
+async def read_signed(request: web.Request, peer_key: str) -> bytes:
+    """Return the body of a message from another entry.
+
+    Raises:
+        errors.RefusalError: the MAC is not that of the shared key.
+    """
+    body = await request.read()
+    given = request.headers.get(SIGNATURE_HEADER, "")
+    if not hmac.compare_digest(given, sign(peer_key, body)):
+        raise errors.RefusalError(
+            "bad_signature", f"header {SIGNATURE_HEADER}: does not match", 403
+        )
+    return body
+
+
+def install(
+    app: web.Application, ledger: idempotency.Ledger, peer_key: str
+) -> None:
+    """Add the route on which records are taken over to `app`."""
+
+    async def take_records(request: web.Request) -> web.Response:
+        """Take over the records of an entry that stops."""
+        body = await read_signed(request, peer_key)
+        try:
+            handed = _HAND_OVER.validate_json(body)
+        except pydantic.ValidationError as error:
+            raise errors.RefusalError(
+                "bad_json", f"body: {error}", 400
+            ) from error
+        # A sealed ledger has handed over itself, or is about to.
+        is_kept = not ledger.is_sealed and ledger.inherit(handed)
+        return web.json_response(
+            {"taken": is_kept}, status=200 if is_kept else 507
+        )
+
+    app.router.add_post(RECORDS_PATH, take_records)
--- a/src/cicadahook/net/services.py
+++ b/src/cicadahook/net/services.py
@@ -1,18 +1,62 @@
 """Plain services: calls that may have to run at most once."""
 
 import dataclasses
+import datetime
+from typing import Final
 
 import aiohttp
 from aiohttp import web
 
 from cicadahook.core import admission
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import digests
 from cicadahook.core import errors
+from cicadahook.core import idempotency
 from cicadahook.core import request as request_lib
 from cicadahook.core import table as table_lib
-from cicadahook.net import answers
 from cicadahook.net import dispatch
 from cicadahook.net import headers
+from cicadahook.net import logs
+from cicadahook.net import once as once_lib
+from cicadahook.net import peers as peers_lib
+
+ANSWER_GRACE: Final = datetime.timedelta(seconds=10)
+CONNECT_TIMEOUT: Final = datetime.timedelta(seconds=2)
+PREFIX_PARTS: Final = 3
+NOT_SENT_ERRORS: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+
+logger: Final = logs.create_logger("services")
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceCall:
+    """A caller's call of a plain service, read whole.
+
+    Attributes:
+        request: what the core needs of it.
+        row: the service's row; None if there is none.
+        method: HTTP method.
+        target: path and query as they came.
+        body: its body.
+        content_type: type of the body.
+        is_forwarded: whether another entry passed it on.
+    """
+
+    request: request_lib.Request
+    row: table_lib.Row | None
+    method: str
+    target: str
+    body: bytes
+    content_type: str
+    is_forwarded: bool
+
+    @property
+    def path(self) -> str:
+        """Path and query on the service."""
+        return "/" + self.target.split("/", PREFIX_PARTS)[PREFIX_PARTS]
 
 
 class ServicesApi:
@@ -23,11 +67,14 @@
         clock: clock_lib.Clock,
         dispatcher: dispatch.Dispatcher,
         session: aiohttp.ClientSession,
+        once: once_lib.OnceRunner,
+        peers: peers_lib.PeerClient,
     ) -> None:
         self.clock = clock
         self.dispatcher = dispatcher
         self.session = session
-        self.recorded: dict[str, answers.ServiceAnswer] = {}
+        self.once = once
+        self.peers = peers
 
     def install(self, app: web.Application) -> None:
         """Add the routes to `app`."""
@@ -35,36 +82,111 @@
 
     async def call(self, http: web.Request) -> web.StreamResponse:
         """Route a call to a plain service."""
+        call = await self._read(http)
+        if call.row is not None:
+            self.dispatcher.note_arrival(call.row)
+        if call.request.is_idempotent:
+            return _respond(call, await self._attempt(call))
+        if not call.request.key:
+            return _respond(call, await self._call_keyless(call))
+        found = await self.once.call(call.request, lambda: self._attempt(call))
+        if isinstance(found, idempotency.Forward):
+            return await self._forward(call, found)
+        return _respond(call, found)
+
+    async def _read(self, http: web.Request) -> ServiceCall:
+        """Return the checked call."""
         name = http.match_info["name"]
         path = "/" + http.match_info["path"]
         row = self.dispatcher.view.table.find(name)
-        if row is None or row.kind is not table_lib.RowKind.SERVICE:
+        if row is not None and row.kind is not table_lib.RowKind.SERVICE:
+            row = None
+        request = headers.read_request(http, name, self.clock)
+        # A key of an unknown service may have run before its row went.
+        is_idempotent = not request.key
+        if row is not None:
+            is_idempotent = not path.startswith(row.non_idempotent)
+        body = await http.read()
+        fingerprint = digests.name(
+            f"{http.method} {http.rel_url}\n{body.decode('latin-1')}"
+        )
+        return ServiceCall(
+            request=dataclasses.replace(
+                request,
+                path=path,
+                is_idempotent=is_idempotent,
+                fingerprint=fingerprint,
+            ),
+            row=row,
+            method=http.method,
+            target=str(http.rel_url),
+            body=body,
+            content_type=http.content_type,
+            is_forwarded=peers_lib.FORWARDED_HEADER in http.headers,
+        )
+
+    async def _call_keyless(self, call: ServiceCall) -> idempotency.Answer:
+        """Make one attempt of a call without a key, if its row allows it."""
+        if call.row is not None and not call.row.allow_keyless:
             raise errors.RefusalError(
-                "unknown_service", f"service {name!r} is unknown", 404
+                "key_required",
+                f"header {headers.KEY_HEADER}: required for"
+                f" {call.request.path}; begin it with the key_prefix of GET"
+                " /v1/locate",
+                400,
             )
-        request = dataclasses.replace(
-            headers.read_request(http, name, self.clock),
-            path=path,
-            is_idempotent=not path.startswith(row.non_idempotent),
-        )
-        _check_key(request, row)
-        return await self._call_once(http, request, row)
+        return await self._attempt(call)
 
-    async def _call_once(
-        self,
-        http: web.Request,
-        request: request_lib.Request,
-        row: table_lib.Row,
+    async def _forward(
+        self, call: ServiceCall, forward: idempotency.Forward
     ) -> web.Response:
-        """Call the service, or answer as recorded for the same key."""
-        if request.key in self.recorded:
-            return self.recorded[request.key].respond(request)
-        grant = await self.dispatcher.acquire(request, row)
+        """Answer as the entry that owns the key."""
+        if call.is_forwarded:
+            raise errors.RefusalError(
+                "not_owner",
+                "another entry owns this key",
+                peers_lib.MISDIRECTED_STATUS,
+                errors.Outcome.UNKNOWN,
+            )
+        answer = await self.peers.forward(
+            peers_lib.ForwardedCall(
+                method=call.method,
+                path=call.target,
+                body=call.body,
+                content_type=call.content_type,
+                key=call.request.key,
+                id=call.request.id,
+                left=call.request.deadline - self.clock.now(),
+            ),
+            forward.owner,
+            self.dispatcher.view.members,
+        )
+        return answer.respond(call.request.id)
+
+    async def _attempt(self, call: ServiceCall) -> idempotency.Answer:
+        """Make one attempt at the service."""
+        if call.row is None:
+            raise errors.RefusalError(
+                "unknown_service",
+                f"service {call.request.row!r} is unknown",
+                404,
+            )
+        grant = await self.dispatcher.acquire(call.request, call.row)
         end = admission.AttemptEnd.FAILED
         try:
-            answer = await self._call(http, request, grant)
+            answer = await self._send(call, grant)
             end = admission.AttemptEnd.SERVED
+            return answer
+        except NOT_SENT_ERRORS as error:
+            logger.warning("Service not reached: %s.", error)
+            raise errors.RefusalError(
+                "upstream_unreachable",
+                "the service took no connection",
+                502,
+                errors.Outcome.NOT_RUN,
+            ) from error
         except (aiohttp.ClientError, TimeoutError) as error:
+            logger.warning("Service call broke off: %r.", error)
             raise errors.RefusalError(
                 "upstream_failed",
                 "the service did not answer",
@@ -73,38 +195,51 @@
             ) from error
         finally:
             self.dispatcher.release(grant, admission.AttemptResult(end))
-        if request.key:
-            self.recorded[request.key] = answer
-        return answer.respond(request)
 
-    async def _call(
-        self,
-        http: web.Request,
-        request: request_lib.Request,
-        grant: admission.Grant,
-    ) -> answers.ServiceAnswer:
-        """Return the service's answer to one attempt."""
-        left = request.deadline - self.clock.now()
+    async def _send(
+        self, call: ServiceCall, grant: admission.Grant
+    ) -> idempotency.Answer:
+        """Return the service's answer."""
+        left = call.request.deadline - self.clock.now()
+        if not call.request.is_idempotent:
+            left += ANSWER_GRACE
+        sent = {"Content-Type": call.content_type}
         async with self.session.request(
-            http.method,
-            f"http://{grant.upstream.address}{request.path}",
-            data=await http.read(),
-            params=http.query,
-            headers={"Content-Type": http.content_type},
-            timeout=aiohttp.ClientTimeout(total=left.total_seconds()),
+            call.method,
+            f"http://{grant.upstream.address}{call.path}",
+            data=call.body,
+            headers=sent,
+            timeout=aiohttp.ClientTimeout(
+                total=left.total_seconds(),
+                sock_connect=CONNECT_TIMEOUT.total_seconds(),
+            ),
+            allow_redirects=False,
+            middlewares=(forbid_resend,),
         ) as response:
-            return answers.ServiceAnswer(
+            return idempotency.Answer(
                 response.status, response.content_type, await response.read()
             )
 
 
-def _check_key(request: request_lib.Request, row: table_lib.Row) -> None:
-    """Refuse a non-idempotent call that carries no key."""
-    if request.is_idempotent or request.key or row.allow_keyless:
-        return
-    raise errors.RefusalError(
-        "key_required",
-        f"header {headers.KEY_HEADER}: required for {request.path}; begin it"
-        " with the key_prefix of GET /v1/locate",
-        400,
+async def forbid_resend(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the HTTP client from sending a PUT or DELETE twice by itself.
+
+    It does so when the server closes the connection without an answer.
+    """
+    try:
+        return await handler(request)
+    except NOT_SENT_ERRORS:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise aiohttp.ClientPayloadError(f"{error!r}") from error
+
+
+def _respond(call: ServiceCall, answer: idempotency.Answer) -> web.Response:
+    return web.Response(
+        body=answer.body,
+        status=answer.status,
+        content_type=answer.content_type,
+        headers={headers.REQUEST_HEADER: call.request.id},
     )
--- a/src/cicadahook/programs/daemon.py
+++ b/src/cicadahook/programs/daemon.py
@@ -42,6 +42,13 @@
         yield session
 
 
+def create_fresh_session() -> aiohttp.ClientSession:
+    """Return an HTTP session that opens a new connection for each call."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=CONNECTION_LIMIT, force_close=True)
+    )
+
+
 def run(
     settings: settings_lib.CommonSettings,
     create: Callable[[aiohttp.ClientSession], Daemon],
--- a/src/cicadahook/programs/entry.py
+++ b/src/cicadahook/programs/entry.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 import datetime
+from typing import Final
 
 import aiohttp
 
+from cicadahook.core import idempotency
 from cicadahook.core import routing
 from cicadahook.net import clock
 from cicadahook.net import entry as entry_lib
@@ -14,6 +16,8 @@
 from cicadahook.programs import daemon
 from cicadahook.programs import settings as settings_lib
 
+NOTICE_SECONDS: Final = 3.0
+
 
 class EntryDaemon:
     """An entry with its server and its link to a control."""
@@ -28,8 +32,19 @@
             zone=settings.zone,
             keep=datetime.timedelta(seconds=settings.keep_seconds),
             routing=routing.RoutingMode(settings.routing_policy, settings.zone),
+            key_value=settings.key_value,
+            records=idempotency.LedgerMode(
+                datetime.timedelta(seconds=settings.record_seconds),
+                settings.record_count,
+                settings.record_answer_bytes,
+            ),
+            peer_key=settings.peer_key,
+            drain=_read_drain(settings),
+        )
+        self.fresh_session = daemon.create_fresh_session()
+        self.entry = entry_lib.Entry(
+            mode, clock.SystemClock(), session, self.fresh_session
         )
-        self.entry = entry_lib.Entry(mode, clock.SystemClock(), session)
         self.server = http_lib.Server(
             self.entry.create_app(), settings.host, settings.port
         )
@@ -49,12 +64,21 @@
 
     async def stop(self) -> None:
         """Finish open requests, then close."""
-        self.entry.is_draining = True
+        await self.entry.drain()
         await self.server.stop()
         if self.task is not None:
             self.task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self.task
+        await self.fresh_session.close()
+
+
+def _read_drain(settings: settings_lib.EntrySettings) -> datetime.timedelta:
+    """Return how long a stop waits for kept address answers to lapse."""
+    seconds = settings.drain_seconds
+    if seconds is None:
+        seconds = settings.keep_seconds + NOTICE_SECONDS
+    return datetime.timedelta(seconds=seconds)
 
 
 def main() -> None:
--- a/src/cicadahook/programs/local.py
+++ b/src/cicadahook/programs/local.py
@@ -148,6 +148,8 @@
             controls=tuple(
                 self._address(CONTROL_OFFSET + other) for other in others
             ),
+            key_value=self._address(KEY_VALUE_OFFSET),
+            drain_seconds=0.0,
         )
         return entry.EntryDaemon(settings, self.session)
 
--- a/src/cicadahook/programs/settings.py
+++ b/src/cicadahook/programs/settings.py
@@ -80,6 +80,29 @@
     routing_policy: Annotated[str, pydantic.AfterValidator(_check_routing)] = (
         pydantic.Field("least_in_flight", description="routing policy")
     )
+    key_value: Address = pydantic.Field(
+        "127.0.0.1:8420", description="host:port of the key-value service"
+    )
+    record_seconds: Seconds = pydantic.Field(
+        3600.0,
+        description="seconds after its issue that a key prefix is accepted",
+    )
+    record_count: int = pydantic.Field(
+        20_000, ge=1, description="records of non-idempotent calls held"
+    )
+    record_answer_bytes: int = pydantic.Field(
+        16_384, ge=0, description="bytes of a recorded answer at most"
+    )
+    peer_key: str = pydantic.Field(
+        "", description="secret that all entries share; empty: none"
+    )
+    drain_seconds: float | None = pydantic.Field(
+        None,
+        ge=0,
+        le=86400,
+        description="seconds that a stop waits for kept address answers to"
+        " lapse; unset: keep_seconds and 3",
+    )
 
 
 class ControlSettings(CommonSettings):
--- /dev/null
+++ b/tests/test_idempotency.py
@@ -0,0 +1,316 @@
+"""At most one run for each key, whatever fails and whoever is asked."""
+
+import collections
+import datetime
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import errors
+from cicadahook.core import idempotency
+from cicadahook.core import keys
+from cicadahook.core import view
+
+NAMES = ("vm1", "vm2", "vm3")
+MODE = idempotency.LedgerMode(
+    retention=datetime.timedelta(seconds=60), max_records=8
+)
+SKEW = datetime.timedelta(seconds=25)
+CALL = idempotency.Call("booking-1", "content")
+ANSWER = idempotency.Answer(201, "text/plain", b"booked")
+
+indexes = st.integers(0, 1_000_000)
+entries = st.sampled_from(NAMES)
+
+
+def create_ledger(
+    clock: clock_lib.Clock,
+    name: str = "vm1",
+    incarnation: str = "0" * 16,
+    mode: idempotency.LedgerMode = MODE,
+) -> idempotency.Ledger:
+    """Return a new ledger."""
+    return idempotency.Ledger(mode, keys.Owner(name, incarnation), clock)
+
+
+def read_error(decision: object) -> tuple[str, errors.Outcome]:
+    """Return code and outcome of a refusal."""
+    assert isinstance(decision, idempotency.Refuse), decision
+    return decision.error.code, decision.error.outcome
+
+
+class IdempotencyMachine(stateful.RuleBasedStateMachine):
+    """Three entries, a key-value service and a service that counts runs."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.births = 0
+        self.clocks = {
+            name: clock_lib.ManualClock(clock_lib.EPOCH + number * SKEW)
+            for number, name in enumerate(NAMES)
+        }
+        self.ledgers = {name: self.create(name) for name in NAMES}
+        self.keys = ["own-1"]
+        self.stored: dict[str, tuple[idempotency.Claim, int]] = {}
+        self.revision = 0
+        self.is_out = False
+        self.late: list[idempotency.MakeClaim] = []
+        self.claims: list[tuple[str, idempotency.MakeClaim]] = []
+        self.runs: list[tuple[str, str]] = []
+        self.sent: list[str] = []
+        self.saves: list[tuple[str, idempotency.Settlement]] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def create(self, name: str) -> idempotency.Ledger:
+        """Return the ledger of a new process."""
+        self.births += 1
+        return create_ledger(self.clocks[name], name, f"{self.births:016x}")
+
+    @stateful.rule(name=entries)
+    def locate(self, name: str) -> None:
+        self.keys.append(self.ledgers[name].issue_prefix() + "1")
+
+    @stateful.rule(number=st.integers(1, 3))
+    def invent_key(self, number: int) -> None:
+        self.keys.append(f"own-{number}")
+
+    @stateful.rule(index=indexes, name=entries)
+    def send(self, index: int, name: str) -> None:
+        key = self.keys[index % len(self.keys)]
+        call = idempotency.Call(key, f"content of {key}")
+        decision = self.ledgers[name].admit(call)
+        if isinstance(decision, idempotency.Forward):
+            self.forward(call, decision.owner)
+        else:
+            self.apply(name, key, decision)
+
+    def forward(self, call: idempotency.Call, owner: keys.Owner) -> None:
+        """Ask the owner, then the heirs, as the entries do."""
+        asked = [owner.entry, *(name for name in NAMES if name != owner.entry)]
+        for name in asked:
+            decision = self.ledgers[name].admit(call)
+            if not isinstance(decision, idempotency.Forward):
+                self.apply(name, call.key, decision)
+                return
+
+    def apply(
+        self, name: str, key: str, decision: idempotency.Decision
+    ) -> None:
+        """Judge an answer, or queue an effect."""
+        match decision:
+            case idempotency.Run():
+                self.runs.append((name, key))
+            case idempotency.MakeClaim():
+                self.claims.append((name, decision))
+            case idempotency.Replay(answer):
+                assert answer.body == key.encode()
+                assert self.counts[key] == 1
+            case idempotency.Refuse(error):
+                if error.outcome is errors.Outcome.NOT_RUN:
+                    self.assert_not_run(key)
+                if error.outcome is errors.Outcome.RAN:
+                    assert self.counts[key] == 1
+
+    def assert_not_run(self, key: str) -> None:
+        """Fail if a call of `key` has reached the service or still may."""
+        assert not self.counts[key] and key not in self.sent, key
+
+    @stateful.precondition(lambda self: self.claims)
+    @stateful.rule(
+        index=indexes,
+        fate=st.sampled_from(["done", "reply lost", "late", "lost"]),
+        is_read=st.booleans(),
+    )
+    def claim(self, index: int, fate: str, is_read: bool) -> None:
+        name, wanted = self.claims.pop(index % len(self.claims))
+        record = wanted.claim.record
+        call = idempotency.Call(record.key, record.fingerprint)
+        ledger = self.ledgers[name]
+        if fate == "late":
+            self.late.append(wanted)
+        elif not self.is_out and fate != "lost":
+            self.write(wanted)
+        is_known = is_read or fate == "done"
+        if self.is_out or not is_known or record.key not in self.stored:
+            self.apply(name, record.key, ledger.lose_claim(record.key))
+            return
+        found = ledger.find_claim(call, *self.stored[record.key])
+        self.apply(name, record.key, found)
+
+    def write(self, wanted: idempotency.MakeClaim) -> None:
+        """Write a claim by compare-and-swap."""
+        key = wanted.claim.record.key
+        _, revision = self.stored.get(key, (None, 0))
+        if revision == wanted.expected:
+            self.revision += 1
+            self.stored[key] = wanted.claim, self.revision
+
+    @stateful.precondition(lambda self: self.late)
+    @stateful.rule(index=indexes)
+    def arrive_late(self, index: int) -> None:
+        self.write(self.late.pop(index % len(self.late)))
+
+    @stateful.precondition(lambda self: self.runs)
+    @stateful.rule(
+        index=indexes,
+        end=st.sampled_from(["answered", "reply lost", "not sent", "pending"]),
+    )
+    def run_call(self, index: int, end: str) -> None:
+        name, key = self.runs.pop(index % len(self.runs))
+        ledger = self.ledgers[name]
+        if end == "not sent":
+            self.assert_not_run(key)
+            effect = ledger.settle_not_run(key)
+        elif end == "answered":
+            self.count(key)
+            answer = idempotency.Answer(201, "text/plain", key.encode())
+            effect = ledger.settle_answered(key, answer)
+        else:
+            if end == "pending":
+                self.sent.append(key)
+            else:
+                self.count(key)
+            effect = ledger.settle_unknown(key)
+        if effect is not None:
+            self.saves.append((name, effect))
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(index=indexes)
+    def reach_service(self, index: int) -> None:
+        self.count(self.sent.pop(index % len(self.sent)))
+
+    def count(self, key: str) -> None:
+        """Run a call at the service."""
+        self.counts[key] += 1
+        assert self.counts[key] == 1, f"{key} ran twice"
+
+    @stateful.precondition(lambda self: self.saves and not self.is_out)
+    @stateful.rule(index=indexes)
+    def save(self, index: int) -> None:
+        name, effect = self.saves.pop(index % len(self.saves))
+        record = effect.claim.record
+        stored = self.stored.get(record.key)
+        if stored and stored[0].record.token == record.token:
+            if isinstance(effect, idempotency.DropClaim):
+                del self.stored[record.key]
+            else:
+                self.revision += 1
+                self.stored[record.key] = effect.claim, self.revision
+        if isinstance(effect, idempotency.SaveClaim):
+            self.ledgers[name].note_saved(record.key)
+
+    @stateful.rule(is_out=st.booleans())
+    def switch_outage(self, is_out: bool) -> None:
+        self.is_out = is_out
+
+    @stateful.rule(name=entries)
+    def kill(self, name: str) -> None:
+        self.sent += [key for run, key in self.runs if run == name]
+        self.replace(name)
+
+    @stateful.rule(name=entries, takers=st.sets(entries))
+    def stop(self, name: str, takers: set[str]) -> None:
+        """Stop as planned: runs end, then other entries take the records."""
+        ledger = self.ledgers[name]
+        ledger.seal()
+        for _, key in [run for run in self.runs if run[0] == name]:
+            self.count(key)
+            answer = idempotency.Answer(201, "text/plain", key.encode())
+            ledger.settle_answered(key, answer)
+        for part in ledger.hand_over():
+            for taker in takers - {name}:
+                self.ledgers[taker].inherit(part)
+        self.replace(name)
+
+    def replace(self, name: str) -> None:
+        """Start a new process in place of the entry's old one."""
+        self.claims = [claim for claim in self.claims if claim[0] != name]
+        self.runs = [run for run in self.runs if run[0] != name]
+        self.saves = [save for save in self.saves if save[0] != name]
+        self.ledgers[name] = self.create(name)
+
+    @stateful.rule(seconds=st.integers(1, 50))
+    def wait(self, seconds: int) -> None:
+        for clock in self.clocks.values():
+            clock.advance(datetime.timedelta(seconds=seconds))
+
+    @stateful.invariant()
+    def stays_bounded(self) -> None:
+        for ledger in self.ledgers.values():
+            assert ledger.size <= MODE.max_records
+
+
+IdempotencyMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
+)
+test_idempotency_machine = IdempotencyMachine.TestCase
+
+
+def test_key_expires_with_its_record(clock: clock_lib.ManualClock) -> None:
+    ledger = create_ledger(clock)
+    key = ledger.issue_prefix() + "a"
+    call = idempotency.Call(key, "content")
+    assert ledger.admit(call) == idempotency.Run()
+    ledger.settle_answered(key, ANSWER)
+    assert ledger.admit(call) == idempotency.Replay(ANSWER)
+    clock.advance(MODE.retention + datetime.timedelta(seconds=1))
+    fresh = idempotency.Call(ledger.issue_prefix() + "b", "content")
+    for _ in range(MODE.max_records):
+        ledger.admit(idempotency.Call(ledger.issue_prefix() + "b", "content"))
+    assert read_error(ledger.admit(fresh))[0] == "records_full"
+    assert key not in ledger.records
+    assert read_error(ledger.admit(call)) == (
+        "key_expired",
+        errors.Outcome.UNKNOWN,
+    )
+
+
+def test_large_answer_is_known_but_not_kept(
+    clock: clock_lib.ManualClock,
+) -> None:
+    ledger = create_ledger(clock)
+    call = idempotency.Call(ledger.issue_prefix() + "a", "content")
+    ledger.admit(call)
+    ledger.settle_answered(
+        call.key,
+        idempotency.Answer(201, "", b"x" * (MODE.max_answer_bytes + 1)),
+    )
+    assert read_error(ledger.admit(call)) == (
+        "answer_not_kept",
+        errors.Outcome.RAN,
+    )
+
+
+@pytest.mark.parametrize(
+    ("suffix", "shift", "code"),
+    [("", 0, "bad_key"), ("a", 1, "bad_key")],
+)
+def test_key_that_was_not_issued_is_refused(
+    clock: clock_lib.ManualClock, suffix: str, shift: int, code: str
+) -> None:
+    ledger = create_ledger(clock)
+    issued = clock.now() + datetime.timedelta(seconds=shift)
+    prefix = keys.format_prefix(ledger.owner, issued, 1)
+    decision = ledger.admit(idempotency.Call(prefix + suffix, "content"))
+    assert read_error(decision) == (code, errors.Outcome.NOT_RUN)
+
+
+def test_same_key_with_other_content_is_refused(
+    clock: clock_lib.ManualClock,
+) -> None:
+    ledger = create_ledger(clock)
+    key = ledger.issue_prefix() + "a"
+    ledger.admit(idempotency.Call(key, "content"))
+    decision = ledger.admit(idempotency.Call(key, "other content"))
+    assert read_error(decision) == ("key_reused", errors.Outcome.NOT_RUN)
+
+
+def test_heirs_keep_their_order_when_one_leaves() -> None:
+    owner = keys.Owner("vm1", "0" * 16)
+    members = [view.Member(f"vm{n}", f"h:{n}", "", "") for n in range(9)]
+    ranked = keys.rank_heirs(owner, members)
+    left = [member for member in members if member != ranked[0]]
+    assert keys.rank_heirs(owner, left) == ranked[1:]
