Test claims given up, parts of hand-overs and heirs one by one

Cause: the stateful test reached the claim of an earlier process and the incomplete hand-over too seldom to fail when either rule was broken. Change: focused cases for these, and a stateful test that resends more.

--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -1,6 +1,7 @@
 """At most one run for each key, whatever fails and whoever is asked."""
 
 import collections
+import dataclasses
 import datetime
 
 from hypothesis import settings
@@ -71,15 +72,26 @@
 
     @stateful.rule(name=entries)
     def locate(self, name: str) -> None:
+        """Ask an entry for a prefix."""
         self.keys.append(self.ledgers[name].issue_prefix() + "1")
 
-    @stateful.rule(number=st.integers(1, 3))
-    def invent_key(self, number: int) -> None:
-        self.keys.append(f"own-{number}")
-
     @stateful.rule(index=indexes, name=entries)
-    def send(self, index: int, name: str) -> None:
-        key = self.keys[index % len(self.keys)]
+    def send_any(self, index: int, name: str) -> None:
+        """Send a call under any key so far."""
+        self.send(self.keys[index % len(self.keys)], name)
+
+    @stateful.rule(name=entries)
+    def send_newest(self, name: str) -> None:
+        """Send a call under the newest issued key."""
+        self.send(self.keys[-1], name)
+
+    @stateful.rule(name=entries)
+    def send_own(self, name: str) -> None:
+        """Send a call under a key that the caller made up."""
+        self.send(self.keys[0], name)
+
+    def send(self, key: str, name: str) -> None:
+        """Send a call under `key` to an entry."""
         call = idempotency.Call(key, f"content of {key}")
         decision = self.ledgers[name].admit(call)
         if isinstance(decision, idempotency.Forward):
@@ -125,6 +137,7 @@
         is_read=st.booleans(),
     )
     def claim(self, index: int, fate: str, is_read: bool) -> None:
+        """Decide what becomes of a claim's write and its reply."""
         name, wanted = self.claims.pop(index % len(self.claims))
         record = wanted.claim.record
         call = idempotency.Call(record.key, record.fingerprint)
@@ -151,6 +164,7 @@
     @stateful.precondition(lambda self: self.late)
     @stateful.rule(index=indexes)
     def arrive_late(self, index: int) -> None:
+        """Let a delayed write take effect."""
         self.write(self.late.pop(index % len(self.late)))
 
     @stateful.precondition(lambda self: self.runs)
@@ -159,6 +173,7 @@
         end=st.sampled_from(["answered", "reply lost", "not sent", "pending"]),
     )
     def run_call(self, index: int, end: str) -> None:
+        """End a run."""
         name, key = self.runs.pop(index % len(self.runs))
         ledger = self.ledgers[name]
         if end == "not sent":
@@ -180,6 +195,7 @@
     @stateful.precondition(lambda self: self.sent)
     @stateful.rule(index=indexes)
     def reach_service(self, index: int) -> None:
+        """Let a call arrive whose entry no longer waits."""
         self.count(self.sent.pop(index % len(self.sent)))
 
     def count(self, key: str) -> None:
@@ -190,6 +206,7 @@
     @stateful.precondition(lambda self: self.saves and not self.is_out)
     @stateful.rule(index=indexes)
     def save(self, index: int) -> None:
+        """Write the end of a claimed call."""
         name, effect = self.saves.pop(index % len(self.saves))
         record = effect.claim.record
         stored = self.stored.get(record.key)
@@ -204,10 +221,12 @@
 
     @stateful.rule(is_out=st.booleans())
     def switch_outage(self, is_out: bool) -> None:
+        """Begin or end an outage of the key-value service."""
         self.is_out = is_out
 
     @stateful.rule(name=entries)
     def kill(self, name: str) -> None:
+        """Replace an entry that died; what it sent may still arrive."""
         self.sent += [key for run, key in self.runs if run == name]
         self.replace(name)
 
@@ -234,21 +253,94 @@
 
     @stateful.rule(seconds=st.integers(1, 50))
     def wait(self, seconds: int) -> None:
+        """Let time pass."""
         for clock in self.clocks.values():
             clock.advance(datetime.timedelta(seconds=seconds))
 
     @stateful.invariant()
     def stays_bounded(self) -> None:
+        """No entry holds more records than it may."""
         for ledger in self.ledgers.values():
             assert ledger.size <= MODE.max_records
 
 
 IdempotencyMachine.TestCase.settings = settings(
-    max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
+    max_examples=400, stateful_step_count=30, derandomize=True, deadline=None
 )
 test_idempotency_machine = IdempotencyMachine.TestCase
 
 
+def test_claim_given_up_by_this_process_is_made_again(
+    clock: clock_lib.ManualClock,
+) -> None:
+    ledger = create_ledger(clock)
+    first = ledger.admit(CALL)
+    assert isinstance(first, idempotency.MakeClaim)
+    assert read_error(ledger.lose_claim(CALL.key))[0] == "key_value_unavailable"
+    ledger.admit(CALL)
+    again = ledger.find_claim(CALL, first.claim, 7)
+    assert isinstance(again, idempotency.MakeClaim)
+    assert again.expected == 7
+    assert ledger.find_claim(CALL, again.claim, 8) == idempotency.Run()
+
+
+def test_claim_of_an_earlier_process_is_never_taken_over(
+    clock: clock_lib.ManualClock,
+) -> None:
+    earlier = create_ledger(clock, incarnation="1" * 16).admit(CALL)
+    assert isinstance(earlier, idempotency.MakeClaim)
+    ledger = create_ledger(clock)
+    ledger.admit(CALL)
+    decision = ledger.find_claim(CALL, earlier.claim, 7)
+    assert read_error(decision) == ("in_progress", errors.Outcome.UNKNOWN)
+
+
+def test_heir_answers_only_for_what_it_knows(
+    clock: clock_lib.ManualClock,
+) -> None:
+    owner = create_ledger(clock)
+    lost, kept, unused = (owner.issue_prefix() + "a" for _ in range(3))
+    handed = idempotency.HandOver(
+        owner.owner,
+        clock.now() + datetime.timedelta(milliseconds=1),
+        (idempotency.Record(kept, "", idempotency.State.ANSWERED, ANSWER),),
+        is_complete=False,
+    )
+    heir = create_ledger(clock, "vm2", "2" * 16)
+    assert heir.inherit(handed)
+    calls = [idempotency.Call(key, "") for key in (lost, kept, unused)]
+    assert heir.admit(calls[0]) == idempotency.Forward(owner.owner)
+    assert heir.admit(calls[1]) == idempotency.Replay(ANSWER)
+    assert heir.inherit(dataclasses.replace(handed, is_complete=True))
+    assert read_error(heir.admit(calls[0]))[0] == "key_expired"
+    assert heir.inherit(
+        dataclasses.replace(
+            handed, forgotten_before=clock.now(), is_complete=True
+        )
+    )
+    assert heir.admit(calls[1]) == idempotency.Replay(ANSWER)
+    fresh = create_ledger(clock, "vm3", "3" * 16)
+    fresh.inherit(idempotency.HandOver(owner.owner, clock_lib.EPOCH, ()))
+    assert read_error(fresh.admit(calls[2])) == (
+        "owner_left",
+        errors.Outcome.NOT_RUN,
+    )
+
+
+def test_large_hand_over_comes_in_parts(clock: clock_lib.ManualClock) -> None:
+    mode = idempotency.LedgerMode()
+    ledger = create_ledger(clock, mode=mode)
+    count = idempotency.PART_RECORDS + 1
+    for _ in range(count):
+        key = ledger.issue_prefix() + "a"
+        ledger.admit(idempotency.Call(key, ""))
+        ledger.settle_unknown(key)
+    ledger.seal()
+    parts = ledger.hand_over()
+    assert [part.is_complete for part in parts] == [False, True]
+    assert sum(len(part.records) for part in parts) == count
+
+
 def test_key_expires_with_its_record(clock: clock_lib.ManualClock) -> None:
     ledger = create_ledger(clock)
     key = ledger.issue_prefix() + "a"
