Retry within a budget, resume streams, quarantine crashing requests

Cause: a cut, crossed or silent stream failed its request, and a request that crashes upstreams could be resent without end. Change: attempts of one request are joined by token position; retries have a budget, jittered delays and reasons that are counted; silence is told from death by a probe on a fresh connection; a request that ran where an upstream died is tried alone, one entry at a time, and refused after a second death. Found on the way: with one upstream left, suspects of different entries were tried there together and innocent ones were quarantined; trials now exclude each other by upstream over all entries.

--- /dev/null
+++ b/src/cicadahook/core/attempt.py
@@ -0,0 +1,109 @@
+"""Joins the chunks of a request's attempts into one whole answer."""
+
+import dataclasses
+import enum
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chunk:
+    """One piece of an upstream's streamed answer.
+
+    Attributes:
+        attempt: id of the attempt that it says it belongs to.
+        text: its text; may be empty.
+        position: number of the token from the start of the answer; None if
+            the upstream does not tell.
+        is_last: whether it says that nothing follows but the end marker.
+    """
+
+    attempt: str
+    text: str
+    position: int | None = None
+    is_last: bool = False
+
+
+class Verdict(enum.StrEnum):
+    """What to do with a chunk."""
+
+    RELAY = "relay"
+    REPEATED = "repeated"
+    CROSSED = "crossed"
+    GAP = "gap"
+    DIVERGED = "diverged"
+
+
+FATAL_VERDICTS = frozenset({Verdict.CROSSED, Verdict.GAP, Verdict.DIVERGED})
+
+
+class Assembly:
+    """One answer, made by one attempt or several.
+
+    Chunks that were relayed before are recognised by their position. An
+    upstream that does not tell positions is taken to start over.
+
+    Attributes:
+        texts: the tokens relayed so far.
+        attempt: id of the attempt whose chunks are taken.
+        is_complete: whether the last chunk was relayed.
+    """
+
+    def __init__(self) -> None:
+        self.texts: list[str] = []
+        self.attempt = ""
+        self.cursor = 0
+        self.is_complete = False
+        self.is_ended = False
+
+    @property
+    def resume_from(self) -> int:
+        """Number of tokens relayed, from which the next attempt goes on."""
+        return len(self.texts)
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the last chunk and then the end marker have come."""
+        return self.is_complete and self.is_ended
+
+    def begin(self, attempt: str) -> None:
+        """Take chunks of `attempt` only from now on."""
+        assert attempt != self.attempt, f"attempt {attempt} begun twice"
+        self.attempt = attempt
+        self.cursor = 0
+        self.is_ended = False
+
+    def take(self, chunk: Chunk) -> Verdict:
+        """Return what to do with `chunk`."""
+        if chunk.attempt != self.attempt:
+            return Verdict.CROSSED
+        position = self.cursor if chunk.position is None else chunk.position
+        verdict = self._judge(chunk, position)
+        if verdict in FATAL_VERDICTS:
+            return verdict
+        if chunk.text:
+            self.cursor = position + 1
+        if verdict is Verdict.RELAY:
+            assert not self.is_complete, "relayed beyond the last chunk"
+            self.is_complete = chunk.is_last
+            if chunk.text:
+                self.texts.append(chunk.text)
+                assert len(self.texts) == position + 1, "token out of place"
+        return verdict
+
+    def _judge(self, chunk: Chunk, position: int) -> Verdict:
+        known = len(self.texts)
+        if position > known:
+            return Verdict.GAP
+        if chunk.text and position < known:
+            is_same = self.texts[position] == chunk.text
+            return Verdict.REPEATED if is_same else Verdict.DIVERGED
+        if self.is_complete:
+            # Only the end marker was missing.
+            return Verdict.DIVERGED if chunk.text else Verdict.REPEATED
+        if chunk.is_last and position < known:
+            return Verdict.DIVERGED
+        is_opening = not chunk.text and not chunk.is_last
+        return Verdict.REPEATED if is_opening and known else Verdict.RELAY
+
+    def end(self) -> None:
+        """Take note of the end marker of the current attempt."""
+        self.is_ended = True
--- a/src/cicadahook/net/answers.py
+++ b/src/cicadahook/net/answers.py
@@ -1,12 +1,14 @@
 """Answers to callers, streamed or whole, in the OpenAI form."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
+import contextlib
 import dataclasses
 import json
 from typing import Any, Final
 
 from aiohttp import web
 
+from cicadahook.core import attempt as attempt_lib
 from cicadahook.core import errors
 from cicadahook.core import request as request_lib
 from cicadahook.net import headers
@@ -26,12 +28,27 @@
         """The `object` field of a whole answer."""
         return "chat.completion" if self.is_chat else "text_completion"
 
-    def read_text(self, chunk: dict[str, Any]) -> str:
-        """Return the text in one chunk of an upstream's answer."""
-        choice = chunk["choices"][0]
-        if self.is_chat:
-            return str(choice["delta"].get("content") or "")
-        return str(choice.get("text") or "")
+    def read_chunk(self, chunk: dict[str, Any]) -> attempt_lib.Chunk:
+        """Return what matters of one chunk of an upstream's answer.
+
+        Raises:
+            ValueError: it is not a chunk of this form.
+        """
+        try:
+            choice = chunk["choices"][0]
+            content = (
+                choice["delta"].get("content")
+                if self.is_chat
+                else choice.get("text")
+            )
+            return attempt_lib.Chunk(
+                str(chunk.get("id")),
+                str(content or ""),
+                choice.get("position"),
+                choice.get("finish_reason") is not None,
+            )
+        except (KeyError, IndexError, TypeError, AttributeError) as error:
+            raise ValueError(f"not a chunk: {error!r}") from error
 
     def join(
         self, request: request_lib.Request, parts: list[str]
@@ -60,10 +77,11 @@
 async def send_whole(
     request: request_lib.Request,
     form: Form,
-    chunks: AsyncIterator[dict[str, Any]],
+    chunks: AsyncGenerator[dict[str, Any], None],
 ) -> web.Response:
     """Collect all chunks, then answer at once."""
-    texts = [form.read_text(chunk) async for chunk in chunks]
+    async with contextlib.aclosing(chunks):
+        texts = [form.read_chunk(chunk).text async for chunk in chunks]
     parts = [text for text in texts if text]
     return web.json_response(
         form.join(request, parts),
@@ -74,7 +92,7 @@
 async def send_stream(
     http: web.Request,
     request: request_lib.Request,
-    chunks: AsyncIterator[dict[str, Any]],
+    chunks: AsyncGenerator[dict[str, Any], None],
 ) -> web.StreamResponse:
     """Relay chunks as they come; an error after the first is an event."""
     response = web.StreamResponse(
@@ -84,10 +102,11 @@
         }
     )
     try:
-        async for chunk in chunks:
-            if not response.prepared:
-                await response.prepare(http)
-            await response.write(encode_event({**chunk, "id": request.id}))
+        async with contextlib.aclosing(chunks):
+            async for chunk in chunks:
+                if not response.prepared:
+                    await response.prepare(http)
+                await response.write(encode_event({**chunk, "id": request.id}))
     except errors.RefusalError as refusal:
         if not response.prepared:
             raise
--- a/src/cicadahook/net/attempts.py
+++ b/src/cicadahook/net/attempts.py
@@ -1,5 +1,6 @@
 """Attempts: one call to one upstream, and its streamed answer."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import dataclasses
 import datetime
@@ -9,11 +10,35 @@
 import aiohttp
 
 from cicadahook.core import errors
+from cicadahook.core import retry
 from cicadahook.core import view
+from cicadahook.net import connections as connections_lib
 from cicadahook.net import headers
 
 EVENT_PREFIX: Final = b"data: "
 END_MARKER: Final = b"[DONE]"
+CONNECT_TIMEOUT: Final = datetime.timedelta(seconds=1)
+LEAVING_STATUS: Final = 503
+LEAVING_STATE: Final = b"leaving"
+SILENT_WAITS: Final = 4
+NOT_SENT_ERRORS: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+TRANSIENT_STATUSES: Final = frozenset({404, 408, 409, 425, 429})
+
+
+@dataclasses.dataclass(frozen=True)
+class ProgressMode:
+    """Settings of the deadlines within a stream.
+
+    Attributes:
+        first_token: time that the first token may take.
+        token_gap: time that each further token may take.
+    """
+
+    first_token: datetime.timedelta = datetime.timedelta(seconds=3)
+    token_gap: datetime.timedelta = datetime.timedelta(seconds=2)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +51,7 @@
         path: path on the upstream.
         body: JSON object to send.
         timeout: time left until the deadline.
+        patience: factor on the progress deadlines.
     """
 
     id: str
@@ -33,59 +59,189 @@
     path: str
     body: dict[str, Any]
     timeout: datetime.timedelta
+    patience: float = 1.0
+
+
+class AttemptError(errors.UpstreamError):
+    """An attempt failed.
+
+    Attributes:
+        reason: why.
+    """
 
+    def __init__(self, reason: retry.Reason, detail: str) -> None:
+        super().__init__(f"{reason.value}: {detail}")
+        self.reason = reason
 
-class BrokenAnswerError(errors.UpstreamError):
-    """The answer was cut, crossed with another one, or malformed."""
+
+class DeadlineError(errors.UpstreamError):
+    """The request's deadline passed during an attempt."""
 
 
-@dataclasses.dataclass
 class UpstreamCaller:
     """Makes attempts over HTTP."""
 
-    session: aiohttp.ClientSession
+    def __init__(
+        self, connections: connections_lib.Connections, mode: ProgressMode
+    ) -> None:
+        self.connections = connections
+        self.mode = mode
 
     async def stream(self, attempt: Attempt) -> AsyncIterator[dict[str, Any]]:
         """Yield the chunks of the answer; return only after its end marker.
 
+        Closing the iterator closes the connection, which cancels the work.
+
         Raises:
-            errors.UpstreamError: the answer is not whole.
+            AttemptError: the answer is not whole.
+            DeadlineError: the deadline has passed.
+            errors.RefusalError: the upstream refuses the request for good.
         """
-        body = {**attempt.body, "stream": True}
-        timeout = aiohttp.ClientTimeout(total=attempt.timeout.total_seconds())
+        address = attempt.upstream.address
         try:
-            async with self.session.post(
-                f"http://{attempt.upstream.address}{attempt.path}",
-                json=body,
-                headers={headers.ATTEMPT_HEADER: attempt.id},
-                timeout=timeout,
-            ) as response:
-                if response.status != 200:
-                    raise errors.UpstreamError(
-                        f"{attempt.upstream.address}: status {response.status}"
-                    )
-                async for chunk in _read_chunks(response, attempt):
+            async with self.connections.use(address) as pool:
+                call = _Call(attempt, pool, self.mode)
+                async for chunk in call.read():
                     yield chunk
-        except (aiohttp.ClientError, TimeoutError) as error:
-            raise errors.UpstreamError(
-                f"{attempt.upstream.address}: {error!r}"
+        except NOT_SENT_ERRORS as error:
+            raise AttemptError(
+                retry.Reason.UNREACHABLE, f"{address}: {error!r}"
+            ) from error
+        except aiohttp.ClientError as error:
+            raise AttemptError(
+                retry.Reason.CUT, f"{address}: {error!r}"
             ) from error
 
 
-async def _read_chunks(
+class _Call:
+    """One attempt under way."""
+
+    def __init__(
+        self,
+        attempt: Attempt,
+        pool: connections_lib.Pool,
+        mode: ProgressMode,
+    ) -> None:
+        self.attempt = attempt
+        self.pool = pool
+        self.mode = mode
+        self.loop = asyncio.get_running_loop()
+        self.deadline_seconds = (
+            self.loop.time() + attempt.timeout.total_seconds()
+        )
+        self.patience = mode.first_token * attempt.patience
+        self.silent_waits = 0
+
+    async def read(self) -> AsyncIterator[dict[str, Any]]:
+        """Yield chunks while they come in time."""
+        async with await self._open() as response:
+            await _check_status(response, self.attempt)
+            while True:
+                line = await self._read_line(response)
+                if not line:
+                    raise AttemptError(
+                        retry.Reason.CUT, "no end marker has come"
+                    )
+                if not line.startswith(EVENT_PREFIX):
+                    continue
+                event = line.removeprefix(EVENT_PREFIX).strip()
+                if event == END_MARKER:
+                    return
+                self.patience = self.mode.token_gap * self.attempt.patience
+                yield _parse(event)
+
+    async def _open(self) -> aiohttp.ClientResponse:
+        """Send the request; return the response once its headers are here."""
+        task = asyncio.ensure_future(self._send())
+        try:
+            while not task.done():
+                await asyncio.wait({task}, timeout=self._next_wait())
+                if not task.done():
+                    self._check_silence()
+            response = task.result()
+        finally:
+            task.cancel()
+        self._note_byte()
+        return response
+
+    async def _send(self) -> aiohttp.ClientResponse:
+        attempt = self.attempt
+        return await self.pool.session.post(
+            f"http://{attempt.upstream.address}{attempt.path}",
+            json={**attempt.body, "stream": True},
+            headers={headers.ATTEMPT_HEADER: attempt.id},
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT.total_seconds()
+            ),
+            allow_redirects=False,
+        )
+
+    async def _read_line(self, response: aiohttp.ClientResponse) -> bytes:
+        while True:
+            try:
+                async with asyncio.timeout(self._next_wait()):
+                    line = await response.content.readline()
+            except TimeoutError:
+                self._check_silence()
+                continue
+            self._note_byte()
+            return line
+
+    def _note_byte(self) -> None:
+        self.silent_waits = 0
+        self.pool.last_byte_seconds = self.loop.time()
+
+    def _next_wait(self) -> float:
+        """Return how long to wait before the next check, in seconds."""
+        left = self.deadline_seconds - self.loop.time()
+        return max(0.0, min(left, self.patience.total_seconds()))
+
+    def _check_silence(self) -> None:
+        """Raise if nothing has come for too long.
+
+        While other connections to the upstream bring something, it is rather
+        slow than cut off, so this one gets more time.
+        """
+        now = self.loop.time()
+        if now >= self.deadline_seconds:
+            raise DeadlineError("deadline passed")
+        self.silent_waits += 1
+        quiet = now - self.pool.last_byte_seconds
+        is_all_quiet = quiet >= self.patience.total_seconds()
+        if is_all_quiet or self.silent_waits >= SILENT_WAITS:
+            raise AttemptError(
+                retry.Reason.SILENT, f"nothing came for {self.patience}"
+            )
+
+
+async def _check_status(
     response: aiohttp.ClientResponse, attempt: Attempt
-) -> AsyncIterator[dict[str, Any]]:
-    """Yield chunks that carry the attempt's id, up to the end marker."""
-    async for line in response.content:
-        if not line.startswith(EVENT_PREFIX):
-            continue
-        event = line.removeprefix(EVENT_PREFIX).strip()
-        if event == END_MARKER:
-            return
+) -> None:
+    """Raise AttemptError unless the upstream has accepted the attempt."""
+    if response.status == 200:
+        return
+    body = await response.read()
+    if response.status < 500 and response.status not in TRANSIENT_STATUSES:
+        raise errors.RefusalError(
+            "upstream_refused",
+            f"the upstream answered: {body.decode(errors='replace')}",
+            response.status,
+            errors.Outcome.UNKNOWN,
+        )
+    reason = retry.Reason.REFUSED
+    if response.status == LEAVING_STATUS and LEAVING_STATE in body:
+        reason = retry.Reason.LEAVING
+    raise AttemptError(
+        reason, f"{attempt.upstream.address}: status {response.status}"
+    )
+
+
+def _parse(event: bytes) -> dict[str, Any]:
+    """Return the JSON object of an event."""
+    try:
         chunk = json.loads(event)
-        if chunk.get("id") != attempt.id:
-            raise BrokenAnswerError(
-                f"{attempt.upstream.address}: answer of another attempt"
-            )
-        yield chunk
-    raise BrokenAnswerError(f"{attempt.upstream.address}: answer was cut")
+    except ValueError as error:
+        raise AttemptError(retry.Reason.CUT, "chunk is not JSON") from error
+    if not isinstance(chunk, dict) or "error" in chunk:
+        raise AttemptError(retry.Reason.REFUSED, f"error event {event!r}")
+    return chunk
--- a/src/cicadahook/net/completions.py
+++ b/src/cicadahook/net/completions.py
@@ -1,24 +1,15 @@
 """Chat and text completions: from the caller's request to its answer."""
 
-from collections.abc import AsyncIterator
-import itertools
-from typing import Any, Final
-
 from aiohttp import web
 
-from cicadahook.core import admission
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
-from cicadahook.core import request as request_lib
 from cicadahook.core import table as table_lib
 from cicadahook.net import answers
-from cicadahook.net import attempts
 from cicadahook.net import dispatch
 from cicadahook.net import headers
 from cicadahook.net import http as http_lib
-from cicadahook.net import logs
-
-logger: Final = logs.create_logger("completions")
+from cicadahook.net import relay as relay_lib
 
 
 class CompletionsApi:
@@ -26,16 +17,13 @@
 
     def __init__(
         self,
-        name: str,
         clock: clock_lib.Clock,
         dispatcher: dispatch.Dispatcher,
-        caller: attempts.UpstreamCaller,
+        relay: relay_lib.Relay,
     ) -> None:
-        self.name = name
         self.clock = clock
         self.dispatcher = dispatcher
-        self.caller = caller
-        self.numbers = itertools.count(1)
+        self.relay = relay
 
     def install(self, app: web.Application) -> None:
         """Add the routes to `app`."""
@@ -62,7 +50,7 @@
             form.is_chat,
         )
         self.dispatcher.note_arrival(row)
-        chunks = self._attempt(request, row, body)
+        chunks = self.relay.stream(request, row, body, form)
         if body.get("stream"):
             return await answers.send_stream(http, request, chunks)
         return await answers.send_whole(request, form, chunks)
@@ -75,35 +63,3 @@
                 "unknown_model", f"model {name!r} is not in the table", 404
             )
         return row
-
-    async def _attempt(
-        self,
-        request: request_lib.Request,
-        row: table_lib.Row,
-        body: dict[str, Any],
-    ) -> AsyncIterator[dict[str, Any]]:
-        """Yield the chunks of one attempt."""
-        grant = await self.dispatcher.acquire(request, row)
-        attempt = attempts.Attempt(
-            id=f"{self.name}-{next(self.numbers)}-{request.id}",
-            upstream=grant.upstream,
-            path=request.path,
-            body=body,
-            timeout=request.deadline - self.clock.now(),
-        )
-        end = admission.AttemptEnd.CANCELLED
-        try:
-            async for chunk in self.caller.stream(attempt):
-                yield chunk
-            end = admission.AttemptEnd.SERVED
-        except errors.UpstreamError as error:
-            end = admission.AttemptEnd.FAILED
-            logger.warning("Request %s failed: %s.", request.id, error)
-            raise errors.RefusalError(
-                "upstream_failed",
-                "the upstream did not give a whole answer",
-                502,
-                errors.Outcome.UNKNOWN,
-            ) from error
-        finally:
-            self.dispatcher.release(grant, admission.AttemptResult(end))
--- /dev/null
+++ b/src/cicadahook/net/connections.py
@@ -0,0 +1,124 @@
+"""HTTP connections to upstreams, replaced when they go silent."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import datetime
+from typing import Final
+
+import aiohttp
+
+from cicadahook.core import errors
+from cicadahook.core import view as view_lib
+from cicadahook.net import engine
+from cicadahook.net import logs
+
+PROBE_TIMEOUT: Final = datetime.timedelta(seconds=1)
+
+logger: Final = logs.create_logger("connections")
+
+
+@dataclasses.dataclass
+class Pool:
+    """The connections to one upstream, and the calls that use them.
+
+    Attributes:
+        session: holds the connections.
+        last_byte_seconds: when one of them last brought something, by the
+            event loop's clock.
+        users: calls under way.
+        is_retired: whether no new call uses it.
+    """
+
+    session: aiohttp.ClientSession
+    last_byte_seconds: float = 0.0
+    users: int = 0
+    is_retired: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sighting:
+    """What a probe saw of an upstream.
+
+    Attributes:
+        is_alive: whether it answered.
+        is_leaving: whether it said that it takes no new work.
+        incarnation: its incarnation; empty if it does not tell.
+    """
+
+    is_alive: bool
+    is_leaving: bool = False
+    incarnation: str = ""
+
+
+class Connections:
+    """One pool for each upstream."""
+
+    def __init__(self, fresh_session: aiohttp.ClientSession) -> None:
+        self.fresh_session = fresh_session
+        self.engines = engine.EngineClient(fresh_session)
+        self.pools: dict[str, Pool] = {}
+
+    @contextlib.asynccontextmanager
+    async def use(self, address: str) -> AsyncIterator[Pool]:
+        """Yield the pool whose connections go to `address`."""
+        pool = self.pools.get(address)
+        if pool is None:
+            pool = Pool(
+                aiohttp.ClientSession(
+                    connector=aiohttp.TCPConnector(limit=0),
+                    timeout=aiohttp.ClientTimeout(total=None),
+                )
+            )
+            self.pools[address] = pool
+        pool.users += 1
+        try:
+            yield pool
+        finally:
+            pool.users -= 1
+            if pool.is_retired and not pool.users:
+                await pool.session.close()
+
+    async def replace(self, address: str) -> None:
+        """Use new connections to `address` from now on.
+
+        Calls under way keep theirs, which close after the last of them.
+        """
+        pool = self.pools.pop(address, None)
+        if pool is None:
+            return
+        pool.is_retired = True
+        if not pool.users:
+            await pool.session.close()
+
+    async def retain(self, addresses: frozenset[str]) -> None:
+        """Close the pools of all upstreams but `addresses`."""
+        for address in self.pools.keys() - addresses:
+            await self.replace(address)
+
+    async def probe(self, upstream: view_lib.Upstream) -> Sighting:
+        """Return what a call on a fresh connection shows of `upstream`."""
+        if upstream.kind is view_lib.UpstreamKind.SERVICE:
+            return await self._probe_service(upstream.address)
+        try:
+            state = await self.engines.fetch_state(upstream.address)
+        except errors.UpstreamError as error:
+            logger.info("Upstream not seen: %s.", error)
+            return Sighting(is_alive=False)
+        is_leaving = state.state is view_lib.UpstreamState.LEAVING
+        return Sighting(True, is_leaving, state.incarnation)
+
+    async def _probe_service(self, address: str) -> Sighting:
+        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT.total_seconds())
+        try:
+            async with self.fresh_session.get(
+                f"http://{address}/healthz", timeout=timeout
+            ):
+                return Sighting(is_alive=True)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            logger.info("Service %s not seen: %r.", address, error)
+            return Sighting(is_alive=False)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.retain(frozenset())
--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -15,11 +15,14 @@
 from cicadahook.core import idempotency
 from cicadahook.core import keys
 from cicadahook.core import locate
+from cicadahook.core import quarantine
+from cicadahook.core import retry
 from cicadahook.core import routing
 from cicadahook.core import view as view_lib
 from cicadahook.net import attempts
 from cicadahook.net import claims
 from cicadahook.net import completions
+from cicadahook.net import connections
 from cicadahook.net import dispatch
 from cicadahook.net import headers
 from cicadahook.net import http as http_lib
@@ -28,7 +31,9 @@
 from cicadahook.net import metrics
 from cicadahook.net import once as once_lib
 from cicadahook.net import peers
+from cicadahook.net import relay
 from cicadahook.net import services
+from cicadahook.net import suspects
 
 INCARNATION_BYTES: Final = 8
 OPEN_POLL: Final = datetime.timedelta(seconds=0.02)
@@ -77,11 +82,33 @@
         self.owner = keys.Owner(mode.name, secrets.token_hex(INCARNATION_BYTES))
         self.random = random.Random(self.owner.incarnation)
         self.dispatcher = dispatch.Dispatcher(mode.routing, clock)
-        self.completions = completions.CompletionsApi(
+        self.quarantine = quarantine.Quarantine(
+            quarantine.QuarantineMode(), clock
+        )
+        self.desk = suspects.SuspectDesk(
+            self.quarantine,
+            clock,
+            self.dispatcher,
+            fresh_session,
+            mode.peer_key,
+            self.random,
+        )
+        self.connections = connections.Connections(fresh_session)
+        self.relay = relay.Relay(
             mode.name,
             clock,
             self.dispatcher,
-            attempts.UpstreamCaller(session),
+            relay.UpstreamParts(
+                self.connections,
+                attempts.UpstreamCaller(
+                    self.connections, attempts.ProgressMode()
+                ),
+                retry.RetryPolicy(retry.RetryMode(), clock, self.random),
+                self.desk,
+            ),
+        )
+        self.completions = completions.CompletionsApi(
+            clock, self.dispatcher, self.relay
         )
         self.peers = peers.PeerClient(fresh_session, mode.peer_key)
         self.ledger = idempotency.Ledger(mode.records, self.owner, clock)
@@ -96,7 +123,15 @@
         self.is_draining = False
         self.is_closing = False
         self.open_requests = 0
-        self.address = ""
+
+    @property
+    def address(self) -> str:
+        """The `host:port` that it listens on, once it does."""
+        return self.desk.address
+
+    @address.setter
+    def address(self, address: str) -> None:
+        self.desk.address = address
 
     @property
     def view(self) -> view_lib.View:
@@ -114,6 +149,7 @@
         self.completions.install(app)
         self.services.install(app)
         peers.install(app, self.ledger, self.mode.peer_key)
+        self.desk.install(app)
         app.middlewares.append(self.count_refusals)
         app.middlewares.append(self.count_open)
         return app
@@ -129,6 +165,7 @@
             )
             new = dataclasses.replace(new, table=self.view.table)
         self.dispatcher.view = new
+        self.quarantine.merge(new.suspects)
 
     def create_report(self) -> view_lib.Report:
         """Return what happened since the previous report."""
@@ -138,6 +175,7 @@
             draining=self.is_draining,
             uses=self.dispatcher.create_uses(),
             demands=self.dispatcher.take_demands(),
+            suspects=self.quarantine.list_suspects(),
         )
 
     @web.middleware
--- a/src/cicadahook/net/services.py
+++ b/src/cicadahook/net/services.py
@@ -14,6 +14,7 @@
 from cicadahook.core import idempotency
 from cicadahook.core import request as request_lib
 from cicadahook.core import table as table_lib
+from cicadahook.net import attempts
 from cicadahook.net import dispatch
 from cicadahook.net import headers
 from cicadahook.net import logs
@@ -23,10 +24,6 @@
 ANSWER_GRACE: Final = datetime.timedelta(seconds=10)
 CONNECT_TIMEOUT: Final = datetime.timedelta(seconds=2)
 PREFIX_PARTS: Final = 3
-NOT_SENT_ERRORS: Final = (
-    aiohttp.ClientConnectorError,
-    aiohttp.ConnectionTimeoutError,
-)
 
 logger: Final = logs.create_logger("services")
 
@@ -177,7 +174,7 @@
             answer = await self._send(call, grant)
             end = admission.AttemptEnd.SERVED
             return answer
-        except NOT_SENT_ERRORS as error:
+        except attempts.NOT_SENT_ERRORS as error:
             logger.warning("Service not reached: %s.", error)
             raise errors.RefusalError(
                 "upstream_unreachable",
@@ -230,7 +227,7 @@
     """
     try:
         return await handler(request)
-    except NOT_SENT_ERRORS:
+    except attempts.NOT_SENT_ERRORS:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
         raise aiohttp.ClientPayloadError(f"{error!r}") from error
--- /dev/null
+++ b/src/cicadahook/net/suspects.py
@@ -0,0 +1,264 @@
+"""Trials of suspects: one at a time over all entries."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import datetime
+import random
+from typing import Final
+
+import aiohttp
+from aiohttp import web
+import pydantic
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import errors
+from cicadahook.core import quarantine as quarantine_lib
+from cicadahook.core import request as request_lib
+from cicadahook.core import table as table_lib
+from cicadahook.core import view as view_lib
+from cicadahook.net import dispatch
+from cicadahook.net import logs
+from cicadahook.net import peers
+
+SUSPECTS_PATH: Final = "/internal/suspects"
+CALL_TIMEOUT: Final = datetime.timedelta(seconds=0.5)
+TOLD_PEERS: Final = 16
+TURN_PAUSE: Final = datetime.timedelta(milliseconds=60)
+RETRY_AFTER: Final = datetime.timedelta(seconds=1)
+
+logger: Final = logs.create_logger("suspects")
+
+
+@dataclasses.dataclass(frozen=True)
+class Notice:
+    """What an entry tells the others of a suspect.
+
+    Attributes:
+        holder: `host:port` of the entry that tells.
+        suspect: the request and the deaths known.
+        upstream: address of the upstream of its trial; empty if there is none.
+        hold_seconds: ask for leave to try it for so long; 0 gives it back.
+        is_cleared: whether a trial of it was served.
+    """
+
+    holder: str
+    suspect: view_lib.Suspect
+    upstream: str = ""
+    hold_seconds: float = 0.0
+    is_cleared: bool = False
+
+    @property
+    def trial(self) -> quarantine_lib.Trial:
+        """The trial that it is about."""
+        return quarantine_lib.Trial(self.suspect.fingerprint, self.upstream)
+
+
+_NOTICE: Final = pydantic.TypeAdapter(Notice)
+
+
+class SuspectDesk:
+    """Lets suspects be tried, one at a time and one per upstream.
+
+    Other entries are told of a death before the caller gets an answer, so a
+    caller that sends the request to the next entry finds it known there.
+    """
+
+    def __init__(
+        self,
+        quarantine: quarantine_lib.Quarantine,
+        clock: clock_lib.Clock,
+        dispatcher: dispatch.Dispatcher,
+        session: aiohttp.ClientSession,
+        peer_key: str,
+        generator: random.Random,
+    ) -> None:
+        self.quarantine = quarantine
+        self.clock = clock
+        self.dispatcher = dispatcher
+        self.session = session
+        self.peer_key = peer_key
+        self.address = ""
+        self.random = generator
+
+    def install(self, app: web.Application) -> None:
+        """Add the route that other entries call to `app`."""
+        app.router.add_post(SUSPECTS_PATH, self.take_notice)
+
+    async def take_notice(self, request: web.Request) -> web.Response:
+        """Take note of another entry's notice; grant the trial if free."""
+        body = await peers.read_signed(request, self.peer_key)
+        try:
+            notice = _NOTICE.validate_json(body)
+        except pydantic.ValidationError as error:
+            raise errors.RefusalError(
+                "bad_json", f"body: {error}", 400
+            ) from error
+        self.quarantine.merge((notice.suspect,))
+        if notice.is_cleared:
+            self.quarantine.clear(notice.suspect.fingerprint)
+        is_granted = True
+        if notice.hold_seconds:
+            is_granted = self.quarantine.grant_hold(
+                notice.trial,
+                notice.holder,
+                datetime.timedelta(seconds=notice.hold_seconds),
+            )
+        elif notice.upstream:
+            self.quarantine.release_hold(notice.trial, notice.holder)
+        return web.json_response(
+            {"granted": is_granted}, status=200 if is_granted else 409
+        )
+
+    async def note_death(
+        self, request: request_lib.Request, upstream: view_lib.Upstream
+    ) -> None:
+        """Take note that `upstream` died running `request`; tell all."""
+        death = f"{upstream.address}/{upstream.incarnation}"
+        logger.warning(
+            "Upstream %s died running request %s.", death, request.id
+        )
+        self.quarantine.note_death(request.fingerprint, death)
+        await self._tell(request.fingerprint)
+
+    @contextlib.asynccontextmanager
+    async def enter(
+        self, request: request_lib.Request, row: table_lib.Row
+    ) -> AsyncIterator[frozenset[str]]:
+        """Yield the upstreams that must not run `request` now.
+
+        Raises:
+            errors.RefusalError: the request must not run at all.
+        """
+        trial = await self._begin_trial(request, row)
+        if trial is None:
+            yield frozenset()
+            return
+        try:
+            everywhere = self.dispatcher.view.upstream_by_address.keys()
+            yield frozenset(everywhere - {trial.upstream})
+        finally:
+            self.quarantine.end_trial(trial)
+            await asyncio.shield(self._tell(trial.fingerprint, trial.upstream))
+
+    async def _begin_trial(
+        self, request: request_lib.Request, row: table_lib.Row
+    ) -> quarantine_lib.Trial | None:
+        """Wait for the turn of a suspect; None if it is none (any more)."""
+        standing = self.quarantine.check(request.fingerprint)
+        while standing is quarantine_lib.Standing.TRIAL:
+            trial = self._choose_trial(request, row)
+            if self.quarantine.begin_trial(trial):
+                left = request.deadline - self.clock.now()
+                if await self._ask(trial, left):
+                    return trial
+            await self._pause(request)
+            standing = self.quarantine.check(request.fingerprint)
+        return None
+
+    async def _ask(
+        self, trial: quarantine_lib.Trial, hold: datetime.timedelta
+    ) -> bool:
+        """Ask all for leave; give everything back if one objects."""
+        is_granted = False
+        try:
+            is_granted = await self._tell(
+                trial.fingerprint, trial.upstream, hold
+            )
+        finally:
+            if not is_granted:
+                self.quarantine.end_trial(trial)
+                await asyncio.shield(
+                    self._tell(trial.fingerprint, trial.upstream)
+                )
+        return is_granted
+
+    async def _pause(self, request: request_lib.Request) -> None:
+        """Wait a little, or refuse a suspect whose deadline has passed."""
+        if self.clock.now() >= request.deadline:
+            raise errors.RefusalError(
+                "deadline_passed",
+                "the deadline passed before this suspect could be tried",
+                504,
+            )
+        pause = TURN_PAUSE * (0.5 + self.random.random())
+        await asyncio.sleep(pause.total_seconds())
+
+    def _choose_trial(
+        self, request: request_lib.Request, row: table_lib.Row
+    ) -> quarantine_lib.Trial:
+        """Return a trial where the suspect has not been at a death yet."""
+        deaths = self.quarantine.list_deaths(request.fingerprint)
+        candidates = sorted(
+            upstream.address
+            for upstream in self.dispatcher.view.upstreams_for(row)
+            if f"{upstream.address}/{upstream.incarnation}" not in deaths
+        )
+        if not candidates:
+            raise errors.RefusalError(
+                "no_copy",
+                f"no upstream is left to try {row.name!r} at",
+                503,
+                retry_after=RETRY_AFTER,
+            )
+        return quarantine_lib.Trial(
+            request.fingerprint, self.random.choice(candidates)
+        )
+
+    async def clear(self, fingerprint: str) -> None:
+        """Take note that a suspect was served; tell all."""
+        if not self.quarantine.list_deaths(fingerprint):
+            return
+        suspect = self.quarantine.suspects[fingerprint]
+        self.quarantine.clear(fingerprint)
+        await self._send_all(Notice(self.address, suspect, is_cleared=True))
+
+    async def _tell(
+        self,
+        fingerprint: str,
+        upstream: str = "",
+        hold: datetime.timedelta = datetime.timedelta(),
+    ) -> bool:
+        """Tell all what is known of a suspect; return False if one objects."""
+        suspect = self.quarantine.suspects.get(fingerprint)
+        if suspect is None:
+            suspect = view_lib.Suspect(fingerprint, (), self.clock.now())
+        return await self._send_all(
+            Notice(
+                self.address,
+                suspect,
+                upstream,
+                max(0.0, hold.total_seconds()),
+            )
+        )
+
+    async def _send_all(self, notice: Notice) -> bool:
+        """Send a notice to other entries; return False if one objects."""
+        body = _NOTICE.dump_json(notice)
+        others = [
+            member.entry
+            for member in self.dispatcher.view.members
+            if member.entry != self.address
+            and member.state is not view_lib.MemberState.DEAD
+        ]
+        results = await asyncio.gather(
+            *(self._send(address, body) for address in others[:TOLD_PEERS])
+        )
+        return all(results)
+
+    async def _send(self, address: str, body: bytes) -> bool:
+        """Return False if the entry at `address` objects."""
+        try:
+            async with self.session.post(
+                f"http://{address}{SUSPECTS_PATH}",
+                data=body,
+                headers={
+                    peers.SIGNATURE_HEADER: peers.sign(self.peer_key, body)
+                },
+                timeout=aiohttp.ClientTimeout(CALL_TIMEOUT.total_seconds()),
+            ) as response:
+                return response.status != 409
+        except (aiohttp.ClientError, TimeoutError) as error:
+            logger.warning("Entry %s not told: %r.", address, error)
+            return True
--- a/src/cicadahook/programs/entry.py
+++ b/src/cicadahook/programs/entry.py
@@ -70,6 +70,7 @@
             self.task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self.task
+        await self.entry.connections.close()
         await self.fresh_session.close()
 
 
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,166 @@
+"""Answers are whole and in order; retries stay within their budget."""
+
+import datetime
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from cicadahook.core import attempt
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import retry
+
+TOKENS = tuple(f"token{number} " for number in range(5))
+LEFT = datetime.timedelta(seconds=30)
+
+
+def create_chunks(
+    name: str, start: int, has_positions: bool
+) -> list[attempt.Chunk]:
+    """Return the chunks of an attempt that starts at a token."""
+    chunks = [
+        attempt.Chunk(name, token, position if has_positions else None)
+        for position, token in enumerate(TOKENS)
+    ]
+    last = attempt.Chunk(
+        name, "", len(TOKENS) if has_positions else None, is_last=True
+    )
+    return [*chunks[start:], last]
+
+
+@settings(max_examples=100, derandomize=True, deadline=None)
+@given(data=st.data())
+def test_no_token_is_lost_or_repeated(data: st.DataObject) -> None:
+    assembly = attempt.Assembly()
+    relayed: list[str] = []
+    others = [attempt.Chunk("another", "foreign", 0)]
+    for number in range(50):
+        name = f"a{number}"
+        is_resumed = data.draw(st.booleans())
+        start = assembly.resume_from if is_resumed else 0
+        chunks = create_chunks(
+            name, start, is_resumed or data.draw(st.booleans())
+        )
+        assembly.begin(name)
+        is_cut = False
+        length = data.draw(st.integers(0, len(chunks)))
+        for chunk in chunks[:length]:
+            if data.draw(st.integers(0, 9)) == 0:
+                chunk = data.draw(st.sampled_from(others))
+            verdict = assembly.take(chunk)
+            if verdict in attempt.FATAL_VERDICTS:
+                is_cut = True
+                break
+            if verdict is attempt.Verdict.RELAY and chunk.text:
+                relayed.append(chunk.text)
+        if not is_cut and length == len(chunks):
+            assembly.end()
+        others += chunks
+        assert tuple(relayed) == TOKENS[: len(relayed)]
+        if assembly.is_whole:
+            assert tuple(relayed) == TOKENS
+            return
+
+
+@pytest.mark.parametrize(
+    ("chunk", "verdict"),
+    [
+        (attempt.Chunk("old", TOKENS[0], 0), attempt.Verdict.CROSSED),
+        (attempt.Chunk("new", TOKENS[0], 0), attempt.Verdict.REPEATED),
+        (attempt.Chunk("new", TOKENS[1], 0), attempt.Verdict.DIVERGED),
+        (attempt.Chunk("new", TOKENS[2], 2), attempt.Verdict.GAP),
+        (attempt.Chunk("new", "", 1), attempt.Verdict.REPEATED),
+        (attempt.Chunk("new", "", 0, True), attempt.Verdict.DIVERGED),
+        (attempt.Chunk("new", TOKENS[1], 1), attempt.Verdict.RELAY),
+    ],
+)
+def test_chunk_is_judged_by_attempt_and_position(
+    chunk: attempt.Chunk, verdict: attempt.Verdict
+) -> None:
+    assembly = attempt.Assembly()
+    assembly.begin("old")
+    assembly.take(attempt.Chunk("old", TOKENS[0], 0))
+    assembly.begin("new")
+    assert assembly.take(chunk) is verdict
+
+
+def test_end_marker_alone_is_not_a_whole_answer() -> None:
+    assembly = attempt.Assembly()
+    assembly.begin("a")
+    assembly.end()
+    assert not assembly.is_whole
+
+
+def create_policy(
+    clock: clock_lib.Clock, mode: retry.RetryMode = retry.RetryMode()
+) -> retry.RetryPolicy:
+    """Return a policy with a fixed seed."""
+    return retry.RetryPolicy(mode, clock, random.Random(7))
+
+
+def test_attempts_stay_few_while_half_of_the_upstreams_fail(
+    clock: clock_lib.ManualClock,
+) -> None:
+    policy = create_policy(clock)
+    generator = random.Random(11)
+    attempts = 0
+    requests = 2000
+    for _ in range(requests):
+        policy.note_request()
+        number = 0
+        while True:
+            number += 1
+            attempts += 1
+            if generator.random() < 0.5:
+                break
+            failure = retry.Failure(retry.Reason.CUT, "u", True, number, LEFT)
+            if isinstance(policy.decide(failure), retry.GiveUp):
+                break
+    assert attempts / requests <= 1.2
+
+
+@pytest.mark.parametrize(
+    ("reason", "is_idempotent", "attempts", "left", "expected"),
+    [
+        (retry.Reason.CUT, False, 1, LEFT, retry.GiveUp.NOT_REPEATABLE),
+        (retry.Reason.SILENT, False, 1, LEFT, retry.GiveUp.NOT_REPEATABLE),
+        (retry.Reason.DIVERGED, True, 1, LEFT, retry.GiveUp.DIVERGED),
+        (retry.Reason.CUT, True, 4, LEFT, retry.GiveUp.ATTEMPTS),
+        (
+            retry.Reason.CUT,
+            True,
+            1,
+            datetime.timedelta(),
+            retry.GiveUp.DEADLINE,
+        ),
+    ],
+)
+def test_no_retry_is_made(
+    clock: clock_lib.ManualClock,
+    reason: retry.Reason,
+    is_idempotent: bool,
+    attempts: int,
+    left: datetime.timedelta,
+    expected: retry.GiveUp,
+) -> None:
+    failure = retry.Failure(reason, "u", is_idempotent, attempts, left)
+    assert create_policy(clock).decide(failure) is expected
+
+
+def test_failing_upstream_is_avoided_for_longer_each_time(
+    clock: clock_lib.ManualClock,
+) -> None:
+    policy = create_policy(clock)
+    policy.note_failure("u", retry.Reason.CUT)
+    assert not policy.list_ejected()
+    policy.note_failure("u", retry.Reason.UNREACHABLE)
+    assert policy.list_ejected() == {"u"}
+    clock.advance(policy.mode.eject)
+    assert not policy.list_ejected()
+    policy.note_failure("u", retry.Reason.UNREACHABLE)
+    clock.advance(policy.mode.eject)
+    assert policy.list_ejected() == {"u"}
+    policy.note_success("u")
+    assert not policy.list_ejected()
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,210 @@
+"""Real entries and stand-ins: cuts, silence, crashes, lost replies, stops."""
+
+import asyncio
+import dataclasses
+from typing import Any
+
+from cicadahook.programs import entry as entry_program
+from cicadahook.programs import local
+from cicadahook.standins import engine
+from cicadahook.standins import text
+
+TOKENS = 40
+
+
+def entry_url(system: local.LocalSystem, index: int = 0) -> str:
+    """Return the URL of an entry."""
+    port = system.base_port + local.ENTRY_OFFSET + index
+    return f"http://{local.HOST}:{port}"
+
+
+def list_entries(
+    system: local.LocalSystem,
+) -> list[entry_program.EntryDaemon]:
+    """Return the entries of the system."""
+    return [
+        part
+        for part in system.daemons
+        if isinstance(part, entry_program.EntryDaemon)
+    ]
+
+
+async def complete(
+    system: local.LocalSystem, prompt: str, index: int = 0
+) -> tuple[int, dict[str, Any]]:
+    """Return the status and body of one completion."""
+    async with system.session.post(
+        f"{entry_url(system, index)}/v1/completions",
+        json={"model": "inspector", "prompt": prompt, "max_tokens": TOKENS},
+    ) as response:
+        return response.status, await response.json()
+
+
+def read_text(answer: tuple[int, dict[str, Any]]) -> str:
+    """Return the text of a whole answer."""
+    status, body = answer
+    assert status == 200, body
+    return str(body["choices"][0]["text"])
+
+
+def set_faults(system: local.LocalSystem, **fields: Any) -> None:
+    """Put faults in force at all engines."""
+    for part in system.engines:
+        part.faults.faults = dataclasses.replace(part.faults.faults, **fields)
+
+
+async def test_broken_answers_become_whole(
+    system: local.LocalSystem,
+) -> None:
+    set_faults(system, cut_streams=1, cross_answers=1)
+    prompts = [f"prompt {number}" for number in range(6)]
+    answers = await asyncio.gather(
+        *(complete(system, prompt) for prompt in prompts)
+    )
+    for prompt, answer in zip(prompts, answers):
+        wanted = text.whole_answer("inspector", prompt, TOKENS)
+        assert read_text(answer) == wanted
+
+
+async def test_silent_connections_are_replaced(
+    system: local.LocalSystem,
+) -> None:
+    relay = list_entries(system)[0].entry.relay
+    relay.caller.mode = dataclasses.replace(
+        relay.caller.mode,
+        first_token=relay.caller.mode.first_token / 10,
+        token_gap=relay.caller.mode.token_gap / 10,
+    )
+    prompts = [f"prompt {number}" for number in range(8)]
+    calls = [
+        asyncio.create_task(complete(system, prompt)) for prompt in prompts
+    ]
+    await asyncio.sleep(0.05)
+    for upstream in system.engines:
+        upstream.silenced |= set(upstream.transports)
+    for prompt, answer in zip(prompts, await asyncio.gather(*calls)):
+        wanted = text.whole_answer("inspector", prompt, TOKENS)
+        assert read_text(answer) == wanted
+    assert next(relay.numbers) > len(prompts) + 1, "nothing went silent"
+    view = relay.dispatcher.view
+    assert all(upstream.state == "live" for upstream in view.upstreams)
+
+
+async def test_crashing_request_kills_two_upstreams_at_most(
+    system: local.LocalSystem,
+) -> None:
+    prompts = [f"innocent {number}" for number in range(8)]
+    innocents = [
+        asyncio.create_task(complete(system, prompt, index % 4))
+        for index, prompt in enumerate(prompts)
+    ]
+    await asyncio.sleep(0.02)
+    outcomes = set()
+    for number in range(12):
+        status, body = await complete(
+            system, f"please {engine.CRASH_MARK}", number % 4
+        )
+        assert status != 200
+        outcomes.add((body["code"], body["outcome"]))
+    assert ("quarantined", "not_run") in outcomes
+    assert sum(part.crashes for part in system.engines) <= 2
+    for prompt, answer in zip(prompts, await asyncio.gather(*innocents)):
+        wanted = text.whole_answer("inspector", prompt, TOKENS)
+        assert read_text(answer) == wanted
+
+
+async def locate(system: local.LocalSystem, index: int) -> dict[str, Any]:
+    """Return an address answer."""
+    url = f"{entry_url(system, index)}/v1/locate"
+    async with system.session.get(url) as response:
+        body: dict[str, Any] = await response.json()
+        return body
+
+
+async def book(
+    system: local.LocalSystem, key: str, name: str, index: int
+) -> tuple[int, dict[str, Any]]:
+    """Return the status and body of one booking."""
+    async with system.session.post(
+        f"{entry_url(system, index)}/services/portal/bookings",
+        json={"name": name},
+        headers={"Idempotency-Key": key},
+    ) as response:
+        return response.status, await response.json()
+
+
+async def test_resends_to_any_entry_get_the_recorded_answer(
+    system: local.LocalSystem,
+) -> None:
+    prefix = (await locate(system, 1))["key_prefix"]
+    for key, name, served_at_least in ((prefix, "a", 12), ("own-", "b", 5)):
+        answers = await asyncio.gather(
+            *(book(system, key + "1", name, index % 4) for index in range(8))
+        )
+        answers += [await book(system, key + "1", name, n) for n in range(4)]
+        served = [answer for answer in answers if answer[0] == 201]
+        assert len(served) >= served_at_least
+        assert all(answer == served[0] for answer in served)
+        outcomes = {answer[1].get("outcome") for answer in answers}
+        assert outcomes <= {None, "unknown"}
+        assert system.service.runs[name] == 1
+
+
+async def test_lost_reply_is_unknown_and_never_run_again(
+    system: local.LocalSystem,
+) -> None:
+    prefix = (await locate(system, 0))["key_prefix"]
+    for key, name in ((prefix, "a"), ("own-", "b")):
+        system.service.faults.faults = dataclasses.replace(
+            system.service.faults.faults, lose_replies=1
+        )
+        for index in (0, 0, 1, 2):
+            status, body = await book(system, key + "1", name, index)
+            assert status == 502 and body["outcome"] == "unknown"
+            await asyncio.sleep(0.05)
+        assert system.service.runs[name] == 1
+
+
+async def test_outage_of_the_key_value_service_stops_only_other_keys(
+    system: local.LocalSystem,
+) -> None:
+    system.key_value.faults.faults = dataclasses.replace(
+        system.key_value.faults.faults, down=True
+    )
+    prefix = (await locate(system, 1))["key_prefix"]
+    status, _ = await book(system, prefix + "1", "a", 0)
+    assert status == 201
+    status, body = await book(system, "own-1", "b", 0)
+    assert status == 503 and body["code"] == "key_value_unavailable"
+    assert system.service.runs == {"a": 1}
+
+
+async def test_planned_stop_hands_records_over(
+    system: local.LocalSystem,
+) -> None:
+    prefix = (await locate(system, 1))["key_prefix"]
+    booked = await book(system, prefix + "1", "a", 0)
+    open_request = asyncio.create_task(complete(system, "a prompt", 1))
+    await asyncio.sleep(0.02)
+    stopping = list_entries(system)[1]
+    system.daemons.remove(stopping)
+    await stopping.stop()
+    read_text(await open_request)
+    for index in (0, 2, 3):
+        assert await book(system, prefix + "1", "a", index) == booked
+        status, body = await book(system, prefix + "2", "b", index)
+        assert (status, body["code"]) == (409, "owner_left")
+        assert body["outcome"] == "not_run"
+    assert system.service.runs == {"a": 1}
+
+
+async def test_key_of_a_dead_entry_is_unknown(
+    system: local.LocalSystem,
+) -> None:
+    prefix = (await locate(system, 1))["key_prefix"]
+    await book(system, prefix + "1", "a", 0)
+    await list_entries(system)[1].server.stop()
+    status, body = await book(system, prefix + "1", "a", 0)
+    assert (status, body["code"]) == (502, "owner_gone")
+    assert body["outcome"] == "unknown"
+    assert system.service.runs == {"a": 1}
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,87 @@
+"""Requests that crash upstreams are found and refused; others are served."""
+
+import datetime
+
+import pytest
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import errors
+from cicadahook.core import quarantine
+from cicadahook.core import view
+
+MODE = quarantine.QuarantineMode(max_suspects=3)
+HOLD = datetime.timedelta(seconds=10)
+
+
+@pytest.fixture
+def desk(clock: clock_lib.ManualClock) -> quarantine.Quarantine:
+    """Return an empty quarantine."""
+    return quarantine.Quarantine(MODE, clock)
+
+
+def read_code(desk: quarantine.Quarantine, fingerprint: str) -> str:
+    """Return how a request stands, or the code of its refusal."""
+    try:
+        return desk.check(fingerprint).value
+    except errors.RefusalError as refusal:
+        assert refusal.outcome is errors.Outcome.NOT_RUN
+        return refusal.code
+
+
+def test_second_death_quarantines(desk: quarantine.Quarantine) -> None:
+    assert read_code(desk, "f") == "clear"
+    desk.note_death("f", "u1/a")
+    assert read_code(desk, "f") == "trial"
+    desk.note_death("f", "u1/a")
+    assert read_code(desk, "f") == "trial"
+    desk.merge((view.Suspect("f", ("u2/a",), desk.clock.now()),))
+    assert read_code(desk, "f") == "quarantined"
+    assert read_code(desk, "g") == "clear"
+
+
+def test_suspect_is_tried_once_at_a_time_over_entries(
+    desk: quarantine.Quarantine, clock: clock_lib.ManualClock
+) -> None:
+    ours = quarantine.Trial("f", "u2")
+    assert desk.begin_trial(ours)
+    for theirs in (ours, quarantine.Trial("f", "u3")):
+        assert not desk.grant_hold(theirs, "entry2", HOLD)
+    desk.end_trial(ours)
+    assert desk.grant_hold(ours, "entry2", HOLD)
+    assert not desk.grant_hold(ours, "entry3", HOLD)
+    desk.release_hold(ours, "entry3")
+    assert not desk.begin_trial(ours)
+    clock.advance(HOLD)
+    assert desk.begin_trial(ours)
+
+
+def test_suspects_share_no_upstream(desk: quarantine.Quarantine) -> None:
+    assert desk.begin_trial(quarantine.Trial("f", "u2"))
+    same_place = quarantine.Trial("g", "u2")
+    assert not desk.begin_trial(same_place)
+    assert not desk.grant_hold(same_place, "entry2", HOLD)
+    assert desk.begin_trial(quarantine.Trial("g", "u3"))
+
+
+def test_served_suspect_is_cleared_for_good(
+    desk: quarantine.Quarantine,
+) -> None:
+    desk.note_death("f", "u1/a")
+    desk.clear("f")
+    late = view.Suspect("f", ("u1/a",), desk.clock.now())
+    desk.merge((late,))
+    assert read_code(desk, "f") == "clear"
+    desk.note_death("f", "u2/a")
+    assert read_code(desk, "f") == "trial"
+
+
+def test_suspects_expire_and_are_bounded(
+    desk: quarantine.Quarantine, clock: clock_lib.ManualClock
+) -> None:
+    for number in range(MODE.max_suspects + 1):
+        desk.note_death(f"f{number}", "u1/a")
+        clock.advance(datetime.timedelta(seconds=1))
+    kept = {suspect.fingerprint for suspect in desk.list_suspects()}
+    assert kept == {"f1", "f2", "f3"}
+    clock.advance(MODE.expiry)
+    assert not desk.list_suspects()
