--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -188,6 +188,7 @@
     def wake_at(self, now: datetime.datetime) -> datetime.datetime | None:
         """Return None: nothing ever waits."""
         del now
+        return None
 
 
 class Simulation:
