--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,10 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 SOURCES := src tests benchmarks
+SECONDS ?= 60
+SEED ?= 1
 
-.PHONY: run test lint format lock clean
+.PHONY: run test lint format fuzz soak lock clean
 
 $(STAMP): pyproject.toml requirements.lock
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -27,6 +29,12 @@
 format: $(STAMP)
 	$(BIN)/pyink -q $(SOURCES)
 
+fuzz: $(STAMP)
+	$(BIN)/python tests/fuzz.py --seconds $(SECONDS)
+
+soak: $(STAMP)
+	$(BIN)/python tests/soak/run.py --seconds $(SECONDS) --seed $(SEED)
+
 lock: $(STAMP)
 	$(BIN)/python -m pip freeze --exclude-editable > requirements.lock
 
