Look below the lowest seen level when it already gives full throughput

Cause: an entry that started under overload never saw its upstreams below their knee and settled at a limit of 25 where the knee is 16. Also take the knee itself as the limit and spend slots on requests with a chance of 0.65 or more while others wait.

--- a/src/cicadahook/core/admitter.py
+++ b/src/cicadahook/core/admitter.py
@@ -18,7 +18,7 @@
 from cicadahook.core import view as view_lib
 
 MIN_CHANCE: Final = 0.1
-MIN_BUSY_CHANCE: Final = 0.5
+MIN_BUSY_CHANCE: Final = 0.65
 MIN_QUEUE_CHANCE: Final = 0.4
 MIN_PACE_TOKENS: Final = 4
 MIN_PACE_SECONDS: Final = 1e-6
--- a/src/cicadahook/core/limits.py
+++ b/src/cicadahook/core/limits.py
@@ -11,8 +11,10 @@
 MAX_BUCKET_SAMPLES: Final = 40
 BUCKET_LIFE: Final = datetime.timedelta(minutes=10)
 GROWTH: Final = 1.5
-HEADROOM: Final = 1.1
+HEADROOM: Final = 1.0
 SATURATED_RATIO: Final = 1.15
+FULL_SHARE: Final = 0.9
+DESCENT: Final = 0.8
 PACE_GAIN: Final = 0.1
 TRUST_LIFE_SECONDS: Final = 20.0
 
@@ -108,7 +110,12 @@
             self.limit = max(self.limit, GROWTH * fullest.in_flight)
             self.knee = self.limit
             return
-        self.knee = base * max(bucket.throughput for bucket in known)
+        greatest = max(bucket.throughput for bucket in known)
+        lowest = min(known, key=lambda bucket: bucket.in_flight)
+        if lowest.throughput >= FULL_SHARE * greatest:
+            # All samples were taken beyond the knee, so look further down.
+            base *= DESCENT
+        self.knee = base * greatest
         self.limit = max(1.0, HEADROOM * self.knee)
 
     def _update_pace(self, in_flight: float, pace: float) -> None:
--- a/src/cicadahook/core/loads.py
+++ b/src/cicadahook/core/loads.py
@@ -4,11 +4,14 @@
 import dataclasses
 import datetime
 import statistics
+from typing import Final
 
 from cicadahook.core import limits
 from cicadahook.core import shares
 from cicadahook.core import view as view_lib
 
+PEER_ECHO: Final = 1.0
+
 
 @dataclasses.dataclass
 class UpstreamLoad:
@@ -52,7 +55,7 @@
         did, as they see the same figures.
         """
         sent = self.own - self.own_reported
-        peers = self.peers + sent * (entries - 1)
+        peers = self.peers + PEER_ECHO * sent * (entries - 1)
         return self.own + max(0.0, peers)
 
 
--- a/src/cicadahook/core/shares.py
+++ b/src/cicadahook/core/shares.py
@@ -7,6 +7,8 @@
 
 TURN_SECONDS: Final = 1.0
 
+GROWTH: Final = 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fleet:
@@ -56,5 +58,5 @@
     unused = whole - usage.peers - usage.own_reported
     if unused <= 0:
         return share
-    grown = usage.own_reported + unused // fleet.entries
+    grown = usage.own_reported + round(GROWTH * unused / fleet.entries)
     return max(share, grown)
