Blame no request for a death known before it began

Change: a trial lasts until all entries know of the death; known deaths of an incarnation are held against no request that began later, and no suspect is tried there.

--- a/src/cicadahook/core/quarantine.py
+++ b/src/cicadahook/core/quarantine.py
@@ -17,11 +17,13 @@
         max_deaths: upstream deaths at which a request is refused.
         expiry: how long after its last death a request is suspected.
         max_suspects: suspects held; the oldest are dropped beyond that.
+        death_expiry: how long an upstream incarnation counts as dead.
     """
 
     max_deaths: int = 2
     expiry: datetime.timedelta = datetime.timedelta(minutes=10)
     max_suspects: int = 1000
+    death_expiry: datetime.timedelta = datetime.timedelta(seconds=30)
 
 
 class Standing(enum.StrEnum):
@@ -58,6 +60,7 @@
     Attributes:
         suspects: by fingerprint.
         cleared: deaths that a suspect was cleared of by a served trial.
+        dead: upstream incarnations that died lately, and when that was known.
         trials: fingerprints and upstream addresses of the trials here.
         holds: the same of trials at other entries.
     """
@@ -67,6 +70,7 @@
         self.clock = clock
         self.suspects: dict[str, view.Suspect] = {}
         self.cleared: dict[str, frozenset[str]] = {}
+        self.dead: dict[str, datetime.datetime] = {}
         self.trials: set[str] = set()
         self.holds: dict[str, Hold] = {}
 
@@ -121,13 +125,29 @@
             self.cleared[fingerprint] = known | deaths
             del self.suspects[fingerprint]
 
-    def note_death(self, fingerprint: str, death: str) -> None:
-        """Take note that an upstream incarnation died running a request."""
+    def note_death(
+        self, fingerprint: str, death: str, began: datetime.datetime
+    ) -> bool:
+        """Take note that an upstream incarnation died running a request.
+
+        Nothing is held against a request that `began` after the death was
+        known; returns whether it is suspected of it.
+        """
+        known = self.dead.get(death)
+        if known is not None and known <= began:
+            return False
         self.merge((view.Suspect(fingerprint, (death,), self.clock.now()),))
+        return True
+
+    def is_dead(self, upstream: view.Upstream) -> bool:
+        """Whether this incarnation is known to have died."""
+        return f"{upstream.address}/{upstream.incarnation}" in self.dead
 
     def merge(self, suspects: Iterable[view.Suspect]) -> None:
         """Add what other entries know; deaths are joined."""
         for suspect in suspects:
+            for death in suspect.deaths:
+                self.dead.setdefault(death, self.clock.now())
             cleared = self.cleared.get(suspect.fingerprint, frozenset())
             known = self.suspects.get(suspect.fingerprint)
             deaths = set(suspect.deaths) - cleared
@@ -173,6 +193,9 @@
             if suspect.last_seen + self.mode.expiry <= now:
                 del self.suspects[fingerprint]
                 self.cleared.pop(fingerprint, None)
+        for death, known_since in list(self.dead.items()):
+            if known_since + self.mode.death_expiry <= now:
+                del self.dead[death]
         excess = len(self.suspects) - self.mode.max_suspects
         if excess > 0:
             oldest = sorted(
--- a/src/cicadahook/net/relay.py
+++ b/src/cicadahook/net/relay.py
@@ -150,9 +150,14 @@
         async with self.desk.enter(request, progress.row) as forbidden:
             grant = await self._acquire(progress, forbidden)
             attempt = self._attempt(progress, grant)
-            async with contextlib.aclosing(attempt) as chunks:
-                async for chunk in chunks:
-                    yield chunk
+            try:
+                async with contextlib.aclosing(attempt) as chunks:
+                    async for chunk in chunks:
+                        yield chunk
+            except attempts.AttemptError as failure:
+                # A trial goes on until it is known what became of its
+                # upstream, and all others have been told.
+                raise await self._examine(progress, grant, failure)
 
     async def _acquire(
         self, progress: Progress, forbidden: frozenset[str]
@@ -262,8 +267,6 @@
         request = progress.request
         upstream = progress.upstream
         assert upstream is not None, "an attempt failed nowhere"
-        if reason in PROBED_REASONS:
-            reason = await self._examine(progress, upstream, reason)
         self.policy.note_failure(upstream.address, reason)
         decision = self.policy.decide(
             retry.Failure(
@@ -295,10 +298,13 @@
     async def _examine(
         self,
         progress: Progress,
-        upstream: view_lib.Upstream,
-        reason: retry.Reason,
-    ) -> retry.Reason:
+        grant: admission.Grant,
+        failure: attempts.AttemptError,
+    ) -> attempts.AttemptError:
         """Probe an upstream whose connection broke; return what happened."""
+        upstream = grant.upstream
+        if failure.reason not in PROBED_REASONS:
+            return failure
         sighting = await self.connections.probe(upstream)
         is_other = (
             upstream.incarnation
@@ -307,12 +313,14 @@
         )
         if not sighting.is_alive or is_other:
             await self.connections.replace(upstream.address)
-            await self.desk.note_death(progress.request, upstream)
-            return retry.Reason.CRASHED
-        if reason is retry.Reason.SILENT:
+            await self.desk.note_death(
+                progress.request, upstream, grant.granted
+            )
+            return attempts.AttemptError(retry.Reason.CRASHED, str(failure))
+        if failure.reason is retry.Reason.SILENT:
             # The upstream lives: only the connections are dead.
             progress.patience *= 2
             await self.connections.replace(upstream.address)
         if sighting.is_leaving:
             progress.excluded |= {upstream.address}
-        return reason
+        return failure
--- a/src/cicadahook/net/suspects.py
+++ b/src/cicadahook/net/suspects.py
@@ -112,15 +112,18 @@
         )
 
     async def note_death(
-        self, request: request_lib.Request, upstream: view_lib.Upstream
+        self,
+        request: request_lib.Request,
+        upstream: view_lib.Upstream,
+        began: datetime.datetime,
     ) -> None:
         """Take note that `upstream` died running `request`; tell all."""
         death = f"{upstream.address}/{upstream.incarnation}"
-        logger.warning(
-            "Upstream %s died running request %s.", death, request.id
-        )
-        self.quarantine.note_death(request.fingerprint, death)
-        await self._tell(request.fingerprint)
+        if self.quarantine.note_death(request.fingerprint, death, began):
+            logger.warning(
+                "Upstream %s died running request %s.", death, request.id
+            )
+            await self._tell(request.fingerprint)
 
     @contextlib.asynccontextmanager
     async def enter(
@@ -188,12 +191,11 @@
     def _choose_trial(
         self, request: request_lib.Request, row: table_lib.Row
     ) -> quarantine_lib.Trial:
-        """Return a trial where the suspect has not been at a death yet."""
-        deaths = self.quarantine.list_deaths(request.fingerprint)
+        """Return a trial at an upstream that has not died lately."""
         candidates = sorted(
             upstream.address
             for upstream in self.dispatcher.view.upstreams_for(row)
-            if f"{upstream.address}/{upstream.incarnation}" not in deaths
+            if not self.quarantine.is_dead(upstream)
         )
         if not candidates:
             raise errors.RefusalError(
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,5 +1,6 @@
 """Requests that crash upstreams are found and refused; others are served."""
 
+import dataclasses
 import datetime
 
 import pytest
@@ -10,11 +11,12 @@
 from cicadahook.core import view
 
 MODE = quarantine.QuarantineMode(max_suspects=3)
+START = clock_lib.EPOCH - datetime.timedelta(seconds=1)
 HOLD = datetime.timedelta(seconds=10)
 
 
-@pytest.fixture
-def desk(clock: clock_lib.ManualClock) -> quarantine.Quarantine:
+@pytest.fixture(name="desk")
+def create_desk(clock: clock_lib.ManualClock) -> quarantine.Quarantine:
     """Return an empty quarantine."""
     return quarantine.Quarantine(MODE, clock)
 
@@ -30,15 +32,26 @@
 
 def test_second_death_quarantines(desk: quarantine.Quarantine) -> None:
     assert read_code(desk, "f") == "clear"
-    desk.note_death("f", "u1/a")
+    desk.note_death("f", "u1/a", START)
     assert read_code(desk, "f") == "trial"
-    desk.note_death("f", "u1/a")
+    desk.note_death("f", "u1/a", START)
     assert read_code(desk, "f") == "trial"
     desk.merge((view.Suspect("f", ("u2/a",), desk.clock.now()),))
     assert read_code(desk, "f") == "quarantined"
     assert read_code(desk, "g") == "clear"
 
 
+def test_request_is_not_blamed_for_an_earlier_death(
+    desk: quarantine.Quarantine,
+) -> None:
+    assert desk.note_death("f", "u1/a", START)
+    assert not desk.note_death("g", "u1/a", desk.clock.now())
+    assert read_code(desk, "g") == "clear"
+    dead = view.Upstream("u1", "", view.UpstreamKind.ENGINE, incarnation="a")
+    assert desk.is_dead(dead)
+    assert not desk.is_dead(dataclasses.replace(dead, incarnation="b"))
+
+
 def test_suspect_is_tried_once_at_a_time_over_entries(
     desk: quarantine.Quarantine, clock: clock_lib.ManualClock
 ) -> None:
@@ -66,12 +79,12 @@
 def test_served_suspect_is_cleared_for_good(
     desk: quarantine.Quarantine,
 ) -> None:
-    desk.note_death("f", "u1/a")
+    desk.note_death("f", "u1/a", START)
     desk.clear("f")
     late = view.Suspect("f", ("u1/a",), desk.clock.now())
     desk.merge((late,))
     assert read_code(desk, "f") == "clear"
-    desk.note_death("f", "u2/a")
+    desk.note_death("f", "u2/a", START)
     assert read_code(desk, "f") == "trial"
 
 
@@ -79,7 +92,7 @@
     desk: quarantine.Quarantine, clock: clock_lib.ManualClock
 ) -> None:
     for number in range(MODE.max_suspects + 1):
-        desk.note_death(f"f{number}", "u1/a")
+        desk.note_death(f"f{number}", "u1/a", START)
         clock.advance(datetime.timedelta(seconds=1))
     kept = {suspect.fingerprint for suspect in desk.list_suspects()}
     assert kept == {"f1", "f2", "f3"}
