--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -93,6 +93,7 @@
             mode.peer_key,
             self.random,
         )
+        self.policy = retry.RetryPolicy(retry.RetryMode(), clock, self.random)
         self.connections = connections.Connections(fresh_session)
         self.relay = relay.Relay(
             mode.name,
@@ -103,7 +104,7 @@
                 attempts.UpstreamCaller(
                     self.connections, attempts.ProgressMode()
                 ),
-                retry.RetryPolicy(retry.RetryMode(), clock, self.random),
+                self.policy,
                 self.desk,
             ),
         )
@@ -118,7 +119,12 @@
             clock,
         )
         self.services = services.ServicesApi(
-            clock, self.dispatcher, fresh_session, self.once, self.peers
+            mode.name,
+            clock,
+            self.dispatcher,
+            services.ServiceParts(
+                fresh_session, self.once, self.peers, self.policy
+            ),
         )
         self.is_draining = False
         self.is_closing = False
--- a/src/cicadahook/net/services.py
+++ b/src/cicadahook/net/services.py
@@ -1,7 +1,9 @@
 """Plain services: calls that may have to run at most once."""
 
+import asyncio
 import dataclasses
 import datetime
+import itertools
 from typing import Final
 
 import aiohttp
@@ -13,11 +15,13 @@
 from cicadahook.core import errors
 from cicadahook.core import idempotency
 from cicadahook.core import request as request_lib
+from cicadahook.core import retry
 from cicadahook.core import table as table_lib
 from cicadahook.net import attempts
 from cicadahook.net import dispatch
 from cicadahook.net import headers
 from cicadahook.net import logs
+from cicadahook.net import metrics
 from cicadahook.net import once as once_lib
 from cicadahook.net import peers as peers_lib
 
@@ -56,22 +60,40 @@
         return "/" + self.target.split("/", PREFIX_PARTS)[PREFIX_PARTS]
 
 
+@dataclasses.dataclass(frozen=True)
+class ServiceParts:
+    """What calls of services are made with.
+
+    Attributes:
+        session: opens a new connection for each call.
+        once: runs non-idempotent calls.
+        peers: reaches other entries.
+        policy: decides on retries.
+    """
+
+    session: aiohttp.ClientSession
+    once: once_lib.OnceRunner
+    peers: peers_lib.PeerClient
+    policy: retry.RetryPolicy
+
+
 class ServicesApi:
     """Routes calls to plain services; answers resends as recorded."""
 
     def __init__(
         self,
+        name: str,
         clock: clock_lib.Clock,
         dispatcher: dispatch.Dispatcher,
-        session: aiohttp.ClientSession,
-        once: once_lib.OnceRunner,
-        peers: peers_lib.PeerClient,
+        parts: ServiceParts,
     ) -> None:
+        self.name = name
         self.clock = clock
         self.dispatcher = dispatcher
-        self.session = session
-        self.once = once
-        self.peers = peers
+        self.session = parts.session
+        self.once = parts.once
+        self.peers = parts.peers
+        self.policy = parts.policy
 
     def install(self, app: web.Application) -> None:
         """Add the routes to `app`."""
@@ -161,33 +183,100 @@
         return answer.respond(call.request.id)
 
     async def _attempt(self, call: ServiceCall) -> idempotency.Answer:
-        """Make one attempt at the service."""
+        """Call the service, again only where that is safe."""
         if call.row is None:
             raise errors.RefusalError(
                 "unknown_service",
                 f"service {call.request.row!r} is unknown",
                 404,
             )
-        grant = await self.dispatcher.acquire(call.request, call.row)
+        self.policy.note_request()
+        excluded: frozenset[str] = frozenset()
+        is_sent = False
+        for number in itertools.count(1):
+            try:
+                grant = await self._acquire(call.request, call.row, excluded)
+            except errors.RefusalError as refusal:
+                if is_sent:
+                    refusal.outcome = errors.Outcome.UNKNOWN
+                raise
+            try:
+                return await self._attempt_once(call, grant)
+            except attempts.AttemptError as failure:
+                logger.warning("Request %s: %s.", call.request.id, failure)
+                is_sent |= failure.reason not in retry.NOT_RUN_REASONS
+                address = grant.upstream.address
+                excluded |= {address}
+                await self._prepare_retry(
+                    call.request, failure.reason, address, number, is_sent
+                )
+        raise AssertionError("attempts are counted without end")
+
+    async def _acquire(
+        self,
+        request: request_lib.Request,
+        row: table_lib.Row,
+        excluded: frozenset[str],
+    ) -> admission.Grant:
+        """Return a grant, at upstreams without recent failures if possible."""
+        everywhere = {
+            upstream.address
+            for upstream in self.dispatcher.view.upstreams_for(row)
+        }
+        for avoided in (excluded | self.policy.list_ejected(), excluded):
+            if everywhere - avoided:
+                return await self.dispatcher.acquire(request, row, avoided)
+        return await self.dispatcher.acquire(request, row)
+
+    async def _prepare_retry(
+        self,
+        request: request_lib.Request,
+        reason: retry.Reason,
+        upstream: str,
+        number: int,
+        is_sent: bool,
+    ) -> None:
+        """Wait until the next attempt, or raise if there is none."""
+        self.policy.note_failure(upstream, reason)
+        left = request.deadline - self.clock.now()
+        decision = self.policy.decide(
+            retry.Failure(reason, upstream, request.is_idempotent, number, left)
+        )
+        if isinstance(decision, retry.GiveUp):
+            raise errors.RefusalError(
+                decision.value,
+                f"the service gave no answer; the last failure: {reason.value}",
+                502,
+                (errors.Outcome.UNKNOWN if is_sent else errors.Outcome.NOT_RUN),
+                retry_after=idempotency.RETRY_AFTER,
+            )
+        metrics.count_retry(reason.value, self.name)
+        await asyncio.sleep(decision.delay.total_seconds())
+
+    async def _attempt_once(
+        self, call: ServiceCall, grant: admission.Grant
+    ) -> idempotency.Answer:
+        """Make one attempt, which ends with `grant`."""
         end = admission.AttemptEnd.FAILED
         try:
             answer = await self._send(call, grant)
             end = admission.AttemptEnd.SERVED
+            self.policy.note_success(grant.upstream.address)
             return answer
         except attempts.NOT_SENT_ERRORS as error:
-            logger.warning("Service not reached: %s.", error)
-            raise errors.RefusalError(
-                "upstream_unreachable",
-                "the service took no connection",
-                502,
-                errors.Outcome.NOT_RUN,
+            raise attempts.AttemptError(
+                retry.Reason.UNREACHABLE, f"{error!r}"
             ) from error
-        except (aiohttp.ClientError, TimeoutError) as error:
-            logger.warning("Service call broke off: %r.", error)
+        except aiohttp.ClientError as error:
+            raise attempts.AttemptError(
+                retry.Reason.CUT, f"{error!r}"
+            ) from error
+        except TimeoutError as error:
+            end = admission.AttemptEnd.TIMED_OUT
             raise errors.RefusalError(
-                "upstream_failed",
-                "the service did not answer",
-                502,
+                "deadline_passed",
+                "the deadline passed before the service answered",
+                504,
                 errors.Outcome.UNKNOWN,
             ) from error
         finally:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,6 +1,7 @@
 """Real entries and stand-ins: cuts, silence, crashes, lost replies, stops."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 from typing import Any
 
@@ -113,6 +114,40 @@
         assert read_text(answer) == wanted
 
 
+async def test_leaving_upstream_gets_no_new_work(
+    system: local.LocalSystem,
+) -> None:
+    leaving = system.engines[0]
+    leaving.is_leaving = True
+    await wait_until(
+        lambda: all(
+            part.entry.view.upstreams[0].state == "leaving"
+            for part in list_entries(system)
+        )
+    )
+    before = leaving.completions
+    for number in range(8):
+        read_text(await complete(system, f"prompt {number}", number % 4))
+    assert leaving.completions == before
+
+
+async def test_work_is_cancelled_when_the_caller_leaves(
+    system: local.LocalSystem,
+) -> None:
+    call = asyncio.create_task(complete(system, "a prompt"))
+    batches = [part.batch for part in system.engines]
+    await wait_until(lambda: any(batch.in_flight for batch in batches))
+    call.cancel()
+    await wait_until(lambda: not any(batch.in_flight for batch in batches))
+    assert not any(part.completions for part in system.engines)
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait until `condition` holds; the test's timeout ends it."""
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
 async def locate(system: local.LocalSystem, index: int) -> dict[str, Any]:
     """Return an address answer."""
     url = f"{entry_url(system, index)}/v1/locate"
