--- a/src/cicadahook/programs/local.py
+++ b/src/cicadahook/programs/local.py
@@ -143,6 +143,8 @@
             key_value=self._address(KEY_VALUE_OFFSET),
             vm_list=self._address(VM_LIST_OFFSET),
             operator_token=self.operator_token,
+            loads_per_second=20.0,
+            active_loads=4,
         )
         return control.ControlDaemon(settings, self.session)
 
