--- /dev/null
+++ b/src/cicadahook/core/membership.py
@@ -0,0 +1,584 @@
+"""Which entry VMs are alive: probes, suspicion and gossip (SWIM)."""
+
+from collections.abc import Iterable, Iterator
+import dataclasses
+import datetime
+import enum
+import math
+import random
+from typing import Final
+
+from cicadahook.core import gossip
+from cicadahook.core import view
+
+ZERO: Final = datetime.timedelta()
+
+
+class MessageKind(enum.StrEnum):
+    """What a message asks or tells.
+
+    JOIN asks for all members; they come in SYNC, which is not spread on.
+    """
+
+    JOIN = "join"
+    PING = "ping"
+    PING_REQUEST = "ping_request"
+    ACK = "ack"
+    NEWS = "news"
+    SYNC = "sync"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """Table generation that a member said it has in force."""
+
+    name: str
+    incarnation: int
+    generation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Message:
+    """A message between two members.
+
+    Attributes:
+        kind: what it asks or tells.
+        sender: its sender, as the sender sees itself.
+        number: number of the probe that it belongs to.
+        target: name of the member that is probed; empty means whoever is at
+            the address.
+        address: for a ping request, where the target listens.
+        updates: news of some members.
+        progress: table generations of some members.
+        newest: table generation that the sender can hand out.
+    """
+
+    kind: MessageKind
+    sender: view.Member
+    number: int = 0
+    target: str = ""
+    address: str = ""
+    updates: tuple[view.Member, ...] = ()
+    progress: tuple[Progress, ...] = ()
+    newest: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """A message to send to `address`."""
+
+    address: str
+    message: Message
+
+
+@dataclasses.dataclass(frozen=True)
+class MembershipMode:
+    """Settings of the membership.
+
+    Attributes:
+        probe_interval: time between two probes of a member.
+        ack_timeout: time after which others are asked to probe.
+        probe_timeout: time after which a silent member is suspected.
+        suspicion: time for a suspected member to answer, in a fleet of up to
+            ten; it grows with the logarithm of the fleet.
+        joining: time after the start in which any member may be asked for
+            all members.
+        joining_interval: time between two joins after the start.
+        seed_interval: time between two joins later, by a seed or a dead
+            member.
+        sync_interval: time between two samples sent to a random member.
+        dead_retention: how long a dead member is remembered.
+        helpers: members asked to probe a silent one.
+        updates_limit: news of members that fit in a message.
+        progress_limit: table generations that fit in a message.
+        retransmit: times that news is sent per logarithm of the fleet.
+    """
+
+    probe_interval: datetime.timedelta = datetime.timedelta(seconds=0.5)
+    ack_timeout: datetime.timedelta = datetime.timedelta(seconds=0.25)
+    probe_timeout: datetime.timedelta = datetime.timedelta(seconds=0.8)
+    suspicion: datetime.timedelta = datetime.timedelta(seconds=1.5)
+    joining: datetime.timedelta = datetime.timedelta(seconds=10)
+    joining_interval: datetime.timedelta = datetime.timedelta(seconds=1)
+    seed_interval: datetime.timedelta = datetime.timedelta(seconds=2)
+    sync_interval: datetime.timedelta = datetime.timedelta(seconds=2)
+    dead_retention: datetime.timedelta = datetime.timedelta(minutes=10)
+    helpers: int = 3
+    updates_limit: int = 6
+    progress_limit: int = 16
+    retransmit: int = 3
+
+
+@dataclasses.dataclass
+class Probe:
+    """A probe that was not answered yet."""
+
+    target: view.Member
+    started: datetime.datetime
+    is_forwarded: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Relay:
+    """A probe made for another member."""
+
+    address: str
+    number: int
+    expires: datetime.datetime
+
+
+@dataclasses.dataclass
+class Schedule:
+    """When the next probe, join and sample are due, and the joining ends."""
+
+    probe: datetime.datetime
+    seed: datetime.datetime
+    sync: datetime.datetime
+    joined: datetime.datetime
+
+
+class Membership:
+    """What one member believes of all; takes messages, returns messages.
+
+    Attributes:
+        own: this member, as told to the others.
+        members: all members known, dead ones too, by name.
+        seeds: addresses to join by.
+        newest: table generation that this member can hand out.
+        highest: highest generation that any other member can hand out.
+        source: address of a member that can hand out `highest`.
+        changes: counts the changes of `members`.
+    """
+
+    def __init__(
+        self,
+        own: view.Member,
+        mode: MembershipMode,
+        rng: random.Random,
+        now: datetime.datetime,
+    ) -> None:
+        self.mode = mode
+        self.rng = rng
+        # A restarted member must win over news of its former life.
+        incarnation = int(now.timestamp() * 1000)
+        self.own = dataclasses.replace(own, incarnation=incarnation)
+        self.members = {own.name: self.own}
+        self.seeds: tuple[str, ...] = ()
+        self.newest = 0
+        self.highest = 0
+        self.source = ""
+        self.changes = 0
+        self.updates: gossip.BroadcastQueue[view.Member] = (
+            gossip.BroadcastQueue()
+        )
+        self.progress: gossip.BroadcastQueue[Progress] = gossip.BroadcastQueue()
+        self.probes: dict[int, Probe] = {}
+        self.relays: dict[int, Relay] = {}
+        self.suspected: dict[str, datetime.datetime] = {}
+        self.died: dict[str, datetime.datetime] = {}
+        self.order: list[str] = []
+        self.probe_count = 0
+        self.last_tick = now
+        self.due = Schedule(
+            now, now, now + mode.sync_interval, now + mode.joining
+        )
+        self.updates.add(self.own.name, self.own)
+
+    def tick(self, now: datetime.datetime) -> tuple[Send, ...]:
+        """Do what is due; to be called several times a second."""
+        is_late = now - self.last_tick > self.mode.probe_timeout
+        self.last_tick = now
+        if is_late:
+            self._forgive(now)
+        return tuple(self._tick(now))
+
+    def take(
+        self, message: Message, address: str, now: datetime.datetime
+    ) -> tuple[Send, ...]:
+        """Take a message that came from `address`; return the answers."""
+        self._learn(message.sender, now)
+        if message.newest > self.highest:
+            self.highest = message.newest
+            self.source = message.sender.control
+        is_spread = message.kind is not MessageKind.SYNC
+        for member in message.updates:
+            self._learn(member, now, is_spread)
+        for progress in message.progress:
+            self._learn_progress(progress)
+        return tuple(self._answer(message, address, now))
+
+    def set_own(
+        self,
+        state: view.MemberState | None = None,
+        generation: int | None = None,
+    ) -> None:
+        """Tell the others a new state or table generation of this member."""
+        if state is not None and state is not self.own.state:
+            self._renew(state, self.own.incarnation + 1)
+        if generation is not None and generation != self.own.generation:
+            self.own = dataclasses.replace(self.own, generation=generation)
+            self._store(self.own)
+            self._spread_progress(self.own)
+
+    def set_newest(self, generation: int) -> tuple[Send, ...]:
+        """Tell a few members at once that a table can be handed out."""
+        self.newest = generation
+        return self._tell(self.mode.helpers)
+
+    def set_seeds(self, seeds: Iterable[str], now: datetime.datetime) -> None:
+        """Take the addresses to join by; join at the next tick."""
+        found = tuple(sorted(set(seeds)))
+        if found != self.seeds:
+            self.seeds = found
+            self.due.seed = now
+
+    def leave(self) -> tuple[Send, ...]:
+        """Return the messages that tell some members of a planned leave."""
+        self._renew(view.MemberState.DEAD, self.own.incarnation + 1)
+        return self._tell(2 * self.mode.helpers)
+
+    def _tell(self, limit: int) -> tuple[Send, ...]:
+        """Return messages with the freshest news to some members."""
+        live = self.find_live()
+        count = min(len(live), limit)
+        return tuple(
+            self._send(member.control, MessageKind.NEWS)
+            for member in self.rng.sample(live, count)
+        )
+
+    def find_live(self) -> list[view.Member]:
+        """Return all other members that are not dead, by name."""
+        return [
+            member
+            for name, member in sorted(self.members.items())
+            if member.state is not view.MemberState.DEAD
+            and name != self.own.name
+        ]
+
+    def _tick(self, now: datetime.datetime) -> Iterator[Send]:
+        yield from self._follow_probes(now)
+        self._judge_suspects(now)
+        self._forget_dead(now)
+        if now >= self.due.probe:
+            self.due.probe = now + self.mode.probe_interval
+            yield from self._probe_next(now)
+        if now >= self.due.seed:
+            is_joining = now < self.due.joined
+            self.due.seed = now + (
+                self.mode.joining_interval
+                if is_joining
+                else self.mode.seed_interval
+            )
+            yield from self._join(now)
+        if now >= self.due.sync:
+            self.due.sync = now + self.mode.sync_interval
+            yield from self._send_sample()
+
+    def _forgive(self, now: datetime.datetime) -> None:
+        """Drop what was due while this process was paused.
+
+        Answers that came meanwhile were not read, so silence proves nothing.
+        """
+        self.probes.clear()
+        self.suspected = dict.fromkeys(self.suspected, now)
+
+    def _follow_probes(self, now: datetime.datetime) -> Iterator[Send]:
+        """Ask helpers about silent members, then suspect them."""
+        for number, probe in list(self.probes.items()):
+            waited = now - probe.started
+            if waited >= self.mode.probe_timeout:
+                del self.probes[number]
+                self._suspect(probe.target, now)
+            elif waited >= self.mode.ack_timeout and not probe.is_forwarded:
+                probe.is_forwarded = True
+                yield from self._ask_helpers(number, probe)
+
+    def _ask_helpers(self, number: int, probe: Probe) -> Iterator[Send]:
+        target = probe.target
+        others = [
+            member for member in self.find_live() if member.name != target.name
+        ]
+        count = min(self.mode.helpers, len(others))
+        for helper in self.rng.sample(others, count):
+            yield self._send(
+                helper.control,
+                MessageKind.PING_REQUEST,
+                number,
+                target.name,
+                target.control,
+            )
+        yield self._send(target.control, MessageKind.PING, number, target.name)
+
+    def _suspect(self, target: view.Member, now: datetime.datetime) -> None:
+        """Suspect a silent member unless there is newer news of it."""
+        known = self.members.get(target.name)
+        if known is None or known.incarnation != target.incarnation:
+            return
+        if known.state is view.MemberState.ALIVE:
+            self._learn(
+                dataclasses.replace(known, state=view.MemberState.SUSPECT), now
+            )
+        if known.state is view.MemberState.LEAVING:
+            self.suspected.setdefault(known.name, now)
+
+    def _judge_suspects(self, now: datetime.datetime) -> None:
+        """Declare dead the members that did not refute a suspicion."""
+        scale = max(1.0, math.log10(len(self.members)))
+        patience = self.mode.suspicion * scale
+        for name, since in list(self.suspected.items()):
+            if now - since >= patience:
+                member = self.members[name]
+                self._learn(
+                    dataclasses.replace(member, state=view.MemberState.DEAD),
+                    now,
+                )
+
+    def _forget_dead(self, now: datetime.datetime) -> None:
+        for name, since in list(self.died.items()):
+            if now - since >= self.mode.dead_retention:
+                del self.died[name]
+                del self.members[name]
+                self.changes += 1
+                self.updates.remove(name)
+                self.progress.remove(name)
+
+    def _probe_next(self, now: datetime.datetime) -> Iterator[Send]:
+        """Probe the next member of a random order that covers all."""
+        while self.order:
+            member = self.members.get(self.order.pop())
+            if member is None or member.state is view.MemberState.DEAD:
+                continue
+            self.probe_count += 1
+            self.probes[self.probe_count] = Probe(member, now)
+            yield self._send(
+                member.control,
+                MessageKind.PING,
+                self.probe_count,
+                member.name,
+                also=member,
+            )
+            return
+        self.order = [member.name for member in self.find_live()]
+        self.rng.shuffle(self.order)
+        if self.order:
+            yield from self._probe_next(now)
+
+    def _join(self, now: datetime.datetime) -> Iterator[Send]:
+        """Ask a seed, or a dead member, so that parted groups meet again.
+
+        A member that has just started asks living ones too.
+        """
+        live = {member.control for member in self.find_live()}
+        dead = {
+            self.members[name].control: self.members[name] for name in self.died
+        }
+        addresses = {*dead, *self.seeds} - live
+        if now < self.due.joined:
+            addresses |= live
+        addresses.discard(self.own.control)
+        if addresses:
+            address = self.rng.choice(sorted(addresses))
+            yield self._send(address, MessageKind.JOIN, also=dead.get(address))
+
+    def _send_sample(self) -> Iterator[Send]:
+        """Send some members to a random one, in case that news was lost."""
+        live = self.find_live()
+        if not live:
+            return
+        known = sorted(self.members.values(), key=lambda member: member.name)
+        count = min(self.mode.updates_limit, len(known))
+        yield Send(
+            self.rng.choice(live).control,
+            Message(
+                MessageKind.SYNC,
+                self.own,
+                updates=tuple(self.rng.sample(known, count)),
+                newest=self.newest,
+            ),
+        )
+
+    def _introduce(self, address: str) -> Iterator[Send]:
+        """Send all members to a new one."""
+        known = tuple(self.members.values())
+        limit = self.mode.updates_limit
+        for start in range(0, len(known), limit):
+            updates = known[start : start + limit]
+            message = Message(
+                MessageKind.SYNC,
+                self.own,
+                updates=updates,
+                newest=self.newest,
+            )
+            yield Send(address, message)
+
+    def _answer(
+        self, message: Message, address: str, now: datetime.datetime
+    ) -> Iterator[Send]:
+        if message.kind is MessageKind.JOIN:
+            yield from self._introduce(address)
+        elif message.kind is MessageKind.PING:
+            if message.target in ("", self.own.name):
+                yield self._send(
+                    address,
+                    MessageKind.ACK,
+                    message.number,
+                    self.own.name,
+                    also=self.members.get(message.sender.name),
+                )
+        elif message.kind is MessageKind.PING_REQUEST:
+            yield from self._relay(message, address, now)
+        elif message.kind is MessageKind.ACK:
+            yield from self._take_ack(message, now)
+
+    def _relay(
+        self, message: Message, address: str, now: datetime.datetime
+    ) -> Iterator[Send]:
+        """Probe a member for another one."""
+        self.relays = {
+            number: relay
+            for number, relay in self.relays.items()
+            if relay.expires > now
+        }
+        self.probe_count += 1
+        self.relays[self.probe_count] = Relay(
+            address, message.number, now + self.mode.probe_timeout
+        )
+        yield self._send(
+            message.address, MessageKind.PING, self.probe_count, message.target
+        )
+
+    def _take_ack(
+        self, message: Message, now: datetime.datetime
+    ) -> Iterator[Send]:
+        """Note that a probed member answered, or pass its answer on."""
+        relay = self.relays.pop(message.number, None)
+        if relay is not None and relay.expires > now:
+            yield self._send(
+                relay.address, MessageKind.ACK, relay.number, message.target
+            )
+            return
+        probe = self.probes.get(message.number)
+        if probe is not None and probe.target.name == message.target:
+            del self.probes[message.number]
+
+    def _learn(
+        self,
+        news: view.Member,
+        now: datetime.datetime,
+        is_spread: bool = True,
+    ) -> None:
+        """Take news of a member if it is newer than what is known."""
+        if news.name == self.own.name:
+            self._refute(news)
+            return
+        known = self.members.get(news.name)
+        if known is None and news.state is view.MemberState.DEAD:
+            return
+        if known is not None and _rank(news) <= _rank(known):
+            self._learn_progress(
+                Progress(news.name, news.incarnation, news.generation)
+            )
+            return
+        if known is not None and known.incarnation == news.incarnation:
+            generation = max(known.generation, news.generation)
+            news = dataclasses.replace(news, generation=generation)
+        self._store(news)
+        if is_spread:
+            self.updates.add(news.name, news)
+        self._note_state(news, now)
+
+    def _note_state(self, news: view.Member, now: datetime.datetime) -> None:
+        """Start or stop the timers that belong to a state."""
+        self.suspected.pop(news.name, None)
+        self.died.pop(news.name, None)
+        if news.state is view.MemberState.SUSPECT:
+            self.suspected[news.name] = now
+        elif news.state is view.MemberState.DEAD:
+            self.died[news.name] = now
+
+    def _refute(self, news: view.Member) -> None:
+        """Contradict news of this member that it did not spread itself."""
+        if _rank(news) > _rank(self.own):
+            self._renew(self.own.state, news.incarnation + 1)
+
+    def _renew(self, state: view.MemberState, incarnation: int) -> None:
+        assert incarnation > self.own.incarnation, "incarnation went back"
+        self.own = dataclasses.replace(
+            self.own, state=state, incarnation=incarnation
+        )
+        self._store(self.own)
+        self.updates.add(self.own.name, self.own)
+
+    def _learn_progress(self, progress: Progress) -> None:
+        """Take a table generation if it is newer than what is known."""
+        known = self.members.get(progress.name)
+        if known is None or progress.name == self.own.name:
+            return
+        if progress.incarnation < known.incarnation:
+            return
+        if progress.generation > known.generation:
+            newer = dataclasses.replace(known, generation=progress.generation)
+            self._store(newer)
+            self._spread_progress(newer)
+
+    def _store(self, member: view.Member) -> None:
+        self.members[member.name] = member
+        self.changes += 1
+
+    def _spread_progress(self, member: view.Member) -> None:
+        self.progress.add(
+            member.name,
+            Progress(member.name, member.incarnation, member.generation),
+        )
+
+    def _send(
+        self,
+        address: str,
+        kind: MessageKind,
+        number: int = 0,
+        target: str = "",
+        about: str = "",
+        also: view.Member | None = None,
+    ) -> Send:
+        """Return a message that carries the freshest news."""
+        sends = self.mode.retransmit * math.ceil(
+            math.log2(len(self.members) + 1)
+        )
+        updates = self.updates.take(self.mode.updates_limit, sends)
+        # A member must hear that it is suspected or dead, to refute that.
+        if also is not None and also.state is not view.MemberState.ALIVE:
+            updates = _join(updates, also)
+        return Send(
+            address,
+            Message(
+                kind,
+                self.own,
+                number,
+                target,
+                about,
+                updates,
+                self.progress.take(self.mode.progress_limit, sends),
+                self.newest,
+            ),
+        )
+
+
+def _join(
+    updates: Iterable[view.Member], member: view.Member
+) -> tuple[view.Member, ...]:
+    """Return `updates` with `member` added unless it is among them."""
+    others = (update for update in updates if update.name != member.name)
+    return (*others, member)
+
+
+_STATE_RANKS: Final = {
+    view.MemberState.ALIVE: 0,
+    view.MemberState.SUSPECT: 1,
+    view.MemberState.LEAVING: 2,
+    view.MemberState.DEAD: 3,
+}
+
+
+def _rank(member: view.Member) -> tuple[int, int]:
+    """Return what decides between two pieces of news of one member."""
+    return member.incarnation, _STATE_RANKS[member.state]
--- a/src/cicadahook/net/control.py
+++ b/src/cicadahook/net/control.py
@@ -3,12 +3,12 @@
 import asyncio
 import contextlib
 import dataclasses
-from typing import Any, Final
+import datetime
+from typing import Final
 
 import aiohttp
 from aiohttp import web
 import reactivex
-from reactivex import operators as ops
 
 from cicadahook.core import budget
 from cicadahook.core import clock as clock_lib
@@ -17,6 +17,7 @@
 from cicadahook.core import view as view_lib
 from cicadahook.net import engine
 from cicadahook.net import fleet as fleet_lib
+from cicadahook.net import gossip
 from cicadahook.net import http as http_lib
 from cicadahook.net import keyvalue
 from cicadahook.net import links
@@ -24,9 +25,14 @@
 from cicadahook.net import members
 from cicadahook.net import metrics
 from cicadahook.net import operators
+from cicadahook.net import peers
 from cicadahook.net import placer
+from cicadahook.net import reports
 from cicadahook.net import tables
 
+VIEW_PAUSE: Final = datetime.timedelta(seconds=0.1)
+LOAD_PAUSE: Final = datetime.timedelta(seconds=0.4)
+
 logger: Final = logs.create_logger("control")
 
 
@@ -39,12 +45,16 @@
         key_value: `host:port` of the key-value service.
         vm_list: `host:port` of the VM list.
         placement: how copies are placed.
+        cluster_key: key shared by all controls.
+        peers: addresses of controls to join by.
     """
 
     own: view_lib.Member
     key_value: str
     vm_list: str
     placement: placement.PlacementMode
+    cluster_key: str = ""
+    peers: tuple[str, ...] = ()
 
 
 class Control:
@@ -58,7 +68,9 @@
     ) -> None:
         self.mode = mode
         self.clock = clock
-        client = keyvalue.KeyValueClient(mode.key_value, session)
+        client = keyvalue.KeyValueClient(
+            mode.key_value, session, gate=keyvalue.Gate(clock)
+        )
         self.store = tables.TableStore(
             client.for_caller("table", budget.Priority.HIGH),
             mode.own.name,
@@ -66,32 +78,49 @@
         )
         self.tables = self.store.tables
         self.fleet = fleet_lib.FleetWatcher(mode.vm_list, session)
-        self.registry = members.MemberRegistry(client, mode.own)
-        self.links = links.LinkServer(self.take_report)
+        self.registry = members.MemberRegistry(
+            client.for_caller("members"), mode.own
+        )
+        self.gossip = gossip.GossipEndpoint(mode.own, mode.cluster_key, clock)
+        self.peers = peers.PeerApi(self.store, self.gossip.sealer, session)
+        self.reports = reports.ReportDesk(mode.own.entry, self.gossip, clock)
+        self.links = links.LinkServer(self.reports.take, self._adapt_view)
         self.placer = placer.Placer(
-            mode.own.name, client, engine.EngineClient(session), mode.placement
+            mode.own.name,
+            client.for_caller("placement"),
+            engine.EngineClient(session),
+            mode.placement,
         )
         self.view_count = 0
+        self.fresh = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
         self._connect()
 
     def create_app(self) -> web.Application:
-        """Return the application for entries and operators."""
+        """Return the application for entries, operators and peers."""
         app = http_lib.create_app()
         app.router.add_get("/healthz", self.check_health)
         app.router.add_get("/readyz", self.check_ready)
         app.router.add_get("/metrics", metrics.show)
         app.router.add_get(links.LINK_PATH, self.links.serve)
+        self.peers.install(app)
         operators.OperatorsApi(self.store, self.links).install(app)
+        install = getattr(self.placer, "install", None)
+        if install is not None:
+            install(app)
         return app
 
     def _connect(self) -> None:
-        """Derive views from the flows of tables, upstreams and members."""
-        reactivex.combine_latest(
-            self.tables, self.fleet.fleets, self.registry.members
-        ).pipe(ops.map(self._create_view)).subscribe(self.links.views)
+        """Let each flow of changing state reach the parts that use it."""
+        self.store.fetch_from_peer = self.peers.fetch
         self.tables.subscribe(self._give_table)
         self.fleet.fleets.subscribe(self._give_fleet)
+        self.registry.seeds.subscribe(
+            lambda seeds: self.gossip.set_seeds((*seeds, *self.mode.peers))
+        )
+        reactivex.combine_latest(
+            self.tables, self.fleet.fleets, self.gossip.members
+        ).subscribe(lambda _: self.fresh.set())
 
     def _give_table(self, table: table_lib.Table) -> None:
         self.placer.table = table
@@ -99,36 +128,77 @@
     def _give_fleet(self, fleet: fleet_lib.Fleet) -> None:
         self.placer.fleet = fleet
 
-    def _create_view(self, parts: Any) -> view_lib.View:
-        """Return the next view."""
-        table, fleet, known = parts
-        self.view_count += 1
+    def _adapt_view(self, newest: view_lib.View, entry: str) -> view_lib.View:
+        """Return `newest` without what `entry` itself reported."""
+        book = self.gossip.book
+        return dataclasses.replace(
+            newest,
+            peer_loads=book.sum_upstreams(entry),
+            peer_row_loads=book.sum_rows(entry),
+        )
+
+    async def _publish_views(self) -> None:
+        """Publish a view soon after each change, and loads now and then."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LOAD_PAUSE.total_seconds()):
+                    await self.fresh.wait()
+            self.fresh.clear()
+            self._exchange_state()
+            new = self._create_view()
+            if dataclasses.replace(new, number=self.view_count) != (
+                self.links.views.value
+            ):
+                self.view_count += 1
+                self.links.views.on_next(
+                    dataclasses.replace(new, number=self.view_count)
+                )
+            await asyncio.sleep(VIEW_PAUSE.total_seconds())
+
+    def _exchange_state(self) -> None:
+        """Pass generations, states and demand between the parts."""
+        generation = self.tables.value.generation
+        self.gossip.set_generations(
+            generation, self.reports.generation_in_force(generation)
+        )
+        self.gossip.set_state(self.reports.state())
+        self.store.peers = self.gossip.find_peers()
+        self.store.highest = self.gossip.membership.highest
+        self.store.source = self.gossip.membership.source
+        take_demand = getattr(self.placer, "take_demand", None)
+        if take_demand is not None:
+            take_demand(self.gossip.book.rates())
+
+    def _create_view(self) -> view_lib.View:
+        """Return what is known now, with the loads of all entries."""
+        fleet = self.fleet.fleets.value
         return view_lib.View(
             control=self.mode.own.name,
-            number=self.view_count,
-            table=table,
+            table=self.tables.value,
             upstreams=fleet.upstreams,
             copies=fleet.copies,
-            members=known,
+            members=self.reports.correct(self.gossip.members.value),
+            peer_loads=self.gossip.book.sum_upstreams(),
+            peer_row_loads=self.gossip.book.sum_rows(),
+            suspects=self.gossip.book.join_suspects(),
         )
 
-    def take_report(self, report: view_lib.Report) -> None:
-        """Note what an entry reports."""
-        logger.debug("Report of %s.", report.entry)
-
     def start(self) -> None:
         """Start the tasks."""
+        host, _, port = self.mode.own.control.rpartition(":")
         for coroutine in (
             self.store.run(),
             self.store.run_catch_up(),
             self.fleet.run(),
             self.registry.run(),
+            self.gossip.run(host, int(port)),
             self.placer.run(),
+            self._publish_views(),
         ):
             self.tasks.append(asyncio.create_task(coroutine))
 
     async def stop(self) -> None:
-        """Leave and end the tasks."""
+        """Tell the others, end the tasks, then remove the registration."""
         for task in self.tasks:
             task.cancel()
         for task in self.tasks:
--- a/src/cicadahook/net/fleet.py
+++ b/src/cicadahook/net/fleet.py
@@ -1,6 +1,7 @@
 """Watches the upstreams: the VM list, and what each engine reports."""
 
 import asyncio
+import collections
 import dataclasses
 import datetime
 from typing import Final
@@ -15,7 +16,9 @@
 from cicadahook.net import logs
 
 POLL_PAUSE: Final = datetime.timedelta(seconds=0.5)
-CALL_TIMEOUT: Final = datetime.timedelta(seconds=2)
+CALL_TIMEOUT: Final = datetime.timedelta(seconds=1)
+MISSES_OF_DEAD: Final = 3
+READS_OF_GONE: Final = 2
 
 logger: Final = logs.create_logger("fleet")
 
@@ -51,7 +54,14 @@
 
 
 class FleetWatcher:
-    """Polls the list and the engines; publishes what it sees on `fleets`."""
+    """Polls the list and each engine; publishes what it sees on `fleets`.
+
+    Each engine is polled by a task of its own, so none delays another.
+
+    Attributes:
+        vms: the listed VMs by address.
+        sightings: the latest sighting of each.
+    """
 
     def __init__(self, vm_list: str, session: aiohttp.ClientSession) -> None:
         self.vm_list = vm_list
@@ -60,46 +70,115 @@
         self.fleets: subject.BehaviorSubject[Fleet] = subject.BehaviorSubject(
             Fleet()
         )
-        self.vms: tuple[ListedVm, ...] = ()
+        self.vms: dict[str, ListedVm] = {}
+        self.sightings: dict[str, Sighting] = {}
+        self.unlisted_reads: collections.Counter[str] = collections.Counter()
+        self.tasks: dict[str, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
         """Poll until cancelled."""
-        while True:
-            await self._refresh_vms()
-            sightings = await asyncio.gather(*map(self._look, self.vms))
-            fleet = Fleet(
-                tuple(seen.upstream for seen in sightings),
-                tuple(copy for seen in sightings for copy in seen.copies),
-            )
-            if fleet != self.fleets.value:
-                self.fleets.on_next(fleet)
-            await asyncio.sleep(POLL_PAUSE.total_seconds())
+        try:
+            while True:
+                await self._refresh_vms()
+                await asyncio.sleep(POLL_PAUSE.total_seconds())
+        finally:
+            for address in list(self.tasks):
+                self._drop(address)
 
     async def _refresh_vms(self) -> None:
         """Read the VM list; keep the last one if that fails."""
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT.total_seconds())
         url = f"http://{self.vm_list}/vms"
         try:
-            async with self.session.get(url, timeout=timeout) as response:
+            async with self.session.get(url, timeout=_timeout()) as response:
                 response.raise_for_status()
-                self.vms = _VMS.validate_json(await response.read())
+                listed = _VMS.validate_json(await response.read())
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             logger.warning("VM list not read: %r.", error)
+            return
+        self._take_list(listed)
+        self._publish()
+
+    def _take_list(self, listed: tuple[ListedVm, ...]) -> None:
+        """Follow the listed VMs; drop one that several reads did not show."""
+        present = {vm.address: vm for vm in listed}
+        for address in list(self.vms):
+            if address in present:
+                self.unlisted_reads.pop(address, None)
+                continue
+            self.unlisted_reads[address] += 1
+            if self.unlisted_reads[address] >= READS_OF_GONE:
+                self._drop(address)
+        for address, vm in present.items():
+            self.vms[address] = vm
+            if address not in self.tasks:
+                self.tasks[address] = asyncio.create_task(self._watch(address))
+
+    def _drop(self, address: str) -> None:
+        """Forget a VM that is gone."""
+        self.tasks.pop(address).cancel()
+        self.vms.pop(address, None)
+        self.sightings.pop(address, None)
+        self.unlisted_reads.pop(address, None)
+
+    async def _watch(self, address: str) -> None:
+        """Poll one upstream until cancelled."""
+        misses = 0
+        while True:
+            vm = self.vms[address]
+            if vm.kind is view.UpstreamKind.SERVICE:
+                self.sightings[address] = Sighting(_describe(vm))
+            else:
+                misses = await self._look(vm, misses)
+            self._publish()
+            await asyncio.sleep(POLL_PAUSE.total_seconds())
 
-    async def _look(self, vm: ListedVm) -> Sighting:
-        """Return what `vm` reports."""
-        upstream = view.Upstream(
-            vm.address, vm.zone, vm.kind, vm.service, vm.state
-        )
-        if vm.kind is view.UpstreamKind.SERVICE:
-            return Sighting(upstream)
+    async def _look(self, vm: ListedVm, misses: int) -> int:
+        """Ask an engine for its state; return its misses in a row."""
         try:
             state = await self.engines.fetch_state(vm.address)
         except errors.UpstreamError as error:
-            logger.info("Engine not seen: %s.", error)
-            dead = dataclasses.replace(upstream, state=view.UpstreamState.DEAD)
-            return Sighting(dead)
-        return _merge(upstream, state)
+            is_dead = misses + 1 >= MISSES_OF_DEAD
+            if is_dead or vm.address not in self.sightings:
+                logger.info("Engine not seen: %s.", error)
+                upstream = dataclasses.replace(
+                    _describe(vm), state=view.UpstreamState.DEAD
+                )
+                self.sightings[vm.address] = Sighting(upstream)
+            return misses + 1
+        self.sightings[vm.address] = _merge(_describe(vm), state)
+        return 0
+
+    def _publish(self) -> None:
+        """Publish all sightings if they changed."""
+        seen = [
+            _with_listed_state(self.sightings[address], self.vms[address])
+            for address in sorted(self.vms)
+            if address in self.sightings
+        ]
+        fleet = Fleet(
+            tuple(sighting.upstream for sighting in seen),
+            tuple(copy for sighting in seen for copy in sighting.copies),
+        )
+        if fleet != self.fleets.value:
+            self.fleets.on_next(fleet)
+
+
+def _timeout() -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(total=CALL_TIMEOUT.total_seconds())
+
+
+def _describe(vm: ListedVm) -> view.Upstream:
+    """Return the upstream as listed."""
+    return view.Upstream(vm.address, vm.zone, vm.kind, vm.service, vm.state)
+
+
+def _with_listed_state(sighting: Sighting, vm: ListedVm) -> Sighting:
+    """Return `sighting`, leaving at once if the list says so."""
+    is_live = sighting.upstream.state is view.UpstreamState.LIVE
+    if not is_live or vm.state is view.UpstreamState.LIVE:
+        return sighting
+    upstream = dataclasses.replace(sighting.upstream, state=vm.state)
+    return dataclasses.replace(sighting, upstream=upstream)
 
 
 def _merge(upstream: view.Upstream, state: engine.EngineState) -> Sighting:
--- /dev/null
+++ b/src/cicadahook/net/gossip.py
@@ -0,0 +1,188 @@
+"""The gossip of a control: sealed datagrams between controls over UDP."""
+
+import asyncio
+from collections.abc import Iterable
+import datetime
+import random
+from typing import Any, Final
+
+from reactivex import subject
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import loads
+from cicadahook.core import membership
+from cicadahook.core import view
+from cicadahook.net import codec
+from cicadahook.net import logs
+from cicadahook.net import seal
+
+TICK_SECONDS: Final = 0.1
+LOAD_INTERVAL: Final = datetime.timedelta(seconds=0.5)
+LOAD_FANOUT: Final = 4
+LOAD_LOSSES: Final = 6
+
+logger: Final = logs.create_logger("gossip")
+
+MESSAGES: Final = codec.Codec(membership.Message, "gossip")
+LOADS: Final = codec.Codec(loads.EntryLoad, "gossip")
+
+
+class GossipEndpoint(asyncio.DatagramProtocol):
+    """Runs the membership over UDP and exchanges the entries' loads.
+
+    Attributes:
+        members: all members known, this one too, after each change.
+        book: the newest load of each entry, own ones included.
+        own_loads: loads of the entries linked to this control, by entry.
+    """
+
+    def __init__(
+        self,
+        own: view.Member,
+        key: str,
+        clock: clock_lib.Clock,
+        mode: membership.MembershipMode = membership.MembershipMode(),
+    ) -> None:
+        self.clock = clock
+        self.rng = random.Random()
+        self.membership = membership.Membership(
+            own, mode, self.rng, clock.now()
+        )
+        self.sealer = seal.Sealer(key, own.control, clock)
+        self.assembler = seal.Assembler()
+        self.book = loads.LoadBook()
+        self.own_loads: dict[str, loads.EntryLoad] = {}
+        self.members: subject.BehaviorSubject[tuple[view.Member, ...]] = (
+            subject.BehaviorSubject((own,))
+        )
+        self.published = 0
+        self.next_loads = clock.now()
+        self.load_order: list[str] = []
+        self.transport: asyncio.DatagramTransport | None = None
+
+    async def run(self, host: str, port: int) -> None:
+        """Listen on UDP `port` and gossip until cancelled.
+
+        Raises:
+            OSError: the address is taken.
+        """
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, port)
+        )
+        try:
+            while True:
+                self._tick()
+                await asyncio.sleep(TICK_SECONDS)
+        finally:
+            self.send(self.membership.leave())
+            transport.close()
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport to send by."""
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Take one datagram; drop and count what is not from a member."""
+        del addr
+        try:
+            envelope = self.sealer.open(data)
+        except seal.SealError as error:
+            logger.debug("Datagram dropped: %s.", error)
+            return
+        body = self.assembler.add(envelope)
+        if body is None:
+            return
+        try:
+            self._take(envelope, body)
+        except codec.DecodeError as error:
+            seal.count_drop("malformed")
+            logger.warning("Body of %s dropped: %s.", envelope.sender, error)
+
+    def error_received(self, exc: Exception) -> None:
+        """Note that a datagram found nobody."""
+        logger.debug("Datagram not delivered: %r.", exc)
+
+    def set_generations(self, newest: int, in_force: int) -> None:
+        """Tell the members what is in force on this VM.
+
+        Args:
+            newest: table generation that this control can hand out.
+            in_force: generation in force on both control and entry.
+        """
+        self.membership.set_own(generation=in_force)
+        if newest > self.membership.newest:
+            self.send(self.membership.set_newest(newest))
+
+    def set_state(self, state: view.MemberState) -> None:
+        """Tell the members the state of this VM."""
+        self.membership.set_own(state)
+
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Take the addresses to join by."""
+        self.membership.set_seeds(seeds, self.clock.now())
+
+    def find_peers(self) -> tuple[str, ...]:
+        """Return the addresses of the live members' controls."""
+        return tuple(member.control for member in self.membership.find_live())
+
+    def send(self, sends: Iterable[membership.Send]) -> None:
+        """Send messages of the membership."""
+        for item in sends:
+            body = MESSAGES.encode(item.message)
+            self._send_body(seal.Kind.MESSAGE, item.address, body)
+
+    def _tick(self) -> None:
+        now = self.clock.now()
+        self.send(self.membership.tick(now))
+        if now >= self.next_loads:
+            self.next_loads = now + LOAD_INTERVAL
+            self._send_loads()
+            self.book.expire(now, self._load_lifetime())
+        self._publish()
+
+    def _take(self, envelope: seal.Envelope, body: bytes) -> None:
+        now = self.clock.now()
+        if envelope.kind is seal.Kind.MESSAGE:
+            message = MESSAGES.decode(body)
+            self.send(self.membership.take(message, envelope.sender, now))
+            self._publish()
+        elif envelope.kind is seal.Kind.LOAD:
+            self.book.note(LOADS.decode(body), now)
+
+    def _publish(self) -> None:
+        """Publish the members if they changed."""
+        if self.published != self.membership.changes:
+            self.published = self.membership.changes
+            known = self.membership.members
+            self.members.on_next(tuple(known[name] for name in sorted(known)))
+
+    def _send_loads(self) -> None:
+        """Tell the loads of the linked entries to a few members in turn."""
+        bodies = [LOADS.encode(load) for load in self.own_loads.values()]
+        for _ in range(LOAD_FANOUT if bodies else 0):
+            if not self.load_order:
+                self.load_order = list(self.find_peers())
+                self.rng.shuffle(self.load_order)
+                if len(self.load_order) <= LOAD_FANOUT:
+                    peers, self.load_order = self.load_order, []
+                    self._send_all(peers, bodies)
+                    return
+            self._send_all([self.load_order.pop()], bodies)
+
+    def _send_all(self, peers: list[str], bodies: list[bytes]) -> None:
+        for peer in peers:
+            for body in bodies:
+                self._send_body(seal.Kind.LOAD, peer, body)
+
+    def _load_lifetime(self) -> datetime.timedelta:
+        """Return how long a load is kept, given how often it is renewed."""
+        rounds = -(-len(self.membership.members) // LOAD_FANOUT)
+        return LOAD_INTERVAL * rounds * LOAD_LOSSES
+
+    def _send_body(self, kind: seal.Kind, address: str, body: bytes) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        host, _, port = address.rpartition(":")
+        for data in self.sealer.seal(kind, address, body):
+            self.transport.sendto(data, (host, int(port)))
--- a/src/cicadahook/net/links.py
+++ b/src/cicadahook/net/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import datetime
 from typing import Final
 
@@ -9,6 +10,7 @@
 from aiohttp import web
 from reactivex import subject
 
+from cicadahook.core import table as table_lib
 from cicadahook.core import view
 from cicadahook.net import codec
 from cicadahook.net import logs
@@ -16,16 +18,58 @@
 HEARTBEAT_SECONDS: Final = 2.0
 RECONNECT_PAUSE: Final = datetime.timedelta(seconds=0.3)
 REPORT_PAUSE: Final = datetime.timedelta(seconds=0.5)
+CONNECT_TIMEOUT: Final = datetime.timedelta(seconds=2)
+RETURN_PAUSE: Final = datetime.timedelta(seconds=5)
 LINK_PATH: Final = "/link"
 
 logger: Final = logs.create_logger("links")
 
 
+class Link:
+    """A control's side of the connection to one entry.
+
+    Attributes:
+        socket: the connection.
+        entry: `host:port` of the entry, once it has reported.
+        sent: the view sent last.
+        fresh: set when there may be something new to send.
+    """
+
+    def __init__(self, socket: web.WebSocketResponse) -> None:
+        self.socket = socket
+        self.entry = ""
+        self.sent = view.View()
+        self.fresh = asyncio.Event()
+
+    async def send(self, newest: view.View) -> None:
+        """Send `newest` unless all of it was sent; the table only once."""
+        if dataclasses.replace(newest, number=self.sent.number) == self.sent:
+            return
+        message = newest
+        if self.sent.table.generation == newest.table.generation > 0:
+            table = table_lib.Table(newest.table.generation)
+            message = dataclasses.replace(newest, table=table)
+        self.sent = newest
+        await self.socket.send_bytes(codec.VIEWS.encode(message))
+
+
 class LinkServer:
-    """A control's side: sends each new view to every connected entry."""
+    """A control's side: sends each new view to every connected entry.
+
+    Attributes:
+        on_report: called with each report.
+        adapt_view: returns a view as one entry, given by its address, needs
+            it.
+        views: the newest view, as for an entry that is not known.
+    """
 
-    def __init__(self, on_report: Callable[[view.Report], None]) -> None:
+    def __init__(
+        self,
+        on_report: Callable[[view.Report], None],
+        adapt_view: Callable[[view.View, str], view.View],
+    ) -> None:
         self.on_report = on_report
+        self.adapt_view = adapt_view
         self.views: subject.BehaviorSubject[view.View] = (
             subject.BehaviorSubject(view.View())
         )
@@ -34,13 +78,13 @@
         """Serve one entry until it disconnects."""
         socket = web.WebSocketResponse(heartbeat=HEARTBEAT_SECONDS)
         await socket.prepare(request)
-        fresh = asyncio.Event()
-        subscription = self.views.subscribe(lambda _: fresh.set())
-        sender = asyncio.create_task(self._send(socket, fresh))
+        link = Link(socket)
+        subscription = self.views.subscribe(lambda _: link.fresh.set())
+        sender = asyncio.create_task(self._send(link))
         try:
             async for message in socket:
                 if message.type is aiohttp.WSMsgType.BINARY:
-                    self.on_report(codec.REPORTS.decode(message.data))
+                    self._take(link, codec.REPORTS.decode(message.data))
         except codec.DecodeError as error:
             logger.warning("Bad report dropped with its link: %s.", error)
         finally:
@@ -48,16 +92,21 @@
             sender.cancel()
         return socket
 
-    async def _send(
-        self, socket: web.WebSocketResponse, fresh: asyncio.Event
-    ) -> None:
+    def _take(self, link: Link, report: view.Report) -> None:
+        """Pass a report on; the first one tells whose link it is."""
+        if link.entry != report.entry:
+            link.entry = report.entry
+            link.fresh.set()
+        self.on_report(report)
+
+    async def _send(self, link: Link) -> None:
         """Send the newest view whenever there is one; skip older ones."""
         while True:
-            await fresh.wait()
-            fresh.clear()
+            await link.fresh.wait()
+            link.fresh.clear()
             newest = self.views.value
-            if newest.number:
-                await socket.send_bytes(codec.VIEWS.encode(newest))
+            if newest.number and link.entry:
+                await link.send(self.adapt_view(newest, link.entry))
 
 
 class LinkClient:
@@ -78,6 +127,7 @@
         self.session = session
         self.on_view = on_view
         self.create_report = create_report
+        self.table = table_lib.Table()
 
     async def run(self) -> None:
         """Stay linked to some control until cancelled."""
@@ -85,27 +135,55 @@
             for control in self.controls:
                 try:
                     await self._stay_linked(control)
+                    break
                 except (
                     aiohttp.ClientError,
                     TimeoutError,
                     codec.DecodeError,
                 ) as error:
                     logger.info("Link to %s lost: %r.", control, error)
-                await asyncio.sleep(RECONNECT_PAUSE.total_seconds())
+            await asyncio.sleep(RECONNECT_PAUSE.total_seconds())
 
     async def _stay_linked(self, control: str) -> None:
         """Take views from `control` until the link breaks."""
-        async with self.session.ws_connect(
-            f"http://{control}{LINK_PATH}", heartbeat=HEARTBEAT_SECONDS
-        ) as socket:
-            logger.info("Linked to control %s.", control)
-            reporter = asyncio.create_task(self._report(socket))
+        async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+            socket = await self.session.ws_connect(
+                f"http://{control}{LINK_PATH}", heartbeat=HEARTBEAT_SECONDS
+            )
+        logger.info("Linked to control %s.", control)
+        self.table = table_lib.Table()
+        tasks = [asyncio.create_task(self._report(socket))]
+        if control != self.controls[0]:
+            tasks.append(asyncio.create_task(self._return(socket)))
+        try:
+            async for message in socket:
+                if message.type is aiohttp.WSMsgType.BINARY:
+                    self._take(codec.VIEWS.decode(message.data))
+        finally:
+            for task in tasks:
+                task.cancel()
+            await socket.close()
+
+    def _take(self, new: view.View) -> None:
+        """Pass a view on, with the table that a former one brought."""
+        if new.table.generation == self.table.generation:
+            new = dataclasses.replace(new, table=self.table)
+        self.table = new.table
+        self.on_view(new)
+
+    async def _return(self, socket: aiohttp.ClientWebSocketResponse) -> None:
+        """End the link to another VM's control once the own one answers."""
+        url = f"http://{self.controls[0]}/readyz"
+        timeout = aiohttp.ClientTimeout(total=CONNECT_TIMEOUT.total_seconds())
+        while True:
+            await asyncio.sleep(RETURN_PAUSE.total_seconds())
             try:
-                async for message in socket:
-                    if message.type is aiohttp.WSMsgType.BINARY:
-                        self.on_view(codec.VIEWS.decode(message.data))
-            finally:
-                reporter.cancel()
+                async with self.session.get(url, timeout=timeout) as response:
+                    if response.status == 200:
+                        await socket.close()
+                        return
+            except (aiohttp.ClientError, TimeoutError) as error:
+                logger.debug("Own control does not answer: %r.", error)
 
     async def _report(self, socket: aiohttp.ClientWebSocketResponse) -> None:
         while True:
--- a/src/cicadahook/net/members.py
+++ b/src/cicadahook/net/members.py
@@ -1,6 +1,5 @@
-"""Which entry VMs there are, by leased registrations."""
+"""Registration of this VM in the key-value service, by which others join."""
 
-import asyncio
 import datetime
 from typing import Final
 
@@ -13,8 +12,10 @@
 from cicadahook.net import logs
 
 MEMBER_PREFIX: Final = "members/"
-LEASE_TTL: Final = datetime.timedelta(seconds=3)
-RENEW_PAUSE: Final = datetime.timedelta(seconds=1)
+LEASE_TTL: Final = datetime.timedelta(seconds=30)
+RENEW_PAUSE: Final = datetime.timedelta(seconds=10)
+FIRST_RENEW_PAUSE: Final = datetime.timedelta(seconds=1)
+FIRST_ROUNDS: Final = 3
 
 logger: Final = logs.create_logger("members")
 
@@ -22,7 +23,7 @@
 
 
 class MemberRegistry:
-    """Registers this VM and publishes all members on `members`."""
+    """Registers this VM and publishes the others' addresses on `seeds`."""
 
     def __init__(
         self, client: keyvalue.KeyValueClient, own: view.Member
@@ -30,53 +31,57 @@
         self.client = client
         self.own = own
         self.lease = ""
-        self.members: subject.BehaviorSubject[tuple[view.Member, ...]] = (
-            subject.BehaviorSubject((own,))
+        self.seeds: subject.BehaviorSubject[tuple[str, ...]] = (
+            subject.BehaviorSubject(())
         )
 
     async def run(self) -> None:
-        """Keep the registration until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._register())
-            group.create_task(self._follow())
-
-    async def update(self, own: view.Member) -> None:
-        """Replace what is registered of this VM."""
-        self.own = own
-        await self._write()
+        """Keep the registration and read the others' until cancelled."""
+        rounds = 0
+        while True:
+            try:
+                await self._register()
+                await self._read()
+            except errors.KeyValueError as error:
+                logger.warning("Registration not renewed: %s.", error)
+            rounds += 1
+            is_new = rounds <= FIRST_ROUNDS
+            pause = FIRST_RENEW_PAUSE if is_new else RENEW_PAUSE
+            jitter = self.client.gate.rng.uniform(0.7, 1.0)
+            await self.client.sleep(pause * jitter)
 
     async def leave(self) -> None:
         """Remove the registration."""
+        if not self.lease:
+            return
         try:
             await self.client.revoke(self.lease)
         except errors.KeyValueError as error:
             logger.warning("Registration left to lapse: %s.", error)
 
     async def _register(self) -> None:
-        while True:
-            try:
-                if not self.lease or not await self.client.renew(self.lease):
-                    self.lease = await self.client.grant(LEASE_TTL)
-                    await self._write()
-            except errors.KeyValueError as error:
-                logger.warning("Registration not renewed: %s.", error)
-            await asyncio.sleep(RENEW_PAUSE.total_seconds())
-
-    async def _write(self) -> None:
+        """Renew the lease, or register again once it has lapsed."""
+        if self.lease and await self.client.renew(self.lease):
+            return
+        self.lease = await self.client.grant(LEASE_TTL)
         key = MEMBER_PREFIX + self.own.name
         entry = await self.client.get(key)
-        await self.client.put(
-            key,
-            _MEMBER.dump_json(self.own).decode(),
-            entry.revision,
-            self.lease,
-        )
+        value = _MEMBER.dump_json(self.own).decode()
+        try:
+            await self.client.put(key, value, entry.revision, self.lease)
+        except errors.KeyValueError:
+            self.lease = ""
+            raise
 
-    async def _follow(self) -> None:
-        async for snapshot in self.client.follow(MEMBER_PREFIX, RENEW_PAUSE):
-            self.members.on_next(
-                tuple(
-                    _MEMBER.validate_json(entry.value)
-                    for entry in snapshot.entries
-                )
+    async def _read(self) -> None:
+        snapshot = await self.client.list(MEMBER_PREFIX)
+        found = (
+            _MEMBER.validate_json(entry.value) for entry in snapshot.entries
+        )
+        self.seeds.on_next(
+            tuple(
+                member.control
+                for member in found
+                if member.name != self.own.name
             )
+        )
--- /dev/null
+++ b/src/cicadahook/net/peers.py
@@ -0,0 +1,94 @@
+"""What controls ask of each other over HTTP: heads and pages of the table."""
+
+import asyncio
+import datetime
+from typing import Final
+
+import aiohttp
+from aiohttp import web
+
+from cicadahook.net import logs
+from cicadahook.net import seal
+from cicadahook.net import tables
+
+SEAL_HEADER: Final = "X-Cicada-Seal"
+CALL_TIMEOUT: Final = datetime.timedelta(seconds=1)
+BODY_BYTES: Final = 4 * 1024 * 1024
+
+logger: Final = logs.create_logger("peers")
+
+
+class PeerApi:
+    """Serves the table in force to other controls, and fetches from them."""
+
+    def __init__(
+        self,
+        store: tables.TableStore,
+        sealer: seal.Sealer,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self.store = store
+        self.sealer = sealer
+        self.session = session
+
+    def install(self, app: web.Application) -> None:
+        """Add the routes to `app`."""
+        app.router.add_get("/peer/head", self.show_head)
+        app.router.add_get("/peer/pages/{name}", self.show_page)
+
+    async def show_head(self, request: web.Request) -> web.Response:
+        """Answer the head in force, sealed."""
+        return self._answer(request, self.store.dump_head())
+
+    async def show_page(self, request: web.Request) -> web.Response:
+        """Answer a page of the table in force, sealed."""
+        content = self.store.find_page(request.match_info["name"])
+        if content is None:
+            raise web.HTTPNotFound(reason="no such page in force")
+        return self._answer(request, content)
+
+    def _answer(self, request: web.Request, content: str) -> web.Response:
+        """Return `content` sealed for the member that asks."""
+        try:
+            data = bytes.fromhex(request.headers.get(SEAL_HEADER, ""))
+            envelope = self.sealer.open(data)
+        except ValueError as error:
+            raise web.HTTPForbidden(reason="bad seal") from error
+        except seal.SealError as error:
+            raise web.HTTPForbidden(reason=str(error)) from error
+        is_meant = envelope.kind is seal.Kind.REQUEST
+        if not is_meant or envelope.body != request.path.encode():
+            raise web.HTTPForbidden(reason="sealed for another path")
+        return web.Response(
+            body=self._seal(seal.Kind.ANSWER, envelope.sender, content.encode())
+        )
+
+    async def fetch(self, peer: str, path: str) -> str:
+        """Return what `peer` answers to `path`.
+
+        Raises:
+            tables.PeerError: no answer, or one that is not from a member.
+        """
+        request = self._seal(seal.Kind.REQUEST, peer, path.encode())
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT.total_seconds())
+        try:
+            async with self.session.get(
+                f"http://{peer}{path}",
+                headers={SEAL_HEADER: request.hex()},
+                timeout=timeout,
+            ) as response:
+                response.raise_for_status()
+                envelope = self.sealer.open(await response.read())
+        except (
+            aiohttp.ClientError,
+            asyncio.TimeoutError,
+            seal.SealError,
+        ) as error:
+            raise tables.PeerError(f"{peer}{path}: {error!r}") from error
+        if envelope.kind is not seal.Kind.ANSWER or envelope.sender != peer:
+            raise tables.PeerError(f"{peer}{path}: answer of another")
+        return envelope.body.decode()
+
+    def _seal(self, kind: seal.Kind, recipient: str, body: bytes) -> bytes:
+        """Return `body` sealed in one piece."""
+        return next(self.sealer.seal(kind, recipient, body, BODY_BYTES))
--- /dev/null
+++ b/src/cicadahook/net/reports.py
@@ -0,0 +1,90 @@
+"""The reports of the linked entries, and what they say of members."""
+
+import dataclasses
+import datetime
+from typing import Final
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import loads
+from cicadahook.core import view
+from cicadahook.net import gossip
+
+ENTRY_TIMEOUT: Final = datetime.timedelta(seconds=2)
+
+
+class ReportDesk:
+    """Takes reports, and corrects what is known of the members by them.
+
+    Attributes:
+        own_entry: `host:port` of this VM's entry.
+        times: when each linked entry reported last.
+    """
+
+    def __init__(
+        self,
+        own_entry: str,
+        endpoint: gossip.GossipEndpoint,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self.own_entry = own_entry
+        self.endpoint = endpoint
+        self.clock = clock
+        self.meters: dict[str, loads.RateMeter] = {}
+        self.times: dict[str, datetime.datetime] = {}
+        self.had_own_entry = False
+
+    def take(self, report: view.Report) -> None:
+        """Take the report of a linked entry."""
+        now = self.clock.now()
+        meter = self.meters.setdefault(report.entry, loads.RateMeter())
+        load = meter.measure(report, now)
+        self.times[report.entry] = now
+        self.endpoint.own_loads[report.entry] = load
+        self.endpoint.book.note(load, now)
+        self.had_own_entry |= report.entry == self.own_entry
+
+    def state(self) -> view.MemberState:
+        """Return the state of this VM: leaving without a working entry."""
+        self._expire()
+        load = self.endpoint.own_loads.get(self.own_entry)
+        is_lost = self.had_own_entry and load is None
+        if is_lost or (load is not None and load.draining):
+            return view.MemberState.LEAVING
+        return view.MemberState.ALIVE
+
+    def generation_in_force(self, generation: int) -> int:
+        """Return the generation in force on both control and entry.
+
+        Args:
+            generation: generation in force on the control.
+        """
+        load = self.endpoint.own_loads.get(self.own_entry)
+        return min(generation, load.generation) if load else generation
+
+    def correct(
+        self, members: tuple[view.Member, ...]
+    ) -> tuple[view.Member, ...]:
+        """Return `members` with entries that outlive their control."""
+        return tuple(map(self._correct_one, members))
+
+    def _correct_one(self, member: view.Member) -> view.Member:
+        """Return a dead member as alive while its entry reports elsewhere."""
+        if member.state is not view.MemberState.DEAD:
+            return member
+        time = self.endpoint.book.times.get(member.entry)
+        if time is None or self.clock.now() - time > ENTRY_TIMEOUT:
+            return member
+        is_draining = self.endpoint.book.loads[member.entry].draining
+        state = (
+            view.MemberState.LEAVING if is_draining else view.MemberState.ALIVE
+        )
+        return dataclasses.replace(member, state=state)
+
+    def _expire(self) -> None:
+        """Forget linked entries that have stopped reporting."""
+        now = self.clock.now()
+        for entry, time in list(self.times.items()):
+            if now - time > ENTRY_TIMEOUT:
+                del self.times[entry]
+                del self.meters[entry]
+                self.endpoint.own_loads.pop(entry, None)
--- /dev/null
+++ b/src/cicadahook/net/seal.py
@@ -0,0 +1,181 @@
+"""Sealed datagrams: authenticated by a shared key, guarded against replay."""
+
+from collections.abc import Iterator
+import dataclasses
+import datetime
+import enum
+import hashlib
+import hmac
+import itertools
+from typing import Final
+
+import capnp
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import errors
+from cicadahook.core import replay
+from cicadahook.net import codec
+from cicadahook.net import metrics
+
+MAC_BYTES: Final = 32
+PART_BYTES: Final = 1100
+PARTS_LIMIT: Final = 64
+MICROSECOND: Final = datetime.timedelta(microseconds=1)
+UNIX_EPOCH: Final = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
+
+
+class Kind(enum.StrEnum):
+    """What the body of an envelope is."""
+
+    MESSAGE = "message"
+    LOAD = "load"
+    REQUEST = "request"
+    ANSWER = "answer"
+
+
+class SealError(errors.CicadaError):
+    """A datagram is not taken; its first argument is the reason."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Envelope:
+    """A body, or a part of one, with its sender.
+
+    Attributes:
+        sender: `host:port` of the control that sent it.
+        kind: what the body is.
+        number: tells the bodies of a sender apart.
+        part: index of this part.
+        parts: number of parts of the body.
+        body: bytes of this part.
+    """
+
+    sender: str
+    kind: Kind
+    number: int
+    part: int
+    parts: int
+    body: bytes
+
+
+class Sealer:
+    """Seals and opens the datagrams of one control.
+
+    Attributes:
+        address: `host:port` of this control.
+    """
+
+    def __init__(self, key: str, address: str, clock: clock_lib.Clock) -> None:
+        self.key = key.encode()
+        self.address = address
+        self.clock = clock
+        self.session = int((clock.now() - UNIX_EPOCH) / MICROSECOND)
+        self.sequences = itertools.count(1)
+        self.numbers = itertools.count(1)
+        self.guard = replay.ReplayGuard()
+        self.struct = codec.load_schema("gossip").Envelope
+
+    def seal(
+        self,
+        kind: Kind,
+        recipient: str,
+        body: bytes,
+        part_bytes: int = PART_BYTES,
+    ) -> Iterator[bytes]:
+        """Yield the datagrams that carry `body`."""
+        parts = max(1, -(-len(body) // part_bytes))
+        number = next(self.numbers)
+        for part in range(parts):
+            envelope = self.struct.new_message(
+                sender=self.address,
+                recipient=recipient,
+                session=self.session,
+                sequence=next(self.sequences),
+                sentMicros=int((self.clock.now() - UNIX_EPOCH) / MICROSECOND),
+                kind=kind.value,
+                part=part,
+                parts=parts,
+                number=number,
+                body=body[part * part_bytes : (part + 1) * part_bytes],
+            )
+            data: bytes = envelope.to_bytes_packed()
+            yield self._compute_mac(data) + data
+
+    def open(self, data: bytes) -> Envelope:
+        """Return what a datagram carries.
+
+        Raises:
+            SealError: it is not from a member, not for this one, malformed,
+                too old, or was received before; it is counted.
+        """
+        try:
+            return self._open(data)
+        except SealError as error:
+            count_drop(str(error))
+            raise
+
+    def _open(self, data: bytes) -> Envelope:
+        mac, content = data[:MAC_BYTES], data[MAC_BYTES:]
+        if not hmac.compare_digest(mac, self._compute_mac(content)):
+            raise SealError("bad_mac")
+        try:
+            fields = self.struct.from_bytes_packed(content).to_dict()
+            envelope = Envelope(
+                fields["sender"],
+                Kind(fields["kind"]),
+                fields["number"],
+                fields["part"],
+                fields["parts"],
+                fields["body"],
+            )
+        except (capnp.KjException, ValueError) as error:
+            raise SealError("malformed") from error
+        if not envelope.part < envelope.parts <= PARTS_LIMIT:
+            raise SealError("malformed")
+        if fields["recipient"] != self.address:
+            raise SealError("misdirected")
+        judgement = self.guard.judge(
+            envelope.sender,
+            fields["session"],
+            fields["sequence"],
+            UNIX_EPOCH + fields["sentMicros"] * MICROSECOND,
+            self.clock.now(),
+        )
+        if judgement is not replay.Judgement.FRESH:
+            raise SealError(judgement.value)
+        return envelope
+
+    def _compute_mac(self, content: bytes) -> bytes:
+        return hmac.digest(self.key, content, hashlib.sha256)
+
+
+class Assembler:
+    """Puts the parts of bodies together; keeps one body a sender and kind."""
+
+    def __init__(self) -> None:
+        self.open_parts: dict[tuple[str, Kind], dict[int, Envelope]] = {}
+
+    def add(self, envelope: Envelope) -> bytes | None:
+        """Return the whole body once `envelope` completes it."""
+        if envelope.parts == 1:
+            return envelope.body
+        key = (envelope.sender, envelope.kind)
+        parts = self.open_parts.get(key, {})
+        newest = max((part.number for part in parts.values()), default=0)
+        if envelope.number < newest:
+            return None
+        if envelope.number > newest:
+            parts = self.open_parts[key] = {}
+        parts[envelope.part] = envelope
+        if len(parts) < envelope.parts:
+            return None
+        del self.open_parts[key]
+        return b"".join(parts[index].body for index in sorted(parts))
+
+
+def count_drop(reason: str) -> None:
+    """Count a datagram or peer call that was dropped."""
+    counter = metrics.create_counter(
+        "cicada_gossip_drops", "Messages from peers dropped, by reason."
+    )
+    counter.add(1, {"reason": reason})
--- a/src/cicadahook/net/tables.py
+++ b/src/cicadahook/net/tables.py
@@ -49,7 +49,9 @@
         tables: the table in force, then each later one.
         fetch_from_peer: fetches a path of a peer's control; set by its owner.
         peers: addresses of live peers' controls; set by its owner.
-        highest: highest generation that any peer says is in force.
+        highest: highest generation that any peer can hand out; set by its
+            owner.
+        source: address of a peer that can hand it out; set by its owner.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         self.fetch_from_peer: FetchFromPeer = _fetch_nothing
         self.peers: tuple[str, ...] = ()
         self.highest = 0
+        self.source = ""
         self.session = int(clock.now().timestamp() * 1_000_000)
         self.write_numbers = itertools.count(1)
 
@@ -90,9 +93,11 @@
                 await self.catch_up()
 
     async def catch_up(self) -> None:
-        """Ask a few peers for a newer table, in random order."""
+        """Ask the peer that has a newer table for it, then some others."""
         count = min(PEER_TRIES, len(self.peers))
-        for peer in self.client.gate.rng.sample(self.peers, count):
+        others = self.client.gate.rng.sample(self.peers, count)
+        asked = [self.source, *others] if self.source else others
+        for peer in asked:
             try:
                 await self._pull(peer)
             except (PeerError, ValueError) as error:
--- a/src/cicadahook/programs/settings.py
+++ b/src/cicadahook/programs/settings.py
@@ -13,6 +13,7 @@
 
 ENVIRONMENT_PREFIX: Final = "CICADA_"
 USAGE_EXIT_CODE: Final = 2
+DEFAULT_CLUSTER_KEY: Final = "cicadahook-on-loopback"
 
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
 Address = Annotated[str, pydantic.Field(pattern=r"^[^\s:/]+:\d{1,5}$")]
@@ -103,6 +104,16 @@
         ge=0,
         description="requests in time that one move must earn",
     )
+    cluster_key: str = pydantic.Field(
+        DEFAULT_CLUSTER_KEY,
+        min_length=8,
+        description="key shared by all controls, by which they know each other",
+    )
+    peers: tuple[Address, ...] = pydantic.Field(
+        (),
+        description="host:port of other controls to join by, besides those"
+        " registered in the key-value service",
+    )
 
 
 def parse(settings_type: type[SettingsT], arguments: list[str]) -> SettingsT:
--- /dev/null
+++ b/src/cicadahook/standins/network.py
@@ -0,0 +1,132 @@
+"""Stand-in for the network between membership instances, on one clock."""
+
+import dataclasses
+import datetime
+import heapq
+import itertools
+import random
+from typing import Final
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import membership
+from cicadahook.core import view
+
+TICK: Final = datetime.timedelta(seconds=0.1)
+SHORTEST_DELAY_SECONDS: Final = 0.0005
+LONGEST_DELAY_SECONDS: Final = 0.003
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Event:
+    """Something that happens at one time; `message` None is a tick."""
+
+    time: datetime.datetime
+    number: int
+    address: str = dataclasses.field(compare=False)
+    source: str = dataclasses.field(default="", compare=False)
+    message: membership.Message | None = dataclasses.field(
+        default=None, compare=False
+    )
+
+
+class NetworkStandin:
+    """Runs members over a network that loses, delays and crosses messages.
+
+    Attributes:
+        nodes: members by address.
+        loss: share of the messages that are lost.
+        paused: addresses whose process is paused; messages wait for it.
+        cut: addresses that nothing reaches or leaves.
+        slowness: extra delay of what is sent to an address.
+        sent: messages sent so far.
+    """
+
+    def __init__(
+        self,
+        clock: clock_lib.ManualClock,
+        seed: int,
+        mode: membership.MembershipMode = membership.MembershipMode(),
+    ) -> None:
+        self.clock = clock
+        self.rng = random.Random(seed)
+        self.mode = mode
+        self.nodes: dict[str, membership.Membership] = {}
+        self.loss = 0.0
+        self.paused: set[str] = set()
+        self.cut: set[str] = set()
+        self.slowness: dict[str, datetime.timedelta] = {}
+        self.sent = 0
+        self.events: list[Event] = []
+        self.waiting: dict[str, list[Event]] = {}
+        self.numbers = itertools.count()
+
+    def start(self, name: str, seeds: tuple[str, ...]) -> str:
+        """Start a member and return its address; replaces one so named."""
+        address = f"{name}:1"
+        own = view.Member(name, f"{name}:2", address, "zone1")
+        node = membership.Membership(
+            own,
+            self.mode,
+            random.Random(self.rng.random()),
+            self.clock.now(),
+        )
+        node.seeds = seeds
+        is_new = address not in self.nodes
+        self.nodes[address] = node
+        if is_new:
+            offset = self.rng.random() * TICK
+            self._schedule(Event(self.clock.now() + offset, 0, address))
+        return address
+
+    def stop(self, address: str) -> None:
+        """Kill a member without a word."""
+        del self.nodes[address]
+
+    def resume(self, address: str) -> None:
+        """Let a paused member run; it finds the messages that waited."""
+        self.paused.discard(address)
+        for event in self.waiting.pop(address, []):
+            self._schedule(dataclasses.replace(event, time=self.clock.now()))
+
+    def send(self, source: str, sends: tuple[membership.Send, ...]) -> None:
+        """Send messages of a member."""
+        for send in sends:
+            self.sent += 1
+            if self.rng.random() < self.loss or source in self.cut:
+                continue
+            seconds = self.rng.uniform(
+                SHORTEST_DELAY_SECONDS, LONGEST_DELAY_SECONDS
+            )
+            delay = datetime.timedelta(seconds=seconds)
+            delay += self.slowness.get(send.address, datetime.timedelta())
+            time = self.clock.now() + delay
+            self._schedule(Event(time, 0, send.address, source, send.message))
+
+    def run(self, seconds: float) -> None:
+        """Let all that happens in `seconds` happen."""
+        end = self.clock.now() + datetime.timedelta(seconds=seconds)
+        while self.events and self.events[0].time <= end:
+            event = heapq.heappop(self.events)
+            self.clock.advance(
+                max(event.time, self.clock.now()) - self.clock.now()
+            )
+            self._handle(event)
+        self.clock.advance(end - self.clock.now())
+
+    def _handle(self, event: Event) -> None:
+        node = self.nodes.get(event.address)
+        if event.message is None:
+            if node is not None:
+                next_time = self.clock.now() + TICK
+                self._schedule(Event(next_time, 0, event.address))
+                if event.address not in self.paused:
+                    self.send(event.address, node.tick(self.clock.now()))
+        elif event.address in self.paused:
+            self.waiting.setdefault(event.address, []).append(event)
+        elif node is not None and event.address not in self.cut:
+            sends = node.take(event.message, event.source, self.clock.now())
+            self.send(event.address, sends)
+
+    def _schedule(self, event: Event) -> None:
+        numbered = dataclasses.replace(event, number=next(self.numbers))
+        heapq.heappush(self.events, numbered)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,230 @@
+"""Members on a network that loses, delays and crosses messages."""
+
+import collections
+from collections.abc import Mapping
+import datetime
+from typing import Final
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import membership
+from cicadahook.core import view
+from cicadahook.standins import network as network_lib
+
+SEEDS: Final = ("vm0:1", "vm1:1")
+SETTLING_SECONDS: Final = 15
+ALIVE: Final = view.MemberState.ALIVE
+DEAD: Final = view.MemberState.DEAD
+
+
+def create_network(
+    clock: clock_lib.ManualClock, size: int, seed: int = 1
+) -> network_lib.NetworkStandin:
+    """Return a network whose members have met."""
+    network = network_lib.NetworkStandin(clock, seed)
+    for index in range(size):
+        network.start(f"vm{index}", SEEDS)
+    network.run(SETTLING_SECONDS)
+    assert_all_see(network, {f"vm{index}": ALIVE for index in range(size)})
+    return network
+
+
+def assert_all_see(
+    network: network_lib.NetworkStandin,
+    wanted: Mapping[str, view.MemberState],
+    but: str = "",
+) -> None:
+    """Assert that all members see the same states."""
+    for address, node in network.nodes.items():
+        if address != but:
+            seen = {name: node.members[name].state for name in wanted}
+            assert seen == wanted, address
+
+
+def watch_deaths(
+    network: network_lib.NetworkStandin, seconds: float
+) -> collections.Counter[str]:
+    """Run and count by name how often some member turned to dead."""
+    deaths: collections.Counter[str] = collections.Counter()
+    seen: set[tuple[str, str, int]] = set()
+    for _ in range(int(seconds * 5)):
+        network.run(0.2)
+        for address, node in network.nodes.items():
+            for member in node.members.values():
+                key = (address, member.name, member.incarnation)
+                if member.state is DEAD and key not in seen:
+                    seen.add(key)
+                    deaths[member.name] += 1
+    return deaths
+
+
+@pytest.mark.parametrize("size", [2, 4, 30])
+def test_death_is_seen_by_all_in_time(
+    clock: clock_lib.ManualClock, size: int
+) -> None:
+    network = create_network(clock, size)
+    network.stop("vm1:1")
+    network.run(4 if size < 10 else 6)
+    assert_all_see(network, {"vm0": ALIVE, "vm1": DEAD})
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("size", [4, 30])
+def test_no_member_dies_at_ten_percent_loss(
+    clock: clock_lib.ManualClock, size: int, seed: int
+) -> None:
+    network = create_network(clock, size, seed)
+    network.loss = 0.1
+    assert not watch_deaths(network, 60 if size < 10 else 20)
+
+
+def test_slow_member_stays_alive(clock: clock_lib.ManualClock) -> None:
+    network = create_network(clock, 4)
+    network.slowness["vm2:1"] = datetime.timedelta(seconds=0.6)
+    assert not watch_deaths(network, 60)
+
+
+def test_paused_member_dies_once_and_accuses_nobody(
+    clock: clock_lib.ManualClock,
+) -> None:
+    network = create_network(clock, 4)
+    network.paused.add("vm2:1")
+    network.run(8)
+    assert_all_see(network, {"vm2": DEAD}, but="vm2:1")
+    network.resume("vm2:1")
+    deaths = watch_deaths(network, 20)
+    assert set(deaths) <= {"vm2"}
+    assert_all_see(network, {f"vm{index}": ALIVE for index in range(4)})
+
+
+def test_short_pause_is_no_death(clock: clock_lib.ManualClock) -> None:
+    network = create_network(clock, 4)
+    for _ in range(5):
+        network.paused.add("vm2:1")
+        network.run(1.5)
+        network.resume("vm2:1")
+        assert not watch_deaths(network, 3)
+
+
+def test_parted_groups_meet_again(clock: clock_lib.ManualClock) -> None:
+    network = create_network(clock, 4)
+    network.cut.add("vm3:1")
+    network.run(SETTLING_SECONDS)
+    assert_all_see(network, {"vm3": DEAD}, but="vm3:1")
+    network.cut.clear()
+    network.run(SETTLING_SECONDS)
+    assert_all_see(network, {f"vm{index}": ALIVE for index in range(4)})
+
+
+def test_restarted_member_wins_over_its_former_life(
+    clock: clock_lib.ManualClock,
+) -> None:
+    network = create_network(clock, 4)
+    old = network.nodes["vm2:1"].own.incarnation
+    network.start("vm2", SEEDS)
+    network.run(5)
+    assert_all_see(network, {f"vm{index}": ALIVE for index in range(4)})
+    known = network.nodes["vm0:1"].members["vm2"]
+    assert known.incarnation > old
+
+
+def test_planned_leave_is_seen_at_once(clock: clock_lib.ManualClock) -> None:
+    network = create_network(clock, 4)
+    network.send("vm2:1", network.nodes["vm2:1"].leave())
+    network.stop("vm2:1")
+    network.run(0.5)
+    assert_all_see(network, {"vm2": DEAD, "vm0": ALIVE})
+
+
+def test_leaving_state_and_generation_reach_all(
+    clock: clock_lib.ManualClock,
+) -> None:
+    network = create_network(clock, 30)
+    network.nodes["vm2:1"].set_own(view.MemberState.LEAVING, generation=7)
+    network.run(3)
+    assert_all_see(network, {"vm2": view.MemberState.LEAVING})
+    for node in network.nodes.values():
+        assert node.members["vm2"].generation == 7
+
+
+def test_message_for_a_former_member_is_not_answered(
+    clock: clock_lib.ManualClock,
+) -> None:
+    network = create_network(clock, 2)
+    node = network.nodes["vm0:1"]
+    message = membership.Message(
+        membership.MessageKind.PING,
+        network.nodes["vm1:1"].own,
+        1,
+        target="vm9",
+    )
+    assert not node.take(message, "vm1:1", clock.now())
+
+
+def bring_about(
+    network: network_lib.NetworkStandin, fault: str, index: int
+) -> None:
+    """Bring a fault about at a member."""
+    address = f"vm{index}:1"
+    if fault == "pause":
+        network.paused.add(address)
+    elif fault == "resume":
+        network.resume(address)
+    elif fault == "stop" and address in network.nodes:
+        network.stop(address)
+    elif fault == "start":
+        network.start(f"vm{index}", SEEDS)
+    elif fault == "cut":
+        network.cut.add(address)
+    elif fault == "join":
+        network.cut.clear()
+
+
+@hypothesis.settings(max_examples=12, derandomize=True, deadline=None)
+@hypothesis.given(
+    seed=st.integers(0, 1000),
+    faults=st.lists(
+        st.tuples(
+            st.sampled_from(
+                ["pause", "resume", "stop", "start", "cut", "join"]
+            ),
+            st.integers(2, 5),
+            st.floats(0.1, 4),
+        ),
+        max_size=12,
+    ),
+)
+def test_all_agree_once_faults_end(
+    seed: int, faults: list[tuple[str, int, float]]
+) -> None:
+    network = create_network(clock_lib.ManualClock(), 6, seed)
+    network.loss = 0.1
+    incarnations: dict[tuple[str, str], int] = {}
+    for fault, index, seconds in faults:
+        bring_about(network, fault, index)
+        network.run(seconds)
+        for viewer, node in network.nodes.items():
+            for name, member in node.members.items():
+                key = (f"{viewer}/{node.own.name}", name)
+                if node.own.incarnation == incarnations.get((viewer, "")):
+                    assert member.incarnation >= incarnations.get(key, 0)
+                incarnations[key] = member.incarnation
+            incarnations[viewer, ""] = node.own.incarnation
+    network.loss = 0.0
+    network.cut.clear()
+    for address in list(network.paused):
+        network.resume(address)
+    network.run(30)
+    states = {
+        f"vm{index}": ALIVE if f"vm{index}:1" in network.nodes else DEAD
+        for index in range(6)
+    }
+    live = {name: state for name, state in states.items() if state is ALIVE}
+    assert_all_see(network, live)
+    for node in network.nodes.values():
+        for name in states.keys() - live.keys():
+            known = node.members.get(name)
+            assert known is None or known.state is DEAD
