--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -187,6 +187,7 @@
 
     def wake_at(self, now: datetime.datetime) -> datetime.datetime | None:
         """Return None: nothing ever waits."""
+        # pylint: disable=useless-return
         del now
         return None
 
--- a/src/cicadahook/net/control.py
+++ b/src/cicadahook/net/control.py
@@ -3,12 +3,12 @@
 import asyncio
 import contextlib
 import dataclasses
-from typing import Any, Final
+import datetime
+from typing import Final
 
 import aiohttp
 from aiohttp import web
 import reactivex
-from reactivex import operators as ops
 
 from cicadahook.core import budget
 from cicadahook.core import clock as clock_lib
@@ -19,6 +19,7 @@
 from cicadahook.net import engine
 from cicadahook.net import figures
 from cicadahook.net import fleet as fleet_lib
+from cicadahook.net import gossip
 from cicadahook.net import http as http_lib
 from cicadahook.net import keyvalue
 from cicadahook.net import links
@@ -26,10 +27,15 @@
 from cicadahook.net import members
 from cicadahook.net import metrics
 from cicadahook.net import operators
+from cicadahook.net import control_peers
 from cicadahook.net import placer
+from cicadahook.net import reports
 from cicadahook.net import tables
 from cicadahook.net import wall
 
+VIEW_PAUSE: Final = datetime.timedelta(seconds=0.1)
+LOAD_PAUSE: Final = datetime.timedelta(seconds=0.4)
+
 logger: Final = logs.create_logger("control")
 
 
@@ -44,6 +50,8 @@
         placement: how copies are placed.
         operator_token: what operators must send to change anything; empty
             lets everyone.
+        cluster_key: key shared by all controls.
+        peers: addresses of controls to join by.
     """
 
     own: view_lib.Member
@@ -51,6 +59,8 @@
     vm_list: str
     placement: placement.PlacementMode
     operator_token: str = ""
+    cluster_key: str = ""
+    peers: tuple[str, ...] = ()
 
 
 class Control:
@@ -64,7 +74,9 @@
     ) -> None:
         self.mode = mode
         self.clock = clock
-        client = keyvalue.KeyValueClient(mode.key_value, session)
+        client = keyvalue.KeyValueClient(
+            mode.key_value, session, gate=keyvalue.Gate(clock)
+        )
         self.store = tables.TableStore(
             client.for_caller("table", budget.Priority.HIGH),
             mode.own.name,
@@ -72,10 +84,20 @@
         )
         self.tables = self.store.tables
         self.fleet = fleet_lib.FleetWatcher(mode.vm_list, session)
-        self.registry = members.MemberRegistry(client, mode.own)
-        self.links = links.LinkServer(self.take_report)
+        self.registry = members.MemberRegistry(
+            client.for_caller("members"), mode.own
+        )
+        self.gossip = gossip.GossipEndpoint(mode.own, mode.cluster_key, clock)
+        self.peers = control_peers.PeerApi(
+            self.store, self.gossip.sealer, session
+        )
+        self.reports = reports.ReportDesk(mode.own.entry, self.gossip, clock)
+        self.links = links.LinkServer(self.take_report, self._adapt_view)
         self.placer = placer.Placer(
-            mode.own.name, client, engine.EngineClient(session), mode.placement
+            mode.own.name,
+            client.for_caller("placement"),
+            engine.EngineClient(session),
+            mode.placement,
         )
         self.figures = figures.FigureKeeper(
             mode.own.name, mode.own.entry, clock, session
@@ -87,11 +109,12 @@
             self.figures, self.links, clock, session, lambda: self.fleet.polls
         )
         self.view_count = 0
+        self.fresh = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
         self._connect()
 
     def create_app(self) -> web.Application:
-        """Return the application for entries and operators."""
+        """Return the application for entries, operators and peers."""
         app = http_lib.create_app()
         app.router.add_get("/healthz", self.check_health)
         app.router.add_get("/readyz", self.check_ready)
@@ -99,15 +122,21 @@
         app.router.add_get(links.LINK_PATH, self.links.serve)
         self.operators.install(app)
         self.wall.install(app)
+        self.peers.install(app)
+        self.placer.install(app)
         return app
 
     def _connect(self) -> None:
-        """Derive views from the flows of tables, upstreams and members."""
-        reactivex.combine_latest(
-            self.tables, self.fleet.fleets, self.registry.members
-        ).pipe(ops.map(self._create_view)).subscribe(self.links.views)
+        """Let each flow of changing state reach the parts that use it."""
+        self.store.fetch_from_peer = self.peers.fetch
         self.tables.subscribe(self._give_table)
         self.fleet.fleets.subscribe(self._give_fleet)
+        self.registry.seeds.subscribe(
+            lambda seeds: self.gossip.set_seeds((*seeds, *self.mode.peers))
+        )
+        reactivex.combine_latest(
+            self.tables, self.fleet.fleets, self.gossip.members
+        ).subscribe(lambda _: self.fresh.set())
 
     def _give_table(self, table: table_lib.Table) -> None:
         self.placer.table = table
@@ -118,39 +147,85 @@
         marked = drains.mark_for_placement(fleet.upstreams, self.tables.value)
         self.placer.fleet = dataclasses.replace(fleet, upstreams=marked)
 
-    def _create_view(self, parts: Any) -> view_lib.View:
-        """Return the next view."""
-        table, fleet, known = parts
-        self.view_count += 1
+    def take_report(self, report: view_lib.Report) -> None:
+        """Note what an entry reports."""
+        self.reports.take(report)
+        self.figures.take_report(report)
+
+    def _adapt_view(self, newest: view_lib.View, entry: str) -> view_lib.View:
+        """Return `newest` without what `entry` itself reported."""
+        book = self.gossip.book
+        return dataclasses.replace(
+            newest,
+            peer_loads=book.sum_upstreams(entry),
+            peer_row_loads=book.sum_rows(entry),
+        )
+
+    async def _publish_views(self) -> None:
+        """Publish a view soon after each change, and loads now and then."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LOAD_PAUSE.total_seconds()):
+                    await self.fresh.wait()
+            self.fresh.clear()
+            self._exchange_state()
+            new = self._create_view()
+            if dataclasses.replace(new, number=self.view_count) != (
+                self.links.views.value
+            ):
+                self.view_count += 1
+                self.links.views.on_next(
+                    dataclasses.replace(new, number=self.view_count)
+                )
+            await asyncio.sleep(VIEW_PAUSE.total_seconds())
+
+    def _exchange_state(self) -> None:
+        """Pass generations, states and demand between the parts."""
+        generation = self.tables.value.generation
+        self.gossip.set_generations(
+            generation, self.reports.generation_in_force(generation)
+        )
+        self.gossip.set_state(self.reports.state())
+        self.store.peers = self.gossip.find_peers()
+        self.store.highest = self.gossip.membership.highest
+        self.store.source = self.gossip.membership.source
+        self.placer.take_demand(self.gossip.book.rates())
+
+    def _create_view(self) -> view_lib.View:
+        """Return what is known now, with the loads of all entries."""
+        fleet = self.fleet.fleets.value
+        table = self.tables.value
         return view_lib.View(
             control=self.mode.own.name,
-            number=self.view_count,
             table=table,
             upstreams=drains.mark_for_routing(
                 fleet.upstreams, fleet.copies, table
             ),
             copies=fleet.copies,
-            members=drains.mark_members(known, table),
+            members=drains.mark_members(
+                self.reports.correct(self.gossip.members.value), table
+            ),
+            peer_loads=self.gossip.book.sum_upstreams(),
+            peer_row_loads=self.gossip.book.sum_rows(),
+            suspects=self.gossip.book.join_suspects(),
         )
 
-    def take_report(self, report: view_lib.Report) -> None:
-        """Note what an entry reports."""
-        logger.debug("Report of %s.", report.entry)
-        self.figures.take_report(report)
-
     def start(self) -> None:
         """Start the tasks."""
+        host, _, port = self.mode.own.control.rpartition(":")
         for coroutine in (
             self.store.run(),
             self.store.run_catch_up(),
             self.fleet.run(),
             self.registry.run(),
+            self.gossip.run(host, int(port)),
             self.placer.run(),
+            self._publish_views(),
         ):
             self.tasks.append(asyncio.create_task(coroutine))
 
     async def stop(self) -> None:
-        """Leave and end the tasks."""
+        """Tell the others, end the tasks, then remove the registration."""
         for task in self.tasks:
             task.cancel()
         for task in self.tasks:
