--- a/src/cicadahook/core/limits.py
+++ b/src/cicadahook/core/limits.py
@@ -1,5 +1,6 @@
 """Learned concurrency limits: where more requests stop being served sooner."""
 
+from collections.abc import Iterable
 import dataclasses
 import datetime
 import math
@@ -11,7 +12,7 @@
 MAX_BUCKET_SAMPLES: Final = 40
 BUCKET_LIFE: Final = datetime.timedelta(minutes=10)
 GROWTH: Final = 1.5
-HEADROOM: Final = 1.0
+HEADROOM: Final = 1.1
 SATURATED_RATIO: Final = 1.15
 FULL_SHARE: Final = 0.9
 DESCENT: Final = 0.8
@@ -103,7 +104,7 @@
         ]
         if not known:
             return
-        base = min(bucket.pace for bucket in known)
+        base = _read_base(known)
         fullest = max(known, key=lambda bucket: bucket.in_flight)
         if fullest.pace < base * SATURATED_RATIO:
             # The knee was not reached yet, so it may be anywhere above.
@@ -145,6 +146,15 @@
         return level * self._slowdown(in_flight)
 
 
+def _read_base(known: Iterable[Bucket]) -> float:
+    """Return the pace below the knee, averaged over what looks like it."""
+    known = list(known)
+    best = min(bucket.pace for bucket in known)
+    flat = [bucket for bucket in known if bucket.pace < SATURATED_RATIO * best]
+    total = sum(bucket.pace * bucket.samples for bucket in flat)
+    return total / sum(bucket.samples for bucket in flat)
+
+
 def combine(own: float, peers: float) -> float:
     """Return the limit in force of an own and the peers' mean; 0 is none."""
     if not own or not peers:
