--- /dev/null
+++ b/benchmarks/retries.py
@@ -0,0 +1,262 @@
+"""Measures retries under failing upstreams, and what an entry adds.
+
+Run: python benchmarks/retries.py
+"""
+
+import asyncio
+import dataclasses
+import datetime
+import json
+import multiprocessing
+import multiprocessing.connection
+import random
+import time
+from typing import Final
+
+import aiohttp
+from hdrh import histogram
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import retry
+from cicadahook.core import table
+from cicadahook.core import view as view_lib
+from cicadahook.net import http as http_lib
+from cicadahook.programs import daemon
+from cicadahook.programs import entry as entry_program
+from cicadahook.programs import settings as settings_lib
+from cicadahook.standins import batch
+from cicadahook.standins import engine
+from cicadahook.standins import memory
+
+SEED: Final = 7
+REQUESTS: Final = 20_000
+UPSTREAMS: Final = 8
+REQUESTS_PER_SECOND: Final = 100
+LEFT: Final = datetime.timedelta(seconds=30)
+NO_BUDGET: Final = retry.RetryMode(budget_ratio=1e6, budget_burst=1e6)
+RATE_PER_SECOND: Final = 100
+SECONDS: Final = 10
+TOKENS: Final = 32
+HOST: Final = "127.0.0.1"
+MODEL: Final = "model"
+PROCESSES: Final = multiprocessing.get_context("spawn")
+
+
+@dataclasses.dataclass(frozen=True)
+class Amplification:
+    """Result of one simulated run.
+
+    Attributes:
+        reason: how the failing half of the upstreams fails.
+        budget: whether retries had a budget.
+        ejection: whether failing upstreams were avoided.
+        attempts: attempts for each request.
+        served: share of the requests that were served.
+    """
+
+    reason: str
+    budget: bool
+    ejection: bool
+    attempts: float
+    served: float
+
+
+def simulate(
+    reason: retry.Reason, has_budget: bool, has_ejection: bool
+) -> Amplification:
+    """Return what retries do while half of the upstreams always fail."""
+    clock = clock_lib.ManualClock()
+    mode = retry.RetryMode() if has_budget else NO_BUDGET
+    policy = retry.RetryPolicy(mode, clock, random.Random(SEED))
+    generator = random.Random(SEED)
+    attempts = served = 0
+    for _ in range(REQUESTS):
+        clock.advance(datetime.timedelta(seconds=1 / REQUESTS_PER_SECOND))
+        policy.note_request()
+        excluded: set[int] = set()
+        for number in range(1, mode.max_attempts + 1):
+            attempts += 1
+            ejected = policy.list_ejected() if has_ejection else frozenset()
+            choices = [
+                upstream
+                for upstream in range(UPSTREAMS)
+                if upstream not in excluded and str(upstream) not in ejected
+            ]
+            upstream = generator.choice(choices or list(range(UPSTREAMS)))
+            if upstream >= UPSTREAMS // 2:
+                served += 1
+                policy.note_success(str(upstream))
+                break
+            excluded.add(upstream)
+            policy.note_failure(str(upstream), reason)
+            failure = retry.Failure(reason, str(upstream), True, number, LEFT)
+            if isinstance(policy.decide(failure), retry.GiveUp):
+                break
+    return Amplification(
+        reason.value,
+        has_budget,
+        has_ejection,
+        attempts / REQUESTS,
+        served / REQUESTS,
+    )
+
+
+def run_engine(pipe: multiprocessing.connection.Connection) -> None:
+    """Serve a stand-in engine in its own process until told to stop."""
+
+    async def serve() -> None:
+        standin = engine.EngineStandin(
+            engine.EngineMode(batch=batch.BatchMode(knee=1000))
+        )
+        standin.memory.take(
+            memory.Held(MODEL, "", "1", 1, view_lib.CopyState.SERVING)
+        )
+        server = http_lib.Server(standin.create_app(), HOST, 0)
+        await server.start()
+        pipe.send(server.address)
+        await asyncio.to_thread(pipe.recv)
+        await server.stop()
+
+    asyncio.run(serve())
+
+
+def run_entry(
+    pipe: multiprocessing.connection.Connection, upstream: str
+) -> None:
+    """Serve an entry in its own process; send its CPU time at the end."""
+
+    async def serve() -> None:
+        settings = settings_lib.parse(
+            settings_lib.EntrySettings,
+            ["--port", "0", "--drain-seconds", "0", "--controls", f"{HOST}:9"],
+        )
+        async with daemon.open_session() as session:
+            part = entry_program.EntryDaemon(settings, session)
+            await part.server.start()
+            part.entry.address = part.server.address
+            part.entry.take_view(create_view(upstream))
+            pipe.send(part.server.address)
+            await asyncio.to_thread(pipe.recv)
+            started = time.process_time()
+            pipe.send(None)
+            await asyncio.to_thread(pipe.recv)
+            pipe.send(time.process_time() - started)
+            await part.stop()
+
+    asyncio.run(serve())
+
+
+def create_view(upstream: str) -> view_lib.View:
+    """Return a view with one model on one upstream."""
+    row = table.Row(MODEL, table.RowKind.MODEL, memory_bytes=1)
+    return view_lib.View(
+        "vm1",
+        1,
+        table.Table(1, (row,)),
+        (view_lib.Upstream(upstream, "zone1", view_lib.UpstreamKind.ENGINE),),
+        (view_lib.Copy(MODEL, upstream, "1", view_lib.CopyState.SERVING),),
+    )
+
+
+@dataclasses.dataclass
+class Latencies:
+    """Times of one load, in microseconds."""
+
+    first: histogram.HdrHistogram
+    whole: histogram.HdrHistogram
+    failed: int = 0
+
+
+async def send(
+    session: aiohttp.ClientSession, url: str, found: Latencies
+) -> None:
+    """Send one streamed request and record its times."""
+    started = time.perf_counter()
+    body = {
+        "model": MODEL,
+        "prompt": "the same prompt",
+        "max_tokens": TOKENS,
+        "stream": True,
+    }
+    async with session.post(url, json=body) as response:
+        line = await response.content.readline()
+        first = time.perf_counter() - started
+        rest = await response.read()
+        whole = time.perf_counter() - started
+    if not line or not rest.endswith(b"data: [DONE]\n\n"):
+        found.failed += 1
+    found.first.record_value(int(first * 1e6))
+    found.whole.record_value(int(whole * 1e6))
+
+
+async def load(address: str, tokens_apart: float) -> Latencies:
+    """Send requests at a steady rate."""
+    found = Latencies(
+        histogram.HdrHistogram(1, 60_000_000, 3),
+        histogram.HdrHistogram(1, 60_000_000, 3),
+    )
+    async with daemon.open_session() as session:
+        async with asyncio.TaskGroup() as group:
+            for _ in range(RATE_PER_SECOND * SECONDS):
+                url = f"http://{address}/v1/completions"
+                group.create_task(send(session, url, found))
+                await asyncio.sleep(tokens_apart)
+    return found
+
+
+def describe(name: str, found: Latencies) -> dict[str, float | str]:
+    """Return percentiles in milliseconds."""
+    return {
+        "path": name,
+        "failed": found.failed,
+        "first_p50_ms": found.first.get_value_at_percentile(50) / 1000,
+        "first_p99_ms": found.first.get_value_at_percentile(99) / 1000,
+        "whole_p50_ms": found.whole.get_value_at_percentile(50) / 1000,
+        "whole_p99_ms": found.whole.get_value_at_percentile(99) / 1000,
+    }
+
+
+def measure_entry() -> None:
+    """Print latency without and with an entry between, and its CPU time."""
+    engine_pipe, engine_end = PROCESSES.Pipe()
+    upstream = PROCESSES.Process(target=run_engine, args=(engine_end,))
+    upstream.start()
+    address = engine_pipe.recv()
+    entry_pipe, entry_end = PROCESSES.Pipe()
+    entry = PROCESSES.Process(target=run_entry, args=(entry_end, address))
+    entry.start()
+    entry_address = entry_pipe.recv()
+    for _ in range(2):
+        direct = asyncio.run(load(address, 1 / RATE_PER_SECOND))
+        print(json.dumps(describe("direct", direct)))
+    entry_pipe.send(None)
+    entry_pipe.recv()
+    through = asyncio.run(load(entry_address, 1 / RATE_PER_SECOND))
+    entry_pipe.send(None)
+    cpu_seconds = entry_pipe.recv()
+    print(json.dumps(describe("through an entry", through)))
+    requests = RATE_PER_SECOND * SECONDS
+    print(
+        json.dumps(
+            {
+                "cpu_ms_per_request": cpu_seconds / requests * 1000,
+                "cpu_us_per_token": cpu_seconds / requests / TOKENS * 1e6,
+                "tokens_per_request": TOKENS,
+            }
+        )
+    )
+    engine_pipe.send(None)
+    entry.join()
+    upstream.join()
+
+
+if __name__ == "__main__":
+    for failing in (retry.Reason.UNREACHABLE, retry.Reason.CUT):
+        for budget, ejection in (
+            (False, False),
+            (True, False),
+            (True, True),
+        ):
+            result = simulate(failing, budget, ejection)
+            print(json.dumps(dataclasses.asdict(result)))
+    measure_entry()
--- a/src/cicadahook/core/retry.py
+++ b/src/cicadahook/core/retry.py
@@ -48,8 +48,8 @@
         base_delay: upper bound of the delay before the first retry; it
             doubles with each further one.
         max_delay: upper bound of all delays.
-        eject: how long an upstream is avoided after a failure; it doubles
-            with each further one in a row.
+        eject_after: failures in a row after which an upstream is avoided.
+        eject: how long it is avoided; doubles with each further failure.
         max_eject: upper bound of that time.
     """
 
@@ -60,6 +60,7 @@
     max_attempts: int = 4
     base_delay: datetime.timedelta = datetime.timedelta(milliseconds=20)
     max_delay: datetime.timedelta = datetime.timedelta(milliseconds=500)
+    eject_after: int = 3
     eject: datetime.timedelta = datetime.timedelta(seconds=1)
     max_eject: datetime.timedelta = datetime.timedelta(seconds=15)
 
@@ -159,14 +160,20 @@
         self.ejections.pop(upstream, None)
 
     def note_failure(self, upstream: str, reason: Reason) -> None:
-        """Avoid `upstream` for a while if `reason` speaks against it."""
-        if reason not in EJECTING_REASONS:
-            return
+        """Avoid `upstream` for a while if it fails one request after another.
+
+        The reasons that speak against it need no second failure.
+        """
         known = self.ejections.get(upstream)
         failures = known.failures + 1 if known else 1
-        pause = min(
-            self.mode.max_eject, self.mode.eject * 2 ** min(failures - 1, 10)
-        )
+        if reason in EJECTING_REASONS:
+            failures = max(failures, self.mode.eject_after)
+        excess = failures - self.mode.eject_after
+        pause = datetime.timedelta()
+        if excess >= 0:
+            pause = min(
+                self.mode.max_eject, self.mode.eject * 2 ** min(excess, 10)
+            )
         # Jitter keeps the entries from coming back all at once.
         pause *= 0.5 + self.random.random() / 2
         self.ejections[upstream] = Ejection(failures, self.clock.now() + pause)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -149,6 +149,16 @@
     assert create_policy(clock).decide(failure) is expected
 
 
+def test_upstream_that_cuts_each_stream_is_avoided(
+    clock: clock_lib.ManualClock,
+) -> None:
+    policy = create_policy(clock)
+    for _ in range(policy.mode.eject_after):
+        assert not policy.list_ejected()
+        policy.note_failure("u", retry.Reason.CUT)
+    assert policy.list_ejected() == {"u"}
+
+
 def test_failing_upstream_is_avoided_for_longer_each_time(
     clock: clock_lib.ManualClock,
 ) -> None:
