Poll each engine by itself, wake a lagging node by gossip, and measure the shared state

Cause: a silent engine held up the sight of all others; a node looked for a newer table only three times a second. Tests: the mutations that passed unseen (a stale head put in force, a branch of a peer applied, a woken member's suspicions, pages missing after a merge) each have a test now.

--- /dev/null
+++ b/benchmarks/processes.py
@@ -0,0 +1,210 @@
+"""Measures four controls and entries as processes, in rest and in trouble.
+
+Prints JSON lines: calls to the key-value service a second, time from an edit
+to in force on every control, memory and processor time of each daemon.
+
+Run: python benchmarks/processes.py [BASE_PORT]
+"""
+
+import asyncio
+from collections.abc import Iterator
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import time
+from typing import Any, Final
+
+import aiohttp
+
+HOST: Final = "127.0.0.1"
+NODES: Final = 4
+DEFAULT_BASE_PORT: Final = 11000
+START_SECONDS: Final = 15.0
+REST_SECONDS: Final = 20.0
+OUTAGE: Final = "in_outage"
+OUTAGE_SECONDS: Final = 15.0
+RECOVERY_SECONDS: Final = 10.0
+DEATH_SECONDS: Final = 10.0
+EDITS: Final = 20
+POLL_SECONDS: Final = 0.01
+PAGE_KIB: Final = os.sysconf("SC_PAGE_SIZE") // 1024
+TICKS: Final = os.sysconf("SC_CLK_TCK")
+
+
+class Cluster:
+    """Stand-ins, four controls and four entries as processes."""
+
+    def __init__(self, base: int, session: aiohttp.ClientSession) -> None:
+        self.base = base
+        self.session = session
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self) -> None:
+        """Start all processes."""
+        self._run("keyvalue", "standin", "keyvalue", f"--port={self.base}")
+        self._run("vmlist", "standin", "vmlist", f"--port={self.base + 1}")
+        for index in range(NODES):
+            name = f"vm{index}"
+            self._run(
+                f"control{index}",
+                "control",
+                f"--name={name}",
+                f"--port={self.control_port(index)}",
+                f"--entry={HOST}:{self.entry_port(index)}",
+                f"--key-value={HOST}:{self.base}",
+                f"--vm-list={HOST}:{self.base + 1}",
+                "--cluster-key=a benchmark's key",
+                "--log-level=ERROR",
+            )
+            self._run(
+                f"entry{index}",
+                "entry",
+                f"--name={name}",
+                f"--port={self.entry_port(index)}",
+                f'--controls=["{HOST}:{self.control_port(index)}"]',
+                "--log-level=ERROR",
+            )
+
+    def control_port(self, index: int) -> int:
+        """Return the port of a control."""
+        return self.base + 10 + index
+
+    def entry_port(self, index: int) -> int:
+        """Return the port of an entry."""
+        return self.base + 20 + index
+
+    def _run(self, name: str, program: str, *arguments: str) -> None:
+        code = f"from cicadahook.programs import {program} as p; p.main()"
+        command = [sys.executable, "-c", code, *arguments]
+        # pylint: disable-next=consider-using-with
+        self.processes[name] = subprocess.Popen(command)
+
+    def kill(self, index: int) -> None:
+        """Kill the daemons of a VM."""
+        for name in (f"control{index}", f"entry{index}"):
+            process = self.processes.pop(name)
+            process.kill()
+            process.wait()
+
+    def stop(self) -> None:
+        """Stop all processes."""
+        for process in self.processes.values():
+            process.terminate()
+        for process in self.processes.values():
+            process.wait(timeout=70)
+
+    async def ask(self, method: str, port: int, path: str, **kw: Any) -> Any:
+        """Return the JSON answer of a process."""
+        url = f"http://{HOST}:{port}{path}"
+        async with self.session.request(method, url, **kw) as response:
+            response.raise_for_status()
+            return await response.json()
+
+    async def count_calls(self) -> dict[str, int]:
+        """Return the calls that the key-value service took so far."""
+        calls: dict[str, int] = await self.ask("GET", self.base, "/calls")
+        return calls
+
+    async def edit(self, number: int) -> float:
+        """Edit a row; return the seconds until all controls show it."""
+        row = {
+            "name": "bench",
+            "kind": "service",
+            "rate_per_second": float(number),
+        }
+        answer = await self.ask(
+            "PUT",
+            self.control_port(number % NODES),
+            "/table/rows",
+            json={"rows": [row]},
+        )
+        started = time.monotonic()
+        for index in range(NODES):
+            while True:
+                port = self.control_port(index)
+                table = await self.ask("GET", port, "/table")
+                if table["generation"] >= answer["generation"]:
+                    break
+                await asyncio.sleep(POLL_SECONDS)
+        return time.monotonic() - started
+
+    def read_usage(self) -> Iterator[tuple[str, float, float]]:
+        """Yield name, memory in MB and processor seconds of each daemon."""
+        for name, process in self.processes.items():
+            folder = pathlib.Path("/proc") / str(process.pid)
+            pages = int((folder / "statm").read_text().split()[1])
+            fields = (folder / "stat").read_text().rpartition(")")[2].split()
+            seconds = (int(fields[11]) + int(fields[12])) / TICKS
+            yield name, pages * PAGE_KIB / 1024, seconds
+
+
+async def measure_rates(cluster: Cluster, name: str, seconds: float) -> None:
+    """Print calls and processor time a second over some seconds.
+
+    Calls are not counted while the service is down: it does not tell.
+    """
+    is_counting = name != OUTAGE
+    calls = await cluster.count_calls() if is_counting else {}
+    used = {name: cpu for name, _, cpu in cluster.read_usage()}
+    await asyncio.sleep(seconds)
+    if is_counting:
+        later = await cluster.count_calls()
+        show(
+            f"calls_a_second_{name}",
+            {kind: (later[kind] - calls[kind]) / seconds for kind in calls},
+        )
+    for daemon, memory, cpu in cluster.read_usage():
+        share = (cpu - used[daemon]) / seconds
+        show(f"usage_{name}", {"mb": memory, "core": share}, daemon)
+
+
+def show(measure: str, values: dict[str, float], daemon: str = "") -> None:
+    """Print one JSON line."""
+    line = {"measure": measure, **({"daemon": daemon} if daemon else {})}
+    rounded = {name: round(value, 4) for name, value in values.items()}
+    print(json.dumps({**line, **rounded}), flush=True)
+
+
+async def measure_edits(cluster: Cluster) -> None:
+    """Print times to in force and calls an edit."""
+    calls = await cluster.count_calls()
+    times = sorted([await cluster.edit(number) for number in range(EDITS)])
+    later = await cluster.count_calls()
+    show(
+        "in_force_seconds",
+        {
+            "p50": times[EDITS // 2],
+            "p99": times[int(EDITS * 0.99)],
+            "worst": times[-1],
+        },
+    )
+    show(
+        "calls_an_edit",
+        {kind: (later[kind] - calls[kind]) / EDITS for kind in calls},
+    )
+
+
+async def run(base: int) -> None:
+    """Start the processes, measure, stop them."""
+    async with aiohttp.ClientSession() as session:
+        cluster = Cluster(base, session)
+        try:
+            cluster.start()
+            await asyncio.sleep(START_SECONDS)
+            await cluster.edit(EDITS)
+            await measure_rates(cluster, "in_rest", REST_SECONDS)
+            await measure_edits(cluster)
+            await cluster.ask("PUT", base, "/faults", json={"down": True})
+            await measure_rates(cluster, OUTAGE, OUTAGE_SECONDS)
+            await cluster.ask("PUT", base, "/faults", json={})
+            await measure_rates(cluster, "at_recovery", RECOVERY_SECONDS)
+            cluster.kill(NODES - 1)
+            await measure_rates(cluster, "at_a_death", DEATH_SECONDS)
+        finally:
+            cluster.stop()
+
+
+if __name__ == "__main__":
+    asyncio.run(run(int(sys.argv[1]) if sys.argv[1:] else DEFAULT_BASE_PORT))
--- /dev/null
+++ b/benchmarks/shared.py
@@ -0,0 +1,317 @@
+"""Measures what the nodes share, on an injected clock with losses.
+
+Prints JSON lines: time from acceptance to in force, datagrams, bytes and
+processor time a node a second against the fleet, calls to the key-value
+service, and edits refused with row-level against table-level checks.
+
+Run: python benchmarks/shared.py [in_force|cost|calls|edits]
+"""
+
+from collections.abc import Callable, Iterator, Sequence
+import dataclasses
+import datetime
+import json
+import random
+import statistics
+import sys
+import time
+from typing import Final
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import edits
+from cicadahook.core import errors
+from cicadahook.core import loads
+from cicadahook.core import membership
+from cicadahook.core import table as table_lib
+from cicadahook.core import view
+from cicadahook.net import gossip
+from cicadahook.net import keyvalue
+from cicadahook.net import members as members_lib
+from cicadahook.net import seal
+from cicadahook.standins import network as network_lib
+
+FLEETS: Final = (4, 16, 64, 200, 400)
+SETTLING_SECONDS: Final = 20.0
+COST_SECONDS: Final = 5.0
+EDIT_COUNT: Final = 20
+STEP_SECONDS: Final = 0.05
+LOSS: Final = 0.05
+SEED: Final = 1
+PULL_SECONDS: Final = 0.02
+UPSTREAMS: Final = 12
+OPERATORS: Final = (2, 4, 8)
+ROWS: Final = 140
+ROUNDS: Final = 300
+ROWS_AN_EDIT: Final = 2
+
+
+def create_network(size: int) -> network_lib.NetworkStandin:
+    """Return a network of `size` members that have met."""
+    network = network_lib.NetworkStandin(clock_lib.ManualClock(), SEED)
+    seeds = ("vm0:1", "vm1:1", "vm2:1")
+    for index in range(size):
+        network.start(f"vm{index}", seeds)
+    network.run(SETTLING_SECONDS)
+    network.loss = LOSS
+    return network
+
+
+def measure_in_force() -> Iterator[dict[str, object]]:
+    """Yield times from acceptance to in force by gossip and pulls alone.
+
+    All watches are silent: only the accepting node has the table at first.
+    """
+    for size in FLEETS:
+        network = create_network(size)
+        times = [
+            seconds
+            for generation in range(1, EDIT_COUNT + 1)
+            for seconds in spread(network, generation)
+        ]
+        times.sort()
+        yield {
+            "measure": "in_force_seconds",
+            "nodes": size,
+            "loss": LOSS,
+            "p50": round(times[len(times) // 2], 2),
+            "p99": round(times[int(len(times) * 0.99)], 2),
+            "worst": round(times[-1], 2),
+        }
+
+
+def spread(
+    network: network_lib.NetworkStandin, generation: int
+) -> Iterator[float]:
+    """Accept an edit at a node; yield when each other one has it."""
+    first = network.rng.choice(sorted(network.nodes))
+    accepted = network.clock.now()
+    put_in_force(network, first, generation)
+    waiting = set(network.nodes) - {first}
+    due: dict[str, datetime.datetime] = {}
+    while waiting:
+        network.run(STEP_SECONDS)
+        now = network.clock.now()
+        for address in sorted(waiting):
+            node = network.nodes[address]
+            if address not in due and node.highest >= generation:
+                # A node then fetches head and page from a peer.
+                due[address] = now + datetime.timedelta(seconds=PULL_SECONDS)
+            if address in due and now >= due[address]:
+                waiting.discard(address)
+                put_in_force(network, address, generation)
+                yield (now - accepted).total_seconds()
+
+
+def put_in_force(
+    network: network_lib.NetworkStandin, address: str, generation: int
+) -> None:
+    """Let a node tell that it has `generation` in force."""
+    node = network.nodes[address]
+    node.set_own(generation=generation)
+    network.send(address, node.set_newest(generation))
+
+
+def measure_cost() -> Iterator[dict[str, object]]:
+    """Yield datagrams, bytes and processor time a node a second, in rest."""
+    points = []
+    for size in FLEETS:
+        network = create_network(size)
+        meter = Meter(network)
+        started = time.process_time()
+        network.run(COST_SECONDS)
+        core = time.process_time() - started - meter.coding
+        node_seconds = size * COST_SECONDS
+        load_datagrams, load_bytes, load_coding = measure_load(size)
+        point = {
+            "nodes": size,
+            "datagrams": meter.datagrams / node_seconds + load_datagrams,
+            "bytes": meter.bytes / node_seconds + load_bytes,
+            "cpu_ms": 1000 * (core + meter.coding) / node_seconds + load_coding,
+        }
+        points.append(point)
+        yield {"measure": "gossip_a_node_a_second", **round_all(point)}
+    for name in ("datagrams", "bytes", "cpu_ms"):
+        fit = statistics.linear_regression(
+            [point["nodes"] for point in points],
+            [point[name] for point in points],
+        )
+        yield {
+            "measure": f"gossip_{name}_fit",
+            "fit": "least squares line",
+            "at_0": round(fit.intercept, 3),
+            "a_node": round(fit.slope, 6),
+            "at_400": round(fit.intercept + 400 * fit.slope, 2),
+        }
+
+
+class Meter:
+    """Seals and opens every message sent, as two controls would.
+
+    Attributes:
+        datagrams: datagrams sent.
+        bytes: bytes of UDP payload sent.
+        coding: processor seconds that sealing and opening took.
+    """
+
+    def __init__(self, network: network_lib.NetworkStandin) -> None:
+        self.clock = network.clock
+        self.datagrams = 0
+        self.bytes = 0
+        self.coding = 0.0
+        self.sealers: dict[str, seal.Sealer] = {}
+        self.forward = network.send
+        network.send = self.send  # type: ignore[method-assign]
+
+    def send(self, source: str, sends: tuple[membership.Send, ...]) -> None:
+        """Measure `sends`, then pass them on."""
+        started = time.process_time()
+        for item in sends:
+            body = gossip.MESSAGES.encode(item.message)
+            sealer = self.find_sealer(source)
+            for data in sealer.seal(seal.Kind.MESSAGE, item.address, body):
+                self.datagrams += 1
+                self.bytes += len(data)
+                envelope = self.find_sealer(item.address).open(data)
+            gossip.MESSAGES.decode(envelope.body)
+        self.coding += time.process_time() - started
+        self.forward(source, sends)
+
+    def find_sealer(self, address: str) -> seal.Sealer:
+        """Return the sealer of the node at `address`."""
+        if address not in self.sealers:
+            self.sealers[address] = seal.Sealer("a key", address, self.clock)
+        return self.sealers[address]
+
+
+def measure_load(size: int) -> tuple[float, float, float]:
+    """Return datagrams, bytes and CPU ms a second to exchange the loads."""
+    clock = clock_lib.ManualClock()
+    load = loads.EntryLoad(
+        "10.0.0.1:8401",
+        uses=tuple(
+            view.UpstreamUse(f"10.0.1.{index}:80", 9, 16.5)
+            for index in range(UPSTREAMS)
+        ),
+        rows=tuple(
+            view.PeerRowLoad(f"model-{index}", 3, 1.25)
+            for index in range(UPSTREAMS)
+        ),
+    )
+    sender, receiver = (seal.Sealer("k" * 8, name, clock) for name in "ab")
+    assembler = seal.Assembler()
+    sends = 0
+    size_bytes = 0
+    started = time.process_time()
+    for _ in range(100):
+        body = gossip.LOADS.encode(load)
+        for data in sender.seal(seal.Kind.LOAD, "b", body):
+            sends += 1
+            size_bytes += len(data)
+            whole = assembler.add(receiver.open(data))
+        assert whole is not None, "load is not whole"
+        gossip.LOADS.decode(whole)
+    cpu_ms = (time.process_time() - started) * 10
+    peers = min(size - 1, gossip.LOAD_FANOUT)
+    a_second = peers / gossip.LOAD_INTERVAL.total_seconds()
+    return (
+        sends / 100 * a_second,
+        size_bytes / 100 * a_second,
+        cpu_ms * a_second,
+    )
+
+
+def measure_calls() -> Iterator[dict[str, object]]:
+    """Yield calls to the key-value service a second, from the intervals.
+
+    In rest a node waits in one watch of the head, followed by a read, and
+    renews and reads the registrations; placement is not counted.
+    """
+    watch = keyvalue.WATCH_WAIT.total_seconds()
+    renew = members_lib.RENEW_PAUSE.total_seconds() * 0.85
+    for size in FLEETS:
+        yield {
+            "measure": "keyvalue_calls_computed",
+            "nodes": size,
+            "reads_a_second_in_rest": round(size * (2 / watch + 1 / renew), 1),
+            "writes_a_second_in_rest": round(size / renew, 1),
+            "reads_of_one_edit_of_one_page": 3 * size,
+            "writes_of_one_edit_of_one_page": 2,
+        }
+
+
+def measure_edits() -> Iterator[dict[str, object]]:
+    """Yield the share of edits refused by row-level and table-level checks.
+
+    In each round all operators edit what they saw at its start.
+    """
+    for operators in OPERATORS:
+        for is_hot in (False, True):
+            yield {
+                "measure": "edits_refused",
+                "operators": operators,
+                "rows": ROWS,
+                "rows_an_edit": ROWS_AN_EDIT,
+                "half_in_ten_rows": is_hot,
+                **race(operators, is_hot),
+            }
+
+
+def race(operators: int, is_hot: bool) -> dict[str, float]:
+    """Return the shares refused when `operators` edit at once."""
+    rng = random.Random(SEED)
+    table = table_lib.Table(
+        1,
+        tuple(
+            table_lib.Row(
+                f"m{index:03}", table_lib.RowKind.MODEL, memory_bytes=1
+            )
+            for index in range(ROWS)
+        ),
+    )
+    refused = 0
+    for number in range(ROUNDS):
+        seen = table
+        for operator in range(operators):
+            rows = [
+                dataclasses.replace(
+                    seen.rows[index],
+                    rate_per_second=float(number * operators + operator + 1),
+                )
+                for index in choose_rows(rng, is_hot)
+            ]
+            changes = edits.create_changes(seen, rows)
+            try:
+                merged = edits.apply(table.rows, changes)
+                table = table_lib.Table(table.generation + 1, merged)
+            except errors.EditConflictError:
+                refused += 1
+    total = ROUNDS * operators
+    return {
+        "row_level_refused": round(refused / total, 3),
+        "table_level_refused": round((operators - 1) / operators, 3),
+    }
+
+
+def choose_rows(rng: random.Random, is_hot: bool) -> Sequence[int]:
+    """Return the indices of the rows that an operator edits."""
+    limit = 10 if is_hot and rng.random() < 0.5 else ROWS
+    return rng.sample(range(limit), ROWS_AN_EDIT)
+
+
+def round_all(point: dict[str, float]) -> dict[str, float]:
+    """Return `point` with its values rounded."""
+    return {name: round(value, 3) for name, value in point.items()}
+
+
+MEASURES: Final[dict[str, Callable[[], Iterator[dict[str, object]]]]] = {
+    "in_force": measure_in_force,
+    "cost": measure_cost,
+    "calls": measure_calls,
+    "edits": measure_edits,
+}
+
+
+if __name__ == "__main__":
+    for chosen in sys.argv[1:] or list(MEASURES):
+        for line in MEASURES[chosen]():
+            print(json.dumps(line), flush=True)
--- a/src/cicadahook/net/control.py
+++ b/src/cicadahook/net/control.py
@@ -115,6 +115,11 @@
         self.store.fetch_from_peer = self.peers.fetch
         self.tables.subscribe(self._give_table)
         self.fleet.fleets.subscribe(self._give_fleet)
+        self.gossip.newest.subscribe(
+            lambda newest: self.store.note_newest(
+                newest.generation, newest.source
+            )
+        )
         self.registry.seeds.subscribe(
             lambda seeds: self.gossip.set_seeds((*seeds, *self.mode.peers))
         )
@@ -124,6 +129,7 @@
 
     def _give_table(self, table: table_lib.Table) -> None:
         self.placer.table = table
+        self.gossip.hand_out(table.generation)
 
     def _give_fleet(self, fleet: fleet_lib.Fleet) -> None:
         self.placer.fleet = fleet
@@ -158,13 +164,9 @@
     def _exchange_state(self) -> None:
         """Pass generations, states and demand between the parts."""
         generation = self.tables.value.generation
-        self.gossip.set_generations(
-            generation, self.reports.generation_in_force(generation)
-        )
+        self.gossip.set_in_force(self.reports.generation_in_force(generation))
         self.gossip.set_state(self.reports.state())
         self.store.peers = self.gossip.find_peers()
-        self.store.highest = self.gossip.membership.highest
-        self.store.source = self.gossip.membership.source
         take_demand = getattr(self.placer, "take_demand", None)
         if take_demand is not None:
             take_demand(self.gossip.book.rates())
--- a/src/cicadahook/net/fleet.py
+++ b/src/cicadahook/net/fleet.py
@@ -135,11 +135,12 @@
     async def _look(self, vm: ListedVm, misses: int) -> int:
         """Ask an engine for its state; return its misses in a row."""
         try:
-            state = await self.engines.fetch_state(vm.address)
-        except errors.UpstreamError as error:
+            async with asyncio.timeout(CALL_TIMEOUT.total_seconds()):
+                state = await self.engines.fetch_state(vm.address)
+        except (errors.UpstreamError, TimeoutError) as error:
             is_dead = misses + 1 >= MISSES_OF_DEAD
             if is_dead or vm.address not in self.sightings:
-                logger.info("Engine not seen: %s.", error)
+                logger.info("Engine %s not seen: %r.", vm.address, error)
                 upstream = dataclasses.replace(
                     _describe(vm), state=view.UpstreamState.DEAD
                 )
--- a/src/cicadahook/net/gossip.py
+++ b/src/cicadahook/net/gossip.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+import dataclasses
 import datetime
 import random
 from typing import Any, Final
@@ -27,11 +28,25 @@
 LOADS: Final = codec.Codec(loads.EntryLoad, "gossip")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Newest:
+    """The newest table that a peer can hand out.
+
+    Attributes:
+        generation: its generation.
+        source: address of that peer's control.
+    """
+
+    generation: int = 0
+    source: str = ""
+
+
 class GossipEndpoint(asyncio.DatagramProtocol):
     """Runs the membership over UDP and exchanges the entries' loads.
 
     Attributes:
         members: all members known, this one too, after each change.
+        newest: the newest table that any peer can hand out.
         book: the newest load of each entry, own ones included.
         own_loads: loads of the entries linked to this control, by entry.
     """
@@ -55,6 +70,9 @@
         self.members: subject.BehaviorSubject[tuple[view.Member, ...]] = (
             subject.BehaviorSubject((own,))
         )
+        self.newest: subject.BehaviorSubject[Newest] = subject.BehaviorSubject(
+            Newest()
+        )
         self.published = 0
         self.next_loads = clock.now()
         self.load_order: list[str] = []
@@ -103,16 +121,14 @@
         """Note that a datagram found nobody."""
         logger.debug("Datagram not delivered: %r.", exc)
 
-    def set_generations(self, newest: int, in_force: int) -> None:
-        """Tell the members what is in force on this VM.
+    def set_in_force(self, generation: int) -> None:
+        """Tell the members what is in force on both control and entry."""
+        self.membership.set_own(generation=generation)
 
-        Args:
-            newest: table generation that this control can hand out.
-            in_force: generation in force on both control and entry.
-        """
-        self.membership.set_own(generation=in_force)
-        if newest > self.membership.newest:
-            self.send(self.membership.set_newest(newest))
+    def hand_out(self, generation: int) -> None:
+        """Tell some members at once that a table can be pulled from here."""
+        if generation > self.membership.newest:
+            self.send(self.membership.set_newest(generation))
 
     def set_state(self, state: view.MemberState) -> None:
         """Tell the members the state of this VM."""
@@ -151,7 +167,10 @@
             self.book.note(LOADS.decode(body), now)
 
     def _publish(self) -> None:
-        """Publish the members if they changed."""
+        """Publish the members, and the newest table, if they changed."""
+        newest = Newest(self.membership.highest, self.membership.source)
+        if newest != self.newest.value:
+            self.newest.on_next(newest)
         if self.published != self.membership.changes:
             self.published = self.membership.changes
             known = self.membership.members
--- a/src/cicadahook/net/tables.py
+++ b/src/cicadahook/net/tables.py
@@ -1,5 +1,6 @@
 """The table of a node: following, healing and editing what is accepted."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 import datetime
 import itertools
@@ -22,7 +23,6 @@
 PAGE_PREFIX: Final = "table/pages/"
 RETRY_PAUSE: Final = datetime.timedelta(seconds=0.5)
 REPAIR_SPREAD: Final = datetime.timedelta(seconds=1)
-CATCH_UP_PAUSE: Final = datetime.timedelta(seconds=0.3)
 EDIT_TRIES: Final = 12
 PEER_TRIES: Final = 3
 REPAIR_AUTHOR: Final = "cicada-control"
@@ -49,9 +49,8 @@
         tables: the table in force, then each later one.
         fetch_from_peer: fetches a path of a peer's control; set by its owner.
         peers: addresses of live peers' controls; set by its owner.
-        highest: highest generation that any peer can hand out; set by its
-            owner.
-        source: address of a peer that can hand it out; set by its owner.
+        highest: highest generation that any peer can hand out.
+        source: address of a peer that can hand it out.
     """
 
     def __init__(
@@ -71,6 +70,7 @@
         self.peers: tuple[str, ...] = ()
         self.highest = 0
         self.source = ""
+        self.lagging = asyncio.Event()
         self.session = int(clock.now().timestamp() * 1_000_000)
         self.write_numbers = itertools.count(1)
 
@@ -85,12 +85,25 @@
                 logger.warning("Head not taken up: %s.", error)
                 await self.client.sleep(RETRY_PAUSE)
 
+    def note_newest(self, generation: int, source: str) -> None:
+        """Note that the peer `source` can hand out `generation`."""
+        if generation > self.highest:
+            self.highest = generation
+            self.source = source
+            self.lagging.set()
+
     async def run_catch_up(self) -> None:
         """Fetch from peers whatever gossip says is newer, until cancelled."""
+        backoff = self.client.gate.create_backoff()
         while True:
-            await self.client.sleep(CATCH_UP_PAUSE)
-            if self.highest > self.sync.head.generation:
-                await self.catch_up()
+            await self.lagging.wait()
+            self.lagging.clear()
+            await self.catch_up()
+            if self.highest <= self.sync.head.generation:
+                backoff.succeed()
+                continue
+            self.lagging.set()
+            await self.client.sleep(backoff.fail())
 
     async def catch_up(self) -> None:
         """Ask the peer that has a newer table for it, then some others."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Mapping
+import dataclasses
 import datetime
 from typing import Final
 
@@ -100,6 +101,29 @@
     assert_all_see(network, {f"vm{index}": ALIVE for index in range(4)})
 
 
+def test_woken_member_drops_its_probes_and_renews_suspicions(
+    clock: clock_lib.ManualClock,
+) -> None:
+    network = create_network(clock, 4)
+    node = network.nodes["vm0:1"]
+    suspect = dataclasses.replace(
+        node.members["vm1"], state=view.MemberState.SUSPECT
+    )
+    message = membership.Message(
+        membership.MessageKind.NEWS,
+        node.members["vm3"],
+        updates=(suspect,),
+    )
+    node.take(message, "vm3:1", clock.now())
+    node.tick(clock.now() + datetime.timedelta(seconds=0.5))
+    assert node.probes
+    node.tick(clock.now() + datetime.timedelta(seconds=5))
+    states = collections.Counter(
+        member.state for member in node.members.values()
+    )
+    assert states == {ALIVE: 3, view.MemberState.SUSPECT: 1}
+
+
 def test_short_pause_is_no_death(clock: clock_lib.ManualClock) -> None:
     network = create_network(clock, 4)
     for _ in range(5):
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -239,9 +239,7 @@
                 except StopIteration:
                     self.others.remove(item)
 
-    @stateful.rule(
-        fault=st.sampled_from(["none", "none", "down", "lost_reply"])
-    )
+    @stateful.rule(fault=st.sampled_from(["none"] * 4 + ["down", "lost_reply"]))
     def set_fault(self, fault: str) -> None:
         """Change how the service fails."""
         self.service.fault = fault
@@ -345,7 +343,7 @@
 
 
 TableMachine.TestCase.settings = hypothesis.settings(
-    max_examples=60,
+    max_examples=150,
     stateful_step_count=40,
     derandomize=True,
     deadline=None,
@@ -447,3 +445,93 @@
     finish(old._follow_head(head))  # pylint: disable=protected-access
     assert [row.name for row in old.sync.table.rows] == ["a", "b", "c"]
     assert old.sync.table.generation == 3
+    fresh = create_store(service, clock, "fresh")
+    finish(fresh._read_newest())  # pylint: disable=protected-access
+    assert fresh.sync.table == old.sync.table
+
+
+def test_lost_reply_is_true_though_the_row_was_changed_again(
+    service: Service, clock: clock_lib.ManualClock
+) -> None:
+    stores = [create_store(service, clock, name) for name in "xy"]
+
+    def start(store: tables.TableStore, value: int) -> Coroutine[Any, Any, Any]:
+        rows = [create_row("a", value)]
+        return store.edit(edits.create_changes(store.sync.table, rows), "ana")
+
+    first = start(stores[0], 1)
+    while tables.HEAD_KEY not in service.items:
+        service.fault = "lost_reply"
+        first.send(None)
+    service.fault = "none"
+    finish(stores[1]._read_newest())  # pylint: disable=protected-access
+    finish(start(stores[1], 2))
+    finish(first)
+    finish(stores[0]._read_newest())  # pylint: disable=protected-access
+    assert read_value(stores[0].sync.table, "a") == 2
+
+
+def test_edit_does_not_go_on_from_a_head_older_than_the_one_in_force(
+    service: Service, clock: clock_lib.ManualClock
+) -> None:
+    slow, quick = (create_store(service, clock, name) for name in "xy")
+
+    def edit(value: int) -> None:
+        changes = edits.create_changes(
+            quick.sync.table, [create_row("a", value)]
+        )
+        finish(quick.edit(changes, "ana"))
+
+    edit(1)
+    backup = dict(service.items)
+    reading = slow._read_newest()  # pylint: disable=protected-access
+    for _ in range(2):
+        reading.send(None)  # It has read the head, and now reads the page.
+    edit(2)
+    slow.sync.contents.update(quick.sync.contents)
+    assert slow.sync.put_in_force(quick.sync.head)
+    service.items = backup
+    finish(reading)
+    assert pages.parse_head(service.items[tables.HEAD_KEY][0]).generation == 2
+    assert read_value(slow.sync.table, "a") == 2
+
+
+def test_other_branch_of_a_peer_is_not_applied(
+    service: Service, clock: clock_lib.ManualClock
+) -> None:
+    ours, theirs = create_store(service, clock, "x"), create_store(
+        Service(), clock, "y"
+    )
+    for store, names in ((ours, "a"), (theirs, "bc")):
+        for name in names:
+            changes = edits.create_changes(
+                store.sync.table, [create_row(name, 1)]
+            )
+            finish(store.edit(changes, "ana"))
+
+    async def fetch(peer: str, path: str) -> str:
+        assert peer == "y"
+        name = path.removeprefix("/peer/pages/")
+        return theirs.find_page(name) or theirs.dump_head()
+
+    ours.peers = ("y",)
+    ours.fetch_from_peer = fetch
+    ours.highest = 2
+    finish(ours.catch_up())
+    assert [row.name for row in ours.sync.table.rows] == ["a"]
+
+
+def test_older_head_is_never_put_in_force(
+    service: Service, clock: clock_lib.ManualClock
+) -> None:
+    store = create_store(service, clock, "x")
+    heads = []
+    for value in (1, 2):
+        changes = edits.create_changes(
+            store.sync.table, [create_row("a", value)]
+        )
+        finish(store.edit(changes, "ana"))
+        heads.append(store.sync.head)
+    assert not store.sync.put_in_force(heads[0])
+    assert not store.sync.put_in_force(heads[1])
+    assert store.sync.table.generation == 2
