--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -1,15 +1,13 @@
-"""Measures real daemons: memory, processor time, bytes, key-value calls.
+"""Measures four controls and entries as processes, in rest and in trouble.
 
-Run: python benchmarks/processes.py [--seconds 10]
+Prints JSON lines: calls to the key-value service a second, time from an edit
+to in force on every control, memory and processor time of each daemon.
 
-Starts one control and one entry with stand-ins as separate processes on
-loopback, then reads the processor time of each from the kernel.
+Run: python benchmarks/processes.py [BASE_PORT]
 """
 
 import asyncio
 from collections.abc import Iterator
-import contextlib
-import dataclasses
 import json
 import os
 import pathlib
@@ -19,218 +17,194 @@
 from typing import Any, Final
 
 import aiohttp
-import fire
 
 HOST: Final = "127.0.0.1"
-BASE_PORT: Final = 9700
-BIN: Final = pathlib.Path(sys.executable).parent
-START_SECONDS: Final = 20.0
-POLL_SECONDS: Final = 0.1
-MODEL: Final = "model-0"
-TICKS_PER_SECOND: Final = os.sysconf("SC_CLK_TCK")
-
-
-@dataclasses.dataclass(frozen=True)
-class Use:
-    """What a process used since it started.
+NODES: Final = 4
+DEFAULT_BASE_PORT: Final = 11000
+START_SECONDS: Final = 15.0
+REST_SECONDS: Final = 20.0
+OUTAGE: Final = "in_outage"
+OUTAGE_SECONDS: Final = 15.0
+RECOVERY_SECONDS: Final = 10.0
+DEATH_SECONDS: Final = 10.0
+EDITS: Final = 20
+POLL_SECONDS: Final = 0.01
+PAGE_KIB: Final = os.sysconf("SC_PAGE_SIZE") // 1024
+TICKS: Final = os.sysconf("SC_CLK_TCK")
+
+
+class Cluster:
+    """Stand-ins, four controls and four entries as processes."""
+
+    def __init__(self, base: int, session: aiohttp.ClientSession) -> None:
+        self.base = base
+        self.session = session
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self) -> None:
+        """Start all processes."""
+        self._run("keyvalue", "standin", "keyvalue", f"--port={self.base}")
+        self._run("vmlist", "standin", "vmlist", f"--port={self.base + 1}")
+        for index in range(NODES):
+            name = f"vm{index}"
+            self._run(
+                f"control{index}",
+                "control",
+                f"--name={name}",
+                f"--port={self.control_port(index)}",
+                f"--entry={HOST}:{self.entry_port(index)}",
+                f"--key-value={HOST}:{self.base}",
+                f"--vm-list={HOST}:{self.base + 1}",
+                "--cluster-key=a benchmark's key",
+                "--log-level=ERROR",
+            )
+            self._run(
+                f"entry{index}",
+                "entry",
+                f"--name={name}",
+                f"--port={self.entry_port(index)}",
+                f'--controls=["{HOST}:{self.control_port(index)}"]',
+                "--log-level=ERROR",
+            )
 
-    Attributes:
-        cpu_seconds: processor time.
-        resident_mb: memory resident now.
+    def control_port(self, index: int) -> int:
+        """Return the port of a control."""
+        return self.base + 10 + index
+
+    def entry_port(self, index: int) -> int:
+        """Return the port of an entry."""
+        return self.base + 20 + index
+
+    def _run(self, name: str, program: str, *arguments: str) -> None:
+        code = f"from cicadahook.programs import {program} as p; p.main()"
+        command = [sys.executable, "-c", code, *arguments]
+        # pylint: disable-next=consider-using-with
+        self.processes[name] = subprocess.Popen(command)
+
+    def kill(self, index: int) -> None:
+        """Kill the daemons of a VM."""
+        for name in (f"control{index}", f"entry{index}"):
+            process = self.processes.pop(name)
+            process.kill()
+            process.wait()
+
+    def stop(self) -> None:
+        """Stop all processes."""
+        for process in self.processes.values():
+            process.terminate()
+        for process in self.processes.values():
+            process.wait(timeout=70)
+
+    async def ask(self, method: str, port: int, path: str, **kw: Any) -> Any:
+        """Return the JSON answer of a process."""
+        url = f"http://{HOST}:{port}{path}"
+        async with self.session.request(method, url, **kw) as response:
+            response.raise_for_status()
+            return await response.json()
+
+    async def count_calls(self) -> dict[str, int]:
+        """Return the calls that the key-value service took so far."""
+        calls: dict[str, int] = await self.ask("GET", self.base, "/calls")
+        return calls
+
+    async def edit(self, number: int) -> float:
+        """Edit a row; return the seconds until all controls show it."""
+        row = {
+            "name": "bench",
+            "kind": "service",
+            "rate_per_second": float(number),
+        }
+        answer = await self.ask(
+            "PUT",
+            self.control_port(number % NODES),
+            "/table/rows",
+            json={"rows": [row]},
+        )
+        started = time.monotonic()
+        for index in range(NODES):
+            while True:
+                port = self.control_port(index)
+                table = await self.ask("GET", port, "/table")
+                if table["generation"] >= answer["generation"]:
+                    break
+                await asyncio.sleep(POLL_SECONDS)
+        return time.monotonic() - started
+
+    def read_usage(self) -> Iterator[tuple[str, float, float]]:
+        """Yield name, memory in MB and processor seconds of each daemon."""
+        for name, process in self.processes.items():
+            folder = pathlib.Path("/proc") / str(process.pid)
+            pages = int((folder / "statm").read_text().split()[1])
+            fields = (folder / "stat").read_text().rpartition(")")[2].split()
+            seconds = (int(fields[11]) + int(fields[12])) / TICKS
+            yield name, pages * PAGE_KIB / 1024, seconds
+
+
+async def measure_rates(cluster: Cluster, name: str, seconds: float) -> None:
+    """Print calls and processor time a second over some seconds.
+
+    Calls are not counted while the service is down: it does not tell.
     """
-
-    cpu_seconds: float
-    resident_mb: float
-
-
-@dataclasses.dataclass(frozen=True)
-class System:
-    """The processes that are measured."""
-
-    entry: subprocess.Popen[bytes]
-    control: subprocess.Popen[bytes]
-
-
-def port(offset: int) -> int:
-    """Return the port at `offset`."""
-    return BASE_PORT + offset
-
-
-def url(offset: int, path: str) -> str:
-    """Return the URL of `path` at the port `offset`."""
-    return f"http://{HOST}:{port(offset)}{path}"
-
-
-def read_use(process: subprocess.Popen[bytes]) -> Use:
-    """Return what `process` used so far."""
-    stat = pathlib.Path(f"/proc/{process.pid}/stat").read_text("ascii")
-    fields = stat.rpartition(")")[2].split()
-    ticks = int(fields[11]) + int(fields[12])
-    pages = int(fields[21])
-    return Use(
-        ticks / TICKS_PER_SECOND,
-        pages * os.sysconf("SC_PAGE_SIZE") / 1_000_000,
+    is_counting = name != OUTAGE
+    calls = await cluster.count_calls() if is_counting else {}
+    used = {name: cpu for name, _, cpu in cluster.read_usage()}
+    await asyncio.sleep(seconds)
+    if is_counting:
+        later = await cluster.count_calls()
+        show(
+            f"calls_a_second_{name}",
+            {kind: (later[kind] - calls[kind]) / seconds for kind in calls},
+        )
+    for daemon, memory, cpu in cluster.read_usage():
+        share = (cpu - used[daemon]) / seconds
+        show(f"usage_{name}", {"mb": memory, "core": share}, daemon)
+
+
+def show(measure: str, values: dict[str, float], daemon: str = "") -> None:
+    """Print one JSON line."""
+    line = {"measure": measure, **({"daemon": daemon} if daemon else {})}
+    rounded = {name: round(value, 4) for name, value in values.items()}
+    print(json.dumps({**line, **rounded}), flush=True)
+
+
+async def measure_edits(cluster: Cluster) -> None:
+    """Print times to in force and calls an edit."""
+    calls = await cluster.count_calls()
+    times = sorted([await cluster.edit(number) for number in range(EDITS)])
+    later = await cluster.count_calls()
+    show(
+        "in_force_seconds",
+        {
+            "p50": times[EDITS // 2],
+            "p99": times[int(EDITS * 0.99)],
+            "worst": times[-1],
+        },
+    )
+    show(
+        "calls_an_edit",
+        {kind: (later[kind] - calls[kind]) / EDITS for kind in calls},
     )
 
 
-@contextlib.contextmanager
-def run_system() -> Iterator[System]:
-    """Yield a running system; stop its processes afterwards."""
-    address = f"{HOST}:{port(0)}"
-    commands = [
-        ["cicada-standin", "keyvalue", "--port", str(port(20))],
-        ["cicada-standin", "vmlist", "--port", str(port(21))],
-        ["cicada-standin", "engine", "--port", str(port(31)), "--knee=1000"],
-        [
-            "cicada-control",
-            f"--port={port(11)}",
-            f"--entry={address}",
-            f"--key-value={HOST}:{port(20)}",
-            f"--vm-list={HOST}:{port(21)}",
-        ],
-        [
-            "cicada-entry",
-            f"--port={port(0)}",
-            f"--controls={HOST}:{port(11)}",
-        ],
-    ]
-    with contextlib.ExitStack() as stack:
-        started = []
-        for command in commands:
-            process = subprocess.Popen(
-                [str(BIN / command[0]), *command[1:]],
-                stdout=subprocess.DEVNULL,
-                stderr=subprocess.DEVNULL,
-            )
-            stack.callback(process.wait)
-            stack.callback(process.terminate)
-            started.append(process)
-        yield System(entry=started[4], control=started[3])
-
-
-async def call(
-    session: aiohttp.ClientSession, method: str, target: str, body: Any
-) -> Any:
-    """Return the JSON answer of one call, tried until it works."""
-    end = time.monotonic() + START_SECONDS
-    while True:
-        with contextlib.suppress(aiohttp.ClientError):
-            async with session.request(method, target, json=body) as response:
-                if response.status < 400:
-                    return await response.json()
-        if time.monotonic() > end:
-            raise TimeoutError(target)
-        await asyncio.sleep(POLL_SECONDS)
-
-
-async def prepare(session: aiohttp.ClientSession, row_count: int) -> None:
-    """Fill VM list and table; return once a request is served."""
-    vms = [{"address": f"{HOST}:{port(31)}", "zone": "z1", "kind": "engine"}]
-    await call(session, "PUT", url(21, "/vms"), vms)
-    rows = [
-        {"name": f"model-{index}", "kind": "model", "memory_bytes": 1000}
-        for index in range(row_count)
-    ]
-    await call(session, "PUT", url(11, "/table/rows"), {"rows": rows})
-    probe = {**body_of(1), "stream": False}
-    await call(session, "POST", url(0, "/v1/completions"), probe)
-
-
-def body_of(tokens: int) -> dict[str, Any]:
-    """Return a streamed completion of so many tokens."""
-    return {
-        "model": MODEL,
-        "prompt": "measure",
-        "max_tokens": tokens,
-        "stream": True,
-    }
-
-
-async def load(
-    session: aiohttp.ClientSession, rate: float, tokens: int, seconds: float
-) -> int:
-    """Send requests at `rate` a second; return how many were served."""
-
-    async def send() -> bool:
-        target = url(0, "/v1/completions")
-        async with session.post(target, json=body_of(tokens)) as response:
-            answer = await response.read()
-        return answer.endswith(b"data: [DONE]\n\n")
-
-    tasks = []
-    for _ in range(int(rate * seconds)):
-        tasks.append(asyncio.create_task(send()))
-        await asyncio.sleep(1 / rate)
-    return sum(await asyncio.gather(*tasks))
-
-
-async def measure_rest(
-    session: aiohttp.ClientSession, system: System, seconds: float
-) -> dict[str, float]:
-    """Return what the daemons use a second with no load."""
-    calls = await call(session, "GET", url(20, "/calls"), None)
-    before = read_use(system.control), read_use(system.entry)
-    await asyncio.sleep(seconds)
-    after = read_use(system.control), read_use(system.entry)
-    calls_after = await call(session, "GET", url(20, "/calls"), None)
-    return {
-        "control_core_percent": _percent(before[0], after[0], seconds),
-        "entry_core_percent": _percent(before[1], after[1], seconds),
-        "control_resident_mb": after[0].resident_mb,
-        "entry_resident_mb": after[1].resident_mb,
-        "kv_reads_per_second": (calls_after["reads"] - calls["reads"])
-        / seconds,
-        "kv_writes_per_second": (calls_after["writes"] - calls["writes"])
-        / seconds,
-    }
-
-
-def _percent(before: Use, after: Use, seconds: float) -> float:
-    return 100 * (after.cpu_seconds - before.cpu_seconds) / seconds
-
-
-async def measure_load(
-    session: aiohttp.ClientSession,
-    system: System,
-    rate: float,
-    tokens: int,
-    seconds: float,
-) -> dict[str, float]:
-    """Return the entry's processor time for each request."""
-    before = read_use(system.entry)
-    served = await load(session, rate, tokens, seconds)
-    after = read_use(system.entry)
-    cpu = after.cpu_seconds - before.cpu_seconds
-    return {
-        "rate": rate,
-        "tokens": tokens,
-        "sent": int(rate * seconds),
-        "served": served,
-        "entry_cpu_ms_per_request": 1000 * cpu / max(served, 1),
-        "entry_resident_mb": after.resident_mb,
-    }
-
-
-async def measure(row_count: int, seconds: float) -> None:
-    """Print all figures at one size of table."""
-    connector = aiohttp.TCPConnector(limit=0)
-    with run_system() as system:
-        async with aiohttp.ClientSession(connector=connector) as session:
-            await prepare(session, row_count)
-            rest = await measure_rest(session, system, seconds)
-            print(json.dumps({"rows": row_count, **rest}), flush=True)
-            for rate, tokens in ((20.0, 1), (20.0, 33), (20.0, 65)):
-                figures = await measure_load(
-                    session, system, rate, tokens, seconds
-                )
-                print(json.dumps(figures), flush=True)
-
-
-def main(seconds: float = 8.0, rows: tuple[int, ...] = (1, 200)) -> None:
-    """Measure at each size of table."""
-    for row_count in rows:
-        asyncio.run(measure(row_count, seconds))
+async def run(base: int) -> None:
+    """Start the processes, measure, stop them."""
+    async with aiohttp.ClientSession() as session:
+        cluster = Cluster(base, session)
+        try:
+            cluster.start()
+            await asyncio.sleep(START_SECONDS)
+            await cluster.edit(EDITS)
+            await measure_rates(cluster, "in_rest", REST_SECONDS)
+            await measure_edits(cluster)
+            await cluster.ask("PUT", base, "/faults", json={"down": True})
+            await measure_rates(cluster, OUTAGE, OUTAGE_SECONDS)
+            await cluster.ask("PUT", base, "/faults", json={})
+            await measure_rates(cluster, "at_recovery", RECOVERY_SECONDS)
+            cluster.kill(NODES - 1)
+            await measure_rates(cluster, "at_a_death", DEATH_SECONDS)
+        finally:
+            cluster.stop()
 
 
 if __name__ == "__main__":
-    fire.Fire(main)
+    asyncio.run(run(int(sys.argv[1]) if sys.argv[1:] else DEFAULT_BASE_PORT))
