Load as callers do, and run experiments from files

cicada-load sent one request after another to one entry at a steady rate. It now sends open-loop arrivals with bursts in the mix of either deployment, keeps and renews address answers, fails over, sends bookings again with their keys, and reports shares in time and percentiles by class of traffic. An experiment file crosses policies, loads and faults; results go to JSON, CSV and plots. The engine stand-in no longer logs a traceback when an entry cancels an attempt.

--- a/src/cicadahook/programs/load.py
+++ b/src/cicadahook/programs/load.py
@@ -1,91 +1,116 @@
-"""cicada-load: sends requests at a steady rate and reports what came back."""
+"""cicada-load: open-loop load, experiments and reports."""
 
-import asyncio
+from collections.abc import Sequence
+import datetime
 import json
-import time
-from typing import Any, Final
+import pathlib
+import random
+import sys
+from typing import Final
 
-import aiohttp
 import fire
-from hdrh import histogram
 
+from cicadahook.core import errors
+from cicadahook.core import workload
+from cicadahook.net import logs
+from cicadahook.net import metrics
 from cicadahook.programs import daemon
+from cicadahook.programs import experiments
+from cicadahook.programs import load_callers
+from cicadahook.programs import load_report
+
+DEFAULT_ENTRIES: Final = ",".join(
+    f"127.0.0.1:{port}" for port in range(8401, 8405)
+)
+DEFAULT_ROWS: Final = "inspector,simplifier,inspector-beams"
+FAILED_EXIT_CODE: Final = 1
+
+
+class Commands:
+    """Loads a running system, or runs experiments on local ones."""
+
+    # Each flag is a parameter.
+    # pylint: disable-next=too-many-positional-arguments
+    def run(
+        self,
+        entries: str | Sequence[str] = DEFAULT_ENTRIES,
+        mix: str = "biobio",
+        rows: str | Sequence[str] = DEFAULT_ROWS,
+        service: str = "portal",
+        rate: float = 20.0,
+        seconds: float = 10.0,
+        seed: int = 1,
+        zone: str = "",
+        quiet: bool = False,
+    ) -> None:
+        """Load a running system and print the results as JSON.
+
+        Args:
+            entries: host:port of entries to ask for addresses.
+            mix: traffic: biobio or aarwil.
+            rows: models and adapters to ask for, the most popular first.
+            service: row of the service that takes bookings at /bookings.
+            rate: mean requests a second; they come in bursts.
+            seconds: length of the load.
+            seed: seed of all chance.
+            zone: zone of the callers; empty is that of the entry asked.
+            quiet: show no progress.
+        """
+        arrivals = workload.generate(
+            workload.create_mix(mix),
+            _split(rows),
+            rate,
+            datetime.timedelta(seconds=seconds),
+            random.Random(seed),
+        )
 
-LOWEST_MICROSECONDS: Final = 1
-HIGHEST_MICROSECONDS: Final = 3_600_000_000
-SIGNIFICANT_DIGITS: Final = 3
-PERCENTILES: Final = (50.0, 95.0, 99.0)
+        async def send_all() -> None:
+            async with daemon.open_session() as session:
+                rng = random.Random(seed)
+                book = load_callers.AddressBook(
+                    _split(entries), zone, session, rng
+                )
+                path = f"/services/{service}/bookings"
+                callers = load_callers.Callers(book, path, session, rng)
+                results = await callers.run(arrivals, quiet)
+            print(file=sys.stderr)
+            print(json.dumps(results.describe(), indent=2))
 
+        daemon.run_main(send_all)
 
-class Result:
-    """Counts answers and their latencies."""
+    def experiment(self, file: str, out: str = "experiment") -> None:
+        """Run the experiment of a TOML or JSON FILE on local systems.
 
-    def __init__(self) -> None:
-        self.served = 0
-        self.failed = 0
-        self.latencies = histogram.HdrHistogram(
-            LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
-        )
+        Args:
+            file: path of the experiment; docs/operations/load.md shows one.
+            out: directory for results.json, results.csv and the plots.
+        """
+        wanted = experiments.read_experiment(pathlib.Path(file))
+        logs.setup(logs.LogFormat.PLAIN, "ERROR")
+        metrics.setup("")
 
-    def describe(self) -> dict[str, Any]:
-        """Return the counts and percentiles, in milliseconds."""
-        return {
-            "served": self.served,
-            "failed": self.failed,
-            "latency_ms": {
-                f"p{percentile:g}": self.latencies.get_value_at_percentile(
-                    percentile
-                )
-                / 1000
-                for percentile in PERCENTILES
-            },
-        }
-
-
-async def _send(
-    session: aiohttp.ClientSession, url: str, model: str, result: Result
-) -> None:
-    """Send one request and record its result."""
-    started = time.monotonic()
-    body = {
-        "model": model,
-        "messages": [{"role": "user", "content": f"at {started}"}],
-    }
-    try:
-        async with session.post(url, json=body) as response:
-            await response.read()
-            if response.status != 200:
-                result.failed += 1
-                return
-    except aiohttp.ClientError:
-        result.failed += 1
-        return
-    result.served += 1
-    elapsed = time.monotonic() - started
-    result.latencies.record_value(int(elapsed * 1_000_000))
-
-
-def run(
-    entry: str = "127.0.0.1:8401",
-    model: str = "inspector",
-    rate: float = 20.0,
-    seconds: float = 5.0,
-) -> None:
-    """Send `rate` requests a second to `entry` for so many seconds."""
-
-    async def send_all() -> None:
-        result = Result()
-        url = f"http://{entry}/v1/chat/completions"
-        async with daemon.open_session() as session:
-            async with asyncio.TaskGroup() as group:
-                for _ in range(int(rate * seconds)):
-                    group.create_task(_send(session, url, model, result))
-                    await asyncio.sleep(1 / rate)
-        print(json.dumps(result.describe(), indent=2))
-
-    daemon.run_main(send_all)
+        async def run_all() -> None:
+            await experiments.run_experiment(wanted, pathlib.Path(out))
+
+        daemon.run_main(run_all)
+        self.report(out)
+
+    def report(self, directory: str) -> None:
+        """Draw the plots of the results in DIRECTORY."""
+        for path in load_report.write_report(pathlib.Path(directory)):
+            print(path)
+
+
+def _split(listed: str | Sequence[str]) -> tuple[str, ...]:
+    """Return the parts of a flag, which fire may have split already."""
+    parts = listed.split(",") if isinstance(listed, str) else listed
+    return tuple(str(part).strip() for part in parts)
 
 
 def main() -> None:
     """Run cicada-load."""
-    fire.Fire(run, name="cicada-load")
+    try:
+        fire.Fire(Commands, name="cicada-load")
+    except errors.CicadaError as error:
+        print(error, file=sys.stderr)
+        sys.exit(FAILED_EXIT_CODE)
--- a/src/cicadahook/programs/local.py
+++ b/src/cicadahook/programs/local.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from typing import Any, Final
 
 import aiohttp
@@ -70,23 +71,30 @@
 Press Ctrl-C to stop."""
 
 
-class LocalSystem:
-    """Four entry VMs and all stand-ins.
+@dataclasses.dataclass(frozen=True)
+class LocalMode:
+    """Settings of a local system.
 
     Attributes:
         base_port: all ports count from it.
         operator_token: what operators must send; empty asks for none.
+        routing_policy: how entries choose upstreams; empty is the default.
+        placement_policy: how copies are placed; empty is the default.
     """
 
-    def __init__(
-        self,
-        base_port: int,
-        session: aiohttp.ClientSession,
-        operator_token: str = "",
-    ) -> None:
-        self.base_port = base_port
+    base_port: int = DEFAULT_BASE_PORT
+    operator_token: str = ""
+    routing_policy: str = ""
+    placement_policy: str = ""
+
+
+class LocalSystem:
+    """Four entry VMs and all stand-ins."""
+
+    def __init__(self, mode: LocalMode, session: aiohttp.ClientSession) -> None:
+        self.mode = mode
         self.session = session
-        self.operator_token = operator_token
+        base_port = mode.base_port
         weight_store = f"{HOST}:{base_port + WEIGHTS_OFFSET}"
         self.key_value = keyvalue.KeyValueStandin()
         self.weights = weights.WeightsStandin(
@@ -105,6 +113,33 @@
             for create in (self._create_control, self._create_entry)
         ]
 
+    @property
+    def base_port(self) -> int:
+        """The port from which all ports count."""
+        return self.mode.base_port
+
+    @property
+    def entries(self) -> tuple[str, ...]:
+        """Addresses of the entries."""
+        return tuple(
+            self._address(ENTRY_OFFSET + index) for index in range(VM_COUNT)
+        )
+
+    @property
+    def standins_by_name(self) -> dict[str, str]:
+        """Addresses of the stand-ins by name, for ordering faults."""
+        engines = {
+            f"engine-{index + 1}": self._address(ENGINE_OFFSET + index)
+            for index in range(ENGINE_COUNT)
+        }
+        return {
+            "key-value": self._address(KEY_VALUE_OFFSET),
+            "vm-list": self._address(VM_LIST_OFFSET),
+            "weights": self._address(WEIGHTS_OFFSET),
+            "service": self._address(SERVICE_OFFSET),
+            **engines,
+        }
+
     def _list_vms(self) -> tuple[vmlist.ListedVm, ...]:
         """Return the upstream VMs."""
         engines = [
@@ -142,7 +177,8 @@
             entry=self._address(ENTRY_OFFSET + index),
             key_value=self._address(KEY_VALUE_OFFSET),
             vm_list=self._address(VM_LIST_OFFSET),
-            operator_token=self.operator_token,
+            operator_token=self.mode.operator_token,
+            **_given(placement_policy=self.mode.placement_policy),
         )
         return control.ControlDaemon(settings, self.session)
 
@@ -156,6 +192,7 @@
             controls=tuple(
                 self._address(CONTROL_OFFSET + other) for other in others
             ),
+            **_given(routing_policy=self.mode.routing_policy),
         )
         return entry.EntryDaemon(settings, self.session)
 
@@ -186,7 +223,7 @@
             for row in ROWS
         ]
         url = f"http://{self._address(CONTROL_OFFSET)}/table/rows"
-        headers = {"Authorization": f"Bearer {self.operator_token}"}
+        headers = {"Authorization": f"Bearer {self.mode.operator_token}"}
         async with self.session.put(
             url, json={"rows": rows}, headers=headers
         ) as response:
@@ -208,6 +245,11 @@
             await server.stop()
 
 
+def _given(**settings: str) -> dict[str, Any]:
+    """Return the settings that are not empty."""
+    return {name: value for name, value in settings.items() if value}
+
+
 def _zone(index: int) -> str:
     return f"zone{index % ZONE_COUNT + 1}"
 
@@ -237,7 +279,7 @@
 
     async def serve() -> None:
         async with daemon.open_session() as session:
-            system = LocalSystem(base_port, session)
+            system = LocalSystem(LocalMode(base_port), session)
             await system.start()
             print(
                 GUIDE.format(host=HOST, entry=base_port + ENTRY_OFFSET),
--- a/src/cicadahook/standins/engine.py
+++ b/src/cicadahook/standins/engine.py
@@ -456,11 +456,26 @@
             }
         )
         await response.prepare(request)
+        try:
+            await self._send_tokens(request, response, wanted, job, cut_at)
+        except ConnectionError:
+            pass  # The entry cancelled the attempt.
+        return response
+
+    async def _send_tokens(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        wanted: Generation,
+        job: batch_lib.Job,
+        cut_at: int,
+    ) -> None:
+        """Send all tokens and the end, or cut the stream at `cut_at`."""
         position = wanted.resume_from
         async for token in _read(job):
             if position == cut_at:
                 faults.drop_connection(request)
-                return response
+                return
             await self._hang_if_silenced(request)
             await _send(response, _describe_chunk(wanted, token, position))
             position += 1
@@ -469,7 +484,6 @@
         await response.write(b"data: [DONE]\n\n")
         await response.write_eof()
         self.completions += 1
-        return response
 
     def _next_cut(self, wanted: Generation) -> int:
         """Return the position at which to cut the stream, or -1."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -58,7 +58,8 @@
 ) -> AsyncIterator[local.LocalSystem]:
     """Run the whole system with its stand-ins, in this process."""
     async with daemon.open_session() as session:
-        running = local.LocalSystem(find_base_port(), session, operator_token)
+        mode = local.LocalMode(find_base_port(), operator_token)
+        running = local.LocalSystem(mode, session)
         await running.start()
         try:
             yield running
