--- a/src/cicadahook/net/http.py
+++ b/src/cicadahook/net/http.py
@@ -15,6 +15,10 @@
 logger: Final = logs.create_logger("http")
 
 
+class ListenError(errors.CicadaError):
+    """A server can't listen on its address."""
+
+
 @dataclasses.dataclass
 class Server:
     """An HTTP server on one address.
@@ -38,10 +42,20 @@
         )
 
     async def start(self) -> None:
-        """Listen; raises OSError when the address is taken."""
+        """Listen.
+
+        Raises:
+            ListenError: the address is taken or not one of this machine.
+        """
         await self.runner.setup()
         site = web.TCPSite(self.runner, self.host, self.port)
-        await site.start()
+        try:
+            await site.start()
+        except OSError as error:
+            raise ListenError(
+                f"can't listen on {self.address}: {error.strerror};"
+                " is it running already? Choose another port"
+            ) from error
         self.port = self.runner.addresses[0][1]
 
     async def stop(self) -> None:
--- a/src/cicadahook/programs/local.py
+++ b/src/cicadahook/programs/local.py
@@ -6,7 +6,6 @@
 from typing import Any, Final
 
 import aiohttp
-import fire
 
 from cicadahook.core import table as table_lib
 from cicadahook.net import http as http_lib
@@ -67,7 +66,8 @@
   curl http://{host}:{entry}/v1/models
   curl http://{host}:{entry}/v1/chat/completions -H 'Content-Type: application/json' \\
     -d '{{"model": "inspector", "messages": [{{"role": "user", "content": "hello"}}]}}'
-  cicadactl table show
+  cicadactl --control {host}:{control} table show
+  open http://{host}:{control}/ in a browser: the control room's screen
 Press Ctrl-C to stop."""
 
 
@@ -262,38 +262,34 @@
     )
 
 
-def run(
-    seconds: float = 0.0,
-    base_port: int = DEFAULT_BASE_PORT,
-    log_level: str = "WARNING",
-) -> None:
-    """Run the whole system on loopback.
-
-    Args:
-        seconds: stop gracefully after so many seconds; 0 runs until Ctrl-C.
-        base_port: entries listen from base_port + 1, controls from + 11.
-        log_level: DEBUG, INFO, WARNING or ERROR.
-    """
-    logs.setup(logs.LogFormat.PLAIN, log_level)
+def run(settings: settings_lib.LocalSettings) -> None:
+    """Run the whole system on loopback until it is told to stop."""
+    logs.setup(logs.LogFormat.PLAIN, settings.log_level)
     metrics.setup("")
 
     async def serve() -> None:
         async with daemon.open_session() as session:
-            system = LocalSystem(LocalMode(base_port), session)
+            system = LocalSystem(LocalMode(settings.base_port), session)
             await system.start()
-            print(
-                GUIDE.format(host=HOST, entry=base_port + ENTRY_OFFSET),
-                flush=True,
-            )
+            print(create_guide(settings.base_port), flush=True)
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(
-                    daemon.wait_for_stop(), seconds if seconds > 0 else None
+                    daemon.wait_for_stop(), settings.seconds or None
                 )
             await system.stop()
 
     daemon.run_main(serve)
 
 
+def create_guide(base_port: int) -> str:
+    """Return what to try next."""
+    return GUIDE.format(
+        host=HOST,
+        entry=base_port + ENTRY_OFFSET,
+        control=base_port + CONTROL_OFFSET,
+    )
+
+
 def main() -> None:
     """Run cicada-local."""
-    fire.Fire(run, name="cicada-local")
+    run(settings_lib.parse_or_exit(settings_lib.LocalSettings))
--- a/src/cicadahook/programs/settings.py
+++ b/src/cicadahook/programs/settings.py
@@ -17,7 +17,7 @@
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
 Address = Annotated[str, pydantic.Field(pattern=r"^[^\s:/]+:\d{1,5}$")]
 Seconds = Annotated[float, pydantic.Field(gt=0, le=86400)]
-SettingsT = TypeVar("SettingsT", bound="CommonSettings")
+SettingsT = TypeVar("SettingsT", bound="pydantic_settings.BaseSettings")
 
 
 def _check_policy(kind: str, known: dict[str, object], value: str) -> str:
@@ -111,6 +111,29 @@
     )
 
 
+class LocalSettings(pydantic_settings.BaseSettings):
+    """Settings of cicada-local: the whole system on loopback, to try it."""
+
+    model_config = CommonSettings.model_config
+
+    seconds: float = pydantic.Field(
+        0.0,
+        ge=0,
+        description="stop gracefully after so many seconds; 0: at Ctrl-C",
+    )
+    base_port: int = pydantic.Field(
+        8400,
+        ge=1024,
+        le=65000,
+        description="entries listen from base port + 1, controls from + 11",
+    )
+    log_level: str = pydantic.Field(
+        "WARNING",
+        pattern="^(DEBUG|INFO|WARNING|ERROR)$",
+        description="least severity logged: DEBUG, INFO, WARNING or ERROR",
+    )
+
+
 def parse(settings_type: type[SettingsT], arguments: list[str]) -> SettingsT:
     """Return the settings in `arguments` and the environment.
 
--- a/src/cicadahook/standins/keyvalue.py
+++ b/src/cicadahook/standins/keyvalue.py
@@ -23,6 +23,19 @@
     writes_per_second: int = 300
 
 
+@dataclasses.dataclass(frozen=True)
+class KeyValueFaults(faults.Faults):
+    """Faults of the service beside the common ones.
+
+    Attributes:
+        silent_watches: watches never answer; other calls do.
+        lose_write_replies: so many writes take effect and get no answer.
+    """
+
+    silent_watches: bool = False
+    lose_write_replies: int = 0
+
+
 @dataclasses.dataclass
 class Item:
     """A stored key; a removed one keeps its revision with no value."""
@@ -50,7 +63,7 @@
         self.revision = 0
         self.lease_numbers = itertools.count(1)
         self.changed = asyncio.Event()
-        self.faults = faults.FaultControl(faults.Faults())
+        self.faults = faults.FaultControl(KeyValueFaults())
         self.window_start = 0.0
         self.window_reads = 0
         self.window_writes = 0
@@ -62,6 +75,7 @@
         app = web.Application(client_max_size=2 * VALUE_LIMIT_BYTES)
         self.faults.install(app)
         app.middlewares.append(self.rate_middleware)
+        app.middlewares.append(self.lost_write_middleware)
         app.router.add_get("/v1/keys", self.list_keys)
         app.router.add_get("/v1/keys/{key:.+}", self.get_key)
         app.router.add_put("/v1/keys/{key:.+}", self.put_key)
@@ -85,6 +99,21 @@
         response: web.StreamResponse = await handler(request)
         return response
 
+    @web.middleware
+    async def lost_write_middleware(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        """Drop the answers of writes that have taken effect, as ordered."""
+        response: web.StreamResponse = await handler(request)
+        left = self.faults.faults.lose_write_replies
+        is_write = request.method != "GET" and request.path != "/faults"
+        if is_write and left > 0:
+            self.faults.faults = dataclasses.replace(
+                self.faults.faults, lose_write_replies=left - 1
+            )
+            faults.drop_connection(request)
+        return response
+
     def _take_call(self, is_read: bool) -> bool:
         """Count a call; return whether its rate is still allowed."""
         now = time.monotonic()
@@ -149,6 +178,8 @@
 
     async def watch(self, request: web.Request) -> web.Response:
         """Answer changes under a prefix once there are any."""
+        if self.faults.faults.silent_watches:
+            await asyncio.Event().wait()
         prefix = request.query.get("prefix", "")
         after = int(request.query.get("after", "0"))
         end = time.monotonic() + float(request.query.get("wait_seconds", "0"))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -23,6 +23,11 @@
     {"latency_seconds": 0.7},
     {"lose_replies": 5},
 )
+KEY_VALUE_FAULTS: Final = (
+    *PLATFORM_FAULTS,
+    {"silent_watches": True},
+    {"lose_write_replies": 5},
+)
 ENGINE_FAULTS: Final = (
     {"cut_streams": 3},
     {"cross_answers": 3},
@@ -134,6 +139,8 @@
     async def order(self, part: processes.Process) -> None:
         """Order a fault of a stand-in, then none."""
         choices: tuple[dict[str, Any], ...] = PLATFORM_FAULTS
+        if part is self.system.key_value:
+            choices = KEY_VALUE_FAULTS
         if part in self.system.engines:
             choices = ENGINE_FAULTS
         if part in self.system.services:
