--- a/src/cicadahook/programs/local.py
+++ b/src/cicadahook/programs/local.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from typing import Any, Final
 
 import aiohttp
-import fire
 
 from cicadahook.core import table as table_lib
 from cicadahook.net import http as http_lib
@@ -66,27 +66,35 @@
   curl http://{host}:{entry}/v1/models
   curl http://{host}:{entry}/v1/chat/completions -H 'Content-Type: application/json' \\
     -d '{{"model": "inspector", "messages": [{{"role": "user", "content": "hello"}}]}}'
-  cicadactl table show
+  cicadactl --control {host}:{control} table show
+  open http://{host}:{control}/ in a browser: the control room's screen
 Press Ctrl-C to stop."""
 
 
-class LocalSystem:
-    """Four entry VMs and all stand-ins.
+@dataclasses.dataclass(frozen=True)
+class LocalMode:
+    """Settings of a local system.
 
     Attributes:
         base_port: all ports count from it.
         operator_token: what operators must send; empty asks for none.
+        routing_policy: how entries choose upstreams; empty is the default.
+        placement_policy: how copies are placed; empty is the default.
     """
 
-    def __init__(
-        self,
-        base_port: int,
-        session: aiohttp.ClientSession,
-        operator_token: str = "",
-    ) -> None:
-        self.base_port = base_port
+    base_port: int = DEFAULT_BASE_PORT
+    operator_token: str = ""
+    routing_policy: str = ""
+    placement_policy: str = ""
+
+
+class LocalSystem:
+    """Four entry VMs and all stand-ins."""
+
+    def __init__(self, mode: LocalMode, session: aiohttp.ClientSession) -> None:
+        self.mode = mode
         self.session = session
-        self.operator_token = operator_token
+        base_port = mode.base_port
         weight_store = f"{HOST}:{base_port + WEIGHTS_OFFSET}"
         self.key_value = keyvalue.KeyValueStandin()
         self.weights = weights.WeightsStandin(
@@ -105,6 +113,33 @@
             for create in (self._create_control, self._create_entry)
         ]
 
+    @property
+    def base_port(self) -> int:
+        """The port from which all ports count."""
+        return self.mode.base_port
+
+    @property
+    def entries(self) -> tuple[str, ...]:
+        """Addresses of the entries."""
+        return tuple(
+            self._address(ENTRY_OFFSET + index) for index in range(VM_COUNT)
+        )
+
+    @property
+    def standins_by_name(self) -> dict[str, str]:
+        """Addresses of the stand-ins by name, for ordering faults."""
+        engines = {
+            f"engine-{index + 1}": self._address(ENGINE_OFFSET + index)
+            for index in range(ENGINE_COUNT)
+        }
+        return {
+            "key-value": self._address(KEY_VALUE_OFFSET),
+            "vm-list": self._address(VM_LIST_OFFSET),
+            "weights": self._address(WEIGHTS_OFFSET),
+            "service": self._address(SERVICE_OFFSET),
+            **engines,
+        }
+
     def _list_vms(self) -> tuple[vmlist.ListedVm, ...]:
         """Return the upstream VMs."""
         engines = [
@@ -142,9 +177,10 @@
             entry=self._address(ENTRY_OFFSET + index),
             key_value=self._address(KEY_VALUE_OFFSET),
             vm_list=self._address(VM_LIST_OFFSET),
-            operator_token=self.operator_token,
+            operator_token=self.mode.operator_token,
             loads_per_second=20.0,
             active_loads=4,
+            **_given(placement_policy=self.mode.placement_policy),
         )
         return control.ControlDaemon(settings, self.session)
 
@@ -160,6 +196,7 @@
             ),
             key_value=self._address(KEY_VALUE_OFFSET),
             drain_seconds=0.0,
+            **_given(routing_policy=self.mode.routing_policy),
         )
         return entry.EntryDaemon(settings, self.session)
 
@@ -190,7 +227,7 @@
             for row in ROWS
         ]
         url = f"http://{self._address(CONTROL_OFFSET)}/table/rows"
-        headers = {"Authorization": f"Bearer {self.operator_token}"}
+        headers = {"Authorization": f"Bearer {self.mode.operator_token}"}
         async with self.session.put(
             url, json={"rows": rows}, headers=headers
         ) as response:
@@ -212,6 +249,11 @@
             await server.stop()
 
 
+def _given(**settings: str) -> dict[str, Any]:
+    """Return the settings that are not empty."""
+    return {name: value for name, value in settings.items() if value}
+
+
 def _zone(index: int) -> str:
     return f"zone{index % ZONE_COUNT + 1}"
 
@@ -224,38 +266,34 @@
     )
 
 
-def run(
-    seconds: float = 0.0,
-    base_port: int = DEFAULT_BASE_PORT,
-    log_level: str = "WARNING",
-) -> None:
-    """Run the whole system on loopback.
-
-    Args:
-        seconds: stop gracefully after so many seconds; 0 runs until Ctrl-C.
-        base_port: entries listen from base_port + 1, controls from + 11.
-        log_level: DEBUG, INFO, WARNING or ERROR.
-    """
-    logs.setup(logs.LogFormat.PLAIN, log_level)
+def run(settings: settings_lib.LocalSettings) -> None:
+    """Run the whole system on loopback until it is told to stop."""
+    logs.setup(logs.LogFormat.PLAIN, settings.log_level)
     metrics.setup("")
 
     async def serve() -> None:
         async with daemon.open_session() as session:
-            system = LocalSystem(base_port, session)
+            system = LocalSystem(LocalMode(settings.base_port), session)
             await system.start()
-            print(
-                GUIDE.format(host=HOST, entry=base_port + ENTRY_OFFSET),
-                flush=True,
-            )
+            print(create_guide(settings.base_port), flush=True)
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(
-                    daemon.wait_for_stop(), seconds if seconds > 0 else None
+                    daemon.wait_for_stop(), settings.seconds or None
                 )
             await system.stop()
 
     daemon.run_main(serve)
 
 
+def create_guide(base_port: int) -> str:
+    """Return what to try next."""
+    return GUIDE.format(
+        host=HOST,
+        entry=base_port + ENTRY_OFFSET,
+        control=base_port + CONTROL_OFFSET,
+    )
+
+
 def main() -> None:
     """Run cicada-local."""
-    fire.Fire(run, name="cicada-local")
+    run(settings_lib.parse_or_exit(settings_lib.LocalSettings))
