Wait in cicada-local until each row has the copies it asks for

Cause: with the readiness check of one copy, a test that takes an upstream away could meet a row whose only copy stood there.

--- a/src/cicadahook/programs/local.py
+++ b/src/cicadahook/programs/local.py
@@ -259,10 +259,11 @@
 
 
 def _is_placed(part: entry.EntryDaemon) -> bool:
-    """Whether all example rows can be served by an entry."""
+    """Whether an entry sees all example rows with the copies they ask for."""
     view = part.entry.view
     return len(view.table.rows) >= len(ROWS) and all(
-        view.upstreams_for(row) for row in view.table.rows
+        len(view.upstreams_for(row)) >= row.min_copies
+        for row in view.table.rows
     )
 
 
