--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -2,10 +2,10 @@
 
 Run: python benchmarks/routing.py [--seeds 3] [--jobs 2] [--sites biobio,aarwil]
 
-Load rises over the warm-up. Four entries run the admission machine of core/ with an injected clock and share
-their reports late. Each policy also can run bare, without limits and queues, as
-`bare:NAME`. Prints JSON: the share of requests served within their deadline,
-and ratios to round robin, bare and with admission.
+Load rises over the warm-up. Four entries run the admission machine of core/
+with an injected clock and share their reports late. `bare:NAME` runs a policy
+without limits and queues. Prints JSON: the share of requests served within
+their deadline, and ratios to round robin, bare and with admission.
 """
 
 import collections
@@ -187,7 +187,7 @@
         grant = admission.Grant(number, message.row.name, chosen.upstream, now)
         return [admission.Granted(message.ticket, grant)]
 
-    def wake_at(self, now: datetime.datetime) -> datetime.datetime | None:
+    def wake_at(self, now: datetime.datetime) -> None:
         """Return None: nothing ever waits."""
         del now
 
