Split what admission expects from what it decides; share free slots once

Cause: views come more often than reports, and each view let every entry take its part of the same free slots again; 20 views in 0.2 s gave one entry all 16 slots of a row instead of 4. Free slots are now split once per report period. A row's own concurrency limit counts in the predicted wait.

--- a/src/cicadahook/core/admitter.py
+++ b/src/cicadahook/core/admitter.py
@@ -7,21 +7,17 @@
 from typing import Final
 
 from cicadahook.core import admission
-from cicadahook.core import affinity
-from cicadahook.core import estimates
 from cicadahook.core import loads as loads_lib
+from cicadahook.core import outlook
 from cicadahook.core import queues
 from cicadahook.core import quotas
 from cicadahook.core import routing
 from cicadahook.core import shares
-from cicadahook.core import table as table_lib
 from cicadahook.core import view as view_lib
 
 MIN_CHANCE: Final = 0.1
 MIN_BUSY_CHANCE: Final = 0.65
 MIN_QUEUE_CHANCE: Final = 0.4
-MIN_PACE_TOKENS: Final = 4
-MIN_PACE_SECONDS: Final = 1e-6
 MIN_RETRY_AFTER: Final = datetime.timedelta(seconds=1)
 MAX_RETRY_AFTER: Final = datetime.timedelta(minutes=1)
 PROBE_PERIOD: Final = datetime.timedelta(seconds=5)
@@ -62,8 +58,7 @@
         self.loads = loads_lib.Loads()
         self.quotas = quotas.Quotas()
         self.queue = queues.WaitingQueue(mode.queue_limit)
-        self.prefixes = affinity.PrefixMemory()
-        self.work: dict[str, estimates.WorkEstimate] = {}
+        self.outlook = outlook.Outlook(self.loads)
         self.attempts: dict[int, Attempt] = {}
         self.last_grants: dict[str, datetime.datetime] = {}
         self.numbers = itertools.count(1)
@@ -82,7 +77,7 @@
                 ended = self._end(message, now)
                 return list(self._serve_waiting(now, ended))
             case admission.ViewChanged():
-                self._take_view(message.view)
+                self._take_view(message.view, now)
             case admission.Woken():
                 pass
         return list(self._serve_waiting(now))
@@ -95,15 +90,18 @@
         earliest = min(head.request.deadline for head in heads)
         return min(earliest, now + POLL_PERIOD)
 
-    def _take_view(self, view: view_lib.View) -> None:
+    def _take_view(self, view: view_lib.View, now: datetime.datetime) -> None:
         """Use `view` from now on, and forget rows that are gone."""
         self.view = view
         fleet = self._place_in_fleet()
-        self.loads.take_view(view, fleet)
-        self.quotas.take_view(view, fleet)
-        for memory in (self.work, self.last_grants):
-            for name in [name for name in memory if not view.table.find(name)]:
-                del memory[name]
+        self.loads.take_view(view, fleet, now)
+        self.quotas.take_view(view, fleet, now)
+        self.outlook.forget_rows(view.table)
+        self.last_grants = {
+            name: granted
+            for name, granted in self.last_grants.items()
+            if view.table.find(name)
+        }
 
     def _place_in_fleet(self) -> shares.Fleet:
         names = sorted(
@@ -206,7 +204,7 @@
             return _refuse(
                 waiter, admission.RefusalCode.NO_COPY, MIN_RETRY_AFTER
             )
-        loads = self._create_loads(waiter, candidates, now)
+        loads = self.outlook.create_loads(waiter, candidates, now)
         if self._is_hopeless(waiter, loads, now):
             return _refuse(
                 waiter, admission.RefusalCode.TOO_LATE, MIN_RETRY_AFTER
@@ -230,53 +228,6 @@
             if upstream.address not in waiter.excluded
         )
 
-    def _create_loads(
-        self,
-        waiter: queues.Waiter,
-        candidates: tuple[view_lib.Upstream, ...],
-        now: datetime.datetime,
-    ) -> list[routing.Load]:
-        """Return what is known of each candidate for this request."""
-        affinities = self.prefixes.rate(
-            waiter.row.name,
-            waiter.request.prefix,
-            tuple(upstream.address for upstream in candidates),
-            now,
-        )
-        return [
-            self._create_load(waiter, upstream, holds, now)
-            for upstream, holds in zip(candidates, affinities, strict=True)
-        ]
-
-    def _create_load(
-        self,
-        waiter: queues.Waiter,
-        upstream: view_lib.Upstream,
-        holds: float,
-        now: datetime.datetime,
-    ) -> routing.Load:
-        known = self.loads.get(upstream.address)
-        work = self._work(waiter.row)
-        in_flight = known.predict_in_flight(self.loads.fleet.entries)
-        pace = self.loads.predict_pace(known, in_flight + 1, now)
-        seconds = work.median * pace if work.samples else 0.0
-        has_room = known.own < self.loads.allow(known, now)
-        slack = (waiter.request.deadline - now).total_seconds()
-        if not has_room:
-            slack -= seconds / max(1, known.own)
-        return routing.Load(
-            upstream,
-            in_flight,
-            known.limit,
-            has_room,
-            seconds,
-            work.chance(slack, pace),
-            holds,
-        )
-
-    def _work(self, row: table_lib.Row) -> estimates.WorkEstimate:
-        return self.work.setdefault(row.name, estimates.WorkEstimate())
-
     def _is_hopeless(
         self,
         waiter: queues.Waiter,
@@ -305,7 +256,7 @@
         late = dataclasses.replace(
             waiter.request, deadline=waiter.request.deadline - wait
         )
-        loads = self._create_loads(
+        loads = self.outlook.create_loads(
             dataclasses.replace(waiter, request=late),
             self._find_candidates(waiter),
             now,
@@ -327,23 +278,23 @@
             }
             part = len(own & theirs) / max(1, len(theirs))
             ahead += part * len(lane.heap)
-        seconds = ahead * self._predict_interval(waiter, own, now)
+        seconds = ahead * self.outlook.predict_interval(waiter.row, own, now)
+        seconds = max(seconds, self._predict_row_wait(waiter, now))
         return min(datetime.timedelta(seconds=seconds), MAX_RETRY_AFTER)
 
-    def _predict_interval(
-        self, waiter: queues.Waiter, addresses: set[str], now: datetime.datetime
+    def _predict_row_wait(
+        self, waiter: queues.Waiter, now: datetime.datetime
     ) -> float:
-        """Return the seconds between ends of attempts at `addresses`."""
-        work = self._work(waiter.row)
-        rate = 0.0
-        for address in addresses:
-            known = self.loads.get(address)
-            in_flight = known.predict_in_flight(self.loads.fleet.entries)
-            pace = self.loads.predict_pace(known, in_flight, now)
-            if not work.samples or not pace:
-                return 0.0
-            rate += self.loads.allow(known, now) / (work.median * pace)
-        return 1 / rate if rate else 0.0
+        """Return the seconds to wait for the row's own limit."""
+        allowed = max(1, self.quotas.allow(waiter.row, now))
+        own = self.quotas.in_flight(waiter.row.name)
+        lane = self.queue.lanes.get(queues.create_key(waiter))
+        before = own + (len(lane.heap) if lane else 0) + 1 - allowed
+        addresses = {
+            upstream.address for upstream in self._find_candidates(waiter)
+        }
+        seconds = self.outlook.predict_seconds(waiter.row, addresses, now)
+        return max(0.0, before) * seconds / allowed
 
     def _grant(
         self,
@@ -357,7 +308,7 @@
         assert known.own < self.loads.allow(known, now), f"{address} over limit"
         known.own += 1
         self.quotas.start(waiter.row.name)
-        self.prefixes.note(waiter.row.name, waiter.request.prefix, address, now)
+        self.outlook.note_sent(waiter, address, now)
         self.last_grants[waiter.row.name] = now
         grant = admission.Grant(
             next(self.numbers), waiter.row.name, chosen.upstream, now
@@ -376,34 +327,10 @@
         known.own -= 1
         assert known.own >= 0, f"{address}: more ends than grants"
         self.quotas.end(attempt.grant.row)
-        pace = self._read_pace(attempt.grant, message.result, now)
-        if pace:
-            mean = (attempt.in_flight + in_flight) / 2
-            self.loads.learn(known, mean, pace, now)
+        mean = (attempt.in_flight + in_flight) / 2
+        self.outlook.learn(attempt.grant, message.result, mean, now)
         return attempt.grant
 
-    def _read_pace(
-        self,
-        grant: admission.Grant,
-        result: admission.AttemptResult,
-        now: datetime.datetime,
-    ) -> float:
-        """Learn a row's work; return seconds per unit, 0 if not seen."""
-        work = self.work.setdefault(grant.row, estimates.WorkEstimate())
-        elapsed = max(MIN_PACE_SECONDS, (now - grant.granted).total_seconds())
-        units = max(1, result.tokens)
-        if result.per_token:
-            elapsed = result.per_token.total_seconds() * units
-        match result.end:
-            case admission.AttemptEnd.SERVED:
-                work.add(units)
-                return elapsed / units
-            case admission.AttemptEnd.FAILED:
-                return 0.0
-            case admission.AttemptEnd.TIMED_OUT:
-                work.add_cut(units)
-        return elapsed / units if units >= MIN_PACE_TOKENS else 0.0
-
 
 def _refuse(
     waiter: queues.Waiter,
--- a/src/cicadahook/core/loads.py
+++ b/src/cicadahook/core/loads.py
@@ -21,7 +21,7 @@
         service: name of the row that it serves, if it is a plain service.
         incarnation: process that the learned figures stand for.
         own: in flight from this entry.
-        own_reported: the same when the newest view came.
+        own_reported: the same when unused slots were last split.
         peers: in flight from the other entries by that view.
         peer_limit: mean of the limits that they learned; 0 is none.
         learner: what was learned of its limit and speed.
@@ -65,6 +65,7 @@
     def __init__(self) -> None:
         self.by_address: dict[str, UpstreamLoad] = {}
         self.fleet = shares.Fleet()
+        self.report_age = shares.ReportAge()
         self.usual_paces: dict[str, float] = {}
 
     def get(self, address: str) -> UpstreamLoad:
@@ -74,9 +75,12 @@
             load = self.by_address[address] = UpstreamLoad()
         return load
 
-    def take_view(self, view: view_lib.View, fleet: shares.Fleet) -> None:
+    def take_view(
+        self, view: view_lib.View, fleet: shares.Fleet, now: datetime.datetime
+    ) -> None:
         """Take what a new view says of upstreams; forget those gone."""
         self.fleet = fleet
+        is_due = self.report_age.is_due(now)
         peers = {load.upstream: load for load in view.peer_loads}
         for upstream in view.upstreams:
             load = self.get(upstream.address)
@@ -85,6 +89,8 @@
                 load.incarnation = upstream.incarnation
                 load.learner = limits.LimitLearner()
             self._take_peers(load, upstream, peers.get(upstream.address))
+            if is_due:
+                load.own_reported = load.own
         gone = [
             address
             for address, load in self.by_address.items()
@@ -106,7 +112,6 @@
         else:
             load.peers = max(0, upstream.in_flight - load.own_reported)
             load.peer_limit = 0.0
-        load.own_reported = load.own
 
     def allow(self, load: UpstreamLoad, now: datetime.datetime) -> int:
         """Return how many this entry may have in flight at the upstream."""
--- /dev/null
+++ b/src/cicadahook/core/outlook.py
@@ -0,0 +1,157 @@
+"""What this entry expects of its upstreams for a request."""
+
+import datetime
+from typing import Final
+
+from cicadahook.core import admission
+from cicadahook.core import affinity
+from cicadahook.core import estimates
+from cicadahook.core import loads as loads_lib
+from cicadahook.core import queues
+from cicadahook.core import routing
+from cicadahook.core import table as table_lib
+from cicadahook.core import view as view_lib
+
+MIN_PACE_TOKENS: Final = 4
+MIN_PACE_SECONDS: Final = 1e-6
+
+
+class Outlook:
+    """Expected times and chances, learned from ended attempts.
+
+    Attributes:
+        loads: what is known of the upstreams.
+        work: what the requests of each row take.
+        prefixes: where prompt prefixes were sent.
+    """
+
+    def __init__(self, loads: loads_lib.Loads) -> None:
+        self.loads = loads
+        self.work: dict[str, estimates.WorkEstimate] = {}
+        self.prefixes = affinity.PrefixMemory()
+
+    def forget_rows(self, table: table_lib.Table) -> None:
+        """Forget the rows that are not in `table`."""
+        self.work = {
+            name: work for name, work in self.work.items() if table.find(name)
+        }
+
+    def find_work(self, row: str) -> estimates.WorkEstimate:
+        """Return what requests of `row` take."""
+        return self.work.setdefault(row, estimates.WorkEstimate())
+
+    def create_loads(
+        self,
+        waiter: queues.Waiter,
+        candidates: tuple[view_lib.Upstream, ...],
+        now: datetime.datetime,
+    ) -> list[routing.Load]:
+        """Return what is known of each candidate for this request."""
+        affinities = self.prefixes.rate(
+            waiter.row.name,
+            waiter.request.prefix,
+            tuple(upstream.address for upstream in candidates),
+            now,
+        )
+        return [
+            self._create_load(waiter, upstream, holds, now)
+            for upstream, holds in zip(candidates, affinities, strict=True)
+        ]
+
+    def _create_load(
+        self,
+        waiter: queues.Waiter,
+        upstream: view_lib.Upstream,
+        holds: float,
+        now: datetime.datetime,
+    ) -> routing.Load:
+        known = self.loads.get(upstream.address)
+        work = self.find_work(waiter.row.name)
+        in_flight = known.predict_in_flight(self.loads.fleet.entries)
+        pace = self.loads.predict_pace(known, in_flight + 1, now)
+        seconds = work.median * pace if work.samples else 0.0
+        has_room = known.own < self.loads.allow(known, now)
+        slack = (waiter.request.deadline - now).total_seconds()
+        if not has_room:
+            slack -= seconds / max(1, known.own)
+        return routing.Load(
+            upstream,
+            in_flight,
+            known.limit,
+            has_room,
+            seconds,
+            work.chance(slack, pace),
+            holds,
+        )
+
+    def predict_seconds(
+        self, row: table_lib.Row, addresses: set[str], now: datetime.datetime
+    ) -> float:
+        """Return the least expected time at `addresses`; 0 is unknown."""
+        work = self.find_work(row.name)
+        if not work.samples:
+            return 0.0
+        entries = self.loads.fleet.entries
+        paces = (
+            self.loads.predict_pace(
+                known, known.predict_in_flight(entries), now
+            )
+            for known in map(self.loads.get, sorted(addresses))
+        )
+        return work.median * min(paces, default=0.0)
+
+    def predict_interval(
+        self, row: table_lib.Row, addresses: set[str], now: datetime.datetime
+    ) -> float:
+        """Return the seconds between ends of attempts at `addresses`."""
+        work = self.find_work(row.name)
+        rate = 0.0
+        for address in sorted(addresses):
+            known = self.loads.get(address)
+            in_flight = known.predict_in_flight(self.loads.fleet.entries)
+            pace = self.loads.predict_pace(known, in_flight, now)
+            if not work.samples or not pace:
+                return 0.0
+            rate += self.loads.allow(known, now) / (work.median * pace)
+        return 1 / rate if rate else 0.0
+
+    def note_sent(
+        self, waiter: queues.Waiter, address: str, now: datetime.datetime
+    ) -> None:
+        """Take note that a request goes to the upstream at `address`."""
+        self.prefixes.note(waiter.row.name, waiter.request.prefix, address, now)
+
+    def learn(
+        self,
+        grant: admission.Grant,
+        result: admission.AttemptResult,
+        in_flight: float,
+        now: datetime.datetime,
+    ) -> None:
+        """Learn from an ended attempt with `in_flight` requests beside it."""
+        pace = self._read_pace(grant, result, now)
+        if pace:
+            known = self.loads.get(grant.upstream.address)
+            self.loads.learn(known, in_flight, pace, now)
+
+    def _read_pace(
+        self,
+        grant: admission.Grant,
+        result: admission.AttemptResult,
+        now: datetime.datetime,
+    ) -> float:
+        """Learn a row's work; return seconds per unit, 0 if not seen."""
+        work = self.find_work(grant.row)
+        elapsed = max(MIN_PACE_SECONDS, (now - grant.granted).total_seconds())
+        units = max(1, result.tokens)
+        if result.per_token:
+            elapsed = result.per_token.total_seconds() * units
+        match result.end:
+            case admission.AttemptEnd.SERVED:
+                work.add(units)
+                return elapsed / units
+            case admission.AttemptEnd.FAILED:
+                return 0.0
+            case admission.AttemptEnd.TIMED_OUT:
+                work.add_cut(units)
+        return elapsed / units if units >= MIN_PACE_TOKENS else 0.0
--- a/src/cicadahook/core/quotas.py
+++ b/src/cicadahook/core/quotas.py
@@ -19,7 +19,7 @@
 
     Attributes:
         own: in flight from this entry.
-        own_reported: the same when the newest view came.
+        own_reported: the same when unused slots were last split.
         arrivals_per_second: arrivals at this entry, smoothed.
         tokens: requests that the rate still allows; below 1 is none.
         updated: time that `tokens` and the arrival rate stand for.
@@ -39,8 +39,11 @@
         self.rows: dict[str, RowQuota] = {}
         self.peers: dict[str, view_lib.PeerRowLoad] = {}
         self.fleet = shares.Fleet()
+        self.report_age = shares.ReportAge()
 
-    def take_view(self, view: view_lib.View, fleet: shares.Fleet) -> None:
+    def take_view(
+        self, view: view_lib.View, fleet: shares.Fleet, now: datetime.datetime
+    ) -> None:
         """Take what the other entries use."""
         self.fleet = fleet
         self.peers = {load.row: load for load in view.peer_row_loads}
@@ -49,6 +52,8 @@
             for name, quota in self.rows.items()
             if quota.own or view.table.find(name) is not None
         }
+        if not self.report_age.is_due(now):
+            return
         for quota in self.rows.values():
             quota.own_reported = quota.own
 
--- a/src/cicadahook/core/shares.py
+++ b/src/cicadahook/core/shares.py
@@ -8,6 +8,7 @@
 TURN_SECONDS: Final = 1.0
 
 GROWTH: Final = 1.0
+REPORT_PERIOD: Final = datetime.timedelta(milliseconds=400)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,13 +29,31 @@
         return (self.rank + turn) % self.entries < spare
 
 
+@dataclasses.dataclass
+class ReportAge:
+    """Whether the peers can have reported since the newest split.
+
+    Views come more often than reports; were what is unused split again with
+    each view, all entries would take the same free slots many times.
+    """
+
+    split: datetime.datetime | None = None
+
+    def is_due(self, now: datetime.datetime) -> bool:
+        """Whether to split again at `now`; if so, counts it as done."""
+        if self.split is not None and now - self.split < REPORT_PERIOD:
+            return False
+        self.split = now
+        return True
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Usage:
     """What is in flight against one limit.
 
     Attributes:
         own: in flight from this entry now.
-        own_reported: the same when the newest view came.
+        own_reported: the same when unused slots were last split.
         peers: in flight from the other entries by that view.
     """
 
@@ -49,7 +68,7 @@
     """Return how many this entry may have in flight of `limit`.
 
     An entry always has an equal share. What the others leave unused is split
-    evenly once per view, since each of them sees it at the same time. Slots
+    evenly once per report, since each of them sees it at the same time. Slots
     that don't divide go round by time.
     """
     whole = max(1, math.floor(limit))
--- a/tests/test_admitter_machine.py
+++ b/tests/test_admitter_machine.py
@@ -11,6 +11,7 @@
 from cicadahook.core import admission
 from cicadahook.core import admitter as admitter_lib
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import quotas
 from cicadahook.core import request as request_lib
 from cicadahook.core import routing
 from cicadahook.core import shares
@@ -265,6 +266,22 @@
         assert shared == limit
 
 
+def test_often_sent_views_hand_out_free_slots_once(
+    clock: clock_lib.ManualClock,
+) -> None:
+    quota = quotas.Quotas()
+    row = table_lib.Row(
+        "a", table_lib.RowKind.MODEL, memory_bytes=1, max_in_flight=16
+    )
+    view = view_lib.View(table=table_lib.Table(1, (row,)))
+    for _ in range(20):
+        quota.take_view(view, shares.Fleet(4, 0), clock.now())
+        while quota.has_room(row, clock.now()):
+            quota.start("a")
+        clock.advance(datetime.timedelta(milliseconds=10))
+    assert quota.in_flight("a") == 4
+
+
 def test_shares_grow_into_what_peers_leave() -> None:
     own = 0
     for _ in range(20):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -85,7 +85,7 @@
     admitted = 0
     for step in range(400):
         if step % 10 == 0:
-            share_views(entries, table)
+            share_views(entries, table, clock)
         for entry, count in zip(entries, shares_of_load, strict=True):
             for _ in range(count):
                 admitted += entry.admit(row, clock.now()) is None
@@ -93,7 +93,11 @@
     assert 0.85 * 400 <= admitted <= 1.15 * 400 + 20
 
 
-def share_views(entries: list[quotas.Quotas], table: table_lib.Table) -> None:
+def share_views(
+    entries: list[quotas.Quotas],
+    table: table_lib.Table,
+    clock: clock_lib.ManualClock,
+) -> None:
     """Tell each entry what the others have."""
     for rank, entry in enumerate(entries):
         others = [other for other in entries if other is not entry]
@@ -107,7 +111,7 @@
             ),
         )
         view = view_lib.View(table=table, peer_row_loads=(load,))
-        entry.take_view(view, shares.Fleet(len(entries), rank))
+        entry.take_view(view, shares.Fleet(len(entries), rank), clock.now())
 
 
 def test_single_slot_of_a_row_goes_round_the_entries(
