Take small differences of speed between upstreams as noise

Cause: with equal engines the learned paces differ by noise alone, and the deadline policy filled the seemingly fastest first.

--- a/src/cicadahook/core/limits.py
+++ b/src/cicadahook/core/limits.py
@@ -17,6 +17,7 @@
 FULL_SHARE: Final = 0.9
 DESCENT: Final = 0.8
 PACE_GAIN: Final = 0.1
+ALIKE_RATIO: Final = 0.25
 TRUST_LIFE_SECONDS: Final = 20.0
 
 
@@ -136,13 +137,15 @@
 
         `usual` is the pace of the other upstreams; what was learned here goes
         over to it while no new samples come, so that an upstream that was slow
-        is tried again. 0 is returned if nothing is known.
+        is tried again. A small difference from it counts as noise. 0 is returned if nothing is known.
         """
         if self.updated is None:
             return usual
         age = (now - self.updated).total_seconds()
         trust = math.exp(-max(0.0, age) / TRUST_LIFE_SECONDS)
         level = trust * self.pace + (1 - trust) * (usual or self.pace)
+        if abs(level - usual) < ALIKE_RATIO * usual:
+            level = usual
         return level * self._slowdown(in_flight)
 
 
--- a/src/cicadahook/core/routing.py
+++ b/src/cicadahook/core/routing.py
@@ -10,7 +10,7 @@
 from cicadahook.core import view as view_lib
 
 WAIT_RATIO: Final = 0.7
-CHANCE_STEPS: Final = 20
+CHANCE_STEPS: Final = 5
 PREFIX_SAVING: Final = 0.1
 OTHER_ZONE_COST: Final = 0.02
 FILL_COST: Final = 1.0
