--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -204,13 +204,7 @@
         if not request.path.startswith(CALLER_PATHS):
             response: web.StreamResponse = await handler(request)
             return response
-        if self.is_closing and headers.KEY_HEADER not in request.headers:
-            raise errors.RefusalError(
-                "draining",
-                "this entry is leaving; ask another one",
-                503,
-                retry_after=idempotency.RETRY_AFTER,
-            )
+        self._check_open(headers.KEY_HEADER in request.headers)
         self.open_requests += 1
         try:
             response = await handler(request)
@@ -218,6 +212,27 @@
         finally:
             self.open_requests -= 1
 
+    def _check_open(self, has_key: bool) -> None:
+        """Refuse requests before there is a view, and at the end of a drain.
+
+        What another entry knows of a key is not known here at either time.
+        """
+        if not self.view.number:
+            raise errors.RefusalError(
+                "not_ready",
+                "this entry has just started; ask another one",
+                503,
+                errors.Outcome.UNKNOWN if has_key else errors.Outcome.NOT_RUN,
+                retry_after=idempotency.RETRY_AFTER,
+            )
+        if self.is_closing and not has_key:
+            raise errors.RefusalError(
+                "draining",
+                "this entry is leaving; ask another one",
+                503,
+                retry_after=idempotency.RETRY_AFTER,
+            )
+
     async def drain(self) -> None:
         """Serve until kept address answers have lapsed, then finish.
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import Any
 
+from cicadahook.core import view as view_lib
 from cicadahook.programs import entry as entry_program
 from cicadahook.programs import local
 from cicadahook.standins import engine
@@ -233,6 +234,18 @@
     assert system.service.runs == {"a": 1}
 
 
+async def test_entry_without_a_view_says_so(
+    system: local.LocalSystem,
+) -> None:
+    prefix = (await locate(system, 1))["key_prefix"]
+    await book(system, prefix + "1", "a", 1)
+    list_entries(system)[0].entry.dispatcher.view = view_lib.View()
+    _, body = await book(system, prefix + "1", "a", 0)
+    assert (body["code"], body["outcome"]) == ("not_ready", "unknown")
+    _, body = await complete(system, "a prompt", 0)
+    assert (body["code"], body["outcome"]) == ("not_ready", "not_run")
+
+
 async def test_key_of_a_dead_entry_is_unknown(
     system: local.LocalSystem,
 ) -> None:
