Close races of finished runs, dead upstreams and idle pools

Found by reading: a resend that came in the same turn of the event loop as the end of a run that was not executed met the old task; upstreams known dead got new work within the lag of the view; pools of gone upstreams stayed open.

--- a/src/cicadahook/net/connections.py
+++ b/src/cicadahook/net/connections.py
@@ -1,6 +1,7 @@
 """HTTP connections to upstreams, replaced when they go silent."""
 
-from collections.abc import AsyncIterator
+import asyncio
+from collections.abc import AsyncIterator, Collection
 import contextlib
 import dataclasses
 import datetime
@@ -58,6 +59,7 @@
         self.fresh_session = fresh_session
         self.engines = engine.EngineClient(fresh_session)
         self.pools: dict[str, Pool] = {}
+        self.closings: set[asyncio.Task[None]] = set()
 
     @contextlib.asynccontextmanager
     async def use(self, address: str) -> AsyncIterator[Pool]:
@@ -91,10 +93,12 @@
         if not pool.users:
             await pool.session.close()
 
-    async def retain(self, addresses: frozenset[str]) -> None:
-        """Close the pools of all upstreams but `addresses`."""
+    def retire_others(self, addresses: Collection[str]) -> None:
+        """Start to close the pools of all upstreams but `addresses`."""
         for address in self.pools.keys() - addresses:
-            await self.replace(address)
+            task = asyncio.create_task(self.replace(address))
+            self.closings.add(task)
+            task.add_done_callback(self.closings.discard)
 
     async def probe(self, upstream: view_lib.Upstream) -> Sighting:
         """Return what a call on a fresh connection shows of `upstream`."""
@@ -121,4 +125,5 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self.retain(frozenset())
+        for address in list(self.pools):
+            await self.replace(address)
--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -172,6 +172,7 @@
             new = dataclasses.replace(new, table=self.view.table)
         self.dispatcher.view = new
         self.quarantine.merge(new.suspects)
+        self.connections.retire_others(new.upstream_by_address.keys())
 
     def create_report(self) -> view_lib.Report:
         """Return what happened since the previous report."""
--- a/src/cicadahook/net/once.py
+++ b/src/cicadahook/net/once.py
@@ -68,7 +68,6 @@
         assert call.key not in self.runs, f"{call.key} is already running"
         task = asyncio.create_task(self._follow(call, decision, run))
         self.runs[call.key] = task
-        task.add_done_callback(lambda _: self.runs.pop(call.key))
         task.add_done_callback(_retrieve)
 
     async def _wait(self, request: request_lib.Request) -> idempotency.Answer:
@@ -93,16 +92,21 @@
         run: RunCall,
     ) -> idempotency.Answer:
         """Claim the key until that is decided, then do as decided."""
-        while isinstance(decision, idempotency.MakeClaim):
-            decision = await self._claim(call, decision)
-        match decision:
-            case idempotency.Run():
-                return await self._run(call.key, run)
-            case idempotency.Replay(answer):
-                return answer
-            case idempotency.Refuse(error):
-                raise error
-        raise AssertionError(f"{decision} cannot follow a claim")
+        try:
+            while isinstance(decision, idempotency.MakeClaim):
+                decision = await self._claim(call, decision)
+            match decision:
+                case idempotency.Run():
+                    return await self._run(call.key, run)
+                case idempotency.Replay(answer):
+                    return answer
+                case idempotency.Refuse(error):
+                    raise error
+            raise AssertionError(f"{decision} cannot follow a claim")
+        finally:
+            # In the same step as the ledger's change: a resend that the
+            # ledger lets run again must not find this task.
+            del self.runs[call.key]
 
     async def _claim(
         self, call: idempotency.Call, wanted: idempotency.MakeClaim
--- a/src/cicadahook/net/relay.py
+++ b/src/cicadahook/net/relay.py
@@ -163,17 +163,21 @@
         self, progress: Progress, forbidden: frozenset[str]
     ) -> admission.Grant:
         """Return a grant, at upstreams without recent failures if possible."""
-        avoided = forbidden | self.policy.list_ejected() | progress.excluded
-        everywhere = {
+        upstreams = self.dispatcher.view.upstreams_for(progress.row)
+        dead = frozenset(
             upstream.address
-            for upstream in self.dispatcher.view.upstreams_for(progress.row)
-        }
+            for upstream in upstreams
+            if self.desk.quarantine.is_dead(upstream)
+        )
+        everywhere = {upstream.address for upstream in upstreams}
+        failed = forbidden | progress.excluded
+        avoided = failed | dead | self.policy.list_ejected()
         if not everywhere - avoided:
-            avoided = forbidden | progress.excluded
+            avoided = failed
         if not everywhere - avoided:
             avoided = forbidden
         return await self.dispatcher.acquire(
-            progress.request, progress.row, frozenset(avoided)
+            progress.request, progress.row, avoided
         )
 
     async def _attempt(
--- a/src/cicadahook/net/suspects.py
+++ b/src/cicadahook/net/suspects.py
@@ -25,6 +25,7 @@
 SUSPECTS_PATH: Final = "/internal/suspects"
 CALL_TIMEOUT: Final = datetime.timedelta(seconds=0.5)
 TOLD_PEERS: Final = 16
+HOLD_LIMIT: Final = datetime.timedelta(minutes=2)
 TURN_PAUSE: Final = datetime.timedelta(milliseconds=60)
 RETRY_AFTER: Final = datetime.timedelta(seconds=1)
 
@@ -154,7 +155,7 @@
             trial = self._choose_trial(request, row)
             if self.quarantine.begin_trial(trial):
                 left = request.deadline - self.clock.now()
-                if await self._ask(trial, left):
+                if await self._ask(trial, min(left, HOLD_LIMIT)):
                     return trial
             await self._pause(request)
             standing = self.quarantine.check(request.fingerprint)
