--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -56,6 +56,7 @@
         records: how records of non-idempotent calls are kept.
         peer_key: secret that all entries share.
         drain: how long a stop waits for kept address answers to lapse.
+        progress: deadlines within a stream.
     """
 
     name: str
@@ -66,6 +67,7 @@
     records: idempotency.LedgerMode
     peer_key: str
     drain: datetime.timedelta
+    progress: attempts.ProgressMode
 
 
 class Entry:
@@ -101,9 +103,7 @@
             self.dispatcher,
             relay.UpstreamParts(
                 self.connections,
-                attempts.UpstreamCaller(
-                    self.connections, attempts.ProgressMode()
-                ),
+                attempts.UpstreamCaller(self.connections, mode.progress),
                 self.policy,
                 self.desk,
             ),
--- a/src/cicadahook/net/peers.py
+++ b/src/cicadahook/net/peers.py
@@ -1,5 +1,6 @@
 """Calls between entries: forwarded requests and records handed over."""
 
+import asyncio
 from collections.abc import Iterator
 import dataclasses
 import datetime
@@ -101,6 +102,24 @@
         Raises:
             errors.RefusalError: none of them answered for the key.
         """
+        try:
+            async with asyncio.timeout(call.left.total_seconds()):
+                return await self._search(call, owner, members)
+        except TimeoutError as error:
+            raise errors.RefusalError(
+                "deadline_passed",
+                "the entry of this key did not answer in time",
+                504,
+                errors.Outcome.UNKNOWN,
+            ) from error
+
+    async def _search(
+        self,
+        call: ForwardedCall,
+        owner: keys.Owner,
+        members: tuple[view_lib.Member, ...],
+    ) -> ForwardedAnswer:
+        """Ask the owner, then the heirs."""
         for member in _candidates(owner, members):
             for _ in range(FORWARD_TRIES):
                 # A second try is safe: the owner runs a key only once.
@@ -138,7 +157,7 @@
                 FORWARDED_HEADER: "1",
             },
             timeout=aiohttp.ClientTimeout(
-                total=call.left.total_seconds(),
+                total=call.left.total_seconds() / FORWARD_TRIES,
                 connect=CONNECT_TIMEOUT.total_seconds(),
             ),
             allow_redirects=False,
--- a/src/cicadahook/programs/entry.py
+++ b/src/cicadahook/programs/entry.py
@@ -9,6 +9,7 @@
 
 from cicadahook.core import idempotency
 from cicadahook.core import routing
+from cicadahook.net import attempts
 from cicadahook.net import clock
 from cicadahook.net import entry as entry_lib
 from cicadahook.net import http as http_lib
@@ -40,6 +41,10 @@
             ),
             peer_key=settings.peer_key,
             drain=_read_drain(settings),
+            progress=attempts.ProgressMode(
+                datetime.timedelta(seconds=settings.first_token_seconds),
+                datetime.timedelta(seconds=settings.token_gap_seconds),
+            ),
         )
         self.fresh_session = daemon.create_fresh_session()
         self.entry = entry_lib.Entry(
--- a/src/cicadahook/programs/settings.py
+++ b/src/cicadahook/programs/settings.py
@@ -103,6 +103,12 @@
         description="seconds that a stop waits for kept address answers to"
         " lapse; unset: keep_seconds and 3",
     )
+    first_token_seconds: Seconds = pydantic.Field(
+        3.0, description="seconds without a first token before a probe"
+    )
+    token_gap_seconds: Seconds = pydantic.Field(
+        2.0, description="seconds without a further token before a probe"
+    )
 
 
 class ControlSettings(CommonSettings):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -5,10 +5,18 @@
 import dataclasses
 from typing import Any
 
+import aiohttp
+from aiohttp import web
+import pytest
+
 from cicadahook.core import view as view_lib
+from cicadahook.net import http as http_lib
+from cicadahook.net import services
+from cicadahook.programs import daemon
 from cicadahook.programs import entry as entry_program
 from cicadahook.programs import local
 from cicadahook.standins import engine
+from cicadahook.standins import faults
 from cicadahook.standins import text
 
 TOKENS = 40
@@ -246,6 +254,28 @@
     assert (body["code"], body["outcome"]) == ("not_ready", "not_run")
 
 
+async def test_http_client_sends_a_call_once() -> None:
+    calls = []
+
+    async def drop(request: web.Request) -> web.Response:
+        calls.append(request.method)
+        faults.drop_connection(request)
+        return web.Response()
+
+    app = web.Application()
+    app.router.add_put("/", drop)
+    server = http_lib.Server(app, local.HOST, 0)
+    await server.start()
+    async with daemon.create_fresh_session() as session:
+        with pytest.raises(aiohttp.ClientError):
+            await session.put(
+                f"http://{server.address}/",
+                middlewares=(services.forbid_resend,),
+            )
+    await server.stop()
+    assert calls == ["PUT"]
+
+
 async def test_key_of_a_dead_entry_is_unknown(
     system: local.LocalSystem,
 ) -> None:
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -360,6 +360,20 @@
     )
 
 
+def test_running_record_outlives_its_prefix(
+    clock: clock_lib.ManualClock,
+) -> None:
+    ledger = create_ledger(clock)
+    call = idempotency.Call(ledger.issue_prefix() + "a", "content")
+    ledger.admit(call)
+    clock.advance(MODE.retention + datetime.timedelta(seconds=1))
+    for _ in range(MODE.max_records):
+        ledger.admit(idempotency.Call(ledger.issue_prefix() + "b", "content"))
+    assert ledger.admit(call) == idempotency.Join()
+    ledger.settle_answered(call.key, ANSWER)
+    assert ledger.admit(call) == idempotency.Replay(ANSWER)
+
+
 def test_large_answer_is_known_but_not_kept(
     clock: clock_lib.ManualClock,
 ) -> None:
