--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -93,6 +93,21 @@
     assert not assembly.is_whole
 
 
+def test_last_chunk_alone_is_not_a_whole_answer() -> None:
+    assembly = attempt.Assembly()
+    assembly.begin("a")
+    for chunk in create_chunks("a", 0, True):
+        assert assembly.take(chunk) is attempt.Verdict.RELAY
+    assert not assembly.is_whole
+    assembly.begin("b")
+    last = create_chunks("b", assembly.resume_from, True)
+    assert [assembly.take(chunk) for chunk in last] == [
+        attempt.Verdict.REPEATED
+    ]
+    assembly.end()
+    assert assembly.is_whole
+
+
 def create_policy(
     clock: clock_lib.Clock, mode: retry.RetryMode = retry.RetryMode()
 ) -> retry.RetryPolicy:
