--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -56,6 +56,7 @@
         records: how records of non-idempotent calls are kept.
         peer_key: secret that all entries share.
         drain: how long a stop waits for kept address answers to lapse.
+        progress: deadlines within a stream.
     """
 
     name: str
@@ -66,6 +67,7 @@
     records: idempotency.LedgerMode
     peer_key: str
     drain: datetime.timedelta
+    progress: attempts.ProgressMode
 
 
 class Entry:
@@ -101,9 +103,7 @@
             self.dispatcher,
             relay.UpstreamParts(
                 self.connections,
-                attempts.UpstreamCaller(
-                    self.connections, attempts.ProgressMode()
-                ),
+                attempts.UpstreamCaller(self.connections, mode.progress),
                 self.policy,
                 self.desk,
             ),
@@ -172,6 +172,7 @@
             new = dataclasses.replace(new, table=self.view.table)
         self.dispatcher.view = new
         self.quarantine.merge(new.suspects)
+        self.connections.retire_others(new.upstream_by_address.keys())
 
     def create_report(self) -> view_lib.Report:
         """Return what happened since the previous report."""
@@ -204,13 +205,7 @@
         if not request.path.startswith(CALLER_PATHS):
             response: web.StreamResponse = await handler(request)
             return response
-        if self.is_closing and headers.KEY_HEADER not in request.headers:
-            raise errors.RefusalError(
-                "draining",
-                "this entry is leaving; ask another one",
-                503,
-                retry_after=idempotency.RETRY_AFTER,
-            )
+        self._check_open(headers.KEY_HEADER in request.headers)
         self.open_requests += 1
         try:
             response = await handler(request)
@@ -218,6 +213,27 @@
         finally:
             self.open_requests -= 1
 
+    def _check_open(self, has_key: bool) -> None:
+        """Refuse requests before there is a view, and at the end of a drain.
+
+        What another entry knows of a key is not known here at either time.
+        """
+        if not self.view.number:
+            raise errors.RefusalError(
+                "not_ready",
+                "this entry has just started; ask another one",
+                503,
+                errors.Outcome.UNKNOWN if has_key else errors.Outcome.NOT_RUN,
+                retry_after=idempotency.RETRY_AFTER,
+            )
+        if self.is_closing and not has_key:
+            raise errors.RefusalError(
+                "draining",
+                "this entry is leaving; ask another one",
+                503,
+                retry_after=idempotency.RETRY_AFTER,
+            )
+
     async def drain(self) -> None:
         """Serve until kept address answers have lapsed, then finish.
 
