Let a stopping control hand its entry over, and keep a control's tasks running

Cause: a control that stopped left its links open, so its entry noticed only by the heartbeat; a task ended by a bad stored value stayed ended; a watch could be the probe of an open breaker and hold back all other calls for its wait. Change: links are closed at the stop and refused afterwards; an unexpected error is logged, counted, and the task run again; watches wait for a closed breaker; the UDP port is opened before the tasks, so that a taken one ends the start; the call budget is a setting.

--- a/src/cicadahook/net/control.py
+++ b/src/cicadahook/net/control.py
@@ -1,10 +1,11 @@
 """A control: follows table, upstreams and members, and publishes views."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
 import contextlib
 import dataclasses
 import datetime
-from typing import Final
+from typing import Any, Final
 
 import aiohttp
 from aiohttp import web
@@ -31,6 +32,7 @@
 from cicadahook.net import tables
 
 VIEW_PAUSE: Final = datetime.timedelta(seconds=0.1)
+RESTART_PAUSE: Final = datetime.timedelta(seconds=1)
 LOAD_PAUSE: Final = datetime.timedelta(seconds=0.4)
 
 logger: Final = logs.create_logger("control")
@@ -47,6 +49,7 @@
         placement: how copies are placed.
         cluster_key: key shared by all controls.
         peers: addresses of controls to join by.
+        call_budget: calls to the key-value service.
     """
 
     own: view_lib.Member
@@ -55,6 +58,7 @@
     placement: placement.PlacementMode
     cluster_key: str = ""
     peers: tuple[str, ...] = ()
+    call_budget: budget.BudgetMode = budget.BudgetMode()
 
 
 class Control:
@@ -69,7 +73,9 @@
         self.mode = mode
         self.clock = clock
         client = keyvalue.KeyValueClient(
-            mode.key_value, session, gate=keyvalue.Gate(clock)
+            mode.key_value,
+            session,
+            gate=keyvalue.Gate(clock, mode=mode.call_budget),
         )
         self.store = tables.TableStore(
             client.for_caller("table", budget.Priority.HIGH),
@@ -185,27 +191,34 @@
             suspects=self.gossip.book.join_suspects(),
         )
 
-    def start(self) -> None:
-        """Start the tasks."""
+    async def start(self) -> None:
+        """Open the gossip and start the tasks.
+
+        Raises:
+            OSError: the UDP port is taken.
+        """
         host, _, port = self.mode.own.control.rpartition(":")
-        for coroutine in (
-            self.store.run(),
-            self.store.run_catch_up(),
-            self.fleet.run(),
-            self.registry.run(),
-            self.gossip.run(host, int(port)),
-            self.placer.run(),
-            self._publish_views(),
+        await self.gossip.open(host, int(port))
+        for run in (
+            self.store.run,
+            self.store.run_catch_up,
+            self.fleet.run,
+            self.registry.run,
+            self.gossip.run,
+            self.placer.run,
+            self._publish_views,
         ):
-            self.tasks.append(asyncio.create_task(coroutine))
+            self.tasks.append(asyncio.create_task(_keep_running(run)))
 
     async def stop(self) -> None:
-        """Tell the others, end the tasks, then remove the registration."""
+        """Tell the others, hand over the entries, remove the registration."""
         for task in self.tasks:
             task.cancel()
         for task in self.tasks:
             with contextlib.suppress(asyncio.CancelledError):
                 await task
+        self.gossip.close()
+        await self.links.close()
         await self.registry.leave()
 
     async def check_health(self, request: web.Request) -> web.Response:
@@ -220,3 +233,16 @@
         return web.json_response(
             {"ready": is_ready}, status=200 if is_ready else 503
         )
+
+
+async def _keep_running(run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run a task of the control; after an unexpected error, run it again."""
+    while True:
+        try:
+            await run()
+        except Exception:  # pylint: disable=broad-exception-caught
+            logger.exception("Task %s failed and is run again.", run)
+            metrics.create_counter(
+                "cicada_task_failures", "Tasks that failed and were run again."
+            ).add(1, {"task": run.__qualname__})
+            await asyncio.sleep(RESTART_PAUSE.total_seconds())
--- a/src/cicadahook/net/gossip.py
+++ b/src/cicadahook/net/gossip.py
@@ -78,23 +78,28 @@
         self.load_order: list[str] = []
         self.transport: asyncio.DatagramTransport | None = None
 
-    async def run(self, host: str, port: int) -> None:
-        """Listen on UDP `port` and gossip until cancelled.
+    async def open(self, host: str, port: int) -> None:
+        """Listen on UDP `port`.
 
         Raises:
             OSError: the address is taken.
         """
         loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(
+        await loop.create_datagram_endpoint(
             lambda: self, local_addr=(host, port)
         )
-        try:
-            while True:
-                self._tick()
-                await asyncio.sleep(TICK_SECONDS)
-        finally:
-            self.send(self.membership.leave())
-            transport.close()
+
+    async def run(self) -> None:
+        """Gossip until cancelled."""
+        while True:
+            self._tick()
+            await asyncio.sleep(TICK_SECONDS)
+
+    def close(self) -> None:
+        """Tell some members that this one leaves, and stop listening."""
+        self.send(self.membership.leave())
+        if self.transport is not None:
+            self.transport.close()
 
     def connection_made(self, transport: Any) -> None:
         """Keep the transport to send by."""
--- a/src/cicadahook/net/keyvalue.py
+++ b/src/cicadahook/net/keyvalue.py
@@ -213,6 +213,9 @@
         Returns the changed entries, absent ones with revision 0, or none
         when nothing changed for a while.
         """
+        if self.gate.breaker.state is not budget.BreakerState.CLOSED:
+            # A watch takes long, so it must not be the probe of a breaker.
+            raise errors.KeyValueNotSentError(f"watch {prefix}: breaker open")
         query = urllib.parse.urlencode(
             {
                 "prefix": prefix,
--- a/src/cicadahook/net/links.py
+++ b/src/cicadahook/net/links.py
@@ -73,12 +73,23 @@
         self.views: subject.BehaviorSubject[view.View] = (
             subject.BehaviorSubject(view.View())
         )
+        self.open_links: set[Link] = set()
+        self.is_closing = False
+
+    async def close(self) -> None:
+        """End all links, so that the entries turn to other controls."""
+        self.is_closing = True
+        for link in list(self.open_links):
+            await link.socket.close()
 
     async def serve(self, request: web.Request) -> web.WebSocketResponse:
         """Serve one entry until it disconnects."""
+        if self.is_closing:
+            raise web.HTTPServiceUnavailable(reason="this control is leaving")
         socket = web.WebSocketResponse(heartbeat=HEARTBEAT_SECONDS)
         await socket.prepare(request)
         link = Link(socket)
+        self.open_links.add(link)
         subscription = self.views.subscribe(lambda _: link.fresh.set())
         sender = asyncio.create_task(self._send(link))
         try:
@@ -88,6 +99,7 @@
         except codec.DecodeError as error:
             logger.warning("Bad report dropped with its link: %s.", error)
         finally:
+            self.open_links.discard(link)
             subscription.dispose()
             sender.cancel()
         return socket
--- a/src/cicadahook/programs/control.py
+++ b/src/cicadahook/programs/control.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from cicadahook.core import budget
 from cicadahook.core import placement
 from cicadahook.core import view
 from cicadahook.net import clock
@@ -41,6 +42,9 @@
             ),
             cluster_key=settings.cluster_key,
             peers=settings.peers,
+            call_budget=budget.BudgetMode(
+                calls_per_second=settings.key_value_calls
+            ),
         )
         self.control = control_lib.Control(mode, clock.SystemClock(), session)
         self.server = http_lib.Server(
@@ -50,7 +54,7 @@
     async def start(self) -> None:
         """Listen, and start the tasks."""
         await self.server.start()
-        self.control.start()
+        await self.control.start()
 
     async def stop(self) -> None:
         """Leave, then close."""
--- a/src/cicadahook/programs/settings.py
+++ b/src/cicadahook/programs/settings.py
@@ -114,6 +114,12 @@
         description="host:port of other controls to join by, besides those"
         " registered in the key-value service",
     )
+    key_value_calls: float = pydantic.Field(
+        40.0,
+        gt=0,
+        description="calls a second that this VM may make to the key-value"
+        " service in the long run",
+    )
 
 
 def parse(settings_type: type[SettingsT], arguments: list[str]) -> SettingsT:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -9,13 +9,16 @@
 
 from cicadahook.core import budget
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import edits
 from cicadahook.core import errors
 from cicadahook.core import loads
 from cicadahook.core import membership
+from cicadahook.core import table as table_lib
 from cicadahook.core import view
 from cicadahook.net import gossip
 from cicadahook.net import keyvalue
 from cicadahook.net import seal
+from cicadahook.programs import entry as entry_lib
 from cicadahook.programs import local
 
 KEY = "a shared key"
@@ -197,6 +200,7 @@
     )
     for task in nodes[0].tasks:
         task.cancel()
+    nodes[0].gossip.transport.abort()
     await controls[0].server.stop()  # type: ignore[attr-defined]
     await wait_until(
         lambda: all(
@@ -214,3 +218,47 @@
     client = nodes[1].store.client
     with pytest.raises(errors.KeyValueUnavailableError):
         await client.get("x")
+
+
+async def test_stopped_control_hands_its_entry_over(
+    system: local.LocalSystem,
+) -> None:
+    control = next(part for part in system.daemons if hasattr(part, "control"))
+    entry = next(part for part in system.daemons if hasattr(part, "entry"))
+    async with asyncio.timeout(5):
+        await control.stop()
+    await wait_until(lambda: entry.entry.view.control in ("vm2", "vm3", "vm4"))
+    generation = entry.entry.view.table.generation
+    other = [part for part in system.daemons if hasattr(part, "control")][1]
+    store = other.control.store
+    row = table_lib.Row("notices", table_lib.RowKind.SERVICE)
+    await store.edit(edits.create_changes(store.sync.table, [row]), "ana")
+    await wait_until(
+        lambda: entry.entry.view.table.generation == generation + 1, 2
+    )
+
+
+async def test_vm_without_a_working_entry_takes_no_callers(
+    system: local.LocalSystem,
+) -> None:
+    entries = [
+        part
+        for part in system.daemons
+        if isinstance(part, entry_lib.EntryDaemon)
+    ]
+    await wait_until(
+        lambda: [member.state for member in entries[1].entry.view.members]
+        == [view.MemberState.ALIVE] * 4
+    )
+    assert entries[0].task is not None
+    entries[0].task.cancel()
+    await entries[0].server.stop()
+    await wait_until(
+        lambda: {
+            member.name
+            for member in entries[1].entry.view.members
+            if member.state is view.MemberState.LEAVING
+        }
+        == {"vm1"},
+        5,
+    )
