Merge a branch of the table row by row, and test a start in an outage

Cause: one row of a branch that is no longer allowed dropped all its edits, without a word. Change: each row is taken if it is allowed, after the models it may name; a dropped one is logged and counted. A control started in an outage is tested to learn table and members from its peers.

--- a/src/cicadahook/core/tablesync.py
+++ b/src/cicadahook/core/tablesync.py
@@ -1,5 +1,6 @@
 """Which version of the table a node has in force; it never goes back."""
 
+import dataclasses
 import enum
 
 from cicadahook.core import edits
@@ -17,6 +18,14 @@
     MERGE = "merge"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Merge:
+    """The rows of two branches, and the names of the edits dropped."""
+
+    rows: tuple[table_lib.Row, ...]
+    dropped: tuple[str, ...] = ()
+
+
 class TableSync:
     """Holds the table in force and judges heads from service and peers.
 
@@ -70,12 +79,12 @@
         self.contents = {name: self.contents[name] for name in head.pages}
         return True
 
-    def merge(self, stored: pages.Head) -> tuple[table_lib.Row, ...]:
+    def merge(self, stored: pages.Head) -> Merge:
         """Return our rows with the edits made only on the branch `stored`.
 
         Its edits are the later ones: they were made on an older copy after
-        ours had been lost from the service. If the result is not allowed,
-        ours stand. All pages of `stored` must be known.
+        ours had been lost from the service. A row of it that is not allowed
+        among ours is dropped. All pages of `stored` must be known.
         """
         changed = {
             name
@@ -84,11 +93,18 @@
             for name in version.rows
         }
         theirs = pages.join(stored, self.contents)
-        row_edits = tuple(
-            edits.RowEdit(name, theirs.find(name), self.table.find(name))
-            for name in sorted(changed)
-        )
-        try:
-            return edits.apply(self.table.rows, edits.Changes(row_edits))
-        except errors.RowError:
-            return self.table.rows
+        rows = self.table.rows
+        dropped = []
+        for name in sorted(changed, key=lambda name: _is_adapter(theirs, name)):
+            edit = edits.RowEdit(name, theirs.find(name), self.table.find(name))
+            try:
+                rows = edits.apply(rows, edits.Changes((edit,)))
+            except errors.RowError:
+                dropped.append(name)
+        return Merge(rows, tuple(dropped))
+
+
+def _is_adapter(table: table_lib.Table, name: str) -> tuple[bool, str]:
+    """Return a sort key that puts adapters after their models."""
+    row = table.find(name)
+    return row is not None and bool(row.base), name
--- a/src/cicadahook/net/tables.py
+++ b/src/cicadahook/net/tables.py
@@ -218,8 +218,11 @@
         )
         if verdict is tablesync.Verdict.MERGE:
             await self._fetch_pages(stored)
-            rows = self.sync.merge(stored)
-            await self._accept(revision, rows, (), REPAIR_AUTHOR, stored)
+            merge = self.sync.merge(stored)
+            for name in merge.dropped:
+                count_edit("merge_dropped_row")
+                logger.error("Edit of row %r dropped: not allowed now.", name)
+            await self._accept(revision, merge.rows, (), REPAIR_AUTHOR, stored)
             return
         head = self.sync.head
         contents = self.sync.contents
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -18,9 +18,12 @@
 from cicadahook.net import gossip
 from cicadahook.net import keyvalue
 from cicadahook.net import seal
+from cicadahook.programs import control as control_program
 from cicadahook.programs import entry as entry_lib
 from cicadahook.programs import local
+from cicadahook.programs import settings as settings_lib
 
+FREE_OFFSET = 46
 KEY = "a shared key"
 MEMBER = view.Member("vm1", "10.0.0.1:1", "10.0.0.1:2", "z1", generation=4)
 
@@ -262,3 +265,26 @@
         == {"vm1"},
         5,
     )
+
+
+async def test_vm_started_in_an_outage_learns_table_and_members_from_peers(
+    system: local.LocalSystem,
+) -> None:
+    system.key_value.faults.faults = dataclasses.replace(
+        system.key_value.faults.faults, down=True
+    )
+    base = system.base_port
+    mode = settings_lib.ControlSettings(
+        name="vm9",
+        port=base + FREE_OFFSET,
+        entry=f"{local.HOST}:{base + FREE_OFFSET + 1}",
+        key_value=f"{local.HOST}:{base + local.KEY_VALUE_OFFSET}",
+        vm_list=f"{local.HOST}:{base + local.VM_LIST_OFFSET}",
+        peers=(f"{local.HOST}:{base + local.CONTROL_OFFSET}",),
+    )
+    daemon = control_program.ControlDaemon(mode, system.session)
+    await daemon.start()
+    control = daemon.control
+    await wait_until(lambda: len(control.tables.value.rows) == len(local.ROWS))
+    await wait_until(lambda: len(control.gossip.find_peers()) == 4)
+    await daemon.stop()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -174,6 +174,21 @@
         assert node.members["vm2"].generation == 7
 
 
+def test_member_that_returns_is_told_of_its_death(
+    clock: clock_lib.ManualClock,
+) -> None:
+    network = create_network(clock, 3)
+    node = network.nodes["vm0:1"]
+    dead = dataclasses.replace(node.members["vm1"], state=DEAD)
+    for kind, member in (
+        (membership.MessageKind.NEWS, dead),
+        (membership.MessageKind.PING, network.nodes["vm1:1"].own),
+    ):
+        message = membership.Message(kind, member, 1, "vm0")
+        answers = node.take(message, "vm1:1", clock.now())
+    assert dead in answers[0].message.updates
+
+
 def test_message_for_a_former_member_is_not_answered(
     clock: clock_lib.ManualClock,
 ) -> None:
