--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -185,6 +185,7 @@
         (membership.MessageKind.PING, network.nodes["vm1:1"].own),
     ):
         message = membership.Message(kind, member, 1, "vm0")
+        node.updates.by_subject.clear()
         answers = node.take(message, "vm1:1", clock.now())
     assert dead in answers[0].message.updates
 
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -450,6 +450,34 @@
     assert fresh.sync.table == old.sync.table
 
 
+def test_merge_drops_only_the_row_that_is_not_allowed(
+    service: Service, clock: clock_lib.ManualClock
+) -> None:
+    old = create_store(service, clock, "old")
+    adapter = table_lib.Row(
+        "d", table_lib.RowKind.ADAPTER, base="a", memory_bytes=1
+    )
+
+    def edit(
+        store: tables.TableStore,
+        rows: list[table_lib.Row],
+        removed: tuple[str, ...] = (),
+    ) -> None:
+        changes = edits.create_changes(store.sync.table, rows, removed)
+        finish(store.edit(changes, "ana"))
+
+    edit(old, [create_row("a", 1), create_row("b", 1)])
+    backup = dict(service.items)
+    edit(old, [], ("a",))
+    service.items = backup
+    new = create_store(service, clock, "new")
+    finish(new._read_newest())  # pylint: disable=protected-access
+    edit(new, [adapter, create_row("b", 2)])
+    finish(old._read_newest())  # pylint: disable=protected-access
+    assert [row.name for row in old.sync.table.rows] == ["b"]
+    assert read_value(old.sync.table, "b") == 2
+
+
 def test_lost_reply_is_true_though_the_row_was_changed_again(
     service: Service, clock: clock_lib.ManualClock
 ) -> None:
