--- /dev/null
+++ b/benchmarks/placement.py
@@ -0,0 +1,407 @@
+"""Compares placement policies over a day, and times plans.
+
+python benchmarks/placement.py day --seed 1
+python benchmarks/placement.py plans
+"""
+
+from collections.abc import Iterator
+import dataclasses
+import datetime
+import math
+import random
+import time
+import tracemalloc
+from typing import Final
+
+import fire
+import tabulate
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import demand as demand_lib
+from cicadahook.core import pacing
+from cicadahook.core import placement
+from cicadahook.core import policies
+from cicadahook.core import record as record_lib
+from cicadahook.core import table as table_lib
+from cicadahook.core import view
+
+GIGABYTE: Final = 1_000_000_000
+CAPACITY_BYTES: Final = 80 * GIGABYTE
+ADAPTER_BYTES: Final = GIGABYTE // 2
+TICK_SECONDS: Final = 15
+DAY_SECONDS: Final = 86_400
+RATE_AT_KNEE: Final = 100.0
+STORE_BYTES_PER_SECOND: Final = GIGABYTE
+MEAN_USE: Final = 0.55
+BURST: Final = 10.0
+BURST_RISE_SECONDS: Final = 1_800
+BURSTS_A_ROW: Final = 0.5
+LOST_FROM_SECONDS: Final = 50_000
+LOST_UNTIL_SECONDS: Final = 53_600
+ZONES: Final = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """The sizes of one user's deployment."""
+
+    name: str
+    models: int
+    adapters: int
+    upstreams: int
+    model_bytes: int
+    move_price: float
+    pacing: pacing.PacingMode
+
+
+BIOBIO: Final = Deployment(
+    "Biobio",
+    14,
+    40,
+    5,
+    12 * GIGABYTE,
+    2000.0,
+    pacing.PacingMode(1.0, 2),
+)
+AARWIL: Final = Deployment(
+    "Aarwil",
+    20,
+    120,
+    9,
+    15 * GIGABYTE,
+    200.0,
+    pacing.PacingMode(2.0, 10),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Burst:
+    """A tenfold rise of one row's demand and its fall."""
+
+    start: float
+    hold: float
+
+    def factor(self, second: float) -> float:
+        """Return what the rate is multiplied with at a time of the day."""
+        since = second - self.start
+        end = 2 * BURST_RISE_SECONDS + self.hold
+        if not 0 < since < end:
+            return 1.0
+        edge = min(since, end - since)
+        return 1 + (BURST - 1) * min(1.0, edge / BURST_RISE_SECONDS)
+
+
+class Trace:
+    """Demand by row over a day: a daily curve, Zipf weights and bursts."""
+
+    def __init__(
+        self, names: list[str], total_rate: float, rng: random.Random
+    ) -> None:
+        order = rng.sample(names, len(names))
+        weights = {name: 1 / (rank + 1) for rank, name in enumerate(order)}
+        scale = total_rate / sum(weights.values())
+        self.base = {name: weights[name] * scale for name in names}
+        self.bursts = {
+            name: [Burst(rng.uniform(0, DAY_SECONDS), rng.uniform(600, 4_000))]
+            for name in names
+            if rng.random() < BURSTS_A_ROW
+        }
+
+    def rates(self, second: float) -> dict[str, float]:
+        """Return the requests a second of each row."""
+        daily = 1 - 0.4 * math.cos(2 * math.pi * second / DAY_SECONDS)
+        return {
+            name: daily
+            * rate
+            * math.prod(b.factor(second) for b in self.bursts.get(name, ()))
+            for name, rate in self.base.items()
+        }
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What a day came to."""
+
+    attainment: float
+    moves: int
+    out_row_seconds: int
+
+
+class Day:
+    """One policy on one deployment; orders are answered, loads take time."""
+
+    def __init__(self, deployment: Deployment, policy: str, seed: int) -> None:
+        rng = random.Random(seed)
+        self.table = create_table(
+            deployment.models, deployment.adapters, deployment.model_bytes
+        )
+        names = [row.name for row in self.table.rows]
+        total = MEAN_USE * deployment.upstreams * RATE_AT_KNEE
+        self.trace = Trace(names, total, rng)
+        self.upstreams = create_upstreams(deployment.upstreams)
+        self.records = create_records(self.upstreams)
+        self.policy = policies.create_policy(
+            placement.PlacementMode(
+                policy, deployment.move_price, RATE_AT_KNEE, deployment.pacing
+            )
+        )
+        self.pacer = pacing.LoadPacer(deployment.pacing)
+        self.demand = demand_lib.DemandTracker()
+        self.loading: dict[pacing.LoadKey, datetime.datetime] = {}
+        self.moves = 0
+
+    def run(self) -> Outcome:
+        """Return what the day came to."""
+        clock = clock_lib.ManualClock()
+        offered = served = 0.0
+        out_seconds = 0
+        for second in range(0, DAY_SECONDS, TICK_SECONDS):
+            self._lose_upstream(second)
+            rates = self.trace.rates(second)
+            self.demand.update(rates, clock.now())
+            for _ in range(TICK_SECONDS):
+                self._finish_loads(clock.now())
+                if clock.now().second % 3 == 0:
+                    self._plan(clock.now())
+                clock.advance(datetime.timedelta(seconds=1))
+            if second >= 600:
+                offered += sum(rates.values())
+                served += self._serve(rates)
+                out_seconds += TICK_SECONDS * sum(
+                    not self._holders(name) for name in rates
+                )
+        return Outcome(served / offered, self.moves, out_seconds)
+
+    def _lose_upstream(self, second: int) -> None:
+        """Lose one upstream for an hour; it comes back empty."""
+        lost = sorted(self.records)[0]
+        if LOST_FROM_SECONDS <= second < LOST_UNTIL_SECONDS:
+            self.upstreams.pop(lost, None)
+            self.records[lost] = record_lib.UpstreamRecord(lost, CAPACITY_BYTES)
+        elif lost not in self.upstreams:
+            self.upstreams = create_upstreams(len(self.records))
+
+    def _plan(self, now: datetime.datetime) -> None:
+        situation = placement.Situation(
+            self.table,
+            self.upstreams,
+            self.records,
+            self.demand.expected(),
+            {at: self._serving(at) for at in self.upstreams},
+            now,
+        )
+        for step in self.policy.plan(situation):
+            self._take(step, now)
+
+    def _serving(self, address: str) -> frozenset[record_lib.CopyKey]:
+        return frozenset(copy.key for copy in self.records[address].residents)
+
+    def _take(self, step: placement.Step, now: datetime.datetime) -> None:
+        """Carry out a step; unloads are free at once."""
+        record = self.records[step.upstream]
+        if step.action is record_lib.Action.UNLOAD:
+            self.records[step.upstream] = record.without_resident(
+                (step.row, step.version)
+            )
+            return
+        key = pacing.LoadKey(step.upstream, step.row, step.version)
+        if key in self.loading or not self.pacer.start(key, now):
+            return
+        self.moves += 1
+        seconds = step.memory_bytes / STORE_BYTES_PER_SECOND
+        self.loading[key] = now + datetime.timedelta(seconds=seconds)
+        self.records[step.upstream] = record.with_order(
+            record_lib.Order(
+                f"{step.upstream}-{self.moves}",
+                step.action,
+                step.row,
+                step.base,
+                step.version,
+                step.memory_bytes,
+                unanswered=1,
+            )
+        )
+
+    def _finish_loads(self, now: datetime.datetime) -> None:
+        for key in [k for k, end in self.loading.items() if end <= now]:
+            del self.loading[key]
+            self.pacer.finish(key)
+            record = self.records[key.upstream]
+            order = record.find_order((key.row, key.version))
+            if order is not None:
+                copy = record_lib.Resident(
+                    order.row, order.base, order.version, order.memory_bytes
+                )
+                self.records[key.upstream] = record.without_order(
+                    order.id
+                ).with_resident(copy)
+
+    def _holders(self, name: str) -> list[str]:
+        return [
+            address
+            for address in self.upstreams
+            if self.records[address].has_resident(name)
+        ]
+
+    def _serve(self, rates: dict[str, float]) -> float:
+        """Return the requests a second served in time.
+
+        Beyond the knee an upstream slows down in proportion, so that only
+        what it takes at the knee is in time.
+        """
+        loads = dict.fromkeys(self.upstreams, 0.0)
+        for name, rate in rates.items():
+            holders = self._holders(name)
+            for address in holders:
+                loads[address] += rate / len(holders)
+        return sum(min(load, RATE_AT_KNEE) for load in loads.values())
+
+
+def create_table(
+    models: int, adapters: int, model_bytes: int
+) -> table_lib.Table:
+    """Return a table of models with adapters spread over them."""
+    rows = [
+        table_lib.Row(
+            f"m{index:04}",
+            table_lib.RowKind.MODEL,
+            memory_bytes=model_bytes,
+            priority=index % 3,
+        )
+        for index in range(models)
+    ]
+    rows += [
+        table_lib.Row(
+            f"a{index:04}",
+            table_lib.RowKind.ADAPTER,
+            base=f"m{index % models:04}",
+            memory_bytes=ADAPTER_BYTES,
+        )
+        for index in range(adapters)
+    ]
+    return table_lib.Table(1, table_lib.sort_rows(rows))
+
+
+def create_upstreams(count: int) -> dict[str, view.Upstream]:
+    """Return engines by address, spread over the zones."""
+    return {
+        f"10.0.{index // 250}.{index % 250}:80": view.Upstream(
+            f"10.0.{index // 250}.{index % 250}:80",
+            f"z{index % ZONES}",
+            view.UpstreamKind.ENGINE,
+            capacity_bytes=CAPACITY_BYTES,
+        )
+        for index in range(count)
+    }
+
+
+def create_records(
+    upstreams: dict[str, view.Upstream],
+) -> dict[str, record_lib.UpstreamRecord]:
+    """Return empty records of `upstreams`."""
+    return {
+        address: record_lib.UpstreamRecord(address, CAPACITY_BYTES)
+        for address in upstreams
+    }
+
+
+def run_days(seed: int = 1) -> None:
+    """Print attainment and moves of each policy over one day."""
+    cells = []
+    for deployment in (BIOBIO, AARWIL):
+        for policy in ("static", "on_demand", "greedy", "adaptive"):
+            outcome = Day(deployment, policy, seed).run()
+            cells.append(
+                [
+                    deployment.name,
+                    policy,
+                    f"{outcome.attainment:.4f}",
+                    f"{outcome.attainment / deployment.upstreams:.4f}",
+                    outcome.moves,
+                    outcome.out_row_seconds,
+                ]
+            )
+    print(
+        tabulate.tabulate(
+            cells,
+            headers=[
+                "deployment",
+                "policy",
+                "attainment",
+                "per accelerator",
+                "moves",
+                "row seconds out",
+            ],
+        )
+    )
+
+
+def run_plans(repeats: int = 3) -> None:
+    """Print the time and memory of one plan at several sizes."""
+    cells = [
+        _measure_plan(models, upstreams, kind, repeats)
+        for models, upstreams in ((10, 5), (100, 20), (1500, 217))
+        for kind in ("settled", "one lost", "empty")
+    ]
+    print(
+        tabulate.tabulate(
+            cells, headers=["models", "upstreams", "kind", "ms", "peak KB"]
+        )
+    )
+
+
+def _measure_plan(
+    models: int, upstreams: int, kind: str, repeats: int
+) -> list[float | str]:
+    """Return the slowest of some plans and the peak of its memory."""
+    situation = _settle(models, upstreams)
+    if kind == "one lost":
+        live = dict(list(situation.upstreams.items())[1:])
+        situation = dataclasses.replace(situation, upstreams=live)
+    if kind == "empty":
+        records = create_records(create_upstreams(upstreams))
+        situation = dataclasses.replace(situation, records=records, serving={})
+    policy = policies.create_policy(
+        placement.PlacementMode(move_price=0.0, upstream_rate=1.0)
+    )
+    slowest = 0.0
+    for _ in range(repeats):
+        started = time.perf_counter()
+        list(policy.plan(situation))
+        slowest = max(slowest, time.perf_counter() - started)
+    tracemalloc.start()
+    list(policy.plan(situation))
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    return [models, upstreams, kind, 1000 * slowest, peak // 1024]
+
+
+def _settle(models: int, upstreams: int) -> placement.Situation:
+    """Return a situation in which every row has a copy."""
+    table = create_table(models, 0, 10 * GIGABYTE)
+    live = create_upstreams(upstreams)
+    records = create_records(live)
+    for address, row in zip(_cycle(list(live)), table.rows):
+        records[address] = records[address].with_resident(
+            record_lib.Resident(row.name, "", row.version, row.memory_bytes)
+        )
+    rng = random.Random(1)
+    return placement.Situation(
+        table,
+        live,
+        records,
+        {row.name: rng.expovariate(1.0) for row in table.rows},
+        {
+            at: frozenset(copy.key for copy in record.residents)
+            for at, record in records.items()
+        },
+    )
+
+
+def _cycle(addresses: list[str]) -> Iterator[str]:
+    while True:
+        yield from addresses
+
+
+if __name__ == "__main__":
+    fire.Fire({"day": run_days, "plans": run_plans})
