--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -157,6 +157,7 @@
 
     def read_state(self, machine: orders.OrderMachine) -> None:
         """Let a state report start on its way."""
+        self.clock.advance(datetime.timedelta(milliseconds=1))
         began = self.clock.now()
         self.clock.advance(datetime.timedelta(milliseconds=1))
         report = settle.StateReport(
