--- a/src/cicadahook/programs/local.py
+++ b/src/cicadahook/programs/local.py
@@ -178,6 +178,8 @@
             key_value=self._address(KEY_VALUE_OFFSET),
             vm_list=self._address(VM_LIST_OFFSET),
             operator_token=self.mode.operator_token,
+            loads_per_second=20.0,
+            active_loads=4,
             **_given(placement_policy=self.mode.placement_policy),
         )
         return control.ControlDaemon(settings, self.session)
@@ -192,6 +194,8 @@
             controls=tuple(
                 self._address(CONTROL_OFFSET + other) for other in others
             ),
+            key_value=self._address(KEY_VALUE_OFFSET),
+            drain_seconds=0.0,
             **_given(routing_policy=self.mode.routing_policy),
         )
         return entry.EntryDaemon(settings, self.session)
@@ -276,6 +280,8 @@
                 await asyncio.wait_for(
                     daemon.wait_for_stop(), settings.seconds or None
                 )
+            # The whole system goes, so records have no peer to go to.
+            logs.create_logger("peers").setLevel("ERROR")
             await system.stop()
 
     daemon.run_main(serve)
--- a/src/cicadahook/programs/settings.py
+++ b/src/cicadahook/programs/settings.py
@@ -6,8 +6,9 @@
 import pydantic
 import pydantic_settings
 
+from cicadahook.core import admission
 from cicadahook.core import errors
-from cicadahook.core import placement
+from cicadahook.core import policies
 from cicadahook.core import routing
 from cicadahook.net import logs
 
@@ -32,7 +33,7 @@
 
 
 def _check_placement(value: str) -> str:
-    return _check_policy("placement policy", dict(placement.POLICIES), value)
+    return _check_policy("placement policy", dict(policies.POLICIES), value)
 
 
 class CommonSettings(pydantic_settings.BaseSettings):
@@ -78,7 +79,36 @@
         5.0, description="seconds that callers may keep an address answer"
     )
     routing_policy: Annotated[str, pydantic.AfterValidator(_check_routing)] = (
-        pydantic.Field("least_in_flight", description="routing policy")
+        pydantic.Field("deadline", description="routing policy")
+    )
+    queue_limit: int = pydantic.Field(
+        admission.QUEUE_LIMIT,
+        ge=1,
+        le=100_000,
+        description="requests that may wait at this entry at once",
+    )
+    key_value: Address = pydantic.Field(
+        "127.0.0.1:8420", description="host:port of the key-value service"
+    )
+    record_seconds: Seconds = pydantic.Field(
+        3600.0,
+        description="seconds after its issue that a key prefix is accepted",
+    )
+    record_count: int = pydantic.Field(
+        20_000, ge=1, description="records of non-idempotent calls held"
+    )
+    record_answer_bytes: int = pydantic.Field(
+        16_384, ge=0, description="bytes of a recorded answer at most"
+    )
+    peer_key: str = pydantic.Field(
+        "", description="secret that all entries share; empty: none"
+    )
+    drain_seconds: float | None = pydantic.Field(
+        None,
+        ge=0,
+        le=86400,
+        description="seconds that a stop waits for kept address answers to"
+        " lapse; unset: keep_seconds and 3",
     )
 
 
@@ -97,7 +127,7 @@
     )
     placement_policy: Annotated[
         str, pydantic.AfterValidator(_check_placement)
-    ] = pydantic.Field("static", description="placement policy")
+    ] = pydantic.Field("adaptive", description="placement policy")
     move_price: float = pydantic.Field(
         1.0,
         ge=0,
@@ -109,6 +139,22 @@
         description="token that operators must send to change anything;"
         " empty: none is asked for",
     )
+    upstream_rate: float = pydantic.Field(
+        0.0,
+        ge=0,
+        description="requests a second that an upstream serves in time; 0"
+        " plans by the mean load",
+    )
+    loads_per_second: float = pydantic.Field(
+        1.0,
+        ge=0,
+        description="loads that the weight store starts a second; 0: no limit",
+    )
+    active_loads: int = pydantic.Field(
+        2,
+        ge=0,
+        description="loads that the weight store runs at once; 0: no limit",
+    )
 
 
 class LocalSettings(pydantic_settings.BaseSettings):
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -177,6 +177,7 @@
             f"--entry={self._address(local.ENTRY_OFFSET + index)}",
             f"--key-value={self.key_value.address}",
             f"--vm-list={self.vm_list.address}",
+            "--loads-per-second=5",
         )
 
     def _entry(self, index: int) -> Process:
@@ -193,6 +194,7 @@
             f"--name=vm{index}",
             f"--zone=zone{index % local.ZONE_COUNT}",
             "--keep-seconds=1",
+            f"--key-value={self.key_value.address}",
             *(f"--controls={control}" for control in others),
         )
 
