--- a/src/cicadahook/programs/cicadactl.py
+++ b/src/cicadahook/programs/cicadactl.py
@@ -14,6 +14,7 @@
 from cicadahook.core import errors
 from cicadahook.programs import calls
 from cicadahook.programs import node_commands
+from cicadahook.programs import placement_commands
 from cicadahook.programs import table_commands
 
 DEFAULT_CONTROL: Final = "127.0.0.1:8411"
@@ -43,6 +44,7 @@
             os.environ.get(TOKEN_VARIABLE, ""),
         )
         self._nodes = node_commands.NodeCommands(caller)
+        self._placement = placement_commands.PlacementCommands(caller)
         self.table = table_commands.TableCommands(caller)
 
     def status(self, json: bool = False) -> None:
@@ -53,6 +55,14 @@
         """Print the entry VMs and the table generation of each."""
         self._nodes.show_members(json)
 
+    def why(self, model: str, json: bool = False) -> None:
+        """Print where the row MODEL lives, why, and what is being done."""
+        self._placement.show_why(str(model), json)
+
+    def moves(self, json: bool = False) -> None:
+        """Print the newest loads and unloads with their cause."""
+        self._placement.show_moves(json)
+
     def drain(
         self, name: str, wait: float = table_commands.WAIT_SECONDS
     ) -> None:
--- a/src/cicadahook/programs/placement_commands.py
+++ b/src/cicadahook/programs/placement_commands.py
@@ -1,6 +1,6 @@
 """cicadactl commands that explain placement."""
 
-import json
+import json as json_lib
 from typing import Any, Final
 import urllib.parse
 
@@ -22,15 +22,15 @@
 class PlacementCommands:
     """Explains where rows live and lists moves."""
 
-    def __init__(self, control: str) -> None:
-        self.control = control
+    def __init__(self, caller: calls.ControlCaller) -> None:
+        self.caller = caller
 
-    def why(self, model: str, as_json: bool = False) -> None:
+    def show_why(self, model: str, json: bool) -> None:
         """Print where MODEL lives, why, and what is being done about it."""
-        path = f"/placement/why/{urllib.parse.quote(str(model))}"
-        answer = calls.call(self.control, "GET", path)
-        if as_json:
-            print(json.dumps(answer, indent=2))
+        path = f"/placement/why/{urllib.parse.quote(model)}"
+        answer = self._ask_leader(path)
+        if json:
+            print(json_lib.dumps(answer, indent=2))
             return
         demand = answer["demand"]
         print(f"{answer['row']}: {demand['level']:.2f} requests a second")
@@ -40,15 +40,25 @@
         print(_format(answer["moves"], MOVE_COLUMNS))
         _note_follower(answer)
 
-    def moves(self, as_json: bool = False) -> None:
+    def show_moves(self, json: bool) -> None:
         """Print the newest moves with their cause."""
-        answer = calls.call(self.control, "GET", "/placement/moves")
-        if as_json:
-            print(json.dumps(answer, indent=2))
+        answer = self._ask_leader("/placement/moves")
+        if json:
+            print(json_lib.dumps(answer, indent=2))
             return
         print(_format(answer["moves"], MOVE_COLUMNS))
         _note_follower(answer)
 
+    def _ask_leader(self, path: str) -> dict[str, Any]:
+        """Return the answer of the control that leads, or of any control."""
+        members = self.caller.call("GET", "/status")["members"]
+        controls = tuple(member["control"] for member in members)
+        answers = self.caller.fetch_each(controls, path)
+        for answer in answers.values():
+            if answer["leads"]:
+                return answer
+        return self.caller.call("GET", path)
+
 
 def _format(items: list[dict[str, Any]], columns: tuple[str, ...]) -> str:
     """Return a table of `items`."""
@@ -59,4 +69,4 @@
 def _note_follower(answer: dict[str, Any]) -> None:
     """Say so if the control that answered does not plan."""
     if not answer["leads"]:
-        print("this control does not lead placement; ask the one that does")
+        print("no control that answers leads placement at the moment")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+import math
 import random
 import time
 from typing import Any, Final
@@ -81,7 +82,7 @@
             self.replace,
             self.order,
             self.order,
-            self.leave,
+            self.pause if self.observer.leaving else self.leave,
         )
         kind = self.rng.choice(kinds)
         free = [
@@ -153,10 +154,10 @@
 
     async def leave(self, part: processes.Process) -> None:
         """Show an engine as leaving, then replace its VM."""
-        if self.observer.leaving is not None:
-            return
+        leaving = observer_lib.Leaving(part, math.inf)
+        self.observer.leaving = leaving
         await self.system.list_vms(self.session, part)
-        self.observer.leaving = observer_lib.Leaving(part, time.monotonic())
+        leaving.since = time.monotonic()
         await asyncio.sleep(LEAVING_SECONDS)
         self.observer.leaving = None
         await part.kill()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -89,6 +89,18 @@
     assert named in capsys.readouterr().err
 
 
+async def test_placement_is_explained(
+    ctl: Ctl, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert await ctl("why", "inspector", "--json") == 0
+    answer = json.loads(capsys.readouterr().out)
+    assert (answer["row"], answer["leads"]) == ("inspector", True)
+    assert await ctl("why", "inspector") == 0
+    assert await ctl("moves") == 0
+    assert "inspector" in capsys.readouterr().out
+    assert await ctl("why", "nobody") == 1
+
+
 async def test_drained_vm_is_left_out_of_addresses(
     ctl: Ctl, shared_system: local.LocalSystem
 ) -> None:
