--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,10 +1,12 @@
 """Placement policies: every row served through moves, losses and edits."""
 
 import dataclasses
+import datetime
 import random
 
 import pytest
 
+from cicadahook.core import clock as clock_lib
 from cicadahook.core import draft as draft_lib
 from cicadahook.core import fit
 from cicadahook.core import pacing
@@ -216,13 +218,13 @@
     assert fit.find_unfit(rows, []) is None
 
 
-def test_loads_are_paced(clock: placement.clock_lib.ManualClock) -> None:
+def test_loads_are_paced(clock: clock_lib.ManualClock) -> None:
     pacer = pacing.LoadPacer(pacing.PacingMode(1.0, 2))
     keys = [pacing.LoadKey("u", name, "1") for name in "abc"]
     started = []
     for _ in range(4):
         started.append([pacer.start(key, clock.now()) for key in keys])
-        clock.advance(pacing.datetime.timedelta(seconds=1))
+        clock.advance(datetime.timedelta(seconds=1))
     assert started[0] == [True, False, False]
     assert started[3] == [True, True, False]
     pacer.finish(keys[0])
