--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+import contextlib
+import itertools
 import math
 import random
 import time
@@ -9,6 +11,7 @@
 
 import aiohttp
 
+from cicadahook.standins import engine
 from soak import ledger as ledger_lib
 from soak import observer as observer_lib
 from soak import processes
@@ -18,6 +21,9 @@
 LEAVING_SECONDS: Final = 6.0
 CALL_SECONDS: Final = 5.0
 AT_ONCE: Final = 2
+CRASH_SENDS: Final = 8
+CRASH_PAUSE_SECONDS: Final = 0.3
+ORDER_TRIES: Final = 5
 PLATFORM_FAULTS: Final = (
     {"down": True},
     {"silent": True},
@@ -64,6 +70,7 @@
         self.observer = observer
         self.rng = rng
         self.busy: set[str] = set()
+        self.crash_count = 0
 
     async def run(self, seconds: float) -> None:
         """Bring about faults for so long; return once all have ended."""
@@ -83,6 +90,7 @@
             self.order,
             self.order,
             self.pause if self.observer.leaving else self.leave,
+            self.crash,
         )
         kind = self.rng.choice(kinds)
         free = [
@@ -114,6 +122,8 @@
                 return (*platform, *upstreams)
             case "leave":
                 return tuple(self.system.engines)
+            case "crash":
+                return tuple(self.system.entries)
         return (*daemons, *self.system.engines)
 
     async def kill(self, part: processes.Process) -> None:
@@ -164,14 +174,37 @@
         await self.system.list_vms(self.session)
         await part.start(self.session)
 
+    async def crash(self, part: processes.Process) -> None:
+        """Send a request that crashes engines, again and again, to all."""
+        self.crash_count += 1
+        prompt = f"{engine.CRASH_MARK} {self.crash_count}"
+        body = {"model": processes.MODELS[0], "prompt": prompt}
+        timeout = aiohttp.ClientTimeout(total=CALL_SECONDS)
+        entries = itertools.cycle((part, *self.system.entries))
+        for entry in itertools.islice(entries, CRASH_SENDS):
+            url = f"http://{entry.address}/v1/completions"
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                async with self.session.post(
+                    url, json=body, timeout=timeout
+                ) as response:
+                    self.ledger.counts[f"crash_{response.status}"] += 1
+            await asyncio.sleep(CRASH_PAUSE_SECONDS)
+
     async def _hold(self) -> None:
         await asyncio.sleep(self.rng.uniform(*HOLD_SECONDS))
 
     async def _put_faults(
         self, part: processes.Process, fault: dict[str, Any]
     ) -> None:
+        """Order faults, again if a crash cuts the order off."""
         timeout = aiohttp.ClientTimeout(total=CALL_SECONDS)
-        async with self.session.put(
-            f"http://{part.address}/faults", json=fault, timeout=timeout
-        ) as response:
-            response.raise_for_status()
+        url = f"http://{part.address}/faults"
+        for _ in range(ORDER_TRIES):
+            with contextlib.suppress(aiohttp.ClientConnectionError):
+                async with self.session.put(
+                    url, json=fault, timeout=timeout
+                ) as response:
+                    response.raise_for_status()
+                    return
+            await asyncio.sleep(CRASH_PAUSE_SECONDS)
+        raise RuntimeError(f"{part.name} takes no faults")
--- a/tests/soak/observer.py
+++ b/tests/soak/observer.py
@@ -16,6 +16,7 @@
 EDIT_PAUSE_SECONDS: Final = 2.0
 LEAVING_GRACE_SECONDS: Final = 3.0
 RECOVERY_SECONDS: Final = 30.0
+CRASH_LIMIT: Final = 2
 PROBE_DEADLINE_MS: Final = "3000"
 
 
@@ -49,6 +50,7 @@
         self.leaving: Leaving | None = None
         self.weights = {1.0}
         self.generation = 0
+        self.crashes: collections.Counter[str] = collections.Counter()
 
     async def run(self) -> None:
         """Poll and edit until cancelled."""
@@ -74,6 +76,7 @@
             return
         if state["overcommits"]:
             self.ledger.note_broken("no overcommit", f"{engine.name}: {state}")
+        self._count_crashes(engine, state["crashes"])
         leaving = self.leaving
         if leaving is None or leaving.engine is not engine:
             return
@@ -86,6 +89,13 @@
             )
         leaving.started = state["started"]
 
+    def _count_crashes(self, engine: processes.Process, crashes: int) -> None:
+        """Add the crashes since the last look; a new process starts at 0."""
+        last = self.crashes[engine.name]
+        self.crashes[engine.name] = crashes
+        new = crashes - last if crashes >= last else crashes
+        self.ledger.counts["engine_crashes"] += new
+
     async def _check_control(self, control: processes.Process) -> None:
         shown = await self.fetch(control, "/table")
         if shown is not None:
@@ -146,6 +156,11 @@
         """Check what must hold once the faults have stopped."""
         await self.wait_until_well("recovered")
         await self.look()
+        crashes = self.ledger.counts["engine_crashes"]
+        if crashes > CRASH_LIMIT * self.ledger.counts["fault_crash"]:
+            self.ledger.note_broken(
+                "a request crashes two engines at most", f"{crashes} crashes"
+            )
         runs: collections.Counter[str] = collections.Counter()
         for service in self.system.services:
             runs.update(await self.fetch(service, "/bookings"))
