--- a/src/cicadahook/programs/local.py
+++ b/src/cicadahook/programs/local.py
@@ -281,6 +281,8 @@
                 await asyncio.wait_for(
                     daemon.wait_for_stop(), settings.seconds or None
                 )
+            # The whole system goes, so records have no peer to go to.
+            logs.create_logger("peers").setLevel("ERROR")
             await system.stop()
 
     daemon.run_main(serve)
