--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -54,7 +54,7 @@
         admission: how requests are admitted and routed.
         key_value: `host:port` of the key-value service.
         records: how records of non-idempotent calls are kept.
-        peer_key: secret that all entries share.
+        cluster_key: key shared by all daemons.
         drain: how long a stop waits for kept address answers to lapse.
         progress: deadlines within a stream.
     """
@@ -65,7 +65,7 @@
     admission: admission.AdmissionMode
     key_value: str
     records: idempotency.LedgerMode
-    peer_key: str
+    cluster_key: str
     drain: datetime.timedelta
     progress: attempts.ProgressMode
 
@@ -92,7 +92,7 @@
             clock,
             self.dispatcher,
             fresh_session,
-            mode.peer_key,
+            mode.cluster_key,
             self.random,
         )
         self.policy = retry.RetryPolicy(retry.RetryMode(), clock, self.random)
@@ -111,7 +111,7 @@
         self.completions = completions.CompletionsApi(
             clock, self.dispatcher, self.relay
         )
-        self.peers = peers.PeerClient(fresh_session, mode.peer_key)
+        self.peers = peers.PeerClient(fresh_session, mode.cluster_key)
         self.ledger = idempotency.Ledger(mode.records, self.owner, clock)
         self.once = once_lib.OnceRunner(
             self.ledger,
@@ -154,7 +154,7 @@
         app.router.add_get("/v1/models", self.list_models)
         self.completions.install(app)
         self.services.install(app)
-        peers.install(app, self.ledger, self.mode.peer_key)
+        peers.install(app, self.ledger, self.mode.cluster_key)
         self.desk.install(app)
         app.middlewares.append(self.count_refusals)
         app.middlewares.append(self.count_open)
--- a/src/cicadahook/net/peers.py
+++ b/src/cicadahook/net/peers.py
@@ -87,9 +87,11 @@
     A connection that has gone silent is thus never used again.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, peer_key: str) -> None:
+    def __init__(
+        self, session: aiohttp.ClientSession, cluster_key: str
+    ) -> None:
         self.session = session
-        self.peer_key = peer_key
+        self.cluster_key = cluster_key
 
     async def forward(
         self,
@@ -208,7 +210,7 @@
         return True
 
     async def _post(self, address: str, body: bytes) -> bool:
-        signature = sign(self.peer_key, body)
+        signature = sign(self.cluster_key, body)
         try:
             async with self.session.post(
                 f"http://{address}{RECORDS_PATH}",
@@ -241,12 +243,12 @@
     yield from keys.rank_heirs(owner, others)[:SEARCHED_HEIRS]
 
 
-def sign(peer_key: str, body: bytes) -> str:
+def sign(cluster_key: str, body: bytes) -> str:
     """Return the MAC of a message between entries."""
-    return hmac.new(peer_key.encode(), body, hashlib.sha256).hexdigest()
+    return hmac.new(cluster_key.encode(), body, hashlib.sha256).hexdigest()
 
 
-async def read_signed(request: web.Request, peer_key: str) -> bytes:
+async def read_signed(request: web.Request, cluster_key: str) -> bytes:
     """Return the body of a message from another entry.
 
     Raises:
@@ -254,7 +256,7 @@
     """
     body = await request.read()
     given = request.headers.get(SIGNATURE_HEADER, "")
-    if not hmac.compare_digest(given, sign(peer_key, body)):
+    if not hmac.compare_digest(given, sign(cluster_key, body)):
         raise errors.RefusalError(
             "bad_signature", f"header {SIGNATURE_HEADER}: does not match", 403
         )
@@ -262,13 +264,13 @@
 
 
 def install(
-    app: web.Application, ledger: idempotency.Ledger, peer_key: str
+    app: web.Application, ledger: idempotency.Ledger, cluster_key: str
 ) -> None:
     """Add the route on which records are taken over to `app`."""
 
     async def take_records(request: web.Request) -> web.Response:
         """Take over the records of an entry that stops."""
-        body = await read_signed(request, peer_key)
+        body = await read_signed(request, cluster_key)
         try:
             handed = _HAND_OVER.validate_json(body)
         except pydantic.ValidationError as error:
--- a/src/cicadahook/net/suspects.py
+++ b/src/cicadahook/net/suspects.py
@@ -72,14 +72,14 @@
         clock: clock_lib.Clock,
         dispatcher: dispatch.Dispatcher,
         session: aiohttp.ClientSession,
-        peer_key: str,
+        cluster_key: str,
         generator: random.Random,
     ) -> None:
         self.quarantine = quarantine
         self.clock = clock
         self.dispatcher = dispatcher
         self.session = session
-        self.peer_key = peer_key
+        self.cluster_key = cluster_key
         self.address = ""
         self.random = generator
 
@@ -89,7 +89,7 @@
 
     async def take_notice(self, request: web.Request) -> web.Response:
         """Take note of another entry's notice; grant the trial if free."""
-        body = await peers.read_signed(request, self.peer_key)
+        body = await peers.read_signed(request, self.cluster_key)
         try:
             notice = _NOTICE.validate_json(body)
         except pydantic.ValidationError as error:
@@ -257,7 +257,7 @@
                 f"http://{address}{SUSPECTS_PATH}",
                 data=body,
                 headers={
-                    peers.SIGNATURE_HEADER: peers.sign(self.peer_key, body)
+                    peers.SIGNATURE_HEADER: peers.sign(self.cluster_key, body)
                 },
                 timeout=aiohttp.ClientTimeout(CALL_TIMEOUT.total_seconds()),
             ) as response:
--- a/src/cicadahook/programs/daemon.py
+++ b/src/cicadahook/programs/daemon.py
@@ -56,6 +56,8 @@
     """Run a daemon until a stop signal; exit with code 0 after a clean stop."""
     logs.setup(settings.log_format, settings.log_level)
     metrics.setup(settings.otlp_endpoint)
+    if settings.cluster_key == settings_lib.DEFAULT_CLUSTER_KEY:
+        logger.warning("Set --cluster-key: the default is known to all.")
 
     async def serve() -> None:
         async with open_session() as session:
--- a/src/cicadahook/programs/entry.py
+++ b/src/cicadahook/programs/entry.py
@@ -41,7 +41,7 @@
                 settings.record_count,
                 settings.record_answer_bytes,
             ),
-            peer_key=settings.peer_key,
+            cluster_key=settings.cluster_key,
             drain=_read_drain(settings),
             progress=attempts.ProgressMode(
                 datetime.timedelta(seconds=settings.first_token_seconds),
--- a/src/cicadahook/programs/settings.py
+++ b/src/cicadahook/programs/settings.py
@@ -65,6 +65,11 @@
     otlp_endpoint: str = pydantic.Field(
         "", description="URL that metrics are pushed to by OTLP; empty: none"
     )
+    cluster_key: str = pydantic.Field(
+        DEFAULT_CLUSTER_KEY,
+        min_length=8,
+        description="key shared by all daemons, by which they know each other",
+    )
 
 
 class EntrySettings(CommonSettings):
@@ -101,9 +106,6 @@
     record_answer_bytes: int = pydantic.Field(
         16_384, ge=0, description="bytes of a recorded answer at most"
     )
-    peer_key: str = pydantic.Field(
-        "", description="secret that all entries share; empty: none"
-    )
     drain_seconds: float | None = pydantic.Field(
         None,
         ge=0,
@@ -162,11 +164,6 @@
         ge=0,
         description="loads that the weight store runs at once; 0: no limit",
     )
-    cluster_key: str = pydantic.Field(
-        DEFAULT_CLUSTER_KEY,
-        min_length=8,
-        description="key shared by all controls, by which they know each other",
-    )
     peers: tuple[Address, ...] = pydantic.Field(
         (),
         description="host:port of other controls to join by, besides those"
