Start with a limit of 48, so that learning throttles no large engine

Cause: starting from 16, an upstream with a knee of 80 was throttled while its limit grew, and the queue built up meanwhile never drained at full load.

--- a/src/cicadahook/core/limits.py
+++ b/src/cicadahook/core/limits.py
@@ -6,7 +6,7 @@
 import math
 from typing import Final
 
-INITIAL_LIMIT: Final = 16.0
+INITIAL_LIMIT: Final = 48.0
 BUCKET_RATIO: Final = 1.2
 MIN_BUCKET_SAMPLES: Final = 4
 MAX_BUCKET_SAMPLES: Final = 40
--- a/tests/test_admitter.py
+++ b/tests/test_admitter.py
@@ -8,6 +8,7 @@
 from cicadahook.core import admission
 from cicadahook.core import admitter as admitter_lib
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import limits
 from cicadahook.core import request as request_lib
 from cicadahook.core import routing
 from cicadahook.core import table as table_lib
@@ -15,7 +16,7 @@
 
 Priority = request_lib.Priority
 Code = admission.RefusalCode
-LIMIT = 16
+LIMIT = int(limits.INITIAL_LIMIT)
 
 
 @dataclasses.dataclass
@@ -260,13 +261,13 @@
         ticket = driver.arrive("a")
         clock.advance(datetime.timedelta(seconds=1))
         driver.end(ticket)
-    for _ in range(200):
+    for _ in range(400):
         driver.arrive("a", seconds=1000)
     refused = driver.arrive("a", seconds=4)
     refusal = driver.refusals[refused]
     assert refusal.code is Code.OVERLOADED
     assert refusal.retry_after.total_seconds() == pytest.approx(
-        184 / LIMIT, rel=0.1
+        (400 - LIMIT) / LIMIT, rel=0.1
     )
 
 
@@ -367,4 +368,4 @@
     driver = create_driver(clock, members=4)
     driver.change(peer_loads=(view_lib.PeerLoad("u1", 12, 16.0),))
     tickets = [driver.arrive(seconds=1000) for _ in range(6)]
-    assert sum(ticket in driver.grants for ticket in tickets) == LIMIT // 4
+    assert sum(ticket in driver.grants for ticket in tickets) == 16 // 4
