--- a/src/cicadahook/core/limits.py
+++ b/src/cicadahook/core/limits.py
@@ -135,9 +135,10 @@
     ) -> float:
         """Return the expected seconds per unit with `in_flight` requests.
 
-        `usual` is the pace of the other upstreams; what was learned here goes
+        `usual` is the pace of the other upstreams. What was learned here goes
         over to it while no new samples come, so that an upstream that was slow
-        is tried again. A small difference from it counts as noise. 0 is returned if nothing is known.
+        is tried again. A small difference from it counts as noise. 0 is
+        returned if nothing is known.
         """
         if self.updated is None:
             return usual
--- a/src/cicadahook/core/shares.py
+++ b/src/cicadahook/core/shares.py
@@ -7,7 +7,6 @@
 
 TURN_SECONDS: Final = 1.0
 
-GROWTH: Final = 1.0
 REPORT_PERIOD: Final = datetime.timedelta(milliseconds=400)
 
 
@@ -77,5 +76,5 @@
     unused = whole - usage.peers - usage.own_reported
     if unused <= 0:
         return share
-    grown = usage.own_reported + round(GROWTH * unused / fleet.entries)
+    grown = usage.own_reported + round(unused / fleet.entries)
     return max(share, grown)
