Weigh zone and prefix by what they save

Cause: with equal engines the deadline policy fell behind the emptiest one because a saving of 10% for a prefix and 2% for the zone outweighed fullness; the model's prefix saves 4% at most and a zone is a millisecond away. Ruled out: the step of the chance.

--- a/src/cicadahook/core/routing.py
+++ b/src/cicadahook/core/routing.py
@@ -11,8 +11,8 @@
 
 WAIT_RATIO: Final = 0.7
 CHANCE_STEPS: Final = 5
-PREFIX_SAVING: Final = 0.1
-OTHER_ZONE_COST: Final = 0.02
+PREFIX_SAVING: Final = 0.02
+OTHER_ZONE_SECONDS: Final = 0.001
 FILL_COST: Final = 1.0
 
 
@@ -185,8 +185,8 @@
 
     def _rank(self, load: Load) -> tuple[int, float, float]:
         cost = load.seconds or 1.0
+        if load.upstream.zone != self.zone:
+            cost += OTHER_ZONE_SECONDS
         cost *= 1 + FILL_COST * load.in_flight / load.limit
         cost *= 1 - PREFIX_SAVING * load.affinity
-        if load.upstream.zone != self.zone:
-            cost *= 1 + OTHER_ZONE_COST
         return -round(CHANCE_STEPS * load.chance), cost, self.random.random()
