--- a/src/cicadahook/core/limits.py
+++ b/src/cicadahook/core/limits.py
@@ -6,7 +6,7 @@
 import math
 from typing import Final
 
-INITIAL_LIMIT: Final = 16.0
+INITIAL_LIMIT: Final = 48.0
 BUCKET_RATIO: Final = 1.2
 MIN_BUCKET_SAMPLES: Final = 4
 MAX_BUCKET_SAMPLES: Final = 40
@@ -135,7 +135,7 @@
     ) -> float:
         """Return the expected seconds per unit with `in_flight` requests.
 
-        `usual` is the pace of the other upstreams; what was learned here goes
+        `usual` is the pace of the other upstreams. What was learned here goes
         over to it while no new samples come, so that an upstream that was slow
         is tried again. A small difference from it counts as noise. 0 is
         returned if nothing is known.
