--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -30,7 +30,7 @@
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import once as once_lib
-from cicadahook.net import peers
+from cicadahook.net import entry_peers
 from cicadahook.net import relay
 from cicadahook.net import services
 from cicadahook.net import suspects
@@ -111,7 +111,7 @@
         self.completions = completions.CompletionsApi(
             clock, self.dispatcher, self.relay
         )
-        self.peers = peers.PeerClient(fresh_session, mode.peer_key)
+        self.peers = entry_peers.PeerClient(fresh_session, mode.peer_key)
         self.ledger = idempotency.Ledger(mode.records, self.owner, clock)
         self.once = once_lib.OnceRunner(
             self.ledger,
@@ -154,7 +154,7 @@
         app.router.add_get("/v1/models", self.list_models)
         self.completions.install(app)
         self.services.install(app)
-        peers.install(app, self.ledger, self.mode.peer_key)
+        entry_peers.install(app, self.ledger, self.mode.peer_key)
         self.desk.install(app)
         app.middlewares.append(self.count_refusals)
         app.middlewares.append(self.count_open)
--- a/src/cicadahook/net/services.py
+++ b/src/cicadahook/net/services.py
@@ -23,7 +23,7 @@
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import once as once_lib
-from cicadahook.net import peers as peers_lib
+from cicadahook.net import entry_peers as peers_lib
 
 ANSWER_GRACE: Final = datetime.timedelta(seconds=10)
 CONNECT_TIMEOUT: Final = datetime.timedelta(seconds=2)
--- a/src/cicadahook/net/suspects.py
+++ b/src/cicadahook/net/suspects.py
@@ -20,7 +20,7 @@
 from cicadahook.core import view as view_lib
 from cicadahook.net import dispatch
 from cicadahook.net import logs
-from cicadahook.net import peers
+from cicadahook.net import entry_peers
 
 SUSPECTS_PATH: Final = "/internal/suspects"
 CALL_TIMEOUT: Final = datetime.timedelta(seconds=0.5)
@@ -89,7 +89,7 @@
 
     async def take_notice(self, request: web.Request) -> web.Response:
         """Take note of another entry's notice; grant the trial if free."""
-        body = await peers.read_signed(request, self.peer_key)
+        body = await entry_peers.read_signed(request, self.peer_key)
         try:
             notice = _NOTICE.validate_json(body)
         except pydantic.ValidationError as error:
@@ -257,7 +257,9 @@
                 f"http://{address}{SUSPECTS_PATH}",
                 data=body,
                 headers={
-                    peers.SIGNATURE_HEADER: peers.sign(self.peer_key, body)
+                    entry_peers.SIGNATURE_HEADER: entry_peers.sign(
+                        self.peer_key, body
+                    )
                 },
                 timeout=aiohttp.ClientTimeout(CALL_TIMEOUT.total_seconds()),
             ) as response:
