--- a/src/cicadahook/programs/control.py
+++ b/src/cicadahook/programs/control.py
@@ -1,7 +1,5 @@
 """cicada-control: table, members, upstreams, placement, operators' API."""
 
-from typing import Final
-
 import aiohttp
 
 from cicadahook.core import budget
@@ -10,12 +8,9 @@
 from cicadahook.net import clock
 from cicadahook.net import control as control_lib
 from cicadahook.net import http as http_lib
-from cicadahook.net import logs
 from cicadahook.programs import daemon
 from cicadahook.programs import settings as settings_lib
 
-logger: Final = logs.create_logger("control")
-
 
 class ControlDaemon:
     """A control with its server."""
@@ -31,8 +26,6 @@
             control=f"{settings.host}:{settings.port}",
             zone=settings.zone,
         )
-        if settings.cluster_key == settings_lib.DEFAULT_CLUSTER_KEY:
-            logger.warning("Set --cluster-key: the default is known to all.")
         mode = control_lib.ControlMode(
             own=own,
             key_value=settings.key_value,
--- a/src/cicadahook/programs/settings.py
+++ b/src/cicadahook/programs/settings.py
@@ -13,6 +13,7 @@
 
 ENVIRONMENT_PREFIX: Final = "CICADA_"
 USAGE_EXIT_CODE: Final = 2
+LOOPBACK_PREFIX: Final = "127."
 DEFAULT_CLUSTER_KEY: Final = "cicadahook-on-loopback"
 
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
@@ -107,7 +108,9 @@
     cluster_key: str = pydantic.Field(
         DEFAULT_CLUSTER_KEY,
         min_length=8,
-        description="key shared by all controls, by which they know each other",
+        validate_default=True,
+        description="key shared by all controls, by which they know each"
+        " other; the default is allowed on loopback only",
     )
     peers: tuple[Address, ...] = pydantic.Field(
         (),
@@ -121,6 +124,16 @@
         " service in the long run",
     )
 
+    @pydantic.field_validator("cluster_key")
+    @classmethod
+    def _check_cluster_key(
+        cls, value: str, info: pydantic.ValidationInfo
+    ) -> str:
+        is_loopback = str(info.data.get("host")).startswith(LOOPBACK_PREFIX)
+        if value == DEFAULT_CLUSTER_KEY and not is_loopback:
+            raise ValueError("every fleet needs a key of its own")
+        return value
+
 
 def parse(settings_type: type[SettingsT], arguments: list[str]) -> SettingsT:
     """Return the settings in `arguments` and the environment.
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -156,6 +156,25 @@
     assert not book.sum_upstreams()
 
 
+@pytest.mark.parametrize(
+    ("arguments", "is_allowed"),
+    [
+        ([], True),
+        (["--host", "10.0.0.1"], False),
+        (["--host", "10.0.0.1", "--cluster-key", "of this fleet"], True),
+        (["--cluster-key", "short"], False),
+    ],
+)
+def test_default_key_is_for_loopback_only(
+    arguments: list[str], is_allowed: bool
+) -> None:
+    if is_allowed:
+        settings_lib.parse(settings_lib.ControlSettings, arguments)
+        return
+    with pytest.raises(errors.SettingsError, match="--cluster-key"):
+        settings_lib.parse(settings_lib.ControlSettings, arguments)
+
+
 def test_urgent_calls_outlast_others(clock: clock_lib.ManualClock) -> None:
     calls = budget.CallBudget(budget.BudgetMode(10, 20), clock.now())
     granted = {
