--- a/benchmarks/shared.py
+++ b/benchmarks/shared.py
@@ -21,7 +21,7 @@
 from cicadahook.core import edits
 from cicadahook.core import errors
 from cicadahook.core import loads
-from cicadahook.core import membership
+from cicadahook.core import swim
 from cicadahook.core import table as table_lib
 from cicadahook.core import view
 from cicadahook.net import gossip
@@ -162,7 +162,7 @@
         self.forward = network.send
         network.send = self.send  # type: ignore[method-assign]
 
-    def send(self, source: str, sends: tuple[membership.Send, ...]) -> None:
+    def send(self, source: str, sends: tuple[swim.Send, ...]) -> None:
         """Measure `sends`, then pass them on."""
         started = time.process_time()
         for item in sends:
--- a/src/cicadahook/core/membership.py
+++ b/src/cicadahook/core/membership.py
@@ -3,111 +3,14 @@
 from collections.abc import Iterable, Iterator
 import dataclasses
 import datetime
-import enum
 import math
 import random
 from typing import Final
 
 from cicadahook.core import gossip
+from cicadahook.core import swim
 from cicadahook.core import view
 
-ZERO: Final = datetime.timedelta()
-
-
-class MessageKind(enum.StrEnum):
-    """What a message asks or tells.
-
-    JOIN asks for all members; they come in SYNC, which is not spread on.
-    """
-
-    JOIN = "join"
-    PING = "ping"
-    PING_REQUEST = "ping_request"
-    ACK = "ack"
-    NEWS = "news"
-    SYNC = "sync"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Progress:
-    """Table generation that a member said it has in force."""
-
-    name: str
-    incarnation: int
-    generation: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Message:
-    """A message between two members.
-
-    Attributes:
-        kind: what it asks or tells.
-        sender: its sender, as the sender sees itself.
-        number: number of the probe that it belongs to.
-        target: name of the member that is probed; empty means whoever is at
-            the address.
-        address: for a ping request, where the target listens.
-        updates: news of some members.
-        progress: table generations of some members.
-        newest: table generation that the sender can hand out.
-    """
-
-    kind: MessageKind
-    sender: view.Member
-    number: int = 0
-    target: str = ""
-    address: str = ""
-    updates: tuple[view.Member, ...] = ()
-    progress: tuple[Progress, ...] = ()
-    newest: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Send:
-    """A message to send to `address`."""
-
-    address: str
-    message: Message
-
-
-@dataclasses.dataclass(frozen=True)
-class MembershipMode:
-    """Settings of the membership.
-
-    Attributes:
-        probe_interval: time between two probes of a member.
-        ack_timeout: time after which others are asked to probe.
-        probe_timeout: time after which a silent member is suspected.
-        suspicion: time for a suspected member to answer, in a fleet of up to
-            ten; it grows with the logarithm of the fleet.
-        joining: time after the start in which any member may be asked for
-            all members.
-        joining_interval: time between two joins after the start.
-        seed_interval: time between two joins later, by a seed or a dead
-            member.
-        sync_interval: time between two samples sent to a random member.
-        dead_retention: how long a dead member is remembered.
-        helpers: members asked to probe a silent one.
-        updates_limit: news of members that fit in a message.
-        progress_limit: table generations that fit in a message.
-        retransmit: times that news is sent per logarithm of the fleet.
-    """
-
-    probe_interval: datetime.timedelta = datetime.timedelta(seconds=0.5)
-    ack_timeout: datetime.timedelta = datetime.timedelta(seconds=0.25)
-    probe_timeout: datetime.timedelta = datetime.timedelta(seconds=0.8)
-    suspicion: datetime.timedelta = datetime.timedelta(seconds=1.5)
-    joining: datetime.timedelta = datetime.timedelta(seconds=10)
-    joining_interval: datetime.timedelta = datetime.timedelta(seconds=1)
-    seed_interval: datetime.timedelta = datetime.timedelta(seconds=2)
-    sync_interval: datetime.timedelta = datetime.timedelta(seconds=2)
-    dead_retention: datetime.timedelta = datetime.timedelta(minutes=10)
-    helpers: int = 3
-    updates_limit: int = 6
-    progress_limit: int = 16
-    retransmit: int = 3
-
 
 @dataclasses.dataclass
 class Probe:
@@ -153,7 +56,7 @@
     def __init__(
         self,
         own: view.Member,
-        mode: MembershipMode,
+        mode: swim.MembershipMode,
         rng: random.Random,
         now: datetime.datetime,
     ) -> None:
@@ -171,7 +74,9 @@
         self.updates: gossip.BroadcastQueue[view.Member] = (
             gossip.BroadcastQueue()
         )
-        self.progress: gossip.BroadcastQueue[Progress] = gossip.BroadcastQueue()
+        self.progress: gossip.BroadcastQueue[swim.Progress] = (
+            gossip.BroadcastQueue()
+        )
         self.probes: dict[int, Probe] = {}
         self.relays: dict[int, Relay] = {}
         self.suspected: dict[str, datetime.datetime] = {}
@@ -184,7 +89,7 @@
         )
         self.updates.add(self.own.name, self.own)
 
-    def tick(self, now: datetime.datetime) -> tuple[Send, ...]:
+    def tick(self, now: datetime.datetime) -> tuple[swim.Send, ...]:
         """Do what is due; to be called several times a second."""
         is_late = now - self.last_tick > self.mode.probe_timeout
         self.last_tick = now
@@ -193,14 +98,14 @@
         return tuple(self._tick(now))
 
     def take(
-        self, message: Message, address: str, now: datetime.datetime
-    ) -> tuple[Send, ...]:
+        self, message: swim.Message, address: str, now: datetime.datetime
+    ) -> tuple[swim.Send, ...]:
         """Take a message that came from `address`; return the answers."""
         self._learn(message.sender, now)
         if message.newest > self.highest:
             self.highest = message.newest
             self.source = message.sender.control
-        is_spread = message.kind is not MessageKind.SYNC
+        is_spread = message.kind is not swim.MessageKind.SYNC
         for member in message.updates:
             self._learn(member, now, is_spread)
         for progress in message.progress:
@@ -220,7 +125,7 @@
             self._store(self.own)
             self._spread_progress(self.own)
 
-    def set_newest(self, generation: int) -> tuple[Send, ...]:
+    def set_newest(self, generation: int) -> tuple[swim.Send, ...]:
         """Tell a few members at once that a table can be handed out."""
         self.newest = generation
         return self._tell(self.mode.helpers)
@@ -232,17 +137,17 @@
             self.seeds = found
             self.due.seed = now
 
-    def leave(self) -> tuple[Send, ...]:
+    def leave(self) -> tuple[swim.Send, ...]:
         """Return the messages that tell some members of a planned leave."""
         self._renew(view.MemberState.DEAD, self.own.incarnation + 1)
         return self._tell(2 * self.mode.helpers)
 
-    def _tell(self, limit: int) -> tuple[Send, ...]:
+    def _tell(self, limit: int) -> tuple[swim.Send, ...]:
         """Return messages with the freshest news to some members."""
         live = self.find_live()
         count = min(len(live), limit)
         return tuple(
-            self._send(member.control, MessageKind.NEWS)
+            self._send(member.control, swim.MessageKind.NEWS)
             for member in self.rng.sample(live, count)
         )
 
@@ -255,7 +160,7 @@
             and name != self.own.name
         ]
 
-    def _tick(self, now: datetime.datetime) -> Iterator[Send]:
+    def _tick(self, now: datetime.datetime) -> Iterator[swim.Send]:
         yield from self._follow_probes(now)
         self._judge_suspects(now)
         self._forget_dead(now)
@@ -282,7 +187,7 @@
         self.probes.clear()
         self.suspected = dict.fromkeys(self.suspected, now)
 
-    def _follow_probes(self, now: datetime.datetime) -> Iterator[Send]:
+    def _follow_probes(self, now: datetime.datetime) -> Iterator[swim.Send]:
         """Ask helpers about silent members, then suspect them."""
         for number, probe in list(self.probes.items()):
             waited = now - probe.started
@@ -293,7 +198,7 @@
                 probe.is_forwarded = True
                 yield from self._ask_helpers(number, probe)
 
-    def _ask_helpers(self, number: int, probe: Probe) -> Iterator[Send]:
+    def _ask_helpers(self, number: int, probe: Probe) -> Iterator[swim.Send]:
         target = probe.target
         others = [
             member for member in self.find_live() if member.name != target.name
@@ -302,12 +207,14 @@
         for helper in self.rng.sample(others, count):
             yield self._send(
                 helper.control,
-                MessageKind.PING_REQUEST,
+                swim.MessageKind.PING_REQUEST,
                 number,
                 target.name,
                 target.control,
             )
-        yield self._send(target.control, MessageKind.PING, number, target.name)
+        yield self._send(
+            target.control, swim.MessageKind.PING, number, target.name
+        )
 
     def _suspect(self, target: view.Member, now: datetime.datetime) -> None:
         """Suspect a silent member unless there is newer news of it."""
@@ -342,7 +249,7 @@
                 self.updates.remove(name)
                 self.progress.remove(name)
 
-    def _probe_next(self, now: datetime.datetime) -> Iterator[Send]:
+    def _probe_next(self, now: datetime.datetime) -> Iterator[swim.Send]:
         """Probe the next member of a random order that covers all."""
         while self.order:
             member = self.members.get(self.order.pop())
@@ -352,7 +259,7 @@
             self.probes[self.probe_count] = Probe(member, now)
             yield self._send(
                 member.control,
-                MessageKind.PING,
+                swim.MessageKind.PING,
                 self.probe_count,
                 member.name,
                 also=member,
@@ -363,7 +270,7 @@
         if self.order:
             yield from self._probe_next(now)
 
-    def _join(self, now: datetime.datetime) -> Iterator[Send]:
+    def _join(self, now: datetime.datetime) -> Iterator[swim.Send]:
         """Ask a seed, or a dead member, so that parted groups meet again.
 
         A member that has just started asks living ones too.
@@ -378,61 +285,63 @@
         addresses.discard(self.own.control)
         if addresses:
             address = self.rng.choice(sorted(addresses))
-            yield self._send(address, MessageKind.JOIN, also=dead.get(address))
+            yield self._send(
+                address, swim.MessageKind.JOIN, also=dead.get(address)
+            )
 
-    def _send_sample(self) -> Iterator[Send]:
+    def _send_sample(self) -> Iterator[swim.Send]:
         """Send some members to a random one, in case that news was lost."""
         live = self.find_live()
         if not live:
             return
         known = sorted(self.members.values(), key=lambda member: member.name)
         count = min(self.mode.updates_limit, len(known))
-        yield Send(
+        yield swim.Send(
             self.rng.choice(live).control,
-            Message(
-                MessageKind.SYNC,
+            swim.Message(
+                swim.MessageKind.SYNC,
                 self.own,
                 updates=tuple(self.rng.sample(known, count)),
                 newest=self.newest,
             ),
         )
 
-    def _introduce(self, address: str) -> Iterator[Send]:
+    def _introduce(self, address: str) -> Iterator[swim.Send]:
         """Send all members to a new one."""
         known = tuple(self.members.values())
         limit = self.mode.updates_limit
         for start in range(0, len(known), limit):
             updates = known[start : start + limit]
-            message = Message(
-                MessageKind.SYNC,
+            message = swim.Message(
+                swim.MessageKind.SYNC,
                 self.own,
                 updates=updates,
                 newest=self.newest,
             )
-            yield Send(address, message)
+            yield swim.Send(address, message)
 
     def _answer(
-        self, message: Message, address: str, now: datetime.datetime
-    ) -> Iterator[Send]:
-        if message.kind is MessageKind.JOIN:
+        self, message: swim.Message, address: str, now: datetime.datetime
+    ) -> Iterator[swim.Send]:
+        if message.kind is swim.MessageKind.JOIN:
             yield from self._introduce(address)
-        elif message.kind is MessageKind.PING:
+        elif message.kind is swim.MessageKind.PING:
             if message.target in ("", self.own.name):
                 yield self._send(
                     address,
-                    MessageKind.ACK,
+                    swim.MessageKind.ACK,
                     message.number,
                     self.own.name,
                     also=self.members.get(message.sender.name),
                 )
-        elif message.kind is MessageKind.PING_REQUEST:
+        elif message.kind is swim.MessageKind.PING_REQUEST:
             yield from self._relay(message, address, now)
-        elif message.kind is MessageKind.ACK:
+        elif message.kind is swim.MessageKind.ACK:
             yield from self._take_ack(message, now)
 
     def _relay(
-        self, message: Message, address: str, now: datetime.datetime
-    ) -> Iterator[Send]:
+        self, message: swim.Message, address: str, now: datetime.datetime
+    ) -> Iterator[swim.Send]:
         """Probe a member for another one."""
         self.relays = {
             number: relay
@@ -444,17 +353,23 @@
             address, message.number, now + self.mode.probe_timeout
         )
         yield self._send(
-            message.address, MessageKind.PING, self.probe_count, message.target
+            message.address,
+            swim.MessageKind.PING,
+            self.probe_count,
+            message.target,
         )
 
     def _take_ack(
-        self, message: Message, now: datetime.datetime
-    ) -> Iterator[Send]:
+        self, message: swim.Message, now: datetime.datetime
+    ) -> Iterator[swim.Send]:
         """Note that a probed member answered, or pass its answer on."""
         relay = self.relays.pop(message.number, None)
         if relay is not None and relay.expires > now:
             yield self._send(
-                relay.address, MessageKind.ACK, relay.number, message.target
+                relay.address,
+                swim.MessageKind.ACK,
+                relay.number,
+                message.target,
             )
             return
         probe = self.probes.get(message.number)
@@ -476,7 +391,7 @@
             return
         if known is not None and _rank(news) <= _rank(known):
             self._learn_progress(
-                Progress(news.name, news.incarnation, news.generation)
+                swim.Progress(news.name, news.incarnation, news.generation)
             )
             return
         if known is not None and known.incarnation == news.incarnation:
@@ -509,7 +424,7 @@
         self._store(self.own)
         self.updates.add(self.own.name, self.own)
 
-    def _learn_progress(self, progress: Progress) -> None:
+    def _learn_progress(self, progress: swim.Progress) -> None:
         """Take a table generation if it is newer than what is known."""
         known = self.members.get(progress.name)
         if known is None or progress.name == self.own.name:
@@ -528,18 +443,18 @@
     def _spread_progress(self, member: view.Member) -> None:
         self.progress.add(
             member.name,
-            Progress(member.name, member.incarnation, member.generation),
+            swim.Progress(member.name, member.incarnation, member.generation),
         )
 
     def _send(
         self,
         address: str,
-        kind: MessageKind,
+        kind: swim.MessageKind,
         number: int = 0,
         target: str = "",
         about: str = "",
         also: view.Member | None = None,
-    ) -> Send:
+    ) -> swim.Send:
         """Return a message that carries the freshest news."""
         sends = self.mode.retransmit * math.ceil(
             math.log2(len(self.members) + 1)
@@ -548,9 +463,9 @@
         # A member must hear that it is suspected or dead, to refute that.
         if also is not None and also.state is not view.MemberState.ALIVE:
             updates = _join(updates, also)
-        return Send(
+        return swim.Send(
             address,
-            Message(
+            swim.Message(
                 kind,
                 self.own,
                 number,
--- a/src/cicadahook/net/gossip.py
+++ b/src/cicadahook/net/gossip.py
@@ -12,6 +12,7 @@
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import loads
 from cicadahook.core import membership
+from cicadahook.core import swim
 from cicadahook.core import view
 from cicadahook.net import codec
 from cicadahook.net import logs
@@ -24,7 +25,7 @@
 
 logger: Final = logs.create_logger("gossip")
 
-MESSAGES: Final = codec.Codec(membership.Message, "gossip")
+MESSAGES: Final = codec.Codec(swim.Message, "gossip")
 LOADS: Final = codec.Codec(loads.EntryLoad, "gossip")
 
 
@@ -56,7 +57,7 @@
         own: view.Member,
         key: str,
         clock: clock_lib.Clock,
-        mode: membership.MembershipMode = membership.MembershipMode(),
+        mode: swim.MembershipMode = swim.MembershipMode(),
     ) -> None:
         self.clock = clock
         self.rng = random.Random()
@@ -147,7 +148,7 @@
         """Return the addresses of the live members' controls."""
         return tuple(member.control for member in self.membership.find_live())
 
-    def send(self, sends: Iterable[membership.Send]) -> None:
+    def send(self, sends: Iterable[swim.Send]) -> None:
         """Send messages of the membership."""
         for item in sends:
             body = MESSAGES.encode(item.message)
--- a/src/cicadahook/standins/network.py
+++ b/src/cicadahook/standins/network.py
@@ -9,6 +9,7 @@
 
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import membership
+from cicadahook.core import swim
 from cicadahook.core import view
 
 TICK: Final = datetime.timedelta(seconds=0.1)
@@ -24,7 +25,7 @@
     number: int
     address: str = dataclasses.field(compare=False)
     source: str = dataclasses.field(default="", compare=False)
-    message: membership.Message | None = dataclasses.field(
+    message: swim.Message | None = dataclasses.field(
         default=None, compare=False
     )
 
@@ -45,7 +46,7 @@
         self,
         clock: clock_lib.ManualClock,
         seed: int,
-        mode: membership.MembershipMode = membership.MembershipMode(),
+        mode: swim.MembershipMode = swim.MembershipMode(),
     ) -> None:
         self.clock = clock
         self.rng = random.Random(seed)
@@ -88,7 +89,7 @@
         for event in self.waiting.pop(address, []):
             self._schedule(dataclasses.replace(event, time=self.clock.now()))
 
-    def send(self, source: str, sends: tuple[membership.Send, ...]) -> None:
+    def send(self, source: str, sends: tuple[swim.Send, ...]) -> None:
         """Send messages of a member."""
         for send in sends:
             self.sent += 1
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -12,7 +12,7 @@
 from cicadahook.core import edits
 from cicadahook.core import errors
 from cicadahook.core import loads
-from cicadahook.core import membership
+from cicadahook.core import swim
 from cicadahook.core import table as table_lib
 from cicadahook.core import view
 from cicadahook.net import gossip
@@ -46,14 +46,14 @@
 
 
 def test_messages_survive_encoding() -> None:
-    message = membership.Message(
-        membership.MessageKind.PING_REQUEST,
+    message = swim.Message(
+        swim.MessageKind.PING_REQUEST,
         MEMBER,
         3,
         "vm2",
         "10.0.0.2:2",
         (dataclasses.replace(MEMBER, state=view.MemberState.SUSPECT),),
-        (membership.Progress("vm3", 8, 9),),
+        (swim.Progress("vm3", 8, 9),),
         12,
     )
     assert gossip.MESSAGES.decode(gossip.MESSAGES.encode(message)) == message
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,7 +11,7 @@
 import pytest
 
 from cicadahook.core import clock as clock_lib
-from cicadahook.core import membership
+from cicadahook.core import swim
 from cicadahook.core import view
 from cicadahook.standins import network as network_lib
 
@@ -109,8 +109,8 @@
     suspect = dataclasses.replace(
         node.members["vm1"], state=view.MemberState.SUSPECT
     )
-    message = membership.Message(
-        membership.MessageKind.NEWS,
+    message = swim.Message(
+        swim.MessageKind.NEWS,
         node.members["vm3"],
         updates=(suspect,),
     )
@@ -181,10 +181,10 @@
     node = network.nodes["vm0:1"]
     dead = dataclasses.replace(node.members["vm1"], state=DEAD)
     for kind, member in (
-        (membership.MessageKind.NEWS, dead),
-        (membership.MessageKind.PING, network.nodes["vm1:1"].own),
+        (swim.MessageKind.NEWS, dead),
+        (swim.MessageKind.PING, network.nodes["vm1:1"].own),
     ):
-        message = membership.Message(kind, member, 1, "vm0")
+        message = swim.Message(kind, member, 1, "vm0")
         node.updates.by_subject.clear()
         answers = node.take(message, "vm1:1", clock.now())
     assert dead in answers[0].message.updates
@@ -195,8 +195,8 @@
 ) -> None:
     network = create_network(clock, 2)
     node = network.nodes["vm0:1"]
-    message = membership.Message(
-        membership.MessageKind.PING,
+    message = swim.Message(
+        swim.MessageKind.PING,
         network.nodes["vm1:1"].own,
         1,
         target="vm9",
