--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -12,7 +12,7 @@
 from cicadahook.core import edits
 from cicadahook.core import errors
 from cicadahook.core import reportbook
-from cicadahook.core import membership
+from cicadahook.core import swim
 from cicadahook.core import table as table_lib
 from cicadahook.core import view
 from cicadahook.net import gossip
@@ -46,14 +46,14 @@
 
 
 def test_messages_survive_encoding() -> None:
-    message = membership.Message(
-        membership.MessageKind.PING_REQUEST,
+    message = swim.Message(
+        swim.MessageKind.PING_REQUEST,
         MEMBER,
         3,
         "vm2",
         "10.0.0.2:2",
         (dataclasses.replace(MEMBER, state=view.MemberState.SUSPECT),),
-        (membership.Progress("vm3", 8, 9),),
+        (swim.Progress("vm3", 8, 9),),
         12,
     )
     assert gossip.MESSAGES.decode(gossip.MESSAGES.encode(message)) == message
@@ -156,6 +156,25 @@
     assert not book.sum_upstreams()
 
 
+@pytest.mark.parametrize(
+    ("arguments", "is_allowed"),
+    [
+        ([], True),
+        (["--host", "10.0.0.1"], False),
+        (["--host", "10.0.0.1", "--cluster-key", "of this fleet"], True),
+        (["--cluster-key", "short"], False),
+    ],
+)
+def test_default_key_is_for_loopback_only(
+    arguments: list[str], is_allowed: bool
+) -> None:
+    if is_allowed:
+        settings_lib.parse(settings_lib.ControlSettings, arguments)
+        return
+    with pytest.raises(errors.SettingsError, match="--cluster-key"):
+        settings_lib.parse(settings_lib.ControlSettings, arguments)
+
+
 def test_urgent_calls_outlast_others(clock: clock_lib.ManualClock) -> None:
     calls = budget.CallBudget(budget.BudgetMode(10, 20), clock.now())
     granted = {
