Document placement; look for a free lease every two seconds only

Cause: a stopping control's write could meet a cancelled watch in the stand-in, whose asyncio.wait_for then lost the cancellation; the stand-in stopped only 17 s later. Change: asyncio.timeout. After: it stops at once.

--- a/src/cicadahook/net/leader.py
+++ b/src/cicadahook/net/leader.py
@@ -16,6 +16,7 @@
 LEADER_KEY: Final = "placement/leader"
 LEASE_TTL: Final = datetime.timedelta(seconds=3)
 RENEW_PAUSE: Final = datetime.timedelta(seconds=1)
+FOLLOW_PAUSE: Final = datetime.timedelta(seconds=2)
 
 logger: Final = logs.create_logger("leader")
 
@@ -28,6 +29,8 @@
         node: name of this node.
         client: the key-value service.
         clock: tells when the lease was last renewed.
+        renewed_at: when it was last renewed.
+        checked_at: when this node last looked for a lease to take.
         lease: the lease held; empty if none.
         leadership: name of this leadership, unique over all; empty if none.
     """
@@ -38,6 +41,7 @@
     lease: str = ""
     leadership: str = ""
     renewed_at: datetime.datetime = clock_lib.EPOCH
+    checked_at: datetime.datetime = clock_lib.EPOCH
 
     async def hold(self) -> bool:
         """Return whether this node leads; calls the service when due.
@@ -58,7 +62,10 @@
         return await self._take(now)
 
     async def _take(self, now: datetime.datetime) -> bool:
-        """Take the lease if nobody holds it."""
+        """Take the lease if nobody holds it; looks now and then only."""
+        if now < self.checked_at + FOLLOW_PAUSE:
+            return False
+        self.checked_at = now
         holder = await self.client.get(LEADER_KEY)
         if holder.revision != keyvalue.ABSENT_REVISION:
             return False
--- a/src/cicadahook/standins/keyvalue.py
+++ b/src/cicadahook/standins/keyvalue.py
@@ -157,7 +157,9 @@
             if left <= 0:
                 break
             try:
-                await asyncio.wait_for(self.changed.wait(), left)
+                # wait_for would lose a cancellation that meets a change.
+                async with asyncio.timeout(left):
+                    await self.changed.wait()
             except TimeoutError:
                 break
         return self._answer_items(prefix, after, False)
