--- a/src/cicadahook/net/couriers.py
+++ b/src/cicadahook/net/couriers.py
@@ -52,7 +52,17 @@
         for effect in self.machine.handle(message, self.clock.now()):
             task = asyncio.create_task(self._carry_out(effect))
             self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            task.add_done_callback(self._finish)
+
+    def _finish(self, task: asyncio.Task[None]) -> None:
+        """Forget a call that has ended, and log what it raised."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error(
+                "Call for %s failed.",
+                self.machine.upstream,
+                exc_info=task.exception(),
+            )
 
     async def _carry_out(self, effect: messages.Effect) -> None:
         match effect:
