--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -11,10 +11,14 @@
 import pytest
 
 import conftest
+from cicadahook.core import view as view_lib
 from cicadahook.programs import cicadactl
+from cicadahook.programs import entry as entry_program
 from cicadahook.programs import local
 
 Ctl = Callable[..., Any]
+LEAVING = view_lib.UpstreamState.LEAVING
+POLL_SECONDS = 0.05
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -114,6 +118,22 @@
         assert (f"{local.HOST}:{entry + 1}" in addresses) is is_shown
 
 
+async def test_drained_engine_leaves_once_its_rows_are_elsewhere(
+    ctl: Ctl, shared_system: local.LocalSystem
+) -> None:
+    engine = shared_system.standins_by_name["engine-1"]
+    entry = shared_system.daemons[1]
+    assert isinstance(entry, entry_program.EntryDaemon)
+    assert await ctl("drain", engine) == 0
+    while True:
+        view = entry.entry.view
+        assert all(map(view.upstreams_for, view.table.placed()))
+        if view.upstream_by_address[engine].state is LEAVING:
+            break
+        await asyncio.sleep(POLL_SECONDS)
+    assert await ctl("undrain", engine) == 0
+
+
 async def test_race_in_one_row_is_refused_with_both_values(
     shared_system: local.LocalSystem,
 ) -> None:
