--- a/src/cicadahook/programs/settings.py
+++ b/src/cicadahook/programs/settings.py
@@ -111,6 +111,12 @@
         description="seconds that a stop waits for kept address answers to"
         " lapse; unset: keep_seconds and 3",
     )
+    first_token_seconds: Seconds = pydantic.Field(
+        3.0, description="seconds without a first token before a probe"
+    )
+    token_gap_seconds: Seconds = pydantic.Field(
+        2.0, description="seconds without a further token before a probe"
+    )
 
 
 class ControlSettings(CommonSettings):
@@ -166,6 +172,12 @@
         description="host:port of other controls to join by, besides those"
         " registered in the key-value service",
     )
+    key_value_calls: float = pydantic.Field(
+        40.0,
+        gt=0,
+        description="calls a second that this VM may make to the key-value"
+        " service in the long run",
+    )
 
 
 class LocalSettings(pydantic_settings.BaseSettings):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -5,9 +5,18 @@
 import dataclasses
 from typing import Any
 
+import aiohttp
+from aiohttp import web
+import pytest
+
+from cicadahook.core import view as view_lib
+from cicadahook.net import http as http_lib
+from cicadahook.net import services
+from cicadahook.programs import daemon
 from cicadahook.programs import entry as entry_program
 from cicadahook.programs import local
 from cicadahook.standins import engine
+from cicadahook.standins import faults
 from cicadahook.standins import text
 
 TOKENS = 40
@@ -233,6 +242,40 @@
     assert system.service.runs == {"a": 1}
 
 
+async def test_entry_without_a_view_says_so(
+    system: local.LocalSystem,
+) -> None:
+    prefix = (await locate(system, 1))["key_prefix"]
+    await book(system, prefix + "1", "a", 1)
+    list_entries(system)[0].entry.dispatcher.view = view_lib.View()
+    _, body = await book(system, prefix + "1", "a", 0)
+    assert (body["code"], body["outcome"]) == ("not_ready", "unknown")
+    _, body = await complete(system, "a prompt", 0)
+    assert (body["code"], body["outcome"]) == ("not_ready", "not_run")
+
+
+async def test_http_client_sends_a_call_once() -> None:
+    calls = []
+
+    async def drop(request: web.Request) -> web.Response:
+        calls.append(request.method)
+        faults.drop_connection(request)
+        return web.Response()
+
+    app = web.Application()
+    app.router.add_put("/", drop)
+    server = http_lib.Server(app, local.HOST, 0)
+    await server.start()
+    async with daemon.create_fresh_session() as session:
+        with pytest.raises(aiohttp.ClientError):
+            await session.put(
+                f"http://{server.address}/",
+                middlewares=(services.forbid_resend,),
+            )
+    await server.stop()
+    assert calls == ["PUT"]
+
+
 async def test_key_of_a_dead_entry_is_unknown(
     system: local.LocalSystem,
 ) -> None:
