End the key-value stand-in's watches when their caller is gone

A watch waited with asyncio.wait_for, which in Python 3.11 loses a cancellation that comes together with the awaited event: leases revoked while controls stop change keys just as their watches are cancelled. The watch then went on for up to 20 s and held up the stand-in's stop; tests timed out in their teardown. Found by dumping the tasks of a cicada-local that hung in stop; ruled out: the controls' and entries' own stops, which had ended. cicada-local also draws a cluster key of its own, so its controls no longer warn of the default one.

--- a/src/cicadahook/programs/local.py
+++ b/src/cicadahook/programs/local.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import secrets
 from typing import Any, Final
 
 import aiohttp
@@ -33,6 +34,7 @@
 ENGINE_OFFSET: Final = 31
 SERVICE_OFFSET: Final = 41
 DEFAULT_BASE_PORT: Final = 8400
+CLUSTER_KEY_BYTES: Final = 16
 READY_POLL_SECONDS: Final = 0.05
 GIGABYTE: Final = 1_000_000_000
 
@@ -94,6 +96,7 @@
     def __init__(self, mode: LocalMode, session: aiohttp.ClientSession) -> None:
         self.mode = mode
         self.session = session
+        self.cluster_key = secrets.token_hex(CLUSTER_KEY_BYTES)
         base_port = mode.base_port
         weight_store = f"{HOST}:{base_port + WEIGHTS_OFFSET}"
         self.key_value = keyvalue.KeyValueStandin()
@@ -178,6 +181,7 @@
             key_value=self._address(KEY_VALUE_OFFSET),
             vm_list=self._address(VM_LIST_OFFSET),
             operator_token=self.mode.operator_token,
+            cluster_key=self.cluster_key,
             loads_per_second=20.0,
             active_loads=4,
             **_given(placement_policy=self.mode.placement_policy),
--- a/src/cicadahook/standins/keyvalue.py
+++ b/src/cicadahook/standins/keyvalue.py
@@ -187,8 +187,11 @@
             left = end - time.monotonic()
             if left <= 0:
                 break
+            # Not wait_for: in Python 3.11 it loses a cancellation that comes
+            # together with the event, and the watch goes on for nobody.
             try:
-                await asyncio.wait_for(self.changed.wait(), left)
+                async with asyncio.timeout(left):
+                    await self.changed.wait()
             except TimeoutError:
                 break
         return self._answer_items(prefix, after, False)
