Send patches over links, refuse rows that fit nowhere, mark retries

Cause: a link sent the whole view at each change (only the table once), nothing called the check whether an edited row fits, and a retry counted against its row's rate.

--- a/benchmarks/codec.py
+++ b/benchmarks/codec.py
@@ -16,7 +16,6 @@
 
 SIZES: Final = (10, 100, 1500)
 REPEATS: Final = 5
-PATCHES: Final = codec.Codec(patch.ViewPatch, "patch")
 
 
 def create_view(size: int) -> view.View:
@@ -40,7 +39,7 @@
         old, number=old.number + 1, copies=(moved, *old.copies[1:])
     )
     whole = codec.VIEWS.encode(new)
-    part = PATCHES.encode(patch.diff(old, new))
+    part = codec.PATCHES.encode(patch.diff(old, new))
     return {
         "rows": size,
         "view_bytes": len(whole),
@@ -48,10 +47,10 @@
         "view_decode_ms": time_ms(lambda: codec.VIEWS.decode(whole)),
         "patch_bytes": len(part),
         "patch_encode_ms": time_ms(
-            lambda: PATCHES.encode(patch.diff(old, new))
+            lambda: codec.PATCHES.encode(patch.diff(old, new))
         ),
         "patch_decode_ms": time_ms(
-            lambda: patch.apply(old, PATCHES.decode(part))
+            lambda: patch.apply(old, codec.PATCHES.decode(part))
         ),
     }
 
--- a/src/cicadahook/net/codec.py
+++ b/src/cicadahook/net/codec.py
@@ -9,6 +9,7 @@
 from pydantic import alias_generators
 
 from cicadahook.core import errors
+from cicadahook.core import patch
 from cicadahook.core import view
 
 MessageT = TypeVar("MessageT")
@@ -71,4 +72,5 @@
 
 
 VIEWS: Final = Codec(view.View, "link")
+PATCHES: Final = Codec(patch.ViewPatch, "patch")
 REPORTS: Final = Codec(view.Report, "link")
--- a/src/cicadahook/net/control.py
+++ b/src/cicadahook/net/control.py
@@ -156,6 +156,7 @@
 
     def _give_fleet(self, fleet: fleet_lib.Fleet) -> None:
         """Give the fleet to the placer, drained upstreams as leaving."""
+        self.store.upstreams = fleet.upstreams
         marked = drains.mark_for_placement(fleet.upstreams, self.tables.value)
         self.placer.fleet = dataclasses.replace(fleet, upstreams=marked)
 
--- a/src/cicadahook/net/links.py
+++ b/src/cicadahook/net/links.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from reactivex import subject
 
-from cicadahook.core import table as table_lib
+from cicadahook.core import patch
 from cicadahook.core import view
 from cicadahook.net import codec
 from cicadahook.net import logs
@@ -42,15 +42,12 @@
         self.fresh = asyncio.Event()
 
     async def send(self, newest: view.View) -> None:
-        """Send `newest` unless all of it was sent; the table only once."""
+        """Send what is new in `newest` since the view sent last."""
         if dataclasses.replace(newest, number=self.sent.number) == self.sent:
             return
-        message = newest
-        if self.sent.table.generation == newest.table.generation > 0:
-            table = table_lib.Table(newest.table.generation)
-            message = dataclasses.replace(newest, table=table)
+        change = patch.diff(self.sent, newest)
         self.sent = newest
-        await self.socket.send_bytes(codec.VIEWS.encode(message))
+        await self.socket.send_bytes(codec.PATCHES.encode(change))
 
 
 class LinkServer:
@@ -126,6 +123,7 @@
 
     Attributes:
         controls: `host:port` of the controls, this VM's own first.
+        view: the newest view; each link begins with a whole one.
     """
 
     def __init__(
@@ -139,7 +137,7 @@
         self.session = session
         self.on_view = on_view
         self.create_report = create_report
-        self.table = table_lib.Table()
+        self.view = view.View()
 
     async def run(self) -> None:
         """Stay linked to some control until cancelled."""
@@ -152,6 +150,7 @@
                     aiohttp.ClientError,
                     TimeoutError,
                     codec.DecodeError,
+                    patch.PatchError,
                 ) as error:
                     logger.info("Link to %s lost: %r.", control, error)
             await asyncio.sleep(RECONNECT_PAUSE.total_seconds())
@@ -163,26 +162,20 @@
                 f"http://{control}{LINK_PATH}", heartbeat=HEARTBEAT_SECONDS
             )
         logger.info("Linked to control %s.", control)
-        self.table = table_lib.Table()
         tasks = [asyncio.create_task(self._report(socket))]
         if control != self.controls[0]:
             tasks.append(asyncio.create_task(self._return(socket)))
         try:
             async for message in socket:
                 if message.type is aiohttp.WSMsgType.BINARY:
-                    self._take(codec.VIEWS.decode(message.data))
+                    change = codec.PATCHES.decode(message.data)
+                    self.view = patch.apply(self.view, change)
+                    self.on_view(self.view)
         finally:
             for task in tasks:
                 task.cancel()
             await socket.close()
 
-    def _take(self, new: view.View) -> None:
-        """Pass a view on, with the table that a former one brought."""
-        if new.table.generation == self.table.generation:
-            new = dataclasses.replace(new, table=self.table)
-        self.table = new.table
-        self.on_view(new)
-
     async def _return(self, socket: aiohttp.ClientWebSocketResponse) -> None:
         """End the link to another VM's control once the own one answers."""
         url = f"http://{self.controls[0]}/readyz"
--- a/src/cicadahook/net/relay.py
+++ b/src/cicadahook/net/relay.py
@@ -177,7 +177,10 @@
         if not everywhere - avoided:
             avoided = forbidden
         return await self.dispatcher.acquire(
-            progress.request, progress.row, avoided
+            progress.request,
+            progress.row,
+            avoided,
+            is_retry=progress.attempts > 0,
         )
 
     async def _attempt(
--- a/src/cicadahook/net/services.py
+++ b/src/cicadahook/net/services.py
@@ -195,7 +195,9 @@
         is_sent = False
         for number in itertools.count(1):
             try:
-                grant = await self._acquire(call.request, call.row, excluded)
+                grant = await self._acquire(
+                    call.request, call.row, excluded, number > 1
+                )
             except errors.RefusalError as refusal:
                 if is_sent:
                     refusal.outcome = errors.Outcome.UNKNOWN
@@ -217,6 +219,7 @@
         request: request_lib.Request,
         row: table_lib.Row,
         excluded: frozenset[str],
+        is_retry: bool,
     ) -> admission.Grant:
         """Return a grant, at upstreams without recent failures if possible."""
         everywhere = {
@@ -225,8 +228,10 @@
         }
         for avoided in (excluded | self.policy.list_ejected(), excluded):
             if everywhere - avoided:
-                return await self.dispatcher.acquire(request, row, avoided)
-        return await self.dispatcher.acquire(request, row)
+                return await self.dispatcher.acquire(
+                    request, row, avoided, is_retry
+                )
+        return await self.dispatcher.acquire(request, row, is_retry=is_retry)
 
     async def _prepare_retry(
         self,
--- a/src/cicadahook/net/tables.py
+++ b/src/cicadahook/net/tables.py
@@ -12,9 +12,11 @@
 from cicadahook.core import digests
 from cicadahook.core import edits
 from cicadahook.core import errors
+from cicadahook.core import fit
 from cicadahook.core import pages
 from cicadahook.core import table as table_lib
 from cicadahook.core import tablesync
+from cicadahook.core import view as view_lib
 from cicadahook.net import keyvalue
 from cicadahook.net import logs
 from cicadahook.net import metrics
@@ -51,6 +53,7 @@
         peers: addresses of live peers' controls; set by its owner.
         highest: highest generation that any peer can hand out.
         source: address of a peer that can hand it out.
+        upstreams: engines that the rows have to fit on; set by its owner.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         self.node = node
         self.clock = clock
         self.sync = tablesync.TableSync()
+        self.upstreams: tuple[view_lib.Upstream, ...] = ()
         self.tables: subject.BehaviorSubject[table_lib.Table] = (
             subject.BehaviorSubject(table_lib.Table())
         )
@@ -139,6 +143,7 @@
             rows = edits.apply(self.sync.table.rows, changes)
             if rows == self.sync.table.rows:
                 return self.sync.table
+            self._check_fit(rows)
             try:
                 await self._accept(revision, rows, changes.names, operator)
                 return self.sync.table
@@ -147,6 +152,18 @@
                 await self.client.sleep(backoff.fail() / 4)
         raise errors.KeyValueConflictError("the table keeps changing")
 
+    def _check_fit(self, rows: tuple[table_lib.Row, ...]) -> None:
+        """Raise RowError if only the edited rows have no place.
+
+        Where the rows in force have none either, as after the loss of an
+        upstream, an edit is not to blame.
+        """
+        error = fit.find_unfit(rows, self.upstreams)
+        if error is None:
+            return
+        if fit.find_unfit(self.sync.table.rows, self.upstreams) is None:
+            raise error
+
     async def _prepare_edit(self) -> int:
         """Read the accepted table; a failure means that nothing was edited."""
         try:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -55,6 +55,16 @@
     assert newest["rows"] == ["simplifier"]
 
 
+async def test_row_that_fits_nowhere_is_refused(
+    ctl: Ctl, capsys: pytest.CaptureFixture[str]
+) -> None:
+    size = "--memory-bytes=900000000000"
+    assert await ctl("table", "set", "giant", "--kind=model", size) == 1
+    error = capsys.readouterr().err
+    assert "giant" in error and "memory_bytes" in error
+    assert await ctl("table", "show", "giant") == 1
+
+
 async def test_sheet_round_trip_changes_only_edited_cells(
     ctl: Ctl, capsys: pytest.CaptureFixture[str], tmp_path: pathlib.Path
 ) -> None:
--- a/tests/test_patch.py
+++ b/tests/test_patch.py
@@ -14,7 +14,6 @@
 from cicadahook.net import codec
 
 NAMES = st.sampled_from(["a", "b", "c", "d"])
-PATCHES = codec.Codec(patch.ViewPatch, "patch")
 
 
 def unique(strategy: st.SearchStrategy, key: str) -> st.SearchStrategy:
@@ -73,7 +72,7 @@
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(old=views(number=3), new=views(number=8))
 def test_patch_turns_old_into_new(old: view.View, new: view.View) -> None:
-    sent = PATCHES.decode(PATCHES.encode(patch.diff(old, new)))
+    sent = codec.PATCHES.decode(codec.PATCHES.encode(patch.diff(old, new)))
     assert patch.apply(old, sent) == new
 
 
