--- /dev/null
+++ b/benchmarks/polls.py
@@ -0,0 +1,78 @@
+"""Measures processor time for polling engines, against their number.
+
+Run: python benchmarks/polls.py
+
+The engines are stand-ins in processes of their own; only this process, which
+runs the watcher of the fleet, is measured.
+"""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import subprocess
+import sys
+import time
+from typing import Final
+
+from cicadahook.net import fleet
+from cicadahook.net import http as http_lib
+from cicadahook.programs import daemon
+from cicadahook.standins import vmlist
+
+HOST: Final = "127.0.0.1"
+LIST_PORT: Final = 10_300
+ENGINE_PORT: Final = 10_301
+COUNTS: Final = (4, 8, 16, 32)
+START_SECONDS: Final = 10.0
+SECONDS: Final = 6.0
+PROGRAM: Final = pathlib.Path(sys.executable).parent / "cicada-standin"
+
+
+async def measure(count: int) -> dict[str, float]:
+    """Return the share of a core that polling `count` engines takes."""
+    listed = tuple(
+        vmlist.ListedVm(f"{HOST}:{ENGINE_PORT + index}", "zone1", "engine")
+        for index in range(count)
+    )
+    server = http_lib.Server(
+        vmlist.VmListStandin(listed).create_app(), HOST, LIST_PORT
+    )
+    await server.start()
+    async with daemon.open_session() as session:
+        watcher = fleet.FleetWatcher(f"{HOST}:{LIST_PORT}", session)
+        task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(START_SECONDS / 5)
+        before = time.process_time()
+        await asyncio.sleep(SECONDS)
+        used = time.process_time() - before
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+    await server.stop()
+    live = sum(seen.state == "live" for seen in watcher.fleets.value.upstreams)
+    return {
+        "engines": count,
+        "live": live,
+        "core_percent": round(100 * used / SECONDS, 2),
+    }
+
+
+async def run() -> None:
+    """Measure at each number of engines."""
+    with contextlib.ExitStack() as stack:
+        for index in range(COUNTS[-1]):
+            process = subprocess.Popen(  # pylint: disable=consider-using-with
+                [str(PROGRAM), "engine", f"--port={ENGINE_PORT + index}"],
+                stdout=subprocess.DEVNULL,
+                stderr=subprocess.DEVNULL,
+            )
+            stack.callback(process.wait)
+            stack.callback(process.terminate)
+        await asyncio.sleep(START_SECONDS)
+        for count in COUNTS:
+            print(json.dumps(await measure(count)), flush=True)
+
+
+if __name__ == "__main__":
+    asyncio.run(run())
