--- /dev/null
+++ b/src/cicadahook/core/calls.py
@@ -0,0 +1,151 @@
+"""Calls, records, claims, and what the ledger decides of them."""
+
+import dataclasses
+import datetime
+import enum
+from typing import ClassVar
+
+from cicadahook.core import errors
+from cicadahook.core import keys
+
+
+class State(enum.StrEnum):
+    """Where a call stands."""
+
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A plain service's answer; `body` is None if it was too large to keep."""
+
+    status: int
+    content_type: str
+    body: bytes | None
+    __pydantic_config__: ClassVar[dict[str, str]] = {
+        "ser_json_bytes": "base64",
+        "val_json_bytes": "base64",
+    }
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A non-idempotent call with its key.
+
+    Attributes:
+        key: idempotency key.
+        fingerprint: hash of its content.
+    """
+
+    key: str
+    fingerprint: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """What an entry knows of one key.
+
+    Attributes:
+        key: idempotency key.
+        fingerprint: hash of the call's content.
+        state: where the call stands.
+        answer: the recorded answer, once there is one.
+        token: for a claimed key, tells this claim from all others.
+    """
+
+    key: str
+    fingerprint: str
+    state: State
+    answer: Answer | None = None
+    token: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """The value of a claimed key in the key-value service.
+
+    Attributes:
+        claimant: the process that alone may run the call.
+        record: the call's record; RUNNING until its end is known.
+    """
+
+    claimant: keys.Owner
+    record: Record
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """Effect: run the call now, once, and settle it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Join:
+    """Effect: wait for the run of the same key that is under way."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replay:
+    """Effect: answer as recorded."""
+
+    answer: Answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forward:
+    """Effect: pass the call to its owner, or to who took over its records."""
+
+    owner: keys.Owner
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MakeClaim:
+    """Effect: write the claim if the key's revision is `expected`."""
+
+    claim: Claim
+    expected: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """Effect: answer with an error."""
+
+    error: errors.RefusalError
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SaveClaim:
+    """Effect: replace our claim by its final form, until that is certain."""
+
+    claim: Claim
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DropClaim:
+    """Effect: remove our claim, whose call never ran."""
+
+    claim: Claim
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandOver:
+    """All records of one process that has stopped running calls.
+
+    Attributes:
+        owner: the process.
+        forgotten_before: records of keys issued before this may be gone; a
+            later key that is not in `records` never ran.
+        records: its records, none of them running.
+        is_complete: whether all its records have come with this part.
+    """
+
+    owner: keys.Owner
+    forgotten_before: datetime.datetime
+    records: tuple[Record, ...]
+    is_complete: bool = True
+
+
+Decision = Run | Join | Replay | Forward | MakeClaim | Refuse
+Settlement = SaveClaim | DropClaim
--- a/src/cicadahook/core/idempotency.py
+++ b/src/cicadahook/core/idempotency.py
@@ -8,10 +8,10 @@
 from collections.abc import Iterator
 import dataclasses
 import datetime
-import enum
 import itertools
-from typing import ClassVar, Final
+from typing import Final
 
+from cicadahook.core import calls
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
 from cicadahook.core import keys
@@ -36,158 +36,16 @@
     max_answer_bytes: int = 16 * 1024
 
 
-class State(enum.StrEnum):
-    """Where a call stands."""
-
-    CLAIMING = "claiming"
-    RUNNING = "running"
-    ANSWERED = "answered"
-    UNKNOWN = "unknown"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
-    """A plain service's answer; `body` is None if it was too large to keep."""
-
-    status: int
-    content_type: str
-    body: bytes | None
-    __pydantic_config__: ClassVar[dict[str, str]] = {
-        "ser_json_bytes": "base64",
-        "val_json_bytes": "base64",
-    }
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Call:
-    """A non-idempotent call with its key.
-
-    Attributes:
-        key: idempotency key.
-        fingerprint: hash of its content.
-    """
-
-    key: str
-    fingerprint: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Record:
-    """What an entry knows of one key.
-
-    Attributes:
-        key: idempotency key.
-        fingerprint: hash of the call's content.
-        state: where the call stands.
-        answer: the recorded answer, once there is one.
-        token: for a claimed key, tells this claim from all others.
-    """
-
-    key: str
-    fingerprint: str
-    state: State
-    answer: Answer | None = None
-    token: str = ""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Claim:
-    """The value of a claimed key in the key-value service.
-
-    Attributes:
-        claimant: the process that alone may run the call.
-        record: the call's record; RUNNING until its end is known.
-    """
-
-    claimant: keys.Owner
-    record: Record
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Run:
-    """Effect: run the call now, once, and settle it."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Join:
-    """Effect: wait for the run of the same key that is under way."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Replay:
-    """Effect: answer as recorded."""
-
-    answer: Answer
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Forward:
-    """Effect: pass the call to its owner, or to who took over its records."""
-
-    owner: keys.Owner
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class MakeClaim:
-    """Effect: write the claim if the key's revision is `expected`."""
-
-    claim: Claim
-    expected: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refuse:
-    """Effect: answer with an error."""
-
-    error: errors.RefusalError
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SaveClaim:
-    """Effect: replace our claim by its final form, until that is certain."""
-
-    claim: Claim
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DropClaim:
-    """Effect: remove our claim, whose call never ran."""
-
-    claim: Claim
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HandOver:
-    """All records of one process that has stopped running calls.
-
-    Attributes:
-        owner: the process.
-        forgotten_before: records of keys issued before this may be gone; a
-            later key that is not in `records` never ran.
-        records: its records, none of them running.
-        is_complete: whether all its records have come with this part.
-    """
-
-    owner: keys.Owner
-    forgotten_before: datetime.datetime
-    records: tuple[Record, ...]
-    is_complete: bool = True
-
-
 @dataclasses.dataclass
 class Heritage:
     """What a stopped process handed over, by key; see HandOver."""
 
     forgotten_before: datetime.datetime
-    records: dict[str, Record]
+    records: dict[str, calls.Record]
     taken: datetime.datetime
     is_complete: bool = False
 
 
-Decision = Run | Join | Replay | Forward | MakeClaim | Refuse
-Settlement = SaveClaim | DropClaim
-
-
 class Ledger:
     """The records of one entry process, and of those that handed over to it.
 
@@ -203,7 +61,7 @@
         self.mode = mode
         self.owner = owner
         self.clock = clock
-        self.records: dict[str, Record] = {}
+        self.records: dict[str, calls.Record] = {}
         self.heritage: dict[keys.Owner, Heritage] = {}
         self.is_sealed = False
         self.serials = itertools.count(1)
@@ -220,7 +78,7 @@
             self.owner, self.clock.now(), next(self.serials)
         )
 
-    def admit(self, call: Call) -> Decision:
+    def admit(self, call: calls.Call) -> calls.Decision:
         """Decide what happens with a call that arrived."""
         issued = keys.parse(call.key)
         if issued is None:
@@ -236,9 +94,11 @@
             return self._admit_issued(call, issued)
         if issued.owner in self.heritage:
             return self._admit_inherited(call, issued)
-        return Forward(issued.owner)
+        return calls.Forward(issued.owner)
 
-    def _admit_issued(self, call: Call, issued: keys.IssuedKey) -> Decision:
+    def _admit_issued(
+        self, call: calls.Call, issued: keys.IssuedKey
+    ) -> calls.Decision:
         """Decide on a key that only this process may run."""
         record = self.records.get(call.key)
         if record is not None:
@@ -256,24 +116,26 @@
             return _refuse_left()
         if not self._make_room():
             return _refuse_full(errors.Outcome.NOT_RUN)
-        self.records[call.key] = Record(
-            call.key, call.fingerprint, State.RUNNING
+        self.records[call.key] = calls.Record(
+            call.key, call.fingerprint, calls.State.RUNNING
         )
-        return Run()
+        return calls.Run()
 
-    def _admit_inherited(self, call: Call, issued: keys.IssuedKey) -> Decision:
+    def _admit_inherited(
+        self, call: calls.Call, issued: keys.IssuedKey
+    ) -> calls.Decision:
         """Decide on a key of a process that handed its records over."""
         left = self.heritage[issued.owner]
         record = left.records.get(call.key)
         if record is not None:
             return _answer_resend(call, record)
         if not left.is_complete:
-            return Forward(issued.owner)
+            return calls.Forward(issued.owner)
         if issued.issued < left.forgotten_before or self._is_expired(issued):
             return _refuse_expired()
         return _refuse_left()
 
-    def _admit_claimed(self, call: Call) -> Decision:
+    def _admit_claimed(self, call: calls.Call) -> calls.Decision:
         """Decide on a key that has to be claimed."""
         record = self.records.get(call.key)
         if record is not None:
@@ -292,28 +154,32 @@
             return _refuse_full(errors.Outcome.UNKNOWN)
         return self._start_claim(call, ABSENT_REVISION)
 
-    def _start_claim(self, call: Call, expected: int) -> Decision:
+    def _start_claim(self, call: calls.Call, expected: int) -> calls.Decision:
         token = f"{self.owner.incarnation}-{next(self.serials)}"
-        record = Record(call.key, call.fingerprint, State.CLAIMING, token=token)
+        record = calls.Record(
+            call.key, call.fingerprint, calls.State.CLAIMING, token=token
+        )
         self.records[call.key] = record
-        running = dataclasses.replace(record, state=State.RUNNING)
-        return MakeClaim(Claim(self.owner, running), expected)
+        running = dataclasses.replace(record, state=calls.State.RUNNING)
+        return calls.MakeClaim(calls.Claim(self.owner, running), expected)
 
-    def win_claim(self, key: str) -> Run:
+    def win_claim(self, key: str) -> calls.Run:
         """Take note that the claim of `key` was written."""
         record = self.records[key]
-        assert record.state is State.CLAIMING, f"{key} claimed twice"
-        self.records[key] = dataclasses.replace(record, state=State.RUNNING)
-        return Run()
+        assert record.state is calls.State.CLAIMING, f"{key} claimed twice"
+        self.records[key] = dataclasses.replace(
+            record, state=calls.State.RUNNING
+        )
+        return calls.Run()
 
-    def lose_claim(self, key: str) -> Refuse:
+    def lose_claim(self, key: str) -> calls.Refuse:
         """Take note that nothing is known of the claim of `key`.
 
         The claim may still be written later. Its token is forgotten here, so
         the call will never be run under it.
         """
         self._forget_claim(key)
-        return Refuse(
+        return calls.Refuse(
             errors.RefusalError(
                 "key_value_unavailable",
                 "the key could not be claimed; a key with the key_prefix of"
@@ -324,13 +190,15 @@
             )
         )
 
-    def find_claim(self, call: Call, claim: Claim, revision: int) -> Decision:
+    def find_claim(
+        self, call: calls.Call, claim: calls.Claim, revision: int
+    ) -> calls.Decision:
         """Decide on a claim found in place of ours."""
         own = self.records[call.key]
         if claim.record.token == own.token:
             return self.win_claim(call.key)
         self._forget_claim(call.key)
-        if claim.record.state is not State.RUNNING:
+        if claim.record.state is not calls.State.RUNNING:
             return _answer_resend(call, claim.record)
         if claim.claimant == self.owner:
             # A claim of ours whose token has no record was given up before
@@ -346,33 +214,43 @@
 
     def _forget_claim(self, key: str) -> None:
         record = self.records.pop(key)
-        assert record.state is State.CLAIMING, f"{key} was dispatched"
+        assert record.state is calls.State.CLAIMING, f"{key} was dispatched"
 
-    def settle_answered(self, key: str, answer: Answer) -> Settlement | None:
+    def settle_answered(
+        self, key: str, answer: calls.Answer
+    ) -> calls.Settlement | None:
         """Record the answer of the run of `key`."""
         body = answer.body or b""
         if len(body) > self.mode.max_answer_bytes:
             answer = dataclasses.replace(answer, body=None)
-        return self._settle(key, State.ANSWERED, answer)
+        return self._settle(key, calls.State.ANSWERED, answer)
 
-    def settle_unknown(self, key: str) -> Settlement | None:
+    def settle_unknown(self, key: str) -> calls.Settlement | None:
         """Record that the run of `key` may or may not have taken place."""
-        return self._settle(key, State.UNKNOWN, None)
+        return self._settle(key, calls.State.UNKNOWN, None)
 
-    def settle_not_run(self, key: str) -> Settlement | None:
+    def settle_not_run(self, key: str) -> calls.Settlement | None:
         """Forget `key`: no byte of its call reached an upstream."""
         record = self.records.pop(key)
-        assert record.state is State.RUNNING, f"{key} settled twice"
-        return DropClaim(Claim(self.owner, record)) if record.token else None
+        assert record.state is calls.State.RUNNING, f"{key} settled twice"
+        return (
+            calls.DropClaim(calls.Claim(self.owner, record))
+            if record.token
+            else None
+        )
 
     def _settle(
-        self, key: str, state: State, answer: Answer | None
-    ) -> Settlement | None:
+        self, key: str, state: calls.State, answer: calls.Answer | None
+    ) -> calls.Settlement | None:
         record = self.records[key]
-        assert record.state is State.RUNNING, f"{key} settled twice"
+        assert record.state is calls.State.RUNNING, f"{key} settled twice"
         settled = dataclasses.replace(record, state=state, answer=answer)
         self.records[key] = settled
-        return SaveClaim(Claim(self.owner, settled)) if record.token else None
+        return (
+            calls.SaveClaim(calls.Claim(self.owner, settled))
+            if record.token
+            else None
+        )
 
     def note_saved(self, key: str) -> None:
         """Take note that the key-value service holds the end of `key`."""
@@ -382,7 +260,7 @@
         """Run no new call from now on."""
         self.is_sealed = True
 
-    def hand_over(self) -> tuple[HandOver, ...]:
+    def hand_over(self) -> tuple[calls.HandOver, ...]:
         """Return all records of this process and its heritage, in parts.
 
         The ledger must be sealed and no call may be running.
@@ -392,7 +270,8 @@
         horizon = self.clock.now() - self.mode.retention
         issued = [rec for rec in self.records.values() if not rec.token]
         assert all(
-            record.state in (State.ANSWERED, State.UNKNOWN) for record in issued
+            record.state in (calls.State.ANSWERED, calls.State.UNKNOWN)
+            for record in issued
         ), "records handed over while a call runs"
         inherited = (
             _split(
@@ -406,7 +285,7 @@
         own = _split(self.owner, horizon, issued)
         return tuple(itertools.chain(own, *inherited))
 
-    def inherit(self, handed: HandOver) -> bool:
+    def inherit(self, handed: calls.HandOver) -> bool:
         """Keep the records of a stopped process; False if they don't fit."""
         assert handed.owner != self.owner, "records handed to their owner"
         self._drop_expired()
@@ -431,7 +310,9 @@
     def _drop_expired(self) -> None:
         """Drop records whose keys are refused from now on."""
         for key, record in list(self.records.items()):
-            if record.state is not State.RUNNING and self._is_dropped(key):
+            if record.state is not calls.State.RUNNING and self._is_dropped(
+                key
+            ):
                 del self.records[key]
         for owner, left in list(self.heritage.items()):
             for key in list(left.records):
@@ -451,16 +332,16 @@
 def _split(
     owner: keys.Owner,
     forgotten_before: datetime.datetime,
-    records: list[Record],
-) -> Iterator[HandOver]:
+    records: list[calls.Record],
+) -> Iterator[calls.HandOver]:
     """Yield the hand-over of `records` in parts; the last completes it."""
     starts = range(0, max(1, len(records)), PART_RECORDS)
     for start in starts:
         part = tuple(records[start : start + PART_RECORDS])
-        yield HandOver(owner, forgotten_before, part, start == starts[-1])
+        yield calls.HandOver(owner, forgotten_before, part, start == starts[-1])
 
 
-def _answer_resend(call: Call, record: Record) -> Decision:
+def _answer_resend(call: calls.Call, record: calls.Record) -> calls.Decision:
     """Decide on a call whose key has a record."""
     if call.fingerprint != record.fingerprint:
         return _refuse(
@@ -469,9 +350,9 @@
             422,
             errors.Outcome.NOT_RUN,
         )
-    if record.state in (State.CLAIMING, State.RUNNING):
-        return Join()
-    if record.state is State.UNKNOWN:
+    if record.state in (calls.State.CLAIMING, calls.State.RUNNING):
+        return calls.Join()
+    if record.state is calls.State.UNKNOWN:
         return _refuse(
             "outcome_unknown",
             "the call was sent and its answer was lost; it is not sent again",
@@ -486,7 +367,7 @@
             409,
             errors.Outcome.RAN,
         )
-    return Replay(record.answer)
+    return calls.Replay(record.answer)
 
 
 def _refuse(
@@ -495,13 +376,13 @@
     status: int,
     outcome: errors.Outcome,
     retry_after: datetime.timedelta | None = None,
-) -> Refuse:
-    return Refuse(
+) -> calls.Refuse:
+    return calls.Refuse(
         errors.RefusalError(code, reason, status, outcome, retry_after)
     )
 
 
-def _refuse_expired() -> Refuse:
+def _refuse_expired() -> calls.Refuse:
     return _refuse(
         "key_expired",
         "header Idempotency-Key: its prefix is older than records are kept,"
@@ -511,7 +392,7 @@
     )
 
 
-def _refuse_left() -> Refuse:
+def _refuse_left() -> calls.Refuse:
     return _refuse(
         "owner_left",
         "the entry of this key stopped without running it; take a new"
@@ -521,7 +402,7 @@
     )
 
 
-def _refuse_full(outcome: errors.Outcome) -> Refuse:
+def _refuse_full(outcome: errors.Outcome) -> calls.Refuse:
     return _refuse(
         "records_full",
         "this entry keeps no more keys for now",
--- a/src/cicadahook/net/entry_peers.py
+++ b/src/cicadahook/net/entry_peers.py
@@ -14,6 +14,7 @@
 import pydantic
 
 from cicadahook.core import errors
+from cicadahook.core import calls
 from cicadahook.core import idempotency
 from cicadahook.core import keys
 from cicadahook.core import view as view_lib
@@ -33,7 +34,7 @@
 
 logger: Final = logs.create_logger("peers")
 
-_HAND_OVER: Final = pydantic.TypeAdapter(idempotency.HandOver)
+_HAND_OVER: Final = pydantic.TypeAdapter(calls.HandOver)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -174,7 +175,7 @@
 
     async def hand_over(
         self,
-        parts: tuple[idempotency.HandOver, ...],
+        parts: tuple[calls.HandOver, ...],
         members: tuple[view_lib.Member, ...],
     ) -> int:
         """Give records to heirs; return how many took all of the first owner.
@@ -190,7 +191,7 @@
     async def _give_all(
         self,
         heirs: list[view_lib.Member],
-        parts: tuple[idempotency.HandOver, ...],
+        parts: tuple[calls.HandOver, ...],
     ) -> int:
         """Give the records of one owner to enough heirs."""
         bodies = [_HAND_OVER.dump_json(part) for part in parts]
@@ -224,7 +225,7 @@
             return False
 
 
-def _read_owner(part: idempotency.HandOver) -> keys.Owner:
+def _read_owner(part: calls.HandOver) -> keys.Owner:
     return part.owner
 
 
--- a/src/cicadahook/net/once.py
+++ b/src/cicadahook/net/once.py
@@ -7,6 +7,7 @@
 
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
+from cicadahook.core import calls
 from cicadahook.core import idempotency
 from cicadahook.core import request as request_lib
 from cicadahook.net import claims as claims_lib
@@ -14,7 +15,7 @@
 
 # Makes the call once. A RefusalError with the outcome `not_run` promises that
 # no byte of the call reached an upstream.
-RunCall = Callable[[], Awaitable[idempotency.Answer]]
+RunCall = Callable[[], Awaitable[calls.Answer]]
 
 logger: Final = logs.create_logger("once")
 
@@ -35,34 +36,34 @@
         self.ledger = ledger
         self.claims = claims
         self.clock = clock
-        self.runs: dict[str, asyncio.Task[idempotency.Answer]] = {}
+        self.runs: dict[str, asyncio.Task[calls.Answer]] = {}
         self.settlements: set[asyncio.Task[None]] = set()
 
     async def call(
         self, request: request_lib.Request, run: RunCall
-    ) -> idempotency.Answer | idempotency.Forward:
+    ) -> calls.Answer | calls.Forward:
         """Return the answer to `request`, running it if it never ran.
 
         Raises:
             errors.RefusalError: there is no answer; tells the outcome.
         """
-        call = idempotency.Call(request.key, request.fingerprint)
+        call = calls.Call(request.key, request.fingerprint)
         decision = self.ledger.admit(call)
         match decision:
-            case idempotency.Forward():
+            case calls.Forward():
                 return decision
-            case idempotency.Replay(answer):
+            case calls.Replay(answer):
                 return answer
-            case idempotency.Refuse(error):
+            case calls.Refuse(error):
                 raise error
-            case idempotency.Run() | idempotency.MakeClaim():
+            case calls.Run() | calls.MakeClaim():
                 self._start(call, decision, run)
         return await self._wait(request)
 
     def _start(
         self,
-        call: idempotency.Call,
-        decision: idempotency.Decision,
+        call: calls.Call,
+        decision: calls.Decision,
         run: RunCall,
     ) -> None:
         assert call.key not in self.runs, f"{call.key} is already running"
@@ -70,7 +71,7 @@
         self.runs[call.key] = task
         task.add_done_callback(_retrieve)
 
-    async def _wait(self, request: request_lib.Request) -> idempotency.Answer:
+    async def _wait(self, request: request_lib.Request) -> calls.Answer:
         """Wait for the run of the request's key until its deadline."""
         left = request.deadline - self.clock.now()
         task = self.runs[request.key]
@@ -87,20 +88,20 @@
 
     async def _follow(
         self,
-        call: idempotency.Call,
-        decision: idempotency.Decision,
+        call: calls.Call,
+        decision: calls.Decision,
         run: RunCall,
-    ) -> idempotency.Answer:
+    ) -> calls.Answer:
         """Claim the key until that is decided, then do as decided."""
         try:
-            while isinstance(decision, idempotency.MakeClaim):
+            while isinstance(decision, calls.MakeClaim):
                 decision = await self._claim(call, decision)
             match decision:
-                case idempotency.Run():
+                case calls.Run():
                     return await self._run(call.key, run)
-                case idempotency.Replay(answer):
+                case calls.Replay(answer):
                     return answer
-                case idempotency.Refuse(error):
+                case calls.Refuse(error):
                     raise error
             raise AssertionError(f"{decision} cannot follow a claim")
         finally:
@@ -109,8 +110,8 @@
             del self.runs[call.key]
 
     async def _claim(
-        self, call: idempotency.Call, wanted: idempotency.MakeClaim
-    ) -> idempotency.Decision:
+        self, call: calls.Call, wanted: calls.MakeClaim
+    ) -> calls.Decision:
         try:
             found = await self.claims.make(wanted)
         except errors.KeyValueError as error:
@@ -118,7 +119,7 @@
             return self.ledger.lose_claim(call.key)
         return self.ledger.find_claim(call, found.claim, found.revision)
 
-    async def _run(self, key: str, run: RunCall) -> idempotency.Answer:
+    async def _run(self, key: str, run: RunCall) -> calls.Answer:
         """Run the call of `key` and settle its record, however it ends."""
         try:
             answer = await run()
@@ -134,16 +135,16 @@
         self._start_settlement(self.ledger.settle_answered(key, answer))
         return answer
 
-    def _start_settlement(self, effect: idempotency.Settlement | None) -> None:
+    def _start_settlement(self, effect: calls.Settlement | None) -> None:
         if effect is None:
             return
         task = asyncio.create_task(self._settle(effect))
         self.settlements.add(task)
         task.add_done_callback(self.settlements.discard)
 
-    async def _settle(self, effect: idempotency.Settlement) -> None:
+    async def _settle(self, effect: calls.Settlement) -> None:
         await self.claims.settle(effect)
-        if isinstance(effect, idempotency.SaveClaim):
+        if isinstance(effect, calls.SaveClaim):
             self.ledger.note_saved(effect.claim.record.key)
 
     async def finish(self, settle_limit: datetime.timedelta) -> None:
@@ -165,7 +166,7 @@
             task.cancel()
 
 
-def _retrieve(task: asyncio.Task[idempotency.Answer]) -> None:
+def _retrieve(task: asyncio.Task[calls.Answer]) -> None:
     """Mark the task's error as seen, also when no caller waits any more."""
     if not task.cancelled():
         task.exception()
--- a/src/cicadahook/net/services.py
+++ b/src/cicadahook/net/services.py
@@ -13,6 +13,7 @@
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import digests
 from cicadahook.core import errors
+from cicadahook.core import calls
 from cicadahook.core import idempotency
 from cicadahook.core import request as request_lib
 from cicadahook.core import retry
@@ -109,7 +110,7 @@
         if not call.request.key:
             return _respond(call, await self._call_keyless(call))
         found = await self.once.call(call.request, lambda: self._attempt(call))
-        if isinstance(found, idempotency.Forward):
+        if isinstance(found, calls.Forward):
             return await self._forward(call, found)
         return _respond(call, found)
 
@@ -144,7 +145,7 @@
             is_forwarded=peers_lib.FORWARDED_HEADER in http.headers,
         )
 
-    async def _call_keyless(self, call: ServiceCall) -> idempotency.Answer:
+    async def _call_keyless(self, call: ServiceCall) -> calls.Answer:
         """Make one attempt of a call without a key, if its row allows it."""
         if call.row is not None and not call.row.allow_keyless:
             raise errors.RefusalError(
@@ -157,7 +158,7 @@
         return await self._attempt(call)
 
     async def _forward(
-        self, call: ServiceCall, forward: idempotency.Forward
+        self, call: ServiceCall, forward: calls.Forward
     ) -> web.Response:
         """Answer as the entry that owns the key."""
         if call.is_forwarded:
@@ -182,7 +183,7 @@
         )
         return answer.respond(call.request.id)
 
-    async def _attempt(self, call: ServiceCall) -> idempotency.Answer:
+    async def _attempt(self, call: ServiceCall) -> calls.Answer:
         """Call the service, again only where that is safe."""
         if call.row is None:
             raise errors.RefusalError(
@@ -260,7 +261,7 @@
 
     async def _attempt_once(
         self, call: ServiceCall, grant: admission.Grant
-    ) -> idempotency.Answer:
+    ) -> calls.Answer:
         """Make one attempt, which ends with `grant`."""
         end = admission.AttemptEnd.FAILED
         try:
@@ -289,7 +290,7 @@
 
     async def _send(
         self, call: ServiceCall, grant: admission.Grant
-    ) -> idempotency.Answer:
+    ) -> calls.Answer:
         """Return the service's answer."""
         left = call.request.deadline - self.clock.now()
         if not call.request.is_idempotent:
@@ -307,7 +308,7 @@
             allow_redirects=False,
             middlewares=(forbid_resend,),
         ) as response:
-            return idempotency.Answer(
+            return calls.Answer(
                 response.status, response.content_type, await response.read()
             )
 
@@ -327,7 +328,7 @@
         raise aiohttp.ClientPayloadError(f"{error!r}") from error
 
 
-def _respond(call: ServiceCall, answer: idempotency.Answer) -> web.Response:
+def _respond(call: ServiceCall, answer: calls.Answer) -> web.Response:
     return web.Response(
         body=answer.body,
         status=answer.status,
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -11,6 +11,7 @@
 
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
+from cicadahook.core import calls
 from cicadahook.core import idempotency
 from cicadahook.core import keys
 from cicadahook.core import view
@@ -20,8 +21,8 @@
     retention=datetime.timedelta(seconds=60), max_records=8
 )
 SKEW = datetime.timedelta(seconds=25)
-CALL = idempotency.Call("booking-1", "content")
-ANSWER = idempotency.Answer(201, "text/plain", b"booked")
+CALL = calls.Call("booking-1", "content")
+ANSWER = calls.Answer(201, "text/plain", b"booked")
 
 indexes = st.integers(0, 1_000_000)
 entries = st.sampled_from(NAMES)
@@ -39,7 +40,7 @@
 
 def read_error(decision: object) -> tuple[str, errors.Outcome]:
     """Return code and outcome of a refusal."""
-    assert isinstance(decision, idempotency.Refuse), decision
+    assert isinstance(decision, calls.Refuse), decision
     return decision.error.code, decision.error.outcome
 
 
@@ -55,14 +56,14 @@
         }
         self.ledgers = {name: self.create(name) for name in NAMES}
         self.keys = ["own-1"]
-        self.stored: dict[str, tuple[idempotency.Claim, int]] = {}
+        self.stored: dict[str, tuple[calls.Claim, int]] = {}
         self.revision = 0
         self.is_out = False
-        self.late: list[idempotency.MakeClaim] = []
-        self.claims: list[tuple[str, idempotency.MakeClaim]] = []
+        self.late: list[calls.MakeClaim] = []
+        self.claims: list[tuple[str, calls.MakeClaim]] = []
         self.runs: list[tuple[str, str]] = []
         self.sent: list[str] = []
-        self.saves: list[tuple[str, idempotency.Settlement]] = []
+        self.saves: list[tuple[str, calls.Settlement]] = []
         self.counts: collections.Counter[str] = collections.Counter()
 
     def create(self, name: str) -> idempotency.Ledger:
@@ -92,35 +93,33 @@
 
     def send(self, key: str, name: str) -> None:
         """Send a call under `key` to an entry."""
-        call = idempotency.Call(key, f"content of {key}")
+        call = calls.Call(key, f"content of {key}")
         decision = self.ledgers[name].admit(call)
-        if isinstance(decision, idempotency.Forward):
+        if isinstance(decision, calls.Forward):
             self.forward(call, decision.owner)
         else:
             self.apply(name, key, decision)
 
-    def forward(self, call: idempotency.Call, owner: keys.Owner) -> None:
+    def forward(self, call: calls.Call, owner: keys.Owner) -> None:
         """Ask the owner, then the heirs, as the entries do."""
         asked = [owner.entry, *(name for name in NAMES if name != owner.entry)]
         for name in asked:
             decision = self.ledgers[name].admit(call)
-            if not isinstance(decision, idempotency.Forward):
+            if not isinstance(decision, calls.Forward):
                 self.apply(name, call.key, decision)
                 return
 
-    def apply(
-        self, name: str, key: str, decision: idempotency.Decision
-    ) -> None:
+    def apply(self, name: str, key: str, decision: calls.Decision) -> None:
         """Judge an answer, or queue an effect."""
         match decision:
-            case idempotency.Run():
+            case calls.Run():
                 self.runs.append((name, key))
-            case idempotency.MakeClaim():
+            case calls.MakeClaim():
                 self.claims.append((name, decision))
-            case idempotency.Replay(answer):
+            case calls.Replay(answer):
                 assert answer.body == key.encode()
                 assert self.counts[key] == 1
-            case idempotency.Refuse(error):
+            case calls.Refuse(error):
                 if error.outcome is errors.Outcome.NOT_RUN:
                     self.assert_not_run(key)
                 if error.outcome is errors.Outcome.RAN:
@@ -140,7 +139,7 @@
         """Decide what becomes of a claim's write and its reply."""
         name, wanted = self.claims.pop(index % len(self.claims))
         record = wanted.claim.record
-        call = idempotency.Call(record.key, record.fingerprint)
+        call = calls.Call(record.key, record.fingerprint)
         ledger = self.ledgers[name]
         if fate == "late":
             self.late.append(wanted)
@@ -153,7 +152,7 @@
         found = ledger.find_claim(call, *self.stored[record.key])
         self.apply(name, record.key, found)
 
-    def write(self, wanted: idempotency.MakeClaim) -> None:
+    def write(self, wanted: calls.MakeClaim) -> None:
         """Write a claim by compare-and-swap."""
         key = wanted.claim.record.key
         _, revision = self.stored.get(key, (None, 0))
@@ -181,7 +180,7 @@
             effect = ledger.settle_not_run(key)
         elif end == "answered":
             self.count(key)
-            answer = idempotency.Answer(201, "text/plain", key.encode())
+            answer = calls.Answer(201, "text/plain", key.encode())
             effect = ledger.settle_answered(key, answer)
         else:
             if end == "pending":
@@ -211,12 +210,12 @@
         record = effect.claim.record
         stored = self.stored.get(record.key)
         if stored and stored[0].record.token == record.token:
-            if isinstance(effect, idempotency.DropClaim):
+            if isinstance(effect, calls.DropClaim):
                 del self.stored[record.key]
             else:
                 self.revision += 1
                 self.stored[record.key] = effect.claim, self.revision
-        if isinstance(effect, idempotency.SaveClaim):
+        if isinstance(effect, calls.SaveClaim):
             self.ledgers[name].note_saved(record.key)
 
     @stateful.rule(is_out=st.booleans())
@@ -237,7 +236,7 @@
         ledger.seal()
         for _, key in [run for run in self.runs if run[0] == name]:
             self.count(key)
-            answer = idempotency.Answer(201, "text/plain", key.encode())
+            answer = calls.Answer(201, "text/plain", key.encode())
             ledger.settle_answered(key, answer)
         for part in ledger.hand_over():
             for taker in takers - {name}:
@@ -275,20 +274,20 @@
 ) -> None:
     ledger = create_ledger(clock)
     first = ledger.admit(CALL)
-    assert isinstance(first, idempotency.MakeClaim)
+    assert isinstance(first, calls.MakeClaim)
     assert read_error(ledger.lose_claim(CALL.key))[0] == "key_value_unavailable"
     ledger.admit(CALL)
     again = ledger.find_claim(CALL, first.claim, 7)
-    assert isinstance(again, idempotency.MakeClaim)
+    assert isinstance(again, calls.MakeClaim)
     assert again.expected == 7
-    assert ledger.find_claim(CALL, again.claim, 8) == idempotency.Run()
+    assert ledger.find_claim(CALL, again.claim, 8) == calls.Run()
 
 
 def test_claim_of_an_earlier_process_is_never_taken_over(
     clock: clock_lib.ManualClock,
 ) -> None:
     earlier = create_ledger(clock, incarnation="1" * 16).admit(CALL)
-    assert isinstance(earlier, idempotency.MakeClaim)
+    assert isinstance(earlier, calls.MakeClaim)
     ledger = create_ledger(clock)
     ledger.admit(CALL)
     decision = ledger.find_claim(CALL, earlier.claim, 7)
@@ -300,28 +299,28 @@
 ) -> None:
     owner = create_ledger(clock)
     lost, kept, unused = (owner.issue_prefix() + "a" for _ in range(3))
-    handed = idempotency.HandOver(
+    handed = calls.HandOver(
         owner.owner,
         clock.now() + datetime.timedelta(milliseconds=1),
-        (idempotency.Record(kept, "", idempotency.State.ANSWERED, ANSWER),),
+        (calls.Record(kept, "", calls.State.ANSWERED, ANSWER),),
         is_complete=False,
     )
     heir = create_ledger(clock, "vm2", "2" * 16)
     assert heir.inherit(handed)
-    calls = [idempotency.Call(key, "") for key in (lost, kept, unused)]
-    assert heir.admit(calls[0]) == idempotency.Forward(owner.owner)
-    assert heir.admit(calls[1]) == idempotency.Replay(ANSWER)
+    sent = [calls.Call(key, "") for key in (lost, kept, unused)]
+    assert heir.admit(sent[0]) == calls.Forward(owner.owner)
+    assert heir.admit(sent[1]) == calls.Replay(ANSWER)
     assert heir.inherit(dataclasses.replace(handed, is_complete=True))
-    assert read_error(heir.admit(calls[0]))[0] == "key_expired"
+    assert read_error(heir.admit(sent[0]))[0] == "key_expired"
     assert heir.inherit(
         dataclasses.replace(
             handed, forgotten_before=clock.now(), is_complete=True
         )
     )
-    assert heir.admit(calls[1]) == idempotency.Replay(ANSWER)
+    assert heir.admit(sent[1]) == calls.Replay(ANSWER)
     fresh = create_ledger(clock, "vm3", "3" * 16)
-    fresh.inherit(idempotency.HandOver(owner.owner, clock_lib.EPOCH, ()))
-    assert read_error(fresh.admit(calls[2])) == (
+    fresh.inherit(calls.HandOver(owner.owner, clock_lib.EPOCH, ()))
+    assert read_error(fresh.admit(sent[2])) == (
         "owner_left",
         errors.Outcome.NOT_RUN,
     )
@@ -333,7 +332,7 @@
     count = idempotency.PART_RECORDS + 1
     for _ in range(count):
         key = ledger.issue_prefix() + "a"
-        ledger.admit(idempotency.Call(key, ""))
+        ledger.admit(calls.Call(key, ""))
         ledger.settle_unknown(key)
     ledger.seal()
     parts = ledger.hand_over()
@@ -344,14 +343,14 @@
 def test_key_expires_with_its_record(clock: clock_lib.ManualClock) -> None:
     ledger = create_ledger(clock)
     key = ledger.issue_prefix() + "a"
-    call = idempotency.Call(key, "content")
-    assert ledger.admit(call) == idempotency.Run()
+    call = calls.Call(key, "content")
+    assert ledger.admit(call) == calls.Run()
     ledger.settle_answered(key, ANSWER)
-    assert ledger.admit(call) == idempotency.Replay(ANSWER)
+    assert ledger.admit(call) == calls.Replay(ANSWER)
     clock.advance(MODE.retention + datetime.timedelta(seconds=1))
-    fresh = idempotency.Call(ledger.issue_prefix() + "b", "content")
+    fresh = calls.Call(ledger.issue_prefix() + "b", "content")
     for _ in range(MODE.max_records):
-        ledger.admit(idempotency.Call(ledger.issue_prefix() + "b", "content"))
+        ledger.admit(calls.Call(ledger.issue_prefix() + "b", "content"))
     assert read_error(ledger.admit(fresh))[0] == "records_full"
     assert key not in ledger.records
     assert read_error(ledger.admit(call)) == (
@@ -364,25 +363,25 @@
     clock: clock_lib.ManualClock,
 ) -> None:
     ledger = create_ledger(clock)
-    call = idempotency.Call(ledger.issue_prefix() + "a", "content")
+    call = calls.Call(ledger.issue_prefix() + "a", "content")
     ledger.admit(call)
     clock.advance(MODE.retention + datetime.timedelta(seconds=1))
     for _ in range(MODE.max_records):
-        ledger.admit(idempotency.Call(ledger.issue_prefix() + "b", "content"))
-    assert ledger.admit(call) == idempotency.Join()
+        ledger.admit(calls.Call(ledger.issue_prefix() + "b", "content"))
+    assert ledger.admit(call) == calls.Join()
     ledger.settle_answered(call.key, ANSWER)
-    assert ledger.admit(call) == idempotency.Replay(ANSWER)
+    assert ledger.admit(call) == calls.Replay(ANSWER)
 
 
 def test_large_answer_is_known_but_not_kept(
     clock: clock_lib.ManualClock,
 ) -> None:
     ledger = create_ledger(clock)
-    call = idempotency.Call(ledger.issue_prefix() + "a", "content")
+    call = calls.Call(ledger.issue_prefix() + "a", "content")
     ledger.admit(call)
     ledger.settle_answered(
         call.key,
-        idempotency.Answer(201, "", b"x" * (MODE.max_answer_bytes + 1)),
+        calls.Answer(201, "", b"x" * (MODE.max_answer_bytes + 1)),
     )
     assert read_error(ledger.admit(call)) == (
         "answer_not_kept",
@@ -400,7 +399,7 @@
     ledger = create_ledger(clock)
     issued = clock.now() + datetime.timedelta(seconds=shift)
     prefix = keys.format_prefix(ledger.owner, issued, 1)
-    decision = ledger.admit(idempotency.Call(prefix + suffix, "content"))
+    decision = ledger.admit(calls.Call(prefix + suffix, "content"))
     assert read_error(decision) == (code, errors.Outcome.NOT_RUN)
 
 
@@ -409,8 +408,8 @@
 ) -> None:
     ledger = create_ledger(clock)
     key = ledger.issue_prefix() + "a"
-    ledger.admit(idempotency.Call(key, "content"))
-    decision = ledger.admit(idempotency.Call(key, "other content"))
+    ledger.admit(calls.Call(key, "content"))
+    decision = ledger.admit(calls.Call(key, "other content"))
     assert read_error(decision) == ("key_reused", errors.Outcome.NOT_RUN)
 
 
