--- a/src/cicadahook/core/errors.py
+++ b/src/cicadahook/core/errors.py
@@ -100,7 +100,3 @@
 
 class UpstreamError(CicadaError):
     """A call to an upstream failed."""
-
-
-class OrderRefusedError(UpstreamError):
-    """The upstream answered that it refuses an order."""
--- a/src/cicadahook/standins/engine.py
+++ b/src/cicadahook/standins/engine.py
@@ -14,6 +14,7 @@
 from cicadahook.core import view
 from cicadahook.standins import batch as batch_lib
 from cicadahook.standins import faults
+from cicadahook.standins import generation
 from cicadahook.standins import memory
 from cicadahook.standins import text
 
@@ -80,20 +81,6 @@
     is_added: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Generation:
-    """What a caller asked to generate."""
-
-    model: str
-    prompt: str
-    tokens: int
-    resume_from: int
-    priority: int
-    attempt: str
-    is_chat: bool
-    is_stream: bool
-
-
 class EngineStandin:
     """One engine, restarted in place when a prompt crashes it."""
 
@@ -345,7 +332,7 @@
         is_chat: bool,
     ) -> web.StreamResponse:
         """Generate and send an answer."""
-        wanted = Generation(
+        wanted = generation.Generation(
             model=str(body["model"]),
             prompt=prompt,
             tokens=int(body.get("max_tokens") or text.DEFAULT_TOKENS),
@@ -388,7 +375,7 @@
         return _refuse("crashed", 503)
 
     async def _generate(
-        self, request: web.Request, wanted: Generation
+        self, request: web.Request, wanted: generation.Generation
     ) -> web.StreamResponse:
         """Run a job and send its tokens."""
         wanted = self._cross(wanted)
@@ -405,11 +392,13 @@
                 return await self._stream(request, wanted, job)
             parts = [token async for token in _read(job)]
             self.completions += 1
-            return web.json_response(_describe_whole(wanted, "".join(parts)))
+            return web.json_response(
+                generation.describe_whole(wanted, "".join(parts))
+            )
         finally:
             job.is_cancelled = True
 
-    def _cross(self, wanted: Generation) -> Generation:
+    def _cross(self, wanted: generation.Generation) -> generation.Generation:
         """Swap in another attempt's id and prompt if that was ordered."""
         left = self.faults.faults.cross_answers
         if not left:
@@ -421,7 +410,7 @@
             wanted, attempt="another-attempt", prompt="another prompt"
         )
 
-    def _prefill_steps(self, wanted: Generation) -> int:
+    def _prefill_steps(self, wanted: generation.Generation) -> int:
         """Return the steps before the first token; cache hits take none."""
         prefix = wanted.prompt[:PREFIX_CHARACTERS]
         is_hit = prefix in self.cache
@@ -445,7 +434,10 @@
         )
 
     async def _stream(
-        self, request: web.Request, wanted: Generation, job: batch_lib.Job
+        self,
+        request: web.Request,
+        wanted: generation.Generation,
+        job: batch_lib.Job,
     ) -> web.StreamResponse:
         """Send the tokens of `job` as server-sent events."""
         cut_at = self._next_cut(wanted)
@@ -466,7 +458,7 @@
         self,
         request: web.Request,
         response: web.StreamResponse,
-        wanted: Generation,
+        wanted: generation.Generation,
         job: batch_lib.Job,
         cut_at: int,
     ) -> None:
@@ -477,15 +469,17 @@
                 faults.drop_connection(request)
                 return
             await self._hang_if_silenced(request)
-            await _send(response, _describe_chunk(wanted, token, position))
+            await _send(
+                response, generation.describe_chunk(wanted, token, position)
+            )
             position += 1
         await self._hang_if_silenced(request)
-        await _send(response, _describe_chunk(wanted, None, position))
+        await _send(response, generation.describe_chunk(wanted, None, position))
         await response.write(b"data: [DONE]\n\n")
         await response.write_eof()
         self.completions += 1
 
-    def _next_cut(self, wanted: Generation) -> int:
+    def _next_cut(self, wanted: generation.Generation) -> int:
         """Return the position at which to cut the stream, or -1."""
         left = self.faults.faults.cut_streams
         if not left:
@@ -521,43 +515,3 @@
 async def _send(response: web.StreamResponse, chunk: dict[str, Any]) -> None:
     """Write `chunk` as one server-sent event."""
     await response.write(b"data: " + json.dumps(chunk).encode() + b"\n\n")
-
-
-def _describe_chunk(
-    wanted: Generation, token: str | None, position: int
-) -> dict[str, Any]:
-    """Return the JSON form of one streamed token, or of the end."""
-    choice: dict[str, Any] = {
-        "index": 0,
-        "position": position,
-        "finish_reason": "stop" if token is None else None,
-    }
-    if wanted.is_chat:
-        choice["delta"] = {} if token is None else {"content": token}
-    else:
-        choice["text"] = token or ""
-    return _describe(wanted, choice, ".chunk" if wanted.is_chat else "")
-
-
-def _describe_whole(wanted: Generation, content: str) -> dict[str, Any]:
-    """Return the JSON form of a whole answer."""
-    choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
-    if wanted.is_chat:
-        choice["message"] = {"role": "assistant", "content": content}
-    else:
-        choice["text"] = content
-    return _describe(wanted, choice, "")
-
-
-def _describe(
-    wanted: Generation, choice: dict[str, Any], suffix: str
-) -> dict[str, Any]:
-    """Return the envelope that all answers share."""
-    kind = "chat.completion" if wanted.is_chat else "text_completion"
-    return {
-        "id": wanted.attempt,
-        "object": f"{kind}{suffix}",
-        "created": 0,
-        "model": wanted.model,
-        "choices": [choice],
-    }
