--- a/src/cicadahook/net/control.py
+++ b/src/cicadahook/net/control.py
@@ -17,6 +17,7 @@
 from cicadahook.core import placement
 from cicadahook.core import table as table_lib
 from cicadahook.core import view as view_lib
+from cicadahook.net import control_peers
 from cicadahook.net import engine
 from cicadahook.net import figures
 from cicadahook.net import fleet as fleet_lib
@@ -28,7 +29,6 @@
 from cicadahook.net import members
 from cicadahook.net import metrics
 from cicadahook.net import operators
-from cicadahook.net import control_peers
 from cicadahook.net import placer
 from cicadahook.net import reports
 from cicadahook.net import tables
--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -24,13 +24,13 @@
 from cicadahook.net import completions
 from cicadahook.net import connections
 from cicadahook.net import dispatch
+from cicadahook.net import entry_peers
 from cicadahook.net import headers
 from cicadahook.net import http as http_lib
 from cicadahook.net import keyvalue
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import once as once_lib
-from cicadahook.net import entry_peers
 from cicadahook.net import relay
 from cicadahook.net import services
 from cicadahook.net import suspects
--- a/src/cicadahook/net/gossip.py
+++ b/src/cicadahook/net/gossip.py
@@ -10,8 +10,8 @@
 from reactivex import subject
 
 from cicadahook.core import clock as clock_lib
-from cicadahook.core import reportbook
 from cicadahook.core import membership
+from cicadahook.core import reportbook
 from cicadahook.core import swim
 from cicadahook.core import view
 from cicadahook.net import codec
