--- /dev/null
+++ b/src/cicadahook/core/balancer.py
@@ -0,0 +1,267 @@
+"""Chooses the upstream for a request by when it would probably answer.
+
+Answers the load of many short streams with long shared prompts: the wait for
+the first token is the prompt tokens queued at an engine, those of this prompt
+that it does not keep, and the slow-down of a full batch.
+"""
+
+from collections.abc import Iterable, Mapping
+import dataclasses
+import datetime
+import random
+from typing import Final
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import exchange
+from cicadahook.core import inventory
+from cicadahook.core import prefixes
+
+# Figures of the engines as the deployments' sheets give them.
+PREFILL_TOKENS_PER_MS: Final = 38.4
+BATCH_MS_PER_RUN: Final = 1.5
+PLAIN_MS: Final = 90.0
+DEFAULT_KEPT_TOKENS: Final = 200_000
+# Weight of the newest observation in a running mean.
+LEARNING_RATE: Final = 0.1
+# Delay that a certain failure counts as, in ms.
+FAILURE_MS: Final = 1500.0
+ZONE_MS: Final = 1.0
+REJECTION_PAUSE: Final = datetime.timedelta(milliseconds=150)
+UNREACHABLE_PAUSE: Final = datetime.timedelta(seconds=1)
+PEER_EXPIRY: Final = datetime.timedelta(seconds=2)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceLoad:
+    """Work that one machine has at one upstream.
+
+    Attributes:
+        instance: id of the upstream.
+        running: requests sent and not ended.
+        unread_tokens: prompt tokens sent and probably not read yet.
+    """
+
+    instance: str
+    running: int
+    unread_tokens: int
+
+
+@dataclasses.dataclass
+class InstanceState:
+    """What this machine knows of one upstream.
+
+    Attributes:
+        running: own requests that have not ended.
+        unread_tokens: own prompt tokens that are probably not read yet.
+        failure_rate: running mean of failures, from 0 to 1.
+        slowness: running mean of the measured by the predicted wait.
+        avoided_until: no request is sent before, if there is another choice.
+        kept: prompt parts that it probably keeps.
+    """
+
+    running: int = 0
+    unread_tokens: int = 0
+    failure_rate: float = 0.0
+    slowness: float = 1.0
+    avoided_until: datetime.datetime | None = None
+    kept: prefixes.PrefixCache = dataclasses.field(
+        default_factory=lambda: prefixes.PrefixCache(DEFAULT_KEPT_TOKENS)
+    )
+
+
+@dataclasses.dataclass
+class Placement:
+    """A request under way at an upstream.
+
+    Attributes:
+        instance: where it was sent.
+        generation: what it asks of a model engine, if anything.
+        unread_tokens: its prompt tokens that are not read yet.
+        predicted_ms: predicted wait for the first piece of the answer.
+        sent: when it was sent.
+        is_answered: whether the first piece has come.
+    """
+
+    instance: inventory.Instance
+    generation: exchange.Generation | None
+    unread_tokens: int
+    predicted_ms: float
+    sent: datetime.datetime
+    is_answered: bool = False
+
+
+class Balancer:
+    """Chooses among upstreams by predicted wait.
+
+    Attributes:
+        states: what is known of each upstream, by id.
+        peers: the newest loads of each other machine, with their time.
+    """
+
+    def __init__(
+        self, zone: str, clock: clock_lib.Clock, generator: random.Random
+    ) -> None:
+        self.zone = zone
+        self.clock = clock
+        self.random = generator
+        self.states: dict[str, InstanceState] = {}
+        self.peers: dict[
+            str, tuple[datetime.datetime, Mapping[str, InstanceLoad]]
+        ] = {}
+
+    def take_peer_loads(self, peer: str, loads: Iterable[InstanceLoad]) -> None:
+        """Replace what is known of the loads of another machine."""
+        by_id = {load.instance: load for load in loads}
+        self.peers[peer] = (self.clock.now(), by_id)
+
+    def list_own_loads(self) -> tuple[InstanceLoad, ...]:
+        """Return the own loads, to be told to other machines."""
+        return tuple(
+            InstanceLoad(name, state.running, state.unread_tokens)
+            for name, state in self.states.items()
+            if state.running
+        )
+
+    def forget_others(self, known: Iterable[str]) -> None:
+        """Drop what is known of upstreams that are gone."""
+        kept = set(known)
+        for name in [
+            name
+            for name, state in self.states.items()
+            if name not in kept and not state.running
+        ]:
+            del self.states[name]
+
+    def choose(
+        self,
+        candidates: Iterable[inventory.Instance],
+        generation: exchange.Generation | None,
+        excluded: frozenset[str] = frozenset(),
+    ) -> inventory.Instance | None:
+        """Return the upstream with the least cost, or None without one."""
+        usable = [
+            entry for entry in candidates if entry.id not in excluded
+        ]
+        if not usable:
+            return None
+        now = self.clock.now()
+        calm = [entry for entry in usable if not self._is_avoided(entry, now)]
+        return min(
+            calm or usable,
+            key=lambda entry: (
+                self.predict_cost(entry, generation),
+                self.random.random(),
+            ),
+        )
+
+    def predict_cost(
+        self,
+        entry: inventory.Instance,
+        generation: exchange.Generation | None,
+    ) -> float:
+        """Return the predicted wait in ms, with what failures would cost."""
+        state = self._get(entry)
+        cost = self.predict_ms(entry, generation) * state.slowness
+        cost += state.failure_rate * FAILURE_MS
+        return cost if entry.zone == self.zone else cost + ZONE_MS
+
+    def predict_ms(
+        self,
+        entry: inventory.Instance,
+        generation: exchange.Generation | None,
+    ) -> float:
+        """Return the wait for the first piece of an answer, in ms."""
+        running, unread = self.count_load(entry)
+        if generation is None:
+            beyond = max(0, running + 1 - entry.slots)
+            share = running / max(1, entry.slots)
+            return PLAIN_MS * (1 + share * 0.2 + beyond / max(1, entry.slots))
+        state = self._get(entry)
+        kept = state.kept.count_kept(generation)
+        unread += max(0, generation.prompt_tokens - kept)
+        return unread / PREFILL_TOKENS_PER_MS + running * BATCH_MS_PER_RUN
+
+    def count_load(self, entry: inventory.Instance) -> tuple[int, int]:
+        """Return running requests and unread tokens of all machines."""
+        state = self._get(entry)
+        running, unread = state.running, state.unread_tokens
+        now = self.clock.now()
+        for told, loads in self.peers.values():
+            load = loads.get(entry.id)
+            if load is not None and now - told < PEER_EXPIRY:
+                running += load.running
+                unread += load.unread_tokens
+        return running, unread
+
+    def start(
+        self,
+        entry: inventory.Instance,
+        generation: exchange.Generation | None,
+    ) -> Placement:
+        """Take note that a request is sent to `entry`."""
+        state = self._get(entry)
+        predicted = self.predict_ms(entry, generation)
+        unread = 0
+        if generation is not None:
+            kept = state.kept.count_kept(generation)
+            unread = max(0, generation.prompt_tokens - kept)
+            state.kept.note_read(generation)
+        state.running += 1
+        state.unread_tokens += unread
+        return Placement(
+            entry, generation, unread, predicted, self.clock.now()
+        )
+
+    def note_first_piece(self, placement: Placement) -> None:
+        """Take note that the answer has begun, and learn from its delay."""
+        if placement.is_answered:
+            return
+        placement.is_answered = True
+        state = self._get(placement.instance)
+        self._drop_unread(placement, state)
+        waited = (self.clock.now() - placement.sent).total_seconds() * 1000
+        ratio = min(10.0, max(0.2, waited / max(1.0, placement.predicted_ms)))
+        state.slowness += LEARNING_RATE * (ratio - state.slowness)
+
+    def end(
+        self,
+        placement: Placement,
+        failure: exchange.FailureKind | None = None,
+    ) -> None:
+        """Take note that a request has ended, and how."""
+        state = self._get(placement.instance)
+        state.running -= 1
+        assert state.running >= 0, f"{placement.instance.id}: ended twice"
+        self._drop_unread(placement, state)
+        if failure is exchange.FailureKind.REJECTED:
+            self._avoid(state, REJECTION_PAUSE)
+            return
+        if failure is exchange.FailureKind.UNREACHABLE:
+            self._avoid(state, UNREACHABLE_PAUSE)
+        if failure is exchange.FailureKind.MISSING:
+            return
+        outcome = 0.0 if failure is None else 1.0
+        state.failure_rate += LEARNING_RATE * (outcome - state.failure_rate)
+
+    def forget_model(self, instance: str, model: str) -> None:
+        """Drop what was known of prompts for a model no longer held."""
+        if instance in self.states:
+            self.states[instance].kept.forget_model(model)
+
+    def _avoid(self, state: InstanceState, pause: datetime.timedelta) -> None:
+        state.avoided_until = self.clock.now() + pause
+
+    def _is_avoided(
+        self, entry: inventory.Instance, now: datetime.datetime
+    ) -> bool:
+        until = self._get(entry).avoided_until
+        return until is not None and now < until
+
+    def _drop_unread(
+        self, placement: Placement, state: InstanceState
+    ) -> None:
+        state.unread_tokens -= placement.unread_tokens
+        placement.unread_tokens = 0
+
+    def _get(self, entry: inventory.Instance) -> InstanceState:
+        return self.states.setdefault(entry.id, InstanceState())
--- /dev/null
+++ b/src/cicadahook/core/engines.py
@@ -0,0 +1,172 @@
+"""What one engine holds or may come to hold, as the holder of orders counts it.
+
+Every byte that an order may still take stays reserved until it is certain
+that the order has no effect any more.
+"""
+
+import dataclasses
+import datetime
+import enum
+from typing import Final
+
+from cicadahook.core import inventory
+from cicadahook.core import ordering
+from cicadahook.core import routes
+
+# An order without an answer may be carried out until then; the users' pages
+# speak of seconds, trials saw twelve.
+LATE_ORDER_PERIOD: Final = datetime.timedelta(seconds=15)
+
+
+class CopyState(enum.StrEnum):
+    """How far a model is with its engine."""
+
+    LOADING = "loading"
+    READY = "ready"
+    UNLOADING = "unloading"
+
+
+@dataclasses.dataclass
+class ModelCopy:
+    """A model on an engine.
+
+    Attributes:
+        model: the model.
+        state: how far it is.
+        adapters: its adapters there, least recently loaded first.
+        loaded: when it was ordered, or first seen.
+    """
+
+    model: routes.Model
+    state: CopyState
+    loaded: datetime.datetime
+    adapters: dict[str, datetime.datetime] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def size_mb(self) -> float:
+        """Return the memory of the model and its adapters."""
+        return (
+            self.model.size_mb + len(self.adapters) * self.model.adapter_mb
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reservation:
+    """Memory that an unanswered order may still take until `until`."""
+
+    size_mb: float
+    adapter_slots: int
+    until: datetime.datetime
+
+
+@dataclasses.dataclass
+class EngineLedger:
+    """The account of one engine's memory.
+
+    Attributes:
+        instance: the engine.
+        pool: what all engines of its service have in common.
+        copies: its models, by name.
+        reservations: what unanswered orders may still take.
+        sequence: orders that it has accepted; None if that must be asked.
+        is_busy: whether a model is being loaded or unloaded.
+    """
+
+    instance: inventory.Instance
+    pool: routes.EnginePool
+    copies: dict[str, ModelCopy] = dataclasses.field(default_factory=dict)
+    reservations: list[Reservation] = dataclasses.field(default_factory=list)
+    sequence: int | None = None
+    is_busy: bool = False
+
+    def count_used_mb(self, now: datetime.datetime) -> float:
+        """Return the memory in use or reserved."""
+        self._drop_expired(now)
+        return sum(copy.size_mb for copy in self.copies.values()) + sum(
+            reservation.size_mb for reservation in self.reservations
+        )
+
+    def count_free_mb(self, now: datetime.datetime) -> float:
+        """Return the memory that an order may take."""
+        return self.pool.memory_mb - self.count_used_mb(now)
+
+    def count_free_slots(self, now: datetime.datetime) -> int:
+        """Return the adapters that may be loaded besides."""
+        self._drop_expired(now)
+        used = sum(len(copy.adapters) for copy in self.copies.values())
+        reserved = sum(entry.adapter_slots for entry in self.reservations)
+        return self.pool.adapter_slots - used - reserved
+
+    def is_ready(self, model: str, adapter: str = "") -> bool:
+        """Whether a model and adapter are there."""
+        copy = self.copies.get(model)
+        if copy is None or copy.state is not CopyState.READY:
+            return False
+        return not adapter or adapter in copy.adapters
+
+    def reserve_unanswered(
+        self, model: routes.Model, adapter: str, now: datetime.datetime
+    ) -> None:
+        """Reserve what an order without an answer may still load."""
+        size = model.adapter_mb if adapter else model.size_mb
+        self.reservations.append(
+            Reservation(size, 1 if adapter else 0, now + LATE_ORDER_PERIOD)
+        )
+
+    def take_report(
+        self, report: ordering.EngineReport, now: datetime.datetime
+    ) -> None:
+        """Take over what the engine says, where no order is under way."""
+        self.sequence = report.sequence
+        self.is_busy = report.is_busy
+        copies: dict[str, ModelCopy] = {}
+        for name, holding in report.holdings.items():
+            model = self.pool.models.get(name)
+            if model is None:
+                model = _guess_model(name, self.pool)
+            known = self.copies.get(name)
+            adapters = {
+                adapter: (known.adapters.get(adapter, now) if known else now)
+                for adapter in sorted(holding.adapters)
+            }
+            copies[name] = ModelCopy(
+                model,
+                CopyState.READY,
+                known.loaded if known else now,
+                dict(sorted(adapters.items(), key=lambda item: item[1])),
+            )
+        for name in report.incoming:
+            base, _, adapter = name.partition("/")
+            if base in copies and adapter:
+                copies[base].adapters.setdefault(adapter, now)
+        self.copies = copies
+
+    def find_oldest_adapter(self) -> tuple[str, str] | None:
+        """Return model and adapter of the adapter loaded first."""
+        adapters = [
+            (loaded, copy.model.name, adapter)
+            for copy in self.copies.values()
+            if copy.state is CopyState.READY
+            for adapter, loaded in copy.adapters.items()
+        ]
+        if not adapters:
+            return None
+        _, model, adapter = min(adapters)
+        return model, adapter
+
+    def _drop_expired(self, now: datetime.datetime) -> None:
+        self.reservations = [
+            entry for entry in self.reservations if entry.until > now
+        ]
+
+
+def _guess_model(name: str, pool: routes.EnginePool) -> routes.Model:
+    """Return a model of the largest size, for one that is not configured."""
+    none = datetime.timedelta()
+    size = max((model.size_mb for model in pool.models.values()), default=0.0)
+    adapter = max(
+        (model.adapter_mb for model in pool.models.values()), default=0.0
+    )
+    return routes.Model(name, size, adapter, frozenset(), none, none, none)
--- /dev/null
+++ b/src/cicadahook/core/exchange.py
@@ -0,0 +1,140 @@
+"""Requests and answers whose bodies pass through unread."""
+
+import dataclasses
+import datetime
+import enum
+import hashlib
+
+from cicadahook.core import inventory
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that requests may share."""
+
+    id: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Generation:
+    """What a request asks of a model engine.
+
+    Attributes:
+        model: name of the model.
+        adapter: name of an adapter of that model; empty for none.
+        prompt_tokens: tokens of the prompt.
+        output_tokens: tokens of the answer at the most.
+        parts: the prompt's parts in order; the last one is the request's own.
+    """
+
+    model: str
+    adapter: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    parts: tuple[PromptPart, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerRequest:
+    """A request as a caller sent it.
+
+    Attributes:
+        id: the caller's id of this attempt.
+        method: HTTP method.
+        host: value of the `Host` header.
+        path: path and query as sent.
+        headers: end-to-end headers, in order.
+        body: the whole body.
+        received: when its head had been read.
+        patience: how long the caller waits; None if it does not say.
+        generation: set if a model is asked for.
+        last_event_id: where a stream is to go on; empty for its start.
+    """
+
+    id: str
+    method: str
+    host: str
+    path: str
+    headers: Headers
+    body: bytes
+    received: datetime.datetime
+    patience: datetime.timedelta | None = None
+    generation: Generation | None = None
+    last_event_id: str = ""
+
+    def create_fingerprint(self) -> str:
+        """Return a digest of what makes a repeated request the same."""
+        digest = hashlib.blake2b(digest_size=16)
+        for part in (self.method, self.host, self.path):
+            digest.update(part.encode("utf-8", "surrogateescape"))
+            digest.update(b"\0")
+        digest.update(self.body)
+        return digest.hexdigest()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and end-to-end headers of an upstream's answer."""
+
+    status: int
+    headers: Headers
+    is_event_stream: bool = False
+
+
+class FailureKind(enum.StrEnum):
+    """Why an attempt brought no answer to pass on."""
+
+    UNREACHABLE = "unreachable"  # nothing was sent
+    REJECTED = "rejected"  # the upstream says that it has not run it
+    MISSING = "missing"  # it does not hold the model, or is another instance
+    CUT = "cut"
+    CROSSED = "crossed"  # the answer belongs to another request
+    MALFORMED = "malformed"
+    TIMED_OUT = "timed_out"
+    SERVER_ERROR = "server_error"  # the upstream ran it and failed
+
+
+NOT_RUN_KINDS = frozenset(
+    {FailureKind.UNREACHABLE, FailureKind.REJECTED, FailureKind.MISSING}
+)
+
+
+class AttemptError(Exception):
+    """An attempt failed.
+
+    Attributes:
+        kind: why.
+        detail: what was seen, for the log.
+    """
+
+    def __init__(self, kind: FailureKind, detail: str) -> None:
+        super().__init__(f"{kind}: {detail}")
+        self.kind = kind
+        self.detail = detail
+
+    @property
+    def is_not_run(self) -> bool:
+        """Whether it is certain that the request has not run."""
+        return self.kind in NOT_RUN_KINDS
+
+
+@dataclasses.dataclass(frozen=True)
+class Attempt:
+    """A request on its way to one upstream.
+
+    Attributes:
+        request: what the caller sent.
+        instance: where it goes.
+        time_left: until the upstream may work on it.
+        priority: 0 is the most urgent.
+        last_event_id: id of the last event that the caller has.
+    """
+
+    request: CallerRequest
+    instance: inventory.Instance
+    time_left: datetime.timedelta
+    priority: int
+    last_event_id: str = ""
--- /dev/null
+++ b/src/cicadahook/core/nodes.py
@@ -0,0 +1,60 @@
+"""A machine of the system: its settings, and what it tells the others."""
+
+from collections.abc import Mapping
+import dataclasses
+import datetime
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeSettings:
+    """What a node process needs to know at its start.
+
+    Attributes:
+        name: unique name of the machine.
+        host: its IP address.
+        zone: availability zone.
+        region: region of that zone.
+        zone_regions: the region of each zone.
+        front_port: where callers send requests.
+        ready_port: where the platform asks whether the node is ready.
+        directory_port: where callers ask for addresses.
+        peer_port: where other nodes send messages, by TCP and UDP.
+        store_address: `host:port` of the platform's store.
+        address_lifetime: how long callers may keep an address answer.
+        grace_period: time from a stop signal to the kill.
+        handover_pause: least time between orders of two holders.
+        retry_ratio: see `retrybudget.RetryBudgetMode`.
+        retry_slack: the same.
+        retry_window: the same.
+        load_window: span in which loads from the weight store are counted.
+        load_overage: factor by which they may exceed the store's rate.
+    """
+
+    name: str
+    host: str
+    zone: str
+    region: str
+    zone_regions: Mapping[str, str]
+    front_port: int
+    ready_port: int
+    directory_port: int
+    peer_port: int
+    store_address: str
+    address_lifetime: datetime.timedelta
+    grace_period: datetime.timedelta
+    handover_pause: datetime.timedelta
+    retry_ratio: float
+    retry_slack: float
+    retry_window: datetime.timedelta
+    load_window: datetime.timedelta
+    load_overage: float
+
+    @property
+    def front_address(self) -> str:
+        """Return `host:port` for callers."""
+        return f"{self.host}:{self.front_port}"
+
+    @property
+    def peer_address(self) -> str:
+        """Return `host:port` for other nodes."""
+        return f"{self.host}:{self.peer_port}"
--- /dev/null
+++ b/src/cicadahook/core/residency.py
@@ -0,0 +1,109 @@
+"""Which upstream holds which model and adapter, as one machine believes.
+
+Registrations tell it late; answers of the order holder and refusals of the
+upstreams correct it.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import datetime
+from typing import Final
+
+from cicadahook.core import inventory
+
+# Until then the registration shows what an order has changed.
+CORRECTION_PERIOD: Final = datetime.timedelta(seconds=3)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyKey:
+    """A model, or an adapter of it, at one upstream."""
+
+    instance: str
+    model: str
+    adapter: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Correction:
+    """What was learnt of a copy besides its registration."""
+
+    is_held: bool
+    learned: datetime.datetime
+
+
+class Residency:
+    """Believes registrations, but for what was learnt since.
+
+    Attributes:
+        corrections: models learnt to be held, or not, lately.
+        adapters: adapters believed to be held.
+        incarnations: the incarnation of each upstream known.
+    """
+
+    def __init__(self) -> None:
+        self.corrections: dict[CopyKey, Correction] = {}
+        self.adapters: set[CopyKey] = set()
+        self.incarnations: dict[str, int] = {}
+
+    def take_instance(self, entry: inventory.Instance) -> None:
+        """Take note of a registration; adapters count at first sight only."""
+        if self.incarnations.get(entry.id) != entry.born:
+            self.forget(entry.id)
+            self.incarnations[entry.id] = entry.born
+            self.adapters.update(
+                CopyKey(entry.id, holding.model, adapter)
+                for holding in entry.holdings.values()
+                for adapter in holding.adapters
+            )
+
+    def forget(self, instance: str) -> None:
+        """Drop all that was believed of an upstream."""
+        self.incarnations.pop(instance, None)
+        self.adapters = {
+            key for key in self.adapters if key.instance != instance
+        }
+        for key in [key for key in self.corrections if key.instance == instance]:
+            del self.corrections[key]
+
+    def note_held(self, key: CopyKey, now: datetime.datetime) -> None:
+        """Take note that a copy has been loaded."""
+        model = CopyKey(key.instance, key.model)
+        self.corrections[model] = Correction(True, now)
+        if key.adapter:
+            self.adapters.add(key)
+
+    def note_missing(self, key: CopyKey, now: datetime.datetime) -> None:
+        """Take note that a copy is not there.
+
+        If an adapter was asked for, that is what is taken to be missing.
+        """
+        if key.adapter in ("", None) or key not in self.adapters:
+            self.corrections[CopyKey(key.instance, key.model)] = Correction(
+                False, now
+            )
+        self.adapters.discard(key)
+
+    def holds(
+        self, entry: inventory.Instance, key: CopyKey, now: datetime.datetime
+    ) -> bool:
+        """Whether `entry` is believed to hold a copy."""
+        known = self.corrections.get(CopyKey(entry.id, key.model))
+        is_held = entry.holds(key.model)
+        if known is not None and now - known.learned < CORRECTION_PERIOD:
+            is_held = known.is_held
+        return is_held and (not key.adapter or key in self.adapters)
+
+    def list_holders(
+        self,
+        entries: Iterable[inventory.Instance],
+        model: str,
+        adapter: str,
+        now: datetime.datetime,
+    ) -> list[inventory.Instance]:
+        """Return the upstreams believed to hold a model and adapter."""
+        return [
+            entry
+            for entry in entries
+            if self.holds(entry, CopyKey(entry.id, model, adapter), now)
+        ]
--- /dev/null
+++ b/src/cicadahook/core/retrybudget.py
@@ -0,0 +1,63 @@
+"""One machine's share of the retries that a service allows."""
+
+import collections
+import dataclasses
+import datetime
+from typing import Final
+
+# Retries of machines that died since must still fit.
+SAFETY: Final = 0.8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryBudgetMode:
+    """What all machines together may send beyond the first arrivals.
+
+    Attributes:
+        ratio: retries allowed for each request in the window.
+        slack: retries allowed besides, in the window.
+        window: span that is counted.
+    """
+
+    ratio: float = 0.2
+    slack: float = 50.0
+    window: datetime.timedelta = datetime.timedelta(seconds=10)
+
+
+class RetryBudget:
+    """Counts requests and retries of one service in a sliding window.
+
+    Attributes:
+        requests: times of requests, oldest first.
+        retries: times of arrivals beyond the first.
+    """
+
+    def __init__(self, mode: RetryBudgetMode) -> None:
+        self.mode = mode
+        self.requests: collections.deque[datetime.datetime] = (
+            collections.deque()
+        )
+        self.retries: collections.deque[datetime.datetime] = collections.deque()
+
+    def note_request(self, now: datetime.datetime) -> None:
+        """Take note of a request from a caller."""
+        self._expire(now)
+        self.requests.append(now)
+
+    def take(self, machines: int, now: datetime.datetime) -> bool:
+        """Take a retry from the share of one of `machines`."""
+        assert machines > 0, "the own machine counts"
+        self._expire(now)
+        allowed = SAFETY * (
+            self.mode.ratio * len(self.requests) + self.mode.slack / machines
+        )
+        if len(self.retries) + 1 > allowed:
+            return False
+        self.retries.append(now)
+        return True
+
+    def _expire(self, now: datetime.datetime) -> None:
+        start = now - self.mode.window
+        for times in (self.requests, self.retries):
+            while times and times[0] <= start:
+                times.popleft()
--- /dev/null
+++ b/src/cicadahook/core/roster.py
@@ -0,0 +1,165 @@
+"""The machines of the system, from registrations and from what they tell."""
+
+from collections.abc import Iterable, Iterator
+import dataclasses
+import datetime
+from typing import Final
+
+from cicadahook.core import balancer
+from cicadahook.core import view
+
+# A machine that was silent for so long is left out of address answers.
+SILENCE_LIMIT: Final = datetime.timedelta(milliseconds=1500)
+# A registration that is gone counts no more, unless the machine still speaks.
+ADDRESS_LIMIT: Final = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeRecord:
+    """A machine as it registers itself in the store.
+
+    Attributes:
+        name: unique name.
+        zone: availability zone.
+        region: region of that zone.
+        front_address: `host:port` for callers.
+        peer_address: `host:port` for other nodes.
+        incarnation: start of its process, in Unix milliseconds.
+    """
+
+    name: str
+    zone: str
+    region: str
+    front_address: str
+    peer_address: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeStatus:
+    """What a machine tells the others several times a second.
+
+    Attributes:
+        node: who it is.
+        number: grows with each message of an incarnation.
+        is_ready: whether it takes new callers.
+        is_holder: whether it sends orders to engines.
+        fence: number of its term as holder of orders; 0 if it never was.
+        configuration: version of its configuration.
+        inventory: revision of its picture of the upstreams.
+        loads: its work at each upstream.
+        wanted: requests for each model lately, as MODEL and their rate.
+        suspects: requests suspected of crashing upstreams.
+    """
+
+    node: NodeRecord
+    number: int
+    is_ready: bool
+    is_holder: bool
+    fence: int
+    configuration: int
+    inventory: int
+    loads: tuple[balancer.InstanceLoad, ...] = ()
+    wanted: tuple["ModelDemand", ...] = ()
+    suspects: tuple[view.Suspect, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelDemand:
+    """Requests a second for a model, as seen by one machine."""
+
+    service: str
+    model: str
+    rate: float
+
+
+class Roster:
+    """Tracks the other machines.
+
+    Attributes:
+        own: this machine.
+        registered: machines registered in the store, by name.
+        statuses: newest message of each machine, with the time it came.
+    """
+
+    def __init__(self, own: NodeRecord) -> None:
+        self.own = own
+        self.registered: dict[str, NodeRecord] = {}
+        self.statuses: dict[str, tuple[datetime.datetime, NodeStatus]] = {}
+
+    def take_status(self, status: NodeStatus, now: datetime.datetime) -> bool:
+        """Take note of a message; return whether it is news."""
+        name = status.node.name
+        if name == self.own.name:
+            return False
+        known = self.statuses.get(name)
+        if known is not None:
+            newest = known[1]
+            if (status.node.incarnation, status.number) <= (
+                newest.node.incarnation,
+                newest.number,
+            ):
+                return False
+        self.statuses[name] = (now, status)
+        return True
+
+    def list_peers(self, now: datetime.datetime) -> Iterator[NodeRecord]:
+        """Yield the other machines to which messages are sent."""
+        heard = {
+            status.node.name: status.node
+            for _, status in self.list_heard(now)
+        }
+        for name, record in (self.registered | heard).items():
+            if name != self.own.name:
+                yield record
+
+    def list_heard(
+        self, now: datetime.datetime
+    ) -> Iterator[tuple[datetime.datetime, NodeStatus]]:
+        """Yield the newest message of each machine that still speaks."""
+        for told, status in self.statuses.values():
+            if now - told < SILENCE_LIMIT:
+                yield told, status
+
+    def count_machines(self, now: datetime.datetime) -> int:
+        """Return how many machines share what all may use together."""
+        names = {status.node.name for _, status in self.list_heard(now)}
+        return len(names | self.registered.keys() | {self.own.name})
+
+    def find_holder(self, now: datetime.datetime) -> NodeRecord | None:
+        """Return the machine that sends orders, if one says so."""
+        holders = [
+            status
+            for _, status in self.list_heard(now)
+            if status.is_holder
+        ]
+        if not holders:
+            return None
+        return max(holders, key=lambda status: status.fence).node
+
+    def list_addresses(
+        self, zone: str, region: str, is_own_ready: bool, now: datetime.datetime
+    ) -> tuple[str, ...]:
+        """Return addresses for callers, nearest first."""
+        records = [
+            status.node
+            for _, status in self.list_heard(now)
+            if status.is_ready
+        ]
+        if is_own_ready:
+            records.append(self.own)
+        return tuple(
+            record.front_address
+            for record in sorted(
+                records,
+                key=lambda record: (
+                    record.zone != zone,
+                    record.region != region,
+                    record.name,
+                ),
+            )
+        )[:ADDRESS_LIMIT]
+
+    def take_registrations(self, records: Iterable[NodeRecord]) -> None:
+        """Replace all registrations."""
+        self.registered = {record.name: record for record in records}
--- /dev/null
+++ b/src/cicadahook/net/forwarder.py
@@ -0,0 +1,538 @@
+"""Takes a caller's request to an upstream and the answer back, unread."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import datetime
+import random
+from typing import Any, Final, Protocol
+
+from cicadahook.core import balancer as balancer_lib
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import errors
+from cicadahook.core import events
+from cicadahook.core import exchange
+from cicadahook.core import inventory
+from cicadahook.core import popularity as popularity_lib
+from cicadahook.core import quarantine as quarantine_lib
+from cicadahook.core import residency as residency_lib
+from cicadahook.core import retrybudget
+from cicadahook.core import routes
+from cicadahook.net import logs
+from cicadahook.net import metrics
+
+# A caller that keeps a request is told of its end this long before.
+ANSWER_MARGIN: Final = datetime.timedelta(milliseconds=15)
+# Below this an upstream could not begin to work.
+MIN_ATTEMPT: Final = datetime.timedelta(milliseconds=30)
+RETRY_PAUSE: Final = datetime.timedelta(milliseconds=20)
+RETRY_AFTER: Final = datetime.timedelta(milliseconds=500)
+MAX_SENDS: Final = 8
+
+logger: Final = logs.create_logger("forwarder")
+
+
+class Answer(Protocol):
+    """An answer whose head has come."""
+
+    head: exchange.AnswerHead
+
+    async def read(self) -> bytes:
+        """Return the whole body."""
+
+    def iterate(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives."""
+
+
+class Upstreams(Protocol):
+    """Sends requests to upstreams."""
+
+    def send(
+        self, attempt: exchange.Attempt
+    ) -> contextlib.AbstractAsyncContextManager[Answer]:
+        """Send a request and yield its answer; leaving early cancels it."""
+
+
+class Copies(Protocol):
+    """Gets models and adapters loaded."""
+
+    async def ensure(
+        self, service: str, key: residency_lib.CopyKey
+    ) -> residency_lib.CopyKey | None:
+        """Return where a copy is now, or None if none could be loaded.
+
+        The instance in `key` is the one preferred, if any.
+        """
+
+
+class Sink(Protocol):
+    """Where an answer goes."""
+
+    async def answer(self, head: exchange.AnswerHead, body: bytes) -> None:
+        """Send a whole answer."""
+
+    async def refuse(self, refusal: errors.RefusalError) -> None:
+        """Send an answer of our own."""
+
+    async def begin(self, head: exchange.AnswerHead) -> None:
+        """Start a stream."""
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of a stream."""
+
+    async def finish(self) -> None:
+        """End a stream as complete."""
+
+    def break_off(self) -> None:
+        """End a stream so that it does not look complete."""
+
+
+@dataclasses.dataclass
+class Work:
+    """A request under way.
+
+    Attributes:
+        request: what the caller sent.
+        sink: where the answer goes.
+        route: the route that it matched.
+        service: the service drawn for it.
+        deadline: when the final answer must be there.
+        fingerprint: digest by which it is known again.
+        excluded: upstreams not to be tried again.
+        sends: times that it was sent.
+        runs: upstreams that may have run it.
+        last_event_id: id of the last event passed on.
+        has_begun: whether the answer has begun.
+        failure: why the last attempt failed.
+    """
+
+    request: exchange.CallerRequest
+    sink: Sink
+    route: routes.Route
+    service: routes.Service
+    deadline: datetime.datetime
+    fingerprint: str
+    excluded: frozenset[str] = frozenset()
+    sends: int = 0
+    runs: int = 0
+    last_event_id: str = ""
+    has_begun: bool = False
+    failure: exchange.AttemptError | None = None
+
+
+@dataclasses.dataclass
+class Parts:
+    """What a forwarder decides with."""
+
+    clock: clock_lib.Clock
+    inventory: inventory.Inventory
+    residency: residency_lib.Residency
+    balancer: balancer_lib.Balancer
+    quarantine: quarantine_lib.Quarantine
+    upstreams: Upstreams
+    copies: Copies
+    budget_mode: retrybudget.RetryBudgetMode
+    generator: random.Random
+    popularity: popularity_lib.Popularity
+
+
+class Forwarder:
+    """Serves the requests of one machine.
+
+    Attributes:
+        configuration: the newest one, or None if there is none yet.
+        machines: machines that share the retry budgets.
+        budgets: retry budget of each service.
+        running: fingerprints under way at each upstream.
+    """
+
+    def __init__(self, node: str, parts: Parts) -> None:
+        self.node = node
+        self.parts = parts
+        self.clock = parts.clock
+        self.configuration: routes.Configuration | None = None
+        self.machines = 1
+        self.budgets: dict[str, retrybudget.RetryBudget] = {}
+        self.running: dict[str, set[str]] = {}
+
+    async def serve(self, request: exchange.CallerRequest, sink: Sink) -> None:
+        """Bring the final answer of a request to its caller."""
+        try:
+            work = self._admit(request, sink)
+        except errors.RefusalError as refusal:
+            await self._refuse(request, sink, refusal)
+            return
+        try:
+            left = work.deadline - self.clock.now()
+            async with asyncio.timeout(max(0.0, left.total_seconds())):
+                await self._serve_work(work)
+        except TimeoutError:
+            await self._time_out(work)
+        except errors.RefusalError as refusal:
+            await self._refuse(request, sink, refusal)
+        except asyncio.CancelledError:
+            self._log(work, "caller_left")
+            raise
+
+    def _admit(self, request: exchange.CallerRequest, sink: Sink) -> Work:
+        """Return the work that a request makes.
+
+        Raises:
+            errors.RefusalError: it is not to be served.
+        """
+        configuration = self.configuration
+        if configuration is None:
+            raise _refuse("no_configuration", 503, RETRY_AFTER)
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            raise _refuse("no_route", 404)
+        name = route.draw_service(self.parts.generator)
+        service = configuration.services.get(name)
+        if service is None:
+            raise _refuse("unknown_service", 503, RETRY_AFTER)
+        self._check_generation(request, service)
+        fingerprint = request.create_fingerprint()
+        self.parts.quarantine.check(fingerprint)
+        now = self.clock.now()
+        self._get_budget(name).note_request(now)
+        if request.generation is not None:
+            self.parts.popularity.note_request(
+                name, request.generation.model, now
+            )
+        patience = route.timeout
+        if request.patience is not None:
+            patience = min(patience, request.patience)
+        deadline = request.received + patience - ANSWER_MARGIN
+        return Work(
+            request,
+            sink,
+            route,
+            service,
+            deadline,
+            fingerprint,
+            last_event_id=request.last_event_id,
+        )
+
+    def _check_generation(
+        self, request: exchange.CallerRequest, service: routes.Service
+    ) -> None:
+        """Refuse what no engine of a service could ever serve."""
+        generation = request.generation
+        if service.engines is None:
+            return
+        if generation is None:
+            raise _refuse("no_model_named", 400)
+        model = service.engines.models.get(generation.model)
+        if model is None:
+            raise _refuse("unknown_model", 503, RETRY_AFTER)
+        if generation.adapter and generation.adapter not in model.adapters:
+            raise _refuse("unknown_adapter", 503, RETRY_AFTER)
+
+    async def _serve_work(self, work: Work) -> None:
+        """Make attempts until one brings the answer.
+
+        Raises:
+            errors.RefusalError: there is none.
+        """
+        while True:
+            instance = await self._select(work)
+            try:
+                await self._attempt(work, instance)
+                return
+            except exchange.AttemptError as error:
+                await self._consider_retry(work, instance, error)
+
+    async def _select(self, work: Work) -> inventory.Instance:
+        """Return the upstream for the next attempt.
+
+        Raises:
+            errors.RefusalError: there is none that could answer in time.
+        """
+        parts = self.parts
+        usable = [
+            entry
+            for entry in parts.inventory.list_usable(work.service.name)
+            if entry.id not in work.excluded
+        ]
+        generation = work.request.generation
+        chosen: inventory.Instance | None
+        if generation is None or work.service.engines is None:
+            chosen = parts.balancer.choose(usable, None)
+        else:
+            chosen = await self._select_engine(work, usable, generation)
+        if chosen is None:
+            self._raise_no_upstream(work)
+        assert chosen is not None, "refused without an upstream"
+        return chosen
+
+    async def _select_engine(
+        self,
+        work: Work,
+        usable: list[inventory.Instance],
+        generation: exchange.Generation,
+    ) -> inventory.Instance | None:
+        """Return an engine that holds what is asked for, loading it if need."""
+        parts = self.parts
+        now = self.clock.now()
+        holders = parts.residency.list_holders(
+            usable, generation.model, "", now
+        )
+        best = parts.balancer.choose(holders, generation)
+        ready = holders
+        if generation.adapter:
+            ready = parts.residency.list_holders(
+                holders, generation.model, generation.adapter, now
+            )
+        chosen = parts.balancer.choose(ready, generation)
+        if chosen is not None:
+            return chosen
+        key = residency_lib.CopyKey(
+            best.id if best else "", generation.model, generation.adapter
+        )
+        held = await parts.copies.ensure(work.service.name, key)
+        if held is None:
+            return None
+        parts.residency.note_held(held, self.clock.now())
+        return parts.inventory.instances.get(held.instance)
+
+    def _raise_no_upstream(self, work: Work) -> None:
+        if work.runs:
+            raise _refuse("attempts_failed", 502, outcome="unknown")
+        raise _refuse("no_upstream", 503, RETRY_AFTER)
+
+    async def _attempt(self, work: Work, instance: inventory.Instance) -> None:
+        """Send a request to one upstream and pass its answer on.
+
+        Raises:
+            exchange.AttemptError: the attempt failed.
+        """
+        left = work.deadline - self.clock.now()
+        if left < MIN_ATTEMPT:
+            raise TimeoutError
+        attempt = exchange.Attempt(
+            work.request,
+            instance,
+            left,
+            work.route.priority,
+            work.last_event_id,
+        )
+        placement = self.parts.balancer.start(instance, work.request.generation)
+        running = self.running.setdefault(instance.id, set())
+        running.add(work.fingerprint)
+        work.sends += 1
+        work.runs += 1
+        failure: exchange.FailureKind | None = None
+        try:
+            async with self.parts.upstreams.send(attempt) as answer:
+                await self._pass_on(work, answer, placement)
+        except exchange.AttemptError as error:
+            failure = error.kind
+            if error.is_not_run:
+                work.runs -= 1
+            raise
+        finally:
+            running.discard(work.fingerprint)
+            self.parts.balancer.end(placement, failure)
+        self._log(work, "answered", instance=instance.id)
+
+    async def _pass_on(
+        self,
+        work: Work,
+        answer: Answer,
+        placement: balancer_lib.Placement,
+    ) -> None:
+        """Pass an answer on once it is known that it may be."""
+        head = answer.head
+        if head.is_event_stream:
+            await self._pass_events(work, answer, placement)
+            return
+        body = await answer.read()
+        self.parts.balancer.note_first_piece(placement)
+        may_repeat = (
+            work.route.is_repeatable and work.runs < work.route.max_attempts
+        )
+        if work.has_begun or (head.status >= 500 and may_repeat):
+            work.failure = None
+            raise exchange.AttemptError(
+                exchange.FailureKind.SERVER_ERROR, f"status {head.status}"
+            )
+        await work.sink.answer(head, body)
+
+    async def _pass_events(
+        self,
+        work: Work,
+        answer: Answer,
+        placement: balancer_lib.Placement,
+    ) -> None:
+        """Pass on whole events as they arrive."""
+        splitter = events.EventSplitter()
+        async for chunk in answer.iterate():
+            whole = list(splitter.feed(chunk))
+            if not whole:
+                continue
+            self.parts.balancer.note_first_piece(placement)
+            if not work.has_begun:
+                work.has_begun = True
+                await work.sink.begin(answer.head)
+            await work.sink.send(b"".join(event.data for event in whole))
+            for event in whole:
+                work.last_event_id = event.id or work.last_event_id
+        if splitter.pending:
+            raise exchange.AttemptError(
+                exchange.FailureKind.CUT, "stream ends within an event"
+            )
+        if not work.has_begun:
+            await work.sink.begin(answer.head)
+        await work.sink.finish()
+
+    async def _consider_retry(
+        self,
+        work: Work,
+        instance: inventory.Instance,
+        error: exchange.AttemptError,
+    ) -> None:
+        """Return if another attempt may be made.
+
+        Raises:
+            errors.RefusalError: none may.
+        """
+        work.failure = error
+        reason = self._find_obstacle(work, error)
+        self._log(
+            work,
+            "retried" if reason is None else "failed",
+            instance=instance.id,
+            failure=str(error.kind),
+            detail=error.detail,
+            obstacle=reason,
+        )
+        if reason is not None:
+            self._give_up(work, reason)
+        metrics.count_retry(str(error.kind), self.node)
+        self._note_failure(work, instance, error)
+        if error.kind is exchange.FailureKind.REJECTED:
+            await asyncio.sleep(RETRY_PAUSE.total_seconds())
+
+    def _find_obstacle(
+        self, work: Work, error: exchange.AttemptError
+    ) -> str | None:
+        """Return why no further attempt may be made, if it may not."""
+        if not error.is_not_run:
+            if not work.route.is_repeatable:
+                return "not_repeatable"
+            if work.runs >= work.route.max_attempts:
+                return "attempts_exhausted"
+        if work.sends >= MAX_SENDS:
+            return "sends_exhausted"
+        if work.deadline - self.clock.now() < MIN_ATTEMPT:
+            return "deadline_passed"
+        is_sent = error.kind is not exchange.FailureKind.UNREACHABLE
+        budget = self._get_budget(work.service.name)
+        if is_sent and not budget.take(self.machines, self.clock.now()):
+            return "retry_budget_exhausted"
+        return None
+
+    def _note_failure(
+        self,
+        work: Work,
+        instance: inventory.Instance,
+        error: exchange.AttemptError,
+    ) -> None:
+        """Learn from a failure before the next choice."""
+        generation = work.request.generation
+        if error.kind is exchange.FailureKind.MISSING and generation:
+            self.parts.residency.note_missing(
+                residency_lib.CopyKey(
+                    instance.id, generation.model, generation.adapter
+                ),
+                self.clock.now(),
+            )
+            return
+        work.excluded |= {instance.id}
+
+    def _give_up(self, work: Work, reason: str) -> None:
+        """End a request that can't be tried again.
+
+        Raises:
+            errors.RefusalError: always.
+        """
+        if work.runs:
+            raise _refuse(reason, 502, outcome="unknown")
+        raise _refuse(reason, 503, RETRY_AFTER)
+
+    async def _time_out(self, work: Work) -> None:
+        """Answer a request whose time is over."""
+        if work.runs:
+            refusal = _refuse("deadline_passed", 504, outcome="unknown")
+        else:
+            refusal = _refuse("deadline_passed", 503, RETRY_AFTER)
+        await self._refuse(work.request, work.sink, refusal, work)
+
+    async def _refuse(
+        self,
+        request: exchange.CallerRequest,
+        sink: Sink,
+        refusal: errors.RefusalError,
+        work: Work | None = None,
+    ) -> None:
+        """Send an answer of our own, or break a stream off."""
+        metrics.count_refusal(refusal.code, self.node)
+        logger.info(
+            "Request refused.",
+            extra={
+                "request_id": request.id,
+                "code": refusal.code,
+                "status": refusal.status,
+                "outcome": str(refusal.outcome),
+                "configuration": self._get_version(),
+                "waited_ms": self._count_ms(request),
+                "sends": work.sends if work else 0,
+            },
+        )
+        await sink.refuse(refusal)
+
+    def _log(self, work: Work, outcome: str, **fields: Any) -> None:
+        """Write one line on a decision about a request."""
+        generation = work.request.generation
+        logger.info(
+            "Request decided.",
+            extra={
+                "request_id": work.request.id,
+                "outcome": outcome,
+                "route": work.route.name,
+                "service": work.service.name,
+                "model": generation.model if generation else "",
+                "adapter": generation.adapter if generation else "",
+                "configuration": self._get_version(),
+                "inventory": self.parts.inventory.revision,
+                "sends": work.sends,
+                "took_ms": self._count_ms(work.request),
+                **fields,
+            },
+        )
+
+    def _count_ms(self, request: exchange.CallerRequest) -> int:
+        elapsed = self.clock.now() - request.received
+        return int(elapsed.total_seconds() * 1000)
+
+    def _get_version(self) -> int:
+        return self.configuration.version if self.configuration else 0
+
+    def _get_budget(self, service: str) -> retrybudget.RetryBudget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = retrybudget.RetryBudget(self.parts.budget_mode)
+            self.budgets[service] = budget
+        return budget
+
+
+def _refuse(
+    code: str,
+    status: int,
+    retry_after: datetime.timedelta | None = None,
+    outcome: str = "not_run",
+) -> errors.RefusalError:
+    return errors.RefusalError(
+        code, code.replace("_", " "), status, errors.Outcome(outcome), retry_after
+    )
--- /dev/null
+++ b/src/cicadahook/net/leadership.py
@@ -0,0 +1,98 @@
+"""Keeps this machine's lease, its registration and its turn as holder."""
+
+import asyncio
+import datetime
+from typing import Final
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import errors
+from cicadahook.core import holder as holder_lib
+from cicadahook.core import storage
+from cicadahook.net import logs
+
+# A shorter lease hands over sooner, a longer one bridges longer outages.
+LEASE: Final = datetime.timedelta(seconds=3)
+RENEWAL_PERIOD: Final = datetime.timedelta(milliseconds=700)
+
+logger: Final = logs.create_logger("leadership")
+
+
+class Leadership:
+    """Renews the lease and proposes this machine as holder.
+
+    Attributes:
+        turn: decides what may be proposed and sent.
+        lease: id of the lease; 0 without one.
+        is_stopping: whether nothing is to be proposed any more.
+    """
+
+    def __init__(
+        self,
+        store: storage.Store,
+        turn: holder_lib.HolderMachine,
+        registration: storage.Put,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self.store = store
+        self.turn = turn
+        self.registration = registration
+        self.clock = clock
+        self.lease = 0
+        self.is_registered = False
+        self.is_stopping = False
+
+    async def run(self) -> None:
+        """Renew until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except storage.LeaseEndedError as error:
+                logger.warning("Lease ended.", extra={"error": str(error)})
+                self.lease = 0
+                self.is_registered = False
+                self.turn.note_lease_ended()
+                continue
+            except errors.KeyValueUnavailableError as error:
+                logger.info("Lease not renewed.", extra={"error": str(error)})
+            await asyncio.sleep(RENEWAL_PERIOD.total_seconds())
+
+    async def stop(self) -> None:
+        """End turn, registration and lease, as far as the store answers."""
+        self.is_stopping = True
+        release = self.turn.propose_release()
+        self.turn.note_lease_ended()
+        try:
+            if release is not None:
+                await self.store.write(release)
+            if self.lease:
+                await self.store.end_lease(self.lease)
+        except errors.KeyValueError as error:
+            logger.info("Lease left to lapse.", extra={"error": str(error)})
+
+    async def _step(self) -> None:
+        sent = self.clock.now()
+        if self.lease:
+            await self.store.renew_lease(self.lease)
+        else:
+            self.lease = await self.store.grant_lease(LEASE)
+        self.turn.note_renewed(sent)
+        if not self.is_registered and not self.is_stopping:
+            put = storage.Put(
+                self.registration.key, self.registration.value, self.lease
+            )
+            await self.store.write(storage.Write(puts=(put,)))
+            self.is_registered = True
+        await self.propose()
+
+    async def propose(self) -> None:
+        """Propose this machine as holder if nobody is."""
+        write = self.turn.propose(self.lease, self.clock.now())
+        if write is None or self.is_stopping:
+            return
+        try:
+            revision = await self.store.write(write)
+        except errors.KeyValueConflictError as error:
+            logger.info("Another is holder.", extra={"error": str(error)})
+            return
+        self.turn.take_written(revision, self.clock.now())
+        logger.info("Became holder of orders.", extra={"fence": revision})
--- a/src/cicadahook/net/logs.py
+++ b/src/cicadahook/net/logs.py
@@ -2,12 +2,17 @@
 
 import enum
 import logging
+import logging.handlers
+import queue
+import sys
 from typing import Final
 
 from pythonjsonlogger import json as json_logger
 
 PLAIN_FORMAT: Final = "%(asctime)s %(levelname)s %(name)s: %(message)s"
 JSON_FIELDS: Final = "%(asctime)s %(levelname)s %(name)s %(message)s"
+# Lines that may wait for a slow reader of standard output.
+QUEUE_LINES: Final = 5000
 
 
 class LogFormat(enum.StrEnum):
@@ -17,6 +22,26 @@
     JSON = "json"
 
 
+class DroppingQueueHandler(logging.handlers.QueueHandler):
+    """Drops lines when the queue is full, and counts them.
+
+    Attributes:
+        dropped: lines dropped since one was last accepted.
+    """
+
+    dropped = 0
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        """Add a line without ever waiting."""
+        try:
+            if self.dropped:
+                record.dropped_before = self.dropped
+            self.queue.put_nowait(record)
+            self.dropped = 0
+        except queue.Full:
+            self.dropped += 1
+
+
 def setup(log_format: LogFormat, level: str) -> None:
     """Send all log records to standard error in `log_format`."""
     handler = logging.StreamHandler()
@@ -28,6 +53,23 @@
     logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
 
 
+def setup_stream(level: str = "INFO") -> logging.handlers.QueueListener:
+    """Send all log records to standard output, one JSON object a line.
+
+    A thread writes them, so that a reader who stalls holds up no request.
+    """
+    writer = logging.StreamHandler(sys.stdout)
+    writer.setFormatter(json_logger.JsonFormatter(JSON_FIELDS))
+    lines: queue.Queue[logging.LogRecord] = queue.Queue(QUEUE_LINES)
+    listener = logging.handlers.QueueListener(lines, writer)
+    logging.basicConfig(
+        level=level, handlers=[DroppingQueueHandler(lines)], force=True
+    )
+    logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
+    listener.start()
+    return listener
+
+
 def create_logger(part: str) -> logging.Logger:
     """Return the logger whose lines carry the prefix `part`."""
     return logging.getLogger(part)
--- /dev/null
+++ b/src/cicadahook/net/orderer.py
@@ -0,0 +1,460 @@
+"""Sends orders to engines while this machine is their holder."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import datetime
+from typing import Final, Protocol
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import engines
+from cicadahook.core import holder as holder_lib
+from cicadahook.core import inventory
+from cicadahook.core import ordering
+from cicadahook.core import residency as residency_lib
+from cicadahook.core import routes
+from cicadahook.core import stocker
+from cicadahook.net import logs
+from cicadahook.net import metrics
+
+# Reports are that old at times, so a fresh one is asked for after it.
+REPORT_LAG: Final = datetime.timedelta(milliseconds=250)
+POLL_PERIOD: Final = datetime.timedelta(milliseconds=100)
+# An operation that takes longer than planned by so much is given up.
+OPERATION_SLACK: Final = datetime.timedelta(seconds=4)
+# The sheets state 5 to 10 ms for an adapter.
+ADAPTER_DELAY: Final = datetime.timedelta(milliseconds=10)
+MAX_TRIES: Final = 3
+MODEL_RETRY_PAUSE: Final = datetime.timedelta(milliseconds=150)
+MAX_WAIT: Final = datetime.timedelta(seconds=10)
+
+logger: Final = logs.create_logger("orders")
+
+
+class Engines(Protocol):
+    """Carries orders to engines."""
+
+    async def send_order(
+        self, instance: inventory.Instance, order: ordering.Order
+    ) -> ordering.OrderResult:
+        """Send an order; no answer leaves open whether it is carried out."""
+
+    async def fetch_report(
+        self, instance: inventory.Instance
+    ) -> ordering.EngineReport | None:
+        """Return what an engine says of itself; None if it doesn't answer."""
+
+
+@dataclasses.dataclass
+class Engine:
+    """An engine under this holder.
+
+    Attributes:
+        ledger: the account of its memory.
+        sending: held while an order is on its way.
+    """
+
+    ledger: engines.EngineLedger
+    sending: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+
+
+class Orderer:
+    """Loads models and adapters on request.
+
+    Attributes:
+        turn: whether this machine may send.
+        engines: the engines known, by id.
+        loading: loads under way, by service, model and adapter.
+        window: loads from the weight store, by service.
+    """
+
+    def __init__(
+        self,
+        turn: holder_lib.HolderMachine,
+        client: Engines,
+        stock: inventory.Inventory,
+        clock: clock_lib.Clock,
+        load_window: datetime.timedelta,
+        get_configuration: Callable[[], routes.Configuration | None],
+        get_demand: Callable[[str], dict[str, float]],
+    ) -> None:
+        self.turn = turn
+        self.client = client
+        self.stock = stock
+        self.clock = clock
+        self.load_window = load_window
+        self.get_configuration = get_configuration
+        self.get_demand = get_demand
+        self.engines: dict[str, Engine] = {}
+        self.loading: dict[tuple[str, str, str], asyncio.Task[str]] = {}
+        self.windows: dict[str, stocker.LoadWindow] = {}
+        self.fence = 0
+
+    async def ensure(
+        self, service: str, key: residency_lib.CopyKey
+    ) -> residency_lib.CopyKey | None:
+        """Return where a copy is now, or None if none could be loaded."""
+        if not self.turn.can_send(self.clock.now()):
+            return None
+        pool = self._find_pool(service)
+        if pool is None or key.model not in pool.models:
+            return None
+        self._take_engines(service, pool)
+        name = (service, key.model, key.adapter)
+        task = self.loading.get(name)
+        if task is None:
+            task = asyncio.create_task(self._load(service, pool, key))
+            self.loading[name] = task
+            task.add_done_callback(lambda _: self.loading.pop(name, None))
+        instance = await asyncio.shield(task)
+        if not instance:
+            return None
+        return residency_lib.CopyKey(instance, key.model, key.adapter)
+
+    def _find_pool(self, service: str) -> routes.EnginePool | None:
+        configuration = self.get_configuration()
+        if configuration is None or service not in configuration.services:
+            return None
+        return configuration.services[service].engines
+
+    def _take_engines(self, service: str, pool: routes.EnginePool) -> None:
+        """Keep ledgers of the engines that are registered now."""
+        if self.fence != self.turn.fence:
+            # A new term begins with fresh accounts.
+            self.fence = self.turn.fence
+            self.engines = {}
+        for entry in self.stock.list_usable(service):
+            known = self.engines.get(entry.id)
+            if known is None or known.ledger.instance.born != entry.born:
+                reservations = known.ledger.reservations if known else []
+                ledger = engines.EngineLedger(
+                    entry, pool, reservations=reservations
+                )
+                self.engines[entry.id] = Engine(ledger)
+            else:
+                known.ledger.instance = entry
+                known.ledger.pool = pool
+
+    def _list_engines(self, service: str) -> list[Engine]:
+        known = (
+            self.engines.get(entry.id)
+            for entry in self.stock.list_usable(service)
+        )
+        return [engine for engine in known if engine is not None]
+
+    async def _load(
+        self, service: str, pool: routes.EnginePool, key: residency_lib.CopyKey
+    ) -> str:
+        """Load a model if need be, then its adapter; return the engine."""
+        end = self.clock.now() + MAX_WAIT
+        while self.clock.now() < end:
+            if not self.turn.can_send(self.clock.now()):
+                return ""
+            await self._sync_all(service)
+            instance = await self._load_model(service, pool, key)
+            if instance and key.adapter:
+                instance = await self._load_adapter(service, instance, key)
+            if instance:
+                return instance
+            await asyncio.sleep(MODEL_RETRY_PAUSE.total_seconds())
+        return ""
+
+    async def _sync_all(self, service: str) -> None:
+        """Ask the engines whose state is not known."""
+        unknown = [
+            engine
+            for engine in self._list_engines(service)
+            if engine.ledger.sequence is None
+        ]
+        await asyncio.gather(*(self._sync(engine) for engine in unknown))
+
+    async def _sync(self, engine: Engine) -> bool:
+        """Take over the report of an engine; return whether it was fresh."""
+        ledger = engine.ledger
+        report = await self.client.fetch_report(ledger.instance)
+        if report is None:
+            return False
+        if report.born != ledger.instance.born:
+            return False
+        if ledger.sequence is not None and report.sequence < ledger.sequence:
+            return False
+        ledger.take_report(report, self.clock.now())
+        return True
+
+    async def _load_model(
+        self, service: str, pool: routes.EnginePool, key: residency_lib.CopyKey
+    ) -> str:
+        """Return an engine that holds the model, loading it if none does."""
+        known = self._list_engines(service)
+        holders = [
+            engine for engine in known if engine.ledger.is_ready(key.model)
+        ]
+        names = [engine.ledger.instance.id for engine in holders]
+        if key.instance in names:
+            return key.instance
+        if holders:
+            return min(
+                holders,
+                key=lambda engine: -engine.ledger.count_free_slots(
+                    self.clock.now()
+                ),
+            ).ledger.instance.id
+        return await self._place_model(service, pool.models[key.model], pool)
+
+    async def _place_model(
+        self, service: str, model: routes.Model, pool: routes.EnginePool
+    ) -> str:
+        """Load a model that no engine holds; return where, or nothing."""
+        now = self.clock.now()
+        window = self._get_window(service, pool)
+        plan = stocker.plan_load(
+            model,
+            [
+                engine.ledger
+                for engine in self._list_engines(service)
+                if engine.ledger.sequence is not None
+            ],
+            self.get_demand(service),
+            window.is_open(now),
+            now,
+        )
+        if plan is None:
+            logger.info("No engine for a model.", extra={"model": model.name})
+            return ""
+        engine = self.engines[plan.instance]
+        engine.ledger.is_busy = True
+        logger.info(
+            "Loads a model.",
+            extra={
+                "model": model.name,
+                "instance": plan.instance,
+                "evicted": list(plan.evicted),
+                "from_store": plan.is_from_store,
+                "cost_seconds": round(plan.cost, 3),
+                "fence": self.fence,
+            },
+        )
+        for name in plan.evicted:
+            if not await self._unload_model(engine, name):
+                engine.ledger.is_busy = False
+                return ""
+        if plan.is_from_store and not window.take(self.clock.now()):
+            engine.ledger.is_busy = False
+            return ""
+        is_done = await self._run_load(engine, plan)
+        engine.ledger.is_busy = False
+        return plan.instance if is_done else ""
+
+    def _get_window(
+        self, service: str, pool: routes.EnginePool
+    ) -> stocker.LoadWindow:
+        limit = int(pool.loads_per_second * self.load_window.total_seconds())
+        window = self.windows.get(service)
+        if window is None or window.limit != limit:
+            window = stocker.LoadWindow(max(1, limit), self.load_window)
+            self.windows[service] = window
+        return window
+
+    async def _unload_model(self, engine: Engine, name: str) -> bool:
+        """Unload a model and wait until its memory is free."""
+        copy = engine.ledger.copies.get(name)
+        if copy is None:
+            return True
+        copy.state = engines.CopyState.UNLOADING
+        result = await self._send(
+            engine, ordering.Operation.UNLOAD, copy.model, ""
+        )
+        if result is ordering.OrderResult.HELD:
+            engine.ledger.copies.pop(name, None)
+            return True
+        if result is not ordering.OrderResult.ACCEPTED:
+            copy.state = engines.CopyState.READY
+            return False
+        return await self._wait_for(
+            engine,
+            lambda ledger: name not in ledger.copies,
+            datetime.timedelta(),
+        )
+
+    async def _run_load(self, engine: Engine, plan: stocker.LoadPlan) -> bool:
+        """Order a load and wait for it."""
+        now = self.clock.now()
+        ledger = engine.ledger
+        if ledger.count_free_mb(now) < plan.model.size_mb:
+            return False
+        ledger.copies[plan.model.name] = engines.ModelCopy(
+            plan.model, engines.CopyState.LOADING, now
+        )
+        result = await self._send(
+            engine, ordering.Operation.LOAD, plan.model, ""
+        )
+        if result is ordering.OrderResult.HELD:
+            ledger.copies[
+                plan.model.name
+            ].state = engines.CopyState.READY
+            return True
+        if result is not ordering.OrderResult.ACCEPTED:
+            ledger.copies.pop(plan.model.name, None)
+            return False
+        await asyncio.sleep(plan.duration.total_seconds())
+        return await self._wait_for(
+            engine,
+            lambda known: known.is_ready(plan.model.name),
+            plan.duration,
+        )
+
+    async def _wait_for(
+        self,
+        engine: Engine,
+        is_done: Callable[[engines.EngineLedger], bool],
+        duration: datetime.timedelta,
+    ) -> bool:
+        """Poll an engine until an operation shows as done."""
+        end = self.clock.now() + duration + OPERATION_SLACK
+        while self.clock.now() < end:
+            async with engine.sending:
+                report = await self.client.fetch_report(engine.ledger.instance)
+                is_fresh = (
+                    report is not None
+                    and report.born == engine.ledger.instance.born
+                    and report.sequence == engine.ledger.sequence
+                )
+                if report is not None and is_fresh and not report.is_busy:
+                    engine.ledger.take_report(report, self.clock.now())
+                    engine.ledger.is_busy = True
+                    if is_done(engine.ledger):
+                        return True
+            await asyncio.sleep(POLL_PERIOD.total_seconds())
+        logger.warning(
+            "An operation did not end.",
+            extra={"instance": engine.ledger.instance.id},
+        )
+        engine.ledger.sequence = None
+        return False
+
+    async def _load_adapter(
+        self, service: str, preferred: str, key: residency_lib.CopyKey
+    ) -> str:
+        """Load an adapter beside its model; return where it is."""
+        known = self._list_engines(service)
+        holders = [
+            engine
+            for engine in known
+            if engine.ledger.is_ready(key.model, key.adapter)
+        ]
+        for engine in holders:
+            if engine.ledger.instance.id == preferred:
+                return preferred
+        engine_or_none = self.engines.get(preferred)
+        if engine_or_none is None:
+            return ""
+        engine = engine_or_none
+        pool = engine.ledger.pool
+        model = pool.models[key.model]
+        for _ in range(MAX_TRIES):
+            now = self.clock.now()
+            if engine.ledger.count_free_slots(now) <= 0:
+                if not await self._evict_adapter(engine):
+                    return holders[0].ledger.instance.id if holders else ""
+                continue
+            copy = engine.ledger.copies.get(key.model)
+            if copy is None or copy.state is not engines.CopyState.READY:
+                return ""
+            if engine.ledger.count_free_mb(now) < model.adapter_mb:
+                if not await self._evict_adapter(engine):
+                    return ""
+                continue
+            copy.adapters[key.adapter] = now
+            result = await self._send(
+                engine, ordering.Operation.LOAD, model, key.adapter
+            )
+            if result is ordering.OrderResult.HELD:
+                return preferred
+            if result is ordering.OrderResult.ACCEPTED:
+                await asyncio.sleep(ADAPTER_DELAY.total_seconds())
+                return preferred
+            copy.adapters.pop(key.adapter, None)
+            if engine.ledger.sequence is None:
+                await asyncio.sleep(REPORT_LAG.total_seconds())
+                await self._sync(engine)
+        return ""
+
+    async def _evict_adapter(self, engine: Engine) -> bool:
+        """Unload the adapter that was loaded first."""
+        oldest = engine.ledger.find_oldest_adapter()
+        if oldest is None:
+            return False
+        name, adapter = oldest
+        copy = engine.ledger.copies[name]
+        result = await self._send(
+            engine, ordering.Operation.UNLOAD, copy.model, adapter
+        )
+        if result is ordering.OrderResult.HELD:
+            copy.adapters.pop(adapter, None)
+            return True
+        if result is ordering.OrderResult.ACCEPTED:
+            # It leaves when the requests that use it have ended.
+            await asyncio.sleep(REPORT_LAG.total_seconds())
+            return await self._sync(engine)
+        return False
+
+    async def _send(
+        self,
+        engine: Engine,
+        operation: ordering.Operation,
+        model: routes.Model,
+        adapter: str,
+    ) -> ordering.OrderResult:
+        """Send an order if this machine may; keep the account."""
+        async with engine.sending:
+            ledger = engine.ledger
+            if ledger.sequence is None:
+                return ordering.OrderResult.NOT_SENT
+            if not self.turn.can_send(self.clock.now()):
+                return ordering.OrderResult.NOT_SENT
+            order = ordering.Order(
+                operation,
+                model.name,
+                adapter,
+                self.turn.name,
+                self.turn.fence,
+                ledger.sequence,
+            )
+            result = await self.client.send_order(ledger.instance, order)
+            self._settle(engine, order, model, result)
+            return result
+
+    def _settle(
+        self,
+        engine: Engine,
+        order: ordering.Order,
+        model: routes.Model,
+        result: ordering.OrderResult,
+    ) -> None:
+        """Take note of the result of an order."""
+        ledger = engine.ledger
+        results = ordering.OrderResult
+        is_unload = order.operation is ordering.Operation.UNLOAD
+        if result is results.ACCEPTED or (
+            result is results.HELD and is_unload and order.adapter
+        ):
+            ledger.sequence = order.expected_sequence + 1
+        elif result is not results.NOT_SENT:
+            ledger.sequence = None
+        if result is results.UNKNOWN and not is_unload:
+            ledger.reserve_unanswered(model, order.adapter, self.clock.now())
+        metrics.create_counter(
+            "cicada_orders", "Orders sent to engines, by result."
+        ).add(1, {"operation": str(order.operation), "result": str(result)})
+        logger.info(
+            "Order sent.",
+            extra={
+                "instance": ledger.instance.id,
+                "operation": str(order.operation),
+                "model": order.model,
+                "adapter": order.adapter,
+                "fence": order.fence,
+                "expected_sequence": order.expected_sequence,
+                "outcome": str(result),
+            },
+        )
--- /dev/null
+++ b/src/cicadahook/net/peering.py
@@ -0,0 +1,178 @@
+"""Messages between nodes: statuses by UDP, requests for copies by HTTP."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+import dataclasses
+import datetime
+from typing import Any, Final
+
+import aiohttp
+from aiohttp import web
+
+from cicadahook.core import residency as residency_lib
+from cicadahook.core import roster
+from cicadahook.net import codec
+from cicadahook.net import logs
+from cicadahook.net import sockets
+
+STATUS_PERIOD: Final = datetime.timedelta(milliseconds=150)
+CONNECT_TIMEOUT: Final = datetime.timedelta(milliseconds=500)
+COPY_TIMEOUT: Final = datetime.timedelta(seconds=12)
+COPIES_PATH: Final = "/copies"
+
+logger: Final = logs.create_logger("peers")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyRequest:
+    """A node asks the holder of orders for a copy.
+
+    Attributes:
+        service: name of the service.
+        instance: the engine preferred; empty for none.
+        model: name of the model.
+        adapter: name of an adapter of it; empty for none.
+    """
+
+    service: str
+    instance: str
+    model: str
+    adapter: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyAnswer:
+    """Where the copy is now; `instance` is empty if there is none."""
+
+    instance: str
+    reason: str = ""
+
+
+STATUSES: Final = codec.Codec(roster.NodeStatus, "peer")
+COPY_REQUESTS: Final = codec.Codec(CopyRequest, "peer")
+COPY_ANSWERS: Final = codec.Codec(CopyAnswer, "peer")
+
+
+class StatusEndpoint(asyncio.DatagramProtocol):
+    """Sends and receives statuses by UDP.
+
+    Attributes:
+        take: called with each status received.
+        transport: set while the endpoint is open.
+    """
+
+    def __init__(self, take: Callable[[roster.NodeStatus], None]) -> None:
+        self.take = take
+        self.transport: asyncio.DatagramTransport | None = None
+
+    async def open(self, host: str, port: int) -> None:
+        """Listen on a UDP port."""
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, local_addr=(host, port)
+        )
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Decode a status; anything else is dropped."""
+        try:
+            self.take(STATUSES.decode(data))
+        except codec.DecodeError as error:
+            logger.warning(
+                "Datagram dropped.",
+                extra={"sender": str(addr), "error": str(error)},
+            )
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore a peer that does not listen; its silence shows anyway."""
+        logger.debug("Datagram not delivered.", extra={"error": repr(exc)})
+
+    def send(
+        self, status: roster.NodeStatus, peers: Iterable[roster.NodeRecord]
+    ) -> None:
+        """Send a status to all peers."""
+        if self.transport is None:
+            return
+        data = STATUSES.encode(status)
+        for peer in peers:
+            host, port = peer.peer_address.rsplit(":", 1)
+            self.transport.sendto(data, (host, int(port)))
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self.transport is not None:
+            self.transport.close()
+
+
+class CopyServer:
+    """Answers other nodes' requests for copies."""
+
+    def __init__(
+        self,
+        ensure: Callable[
+            [str, residency_lib.CopyKey],
+            "asyncio.Future[residency_lib.CopyKey | None]",
+        ],
+    ) -> None:
+        self.ensure = ensure
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Load what is asked for and answer where it is."""
+        if request.path != COPIES_PATH:
+            return web.Response(status=404)
+        try:
+            asked = COPY_REQUESTS.decode(await request.read())
+        except codec.DecodeError as error:
+            return web.Response(status=400, text=str(error))
+        key = residency_lib.CopyKey(asked.instance, asked.model, asked.adapter)
+        held = await self.ensure(asked.service, key)
+        answer = CopyAnswer(held.instance if held else "")
+        return web.Response(body=COPY_ANSWERS.encode(answer))
+
+
+class CopyClient:
+    """Asks the holder of orders for copies."""
+
+    def __init__(self) -> None:
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, socket_factory=sockets.create_factory()
+            ),
+            timeout=aiohttp.ClientTimeout(
+                total=COPY_TIMEOUT.total_seconds(),
+                sock_connect=CONNECT_TIMEOUT.total_seconds(),
+            ),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+    async def ask(
+        self,
+        holder: roster.NodeRecord,
+        service: str,
+        key: residency_lib.CopyKey,
+    ) -> residency_lib.CopyKey | None:
+        """Return where the copy is now, or None if there is none."""
+        asked = CopyRequest(service, key.instance, key.model, key.adapter)
+        try:
+            async with self.session.post(
+                f"http://{holder.peer_address}{COPIES_PATH}",
+                data=COPY_REQUESTS.encode(asked),
+            ) as response:
+                content = await response.read()
+                if response.status != 200:
+                    return None
+                answer = COPY_ANSWERS.decode(content)
+        except (aiohttp.ClientError, OSError, codec.DecodeError) as error:
+            logger.info(
+                "Holder not reached.",
+                extra={"holder": holder.name, "error": repr(error)},
+            )
+            return None
+        if not answer.instance:
+            return None
+        return residency_lib.CopyKey(answer.instance, key.model, key.adapter)
--- /dev/null
+++ b/src/cicadahook/net/sockets.py
@@ -0,0 +1,51 @@
+"""TCP sockets that notice a peer that has gone silent."""
+
+from collections.abc import Callable
+import datetime
+import socket
+import struct
+from typing import Any, Final
+
+# Idle time before the first keep-alive probe, and between probes, in seconds.
+PROBE_IDLE_SECONDS: Final = 1
+PROBE_INTERVAL_SECONDS: Final = 1
+PROBE_COUNT: Final = 2
+# How long sent bytes may stay unacknowledged.
+UNACKNOWLEDGED_LIMIT: Final = datetime.timedelta(milliseconds=2500)
+LINGER_RESET: Final = struct.pack("ii", 1, 0)
+
+
+def guard(sock: socket.socket) -> None:
+    """Let the kernel end a connection whose peer no longer answers."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, PROBE_IDLE_SECONDS),
+        (socket.TCP_KEEPINTVL, PROBE_INTERVAL_SECONDS),
+        (socket.TCP_KEEPCNT, PROBE_COUNT),
+        (
+            socket.TCP_USER_TIMEOUT,
+            int(UNACKNOWLEDGED_LIMIT.total_seconds() * 1000),
+        ),
+        (socket.TCP_NODELAY, 1),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def create_factory(*, resets: bool = False) -> Callable[[Any], socket.socket]:
+    """Return a socket factory for aiohttp's connector.
+
+    Args:
+        resets: whether closing a connection resets it, so that bytes that are
+            still on their way are lost.
+    """
+
+    def create(address: Any) -> socket.socket:
+        family, kind, protocol = address[:3]
+        sock = socket.socket(family, kind, protocol)
+        sock.setblocking(False)
+        guard(sock)
+        if resets:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        return sock
+
+    return create
--- /dev/null
+++ b/src/cicadahook/net/watcher.py
@@ -0,0 +1,109 @@
+"""Follows a part of the store through outages and lost history."""
+
+import asyncio
+import datetime
+import random
+from typing import Final, Protocol
+
+from cicadahook.core import budget
+from cicadahook.core import errors
+from cicadahook.core import storage
+from cicadahook.net import logs
+
+WATCH_WAIT: Final = datetime.timedelta(seconds=10)
+FIRST_PAUSE: Final = datetime.timedelta(milliseconds=200)
+LONGEST_PAUSE: Final = datetime.timedelta(milliseconds=800)
+
+logger: Final = logs.create_logger("watch")
+
+
+class Listener(Protocol):
+    """Is told of the items below a prefix."""
+
+    def take_listing(
+        self, listing: storage.Listing, *, is_after_outage: bool
+    ) -> None:
+        """Replace what was known."""
+
+    def take_changes(self, changes: storage.Changes) -> None:
+        """Take note of changes since."""
+
+
+class Watcher:
+    """Keeps a listener up to date with the items below a prefix.
+
+    Attributes:
+        prefix: what is watched.
+        revision: revision up to which the listener knows all.
+        is_connected: whether the last call was answered.
+    """
+
+    def __init__(
+        self,
+        store: storage.Store,
+        prefix: str,
+        listener: Listener,
+        generator: random.Random,
+    ) -> None:
+        self.store = store
+        self.prefix = prefix
+        self.listener = listener
+        self.backoff = budget.Backoff(FIRST_PAUSE, LONGEST_PAUSE, generator)
+        self.revision = 0
+        self.is_connected = True
+        self.call: asyncio.Task[None] | None = None
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        is_after_outage = False
+        while True:
+            try:
+                await self._list(is_after_outage)
+                is_after_outage = False
+                while True:
+                    await self._watch()
+            except storage.HistoryLostError as error:
+                logger.info(
+                    "History lost.",
+                    extra={"prefix": self.prefix, "error": str(error)},
+                )
+            except errors.KeyValueUnavailableError as error:
+                is_after_outage = True
+                await self._pause(error)
+
+    async def _list(self, is_after_outage: bool) -> None:
+        listing = await self.store.list_items(self.prefix)
+        self._note_answer(listing.revision)
+        self.listener.take_listing(listing, is_after_outage=is_after_outage)
+        self.revision = listing.revision
+
+    async def _watch(self) -> None:
+        changes = await self.store.watch(
+            self.prefix, self.revision, WATCH_WAIT
+        )
+        self._note_answer(changes.revision)
+        if changes.changes:
+            self.listener.take_changes(changes)
+        self.revision = max(self.revision, changes.revision)
+
+    def _note_answer(self, revision: int) -> None:
+        self.backoff.succeed()
+        if not self.is_connected:
+            logger.info(
+                "Store regained.",
+                extra={"prefix": self.prefix, "revision": revision},
+            )
+        self.is_connected = True
+
+    async def _pause(self, error: errors.KeyValueError) -> None:
+        if self.is_connected:
+            logger.warning(
+                "Store lost.",
+                extra={
+                    "prefix": self.prefix,
+                    "error": str(error),
+                    "revision": self.revision,
+                },
+            )
+        self.is_connected = False
+        await asyncio.sleep(self.backoff.fail().total_seconds())
--- /dev/null
+++ b/src/cicadahook/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the cooperative platform's messages and our types."""
--- /dev/null
+++ b/src/cicadahook/platform/front.py
@@ -0,0 +1,263 @@
+"""What callers and the platform's checks speak to a node."""
+
+import asyncio
+import contextlib
+import datetime
+import json
+from typing import Final
+
+from aiohttp import web
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import errors
+from cicadahook.core import exchange
+from cicadahook.core import routes
+from cicadahook.net import directory
+from cicadahook.net import forwarder
+from cicadahook.net import logs
+from cicadahook.platform import headers as header_names
+
+# Longer than any idle timeout of a configuration.
+KEEPALIVE: Final = datetime.timedelta(seconds=60)
+MAX_HEADER_BYTES: Final = 65_536
+
+logger: Final = logs.create_logger("front")
+
+
+class HttpSink:
+    """Sends an answer on the connection of a request.
+
+    Attributes:
+        request: the request as the server read it.
+        response: the answer, once it has begun.
+        is_closing: whether the connection is to end with this answer.
+    """
+
+    def __init__(self, request: web.BaseRequest, *, is_closing: bool) -> None:
+        self.request = request
+        self.response: web.StreamResponse | None = None
+        self.is_closing = is_closing
+
+    async def answer(self, head: exchange.AnswerHead, body: bytes) -> None:
+        """Send a whole answer."""
+        response = web.Response(status=head.status, body=body)
+        await self._send(response, head.headers)
+
+    async def refuse(self, refusal: errors.RefusalError) -> None:
+        """Send a refusal, or break off a stream that has begun."""
+        if self.response is not None:
+            self.break_off()
+            return
+        body = json.dumps(
+            {"error_message": refusal.reason, "code": refusal.code}
+        )
+        headers = [("Content-Type", "application/json")]
+        if refusal.retry_after is not None:
+            seconds = refusal.retry_after.total_seconds()
+            headers.append(("Retry-After", f"{seconds:.3f}"))
+        await self._send(
+            web.Response(status=refusal.status, body=body.encode()),
+            tuple(headers),
+        )
+
+    async def begin(self, head: exchange.AnswerHead) -> None:
+        """Start a stream; its length is not known."""
+        response = web.StreamResponse(status=head.status)
+        response.enable_chunked_encoding()
+        self._prepare(response, head.headers)
+        await response.prepare(self.request)
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of a stream."""
+        assert self.response is not None, "stream not begun"
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        """End a stream as complete."""
+        assert self.response is not None, "stream not begun"
+        await self.response.write_eof()
+
+    def break_off(self) -> None:
+        """Close the connection without the end mark of the stream."""
+        if self.request.transport is not None:
+            self.request.transport.close()
+
+    async def _send(
+        self, response: web.Response, headers: exchange.Headers
+    ) -> None:
+        self._prepare(response, headers)
+        await response.prepare(self.request)
+        await response.write_eof()
+
+    def _prepare(
+        self, response: web.StreamResponse, headers: exchange.Headers
+    ) -> None:
+        self.response = response
+        for name, value in headers:
+            if name.lower() == "content-type":
+                response.headers[name] = value
+            else:
+                response.headers.add(name, value)
+        request_id = self.request.headers.get(header_names.REQUEST_ID)
+        if request_id and header_names.REQUEST_ID not in response.headers:
+            response.headers[header_names.REQUEST_ID] = request_id
+        if self.is_closing:
+            response.force_close()
+
+
+class Front:
+    """Reads requests of callers and hands them to the forwarder.
+
+    Attributes:
+        limits: what callers may send.
+        is_stopping: whether connections end with their next answer.
+        is_closed: whether new requests are turned away.
+        active: requests under way.
+    """
+
+    def __init__(
+        self, serving: forwarder.Forwarder, clock: clock_lib.Clock
+    ) -> None:
+        self.serving = serving
+        self.clock = clock
+        self.limits = routes.CallerLimits()
+        self.is_stopping = False
+        self.is_closed = False
+        self.active = 0
+
+    def create_server(self) -> web.Server:
+        """Return a server that cancels the work of callers that left."""
+        return web.Server(
+            self.handle,
+            handler_cancellation=True,
+            keepalive_timeout=KEEPALIVE.total_seconds(),
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            access_log=None,
+            auto_decompress=False,
+        )
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request."""
+        received = self.clock.now()
+        sink = HttpSink(request, is_closing=self.is_stopping)
+        self.active += 1
+        try:
+            if self.is_closed:
+                raise errors.RefusalError(
+                    "stopping",
+                    "this node stops",
+                    503,
+                    retry_after=datetime.timedelta(),
+                )
+            decoded = await self._decode(request, received)
+            await self.serving.serve(decoded, sink)
+        except errors.RefusalError as refusal:
+            logger.info(
+                "Request refused.",
+                extra={"code": refusal.code, "status": refusal.status},
+            )
+            await sink.refuse(refusal)
+        except ConnectionError as error:
+            logger.info(
+                "Caller gone.",
+                extra={
+                    "request_id": request.headers.get(header_names.REQUEST_ID),
+                    "error": repr(error),
+                },
+            )
+        finally:
+            self.active -= 1
+        assert sink.response is not None, "no answer was sent"
+        return sink.response
+
+    async def _decode(
+        self, request: web.BaseRequest, received: datetime.datetime
+    ) -> exchange.CallerRequest:
+        """Return the request with its body read.
+
+        Raises:
+            errors.RefusalError: it is malformed or too large.
+        """
+        headers = request.headers
+        size = sum(len(name) + len(value) for name, value in headers.items())
+        if size > self.limits.max_header_bytes:
+            raise errors.RefusalError("headers_too_large", "headers", 431)
+        try:
+            patience = header_names.decode_patience(headers)
+            generation = header_names.decode_generation(headers)
+        except ValueError as error:
+            raise errors.RefusalError(
+                "malformed_header", str(error), 400
+            ) from error
+        body = await self._read_body(request)
+        kept = header_names.strip_own_headers(
+            header_names.strip_connection_headers(headers.items())
+        )
+        return exchange.CallerRequest(
+            headers.get(header_names.REQUEST_ID, ""),
+            request.method,
+            headers.get("Host", ""),
+            request.raw_path,
+            kept,
+            body,
+            received,
+            patience,
+            generation,
+            headers.get(header_names.LAST_EVENT_ID, ""),
+        )
+
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        chunks: list[bytes] = []
+        size = 0
+        async for chunk in request.content.iter_any():
+            size += len(chunk)
+            if size > self.limits.max_body_bytes:
+                raise errors.RefusalError("body_too_large", "body", 413)
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+
+class Checks:
+    """Answers the platform's readiness checks and callers' address calls."""
+
+    def __init__(self, addresses: directory.Directory) -> None:
+        self.addresses = addresses
+
+    async def handle_ready(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Answer whether this node is ready."""
+        del request
+        return web.Response(status=200 if self.addresses.is_ready() else 503)
+
+    async def handle_resolve(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Answer where to send requests."""
+        if request.path != "/resolve":
+            return web.Response(status=404)
+        query = request.query
+        answer = self.addresses.resolve(
+            query.get("zone", ""), query.get("region", "")
+        )
+        if not answer.addresses:
+            return web.Response(status=503)
+        return web.json_response(
+            {
+                "addresses": list(answer.addresses),
+                "ttl_s": answer.lifetime.total_seconds(),
+            }
+        )
+
+
+@contextlib.asynccontextmanager
+async def listen(server: web.Server, host: str, port: int):  # type: ignore
+    """Accept connections on a port."""
+    listener = await asyncio.get_running_loop().create_server(
+        server, host, port, backlog=1024, reuse_address=True
+    )
+    try:
+        yield listener
+    finally:
+        listener.close()
--- /dev/null
+++ b/src/cicadahook/platform/headers.py
@@ -0,0 +1,148 @@
+"""Header names of the platform, and what passes from one side to the other."""
+
+from collections.abc import Iterable
+import datetime
+from typing import Final
+
+import multidict
+
+from cicadahook.core import exchange
+
+REQUEST_ID: Final = "X-Request-Id"
+DEADLINE: Final = "X-Deadline-Ms"
+MODEL: Final = "X-Model"
+TOKENS: Final = "X-Token-Counts"
+PROMPT_PARTS: Final = "X-Prompt-Prefix"
+LAST_EVENT_ID: Final = "Last-Event-Id"
+PRIORITY: Final = "X-Request-Priority"
+EXPECTED_INSTANCE: Final = "X-Expected-Instance"
+INSTANCE_ID: Final = "X-Instance-Id"
+NOT_EXECUTED: Final = "X-Not-Executed"
+SIGNATURE: Final = "X-Response-Signature"
+
+LOWEST_PRIORITY: Final = 9
+
+# These concern one connection only.
+CONNECTION_HEADERS: Final = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# These are ours to set, so a caller's are dropped.
+OWN_HEADERS: Final = frozenset(
+    {
+        name.lower()
+        for name in (
+            DEADLINE,
+            PRIORITY,
+            EXPECTED_INSTANCE,
+            LAST_EVENT_ID,
+            NOT_EXECUTED,
+            INSTANCE_ID,
+            "X-Expected-Version",
+            "X-Hold",
+            "X-Pin-Duration",
+            "X-Kv-Backup",
+            "Kv-From",
+            "Kv-Fetch",
+        )
+    }
+)
+
+
+def strip_connection_headers(
+    pairs: Iterable[tuple[str, str]],
+) -> exchange.Headers:
+    """Return the end-to-end headers among `pairs`."""
+    listed = list(pairs)
+    named = {
+        token.strip().lower()
+        for name, value in listed
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    dropped = CONNECTION_HEADERS | named
+    return tuple(
+        (name, value) for name, value in listed if name.lower() not in dropped
+    )
+
+
+def strip_own_headers(headers: exchange.Headers) -> exchange.Headers:
+    """Return `headers` without those that callers may not set."""
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in OWN_HEADERS
+    )
+
+
+def encode_request(
+    attempt: exchange.Attempt,
+) -> "multidict.CIMultiDict[str]":
+    """Return the headers of a request to an upstream."""
+    headers = multidict.CIMultiDict(attempt.request.headers)
+    headers["Host"] = attempt.request.host
+    headers[DEADLINE] = str(_to_ms(attempt.time_left))
+    headers[EXPECTED_INSTANCE] = attempt.instance.id
+    if attempt.request.generation is not None:
+        headers[PRIORITY] = str(min(LOWEST_PRIORITY, attempt.priority))
+    if attempt.last_event_id:
+        headers[LAST_EVENT_ID] = attempt.last_event_id
+    return headers
+
+
+def decode_generation(
+    headers: "multidict.CIMultiDictProxy[str]",
+) -> exchange.Generation | None:
+    """Return what a request asks of a model engine, if anything.
+
+    Raises:
+        ValueError: a header is malformed.
+    """
+    # The value is MODEL or MODEL/ADAPTER.
+    model, _, adapter = headers.get(MODEL, "").partition("/")
+    if not model:
+        return None
+    prompt, _, output = headers.get(TOKENS, "0,0").partition(",")
+    return exchange.Generation(
+        model,
+        adapter,
+        int(prompt),
+        int(output or 0),
+        tuple(_decode_parts(headers.get(PROMPT_PARTS, ""))),
+    )
+
+
+def decode_patience(
+    headers: "multidict.CIMultiDictProxy[str]",
+) -> datetime.timedelta | None:
+    """Return how long a caller waits, if it says so.
+
+    Raises:
+        ValueError: the header is malformed.
+    """
+    value = headers.get(DEADLINE)
+    if value is None:
+        return None
+    return datetime.timedelta(milliseconds=float(value))
+
+
+def _decode_parts(value: str) -> Iterable[exchange.PromptPart]:
+    for part in filter(None, value.split(",")):
+        name, _, tokens = part.strip().partition(":")
+        yield exchange.PromptPart(name, int(tokens))
+
+
+def _to_ms(span: datetime.timedelta) -> int:
+    return max(1, int(span.total_seconds() * 1000))
--- /dev/null
+++ b/src/cicadahook/platform/settings.py
@@ -0,0 +1,72 @@
+"""The settings file that the platform lays beside each process."""
+
+import datetime
+import os
+import pathlib
+import tomllib
+from typing import Any, Final
+
+from cicadahook.core import errors
+from cicadahook.core import nodes
+
+SETTINGS_VARIABLE: Final = "CICADAHOOK_BOOT"
+DEFAULT_PATH: Final = "/etc/cicadahook/node.toml"
+
+
+def read() -> nodes.NodeSettings:
+    """Return the settings of this process.
+
+    Raises:
+        errors.SettingsError: the file can't be read, or lacks a field.
+    """
+    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
+    try:
+        return decode(tomllib.loads(path.read_text(encoding="utf-8")))
+    except (OSError, ValueError) as error:
+        raise errors.SettingsError(f"{path}: {error}") from error
+
+
+def decode(fields: dict[str, Any]) -> nodes.NodeSettings:
+    """Return the settings in `fields`; unknown ones are ignored.
+
+    Raises:
+        errors.SettingsError: a field is missing or not allowed.
+    """
+    try:
+        listen = fields["listen_addresses"]
+        bounds = fields["bounds"]
+        return nodes.NodeSettings(
+            name=str(fields["node_name"]),
+            host=str(fields["ip_address"]),
+            zone=str(fields["zone"]),
+            region=str(fields["region"]),
+            zone_regions=dict(fields.get("zones", {})),
+            front_port=_read_port(listen["front"]),
+            ready_port=_read_port(listen["ready"]),
+            directory_port=_read_port(listen["directory"]),
+            peer_port=int(fields["internal_port_range"][0]),
+            store_address=str(fields["platform_settings"]["address"]),
+            address_lifetime=_read_seconds(bounds["ttl_max_s"]),
+            grace_period=_read_seconds(bounds["grace_period_s"]),
+            # Holders of orders may not alternate within this span.
+            handover_pause=_read_ms(bounds["lease_ms"]),
+            retry_ratio=float(bounds["retry_budget_ratio"]),
+            retry_slack=float(bounds["retry_budget_slack"]),
+            retry_window=_read_seconds(bounds["budget_window_s"]),
+            load_window=_read_seconds(bounds["ceiling_window_s"]),
+            load_overage=float(bounds["ceiling_overage"]),
+        )
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        raise errors.SettingsError(f"bad settings: {error!r}") from error
+
+
+def _read_port(address: str) -> int:
+    return int(address.rsplit(":", 1)[1])
+
+
+def _read_seconds(value: float) -> datetime.timedelta:
+    return datetime.timedelta(seconds=value)
+
+
+def _read_ms(value: float) -> datetime.timedelta:
+    return datetime.timedelta(milliseconds=value)
--- /dev/null
+++ b/src/cicadahook/platform/store.py
@@ -0,0 +1,174 @@
+"""Client of the platform's metadata store."""
+
+import base64
+import binascii
+import datetime
+import json
+from typing import Any, Final
+
+import aiohttp
+
+from cicadahook.core import errors
+from cicadahook.core import storage
+from cicadahook.net import sockets
+
+# The sheets state 4 ms an answer; a slow store may take far longer.
+CALL_TIMEOUT: Final = datetime.timedelta(seconds=1.5)
+WATCH_MARGIN: Final = datetime.timedelta(seconds=1.5)
+MAX_PAGES: Final = 100
+
+Fields = dict[str, Any]
+
+
+class PlatformStore:
+    """Speaks the store's HTTP calls; raises what `storage.Store` names."""
+
+    def __init__(self, address: str) -> None:
+        self.base = f"http://{address}"
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, socket_factory=sockets.create_factory()
+            )
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+    async def list_items(self, prefix: str) -> storage.Listing:
+        """Return all items below `prefix`, page by page.
+
+        Pages are no snapshot: `revision` is that of the first page, so that a
+        watch from there brings what changed meanwhile.
+        """
+        items: list[storage.Item] = []
+        revision = 0
+        query = {"path_prefix": prefix}
+        for _ in range(MAX_PAGES):
+            _, page = await self._call("GET", "/kv-range", query=query)
+            items.extend(_decode_item(fields) for fields in page["items"])
+            revision = revision or int(page["at"])
+            if not page.get("has_more") or not page["items"]:
+                break
+            query["after"] = items[-1].key
+        return storage.Listing(tuple(items), revision)
+
+    async def watch(
+        self, prefix: str, revision: int, wait: datetime.timedelta
+    ) -> storage.Changes:
+        """Wait for changes below `prefix`."""
+        query = {
+            "path_prefix": prefix,
+            "after": str(revision),
+            "wait_ms": str(_to_ms(wait)),
+        }
+        status, answer = await self._call(
+            "GET", "/kv-watch", query=query, timeout=wait + WATCH_MARGIN
+        )
+        if status == 410:
+            raise storage.HistoryLostError(f"no history after {revision}")
+        changes = tuple(_decode_change(event) for event in answer["events"])
+        return storage.Changes(changes, int(answer["at"]))
+
+    async def write(self, change: storage.Write) -> int:
+        """Send a transaction."""
+        body = {
+            "expected": [
+                {"key": key, "revision": revision}
+                for key, revision in change.expected
+            ],
+            "set_keys": [
+                {
+                    "key": put.key,
+                    "value": base64.b64encode(put.value).decode(),
+                    "lease": put.lease,
+                }
+                for put in change.puts
+            ],
+            "delete_keys": list(change.deletes),
+        }
+        status, answer = await self._call("POST", "/kv-txn", body=body)
+        if status == 412:
+            raise errors.KeyValueConflictError(f"changed: {change.expected}")
+        if status == 404:
+            raise storage.LeaseEndedError(f"a lease of {change.puts} ended")
+        return int(answer["revision"])
+
+    async def grant_lease(self, length: datetime.timedelta) -> int:
+        """Ask for a new lease."""
+        _, answer = await self._call(
+            "POST", "/kv-lease", body={"ttl_ms": _to_ms(length)}
+        )
+        return int(answer["lease"])
+
+    async def renew_lease(self, lease: int) -> None:
+        """Renew a lease."""
+        status, _ = await self._call("POST", f"/kv-keep/{lease}")
+        if status == 404:
+            raise storage.LeaseEndedError(f"lease {lease} has ended")
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease; one that has ended already is no error."""
+        await self._call("DELETE", f"/kv-lease-end/{lease}")
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        query: dict[str, str] | None = None,
+        body: Fields | None = None,
+        timeout: datetime.timedelta = CALL_TIMEOUT,
+    ) -> tuple[int, Fields]:
+        """Return status and body of one call.
+
+        Raises:
+            errors.KeyValueUnavailableError: there was no answer, or one that
+                says nothing of the outcome.
+        """
+        try:
+            async with self.session.request(
+                method,
+                self.base + path,
+                params=query,
+                json=body,
+                timeout=aiohttp.ClientTimeout(total=timeout.total_seconds()),
+            ) as response:
+                content = await response.read()
+                if response.status not in (200, 404, 410, 412):
+                    raise errors.KeyValueUnavailableError(
+                        f"{method} {path}: status {response.status}"
+                    )
+                answer = json.loads(content) if content.strip() else {}
+                if not isinstance(answer, dict):
+                    raise errors.KeyValueUnavailableError(
+                        f"{method} {path}: answer is no object"
+                    )
+                return response.status, answer
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise errors.KeyValueUnavailableError(
+                f"{method} {path}: {error!r}"
+            ) from error
+
+
+def _to_ms(span: datetime.timedelta) -> int:
+    return int(span.total_seconds() * 1000)
+
+
+def _decode_item(fields: Fields) -> storage.Item:
+    return storage.Item(
+        fields["key"], _decode_value(fields), int(fields["revision"])
+    )
+
+
+def _decode_change(fields: Fields) -> storage.Change:
+    value = None if fields.get("deleted") else _decode_value(fields)
+    return storage.Change(fields["key"], value, int(fields["revision"]))
+
+
+def _decode_value(fields: Fields) -> bytes:
+    try:
+        return base64.b64decode(fields["value"], validate=True)
+    except (binascii.Error, TypeError):
+        # Another writer's bytes; the reader of the key refuses them.
+        return b""
--- /dev/null
+++ b/src/cicadahook/platform/upstream.py
@@ -0,0 +1,277 @@
+"""Calls to upstreams: requests of callers, orders and reports."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import datetime
+import json
+from typing import Any, Final
+
+import aiohttp
+import yarl
+
+from cicadahook.core import exchange
+from cicadahook.core import inventory
+from cicadahook.core import ordering
+from cicadahook.net import sockets
+from cicadahook.platform import headers as header_names
+from cicadahook.platform import messages
+
+CONNECT_TIMEOUT: Final = datetime.timedelta(milliseconds=1000)
+ORDER_TIMEOUT: Final = datetime.timedelta(milliseconds=1000)
+REPORT_TIMEOUT: Final = datetime.timedelta(milliseconds=1000)
+# Upstreams close idle connections too; theirs is mostly longer.
+IDLE_SECONDS: Final = 4.0
+MAX_HEADER_BYTES: Final = 65_536
+READ_BUFFER_BYTES: Final = 65_536
+EVENT_STREAM: Final = "text/event-stream"
+UNWANTED_DEFAULTS: Final = (
+    "User-Agent",
+    "Accept",
+    "Accept-Encoding",
+    "Content-Type",
+)
+
+ORDER_RESULTS: Final = {
+    200: ordering.OrderResult.HELD,
+    202: ordering.OrderResult.ACCEPTED,
+    400: ordering.OrderResult.INVALID,
+    409: ordering.OrderResult.CONFLICT,
+    412: ordering.OrderResult.FENCED,
+    421: ordering.OrderResult.ABSENT,
+}
+
+
+@dataclasses.dataclass
+class UpstreamAnswer:
+    """An answer whose head has come.
+
+    Attributes:
+        head: status and headers.
+        response: where the body comes from.
+    """
+
+    head: exchange.AnswerHead
+    response: aiohttp.ClientResponse
+
+    async def read(self) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            exchange.AttemptError: the body is not complete.
+        """
+        with _translate_errors():
+            body = await self.response.read()
+            self._check_end()
+            return body
+
+    async def iterate(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        Raises:
+            exchange.AttemptError: the body is not complete.
+        """
+        with _translate_errors():
+            async for chunk in self.response.content.iter_any():
+                yield chunk
+            self._check_end()
+
+    def _check_end(self) -> None:
+        """Refuse a body without length that ended by a reset."""
+        connection = self.response.connection
+        if connection is None or connection.protocol is None:
+            return
+        error = connection.protocol.exception()
+        if error is not None:
+            raise exchange.AttemptError(
+                exchange.FailureKind.CUT, f"reset at the end: {error!r}"
+            )
+
+
+class UpstreamClient:
+    """Keeps connections to upstreams."""
+
+    def __init__(self) -> None:
+        self.requests = _create_session(resets=False)
+        # Some GET requests may not be repeated, so the library must not.
+        # pylint: disable-next=protected-access
+        self.requests._retry_connection = False
+        self.orders = _create_session(resets=True)
+        # pylint: disable-next=protected-access
+        self.orders._retry_connection = False
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.requests.close()
+        await self.orders.close()
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, attempt: exchange.Attempt
+    ) -> AsyncIterator[UpstreamAnswer]:
+        """Send a request and yield its answer; leaving early cancels it.
+
+        Raises:
+            exchange.AttemptError: no answer came that may be passed on.
+        """
+        request = attempt.request
+        url = yarl.URL(
+            f"http://{attempt.instance.address}{request.path}", encoded=True
+        )
+        with _translate_errors():
+            response = await self.requests.request(
+                request.method,
+                url,
+                headers=header_names.encode_request(attempt),
+                data=request.body or None,
+                skip_auto_headers=UNWANTED_DEFAULTS,
+                allow_redirects=False,
+            )
+        is_reusable = False
+        try:
+            yield UpstreamAnswer(_decode_head(response, request.id), response)
+            is_reusable = True
+        finally:
+            if is_reusable:
+                response.release()
+            else:
+                response.close()
+
+    async def fetch_report(
+        self, instance: inventory.Instance
+    ) -> ordering.EngineReport | None:
+        """Return what an engine says of itself; None if it doesn't answer."""
+        try:
+            async with self.orders.get(
+                f"http://{instance.address}/report",
+                timeout=_limit(REPORT_TIMEOUT),
+            ) as response:
+                if response.status != 200:
+                    return None
+                return _decode_report(await response.json())
+        except (aiohttp.ClientError, OSError, ValueError, KeyError, TypeError):
+            return None
+
+    async def send_order(
+        self, instance: inventory.Instance, order: ordering.Order
+    ) -> ordering.OrderResult:
+        """Send an order; no answer leaves open whether it is carried out."""
+        body: dict[str, Any] = {
+            "operation": order.operation.value,
+            "model": order.model,
+            "holder": order.holder,
+            "fencing_token": order.fence,
+            # The number of orders that the engine has accepted before.
+            "expected": order.expected_sequence,
+        }
+        if order.adapter:
+            body["adapter"] = order.adapter
+        try:
+            async with self.orders.post(
+                f"http://{instance.address}/order",
+                json=body,
+                headers={header_names.EXPECTED_INSTANCE: instance.id},
+                timeout=_limit(ORDER_TIMEOUT),
+            ) as response:
+                await response.read()
+                return ORDER_RESULTS.get(
+                    response.status, ordering.OrderResult.UNKNOWN
+                )
+        except aiohttp.ClientConnectorError:
+            return ordering.OrderResult.NOT_SENT
+        except (aiohttp.ClientError, OSError):
+            return ordering.OrderResult.UNKNOWN
+
+
+def _create_session(*, resets: bool) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0,
+            keepalive_timeout=IDLE_SECONDS,
+            socket_factory=sockets.create_factory(resets=resets),
+        ),
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT.total_seconds()
+        ),
+        auto_decompress=False,
+        max_line_size=MAX_HEADER_BYTES,
+        max_field_size=MAX_HEADER_BYTES,
+        read_bufsize=READ_BUFFER_BYTES,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
+def _limit(span: datetime.timedelta) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(total=span.total_seconds())
+
+
+def _decode_head(
+    response: aiohttp.ClientResponse, request_id: str
+) -> exchange.AnswerHead:
+    """Return the head of an answer that may be passed on.
+
+    Raises:
+        exchange.AttemptError: the request has not run, or the answer is not
+            that of this request.
+    """
+    names = response.headers
+    answered_id = names.get(header_names.REQUEST_ID)
+    if answered_id not in (None, request_id):
+        raise exchange.AttemptError(
+            exchange.FailureKind.CROSSED, f"answer of {answered_id}"
+        )
+    if response.status == 421:
+        raise exchange.AttemptError(
+            exchange.FailureKind.MISSING,
+            f"421 of {names.get(header_names.INSTANCE_ID)}",
+        )
+    if header_names.NOT_EXECUTED in names:
+        raise exchange.AttemptError(
+            exchange.FailureKind.REJECTED, f"status {response.status}"
+        )
+    is_success = 200 <= response.status < 300
+    if is_success and (
+        answered_id is None or header_names.SIGNATURE not in names
+    ):
+        raise exchange.AttemptError(
+            exchange.FailureKind.MALFORMED, "success without id or signature"
+        )
+    return exchange.AnswerHead(
+        response.status,
+        header_names.strip_connection_headers(names.items()),
+        is_success and response.content_type == EVENT_STREAM,
+    )
+
+
+def _decode_report(fields: dict[str, Any]) -> ordering.EngineReport:
+    incoming = [
+        name.rsplit("@", 1)[0] for name in fields.get("incoming") or ()
+    ]
+    return ordering.EngineReport(
+        # Orders accepted since the start.
+        sequence=int(fields["sequence_number"]),
+        is_busy=bool(fields["busy"]),
+        holdings=messages.decode_holdings(fields["models"]),
+        incoming=frozenset(incoming),
+        born=int(fields.get("born", 0)),
+    )
+
+
+@contextlib.contextmanager
+def _translate_errors() -> "contextlib.AbstractContextManager[None]":
+    """Raise the library's errors as attempt errors."""
+    kinds = exchange.FailureKind
+    try:
+        yield
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as error:
+        raise exchange.AttemptError(kinds.UNREACHABLE, repr(error)) from error
+    except aiohttp.ClientPayloadError as error:
+        raise exchange.AttemptError(kinds.CUT, repr(error)) from error
+    except aiohttp.ClientResponseError as error:
+        raise exchange.AttemptError(kinds.MALFORMED, repr(error)) from error
+    except (aiohttp.ClientError, ConnectionError) as error:
+        raise exchange.AttemptError(kinds.CUT, repr(error)) from error
--- /dev/null
+++ b/src/cicadahook/programs/node.py
@@ -0,0 +1,131 @@
+"""cicada-node: serves callers on the cooperative platform."""
+
+import asyncio
+import contextlib
+import datetime
+import signal
+import sys
+from typing import Final
+
+from aiohttp import web
+
+from cicadahook.core import errors
+from cicadahook.core import nodes
+from cicadahook.net import clock as clock_lib
+from cicadahook.net import logs
+from cicadahook.net import metrics
+from cicadahook.net import node as node_lib
+from cicadahook.platform import front as front_lib
+from cicadahook.platform import messages
+from cicadahook.platform import settings as settings_lib
+from cicadahook.platform import store as store_lib
+from cicadahook.platform import upstream as upstream_lib
+
+# Shares of the grace period: until then new connections are accepted, until
+# then requests under way may end.
+ACCEPT_SHARE: Final = 0.45
+FINISH_SHARE: Final = 0.93
+POLL_SECONDS: Final = 0.05
+
+logger: Final = logs.create_logger("daemon")
+
+
+class NodeProgram:
+    """The node with its ports open."""
+
+    def __init__(self, settings: nodes.NodeSettings) -> None:
+        self.settings = settings
+        self.clock = clock_lib.BootClock()
+        self.stopped = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until a stop signal, then end gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopped.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        store = store_lib.PlatformStore(self.settings.store_address)
+        client = upstream_lib.UpstreamClient()
+        node = node_lib.Node(
+            self.settings,
+            store,
+            client,
+            self.clock,
+            messages.CONFIGURATION_KEY,
+            messages.INSTANCE_PREFIX,
+            messages.decode_configuration,
+            messages.decode_instance,
+        )
+        front = front_lib.Front(node.forwarder, self.clock)
+        try:
+            async with contextlib.AsyncExitStack() as stack:
+                await self._listen(stack, node, front)
+                await node.start()
+                logger.info("Started.", extra={"node": self.settings.name})
+                await self.stopped.wait()
+                await self._drain(node, front)
+        finally:
+            await node.stop()
+            await client.close()
+            await store.close()
+            logger.info("Stopped.", extra={"node": self.settings.name})
+
+    async def _listen(
+        self,
+        stack: contextlib.AsyncExitStack,
+        node: node_lib.Node,
+        front: front_lib.Front,
+    ) -> None:
+        """Open all ports."""
+        checks = front_lib.Checks(node.directory)
+        self.front_server = front.create_server()
+        ports = (
+            (self.front_server, self.settings.front_port),
+            (web.Server(checks.handle_ready), self.settings.ready_port),
+            (web.Server(checks.handle_resolve), self.settings.directory_port),
+            (web.Server(node.copy_server.handle), self.settings.peer_port),
+        )
+        for server, port in ports:
+            await stack.enter_async_context(
+                front_lib.listen(server, self.settings.host, port)
+            )
+
+    async def _drain(self, node: node_lib.Node, front: front_lib.Front) -> None:
+        """Send callers elsewhere, and end what is under way."""
+        logger.info("Stops.", extra={"active": front.active})
+        started = self.clock.now()
+        node.is_stopping = True
+        front.is_stopping = True
+        await node.leadership.stop()
+        accept_end = started + self.settings.grace_period * ACCEPT_SHARE
+        finish_end = started + self.settings.grace_period * FINISH_SHARE
+        await self._sleep_until(accept_end)
+        front.is_closed = True
+        while front.active and self.clock.now() < finish_end:
+            await asyncio.sleep(POLL_SECONDS)
+        logger.info("Drained.", extra={"cut_off": front.active})
+
+    async def _sleep_until(self, end: datetime.datetime) -> None:
+        left = end - self.clock.now()
+        await asyncio.sleep(max(0.0, left.total_seconds()))
+
+    def _note_reload(self) -> None:
+        logger.info("Settings file changed; read at the next start.")
+
+
+def main() -> None:
+    """Run the node; exit with 1 and a sentence on an expected error."""
+    listener = logs.setup_stream()
+    try:
+        settings = settings_lib.read()
+        metrics.setup("")
+        asyncio.run(NodeProgram(settings).run())
+    except (errors.CicadaError, OSError) as error:
+        logger.error("Ended.", extra={"error": str(error)})
+        sys.exit(1)
+    finally:
+        listener.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cicadahook/schema/peer.capnp
@@ -0,0 +1,62 @@
+@0xd3a1c6b95e0f4721;
+# Messages between nodes.
+
+using Link = import "link.capnp";
+
+struct NodeRecord {
+  name @0 :Text;
+  zone @1 :Text;
+  region @2 :Text;
+  frontAddress @3 :Text;
+  peerAddress @4 :Text;
+  incarnation @5 :UInt64;
+}
+
+struct InstanceLoad {
+  instance @0 :Text;
+  running @1 :UInt32;
+  unreadTokens @2 :UInt64;
+}
+
+struct ModelDemand {
+  service @0 :Text;
+  model @1 :Text;
+  rate @2 :Float64;
+}
+
+struct NodeStatus {
+  node @0 :NodeRecord;
+  number @1 :UInt64;
+  isReady @2 :Bool;
+  isHolder @3 :Bool;
+  fence @4 :UInt64;
+  configuration @5 :UInt64;
+  inventory @6 :UInt64;
+  loads @7 :List(InstanceLoad);
+  wanted @8 :List(ModelDemand);
+  suspects @9 :List(Link.Suspect);
+}
+
+struct CopyRequest {
+  service @0 :Text;
+  instance @1 :Text;
+  model @2 :Text;
+  adapter @3 :Text;
+}
+
+struct CopyAnswer {
+  instance @0 :Text;
+  reason @1 :Text;
+}
+
+struct StoredItem {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+}
+
+struct Snapshot {
+  configuration @0 :List(StoredItem);
+  instances @1 :List(StoredItem);
+  revision @2 :UInt64;
+}
