Account for orders one engine at a time; repeat unanswered ones

Change: adapters of one engine are loaded in one critical section; a report counts only if asked for 400 ms after the last order; an order without an answer is sent again with the same expected sequence, its bytes reserved while the sequence still fits; adapters in use by any machine are not evicted.

--- a/src/cicadahook/core/balancer.py
+++ b/src/cicadahook/core/balancer.py
@@ -5,6 +5,7 @@
 that it does not keep, and the slow-down of a full batch.
 """
 
+import collections
 from collections.abc import Iterable, Mapping
 import dataclasses
 import datetime
@@ -39,11 +40,13 @@
         instance: id of the upstream.
         running: requests sent and not ended.
         unread_tokens: prompt tokens sent and probably not read yet.
+        adapters: adapters in use, as MODEL/ADAPTER.
     """
 
     instance: str
     running: int
     unread_tokens: int
+    adapters: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass
@@ -57,6 +60,7 @@
         slowness: running mean of the measured by the predicted wait.
         avoided_until: no request is sent before, if there is another choice.
         kept: prompt parts that it probably keeps.
+        adapters: own requests for each adapter, by MODEL/ADAPTER.
     """
 
     running: int = 0
@@ -67,6 +71,9 @@
     kept: prefixes.PrefixCache = dataclasses.field(
         default_factory=lambda: prefixes.PrefixCache(DEFAULT_KEPT_TOKENS)
     )
+    adapters: "collections.Counter[str]" = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 @dataclasses.dataclass
@@ -117,11 +124,30 @@
     def list_own_loads(self) -> tuple[InstanceLoad, ...]:
         """Return the own loads, to be told to other machines."""
         return tuple(
-            InstanceLoad(name, state.running, state.unread_tokens)
+            InstanceLoad(
+                name,
+                state.running,
+                state.unread_tokens,
+                tuple(+state.adapters),
+            )
             for name, state in self.states.items()
             if state.running
         )
 
+    def list_used_adapters(self, instance: str) -> set[tuple[str, str]]:
+        """Return model and name of each adapter in use by any machine."""
+        names: set[str] = set()
+        if instance in self.states:
+            names.update(+self.states[instance].adapters)
+        now = self.clock.now()
+        for told, loads in self.peers.values():
+            if instance in loads and now - told < PEER_EXPIRY:
+                names.update(loads[instance].adapters)
+        return {
+            (model, adapter)
+            for model, _, adapter in (name.partition("/") for name in names)
+        }
+
     def forget_others(self, known: Iterable[str]) -> None:
         """Drop what is known of upstreams that are gone."""
         kept = set(known)
@@ -206,6 +232,8 @@
             kept = state.kept.count_kept(generation)
             unread = max(0, generation.prompt_tokens - kept)
             state.kept.note_read(generation)
+            if generation.adapter:
+                state.adapters[_name_adapter(generation)] += 1
         state.running += 1
         state.unread_tokens += unread
         return Placement(
@@ -233,6 +261,8 @@
         state.running -= 1
         assert state.running >= 0, f"{placement.instance.id}: ended twice"
         self._drop_unread(placement, state)
+        if placement.generation is not None and placement.generation.adapter:
+            state.adapters[_name_adapter(placement.generation)] -= 1
         if failure is exchange.FailureKind.REJECTED:
             self._avoid(state, REJECTION_PAUSE)
             return
@@ -265,3 +295,7 @@
 
     def _get(self, entry: inventory.Instance) -> InstanceState:
         return self.states.setdefault(entry.id, InstanceState())
+
+
+def _name_adapter(generation: exchange.Generation) -> str:
+    return f"{generation.model}/{generation.adapter}"
--- a/src/cicadahook/core/engines.py
+++ b/src/cicadahook/core/engines.py
@@ -4,6 +4,7 @@
 that the order has no effect any more.
 """
 
+from collections.abc import Iterator, Set
 import dataclasses
 import datetime
 import enum
@@ -54,10 +55,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reservation:
-    """Memory that an unanswered order may still take until `until`."""
+    """Memory that an order without an answer may still take.
+
+    The engine carries it out only while it has accepted `sequence` orders; a
+    restart under the same id counts them from the start.
+
+    Attributes:
+        size_mb: memory that it would take.
+        adapter_slots: places for adapters that it would take.
+        sequence: orders accepted that it expects.
+        until: when it has certainly been lost.
+    """
 
     size_mb: float
     adapter_slots: int
+    sequence: int
     until: datetime.datetime
 
 
@@ -83,9 +95,8 @@
 
     def count_used_mb(self, now: datetime.datetime) -> float:
         """Return the memory in use or reserved."""
-        self._drop_expired(now)
         return sum(copy.size_mb for copy in self.copies.values()) + sum(
-            reservation.size_mb for reservation in self.reservations
+            entry.size_mb for entry in self._list_live(now)
         )
 
     def count_free_mb(self, now: datetime.datetime) -> float:
@@ -94,9 +105,8 @@
 
     def count_free_slots(self, now: datetime.datetime) -> int:
         """Return the adapters that may be loaded besides."""
-        self._drop_expired(now)
         used = sum(len(copy.adapters) for copy in self.copies.values())
-        reserved = sum(entry.adapter_slots for entry in self.reservations)
+        reserved = sum(entry.adapter_slots for entry in self._list_live(now))
         return self.pool.adapter_slots - used - reserved
 
     def is_ready(self, model: str, adapter: str = "") -> bool:
@@ -107,12 +117,19 @@
         return not adapter or adapter in copy.adapters
 
     def reserve_unanswered(
-        self, model: routes.Model, adapter: str, now: datetime.datetime
+        self,
+        model: routes.Model,
+        adapter: str,
+        sequence: int,
+        now: datetime.datetime,
     ) -> None:
         """Reserve what an order without an answer may still load."""
+        self._drop_expired(now)
         size = model.adapter_mb if adapter else model.size_mb
         self.reservations.append(
-            Reservation(size, 1 if adapter else 0, now + LATE_ORDER_PERIOD)
+            Reservation(
+                size, 1 if adapter else 0, sequence, now + LATE_ORDER_PERIOD
+            )
         )
 
     def take_report(
@@ -143,19 +160,31 @@
                 copies[base].adapters.setdefault(adapter, now)
         self.copies = copies
 
-    def find_oldest_adapter(self) -> tuple[str, str] | None:
-        """Return model and adapter of the adapter loaded first."""
+    def find_spare_adapter(
+        self, used: Set[tuple[str, str]]
+    ) -> tuple[str, str] | None:
+        """Return model and adapter of the oldest adapter not in use."""
         adapters = [
             (loaded, copy.model.name, adapter)
             for copy in self.copies.values()
             if copy.state is CopyState.READY
             for adapter, loaded in copy.adapters.items()
+            if (copy.model.name, adapter) not in used
         ]
         if not adapters:
             return None
         _, model, adapter = min(adapters)
         return model, adapter
 
+    def _list_live(self, now: datetime.datetime) -> Iterator[Reservation]:
+        """Yield the reservations whose order may still be carried out."""
+        for entry in self.reservations:
+            is_possible = (
+                self.sequence is None or entry.sequence >= self.sequence
+            )
+            if is_possible and entry.until > now:
+                yield entry
+
     def _drop_expired(self, now: datetime.datetime) -> None:
         self.reservations = [
             entry for entry in self.reservations if entry.until > now
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -267,6 +267,7 @@
             settings.load_window,
             lambda: self.forwarder.configuration,
             self.get_demand,
+            self.balancer.list_used_adapters,
         )
         self.copy_client = peering.CopyClient()
         self.copies = copies_lib.Copies(
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -18,7 +18,7 @@
 from cicadahook.net import metrics
 
 # Reports are that old at times, so a fresh one is asked for after it.
-REPORT_LAG: Final = datetime.timedelta(milliseconds=250)
+REPORT_LAG: Final = datetime.timedelta(milliseconds=400)
 POLL_PERIOD: Final = datetime.timedelta(milliseconds=100)
 # An operation that takes longer than planned by so much is given up.
 OPERATION_SLACK: Final = datetime.timedelta(seconds=4)
@@ -28,6 +28,10 @@
 MODEL_RETRY_PAUSE: Final = datetime.timedelta(milliseconds=150)
 MAX_WAIT: Final = datetime.timedelta(seconds=10)
 
+DONE_RESULTS: Final = frozenset(
+    {ordering.OrderResult.ACCEPTED, ordering.OrderResult.HELD}
+)
+
 logger: Final = logs.create_logger("orders")
 
 
@@ -51,11 +55,13 @@
 
     Attributes:
         ledger: the account of its memory.
-        sending: held while an order is on its way.
+        sending: held while an order is on its way or its state is asked.
+        last_sent: when the last order was sent.
     """
 
     ledger: engines.EngineLedger
     sending: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+    last_sent: datetime.datetime | None = None
 
 
 class Orderer:
@@ -77,6 +83,7 @@
         load_window: datetime.timedelta,
         get_configuration: Callable[[], routes.Configuration | None],
         get_demand: Callable[[str], dict[str, float]],
+        get_used: Callable[[str], set[tuple[str, str]]],
     ) -> None:
         self.turn = turn
         self.client = client
@@ -85,6 +92,7 @@
         self.load_window = load_window
         self.get_configuration = get_configuration
         self.get_demand = get_demand
+        self.get_used = get_used
         self.engines: dict[str, Engine] = {}
         self.loading: dict[tuple[str, str, str], asyncio.Task[str]] = {}
         self.windows: dict[str, stocker.LoadWindow] = {}
@@ -166,7 +174,11 @@
             for engine in self._list_engines(service)
             if engine.ledger.sequence is None
         ]
-        await asyncio.gather(*(self._sync(engine) for engine in unknown))
+        await asyncio.gather(*(self._ask_state(engine) for engine in unknown))
+
+    async def _ask_state(self, engine: Engine) -> None:
+        async with engine.sending:
+            await self._settle_sequence(engine)
 
     async def _sync(self, engine: Engine) -> bool:
         """Take over the report of an engine; return whether it was fresh."""
@@ -261,8 +273,8 @@
         if copy is None:
             return True
         copy.state = engines.CopyState.UNLOADING
-        result = await self._send(
-            engine, ordering.Operation.UNLOAD, copy.model, ""
+        result = await self._order(
+            engine, ordering.Operation.UNLOAD, copy.model
         )
         if result is ordering.OrderResult.HELD:
             engine.ledger.copies.pop(name, None)
@@ -285,8 +297,8 @@
         ledger.copies[plan.model.name] = engines.ModelCopy(
             plan.model, engines.CopyState.LOADING, now
         )
-        result = await self._send(
-            engine, ordering.Operation.LOAD, plan.model, ""
+        result = await self._order(
+            engine, ordering.Operation.LOAD, plan.model
         )
         if result is ordering.OrderResult.HELD:
             ledger.copies[
@@ -336,93 +348,140 @@
         self, service: str, preferred: str, key: residency_lib.CopyKey
     ) -> str:
         """Load an adapter beside its model; return where it is."""
-        known = self._list_engines(service)
+        for engine in self._rank_for_adapter(service, preferred, key.model):
+            async with engine.sending:
+                is_loaded = await self._load_adapter_at(engine, key)
+            if is_loaded:
+                await asyncio.sleep(ADAPTER_DELAY.total_seconds())
+                return engine.ledger.instance.id
+        return ""
+
+    def _rank_for_adapter(
+        self, service: str, preferred: str, model: str
+    ) -> list[Engine]:
+        """Return the engines with a model, those with free places first."""
+        now = self.clock.now()
         holders = [
             engine
-            for engine in known
-            if engine.ledger.is_ready(key.model, key.adapter)
+            for engine in self._list_engines(service)
+            if engine.ledger.is_ready(model)
         ]
-        for engine in holders:
-            if engine.ledger.instance.id == preferred:
-                return preferred
-        engine_or_none = self.engines.get(preferred)
-        if engine_or_none is None:
-            return ""
-        engine = engine_or_none
-        pool = engine.ledger.pool
-        model = pool.models[key.model]
+        return sorted(
+            holders,
+            key=lambda engine: (
+                engine.ledger.count_free_slots(now) <= 0,
+                engine.ledger.instance.id != preferred,
+                -engine.ledger.count_free_slots(now),
+            ),
+        )
+
+    async def _load_adapter_at(
+        self, engine: Engine, key: residency_lib.CopyKey
+    ) -> bool:
+        """Load an adapter on one engine; `engine.sending` must be held."""
         for _ in range(MAX_TRIES):
+            if not await self._settle_sequence(engine):
+                return False
+            if engine.ledger.is_ready(key.model, key.adapter):
+                return True
             now = self.clock.now()
-            if engine.ledger.count_free_slots(now) <= 0:
-                if not await self._evict_adapter(engine):
-                    return holders[0].ledger.instance.id if holders else ""
-                continue
             copy = engine.ledger.copies.get(key.model)
             if copy is None or copy.state is not engines.CopyState.READY:
-                return ""
-            if engine.ledger.count_free_mb(now) < model.adapter_mb:
+                return False
+            is_full = (
+                engine.ledger.count_free_slots(now) <= 0
+                or engine.ledger.count_free_mb(now) < copy.model.adapter_mb
+            )
+            if is_full:
                 if not await self._evict_adapter(engine):
-                    return ""
+                    return False
                 continue
             copy.adapters[key.adapter] = now
             result = await self._send(
-                engine, ordering.Operation.LOAD, model, key.adapter
+                engine, ordering.Operation.LOAD, copy.model, key.adapter
             )
-            if result is ordering.OrderResult.HELD:
-                return preferred
-            if result is ordering.OrderResult.ACCEPTED:
-                await asyncio.sleep(ADAPTER_DELAY.total_seconds())
-                return preferred
+            if result in DONE_RESULTS:
+                return True
             copy.adapters.pop(key.adapter, None)
-            if engine.ledger.sequence is None:
-                await asyncio.sleep(REPORT_LAG.total_seconds())
-                await self._sync(engine)
-        return ""
+        return False
 
     async def _evict_adapter(self, engine: Engine) -> bool:
-        """Unload the adapter that was loaded first."""
-        oldest = engine.ledger.find_oldest_adapter()
-        if oldest is None:
+        """Unload the oldest adapter that no request uses."""
+        ledger = engine.ledger
+        spare = ledger.find_spare_adapter(self.get_used(ledger.instance.id))
+        if spare is None:
             return False
-        name, adapter = oldest
-        copy = engine.ledger.copies[name]
+        name, adapter = spare
+        copy = ledger.copies[name]
         result = await self._send(
             engine, ordering.Operation.UNLOAD, copy.model, adapter
         )
         if result is ordering.OrderResult.HELD:
             copy.adapters.pop(adapter, None)
-            return True
-        if result is ordering.OrderResult.ACCEPTED:
+        elif result is ordering.OrderResult.ACCEPTED:
             # It leaves when the requests that use it have ended.
-            await asyncio.sleep(REPORT_LAG.total_seconds())
-            return await self._sync(engine)
-        return False
+            ledger.sequence = None
+        return result in DONE_RESULTS
 
-    async def _send(
+    async def _settle_sequence(self, engine: Engine) -> bool:
+        """Ask an engine for its state if that is not known.
+
+        Reports are late, so one counts only if it was asked for some time
+        after the last order.
+        """
+        if engine.ledger.sequence is not None:
+            return True
+        if engine.last_sent is not None:
+            wait = engine.last_sent + REPORT_LAG - self.clock.now()
+            await asyncio.sleep(max(0.0, wait.total_seconds()))
+        return await self._sync(engine)
+
+    async def _order(
         self,
         engine: Engine,
         operation: ordering.Operation,
         model: routes.Model,
-        adapter: str,
     ) -> ordering.OrderResult:
-        """Send an order if this machine may; keep the account."""
+        """Send an order that concerns a model."""
         async with engine.sending:
-            ledger = engine.ledger
-            if ledger.sequence is None:
+            if not await self._settle_sequence(engine):
                 return ordering.OrderResult.NOT_SENT
+            return await self._send(engine, operation, model, "")
+
+    async def _send(
+        self,
+        engine: Engine,
+        operation: ordering.Operation,
+        model: routes.Model,
+        adapter: str,
+    ) -> ordering.OrderResult:
+        """Send an order; `engine.sending` must be held.
+
+        A copy of an order that got no answer is harmless: it expects the same
+        sequence, so the engine accepts one of them at the most.
+        """
+        sequence = engine.ledger.sequence
+        assert sequence is not None, "an order needs the engine's sequence"
+        result = ordering.OrderResult.NOT_SENT
+        for _ in range(MAX_TRIES):
             if not self.turn.can_send(self.clock.now()):
-                return ordering.OrderResult.NOT_SENT
+                break
             order = ordering.Order(
                 operation,
                 model.name,
                 adapter,
                 self.turn.name,
                 self.turn.fence,
-                ledger.sequence,
+                sequence,
             )
-            result = await self.client.send_order(ledger.instance, order)
+            result = await self.client.send_order(
+                engine.ledger.instance, order
+            )
+            engine.last_sent = self.clock.now()
             self._settle(engine, order, model, result)
-            return result
+            if result is not ordering.OrderResult.UNKNOWN:
+                break
+        return result
 
     def _settle(
         self,
@@ -442,7 +501,12 @@
         elif result is not results.NOT_SENT:
             ledger.sequence = None
         if result is results.UNKNOWN and not is_unload:
-            ledger.reserve_unanswered(model, order.adapter, self.clock.now())
+            ledger.reserve_unanswered(
+                model,
+                order.adapter,
+                order.expected_sequence,
+                self.clock.now(),
+            )
         metrics.create_counter(
             "cicada_orders", "Orders sent to engines, by result."
         ).add(1, {"operation": str(order.operation), "result": str(result)})
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -16,6 +16,7 @@
   instance @0 :Text;
   running @1 :UInt32;
   unreadTokens @2 :UInt64;
+  adapters @3 :List(Text);
 }
 
 struct ModelDemand {
