Replicate busy models and preload missing ones; withdraw copies before unloads

Requests waited there until their time was over. Change: the holder of orders plans ahead every 300 ms by the share of an engine that each model keeps busy over all machines; models without a copy come first; copies about to be dropped are told to all machines.

--- a/src/cicadahook/core/balancer.py
+++ b/src/cicadahook/core/balancer.py
@@ -20,6 +20,10 @@
 # Figures of the engines as the deployments' sheets give them.
 PREFILL_TOKENS_PER_MS: Final = 38.4
 BATCH_MS_PER_RUN: Final = 1.5
+# A step of some 5.5 ms makes a token for each request of a batch of 48.
+DECODE_MS_PER_TOKEN: Final = 0.115
+# Share of the shared prompt parts that engines read again in trials.
+UNKEPT_SHARE: Final = 0.2
 PLAIN_MS: Final = 90.0
 DEFAULT_KEPT_TOKENS: Final = 200_000
 # Weight of the newest observation in a running mean.
@@ -40,13 +44,13 @@
         instance: id of the upstream.
         running: requests sent and not ended.
         unread_tokens: prompt tokens sent and probably not read yet.
-        adapters: adapters in use, as MODEL/ADAPTER.
+        copies: what is in use, as MODEL/ADAPTER; the adapter may be empty.
     """
 
     instance: str
     running: int
     unread_tokens: int
-    adapters: tuple[str, ...] = ()
+    copies: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass
@@ -60,7 +64,7 @@
         slowness: running mean of the measured by the predicted wait.
         avoided_until: no request is sent before, if there is another choice.
         kept: prompt parts that it probably keeps.
-        adapters: own requests for each adapter, by MODEL/ADAPTER.
+        copies: own requests for each model and adapter, by MODEL/ADAPTER.
     """
 
     running: int = 0
@@ -71,7 +75,7 @@
     kept: prefixes.PrefixCache = dataclasses.field(
         default_factory=lambda: prefixes.PrefixCache(DEFAULT_KEPT_TOKENS)
     )
-    adapters: "collections.Counter[str]" = dataclasses.field(
+    copies: "collections.Counter[str]" = dataclasses.field(
         default_factory=collections.Counter
     )
 
@@ -128,21 +132,21 @@
                 name,
                 state.running,
                 state.unread_tokens,
-                tuple(+state.adapters),
+                tuple(+state.copies),
             )
             for name, state in self.states.items()
             if state.running
         )
 
-    def list_used_adapters(self, instance: str) -> set[tuple[str, str]]:
-        """Return model and name of each adapter in use by any machine."""
+    def list_used_copies(self, instance: str) -> set[tuple[str, str]]:
+        """Return model and adapter of all requests of all machines."""
         names: set[str] = set()
         if instance in self.states:
-            names.update(+self.states[instance].adapters)
+            names.update(+self.states[instance].copies)
         now = self.clock.now()
         for told, loads in self.peers.values():
             if instance in loads and now - told < PEER_EXPIRY:
-                names.update(loads[instance].adapters)
+                names.update(loads[instance].copies)
         return {
             (model, adapter)
             for model, _, adapter in (name.partition("/") for name in names)
@@ -207,6 +211,20 @@
         unread += max(0, generation.prompt_tokens - kept)
         return unread / PREFILL_TOKENS_PER_MS + running * BATCH_MS_PER_RUN
 
+    def estimate_work(
+        self, generation: exchange.Generation
+    ) -> datetime.timedelta:
+        """Return the time for which a request keeps an engine busy.
+
+        The prompt parts that other requests share are mostly kept.
+        """
+        own = generation.parts[-1].tokens if generation.parts else 0
+        shared = generation.prompt_tokens - own
+        read = own + UNKEPT_SHARE * shared
+        ms = read / PREFILL_TOKENS_PER_MS
+        ms += generation.output_tokens * DECODE_MS_PER_TOKEN
+        return datetime.timedelta(milliseconds=ms)
+
     def count_load(self, entry: inventory.Instance) -> tuple[int, int]:
         """Return running requests and unread tokens of all machines."""
         state = self._get(entry)
@@ -232,8 +250,7 @@
             kept = state.kept.count_kept(generation)
             unread = max(0, generation.prompt_tokens - kept)
             state.kept.note_read(generation)
-            if generation.adapter:
-                state.adapters[_name_adapter(generation)] += 1
+            state.copies[_name_copy(generation)] += 1
         state.running += 1
         state.unread_tokens += unread
         return Placement(
@@ -261,8 +278,8 @@
         state.running -= 1
         assert state.running >= 0, f"{placement.instance.id}: ended twice"
         self._drop_unread(placement, state)
-        if placement.generation is not None and placement.generation.adapter:
-            state.adapters[_name_adapter(placement.generation)] -= 1
+        if placement.generation is not None:
+            state.copies[_name_copy(placement.generation)] -= 1
         if failure is exchange.FailureKind.REJECTED:
             self._avoid(state, REJECTION_PAUSE)
             return
@@ -297,5 +314,5 @@
         return self.states.setdefault(entry.id, InstanceState())
 
 
-def _name_adapter(generation: exchange.Generation) -> str:
+def _name_copy(generation: exchange.Generation) -> str:
     return f"{generation.model}/{generation.adapter}"
--- a/src/cicadahook/core/popularity.py
+++ b/src/cicadahook/core/popularity.py
@@ -1,50 +1,54 @@
-"""How often each model has been asked for lately."""
+"""How much work each model has been asked for lately."""
 
 import dataclasses
 import datetime
 import math
 from typing import Final
 
-MEMORY: Final = datetime.timedelta(seconds=5)
-NEGLIGIBLE_RATE: Final = 0.01
+MEMORY: Final = datetime.timedelta(seconds=3)
+NEGLIGIBLE_SHARE: Final = 0.001
 
 
 @dataclasses.dataclass
-class _Rate:
+class _Share:
     value: float
     updated: datetime.datetime
 
 
 class Popularity:
-    """Exponentially decaying rates of requests, by service and model."""
+    """Exponentially decaying shares of an engine, by service and model."""
 
     def __init__(self) -> None:
-        self.rates: dict[tuple[str, str], _Rate] = {}
+        self.shares: dict[tuple[str, str], _Share] = {}
 
     def note_request(
-        self, service: str, model: str, now: datetime.datetime
+        self,
+        service: str,
+        model: str,
+        work: datetime.timedelta,
+        now: datetime.datetime,
     ) -> None:
-        """Take note of one request."""
-        rate = self.rates.setdefault((service, model), _Rate(0.0, now))
-        rate.value = self._decay(rate, now) + 1 / MEMORY.total_seconds()
-        rate.updated = now
+        """Take note of a request that takes an engine `work`."""
+        share = self.shares.setdefault((service, model), _Share(0.0, now))
+        share.value = self._decay(share, now) + work / MEMORY
+        share.updated = now
 
-    def list_rates(
+    def list_shares(
         self, now: datetime.datetime
     ) -> dict[tuple[str, str], float]:
-        """Return requests a second, without the models hardly asked for."""
-        rates = {
-            key: self._decay(rate, now) for key, rate in self.rates.items()
+        """Return the share of an engine that each model keeps busy."""
+        shares = {
+            key: self._decay(share, now) for key, share in self.shares.items()
         }
-        for key, value in rates.items():
-            if value < NEGLIGIBLE_RATE:
-                del self.rates[key]
+        for key, value in shares.items():
+            if value < NEGLIGIBLE_SHARE:
+                del self.shares[key]
         return {
             key: value
-            for key, value in rates.items()
-            if value >= NEGLIGIBLE_RATE
+            for key, value in shares.items()
+            if value >= NEGLIGIBLE_SHARE
         }
 
-    def _decay(self, rate: _Rate, now: datetime.datetime) -> float:
-        age = (now - rate.updated) / MEMORY
-        return rate.value * math.exp(-max(0.0, age))
+    def _decay(self, share: _Share, now: datetime.datetime) -> float:
+        age = (now - share.updated) / MEMORY
+        return share.value * math.exp(-max(0.0, age))
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -48,7 +48,8 @@
         configuration: version of its configuration.
         inventory: revision of its picture of the upstreams.
         loads: its work at each upstream.
-        wanted: requests for each model lately, as MODEL and their rate.
+        wanted: work that it was asked for lately, by model.
+        withdrawn: copies that it has ordered engines to drop.
         suspects: requests suspected of crashing upstreams.
     """
 
@@ -61,16 +62,25 @@
     inventory: int
     loads: tuple[balancer.InstanceLoad, ...] = ()
     wanted: tuple["ModelDemand", ...] = ()
+    withdrawn: tuple["WithdrawnCopy", ...] = ()
     suspects: tuple[view.Suspect, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ModelDemand:
-    """Requests a second for a model, as seen by one machine."""
+    """The share of an engine that requests for a model keep busy."""
 
     service: str
     model: str
-    rate: float
+    share: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WithdrawnCopy:
+    """A model that an engine has been ordered to drop."""
+
+    instance: str
+    model: str
 
 
 class Roster:
--- a/src/cicadahook/core/stocker.py
+++ b/src/cicadahook/core/stocker.py
@@ -5,22 +5,34 @@
 """
 
 import collections
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping, Set
 import dataclasses
 import datetime
+import functools
 from typing import Final
 
 from cicadahook.core import engines
 from cicadahook.core import routes
 
-# Seconds of waiting that dropping a model costs for each request a second.
-DROP_SECONDS_PER_RATE: Final = 2.0
+# Share of an engine that one copy of a model is to carry; the rest is left for
+# the engine's other models and for bursts.
+TARGET_SHARE: Final = 0.2
+# Seconds of waiting that dropping a copy costs for a full engine's work.
+DROP_SECONDS: Final = 10.0
 # The same if another engine holds the model too.
 SPARE_DROP_SHARE: Final = 0.2
 # Least cost of dropping the last copy, which some request will want again.
 LAST_COPY_SECONDS: Final = 0.5
+# An unload waits for the requests that use the model.
+USED_SECONDS: Final = 1.5
 # What a load from the weight store costs besides its time.
 STORE_LOAD_SECONDS: Final = 0.5
+# Seconds that the work of a full engine delays what is loaded there.
+BUSY_SECONDS: Final = 2.0
+# Seconds of waiting that a further copy saves for a full engine's work.
+COPY_GAIN_SECONDS: Final = 10.0
+# Loads from the store that are left for models that requests wait for.
+RESERVED_LOADS: Final = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +46,7 @@
         is_from_store: whether it comes from the weight store.
         duration: how long the load takes.
         cost: seconds, with what the evictions cost.
+        eviction_cost: seconds of waiting that the evictions cost.
     """
 
     instance: str
@@ -42,6 +55,7 @@
     is_from_store: bool
     duration: datetime.timedelta
     cost: float
+    eviction_cost: float
 
 
 class LoadWindow:
@@ -65,78 +79,126 @@
         self.begun.append(now)
         return True
 
-    def is_open(self, now: datetime.datetime) -> bool:
-        """Whether one more load may begin now."""
+    def is_open(self, now: datetime.datetime, reserved: int = 0) -> bool:
+        """Whether a load may begin now that leaves `reserved` ones."""
         while self.begun and self.begun[0] <= now - self.window:
             self.begun.popleft()
-        return len(self.begun) < self.limit
+        return len(self.begun) + reserved < self.limit
 
 
-def plan_load(
-    model: routes.Model,
-    ledgers: Iterable[engines.EngineLedger],
-    demand: Mapping[str, float],
-    is_store_open: bool,
-    now: datetime.datetime,
-) -> LoadPlan | None:
-    """Return the cheapest way to load `model`, or None if there is none.
+@dataclasses.dataclass(frozen=True)
+class Stock:
+    """What is known of a service when a load is planned.
 
-    Args:
-        model: what is wanted.
+    Attributes:
         ledgers: the engines that take orders.
-        demand: requests a second for each model.
+        demand: share of an engine that each model keeps busy.
+        used: model and adapter of the requests at each engine.
         is_store_open: whether a load from the weight store may begin.
         now: the time.
     """
-    usable = list(ledgers)
-    holders = collections.Counter(
-        name
-        for ledger in usable
-        for name, copy in ledger.copies.items()
-        if copy.state is engines.CopyState.READY
-    )
+
+    ledgers: tuple[engines.EngineLedger, ...]
+    demand: Mapping[str, float]
+    used: Mapping[str, Set[tuple[str, str]]]
+    is_store_open: bool
+    now: datetime.datetime
+
+    @functools.cached_property
+    def copies(self) -> "collections.Counter[str]":
+        """Return how many engines hold or load each model."""
+        return collections.Counter(
+            name
+            for ledger in self.ledgers
+            for name, copy in ledger.copies.items()
+            if copy.state is not engines.CopyState.UNLOADING
+        )
+
+    def count_share(self, ledger: engines.EngineLedger) -> float:
+        """Return the share of an engine that its models keep busy."""
+        return sum(
+            self.demand.get(name, 0.0) / max(1, self.copies[name])
+            for name in ledger.copies
+        )
+
+
+def plan_load(model: routes.Model, stock: Stock) -> LoadPlan | None:
+    """Return the cheapest way to load `model`, or None if there is none."""
     plans = (
-        _plan_on(ledger, model, demand, holders, now)
-        for ledger in usable
+        _plan_on(ledger, model, stock)
+        for ledger in stock.ledgers
         if not ledger.is_busy and model.name not in ledger.copies
     )
     possible = [
         plan
         for plan in plans
-        if plan is not None and (is_store_open or not plan.is_from_store)
+        if plan is not None and (stock.is_store_open or not plan.is_from_store)
     ]
     return min(possible, key=lambda plan: plan.cost, default=None)
 
 
+def plan_ahead(
+    models: Mapping[str, routes.Model], stock: Stock
+) -> LoadPlan | None:
+    """Return a load that is worth it before any request waits for it.
+
+    Models without a copy come first, if they need drop no last copy. Then
+    come further copies of the models whose copies carry most.
+    """
+    for name, model in models.items():
+        if not stock.copies[name]:
+            plan = plan_load(model, stock)
+            if plan is not None and _spares_last_copies(plan, stock):
+                return plan
+    carried = sorted(
+        (
+            (stock.demand.get(name, 0.0) / stock.copies[name], name)
+            for name in models
+            if stock.copies[name]
+        ),
+        reverse=True,
+    )
+    for share, name in carried:
+        if share <= TARGET_SHARE:
+            break
+        plan = plan_load(models[name], stock)
+        if plan is None:
+            continue
+        gain = COPY_GAIN_SECONDS * share / (stock.copies[name] + 1)
+        if plan.eviction_cost < gain and _spares_last_copies(plan, stock):
+            return plan
+    return None
+
+
+def _spares_last_copies(plan: LoadPlan, stock: Stock) -> bool:
+    return all(stock.copies[name] > 1 for name in plan.evicted)
+
+
 def _plan_on(
-    ledger: engines.EngineLedger,
-    model: routes.Model,
-    demand: Mapping[str, float],
-    holders: Mapping[str, int],
-    now: datetime.datetime,
+    ledger: engines.EngineLedger, model: routes.Model, stock: Stock
 ) -> LoadPlan | None:
     """Return how `model` gets onto one engine, if it fits there."""
     duration, is_from_store = _find_source(ledger, model)
-    cost = duration.total_seconds()
-    if is_from_store:
-        cost += STORE_LOAD_SECONDS
-    missing = model.size_mb - ledger.count_free_mb(now)
+    missing = model.size_mb - ledger.count_free_mb(stock.now)
     evicted: list[str] = []
+    eviction_cost = 0.0
     by_cost = sorted(
-        (
-            (_price_drop(copy, demand, holders), name)
-            for name, copy in ledger.copies.items()
-            if copy.state is engines.CopyState.READY
-        ),
+        (_price_drop(ledger, copy, stock), name)
+        for name, copy in ledger.copies.items()
+        if copy.state is engines.CopyState.READY
     )
     for price, name in by_cost:
         if missing <= 0:
             break
         evicted.append(name)
         missing -= ledger.copies[name].size_mb
-        cost += price
+        eviction_cost += price
     if missing > 0:
         return None
+    cost = duration.total_seconds() + eviction_cost
+    cost += BUSY_SECONDS * stock.count_share(ledger)
+    if is_from_store:
+        cost += STORE_LOAD_SECONDS
     return LoadPlan(
         ledger.instance.id,
         model,
@@ -144,6 +206,7 @@
         is_from_store,
         duration,
         cost,
+        eviction_cost,
     )
 
 
@@ -158,13 +221,16 @@
 
 
 def _price_drop(
-    copy: engines.ModelCopy,
-    demand: Mapping[str, float],
-    holders: Mapping[str, int],
+    ledger: engines.EngineLedger, copy: engines.ModelCopy, stock: Stock
 ) -> float:
     """Return the seconds of waiting that dropping a copy costs."""
-    rate = demand.get(copy.model.name, 0.0)
-    price = DROP_SECONDS_PER_RATE * rate
-    if holders.get(copy.model.name, 0) > 1:
-        return price * SPARE_DROP_SHARE
-    return price + LAST_COPY_SECONDS
+    name = copy.model.name
+    price = DROP_SECONDS * stock.demand.get(name, 0.0)
+    if stock.copies[name] > 1:
+        price *= SPARE_DROP_SHARE
+    else:
+        price += LAST_COPY_SECONDS
+    in_use = {model for model, _ in stock.used.get(ledger.instance.id, ())}
+    if name in in_use:
+        price += USED_SECONDS
+    return price
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -105,6 +105,7 @@
         last_event_id: id of the last event passed on.
         has_begun: whether the answer has begun.
         failure: why the last attempt failed.
+        instance: upstream of the last attempt.
     """
 
     request: exchange.CallerRequest
@@ -119,6 +120,7 @@
     last_event_id: str = ""
     has_begun: bool = False
     failure: exchange.AttemptError | None = None
+    instance: str = ""
 
 
 @dataclasses.dataclass
@@ -198,7 +200,10 @@
         self._get_budget(name).note_request(now)
         if request.generation is not None:
             self.parts.popularity.note_request(
-                name, request.generation.model, now
+                name,
+                request.generation.model,
+                self.parts.balancer.estimate_work(request.generation),
+                now,
             )
         patience = route.timeout
         if request.patience is not None:
@@ -322,6 +327,7 @@
         running.add(work.fingerprint)
         work.sends += 1
         work.runs += 1
+        work.instance = instance.id
         failure: exchange.FailureKind | None = None
         try:
             async with self.parts.upstreams.send(attempt) as answer:
@@ -488,6 +494,8 @@
                 "configuration": self._get_version(),
                 "waited_ms": self._count_ms(request),
                 "sends": work.sends if work else 0,
+                "instance": work.instance if work else "",
+                "has_begun": work.has_begun if work else False,
             },
         )
         await sink.refuse(refusal)
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -32,6 +32,7 @@
 
 OWN_PREFIX: Final = "cicada/"
 NODE_PREFIX: Final = "cicada/nodes/"
+RESTART_PAUSE: Final = datetime.timedelta(milliseconds=200)
 HOUSEKEEPING_PERIOD: Final = datetime.timedelta(milliseconds=250)
 
 logger: Final = logs.create_logger("node")
@@ -267,7 +268,7 @@
             settings.load_window,
             lambda: self.forwarder.configuration,
             self.get_demand,
-            self.balancer.list_used_adapters,
+            self.balancer.list_used_copies,
         )
         self.copy_client = peering.CopyClient()
         self.copies = copies_lib.Copies(
@@ -348,30 +349,40 @@
         if self.roster.take_status(status, self.clock.now()):
             self.balancer.take_peer_loads(status.node.name, status.loads)
             self.quarantine.merge(status.suspects)
+            self.withdraw(status.withdrawn)
+
+    def withdraw(self, copies: Iterable[roster_lib.WithdrawnCopy]) -> None:
+        """Send nothing more to copies that engines were ordered to drop."""
+        now = self.clock.now()
+        for copy in copies:
+            self.residency.note_missing(
+                residency_lib.CopyKey(copy.instance, copy.model), now
+            )
 
     def get_demand(self, service: str) -> dict[str, float]:
-        """Return requests a second for each model, over all machines."""
+        """Return the share of an engine that each model keeps busy."""
         now = self.clock.now()
         demand: dict[str, float] = {}
-        for (name, model), rate in self.popularity.list_rates(now).items():
+        for (name, model), share in self.popularity.list_shares(now).items():
             if name == service:
-                demand[model] = demand.get(model, 0.0) + rate
+                demand[model] = demand.get(model, 0.0) + share
         for _, status in self.roster.list_heard(now):
             for wanted in status.wanted:
                 if wanted.service == service:
                     demand[wanted.model] = (
-                        demand.get(wanted.model, 0.0) + wanted.rate
+                        demand.get(wanted.model, 0.0) + wanted.share
                     )
         return demand
 
     async def start(self) -> None:
         """Start all tasks that run beside the listening ports."""
         await self.statuses.open(self.settings.host, self.settings.peer_port)
-        self._spawn(self.watcher.run())
-        self._spawn(self.leadership.run())
-        self._spawn(self._keep_house())
-        self._spawn(self._tell_status())
-        self._spawn(self._propose_when_free())
+        self._spawn(self.watcher.run)
+        self._spawn(self.leadership.run)
+        self._spawn(self._keep_house)
+        self._spawn(self._tell_status)
+        self._spawn(self._propose_when_free)
+        self._spawn(self.orderer.run)
 
     async def stop(self) -> None:
         """Stop all tasks."""
@@ -381,21 +392,28 @@
         self.statuses.close()
         await self.copy_client.close()
 
-    def _spawn(self, body: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(body)
+    def _spawn(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        task = asyncio.create_task(self._supervise(run))
         self.tasks.add(task)
-        task.add_done_callback(self._note_end)
+        task.add_done_callback(self.tasks.discard)
 
-    def _note_end(self, task: asyncio.Task[None]) -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger.error("A task failed.", exc_info=task.exception())
+    async def _supervise(
+        self, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Start a task again if it fails: the others need its work."""
+        while True:
+            try:
+                await run()
+            except Exception:  # pylint: disable=broad-exception-caught
+                logger.exception("A task failed and starts again.")
+            await asyncio.sleep(RESTART_PAUSE.total_seconds())
 
     async def _keep_house(self) -> None:
         while True:
             now = self.clock.now()
             self.stock.drop_expired(now)
             self.forwarder.machines = self.roster.count_machines(now)
+            self.withdraw(self.orderer.list_withdrawn())
             await asyncio.sleep(HOUSEKEEPING_PERIOD.total_seconds())
 
     async def _tell_status(self) -> None:
@@ -431,11 +449,12 @@
             inventory=self.stock.revision,
             loads=self.balancer.list_own_loads(),
             wanted=tuple(
-                roster_lib.ModelDemand(service, model, rate)
-                for (service, model), rate in self.popularity.list_rates(
+                roster_lib.ModelDemand(service, model, share)
+                for (service, model), share in self.popularity.list_shares(
                     now
                 ).items()
             ),
+            withdrawn=self.orderer.list_withdrawn(),
             suspects=self.quarantine.list_suspects(),
         )
 
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -12,6 +12,7 @@
 from cicadahook.core import inventory
 from cicadahook.core import ordering
 from cicadahook.core import residency as residency_lib
+from cicadahook.core import roster
 from cicadahook.core import routes
 from cicadahook.core import stocker
 from cicadahook.net import logs
@@ -26,6 +27,7 @@
 ADAPTER_DELAY: Final = datetime.timedelta(milliseconds=10)
 MAX_TRIES: Final = 3
 MODEL_RETRY_PAUSE: Final = datetime.timedelta(milliseconds=150)
+PLAN_PERIOD: Final = datetime.timedelta(milliseconds=300)
 MAX_WAIT: Final = datetime.timedelta(seconds=10)
 
 DONE_RESULTS: Final = frozenset(
@@ -71,7 +73,8 @@
         turn: whether this machine may send.
         engines: the engines known, by id.
         loading: loads under way, by service, model and adapter.
-        window: loads from the weight store, by service.
+        windows: loads from the weight store, by service.
+        operations: loads begun ahead of requests.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         self.engines: dict[str, Engine] = {}
         self.loading: dict[tuple[str, str, str], asyncio.Task[str]] = {}
         self.windows: dict[str, stocker.LoadWindow] = {}
+        self.operations: set[asyncio.Task[bool]] = set()
         self.fence = 0
 
     async def ensure(
@@ -213,32 +217,95 @@
             ).ledger.instance.id
         return await self._place_model(service, pool.models[key.model], pool)
 
+    async def run(self) -> None:
+        """Load ahead of requests while this machine is holder."""
+        while True:
+            await asyncio.sleep(PLAN_PERIOD.total_seconds())
+            configuration = self.get_configuration()
+            if configuration is None:
+                continue
+            if not self.turn.can_send(self.clock.now()):
+                continue
+            for service in configuration.list_engine_services():
+                await self._load_ahead(service)
+
+    def list_withdrawn(self) -> tuple[roster.WithdrawnCopy, ...]:
+        """Return the copies that engines were ordered to drop."""
+        return tuple(
+            roster.WithdrawnCopy(name, model)
+            for name, engine in self.engines.items()
+            for model, copy in engine.ledger.copies.items()
+            if copy.state is engines.CopyState.UNLOADING
+        )
+
+    async def _load_ahead(self, service: routes.Service) -> None:
+        """Begin the loads that are worth it before a request waits."""
+        pool = service.engines
+        assert pool is not None, f"{service.name} has no engines"
+        self._take_engines(service.name, pool)
+        await self._sync_all(service.name)
+        window = self._get_window(service.name, pool)
+        for _ in range(len(self.engines)):
+            reserved = min(stocker.RESERVED_LOADS, window.limit - 1)
+            stock = self._describe_stock(
+                service.name, window.is_open(self.clock.now(), reserved)
+            )
+            plan = stocker.plan_ahead(pool.models, stock)
+            if plan is None:
+                return
+            self.engines[plan.instance].ledger.is_busy = True
+            task = asyncio.create_task(self._execute(plan, window))
+            self.operations.add(task)
+            task.add_done_callback(self.operations.discard)
+            # The task reserves the memory before the next plan is made.
+            await asyncio.sleep(0)
+
+    def _describe_stock(
+        self, service: str, is_store_open: bool
+    ) -> stocker.Stock:
+        ledgers = tuple(
+            engine.ledger
+            for engine in self._list_engines(service)
+            if engine.ledger.sequence is not None or engine.ledger.is_busy
+        )
+        return stocker.Stock(
+            ledgers,
+            self.get_demand(service),
+            {
+                ledger.instance.id: self.get_used(ledger.instance.id)
+                for ledger in ledgers
+            },
+            is_store_open,
+            self.clock.now(),
+        )
+
     async def _place_model(
         self, service: str, model: routes.Model, pool: routes.EnginePool
     ) -> str:
         """Load a model that no engine holds; return where, or nothing."""
-        now = self.clock.now()
         window = self._get_window(service, pool)
-        plan = stocker.plan_load(
-            model,
-            [
-                engine.ledger
-                for engine in self._list_engines(service)
-                if engine.ledger.sequence is not None
-            ],
-            self.get_demand(service),
-            window.is_open(now),
-            now,
+        stock = self._describe_stock(
+            service, window.is_open(self.clock.now())
         )
+        if stock.copies[model.name]:
+            # Being loaded already.
+            return ""
+        plan = stocker.plan_load(model, stock)
         if plan is None:
             logger.info("No engine for a model.", extra={"model": model.name})
             return ""
+        self.engines[plan.instance].ledger.is_busy = True
+        return plan.instance if await self._execute(plan, window) else ""
+
+    async def _execute(
+        self, plan: stocker.LoadPlan, window: stocker.LoadWindow
+    ) -> bool:
+        """Carry out a plan; the engine must have been marked as busy."""
         engine = self.engines[plan.instance]
-        engine.ledger.is_busy = True
         logger.info(
             "Loads a model.",
             extra={
-                "model": model.name,
+                "model": plan.model.name,
                 "instance": plan.instance,
                 "evicted": list(plan.evicted),
                 "from_store": plan.is_from_store,
@@ -246,16 +313,15 @@
                 "fence": self.fence,
             },
         )
-        for name in plan.evicted:
-            if not await self._unload_model(engine, name):
-                engine.ledger.is_busy = False
-                return ""
-        if plan.is_from_store and not window.take(self.clock.now()):
+        try:
+            for name in plan.evicted:
+                if not await self._unload_model(engine, name):
+                    return False
+            if plan.is_from_store and not window.take(self.clock.now()):
+                return False
+            return await self._run_load(engine, plan)
+        finally:
             engine.ledger.is_busy = False
-            return ""
-        is_done = await self._run_load(engine, plan)
-        engine.ledger.is_busy = False
-        return plan.instance if is_done else ""
 
     def _get_window(
         self, service: str, pool: routes.EnginePool
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -16,13 +16,18 @@
   instance @0 :Text;
   running @1 :UInt32;
   unreadTokens @2 :UInt64;
-  adapters @3 :List(Text);
+  copies @3 :List(Text);
 }
 
 struct ModelDemand {
   service @0 :Text;
   model @1 :Text;
-  rate @2 :Float64;
+  share @2 :Float64;
+}
+
+struct WithdrawnCopy {
+  instance @0 :Text;
+  model @1 :Text;
 }
 
 struct NodeStatus {
@@ -36,6 +41,7 @@
   loads @7 :List(InstanceLoad);
   wanted @8 :List(ModelDemand);
   suspects @9 :List(Link.Suspect);
+  withdrawn @10 :List(WithdrawnCopy);
 }
 
 struct CopyRequest {
