Learn the pace of models; relieve busy engines by further copies

Change: paces are learned and told by all machines; reading time ahead is counted in ms; a further copy is planned by the share of its busiest engine, and may replace models that nobody asks for; an engine that refused or did not answer is asked for its state. A running request weighs 8 ms.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,12 +4,18 @@
 cd "$(dirname "$0")/.."
 deps=target/deps
 if ! cmp -s deploy/requirements.lock target/requirements.lock; then
-    rm -rf "$deps"
+    rm -rf target
+    mkdir -p target
     python3 -m pip install -q --no-compile --no-deps --target "$deps" \
         -r deploy/requirements.lock
     python3 -m compileall -q -j 0 "$deps"
     cp deploy/requirements.lock target/requirements.lock
 fi
-rm -rf "$deps/cicadahook"
-cp -r src/cicadahook "$deps/"
-python3 -m compileall -q "$deps/cicadahook"
+sources=$(find src -name __pycache__ -prune -o -type f -print0 |
+    sort -z | xargs -0 sha256sum | sha256sum)
+if [ "$sources" != "$(cat target/sources.sha256 2>/dev/null)" ]; then
+    rm -rf "$deps/cicadahook"
+    cp -r src/cicadahook "$deps/"
+    python3 -m compileall -q "$deps/cicadahook"
+    echo "$sources" > target/sources.sha256
+fi
--- a/src/cicadahook/core/balancer.py
+++ b/src/cicadahook/core/balancer.py
@@ -15,11 +15,14 @@
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import exchange
 from cicadahook.core import inventory
+from cicadahook.core import paces
 from cicadahook.core import prefixes
 
 # Figures of the engines as the deployments' sheets give them.
 PREFILL_TOKENS_PER_MS: Final = 38.4
-BATCH_MS_PER_RUN: Final = 1.5
+# What each running request adds to the wait for the next one, in ms: its
+# steps share the engine with the reading of prompts.
+BATCH_MS_PER_RUN: Final = 8.0
 # A step of some 5.5 ms makes a token for each request of a batch of 48.
 DECODE_MS_PER_TOKEN: Final = 0.115
 # Share of the shared prompt parts that engines read again in trials.
@@ -29,6 +32,13 @@
 # Weight of the newest observation in a running mean.
 LEARNING_RATE: Final = 0.1
 # Delay that a certain failure counts as, in ms.
+# An engine's fixed time to the first piece.
+FIRST_PIECE_MS: Final = 10.0
+# Shorter prompts tell little of a model's pace.
+MIN_READING_MS: Final = 8.0
+MIN_PREDICTED_MS: Final = 20.0
+MIN_SLOWNESS: Final = 0.5
+MAX_SLOWNESS: Final = 5.0
 FAILURE_MS: Final = 1500.0
 ZONE_MS: Final = 1.0
 REJECTION_PAUSE: Final = datetime.timedelta(milliseconds=150)
@@ -43,13 +53,13 @@
     Attributes:
         instance: id of the upstream.
         running: requests sent and not ended.
-        unread_tokens: prompt tokens sent and probably not read yet.
+        unread_ms: time to read the prompts sent and probably not read yet.
         copies: what is in use, as MODEL/ADAPTER; the adapter may be empty.
     """
 
     instance: str
     running: int
-    unread_tokens: int
+    unread_ms: float
     copies: tuple[str, ...] = ()
 
 
@@ -59,19 +69,21 @@
 
     Attributes:
         running: own requests that have not ended.
-        unread_tokens: own prompt tokens that are probably not read yet.
+        unread_ms: time to read own prompts that are probably not read yet.
         failure_rate: running mean of failures, from 0 to 1.
         slowness: running mean of the measured by the predicted wait.
         avoided_until: no request is sent before, if there is another choice.
+        unreachable_until: it did not answer; not used before.
         kept: prompt parts that it probably keeps.
         copies: own requests for each model and adapter, by MODEL/ADAPTER.
     """
 
     running: int = 0
-    unread_tokens: int = 0
+    unread_ms: float = 0.0
     failure_rate: float = 0.0
     slowness: float = 1.0
     avoided_until: datetime.datetime | None = None
+    unreachable_until: datetime.datetime | None = None
     kept: prefixes.PrefixCache = dataclasses.field(
         default_factory=lambda: prefixes.PrefixCache(DEFAULT_KEPT_TOKENS)
     )
@@ -87,16 +99,18 @@
     Attributes:
         instance: where it was sent.
         generation: what it asks of a model engine, if anything.
-        unread_tokens: its prompt tokens that are not read yet.
-        predicted_ms: predicted wait for the first piece of the answer.
+        unread_ms: time to read its prompt, until it is read.
+        ahead_ms: predicted wait before its own prompt is read.
+        reading_ms: time to read its prompt at the reference pace.
         sent: when it was sent.
         is_answered: whether the first piece has come.
     """
 
     instance: inventory.Instance
     generation: exchange.Generation | None
-    unread_tokens: int
-    predicted_ms: float
+    unread_ms: float
+    ahead_ms: float
+    reading_ms: float
     sent: datetime.datetime
     is_answered: bool = False
 
@@ -107,6 +121,7 @@
     Attributes:
         states: what is known of each upstream, by id.
         peers: the newest loads of each other machine, with their time.
+        paces: how long the models take.
     """
 
     def __init__(
@@ -119,6 +134,7 @@
         self.peers: dict[
             str, tuple[datetime.datetime, Mapping[str, InstanceLoad]]
         ] = {}
+        self.paces = paces.PaceBook()
 
     def take_peer_loads(self, peer: str, loads: Iterable[InstanceLoad]) -> None:
         """Replace what is known of the loads of another machine."""
@@ -131,7 +147,7 @@
             InstanceLoad(
                 name,
                 state.running,
-                state.unread_tokens,
+                state.unread_ms,
                 tuple(+state.copies),
             )
             for name, state in self.states.items()
@@ -162,6 +178,16 @@
         ]:
             del self.states[name]
 
+    def list_unreachable(self) -> frozenset[str]:
+        """Return the upstreams that did not answer a moment ago."""
+        now = self.clock.now()
+        return frozenset(
+            name
+            for name, state in self.states.items()
+            if state.unreachable_until is not None
+            and now < state.unreachable_until
+        )
+
     def choose(
         self,
         candidates: Iterable[inventory.Instance],
@@ -206,10 +232,20 @@
             beyond = max(0, running + 1 - entry.slots)
             share = running / max(1, entry.slots)
             return PLAIN_MS * (1 + share * 0.2 + beyond / max(1, entry.slots))
-        state = self._get(entry)
-        kept = state.kept.count_kept(generation)
-        unread += max(0, generation.prompt_tokens - kept)
-        return unread / PREFILL_TOKENS_PER_MS + running * BATCH_MS_PER_RUN
+        reading = self._predict_reading_ms(entry, generation)
+        return (
+            unread
+            + reading * self.paces.get(generation.model)
+            + running * BATCH_MS_PER_RUN
+        )
+
+    def _predict_reading_ms(
+        self, entry: inventory.Instance, generation: exchange.Generation
+    ) -> float:
+        """Return the time to read a prompt at the reference pace, in ms."""
+        kept = self._get(entry).kept.count_kept(generation)
+        tokens = max(0, generation.prompt_tokens - kept)
+        return tokens / PREFILL_TOKENS_PER_MS
 
     def estimate_work(
         self, generation: exchange.Generation
@@ -223,18 +259,19 @@
         read = own + UNKEPT_SHARE * shared
         ms = read / PREFILL_TOKENS_PER_MS
         ms += generation.output_tokens * DECODE_MS_PER_TOKEN
-        return datetime.timedelta(milliseconds=ms)
+        pace = self.paces.get(generation.model)
+        return datetime.timedelta(milliseconds=ms * pace)
 
-    def count_load(self, entry: inventory.Instance) -> tuple[int, int]:
-        """Return running requests and unread tokens of all machines."""
+    def count_load(self, entry: inventory.Instance) -> tuple[int, float]:
+        """Return running requests and ms of reading of all machines."""
         state = self._get(entry)
-        running, unread = state.running, state.unread_tokens
+        running, unread = state.running, state.unread_ms
         now = self.clock.now()
         for told, loads in self.peers.values():
             load = loads.get(entry.id)
             if load is not None and now - told < PEER_EXPIRY:
                 running += load.running
-                unread += load.unread_tokens
+                unread += load.unread_ms
         return running, unread
 
     def start(
@@ -244,17 +281,18 @@
     ) -> Placement:
         """Take note that a request is sent to `entry`."""
         state = self._get(entry)
-        predicted = self.predict_ms(entry, generation)
-        unread = 0
+        ahead = self.predict_ms(entry, generation)
+        reading = unread = 0.0
         if generation is not None:
-            kept = state.kept.count_kept(generation)
-            unread = max(0, generation.prompt_tokens - kept)
+            reading = self._predict_reading_ms(entry, generation)
+            unread = reading * self.paces.get(generation.model)
+            ahead -= unread
             state.kept.note_read(generation)
             state.copies[_name_copy(generation)] += 1
         state.running += 1
-        state.unread_tokens += unread
+        state.unread_ms += unread
         return Placement(
-            entry, generation, unread, predicted, self.clock.now()
+            entry, generation, unread, ahead, reading, self.clock.now()
         )
 
     def note_first_piece(self, placement: Placement) -> None:
@@ -265,8 +303,19 @@
         state = self._get(placement.instance)
         self._drop_unread(placement, state)
         waited = (self.clock.now() - placement.sent).total_seconds() * 1000
-        ratio = min(10.0, max(0.2, waited / max(1.0, placement.predicted_ms)))
-        state.slowness += LEARNING_RATE * (ratio - state.slowness)
+        if placement.generation is None:
+            predicted = placement.ahead_ms
+        else:
+            pace = self.paces.get(placement.generation.model)
+            predicted = placement.ahead_ms + placement.reading_ms * pace
+            if placement.reading_ms >= MIN_READING_MS:
+                own = waited - FIRST_PIECE_MS - placement.ahead_ms
+                self.paces.note(
+                    placement.generation.model, own / placement.reading_ms
+                )
+        ratio = waited / max(MIN_PREDICTED_MS, predicted)
+        bounded = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
+        state.slowness += LEARNING_RATE * (bounded - state.slowness)
 
     def end(
         self,
@@ -285,6 +334,7 @@
             return
         if failure is exchange.FailureKind.UNREACHABLE:
             self._avoid(state, UNREACHABLE_PAUSE)
+            state.unreachable_until = state.avoided_until
         if failure is exchange.FailureKind.MISSING:
             return
         outcome = 0.0 if failure is None else 1.0
@@ -307,8 +357,8 @@
     def _drop_unread(
         self, placement: Placement, state: InstanceState
     ) -> None:
-        state.unread_tokens -= placement.unread_tokens
-        placement.unread_tokens = 0
+        state.unread_ms -= placement.unread_ms
+        placement.unread_ms = 0.0
 
     def _get(self, entry: inventory.Instance) -> InstanceState:
         return self.states.setdefault(entry.id, InstanceState())
--- a/src/cicadahook/core/engines.py
+++ b/src/cicadahook/core/engines.py
@@ -84,6 +84,7 @@
         reservations: what unanswered orders may still take.
         sequence: orders that it has accepted; None if that must be asked.
         is_busy: whether a model is being loaded or unloaded.
+        planned: model that will be loaded once others are unloaded.
     """
 
     instance: inventory.Instance
@@ -92,6 +93,7 @@
     reservations: list[Reservation] = dataclasses.field(default_factory=list)
     sequence: int | None = None
     is_busy: bool = False
+    planned: str = ""
 
     def count_used_mb(self, now: datetime.datetime) -> float:
         """Return the memory in use or reserved."""
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from cicadahook.core import balancer
+from cicadahook.core import paces as paces_lib
 from cicadahook.core import view
 
 # A machine that was silent for so long is left out of address answers.
@@ -49,6 +50,7 @@
         inventory: revision of its picture of the upstreams.
         loads: its work at each upstream.
         wanted: work that it was asked for lately, by model.
+        paces: how long models take, as it has seen.
         withdrawn: copies that it has ordered engines to drop.
         suspects: requests suspected of crashing upstreams.
     """
@@ -62,6 +64,7 @@
     inventory: int
     loads: tuple[balancer.InstanceLoad, ...] = ()
     wanted: tuple["ModelDemand", ...] = ()
+    paces: tuple[paces_lib.PaceEstimate, ...] = ()
     withdrawn: tuple["WithdrawnCopy", ...] = ()
     suspects: tuple[view.Suspect, ...] = ()
 
--- a/src/cicadahook/core/stocker.py
+++ b/src/cicadahook/core/stocker.py
@@ -14,9 +14,8 @@
 from cicadahook.core import engines
 from cicadahook.core import routes
 
-# Share of an engine that one copy of a model is to carry; the rest is left for
-# the engine's other models and for bursts.
-TARGET_SHARE: Final = 0.2
+# An engine that is busy for no more than this share needs no relief.
+CALM_SHARE: Final = 0.15
 # Seconds of waiting that dropping a copy costs for a full engine's work.
 DROP_SECONDS: Final = 10.0
 # The same if another engine holds the model too.
@@ -31,6 +30,10 @@
 BUSY_SECONDS: Final = 2.0
 # Seconds of waiting that a further copy saves for a full engine's work.
 COPY_GAIN_SECONDS: Final = 10.0
+# A further copy must save as much to be worth the orders.
+MIN_GAIN_SECONDS: Final = 0.1
+# A model that requests wait for replaces no others that are worth more.
+MAX_EVICTION_SECONDS: Final = 2.0
 # Loads from the store that are left for models that requests wait for.
 RESERVED_LOADS: Final = 2
 
@@ -47,6 +50,7 @@
         duration: how long the load takes.
         cost: seconds, with what the evictions cost.
         eviction_cost: seconds of waiting that the evictions cost.
+        engine_share: share of the engine that is busy already.
     """
 
     instance: str
@@ -56,6 +60,7 @@
     duration: datetime.timedelta
     cost: float
     eviction_cost: float
+    engine_share: float
 
 
 class LoadWindow:
@@ -106,24 +111,46 @@
 
     @functools.cached_property
     def copies(self) -> "collections.Counter[str]":
-        """Return how many engines hold or load each model."""
+        """Return how many engines hold or will hold each model."""
         return collections.Counter(
-            name
-            for ledger in self.ledgers
-            for name, copy in ledger.copies.items()
-            if copy.state is not engines.CopyState.UNLOADING
+            name for ledger in self.ledgers for name in list_models(ledger)
         )
 
     def count_share(self, ledger: engines.EngineLedger) -> float:
         """Return the share of an engine that its models keep busy."""
         return sum(
             self.demand.get(name, 0.0) / max(1, self.copies[name])
-            for name in ledger.copies
+            for name in list_models(ledger)
         )
 
+    def find_peak(self, model: str) -> float:
+        """Return the share of the busiest engine that holds a model."""
+        return max(
+            (
+                self.count_share(ledger)
+                for ledger in self.ledgers
+                if model in list_models(ledger)
+            ),
+            default=0.0,
+        )
+
+
+def list_models(ledger: engines.EngineLedger) -> set[str]:
+    """Return the models that an engine holds or will hold."""
+    names = {
+        name
+        for name, copy in ledger.copies.items()
+        if copy.state is not engines.CopyState.UNLOADING
+    }
+    return names | {ledger.planned} if ledger.planned else names
+
 
 def plan_load(model: routes.Model, stock: Stock) -> LoadPlan | None:
-    """Return the cheapest way to load `model`, or None if there is none."""
+    """Return the cheapest way to load a model that requests wait for.
+
+    Returns None if all engines that could take it are busy, or if it would
+    have to replace models that are in demand themselves.
+    """
     plans = (
         _plan_on(ledger, model, stock)
         for ledger in stock.ledgers
@@ -132,7 +159,9 @@
     possible = [
         plan
         for plan in plans
-        if plan is not None and (stock.is_store_open or not plan.is_from_store)
+        if plan is not None
+        and plan.eviction_cost <= MAX_EVICTION_SECONDS
+        and (stock.is_store_open or not plan.is_from_store)
     ]
     return min(possible, key=lambda plan: plan.cost, default=None)
 
@@ -142,36 +171,44 @@
 ) -> LoadPlan | None:
     """Return a load that is worth it before any request waits for it.
 
-    Models without a copy come first, if they need drop no last copy. Then
-    come further copies of the models whose copies carry most.
+    Models without a copy come first, as far as memory is free. Then come
+    further copies of models whose engines are busiest; they may replace
+    models that nobody asks for, which load again within a second from where
+    they were.
     """
     for name, model in models.items():
         if not stock.copies[name]:
             plan = plan_load(model, stock)
-            if plan is not None and _spares_last_copies(plan, stock):
+            if plan is not None and not plan.evicted:
                 return plan
-    carried = sorted(
+    by_load = sorted(
         (
-            (stock.demand.get(name, 0.0) / stock.copies[name], name)
+            (stock.find_peak(name) * stock.demand.get(name, 0.0), name)
             for name in models
             if stock.copies[name]
         ),
         reverse=True,
     )
-    for share, name in carried:
-        if share <= TARGET_SHARE:
+    for load, name in by_load:
+        if load <= 0:
             break
         plan = plan_load(models[name], stock)
-        if plan is None:
-            continue
-        gain = COPY_GAIN_SECONDS * share / (stock.copies[name] + 1)
-        if plan.eviction_cost < gain and _spares_last_copies(plan, stock):
+        if plan is not None and _is_worth_it(plan, stock):
             return plan
     return None
 
 
-def _spares_last_copies(plan: LoadPlan, stock: Stock) -> bool:
-    return all(stock.copies[name] > 1 for name in plan.evicted)
+def _is_worth_it(plan: LoadPlan, stock: Stock) -> bool:
+    """Whether a further copy saves more waiting than it costs."""
+    peak = stock.find_peak(plan.model.name)
+    if peak <= CALM_SHARE:
+        return False
+    demand = stock.demand[plan.model.name]
+    gain = COPY_GAIN_SECONDS * demand * (peak - plan.engine_share)
+    cost = MIN_GAIN_SECONDS + plan.eviction_cost
+    if plan.is_from_store:
+        cost += STORE_LOAD_SECONDS
+    return gain > cost
 
 
 def _plan_on(
@@ -196,7 +233,8 @@
     if missing > 0:
         return None
     cost = duration.total_seconds() + eviction_cost
-    cost += BUSY_SECONDS * stock.count_share(ledger)
+    engine_share = stock.count_share(ledger)
+    cost += BUSY_SECONDS * engine_share
     if is_from_store:
         cost += STORE_LOAD_SECONDS
     return LoadPlan(
@@ -207,6 +245,7 @@
         duration,
         cost,
         eviction_cost,
+        engine_share,
     )
 
 
--- a/src/cicadahook/net/copies.py
+++ b/src/cicadahook/net/copies.py
@@ -42,34 +42,43 @@
         ] = {}
 
     async def ensure(
-        self, service: str, key: residency_lib.CopyKey
+        self,
+        service: str,
+        key: residency_lib.CopyKey,
+        failed: frozenset[str],
     ) -> residency_lib.CopyKey | None:
         """Return where a copy is, waiting until it is loaded."""
         while True:
-            held = await asyncio.shield(self._share(service, key))
+            held = await asyncio.shield(self._share(service, key, failed))
             if held is not None:
                 return held
             await asyncio.sleep(RETRY_PAUSE.total_seconds())
 
     def _share(
-        self, service: str, key: residency_lib.CopyKey
+        self,
+        service: str,
+        key: residency_lib.CopyKey,
+        failed: frozenset[str],
     ) -> "asyncio.Task[residency_lib.CopyKey | None]":
         name = (service, key.model, key.adapter)
         task = self.asking.get(name)
         if task is None:
-            task = asyncio.create_task(self._ask(service, key))
+            task = asyncio.create_task(self._ask(service, key, failed))
             self.asking[name] = task
             task.add_done_callback(lambda _: self.asking.pop(name, None))
         return task
 
     async def _ask(
-        self, service: str, key: residency_lib.CopyKey
+        self,
+        service: str,
+        key: residency_lib.CopyKey,
+        failed: frozenset[str],
     ) -> residency_lib.CopyKey | None:
         now = self.clock.now()
         if self.orderer.turn.is_holder(now):
-            return await self.orderer.ensure(service, key)
+            return await self.orderer.ensure(service, key, failed)
         holder = self.roster.find_holder(now)
         if holder is None:
             await asyncio.sleep(HOLDER_POLL.total_seconds())
             return None
-        return await self.client.ask(holder, service, key)
+        return await self.client.ask(holder, service, key, failed)
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -28,6 +28,10 @@
 MIN_ATTEMPT: Final = datetime.timedelta(milliseconds=30)
 RETRY_PAUSE: Final = datetime.timedelta(milliseconds=20)
 RETRY_AFTER: Final = datetime.timedelta(milliseconds=500)
+# What may have passed a moment later.
+BRIEF_KINDS: Final = frozenset(
+    {exchange.FailureKind.REJECTED, exchange.FailureKind.MISSING}
+)
 MAX_SENDS: Final = 8
 
 logger: Final = logs.create_logger("forwarder")
@@ -58,11 +62,17 @@
     """Gets models and adapters loaded."""
 
     async def ensure(
-        self, service: str, key: residency_lib.CopyKey
+        self,
+        service: str,
+        key: residency_lib.CopyKey,
+        failed: frozenset[str],
     ) -> residency_lib.CopyKey | None:
         """Return where a copy is now, or None if none could be loaded.
 
-        The instance in `key` is the one preferred, if any.
+        Args:
+            service: name of the service.
+            key: what is wanted, and the engine preferred.
+            failed: engines that could not be reached or lack the copy.
         """
 
 
@@ -100,12 +110,15 @@
         deadline: when the final answer must be there.
         fingerprint: digest by which it is known again.
         excluded: upstreams not to be tried again.
+        missed: upstreams that lacked the copy once.
         sends: times that it was sent.
         runs: upstreams that may have run it.
         last_event_id: id of the last event passed on.
         has_begun: whether the answer has begun.
         failure: why the last attempt failed.
         instance: upstream of the last attempt.
+        sent: when the last attempt was sent.
+        first_piece: when the answer began.
     """
 
     request: exchange.CallerRequest
@@ -115,12 +128,15 @@
     deadline: datetime.datetime
     fingerprint: str
     excluded: frozenset[str] = frozenset()
+    missed: frozenset[str] = frozenset()
     sends: int = 0
     runs: int = 0
     last_event_id: str = ""
     has_begun: bool = False
     failure: exchange.AttemptError | None = None
     instance: str = ""
+    sent: datetime.datetime | None = None
+    first_piece: datetime.datetime | None = None
 
 
 @dataclasses.dataclass
@@ -255,10 +271,11 @@
             errors.RefusalError: there is none that could answer in time.
         """
         parts = self.parts
+        avoided = work.excluded | parts.balancer.list_unreachable()
         usable = [
             entry
             for entry in parts.inventory.list_usable(work.service.name)
-            if entry.id not in work.excluded
+            if entry.id not in avoided
         ]
         generation = work.request.generation
         chosen: inventory.Instance | None
@@ -295,7 +312,8 @@
         key = residency_lib.CopyKey(
             best.id if best else "", generation.model, generation.adapter
         )
-        held = await parts.copies.ensure(work.service.name, key)
+        avoided = parts.balancer.list_unreachable() | work.excluded
+        held = await parts.copies.ensure(work.service.name, key, avoided)
         if held is None:
             return None
         parts.residency.note_held(held, self.clock.now())
@@ -328,6 +346,7 @@
         work.sends += 1
         work.runs += 1
         work.instance = instance.id
+        work.sent = self.clock.now()
         failure: exchange.FailureKind | None = None
         try:
             async with self.parts.upstreams.send(attempt) as answer:
@@ -380,6 +399,7 @@
             self.parts.balancer.note_first_piece(placement)
             if not work.has_begun:
                 work.has_begun = True
+                work.first_piece = self.clock.now()
                 await work.sink.begin(answer.head)
             await work.sink.send(b"".join(event.data for event in whole))
             for event in whole:
@@ -417,7 +437,7 @@
             self._give_up(work, reason)
         metrics.count_retry(str(error.kind), self.node)
         self._note_failure(work, instance, error)
-        if error.kind is exchange.FailureKind.REJECTED:
+        if error.kind in BRIEF_KINDS:
             await asyncio.sleep(RETRY_PAUSE.total_seconds())
 
     def _find_obstacle(
@@ -454,7 +474,9 @@
                 ),
                 self.clock.now(),
             )
-            return
+            if instance.id not in work.missed:
+                work.missed |= {instance.id}
+                return
         work.excluded |= {instance.id}
 
     def _give_up(self, work: Work, reason: str) -> None:
@@ -515,13 +537,20 @@
                 "configuration": self._get_version(),
                 "inventory": self.parts.inventory.revision,
                 "sends": work.sends,
+                "sent_ms": self._count_ms(work.request, work.sent),
+                "first_ms": self._count_ms(work.request, work.first_piece),
                 "took_ms": self._count_ms(work.request),
                 **fields,
             },
         )
 
-    def _count_ms(self, request: exchange.CallerRequest) -> int:
-        elapsed = self.clock.now() - request.received
+    def _count_ms(
+        self,
+        request: exchange.CallerRequest,
+        end: datetime.datetime | None = None,
+    ) -> int:
+        """Return the time since a request came, in ms."""
+        elapsed = (end or self.clock.now()) - request.received
         return int(elapsed.total_seconds() * 1000)
 
     def _get_version(self) -> int:
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -348,6 +348,7 @@
         """Take note of what another node tells."""
         if self.roster.take_status(status, self.clock.now()):
             self.balancer.take_peer_loads(status.node.name, status.loads)
+            self.balancer.paces.take_peer(status.node.name, status.paces)
             self.quarantine.merge(status.suspects)
             self.withdraw(status.withdrawn)
 
@@ -454,6 +455,7 @@
                     now
                 ).items()
             ),
+            paces=tuple(self.balancer.paces.own.values()),
             withdrawn=self.orderer.list_withdrawn(),
             suspects=self.quarantine.list_suspects(),
         )
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -59,11 +59,13 @@
         ledger: the account of its memory.
         sending: held while an order is on its way or its state is asked.
         last_sent: when the last order was sent.
+        doubted: when its state was last taken to be wrong.
     """
 
     ledger: engines.EngineLedger
     sending: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
     last_sent: datetime.datetime | None = None
+    doubted: datetime.datetime | None = None
 
 
 class Orderer:
@@ -103,15 +105,26 @@
         self.fence = 0
 
     async def ensure(
-        self, service: str, key: residency_lib.CopyKey
+        self,
+        service: str,
+        key: residency_lib.CopyKey,
+        failed: frozenset[str] = frozenset(),
     ) -> residency_lib.CopyKey | None:
-        """Return where a copy is now, or None if none could be loaded."""
+        """Return where a copy is now, or None if none could be loaded.
+
+        Args:
+            service: name of the service.
+            key: what is wanted, and the engine preferred.
+            failed: engines that could not be reached or lack the copy.
+        """
         if not self.turn.can_send(self.clock.now()):
             return None
         pool = self._find_pool(service)
         if pool is None or key.model not in pool.models:
             return None
         self._take_engines(service, pool)
+        for instance in failed:
+            self._doubt(instance)
         name = (service, key.model, key.adapter)
         task = self.loading.get(name)
         if task is None:
@@ -123,6 +136,19 @@
             return None
         return residency_lib.CopyKey(instance, key.model, key.adapter)
 
+    def _doubt(self, instance: str) -> None:
+        """Ask an engine for its state before it is used again."""
+        engine = self.engines.get(instance)
+        if engine is None or engine.ledger.is_busy:
+            return
+        now = self.clock.now()
+        is_recent = (
+            engine.doubted is not None and now - engine.doubted < REPORT_LAG
+        )
+        if not is_recent:
+            engine.doubted = now
+            engine.ledger.sequence = None
+
     def _find_pool(self, service: str) -> routes.EnginePool | None:
         configuration = self.get_configuration()
         if configuration is None or service not in configuration.services:
@@ -203,7 +229,10 @@
         """Return an engine that holds the model, loading it if none does."""
         known = self._list_engines(service)
         holders = [
-            engine for engine in known if engine.ledger.is_ready(key.model)
+            engine
+            for engine in known
+            if engine.ledger.sequence is not None
+            and engine.ledger.is_ready(key.model)
         ]
         names = [engine.ledger.instance.id for engine in holders]
         if key.instance in names:
@@ -253,12 +282,10 @@
             plan = stocker.plan_ahead(pool.models, stock)
             if plan is None:
                 return
-            self.engines[plan.instance].ledger.is_busy = True
+            self._mark_planned(plan)
             task = asyncio.create_task(self._execute(plan, window))
             self.operations.add(task)
             task.add_done_callback(self.operations.discard)
-            # The task reserves the memory before the next plan is made.
-            await asyncio.sleep(0)
 
     def _describe_stock(
         self, service: str, is_store_open: bool
@@ -294,9 +321,14 @@
         if plan is None:
             logger.info("No engine for a model.", extra={"model": model.name})
             return ""
-        self.engines[plan.instance].ledger.is_busy = True
+        self._mark_planned(plan)
         return plan.instance if await self._execute(plan, window) else ""
 
+    def _mark_planned(self, plan: stocker.LoadPlan) -> None:
+        ledger = self.engines[plan.instance].ledger
+        ledger.is_busy = True
+        ledger.planned = plan.model.name
+
     async def _execute(
         self, plan: stocker.LoadPlan, window: stocker.LoadWindow
     ) -> bool:
@@ -322,6 +354,7 @@
             return await self._run_load(engine, plan)
         finally:
             engine.ledger.is_busy = False
+            engine.ledger.planned = ""
 
     def _get_window(
         self, service: str, pool: routes.EnginePool
--- a/src/cicadahook/net/peering.py
+++ b/src/cicadahook/net/peering.py
@@ -1,7 +1,7 @@
 """Messages between nodes: statuses by UDP, requests for copies by HTTP."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 import dataclasses
 import datetime
 from typing import Any, Final
@@ -32,12 +32,14 @@
         instance: the engine preferred; empty for none.
         model: name of the model.
         adapter: name of an adapter of it; empty for none.
+        failed: engines that could not be reached or lack the copy.
     """
 
     service: str
     instance: str
     model: str
     adapter: str
+    failed: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,8 +114,8 @@
     def __init__(
         self,
         ensure: Callable[
-            [str, residency_lib.CopyKey],
-            "asyncio.Future[residency_lib.CopyKey | None]",
+            [str, residency_lib.CopyKey, frozenset[str]],
+            Awaitable[residency_lib.CopyKey | None],
         ],
     ) -> None:
         self.ensure = ensure
@@ -127,7 +129,9 @@
         except codec.DecodeError as error:
             return web.Response(status=400, text=str(error))
         key = residency_lib.CopyKey(asked.instance, asked.model, asked.adapter)
-        held = await self.ensure(asked.service, key)
+        held = await self.ensure(
+            asked.service, key, frozenset(asked.failed)
+        )
         answer = CopyAnswer(held.instance if held else "")
         return web.Response(body=COPY_ANSWERS.encode(answer))
 
@@ -155,9 +159,12 @@
         holder: roster.NodeRecord,
         service: str,
         key: residency_lib.CopyKey,
+        failed: frozenset[str],
     ) -> residency_lib.CopyKey | None:
         """Return where the copy is now, or None if there is none."""
-        asked = CopyRequest(service, key.instance, key.model, key.adapter)
+        asked = CopyRequest(
+            service, key.instance, key.model, key.adapter, tuple(failed)
+        )
         try:
             async with self.session.post(
                 f"http://{holder.peer_address}{COPIES_PATH}",
--- a/src/cicadahook/platform/upstream.py
+++ b/src/cicadahook/platform/upstream.py
@@ -1,7 +1,6 @@
 """Calls to upstreams: requests of callers, orders and reports."""
 
-import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 import contextlib
 import dataclasses
 import datetime
@@ -260,7 +259,7 @@
 
 
 @contextlib.contextmanager
-def _translate_errors() -> "contextlib.AbstractContextManager[None]":
+def _translate_errors() -> Iterator[None]:
     """Raise the library's errors as attempt errors."""
     kinds = exchange.FailureKind
     try:
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -15,7 +15,7 @@
 struct InstanceLoad {
   instance @0 :Text;
   running @1 :UInt32;
-  unreadTokens @2 :UInt64;
+  unreadMs @2 :Float64;
   copies @3 :List(Text);
 }
 
@@ -30,6 +30,12 @@
   model @1 :Text;
 }
 
+struct PaceEstimate {
+  model @0 :Text;
+  pace @1 :Float64;
+  weight @2 :Float64;
+}
+
 struct NodeStatus {
   node @0 :NodeRecord;
   number @1 :UInt64;
@@ -42,6 +48,7 @@
   wanted @8 :List(ModelDemand);
   suspects @9 :List(Link.Suspect);
   withdrawn @10 :List(WithdrawnCopy);
+  paces @11 :List(PaceEstimate);
 }
 
 struct CopyRequest {
@@ -49,6 +56,7 @@
   instance @1 :Text;
   model @2 :Text;
   adapter @3 :Text;
+  failed @4 :List(Text);
 }
 
 struct CopyAnswer {
