Keep loads under way in the accounts; refuse bodies that end by a reset

Change: as the title says; engines that leave are not used after a wait; requests end at 85% of the grace time.

--- a/src/cicadahook/core/engines.py
+++ b/src/cicadahook/core/engines.py
@@ -19,6 +19,10 @@
 LATE_ORDER_PERIOD: Final = datetime.timedelta(seconds=15)
 
 
+# Above every number of orders.
+ANY_SEQUENCE: Final = 2**62
+
+
 class CopyState(enum.StrEnum):
     """How far a model is with its engine."""
 
@@ -34,7 +38,7 @@
     Attributes:
         model: the model.
         state: how far it is.
-        adapters: its adapters there, least recently loaded first.
+        adapters: when each of its adapters there was loaded.
         loaded: when it was ordered, or first seen.
     """
 
@@ -83,8 +87,8 @@
         copies: its models, by name.
         reservations: what unanswered orders may still take.
         sequence: orders that it has accepted; None if that must be asked.
-        is_busy: whether a model is being loaded or unloaded.
-        planned: model that will be loaded once others are unloaded.
+        planned: model of the load under way, unloads before it included.
+        is_reported_busy: whether the engine said that it carries out an order.
     """
 
     instance: inventory.Instance
@@ -92,8 +96,13 @@
     copies: dict[str, ModelCopy] = dataclasses.field(default_factory=dict)
     reservations: list[Reservation] = dataclasses.field(default_factory=list)
     sequence: int | None = None
-    is_busy: bool = False
     planned: str = ""
+    is_reported_busy: bool = False
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether no model should be loaded or unloaded now."""
+        return bool(self.planned) or self.is_reported_busy
 
     def count_used_mb(self, now: datetime.datetime) -> float:
         """Return the memory in use or reserved."""
@@ -134,34 +143,65 @@
             )
         )
 
+    def reserve_restart(self, began: datetime.datetime) -> None:
+        """Reserve what orders of an earlier holder may still load.
+
+        A restarted engine counts its orders from the start, so that one which
+        was late in its former incarnation may fit again.
+
+        Args:
+            began: when the present holder's term began.
+        """
+        sizes = [model.size_mb for model in self.pool.models.values()]
+        self.reservations.append(
+            Reservation(
+                max(sizes, default=0.0),
+                1,
+                ANY_SEQUENCE,
+                began + LATE_ORDER_PERIOD,
+            )
+        )
+
     def take_report(
         self, report: ordering.EngineReport, now: datetime.datetime
     ) -> None:
-        """Take over what the engine says, where no order is under way."""
+        """Take over what the engine says.
+
+        What is being loaded stays counted, though a report may not show it;
+        what is being unloaded stays marked so.
+        """
         self.sequence = report.sequence
-        self.is_busy = report.is_busy
-        copies: dict[str, ModelCopy] = {}
-        for name, holding in report.holdings.items():
-            model = self.pool.models.get(name)
-            if model is None:
-                model = _guess_model(name, self.pool)
-            known = self.copies.get(name)
-            adapters = {
-                adapter: (known.adapters.get(adapter, now) if known else now)
-                for adapter in sorted(holding.adapters)
-            }
-            copies[name] = ModelCopy(
-                model,
-                CopyState.READY,
-                known.loaded if known else now,
-                dict(sorted(adapters.items(), key=lambda item: item[1])),
-            )
+        self.is_reported_busy = report.is_busy
+        copies = {
+            name: self._describe(holding, now)
+            for name, holding in report.holdings.items()
+        }
+        for name, copy in self.copies.items():
+            is_loading = copy.state is CopyState.LOADING
+            if is_loading and name == self.planned and name not in copies:
+                copies[name] = copy
         for name in report.incoming:
             base, _, adapter = name.partition("/")
             if base in copies and adapter:
                 copies[base].adapters.setdefault(adapter, now)
         self.copies = copies
 
+    def _describe(
+        self, holding: inventory.Holding, now: datetime.datetime
+    ) -> ModelCopy:
+        """Return the account of a model that the engine says it holds."""
+        known = self.copies.get(holding.model)
+        model = self.pool.models.get(holding.model)
+        loaded = known.adapters if known else {}
+        adapters = {name: loaded.get(name, now) for name in holding.adapters}
+        is_leaving = known and known.state is CopyState.UNLOADING
+        return ModelCopy(
+            model or _guess_model(holding.model, self.pool),
+            CopyState.UNLOADING if is_leaving else CopyState.READY,
+            known.loaded if known else now,
+            adapters,
+        )
+
     def find_spare_adapter(
         self, used: Set[tuple[str, str]]
     ) -> tuple[str, str] | None:
--- a/src/cicadahook/core/inventory.py
+++ b/src/cicadahook/core/inventory.py
@@ -110,6 +110,11 @@
             if entry.service == service and not entry.is_leaving:
                 yield entry
 
+    def find_usable(self, name: str) -> Instance | None:
+        """Return the upstream with an id if it takes new work."""
+        entry = self.instances.get(name)
+        return None if entry is None or entry.is_leaving else entry
+
     def _drop(self, name: str) -> None:
         self.instances.pop(name, None)
         self.doubtful.pop(name, None)
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -316,8 +316,10 @@
         held = await parts.copies.ensure(work.service.name, key, avoided)
         if held is None:
             return None
-        parts.residency.note_held(held, self.clock.now())
-        return parts.inventory.instances.get(held.instance)
+        entry = parts.inventory.find_usable(held.instance)
+        if entry is not None:
+            parts.residency.note_held(held, self.clock.now())
+        return entry
 
     def _raise_no_upstream(self, work: Work) -> None:
         if work.runs:
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -77,6 +77,8 @@
         loading: loads under way, by service, model and adapter.
         windows: loads from the weight store, by service.
         operations: loads begun ahead of requests.
+        fence: fence of the term that the accounts are of.
+        began: when that term began.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         self.windows: dict[str, stocker.LoadWindow] = {}
         self.operations: set[asyncio.Task[bool]] = set()
         self.fence = 0
+        self.began = clock.now()
 
     async def ensure(
         self,
@@ -157,17 +160,20 @@
 
     def _take_engines(self, service: str, pool: routes.EnginePool) -> None:
         """Keep ledgers of the engines that are registered now."""
+        now = self.clock.now()
         if self.fence != self.turn.fence:
-            # A new term begins with fresh accounts.
+            # Others may have sent orders since the last own term.
             self.fence = self.turn.fence
-            self.engines = {}
+            self.began = now
+            for engine in self.engines.values():
+                engine.ledger.sequence = None
         for entry in self.stock.list_usable(service):
             known = self.engines.get(entry.id)
             if known is None or known.ledger.instance.born != entry.born:
-                reservations = known.ledger.reservations if known else []
-                ledger = engines.EngineLedger(
-                    entry, pool, reservations=reservations
-                )
+                ledger = engines.EngineLedger(entry, pool)
+                if known is not None:
+                    ledger.reservations = known.ledger.reservations
+                    ledger.reserve_restart(self.began)
                 self.engines[entry.id] = Engine(ledger)
             else:
                 known.ledger.instance = entry
@@ -325,9 +331,7 @@
         return plan.instance if await self._execute(plan, window) else ""
 
     def _mark_planned(self, plan: stocker.LoadPlan) -> None:
-        ledger = self.engines[plan.instance].ledger
-        ledger.is_busy = True
-        ledger.planned = plan.model.name
+        self.engines[plan.instance].ledger.planned = plan.model.name
 
     async def _execute(
         self, plan: stocker.LoadPlan, window: stocker.LoadWindow
@@ -353,7 +357,6 @@
                 return False
             return await self._run_load(engine, plan)
         finally:
-            engine.ledger.is_busy = False
             engine.ledger.planned = ""
 
     def _get_window(
@@ -389,23 +392,11 @@
 
     async def _run_load(self, engine: Engine, plan: stocker.LoadPlan) -> bool:
         """Order a load and wait for it."""
-        now = self.clock.now()
-        ledger = engine.ledger
-        if ledger.count_free_mb(now) < plan.model.size_mb:
-            return False
-        ledger.copies[plan.model.name] = engines.ModelCopy(
-            plan.model, engines.CopyState.LOADING, now
-        )
-        result = await self._order(
-            engine, ordering.Operation.LOAD, plan.model
-        )
+        async with engine.sending:
+            result = await self._order_load(engine, plan.model)
         if result is ordering.OrderResult.HELD:
-            ledger.copies[
-                plan.model.name
-            ].state = engines.CopyState.READY
             return True
         if result is not ordering.OrderResult.ACCEPTED:
-            ledger.copies.pop(plan.model.name, None)
             return False
         await asyncio.sleep(plan.duration.total_seconds())
         return await self._wait_for(
@@ -414,6 +405,30 @@
             plan.duration,
         )
 
+    async def _order_load(
+        self, engine: Engine, model: routes.Model
+    ) -> ordering.OrderResult:
+        """Order a load if it fits; `engine.sending` must be held."""
+        if not await self._settle_sequence(engine):
+            return ordering.OrderResult.NOT_SENT
+        ledger = engine.ledger
+        now = self.clock.now()
+        if ledger.is_ready(model.name):
+            return ordering.OrderResult.HELD
+        if ledger.count_free_mb(now) < model.size_mb:
+            return ordering.OrderResult.NOT_SENT
+        ledger.copies[model.name] = engines.ModelCopy(
+            model, engines.CopyState.LOADING, now
+        )
+        result = await self._send(
+            engine, ordering.Operation.LOAD, model, ""
+        )
+        if result is ordering.OrderResult.HELD:
+            ledger.copies[model.name].state = engines.CopyState.READY
+        elif result is not ordering.OrderResult.ACCEPTED:
+            del ledger.copies[model.name]
+        return result
+
     async def _wait_for(
         self,
         engine: Engine,
@@ -432,7 +447,6 @@
                 )
                 if report is not None and is_fresh and not report.is_busy:
                     engine.ledger.take_report(report, self.clock.now())
-                    engine.ledger.is_busy = True
                     if is_done(engine.ledger):
                         return True
             await asyncio.sleep(POLL_PERIOD.total_seconds())
--- a/src/cicadahook/platform/upstream.py
+++ b/src/cicadahook/platform/upstream.py
@@ -61,10 +61,11 @@
         Raises:
             exchange.AttemptError: the body is not complete.
         """
+        connection = self.response.connection
         with _translate_errors():
             body = await self.response.read()
-            self._check_end()
-            return body
+        _check_end(connection)
+        return body
 
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
@@ -72,21 +73,11 @@
         Raises:
             exchange.AttemptError: the body is not complete.
         """
+        connection = self.response.connection
         with _translate_errors():
             async for chunk in self.response.content.iter_any():
                 yield chunk
-            self._check_end()
-
-    def _check_end(self) -> None:
-        """Refuse a body without length that ended by a reset."""
-        connection = self.response.connection
-        if connection is None or connection.protocol is None:
-            return
-        error = connection.protocol.exception()
-        if error is not None:
-            raise exchange.AttemptError(
-                exchange.FailureKind.CUT, f"reset at the end: {error!r}"
-            )
+        _check_end(connection)
 
 
 class UpstreamClient:
@@ -184,6 +175,23 @@
             return ordering.OrderResult.UNKNOWN
 
 
+def _check_end(connection: aiohttp.connector.Connection | None) -> None:
+    """Refuse a body that ended by a reset.
+
+    The library takes any end of the connection for the end of a body without
+    a length.
+
+    Raises:
+        exchange.AttemptError: the connection was reset.
+    """
+    protocol = connection.protocol if connection is not None else None
+    error = protocol.exception() if protocol is not None else None
+    if isinstance(error, aiohttp.ClientOSError):
+        raise exchange.AttemptError(
+            exchange.FailureKind.CUT, f"reset at the end: {error!r}"
+        )
+
+
 def _create_session(*, resets: bool) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
--- a/src/cicadahook/programs/node.py
+++ b/src/cicadahook/programs/node.py
@@ -24,7 +24,7 @@
 # Shares of the grace period: until then new connections are accepted, until
 # then requests under way may end.
 ACCEPT_SHARE: Final = 0.45
-FINISH_SHARE: Final = 0.93
+FINISH_SHARE: Final = 0.85
 POLL_SECONDS: Final = 0.05
 
 logger: Final = logs.create_logger("daemon")
