Price the last copy by its reload; copy models whose adapters find no place

Change: dropping a last copy costs half of its load from the store; an engine busy for a quarter needs no relief; waiting adapters count as a gain.

--- a/src/cicadahook/core/stocker.py
+++ b/src/cicadahook/core/stocker.py
@@ -15,13 +15,14 @@
 from cicadahook.core import routes
 
 # An engine that is busy for no more than this share needs no relief.
-CALM_SHARE: Final = 0.15
+CALM_SHARE: Final = 0.25
 # Seconds of waiting that dropping a copy costs for a full engine's work.
 DROP_SECONDS: Final = 10.0
 # The same if another engine holds the model too.
 SPARE_DROP_SHARE: Final = 0.2
-# Least cost of dropping the last copy, which some request will want again.
-LAST_COPY_SECONDS: Final = 0.5
+# Share of the time of a load from the store that dropping the last copy costs,
+# since some request will want it again.
+LAST_COPY_SHARE: Final = 0.5
 # An unload waits for the requests that use the model.
 USED_SECONDS: Final = 1.5
 # What a load from the weight store costs besides its time.
@@ -30,6 +31,8 @@
 BUSY_SECONDS: Final = 2.0
 # Seconds of waiting that a further copy saves for a full engine's work.
 COPY_GAIN_SECONDS: Final = 10.0
+# What a request that waits for a place for an adapter loses.
+STARVED_SECONDS: Final = 1.0
 # A further copy must save as much to be worth the orders.
 MIN_GAIN_SECONDS: Final = 0.1
 # A model that requests wait for replaces no others that are worth more.
@@ -101,6 +104,7 @@
         used: model and adapter of the requests at each engine.
         is_store_open: whether a load from the weight store may begin.
         now: the time.
+        starved: requests that wait for a place for an adapter, by model.
     """
 
     ledgers: tuple[engines.EngineLedger, ...]
@@ -108,6 +112,7 @@
     used: Mapping[str, Set[tuple[str, str]]]
     is_store_open: bool
     now: datetime.datetime
+    starved: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
     @functools.cached_property
     def copies(self) -> "collections.Counter[str]":
@@ -183,14 +188,14 @@
                 return plan
     by_load = sorted(
         (
-            (stock.find_peak(name) * stock.demand.get(name, 0.0), name)
+            (_price_shortage(name, stock), name)
             for name in models
             if stock.copies[name]
         ),
         reverse=True,
     )
-    for load, name in by_load:
-        if load <= 0:
+    for shortage, name in by_load:
+        if shortage <= 0:
             break
         plan = plan_load(models[name], stock)
         if plan is not None and _is_worth_it(plan, stock):
@@ -198,13 +203,21 @@
     return None
 
 
+def _price_shortage(name: str, stock: Stock) -> float:
+    """Return the seconds of waiting that the copies of a model cause."""
+    load = stock.find_peak(name) * stock.demand.get(name, 0.0)
+    waiting = STARVED_SECONDS * stock.starved.get(name, 0)
+    return COPY_GAIN_SECONDS * load + waiting
+
+
 def _is_worth_it(plan: LoadPlan, stock: Stock) -> bool:
     """Whether a further copy saves more waiting than it costs."""
-    peak = stock.find_peak(plan.model.name)
-    if peak <= CALM_SHARE:
-        return False
-    demand = stock.demand[plan.model.name]
-    gain = COPY_GAIN_SECONDS * demand * (peak - plan.engine_share)
+    name = plan.model.name
+    gain = STARVED_SECONDS * stock.starved.get(name, 0)
+    peak = stock.find_peak(name)
+    if peak > CALM_SHARE:
+        relief = peak - plan.engine_share
+        gain += COPY_GAIN_SECONDS * stock.demand.get(name, 0.0) * relief
     cost = MIN_GAIN_SECONDS + plan.eviction_cost
     if plan.is_from_store:
         cost += STORE_LOAD_SECONDS
@@ -268,7 +281,7 @@
     if stock.copies[name] > 1:
         price *= SPARE_DROP_SHARE
     else:
-        price += LAST_COPY_SECONDS
+        price += LAST_COPY_SHARE * copy.model.store_load.total_seconds()
     in_use = {model for model, _ in stock.used.get(ledger.instance.id, ())}
     if name in in_use:
         price += USED_SECONDS
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -1,6 +1,7 @@
 """Sends orders to engines while this machine is their holder."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import dataclasses
 import datetime
@@ -77,6 +78,7 @@
         loading: loads under way, by service, model and adapter.
         windows: loads from the weight store, by service.
         operations: loads begun ahead of requests.
+        starved: adapters wanted for which no engine has a place.
         fence: fence of the term that the accounts are of.
         began: when that term began.
     """
@@ -104,6 +106,7 @@
         self.loading: dict[tuple[str, str, str], asyncio.Task[str]] = {}
         self.windows: dict[str, stocker.LoadWindow] = {}
         self.operations: set[asyncio.Task[bool]] = set()
+        self.starved: set[tuple[str, str, str]] = set()
         self.fence = 0
         self.began = clock.now()
 
@@ -190,6 +193,15 @@
         self, service: str, pool: routes.EnginePool, key: residency_lib.CopyKey
     ) -> str:
         """Load a model if need be, then its adapter; return the engine."""
+        name = (service, key.model, key.adapter)
+        try:
+            return await self._try_to_load(service, pool, key)
+        finally:
+            self.starved.discard(name)
+
+    async def _try_to_load(
+        self, service: str, pool: routes.EnginePool, key: residency_lib.CopyKey
+    ) -> str:
         end = self.clock.now() + MAX_WAIT
         while self.clock.now() < end:
             if not self.turn.can_send(self.clock.now()):
@@ -198,6 +210,8 @@
             instance = await self._load_model(service, pool, key)
             if instance and key.adapter:
                 instance = await self._load_adapter(service, instance, key)
+                if not instance:
+                    self.starved.add((service, key.model, key.adapter))
             if instance:
                 return instance
             await asyncio.sleep(MODEL_RETRY_PAUSE.total_seconds())
@@ -310,6 +324,9 @@
             },
             is_store_open,
             self.clock.now(),
+            collections.Counter(
+                model for name, model, _ in self.starved if name == service
+            ),
         )
 
     async def _place_model(
