Refuse a request after waiting 3 s for a copy, with Retry-After

Change: a request waits for a copy for 3 s or half of its time; then it is refused, spread returns of about 1.2 s asked for.

--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -6,7 +6,7 @@
 import dataclasses
 import datetime
 import random
-from typing import Any, Final, Protocol
+from typing import Any, Final, NoReturn, Protocol
 
 from cicadahook.core import balancer as balancer_lib
 from cicadahook.core import clock as clock_lib
@@ -32,6 +32,11 @@
 BRIEF_KINDS: Final = frozenset(
     {exchange.FailureKind.REJECTED, exchange.FailureKind.MISSING}
 )
+# A load of the smaller models from the weight store takes up to 2.6 s; for
+# longer ones the caller may as well come back.
+MAX_COPY_WAIT: Final = datetime.timedelta(seconds=3)
+COPY_WAIT_SHARE: Final = 0.5
+COPY_RETRY_AFTER: Final = datetime.timedelta(milliseconds=1200)
 MAX_SENDS: Final = 8
 
 logger: Final = logs.create_logger("forwarder")
@@ -285,7 +290,6 @@
             chosen = await self._select_engine(work, usable, generation)
         if chosen is None:
             self._raise_no_upstream(work)
-        assert chosen is not None, "refused without an upstream"
         return chosen
 
     async def _select_engine(
@@ -313,7 +317,15 @@
             best.id if best else "", generation.model, generation.adapter
         )
         avoided = parts.balancer.list_unreachable() | work.excluded
-        held = await parts.copies.ensure(work.service.name, key, avoided)
+        left = work.deadline - self.clock.now()
+        wait = min(MAX_COPY_WAIT, left * COPY_WAIT_SHARE)
+        try:
+            async with asyncio.timeout(wait.total_seconds()):
+                held = await parts.copies.ensure(
+                    work.service.name, key, avoided
+                )
+        except TimeoutError:
+            self._raise_no_copy(work)
         if held is None:
             return None
         entry = parts.inventory.find_usable(held.instance)
@@ -321,7 +333,19 @@
             parts.residency.note_held(held, self.clock.now())
         return entry
 
-    def _raise_no_upstream(self, work: Work) -> None:
+    def _raise_no_copy(self, work: Work) -> NoReturn:
+        """Refuse a request whose copy takes too long.
+
+        Raises:
+            errors.RefusalError: always.
+        """
+        if work.runs:
+            raise _refuse("attempts_failed", 502, outcome="unknown")
+        # Callers that come back together would find the same engine full.
+        spread = self.parts.generator.uniform(0.7, 1.3)
+        raise _refuse("no_copy", 503, COPY_RETRY_AFTER * spread)
+
+    def _raise_no_upstream(self, work: Work) -> NoReturn:
         if work.runs:
             raise _refuse("attempts_failed", 502, outcome="unknown")
         raise _refuse("no_upstream", 503, RETRY_AFTER)
@@ -481,7 +505,7 @@
                 return
         work.excluded |= {instance.id}
 
-    def _give_up(self, work: Work, reason: str) -> None:
+    def _give_up(self, work: Work, reason: str) -> NoReturn:
         """End a request that can't be tried again.
 
         Raises:
