Bound copies by demand and loads ahead by a quarter of the engines

Change: copies of a model up to its demand over 0.4; one copy at a time; a quarter of the engines load ahead; failed engines are avoided for a second.

--- a/src/cicadahook/core/stocker.py
+++ b/src/cicadahook/core/stocker.py
@@ -9,6 +9,7 @@
 import dataclasses
 import datetime
 import functools
+import math
 from typing import Final
 
 from cicadahook.core import engines
@@ -16,6 +17,10 @@
 
 # An engine that is busy for no more than this share needs no relief.
 CALM_SHARE: Final = 0.25
+# Share of an engine that one copy of a model is to carry.
+SHARE_PER_COPY: Final = 0.4
+# Share of the engines that may load ahead of requests at once.
+AHEAD_SHARE: Final = 0.25
 # Seconds of waiting that dropping a copy costs for a full engine's work.
 DROP_SECONDS: Final = 10.0
 # The same if another engine holds the model too.
@@ -36,7 +41,7 @@
 # A further copy must save as much to be worth the orders.
 MIN_GAIN_SECONDS: Final = 0.1
 # A model that requests wait for replaces no others that are worth more.
-MAX_EVICTION_SECONDS: Final = 2.0
+MAX_EVICTION_SECONDS: Final = 3.5
 # Loads from the store that are left for models that requests wait for.
 RESERVED_LOADS: Final = 2
 
@@ -54,6 +59,7 @@
         cost: seconds, with what the evictions cost.
         eviction_cost: seconds of waiting that the evictions cost.
         engine_share: share of the engine that is busy already.
+        demand: share of an engine that the model keeps busy.
     """
 
     instance: str
@@ -64,6 +70,7 @@
     cost: float
     eviction_cost: float
     engine_share: float
+    demand: float
 
 
 class LoadWindow:
@@ -121,6 +128,10 @@
             name for ledger in self.ledgers for name in list_models(ledger)
         )
 
+    def is_planned(self, model: str) -> bool:
+        """Whether a copy of a model is being loaded."""
+        return any(ledger.planned == model for ledger in self.ledgers)
+
     def count_share(self, ledger: engines.EngineLedger) -> float:
         """Return the share of an engine that its models keep busy."""
         return sum(
@@ -181,6 +192,9 @@
     models that nobody asks for, which load again within a second from where
     they were.
     """
+    busy = sum(ledger.is_busy for ledger in stock.ledgers)
+    if busy >= math.ceil(AHEAD_SHARE * len(stock.ledgers)) and stock.demand:
+        return None
     for name, model in models.items():
         if not stock.copies[name]:
             plan = plan_load(model, stock)
@@ -213,6 +227,11 @@
 def _is_worth_it(plan: LoadPlan, stock: Stock) -> bool:
     """Whether a further copy saves more waiting than it costs."""
     name = plan.model.name
+    wanted = math.ceil(stock.demand.get(name, 0.0) / SHARE_PER_COPY)
+    if stock.starved.get(name, 0):
+        wanted += 1
+    if stock.copies[name] >= wanted or stock.is_planned(name):
+        return False
     gain = STARVED_SECONDS * stock.starved.get(name, 0)
     peak = stock.find_peak(name)
     if peak > CALM_SHARE:
@@ -259,6 +278,7 @@
         cost,
         eviction_cost,
         engine_share,
+        stock.demand.get(model.name, 0.0),
     )
 
 
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -26,7 +26,11 @@
 OPERATION_SLACK: Final = datetime.timedelta(seconds=4)
 # The sheets state 5 to 10 ms for an adapter.
 ADAPTER_DELAY: Final = datetime.timedelta(milliseconds=10)
+# How long an engine is avoided that could not be reached or lacked a copy.
+DOUBT_PERIOD: Final = datetime.timedelta(seconds=1)
 MAX_TRIES: Final = 3
+# Copies of one order that are sent until one is answered.
+MAX_COPIES: Final = 6
 MODEL_RETRY_PAUSE: Final = datetime.timedelta(milliseconds=150)
 PLAN_PERIOD: Final = datetime.timedelta(milliseconds=300)
 MAX_WAIT: Final = datetime.timedelta(seconds=10)
@@ -143,18 +147,18 @@
         return residency_lib.CopyKey(instance, key.model, key.adapter)
 
     def _doubt(self, instance: str) -> None:
-        """Ask an engine for its state before it is used again."""
+        """Use an engine no more for a while, and ask for its state then."""
         engine = self.engines.get(instance)
-        if engine is None or engine.ledger.is_busy:
+        if engine is None or self._is_doubtful(engine):
             return
-        now = self.clock.now()
-        is_recent = (
-            engine.doubted is not None and now - engine.doubted < REPORT_LAG
-        )
-        if not is_recent:
-            engine.doubted = now
+        engine.doubted = self.clock.now()
+        if not engine.ledger.is_busy:
             engine.ledger.sequence = None
 
+    def _is_doubtful(self, engine: Engine) -> bool:
+        since = engine.doubted
+        return since is not None and self.clock.now() - since < DOUBT_PERIOD
+
     def _find_pool(self, service: str) -> routes.EnginePool | None:
         configuration = self.get_configuration()
         if configuration is None or service not in configuration.services:
@@ -253,6 +257,7 @@
             for engine in known
             if engine.ledger.sequence is not None
             and engine.ledger.is_ready(key.model)
+            and not self._is_doubtful(engine)
         ]
         names = [engine.ledger.instance.id for engine in holders]
         if key.instance in names:
@@ -313,7 +318,8 @@
         ledgers = tuple(
             engine.ledger
             for engine in self._list_engines(service)
-            if engine.ledger.sequence is not None or engine.ledger.is_busy
+            if not self._is_doubtful(engine)
+            and (engine.ledger.sequence is not None or engine.ledger.is_busy)
         )
         return stocker.Stock(
             ledgers,
@@ -363,6 +369,9 @@
                 "evicted": list(plan.evicted),
                 "from_store": plan.is_from_store,
                 "cost_seconds": round(plan.cost, 3),
+                "eviction_seconds": round(plan.eviction_cost, 3),
+                "engine_share": round(plan.engine_share, 3),
+                "demand": round(plan.demand, 3),
                 "fence": self.fence,
             },
         )
@@ -495,6 +504,7 @@
             engine
             for engine in self._list_engines(service)
             if engine.ledger.is_ready(model)
+            and not self._is_doubtful(engine)
         ]
         return sorted(
             holders,
@@ -593,7 +603,7 @@
         sequence = engine.ledger.sequence
         assert sequence is not None, "an order needs the engine's sequence"
         result = ordering.OrderResult.NOT_SENT
-        for _ in range(MAX_TRIES):
+        for _ in range(MAX_COPIES):
             if not self.turn.can_send(self.clock.now()):
                 break
             order = ordering.Order(
--- a/src/cicadahook/platform/upstream.py
+++ b/src/cicadahook/platform/upstream.py
@@ -19,7 +19,7 @@
 
 CONNECT_TIMEOUT: Final = datetime.timedelta(milliseconds=1000)
 # An engine answers an order at once; copies of an order are harmless.
-ORDER_TIMEOUT: Final = datetime.timedelta(milliseconds=400)
+ORDER_TIMEOUT: Final = datetime.timedelta(milliseconds=120)
 REPORT_TIMEOUT: Final = datetime.timedelta(milliseconds=1000)
 # Upstreams close idle connections too; theirs is mostly longer.
 IDLE_SECONDS: Final = 4.0
