Test two nodes on a stand-in of the platform; serve metrics

The stand-in plays store, upstreams and engines on loopback, without the kit. It found that an answer without a length that ends by a reset was still passed on as whole (the library gives the connection up before the check), and that the configured limits of requests were not applied. Both mended; the tests failed before.

--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -386,6 +386,16 @@
             running.discard(work.fingerprint)
             self.parts.balancer.end(placement, failure)
         self._log(work, "answered", instance=instance.id)
+        received = work.request.received
+        if work.first_piece is not None:
+            metrics.record_latency(
+                "cicada_first_piece",
+                work.first_piece - received,
+                work.service.name,
+            )
+        metrics.record_latency(
+            "cicada_answer", self.clock.now() - received, work.service.name
+        )
 
     async def _pass_on(
         self,
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -1,5 +1,6 @@
 """Metrics by OpenTelemetry, shown in the Prometheus text form."""
 
+import datetime
 import functools
 import importlib
 from typing import Final
@@ -32,6 +33,20 @@
     )
 
 
+@functools.cache
+def create_histogram(name: str, description: str) -> metrics.Histogram:
+    """Return the histogram of seconds called `name`."""
+    return metrics.get_meter(METER_NAME).create_histogram(
+        name, unit="s", description=description
+    )
+
+
+def record_latency(name: str, span: datetime.timedelta, service: str) -> None:
+    """Record how long a part of a request to `service` took."""
+    histogram = create_histogram(name, "Latencies of requests, by service.")
+    histogram.record(span.total_seconds(), {"service": service})
+
+
 def count_refusal(code: str, node: str) -> None:
     """Count a request refused for the reason `code`."""
     counter = create_counter(
@@ -48,7 +63,7 @@
     counter.add(1, {"reason": reason, "node": node})
 
 
-async def show(request: web.Request) -> web.Response:
+async def show(request: web.BaseRequest) -> web.Response:
     """Answer all metrics in the Prometheus text form."""
     del request
     return web.Response(
--- a/src/cicadahook/platform/front.py
+++ b/src/cicadahook/platform/front.py
@@ -109,7 +109,6 @@
     """Reads requests of callers and hands them to the forwarder.
 
     Attributes:
-        limits: what callers may send.
         is_stopping: whether connections end with their next answer.
         is_closed: whether new requests are turned away.
         active: requests under way.
@@ -120,11 +119,16 @@
     ) -> None:
         self.serving = serving
         self.clock = clock
-        self.limits = routes.CallerLimits()
         self.is_stopping = False
         self.is_closed = False
         self.active = 0
 
+    @property
+    def limits(self) -> routes.CallerLimits:
+        """Return what callers may send."""
+        configuration = self.serving.configuration
+        return configuration.limits if configuration else routes.CallerLimits()
+
     def create_server(self) -> web.Server:
         """Return a server that cancels the work of callers that left."""
         return web.Server(
--- a/src/cicadahook/platform/upstream.py
+++ b/src/cicadahook/platform/upstream.py
@@ -1,5 +1,6 @@
 """Calls to upstreams: requests of callers, orders and reports."""
 
+import asyncio
 from collections.abc import AsyncIterator, Iterator
 import contextlib
 import dataclasses
@@ -8,6 +9,7 @@
 from typing import Any, Final
 
 import aiohttp
+from aiohttp import client_proto
 import yarl
 
 from cicadahook.core import exchange
@@ -50,10 +52,12 @@
     Attributes:
         head: status and headers.
         response: where the body comes from.
+        protocol: the connection that brings it, if it is still there.
     """
 
     head: exchange.AnswerHead
     response: aiohttp.ClientResponse
+    protocol: asyncio.Protocol | None
 
     async def read(self) -> bytes:
         """Return the whole body.
@@ -61,10 +65,9 @@
         Raises:
             exchange.AttemptError: the body is not complete.
         """
-        connection = self.response.connection
         with _translate_errors():
             body = await self.response.read()
-        _check_end(connection)
+        self._check_end()
         return body
 
     async def iterate(self) -> AsyncIterator[bytes]:
@@ -73,11 +76,31 @@
         Raises:
             exchange.AttemptError: the body is not complete.
         """
-        connection = self.response.connection
         with _translate_errors():
             async for chunk in self.response.content.iter_any():
                 yield chunk
-        _check_end(connection)
+        self._check_end()
+
+    def _check_end(self) -> None:
+        """Refuse a body without a length that ended by a reset.
+
+        The library takes any end of the connection for the end of such a
+        body.
+
+        Raises:
+            exchange.AttemptError: the connection was reset, or was gone before
+                that could be seen.
+        """
+        headers = self.response.headers
+        if "Content-Length" in headers or "Transfer-Encoding" in headers:
+            return
+        if isinstance(self.protocol, client_proto.ResponseHandler):
+            error = self.protocol.exception()
+            if not isinstance(error, aiohttp.ClientOSError):
+                return
+        raise exchange.AttemptError(
+            exchange.FailureKind.CUT, "a body without length ended by a reset"
+        )
 
 
 class UpstreamClient:
@@ -121,7 +144,12 @@
             )
         is_reusable = False
         try:
-            yield UpstreamAnswer(_decode_head(response, request.id), response)
+            connection = response.connection
+            yield UpstreamAnswer(
+                _decode_head(response, request.id),
+                response,
+                connection.protocol if connection is not None else None,
+            )
             is_reusable = True
         finally:
             if is_reusable:
@@ -175,23 +203,6 @@
             return ordering.OrderResult.UNKNOWN
 
 
-def _check_end(connection: aiohttp.connector.Connection | None) -> None:
-    """Refuse a body that ended by a reset.
-
-    The library takes any end of the connection for the end of a body without
-    a length.
-
-    Raises:
-        exchange.AttemptError: the connection was reset.
-    """
-    protocol = connection.protocol if connection is not None else None
-    error = protocol.exception() if protocol is not None else None
-    if isinstance(error, aiohttp.ClientOSError):
-        raise exchange.AttemptError(
-            exchange.FailureKind.CUT, f"reset at the end: {error!r}"
-        )
-
-
 def _create_session(*, resets: bool) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
--- a/src/cicadahook/programs/node.py
+++ b/src/cicadahook/programs/node.py
@@ -25,18 +25,28 @@
 # then requests under way may end.
 ACCEPT_SHARE: Final = 0.45
 FINISH_SHARE: Final = 0.85
+# The port that deploy/system.toml names for metrics.
+METRICS_PORT: Final = 9464
 POLL_SECONDS: Final = 0.05
 
 logger: Final = logs.create_logger("daemon")
 
 
 class NodeProgram:
-    """The node with its ports open."""
+    """The node with its ports open.
+
+    Attributes:
+        settings: its settings.
+        clock: counts suspension.
+        stopped: set at a stop signal.
+        node: set once it runs.
+    """
 
     def __init__(self, settings: nodes.NodeSettings) -> None:
         self.settings = settings
         self.clock = clock_lib.BootClock()
         self.stopped = asyncio.Event()
+        self.node: node_lib.Node | None = None
 
     async def run(self) -> None:
         """Serve until a stop signal, then end gracefully."""
@@ -56,12 +66,20 @@
             messages.decode_configuration,
             messages.decode_instance,
         )
+        self.node = node
         front = front_lib.Front(node.forwarder, self.clock)
         try:
             async with contextlib.AsyncExitStack() as stack:
                 await self._listen(stack, node, front)
                 await node.start()
-                logger.info("Started.", extra={"node": self.settings.name})
+                logger.info(
+                    "Started.",
+                    extra={
+                        "node": self.settings.name,
+                        "front": self.settings.front_address,
+                        "peers": self.settings.peer_address,
+                    },
+                )
                 await self.stopped.wait()
                 await self._drain(node, front)
         finally:
@@ -84,6 +102,7 @@
             (web.Server(checks.handle_ready), self.settings.ready_port),
             (web.Server(checks.handle_resolve), self.settings.directory_port),
             (web.Server(node.copy_server.handle), self.settings.peer_port),
+            (web.Server(metrics.show), METRICS_PORT),
         )
         for server, port in ports:
             await stack.enter_async_context(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,6 +13,8 @@
 from cicadahook.net import metrics
 from cicadahook.programs import daemon
 from cicadahook.programs import local
+from cicadahook.programs import node as node_program
+import node_world
 
 FIRST_PORT: Final = 12000
 BLOCK_SIZE: Final = 50
@@ -79,3 +81,13 @@
     """Yield a system that the tests of a module share."""
     async with run_system() as running:
         yield running
+
+
+@pytest_asyncio.fixture
+async def world(
+    monkeypatch: pytest.MonkeyPatch,
+) -> AsyncIterator[node_world.World]:
+    """Run two nodes on a stand-in of the cooperative platform."""
+    monkeypatch.setattr(node_program, "METRICS_PORT", 0)
+    async with node_world.run(find_base_port()) as running:
+        yield running
--- /dev/null
+++ b/tests/node_store.py
@@ -0,0 +1,196 @@
+"""A stand-in of the platform's store, spoken to over HTTP."""
+
+import asyncio
+import base64
+import dataclasses
+import json
+from typing import Any
+
+from aiohttp import web
+
+Fields = dict[str, Any]
+
+
+@dataclasses.dataclass
+class StoreFaults:
+    """What the stand-in does wrong.
+
+    Attributes:
+        is_down: every call gets 503.
+        is_silent: watches are never answered.
+        loses_answers: writes are done and not answered.
+    """
+
+    is_down: bool = False
+    is_silent: bool = False
+    loses_answers: bool = False
+
+
+class StoreStandin:
+    """Keys with revisions, leases and watches.
+
+    Attributes:
+        items: fields of each key.
+        log: every change, oldest first.
+        oldest: revision before which history is gone.
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, Fields] = {}
+        self.log: list[Fields] = []
+        self.oldest = 0
+        self.revision = 1
+        self.leases: dict[int, asyncio.TimerHandle] = {}
+        self.lengths: dict[int, float] = {}
+        self.next_lease = 70
+        self.changed = asyncio.Condition()
+        self.faults = StoreFaults()
+
+    def put(self, key: str, value: Any, lease: int = 0) -> int:
+        """Write a key as the operator or an upstream would."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        known = self.items.get(key)
+        created = known["created"] if known else self.revision
+        self.items[key] = {
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "revision": self.revision,
+            "created": created,
+            "lease": lease,
+        }
+        self.log.append(self.items[key])
+        self._wake()
+        return self.revision
+
+    def delete(self, key: str) -> None:
+        """Delete a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.log.append(
+                {"key": key, "revision": self.revision, "deleted": True}
+            )
+            self._wake()
+
+    def compact(self) -> None:
+        """Forget all history."""
+        self.oldest = self.revision
+        self.log.clear()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call."""
+        if self.faults.is_down:
+            return web.Response(status=503)
+        if request.path == "/kv-range":
+            return self._list(request)
+        if request.path == "/kv-watch":
+            return await self._watch(request)
+        if request.path == "/kv-txn":
+            return await self._write(json.loads(await request.read()))
+        if request.path == "/kv-lease":
+            body = json.loads(await request.read())
+            return self._grant(body["ttl_ms"] / 1000)
+        lease = int(request.path.rsplit("/", 1)[1])
+        if request.path.startswith("/kv-keep/"):
+            return self._renew(lease)
+        self._end(lease)
+        return web.json_response({})
+
+    def _list(self, request: web.BaseRequest) -> web.Response:
+        prefix = request.query["path_prefix"]
+        items = [
+            self.items[key]
+            for key in sorted(self.items)
+            if key.startswith(prefix) and key > request.query.get("after", "")
+        ]
+        return web.json_response(
+            {"items": items[:2], "has_more": len(items) > 2, "at": self.revision}
+        )
+
+    async def _watch(self, request: web.BaseRequest) -> web.Response:
+        prefix = request.query["path_prefix"]
+        after = int(request.query["after"])
+        if after < self.oldest:
+            return web.Response(status=410)
+
+        def find() -> list[Fields]:
+            return [
+                event
+                for event in self.log
+                if event["revision"] > after and event["key"].startswith(prefix)
+            ]
+
+        try:
+            async with asyncio.timeout(int(request.query["wait_ms"]) / 1000):
+                async with self.changed:
+                    await self.changed.wait_for(
+                        lambda: find() and not self.faults.is_silent
+                    )
+        except TimeoutError:
+            pass
+        if after < self.oldest:
+            return web.Response(status=410)
+        return web.json_response({"events": find(), "at": self.revision})
+
+    async def _write(self, body: Fields) -> web.Response:
+        for row in body["expected"]:
+            known = self.items.get(row["key"])
+            if (known["revision"] if known else 0) != row["revision"]:
+                return web.json_response({"items": []}, status=412)
+        if any(
+            row["lease"] and row["lease"] not in self.leases
+            for row in body["set_keys"]
+        ):
+            return web.Response(status=404)
+        for row in body["set_keys"]:
+            data = base64.b64decode(row["value"])
+            self.put(row["key"], data, row["lease"])
+        # All writes of a transaction share one revision.
+        for row in body["set_keys"]:
+            self.items[row["key"]]["revision"] = self.revision
+        for key in body["delete_keys"]:
+            self.delete(key)
+        if self.faults.loses_answers:
+            await asyncio.sleep(5)
+        return web.json_response({"revision": self.revision})
+
+    def _grant(self, length: float) -> web.Response:
+        self.next_lease += 1
+        self.lengths[self.next_lease] = length
+        self._start(self.next_lease)
+        return web.json_response(
+            {"lease": self.next_lease, "ttl_ms": int(length * 1000)}
+        )
+
+    def _renew(self, lease: int) -> web.Response:
+        if lease not in self.leases:
+            return web.Response(status=404)
+        self.leases[lease].cancel()
+        self._start(lease)
+        return web.json_response({"ttl_ms": int(self.lengths[lease] * 1000)})
+
+    def _start(self, lease: int) -> None:
+        loop = asyncio.get_running_loop()
+        self.leases[lease] = loop.call_later(
+            self.lengths[lease], self._end, lease
+        )
+
+    def _end(self, lease: int) -> None:
+        handle = self.leases.pop(lease, None)
+        if handle is not None:
+            handle.cancel()
+        for key, item in list(self.items.items()):
+            if item["lease"] == lease:
+                self.delete(key)
+
+    def _wake(self) -> None:
+        async def notify() -> None:
+            async with self.changed:
+                self.changed.notify_all()
+
+        try:
+            task = asyncio.get_running_loop().create_task(notify())
+        except RuntimeError:
+            # Written before the loop runs: nobody can be waiting yet.
+            return
+        task.add_done_callback(lambda _: None)
--- /dev/null
+++ b/tests/node_upstreams.py
@@ -0,0 +1,185 @@
+"""Stand-ins of upstreams: a plain service and a model engine."""
+
+import asyncio
+import dataclasses
+import json
+import socket
+import struct
+from typing import Any
+
+from aiohttp import web
+import multidict
+
+RESET = struct.pack("ii", 1, 0)
+
+
+@dataclasses.dataclass
+class Arrival:
+    """A request as it reached an upstream."""
+
+    path: str
+    headers: "multidict.CIMultiDictProxy[str]"
+    body: bytes
+
+
+class UpstreamStandin:
+    """Answers requests and keeps what it saw.
+
+    Attributes:
+        id: its instance id.
+        arrivals: requests in the order of their arrival.
+        mode: what it does with a request: `ok`, `full`, `error`, `reset`
+            (after the head of an answer without length), `crossed`,
+            `unsigned`, `hang`.
+        models: what it holds: adapters by model.
+        sequence: orders accepted.
+        orders: bodies of orders.
+        running: requests being worked on.
+        events: events of a stream.
+        event_seconds: time between events.
+        cut_after: events after which a stream is cut; 0 for none.
+    """
+
+    def __init__(self, name: str, service: str) -> None:
+        self.id = name
+        self.service = service
+        self.arrivals: list[Arrival] = []
+        self.mode = "ok"
+        self.models: dict[str, set[str]] = {}
+        self.sequence = 0
+        self.orders: list[dict[str, Any]] = []
+        self.running = 0
+        self.events = 5
+        self.event_seconds = 0.01
+        self.cut_after = 0
+        self.address = ""
+        self.state = "ready"
+
+    def describe(self) -> dict[str, Any]:
+        """Return its entry in the store."""
+        return {
+            "service_name": self.service,
+            "address": self.address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 4,
+            "state": self.state,
+            "cold_remaining_ms": 0,
+            "models": self._list_models(),
+            "available": {"in_memory": [], "on_disk": []},
+            "sequence_number": self.sequence,
+            "born": 1_700_000_000_000,
+        }
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call."""
+        if request.path == "/report":
+            return web.json_response(
+                {
+                    "stage": "both",
+                    "models": self._list_models(),
+                    "busy": False,
+                    "sequence_number": self.sequence,
+                    "incoming": [],
+                    "born": 1_700_000_000_000,
+                }
+            )
+        if request.path == "/order":
+            return self._order(json.loads(await request.read()))
+        body = await request.read()
+        self.arrivals.append(
+            Arrival(request.raw_path, request.headers, body)
+        )
+        self.running += 1
+        try:
+            return await self._answer(request)
+        finally:
+            self.running -= 1
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        request_id = request.headers.get("X-Request-Id", "")
+        expected = request.headers.get("X-Expected-Instance", self.id)
+        model, _, adapter = request.headers.get("X-Model", "").partition("/")
+        is_missing = model and (
+            model not in self.models
+            or (adapter and adapter not in self.models[model])
+        )
+        if expected != self.id or is_missing:
+            return web.Response(
+                status=421, headers={"X-Instance-Id": self.id}
+            )
+        headers = {
+            "X-Request-Id": request_id,
+            "X-Response-Signature": f"sig-{request_id}",
+        }
+        if self.mode == "full":
+            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+        if self.mode == "error":
+            return web.Response(status=500, body=b"broken", headers=headers)
+        if self.mode == "crossed":
+            headers["X-Request-Id"] = "another"
+        if self.mode == "unsigned":
+            del headers["X-Response-Signature"]
+        if self.mode == "hang":
+            await asyncio.sleep(30)
+        if self.mode == "reset":
+            await self._reset(request, headers)
+        if model:
+            return await self._stream(request, headers)
+        return web.Response(body=b"answer", headers=headers)
+
+    async def _reset(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> None:
+        """Answer without a length, then reset the connection."""
+        transport = request.transport
+        assert transport is not None, "no connection"
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", "ans"])
+        transport.write(head.encode())
+        await asyncio.sleep(0.05)
+        sock: socket.socket = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        transport.abort()
+
+    async def _stream(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, self.events + 1):
+            await asyncio.sleep(self.event_seconds)
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if number == self.cut_after:
+                await response.write(event[:7])
+                assert request.transport is not None, "no connection"
+                request.transport.close()
+                return response
+            await response.write(event)
+        await response.write_eof()
+        return response
+
+    def _order(self, order: dict[str, Any]) -> web.Response:
+        self.orders.append(order)
+        if order.get("expected", self.sequence) != self.sequence:
+            return web.Response(status=409)
+        model, adapter = order["model"], order.get("adapter")
+        self.sequence += 1
+        if order["operation"] == "load":
+            held = self.models.setdefault(model, set())
+            if adapter:
+                held.add(adapter)
+        elif adapter:
+            self.models[model].discard(adapter)
+        else:
+            self.models.pop(model, None)
+        return web.Response(status=202)
+
+    def _list_models(self) -> list[dict[str, Any]]:
+        return [
+            {"name": name, "version": 1, "adapters": sorted(adapters)}
+            for name, adapters in self.models.items()
+        ]
--- /dev/null
+++ b/tests/node_world.py
@@ -0,0 +1,227 @@
+"""Nodes, the platform's store and upstreams on loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+import contextlib
+import dataclasses
+import datetime
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from cicadahook.core import nodes
+from cicadahook.platform import front
+from cicadahook.programs import node as node_program
+import node_store
+import node_upstreams
+
+HOST = "127.0.0.1"
+
+
+def create_configuration(version: int = 1) -> dict[str, Any]:
+    """Return a configuration with a plain service and an engine service."""
+
+    def route(name: str, prefix: str, kind: str, **more: Any) -> dict[str, Any]:
+        return {
+            "name": name,
+            "hostname": "api.example",
+            "path_prefix": prefix,
+            "route_kind": kind,
+            "timeout_ms": 2000,
+            "target_latency_ms": 400,
+            "priority": 1,
+            "service_name": "plain",
+            "max_attempts": 1,
+            **more,
+        }
+
+    model = {
+        "weights_mb": 40.0,
+        "load_time_s": 0.1,
+        "adapters": 3,
+        "adapter_size_mb": 1.0,
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("read", "/read/", "idempotent", max_attempts=2),
+            route("write", "/write/", "non_idempotent"),
+            route("chat", "/chat/", "streaming", service_name="engines"),
+            route(
+                "review",
+                "/review/",
+                "streaming",
+                service_name="engines",
+                max_attempts=2,
+                resumable=True,
+            ),
+        ],
+        "services": [
+            {"name": "plain", "health_path": "/health"},
+            {
+                "name": "engines",
+                "health_path": "/health",
+                "inference_engine": {
+                    "slots": 8,
+                    "weights_mb": 100.0,
+                    "adapter_slots": 2,
+                    "loads_per_s": 10.0,
+                    "models": [
+                        {"name": "big", **model},
+                        {"name": "small", **model},
+                        {"name": "other", **model},
+                    ],
+                },
+            },
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+    }
+
+
+def create_settings(name: str, base: int, store: str) -> nodes.NodeSettings:
+    """Return the settings of a node whose ports begin at `base`."""
+    second = datetime.timedelta(seconds=1)
+    return nodes.NodeSettings(
+        name=name,
+        host=HOST,
+        zone="zone-a",
+        region="region",
+        zone_regions={"zone-a": "region"},
+        front_port=base,
+        ready_port=base + 1,
+        directory_port=base + 2,
+        peer_port=base + 3,
+        store_address=store,
+        address_lifetime=5 * second,
+        grace_period=2 * second,
+        handover_pause=0.3 * second,
+        retry_ratio=0.2,
+        retry_slack=50.0,
+        retry_window=10 * second,
+        load_window=5 * second,
+        load_overage=1.1,
+    )
+
+
+@dataclasses.dataclass
+class World:
+    """Everything on loopback.
+
+    Attributes:
+        store: the platform's store.
+        plain: upstreams of the plain service.
+        engines: model engines.
+        programs: the nodes.
+        session: what the caller uses.
+    """
+
+    store: node_store.StoreStandin
+    store_address: str
+    plain: list[node_upstreams.UpstreamStandin]
+    engines: list[node_upstreams.UpstreamStandin]
+    programs: list[node_program.NodeProgram]
+    tasks: list[asyncio.Task[None]]
+    session: aiohttp.ClientSession
+
+    def register(self, upstream: node_upstreams.UpstreamStandin) -> None:
+        """Write an upstream's entry."""
+        self.store.put(f"servers/{upstream.id}", upstream.describe())
+
+    @contextlib.asynccontextmanager
+    async def call(
+        self, path: str, node: int = 0, **options: Any
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Send a request to a node."""
+        settings = self.programs[node].settings
+        headers = {
+            "Host": "api.example",
+            "X-Request-Id": "r1",
+            **options.pop("headers", {}),
+        }
+        method = options.pop("method", "POST")
+        async with self.session.request(
+            method,
+            f"http://{settings.front_address}{path}",
+            headers=headers,
+            **options,
+        ) as response:
+            yield response
+
+    async def ask(self, port_offset: int, path: str) -> tuple[int, Any]:
+        """Return status and body of a check on the first node."""
+        port = self.programs[0].settings.front_port + port_offset
+        async with self.session.get(f"http://{HOST}:{port}{path}") as response:
+            return response.status, await response.read()
+
+
+async def wait_until(check: Callable[[], bool], seconds: float = 5.0) -> None:
+    """Wait until `check` holds."""
+    async with asyncio.timeout(seconds):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def run(base: int) -> AsyncIterator[World]:
+    """Run two nodes, the store, two plain upstreams and two engines.
+
+    Args:
+        base: first of a block of free ports.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        store = node_store.StoreStandin()
+        plain = [
+            node_upstreams.UpstreamStandin(f"p{number}", "plain")
+            for number in (1, 2)
+        ]
+        engines = [
+            node_upstreams.UpstreamStandin(f"e{number}", "engines")
+            for number in (1, 2)
+        ]
+        engines[0].models = {"big": set()}
+        engines[1].models = {"small": {"a1"}}
+        await stack.enter_async_context(
+            front.listen(web.Server(store.handle), HOST, base)
+        )
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        new = World(store, f"{HOST}:{base}", plain, engines, [], [], session)
+        for offset, upstream in enumerate([*plain, *engines]):
+            port = base + 1 + offset
+            upstream.address = f"{HOST}:{port}"
+            await stack.enter_async_context(
+                front.listen(web.Server(upstream.handle), HOST, port)
+            )
+            new.register(upstream)
+        store.put("op/config", create_configuration())
+        for number in range(2):
+            settings = create_settings(
+                f"n{number}", base + 10 + 10 * number, new.store_address
+            )
+            program = node_program.NodeProgram(settings)
+            new.programs.append(program)
+            new.tasks.append(asyncio.create_task(program.run()))
+        await wait_until(lambda: all(is_ready(node) for node in new.programs))
+        await wait_until(lambda: any(can_order(node) for node in new.programs))
+        yield new
+        for program in new.programs:
+            program.stopped.set()
+        await asyncio.gather(*new.tasks)
+
+
+def is_ready(program: node_program.NodeProgram) -> bool:
+    """Whether a node takes callers and knows another node."""
+    node = program.node
+    if node is None or not node.is_ready():
+        return False
+    return bool(list(node.roster.list_heard(program.clock.now())))
+
+
+def can_order(program: node_program.NodeProgram) -> bool:
+    """Whether a node may send orders."""
+    assert program.node is not None, "not started"
+    return program.node.turn.can_send(program.clock.now())
