--- /dev/null
+++ b/tests/test_node_core.py
@@ -0,0 +1,445 @@
+"""Decisions of a node, without any network."""
+
+import datetime
+import random
+
+import pytest
+
+from cicadahook.core import balancer as balancer_lib
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import engines
+from cicadahook.core import events
+from cicadahook.core import exchange
+from cicadahook.core import inventory
+from cicadahook.core import ordering
+from cicadahook.core import paces
+from cicadahook.core import popularity
+from cicadahook.core import prefixes
+from cicadahook.core import residency
+from cicadahook.core import retrybudget
+from cicadahook.core import roster
+from cicadahook.core import routes
+from cicadahook.core import stocker
+
+SECOND = datetime.timedelta(seconds=1)
+MS = datetime.timedelta(milliseconds=1)
+
+
+def create_route(prefix: str, name: str = "") -> routes.Route:
+    return routes.Route(
+        name or prefix,
+        "api.example",
+        prefix,
+        routes.RouteKind.IDEMPOTENT,
+        SECOND,
+        SECOND,
+        0,
+        (routes.WeightedService("s", 1.0),),
+        1,
+    )
+
+
+def create_instance(
+    name: str, models: tuple[str, ...] = (), **more: object
+) -> inventory.Instance:
+    return inventory.Instance(
+        name,
+        "s",
+        f"{name}:80",
+        "z",
+        4,
+        holdings={model: inventory.Holding(model, 1) for model in models},
+        **more,  # type: ignore[arg-type]
+    )
+
+
+def create_model(name: str, size_mb: float = 40.0) -> routes.Model:
+    return routes.Model(
+        name, size_mb, 1.0, frozenset({"a1"}), 4 * SECOND, SECOND, SECOND / 2
+    )
+
+
+def create_pool(*names: str) -> routes.EnginePool:
+    models = {name: create_model(name) for name in names}
+    return routes.EnginePool(models, 100.0, 2, 8, 1.0)
+
+
+def create_ledger(
+    name: str, pool: routes.EnginePool, held: tuple[str, ...]
+) -> engines.EngineLedger:
+    ledger = engines.EngineLedger(create_instance(name, held), pool)
+    ledger.take_report(create_report(0, *held), clock_lib.EPOCH)
+    return ledger
+
+
+def create_report(
+    sequence: int, *models: str, is_busy: bool = False
+) -> ordering.EngineReport:
+    holdings = {model: inventory.Holding(model, 1) for model in models}
+    return ordering.EngineReport(sequence, is_busy, holdings, frozenset(), 0)
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "expected"),
+    [
+        ("api.example", "/a/b/c", "/a/b/"),
+        ("API.example:8080", "/a/x", "/a/"),
+        ("api.example", "/a", None),
+        ("api.example", "/b/?q=/a/", None),
+        ("other.example", "/a/", None),
+    ],
+)
+def test_finds_the_longest_prefix(
+    host: str, path: str, expected: str | None
+) -> None:
+    configuration = routes.Configuration(
+        1,
+        (create_route("/a/"), create_route("/a/b/")),
+        {},
+        routes.CallerLimits(),
+    )
+    route = configuration.find_route(host, path)
+    assert (route.prefix if route else None) == expected
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 7, 1000])
+def test_splits_events_however_they_arrive(size: int) -> None:
+    data = b"id: 1\ndata: x\n\nid: 2\r\ndata: y\r\n\r\ndata: z\n\nid: 4\nda"
+    splitter = events.EventSplitter()
+    found = [
+        event
+        for start in range(0, len(data), size)
+        for event in splitter.feed(data[start : start + size])
+    ]
+    assert [event.id for event in found] == ["1", "2", ""]
+    whole = b"".join(event.data for event in found)
+    assert whole + splitter.pending == data
+
+
+def test_refuses_an_endless_event() -> None:
+    splitter = events.EventSplitter()
+    with pytest.raises(events.OversizedEventError):
+        list(splitter.feed(b"x" * (events.MAX_EVENT_BYTES + 1)))
+
+
+def test_keeps_lapsed_registrations_after_an_outage() -> None:
+    stock = inventory.Inventory()
+    now = clock_lib.EPOCH
+    both = [create_instance("a"), create_instance("b")]
+    stock.take_snapshot(both, 5, now, is_after_outage=False)
+    stock.take_snapshot(both[:1], 9, now, is_after_outage=True)
+    assert stock.find_usable("b") is not None
+    stock.drop_expired(now + 1.9 * SECOND)
+    assert stock.find_usable("b") is not None
+    stock.drop_expired(now + 2 * SECOND)
+    assert stock.find_usable("b") is None
+
+
+def test_drops_lapsed_registrations_at_once_without_an_outage() -> None:
+    stock = inventory.Inventory()
+    both = [create_instance("a"), create_instance("b")]
+    stock.take_snapshot(both, 5, clock_lib.EPOCH, is_after_outage=False)
+    stock.take_snapshot(both[:1], 9, clock_lib.EPOCH, is_after_outage=False)
+    assert [entry.id for entry in stock.list_usable("s")] == ["a"]
+
+
+def test_ignores_an_older_listing() -> None:
+    stock = inventory.Inventory()
+    stock.take_snapshot([create_instance("a")], 9, clock_lib.EPOCH, False)
+    stock.take_snapshot([], 5, clock_lib.EPOCH, False)
+    assert stock.find_usable("a") is not None
+
+
+def test_uses_no_leaving_upstream() -> None:
+    stock = inventory.Inventory()
+    stock.put(create_instance("a", is_leaving=True))
+    assert stock.find_usable("a") is None
+    assert not list(stock.list_usable("s"))
+
+
+@pytest.mark.parametrize("machines", [1, 2, 4, 34])
+def test_all_machines_stay_within_the_retry_budget(machines: int) -> None:
+    mode = retrybudget.RetryBudgetMode(0.2, 58.0, 10 * SECOND)
+    budgets = [retrybudget.RetryBudget(mode) for _ in range(machines)]
+    now = clock_lib.EPOCH
+    taken = 0
+    for number in range(400):
+        budget = budgets[number % machines]
+        budget.note_request(now)
+        while budget.take(machines, now):
+            taken += 1
+    assert taken <= 0.2 * 400 + 58
+    assert taken >= 0.5 * (0.2 * 400 + 58) - machines
+
+
+def test_counts_kept_prompt_parts_in_order() -> None:
+    parts = tuple(exchange.PromptPart(name, 100) for name in "abc")
+    first = exchange.Generation("m", "", 300, 10, parts)
+    other = exchange.Generation("m", "", 300, 10, (*parts[:2], parts[0]))
+    cache = prefixes.PrefixCache(1000)
+    cache.note_read(first)
+    assert cache.count_kept(other) == 200
+    assert cache.count_kept(exchange.Generation("n", "", 300, 10, parts)) == 0
+
+
+def test_forgets_the_oldest_parts_first() -> None:
+    cache = prefixes.PrefixCache(250)
+    for name in "abc":
+        part = exchange.PromptPart(name, 100)
+        cache.note_read(exchange.Generation("m", "", 100, 1, (part,)))
+    assert [key[2] for key in cache.tokens] == ["b", "c"]
+
+
+@pytest.fixture
+def balancer(clock: clock_lib.ManualClock) -> balancer_lib.Balancer:
+    """Return a balancer whose draws repeat."""
+    return balancer_lib.Balancer("z", clock, random.Random(1))
+
+
+def test_spreads_generations_by_work(balancer: balancer_lib.Balancer) -> None:
+    entries = [create_instance(name, ("m",)) for name in "abc"]
+    sent = []
+    for number in range(30):
+        part = exchange.PromptPart(str(number), 2000)
+        generation = exchange.Generation("m", "", 2000, 50, (part,))
+        chosen = balancer.choose(entries, generation)
+        assert chosen is not None
+        balancer.start(chosen, generation)
+        sent.append(chosen.id)
+    assert all(sent.count(name) == 10 for name in "abc")
+
+
+def test_sends_a_long_prompt_where_it_is_kept(
+    balancer: balancer_lib.Balancer,
+) -> None:
+    entries = [create_instance(name, ("m",)) for name in "abc"]
+    part = exchange.PromptPart("shared", 6000)
+    generation = exchange.Generation("m", "", 6000, 50, (part,))
+    first = balancer.choose(entries, generation)
+    assert first is not None
+    balancer.note_first_piece(balancer.start(first, generation))
+    assert balancer.choose(entries, generation) == first
+
+
+def test_counts_what_other_machines_have_sent(
+    balancer: balancer_lib.Balancer, clock: clock_lib.ManualClock
+) -> None:
+    entries = [create_instance(name) for name in "ab"]
+    load = balancer_lib.InstanceLoad("a", 9, 0.0)
+    balancer.take_peer_loads("n2", [load])
+    chosen = balancer.choose(entries, None)
+    assert chosen is not None and chosen.id == "b"
+    clock.advance(balancer_lib.PEER_EXPIRY)
+    assert balancer.count_load(entries[0]) == (0, 0.0)
+
+
+def test_avoids_an_unreachable_upstream(
+    balancer: balancer_lib.Balancer, clock: clock_lib.ManualClock
+) -> None:
+    entries = [create_instance(name) for name in "ab"]
+    placement = balancer.start(entries[0], None)
+    balancer.end(placement, exchange.FailureKind.UNREACHABLE)
+    assert balancer.list_unreachable() == {"a"}
+    for _ in range(10):
+        chosen = balancer.choose(entries, None)
+        assert chosen is not None and chosen.id == "b"
+    clock.advance(SECOND)
+    assert not balancer.list_unreachable()
+
+
+def test_averages_paces_of_all_machines() -> None:
+    book = paces.PaceBook()
+    for _ in range(50):
+        book.note("slow", 1.0)
+    book.take_peer("n2", [paces.PaceEstimate("fast", 0.1, 50.0)])
+    assert book.get("slow") == pytest.approx(1.0, abs=0.05)
+    assert book.get("fast") == pytest.approx(0.1, abs=0.05)
+    assert book.get("new") == paces.PRIOR_PACE
+
+
+def test_popularity_follows_a_shift() -> None:
+    rates = popularity.Popularity()
+    now = clock_lib.EPOCH
+    for step in range(100):
+        rates.note_request("s", "old", 100 * MS, now + step * 100 * MS)
+    now += 10 * SECOND
+    assert rates.list_shares(now)[("s", "old")] == pytest.approx(1.0, abs=0.1)
+    assert not rates.list_shares(now + 30 * SECOND)
+
+
+def test_believes_what_was_learnt_before_the_registration(
+    clock: clock_lib.ManualClock,
+) -> None:
+    known = residency.Residency()
+    entry = create_instance("a", ("m",))
+    known.take_instance(entry)
+    key = residency.CopyKey("a", "m")
+    other = residency.CopyKey("a", "n", "a1")
+    now = clock.now()
+    assert known.holds(entry, key, now)
+    known.note_missing(key, now)
+    known.note_held(other, now)
+    assert not known.holds(entry, key, now)
+    assert known.holds(entry, other, now)
+    later = now + residency.CORRECTION_PERIOD
+    assert known.holds(entry, key, later)
+    assert not known.holds(entry, other, later)
+
+
+def test_a_restart_forgets_adapters() -> None:
+    known = residency.Residency()
+    holding = {"m": inventory.Holding("m", 1, frozenset({"a1"}))}
+    entry = inventory.Instance("a", "s", "a:1", "z", 1, holdings=holding)
+    known.take_instance(entry)
+    key = residency.CopyKey("a", "m", "a1")
+    assert known.holds(entry, key, clock_lib.EPOCH)
+    again = create_instance("a", ("m",), born=7)
+    known.take_instance(again)
+    assert not known.holds(again, key, clock_lib.EPOCH)
+
+
+def test_lists_live_machines_nearest_first() -> None:
+    def record(name: str, zone: str) -> roster.NodeRecord:
+        return roster.NodeRecord(name, zone, "r", f"{name}:1", f"{name}:2", 1)
+
+    def status(entry: roster.NodeRecord, is_ready: bool) -> roster.NodeStatus:
+        return roster.NodeStatus(entry, 1, is_ready, False, 0, 1, 1)
+
+    known = roster.Roster(record("n1", "a"))
+    now = clock_lib.EPOCH
+    known.take_status(status(record("n2", "b"), True), now)
+    known.take_status(status(record("n3", "b"), False), now)
+    assert known.list_addresses("b", "r", True, now) == ("n2:1", "n1:1")
+    assert known.list_addresses("b", "r", False, now) == ("n2:1",)
+    later = now + roster.SILENCE_LIMIT
+    assert known.list_addresses("b", "r", True, later) == ("n1:1",)
+
+
+def test_a_late_status_changes_nothing() -> None:
+    own = roster.NodeRecord("n1", "a", "r", "n1:1", "n1:2", 1)
+    peer = roster.NodeRecord("n2", "a", "r", "n2:1", "n2:2", 1)
+    known = roster.Roster(own)
+    newer = roster.NodeStatus(peer, 5, False, False, 0, 1, 1)
+    older = roster.NodeStatus(peer, 4, True, False, 0, 1, 1)
+    assert known.take_status(newer, clock_lib.EPOCH)
+    assert not known.take_status(older, clock_lib.EPOCH)
+    assert not known.list_addresses("a", "r", False, clock_lib.EPOCH)
+
+
+def test_counts_a_load_under_way_that_a_report_does_not_show() -> None:
+    pool = create_pool("m", "n")
+    ledger = create_ledger("a", pool, ("m",))
+    now = clock_lib.EPOCH
+    ledger.planned = "n"
+    ledger.copies["n"] = engines.ModelCopy(
+        pool.models["n"], engines.CopyState.LOADING, now
+    )
+    ledger.take_report(create_report(1, "m", is_busy=True), now)
+    assert ledger.count_used_mb(now) == 80
+    ledger.planned = ""
+    ledger.take_report(create_report(1, "m"), now)
+    assert ledger.count_used_mb(now) == 40
+
+
+def test_marks_an_unload_until_the_report_shows_it() -> None:
+    ledger = create_ledger("a", create_pool("m"), ("m",))
+    ledger.copies["m"].state = engines.CopyState.UNLOADING
+    ledger.take_report(create_report(1, "m"), clock_lib.EPOCH)
+    assert not ledger.is_ready("m")
+    assert ledger.count_used_mb(clock_lib.EPOCH) == 40
+
+
+def test_reserves_an_unanswered_load_while_it_may_be_carried_out() -> None:
+    pool = create_pool("m", "n")
+    ledger = create_ledger("a", pool, ("m",))
+    now = clock_lib.EPOCH
+    ledger.reserve_unanswered(pool.models["n"], "", 0, now)
+    assert ledger.count_free_mb(now) == 20
+    ledger.sequence = 1
+    assert ledger.count_free_mb(now) == 60
+    # A restart counts from the start again.
+    ledger.sequence = 0
+    assert ledger.count_free_mb(now) == 20
+    assert ledger.count_free_mb(now + engines.LATE_ORDER_PERIOD) == 60
+
+
+def test_evicts_no_adapter_in_use() -> None:
+    ledger = create_ledger("a", create_pool("m"), ("m",))
+    adapters = ledger.copies["m"].adapters
+    adapters["a1"], adapters["a2"] = clock_lib.EPOCH, clock_lib.EPOCH + MS
+    assert ledger.find_spare_adapter({("m", "a1")}) == ("m", "a2")
+    assert ledger.find_spare_adapter({("m", "a1"), ("m", "a2")}) is None
+
+
+def create_stock(
+    *ledgers: engines.EngineLedger, is_store_open: bool = True, **demand: float
+) -> stocker.Stock:
+    return stocker.Stock(ledgers, demand, {}, is_store_open, clock_lib.EPOCH)
+
+
+def test_loads_where_a_copy_is_at_hand() -> None:
+    pool = create_pool("m", "n")
+    cold = create_ledger("a", pool, ())
+    warm = create_ledger("b", pool, ())
+    warm.instance = create_instance("b", on_disk=frozenset({"n"}))
+    plan = stocker.plan_load(pool.models["n"], create_stock(cold, warm))
+    assert plan is not None
+    assert (plan.instance, plan.is_from_store) == ("b", False)
+
+
+def test_replaces_the_model_that_nobody_asks_for() -> None:
+    pool = create_pool("m", "n", "o")
+    ledger = create_ledger("a", pool, ("m", "n"))
+    plan = stocker.plan_load(pool.models["o"], create_stock(ledger, m=0.05))
+    assert plan is not None and plan.evicted == ("n",)
+
+
+def test_replaces_no_busy_model() -> None:
+    pool = create_pool("m", "n", "o")
+    ledger = create_ledger("a", pool, ("m", "n"))
+    stock = create_stock(ledger, m=0.9, n=0.9)
+    assert stocker.plan_load(pool.models["o"], stock) is None
+
+
+def test_waits_for_the_weight_store() -> None:
+    pool = create_pool("m")
+    stock = create_stock(create_ledger("a", pool, ()), is_store_open=False)
+    assert stocker.plan_load(pool.models["m"], stock) is None
+
+
+def test_copies_a_busy_model_to_the_calmest_engine() -> None:
+    pool = create_pool("m", "n")
+    ledgers = [
+        create_ledger("a", pool, ("m",)),
+        create_ledger("b", pool, ("n",)),
+        create_ledger("c", pool, ()),
+        create_ledger("d", pool, ()),
+    ]
+    stock = create_stock(*ledgers, m=0.9, n=0.4)
+    plan = stocker.plan_ahead(pool.models, stock)
+    assert plan is not None
+    assert plan.model.name == "m" and plan.instance in ("c", "d")
+    ledgers[2].planned = "m"
+    again = stocker.plan_ahead(pool.models, create_stock(*ledgers, m=0.9))
+    assert again is None, "one copy at a time"
+
+
+def test_leaves_calm_engines_as_they_are() -> None:
+    pool = create_pool("m", "n")
+    stock = create_stock(
+        create_ledger("a", pool, ("m",)),
+        create_ledger("b", pool, ("n",)),
+        m=0.1,
+        n=0.1,
+    )
+    assert stocker.plan_ahead(pool.models, stock) is None
+
+
+def test_load_window_slides() -> None:
+    window = stocker.LoadWindow(2, 5 * SECOND)
+    now = clock_lib.EPOCH
+    assert window.take(now) and window.take(now + SECOND)
+    assert not window.take(now + 4 * SECOND)
+    assert window.take(now + 5 * SECOND)
+    assert not window.is_open(now + 5 * SECOND)
+    assert not window.is_open(now + 6 * SECOND, reserved=1)
--- /dev/null
+++ b/tests/test_platform_decoding.py
@@ -0,0 +1,156 @@
+"""Decoding of the platform's messages into our types."""
+
+import datetime
+import json
+from typing import Any
+
+import multidict
+import pytest
+
+from cicadahook.core import errors
+from cicadahook.core import exchange
+from cicadahook.core import routes
+from cicadahook.platform import headers
+from cicadahook.platform import messages
+from cicadahook.platform import settings
+
+ENTRY: dict[str, Any] = {
+    "service_name": "engines",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "models": [{"name": "m", "version": 3, "adapters": ["a1"]}],
+    "available": {"in_memory": ["m"], "on_disk": ["m", "n"]},
+    "sequence_number": 5,
+    "born": 17,
+}
+SETTINGS: dict[str, Any] = {
+    "node_name": "front-a-1",
+    "ip_address": "10.0.0.2",
+    "zone": "a",
+    "region": "r",
+    "zones": {"a": "r"},
+    "internal_port_range": [7380, 7395],
+    "listen_addresses": {
+        "front": "10.0.0.2:8149",
+        "ready": "10.0.0.2:8141",
+        "directory": "10.0.0.2:8143",
+    },
+    "bounds": {
+        "ttl_max_s": 5,
+        "grace_period_s": 8,
+        "lease_ms": 3000,
+        "retry_budget_ratio": 0.2,
+        "retry_budget_slack": 58,
+        "budget_window_s": 10,
+        "ceiling_window_s": 5,
+        "ceiling_overage": 1.1,
+    },
+    "platform_settings": {"address": "10.200.1.7:8142"},
+}
+
+
+def test_decodes_an_upstream() -> None:
+    entry = messages.decode_instance("i-1", json.dumps(ENTRY).encode())
+    assert (entry.id, entry.address, entry.slots) == ("i-1", "10.0.0.1:80", 4)
+    assert entry.holdings["m"].adapters == {"a1"}
+    assert entry.on_disk == {"m", "n"}
+    assert (entry.sequence, entry.born, entry.is_leaving) == (5, 17, False)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "dancing"},
+        {"service_name": 7},
+        {"address": "nowhere"},
+        {"slots": "many"},
+        {"models": 5},
+        {"available": [1]},
+    ],
+)
+def test_refuses_foreign_entries(change: dict[str, Any]) -> None:
+    value = json.dumps({**ENTRY, **change}).encode()
+    with pytest.raises(messages.MessageError):
+        messages.decode_instance("i-1", value)
+
+
+@pytest.mark.parametrize("value", [b"\xff", b"[]", b"7", b"{}", b"[" * 9999])
+def test_refuses_unreadable_values(value: bytes) -> None:
+    with pytest.raises(messages.MessageError):
+        messages.decode_instance("i-1", value)
+    with pytest.raises(messages.MessageError):
+        messages.decode_configuration(value)
+
+
+def test_decodes_a_split_route() -> None:
+    value = {
+        "version": 3,
+        "routes": [
+            {
+                "hostname": "h",
+                "path_prefix": "/p/",
+                "route_kind": "streaming",
+                "timeout_ms": 800,
+                "traffic_split": [
+                    {"service_name": "a", "weight": 90},
+                    {"service_name": "b", "weight": 10},
+                ],
+                "resumable": True,
+            }
+        ],
+        "services": [{"name": "a", "health_path": "/h"}],
+    }
+    decoded = messages.decode_configuration(json.dumps(value).encode())
+    (route,) = decoded.routes
+    assert [part.name for part in route.services] == ["a", "b"]
+    assert route.timeout == datetime.timedelta(milliseconds=800)
+    assert route.is_repeatable and route.kind is routes.RouteKind.STREAMING
+
+
+def test_decodes_settings_and_ignores_unknown_fields() -> None:
+    decoded = settings.decode({**SETTINGS, "fresh": 1})
+    assert decoded.peer_address == "10.0.0.2:7380"
+    assert decoded.front_address == "10.0.0.2:8149"
+    assert decoded.handover_pause == datetime.timedelta(seconds=3)
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("listen_addresses", {}),
+        ("internal_port_range", []),
+        ("bounds", {"ttl_max_s": "x"}),
+        ("platform_settings", 3),
+    ],
+)
+def test_refuses_bad_settings(name: str, value: object) -> None:
+    with pytest.raises(errors.SettingsError):
+        settings.decode({**SETTINGS, name: value})
+
+
+def test_decodes_a_generation() -> None:
+    given = multidict.CIMultiDictProxy(
+        multidict.CIMultiDict(
+            {
+                "x-model": "m/a3",
+                "X-Token-Counts": "1460,80",
+                "X-Prompt-Prefix": "5c1e:800,91bd:410",
+            }
+        )
+    )
+    assert headers.decode_generation(given) == exchange.Generation(
+        "m",
+        "a3",
+        1460,
+        80,
+        (exchange.PromptPart("5c1e", 800), exchange.PromptPart("91bd", 410)),
+    )
+
+
+def test_strips_headers_named_by_connection() -> None:
+    given = [("Connection", "close, X-One"), ("X-One", "1"), ("X-Two", "2")]
+    assert headers.strip_connection_headers(given) == (("X-Two", "2"),)
