Refuse requests that crashed three upstreams, on every node

A broken connection alone says nothing: a request is suspected once the upstream that ran it is gone, unreachable or back as another incarnation. Suspects travel with the statuses. The test failed before: the fourth copy of the request ran.

--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -1,7 +1,7 @@
 """Takes a caller's request to an upstream and the answer back, unread."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 import contextlib
 import dataclasses
 import datetime
@@ -10,6 +10,7 @@
 
 from cicadahook.core import balancer as balancer_lib
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import crashes
 from cicadahook.core import errors
 from cicadahook.core import events
 from cicadahook.core import exchange
@@ -37,6 +38,7 @@
 MAX_COPY_WAIT: Final = datetime.timedelta(seconds=3)
 COPY_WAIT_SHARE: Final = 0.5
 COPY_RETRY_AFTER: Final = datetime.timedelta(milliseconds=1200)
+QUARANTINE_RETRY_AFTER: Final = datetime.timedelta(seconds=10)
 MAX_SENDS: Final = 8
 
 logger: Final = logs.create_logger("forwarder")
@@ -167,7 +169,7 @@
         configuration: the newest one, or None if there is none yet.
         machines: machines that share the retry budgets.
         budgets: retry budget of each service.
-        running: fingerprints under way at each upstream.
+        crashes: tells crashes of upstreams from broken connections.
     """
 
     def __init__(self, node: str, parts: Parts) -> None:
@@ -177,7 +179,7 @@
         self.configuration: routes.Configuration | None = None
         self.machines = 1
         self.budgets: dict[str, retrybudget.RetryBudget] = {}
-        self.running: dict[str, set[str]] = {}
+        self.crashes = crashes.CrashTracker()
 
     async def serve(self, request: exchange.CallerRequest, sink: Sink) -> None:
         """Bring the final answer of a request to its caller."""
@@ -216,7 +218,7 @@
             raise _refuse("unknown_service", 503, RETRY_AFTER)
         self._check_generation(request, service)
         fingerprint = request.create_fingerprint()
-        self.parts.quarantine.check(fingerprint)
+        self._check_quarantine(fingerprint)
         now = self.clock.now()
         self._get_budget(name).note_request(now)
         if request.generation is not None:
@@ -240,6 +242,28 @@
             last_event_id=request.last_event_id,
         )
 
+    def _check_quarantine(self, fingerprint: str) -> None:
+        """Refuse a request that crashed several upstreams."""
+        try:
+            self.parts.quarantine.check(fingerprint)
+        except errors.RefusalError as refusal:
+            raise _refuse(refusal.code, 503, QUARANTINE_RETRY_AFTER) from refusal
+
+    def note_deaths(self, cuts: Iterable[crashes.Cut]) -> None:
+        """Suspect the requests that ran at upstreams that died."""
+        for cut in cuts:
+            is_suspect = self.parts.quarantine.note_death(
+                cut.fingerprint, cut.death, cut.began
+            )
+            logger.info(
+                "Request suspected of a crash.",
+                extra={
+                    "fingerprint": cut.fingerprint,
+                    "death": cut.death,
+                    "is_suspect": is_suspect,
+                },
+            )
+
     def _check_generation(
         self, request: exchange.CallerRequest, service: routes.Service
     ) -> None:
@@ -367,8 +391,6 @@
             work.last_event_id,
         )
         placement = self.parts.balancer.start(instance, work.request.generation)
-        running = self.running.setdefault(instance.id, set())
-        running.add(work.fingerprint)
         work.sends += 1
         work.runs += 1
         work.instance = instance.id
@@ -381,9 +403,9 @@
             failure = error.kind
             if error.is_not_run:
                 work.runs -= 1
+            self._look_for_crash(work, instance, error.kind)
             raise
         finally:
-            running.discard(work.fingerprint)
             self.parts.balancer.end(placement, failure)
         self._log(work, "answered", instance=instance.id)
         received = work.request.received
@@ -397,6 +419,21 @@
             "cicada_answer", self.clock.now() - received, work.service.name
         )
 
+    def _look_for_crash(
+        self,
+        work: Work,
+        instance: inventory.Instance,
+        kind: exchange.FailureKind,
+    ) -> None:
+        """Note what a failure says of the upstream's life."""
+        now = self.clock.now()
+        if kind is exchange.FailureKind.UNREACHABLE:
+            self.note_deaths(self.crashes.take_dead(instance.id, now))
+        elif kind is exchange.FailureKind.CUT and work.sent is not None:
+            self.crashes.note_cut(
+                crashes.Cut(work.fingerprint, instance, work.sent, now)
+            )
+
     async def _pass_on(
         self,
         work: Work,
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -32,6 +32,9 @@
 
 OWN_PREFIX: Final = "cicada/"
 NODE_PREFIX: Final = "cicada/nodes/"
+# Others that ran beside a crashing request are met with it by chance; the
+# users' bound counts from the third crash.
+MAX_DEATHS: Final = 3
 RESTART_PAUSE: Final = datetime.timedelta(milliseconds=200)
 HOUSEKEEPING_PERIOD: Final = datetime.timedelta(milliseconds=250)
 
@@ -251,7 +254,7 @@
             settings.zone, clock, self.generator
         )
         self.quarantine = quarantine_lib.Quarantine(
-            quarantine_lib.QuarantineMode(), clock
+            quarantine_lib.QuarantineMode(max_deaths=MAX_DEATHS), clock
         )
         self.popularity = popularity.Popularity()
         self.turn = holder_lib.HolderMachine(
@@ -343,6 +346,9 @@
         for entry in known.values():
             self.residency.take_instance(entry)
         self.balancer.forget_others(known)
+        self.forwarder.note_deaths(
+            self.forwarder.crashes.compare(self.stock, self.clock.now())
+        )
 
     def take_status(self, status: roster_lib.NodeStatus) -> None:
         """Take note of what another node tells."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -334,3 +334,39 @@
     adapters = sum(len(names) for names in engine.models.values())
     assert adapters <= 2, f"{engine.id}: {engine.models}"
     assert 40 * len(engine.models) + adapters <= 100
+
+
+async def test_refuses_a_request_that_crashes_upstreams(
+    world: node_world.World,
+) -> None:
+    node = world.programs[0].node
+    assert node is not None
+    for upstream in world.plain:
+        upstream.mode = "reset"
+    for death in range(3):
+        async with world.call("/write/item", data=b"poison") as response:
+            assert response.status == 502
+        for upstream in world.plain:
+            entry = {**upstream.describe(), "born": 100 + death}
+            world.store.put(f"servers/{upstream.id}", entry)
+        await node_world.wait_until(
+            lambda born=100 + death: all(  # type: ignore[misc]
+                node.stock.instances[name].born == born for name in ("p1", "p2")
+            )
+        )
+    for upstream in world.plain:
+        upstream.mode = "ok"
+    async with world.call("/write/item", data=b"poison") as response:
+        assert response.status == 503
+    other = world.programs[1].node
+    assert other is not None
+    await node_world.wait_until(
+        lambda: any(
+            len(suspect.deaths) == 3
+            for suspect in other.quarantine.list_suspects()
+        )
+    )
+    async with world.call("/write/item", 1, data=b"poison") as response:
+        assert response.status == 503
+    async with world.call("/write/item", data=b"harmless") as response:
+        assert response.status == 200
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -7,6 +7,7 @@
 
 from cicadahook.core import balancer as balancer_lib
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import crashes
 from cicadahook.core import engines
 from cicadahook.core import events
 from cicadahook.core import exchange
@@ -443,3 +444,30 @@
     assert window.take(now + 5 * SECOND)
     assert not window.is_open(now + 5 * SECOND)
     assert not window.is_open(now + 6 * SECOND, reserved=1)
+
+
+def test_suspects_requests_that_broke_where_an_upstream_restarted() -> None:
+    tracker = crashes.CrashTracker()
+    stock = inventory.Inventory()
+    entry = create_instance("a")
+    stock.put(entry)
+    now = clock_lib.EPOCH
+    cut = crashes.Cut("f", entry, now, now + SECOND)
+    tracker.note_cut(cut)
+    assert not tracker.compare(stock, now + SECOND)
+    stock.put(create_instance("a", born=9))
+    assert tracker.compare(stock, now + 2 * SECOND) == (cut,)
+    assert not tracker.compare(stock, now + 2 * SECOND)
+
+
+def test_a_broken_connection_alone_is_no_crash() -> None:
+    tracker = crashes.CrashTracker()
+    stock = inventory.Inventory()
+    entry = create_instance("a")
+    stock.put(entry)
+    now = clock_lib.EPOCH
+    tracker.note_cut(crashes.Cut("f", entry, now, now))
+    later = now + crashes.EVIDENCE_PERIOD
+    assert not tracker.compare(stock, later)
+    stock.remove("a")
+    assert not tracker.compare(stock, later)
