--- a/src/cicadahook/core/balancer.py
+++ b/src/cicadahook/core/balancer.py
@@ -195,9 +195,7 @@
         excluded: frozenset[str] = frozenset(),
     ) -> inventory.Instance | None:
         """Return the upstream with the least cost, or None without one."""
-        usable = [
-            entry for entry in candidates if entry.id not in excluded
-        ]
+        usable = [entry for entry in candidates if entry.id not in excluded]
         if not usable:
             return None
         now = self.clock.now()
@@ -354,9 +352,7 @@
         until = self._get(entry).avoided_until
         return until is not None and now < until
 
-    def _drop_unread(
-        self, placement: Placement, state: InstanceState
-    ) -> None:
+    def _drop_unread(self, placement: Placement, state: InstanceState) -> None:
         state.unread_ms -= placement.unread_ms
         placement.unread_ms = 0.0
 
--- a/src/cicadahook/core/engines.py
+++ b/src/cicadahook/core/engines.py
@@ -52,9 +52,7 @@
     @property
     def size_mb(self) -> float:
         """Return the memory of the model and its adapters."""
-        return (
-            self.model.size_mb + len(self.adapters) * self.model.adapter_mb
-        )
+        return self.model.size_mb + len(self.adapters) * self.model.adapter_mb
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadahook/core/residency.py
+++ b/src/cicadahook/core/residency.py
@@ -63,7 +63,9 @@
         self.adapters = {
             key for key in self.adapters if key.instance != instance
         }
-        for key in [key for key in self.corrections if key.instance == instance]:
+        for key in [
+            key for key in self.corrections if key.instance == instance
+        ]:
             del self.corrections[key]
 
     def note_held(self, key: CopyKey, now: datetime.datetime) -> None:
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -119,8 +119,7 @@
     def list_peers(self, now: datetime.datetime) -> Iterator[NodeRecord]:
         """Yield the other machines to which messages are sent."""
         heard = {
-            status.node.name: status.node
-            for _, status in self.list_heard(now)
+            status.node.name: status.node for _, status in self.list_heard(now)
         }
         for name, record in (self.registered | heard).items():
             if name != self.own.name:
@@ -142,9 +141,7 @@
     def find_holder(self, now: datetime.datetime) -> NodeRecord | None:
         """Return the machine that sends orders, if one says so."""
         holders = [
-            status
-            for _, status in self.list_heard(now)
-            if status.is_holder
+            status for _, status in self.list_heard(now) if status.is_holder
         ]
         if not holders:
             return None
@@ -155,9 +152,7 @@
     ) -> tuple[str, ...]:
         """Return addresses for callers, nearest first."""
         records = [
-            status.node
-            for _, status in self.list_heard(now)
-            if status.is_ready
+            status.node for _, status in self.list_heard(now) if status.is_ready
         ]
         if is_own_ready:
             records.append(self.own)
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -247,7 +247,9 @@
         try:
             self.parts.quarantine.check(fingerprint)
         except errors.RefusalError as refusal:
-            raise _refuse(refusal.code, 503, QUARANTINE_RETRY_AFTER) from refusal
+            raise _refuse(
+                refusal.code, 503, QUARANTINE_RETRY_AFTER
+            ) from refusal
 
     def note_deaths(self, cuts: Iterable[crashes.Cut]) -> None:
         """Suspect the requests that ran at upstreams that died."""
@@ -644,5 +646,9 @@
     outcome: str = "not_run",
 ) -> errors.RefusalError:
     return errors.RefusalError(
-        code, code.replace("_", " "), status, errors.Outcome(outcome), retry_after
+        code,
+        code.replace("_", " "),
+        status,
+        errors.Outcome(outcome),
+        retry_after,
     )
--- /dev/null
+++ b/src/cicadahook/net/listeners.py
@@ -0,0 +1,199 @@
+"""Listeners of the store: what each part of its keys means to a node."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+import dataclasses
+import json
+from typing import Final
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import errors
+from cicadahook.core import holder as holder_lib
+from cicadahook.core import inventory as inventory_lib
+from cicadahook.core import roster as roster_lib
+from cicadahook.core import routes
+from cicadahook.core import storage
+from cicadahook.net import logs
+
+NODE_PREFIX: Final = "cicada/nodes/"
+
+logger: Final = logs.create_logger("node")
+
+
+def encode_record(record: roster_lib.NodeRecord) -> bytes:
+    """Return the value of a machine's registration."""
+    return json.dumps(dataclasses.asdict(record)).encode()
+
+
+class ConfigurationListener:
+    """Takes over each newer configuration."""
+
+    def __init__(
+        self,
+        decode: Callable[[bytes], routes.Configuration],
+        take: Callable[[routes.Configuration], None],
+    ) -> None:
+        self.decode = decode
+        self.take = take
+        self.version = 0
+
+    def take_listing(
+        self, listing: storage.Listing, *, is_after_outage: bool
+    ) -> None:
+        """Take the configuration that the store holds."""
+        del is_after_outage
+        for item in listing.items:
+            self._take(item.value, item.revision)
+
+    def take_changes(self, changes: storage.Changes) -> None:
+        """Take each configuration written since."""
+        for change in changes.changes:
+            if change.value is not None:
+                self._take(change.value, change.revision)
+
+    def _take(self, value: bytes, revision: int) -> None:
+        try:
+            configuration = self.decode(value)
+        except errors.CicadaError as error:
+            logger.warning(
+                "Configuration refused.",
+                extra={"error": str(error), "revision": revision},
+            )
+            return
+        if configuration.version <= self.version:
+            return
+        self.version = configuration.version
+        logger.info(
+            "Configuration in force.",
+            extra={"version": configuration.version, "revision": revision},
+        )
+        self.take(configuration)
+
+
+class InventoryListener:
+    """Keeps the picture of the upstreams current."""
+
+    def __init__(
+        self,
+        prefix: str,
+        decode: Callable[[str, bytes], inventory_lib.Instance],
+        stock: inventory_lib.Inventory,
+        clock: clock_lib.Clock,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.prefix = prefix
+        self.decode = decode
+        self.stock = stock
+        self.clock = clock
+        self.on_change = on_change
+
+    def take_listing(
+        self, listing: storage.Listing, *, is_after_outage: bool
+    ) -> None:
+        """Replace all upstreams."""
+        entries = [
+            entry
+            for item in listing.items
+            if (entry := self._decode(item.key, item.value)) is not None
+        ]
+        self.stock.take_snapshot(
+            entries, listing.revision, self.clock.now(), is_after_outage
+        )
+        logger.info(
+            "Upstreams listed.",
+            extra={"count": len(entries), "revision": listing.revision},
+        )
+        self.on_change()
+
+    def take_changes(self, changes: storage.Changes) -> None:
+        """Take note of each upstream that changed."""
+        for change in changes.changes:
+            name = change.key.removeprefix(self.prefix)
+            entry = None
+            if change.value is not None:
+                entry = self._decode(change.key, change.value)
+            if entry is None:
+                self.stock.remove(name)
+            else:
+                self.stock.put(entry)
+            logger.info(
+                "Upstream changed.",
+                extra={
+                    "instance": name,
+                    "revision": change.revision,
+                    "is_leaving": entry.is_leaving if entry else None,
+                    "models": sorted(entry.holdings) if entry else None,
+                },
+            )
+        self.stock.revision = changes.revision
+        self.on_change()
+
+    def _decode(self, key: str, value: bytes) -> inventory_lib.Instance | None:
+        try:
+            return self.decode(key.removeprefix(self.prefix), value)
+        except errors.CicadaError as error:
+            logger.warning(
+                "Entry of an upstream ignored.",
+                extra={"key": key, "error": str(error)},
+            )
+            return None
+
+
+class OwnKeysListener:
+    """Follows the system's own keys: registrations and the holder."""
+
+    def __init__(
+        self,
+        roster: roster_lib.Roster,
+        turn: holder_lib.HolderMachine,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self.roster = roster
+        self.turn = turn
+        self.clock = clock
+        self.items: dict[str, storage.Item] = {}
+        self.is_holder_free = asyncio.Event()
+
+    def take_listing(
+        self, listing: storage.Listing, *, is_after_outage: bool
+    ) -> None:
+        """Replace all keys."""
+        del is_after_outage
+        self.items = {item.key: item for item in listing.items}
+        self._apply(listing.revision)
+
+    def take_changes(self, changes: storage.Changes) -> None:
+        """Take note of changed keys."""
+        for change in changes.changes:
+            if change.value is None:
+                self.items.pop(change.key, None)
+            else:
+                self.items[change.key] = storage.Item(
+                    change.key, change.value, change.revision
+                )
+        self._apply(changes.revision)
+
+    def _apply(self, revision: int) -> None:
+        self.roster.take_registrations(self._decode_records())
+        self.turn.take_keys(
+            self.items.get(holder_lib.HOLDER_KEY),
+            self.items.get(holder_lib.TERM_KEY),
+            revision,
+            self.clock.now(),
+        )
+        if self.turn.holder is None:
+            self.is_holder_free.set()
+        else:
+            self.is_holder_free.clear()
+
+    def _decode_records(self) -> Iterable[roster_lib.NodeRecord]:
+        for key, item in self.items.items():
+            if not key.startswith(NODE_PREFIX):
+                continue
+            try:
+                yield roster_lib.NodeRecord(**json.loads(item.value))
+            except (TypeError, ValueError) as error:
+                logger.warning(
+                    "Registration ignored.",
+                    extra={"key": key, "error": repr(error)},
+                )
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable
+import dataclasses
 import datetime
-import json
 import random
 import time
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 from cicadahook.core import balancer as balancer_lib
 from cicadahook.core import clock as clock_lib
@@ -25,13 +25,13 @@
 from cicadahook.net import directory as directory_lib
 from cicadahook.net import forwarder as forwarder_lib
 from cicadahook.net import leadership as leadership_lib
+from cicadahook.net import listeners
 from cicadahook.net import logs
 from cicadahook.net import orderer as orderer_lib
 from cicadahook.net import peering
 from cicadahook.net import watcher as watcher_lib
 
 OWN_PREFIX: Final = "cicada/"
-NODE_PREFIX: Final = "cicada/nodes/"
 # Others that ran beside a crashing request are met with it by chance; the
 # users' bound counts from the third crash.
 MAX_DEATHS: Final = 3
@@ -41,178 +41,29 @@
 logger: Final = logs.create_logger("node")
 
 
-class ConfigurationListener:
-    """Takes over each newer configuration."""
+class UpstreamClient(forwarder_lib.Upstreams, orderer_lib.Engines, Protocol):
+    """Speaks to upstreams: requests, orders and reports."""
 
-    def __init__(
-        self,
-        decode: Callable[[bytes], routes.Configuration],
-        take: Callable[[routes.Configuration], None],
-    ) -> None:
-        self.decode = decode
-        self.take = take
-        self.version = 0
-
-    def take_listing(
-        self, listing: storage.Listing, *, is_after_outage: bool
-    ) -> None:
-        """Take the configuration that the store holds."""
-        del is_after_outage
-        for item in listing.items:
-            self._take(item.value, item.revision)
-
-    def take_changes(self, changes: storage.Changes) -> None:
-        """Take each configuration written since."""
-        for change in changes.changes:
-            if change.value is not None:
-                self._take(change.value, change.revision)
-
-    def _take(self, value: bytes, revision: int) -> None:
-        try:
-            configuration = self.decode(value)
-        except errors.CicadaError as error:
-            logger.warning(
-                "Configuration refused.",
-                extra={"error": str(error), "revision": revision},
-            )
-            return
-        if configuration.version <= self.version:
-            return
-        self.version = configuration.version
-        logger.info(
-            "Configuration in force.",
-            extra={"version": configuration.version, "revision": revision},
-        )
-        self.take(configuration)
-
-
-class InventoryListener:
-    """Keeps the picture of the upstreams current."""
-
-    def __init__(
-        self,
-        prefix: str,
-        decode: Callable[[str, bytes], inventory_lib.Instance],
-        stock: inventory_lib.Inventory,
-        clock: clock_lib.Clock,
-        on_change: Callable[[], None],
-    ) -> None:
-        self.prefix = prefix
-        self.decode = decode
-        self.stock = stock
-        self.clock = clock
-        self.on_change = on_change
-
-    def take_listing(
-        self, listing: storage.Listing, *, is_after_outage: bool
-    ) -> None:
-        """Replace all upstreams."""
-        entries = [
-            entry
-            for item in listing.items
-            if (entry := self._decode(item.key, item.value)) is not None
-        ]
-        self.stock.take_snapshot(
-            entries, listing.revision, self.clock.now(), is_after_outage
-        )
-        logger.info(
-            "Upstreams listed.",
-            extra={"count": len(entries), "revision": listing.revision},
-        )
-        self.on_change()
-
-    def take_changes(self, changes: storage.Changes) -> None:
-        """Take note of each upstream that changed."""
-        for change in changes.changes:
-            name = change.key.removeprefix(self.prefix)
-            entry = None
-            if change.value is not None:
-                entry = self._decode(change.key, change.value)
-            if entry is None:
-                self.stock.remove(name)
-            else:
-                self.stock.put(entry)
-            logger.info(
-                "Upstream changed.",
-                extra={
-                    "instance": name,
-                    "revision": change.revision,
-                    "is_leaving": entry.is_leaving if entry else None,
-                    "models": sorted(entry.holdings) if entry else None,
-                },
-            )
-        self.stock.revision = changes.revision
-        self.on_change()
-
-    def _decode(self, key: str, value: bytes) -> inventory_lib.Instance | None:
-        try:
-            return self.decode(key.removeprefix(self.prefix), value)
-        except errors.CicadaError as error:
-            logger.warning(
-                "Entry of an upstream ignored.",
-                extra={"key": key, "error": str(error)},
-            )
-            return None
-
-
-class OwnKeysListener:
-    """Follows the system's own keys: registrations and the holder."""
 
-    def __init__(
-        self,
-        roster: roster_lib.Roster,
-        turn: holder_lib.HolderMachine,
-        clock: clock_lib.Clock,
-    ) -> None:
-        self.roster = roster
-        self.turn = turn
-        self.clock = clock
-        self.items: dict[str, storage.Item] = {}
-        self.is_holder_free = asyncio.Event()
-
-    def take_listing(
-        self, listing: storage.Listing, *, is_after_outage: bool
-    ) -> None:
-        """Replace all keys."""
-        del is_after_outage
-        self.items = {item.key: item for item in listing.items}
-        self._apply(listing.revision)
+@dataclasses.dataclass(frozen=True)
+class Platform:
+    """The platform that a node runs on, behind the adapter.
 
-    def take_changes(self, changes: storage.Changes) -> None:
-        """Take note of changed keys."""
-        for change in changes.changes:
-            if change.value is None:
-                self.items.pop(change.key, None)
-            else:
-                self.items[change.key] = storage.Item(
-                    change.key, change.value, change.revision
-                )
-        self._apply(changes.revision)
+    Attributes:
+        store: the platform's store.
+        upstreams: speaks to upstreams.
+        configuration_key: where the operators' configuration lies.
+        instance_prefix: below which upstreams register themselves.
+        decode_configuration: decodes the value of the former.
+        decode_instance: decodes an entry of the latter, given its id.
+    """
 
-    def _apply(self, revision: int) -> None:
-        self.roster.take_registrations(self._decode_records())
-        self.turn.take_keys(
-            self.items.get(holder_lib.HOLDER_KEY),
-            self.items.get(holder_lib.TERM_KEY),
-            revision,
-            self.clock.now(),
-        )
-        if self.turn.holder is None:
-            self.is_holder_free.set()
-        else:
-            self.is_holder_free.clear()
-
-    def _decode_records(self) -> Iterable[roster_lib.NodeRecord]:
-        for key, item in self.items.items():
-            if not key.startswith(NODE_PREFIX):
-                continue
-            try:
-                yield roster_lib.NodeRecord(**json.loads(item.value))
-            except (TypeError, ValueError) as error:
-                logger.warning(
-                    "Registration ignored.",
-                    extra={"key": key, "error": repr(error)},
-                )
+    store: storage.Store
+    upstreams: UpstreamClient
+    configuration_key: str
+    instance_prefix: str
+    decode_configuration: Callable[[bytes], routes.Configuration]
+    decode_instance: Callable[[str, bytes], inventory_lib.Instance]
 
 
 class Node:
@@ -225,114 +76,103 @@
     def __init__(
         self,
         settings: nodes.NodeSettings,
-        store: storage.Store,
-        client: Any,
+        platform: Platform,
         clock: clock_lib.Clock,
-        configuration_key: str,
-        instance_prefix: str,
-        decode_configuration: Callable[[bytes], routes.Configuration],
-        decode_instance: Callable[[str, bytes], inventory_lib.Instance],
     ) -> None:
         self.settings = settings
         self.clock = clock
-        self.generator = random.Random(settings.name + str(time.time_ns()))
         self.is_stopping = False
         self.number = 0
-        incarnation = int(time.time() * 1000)
-        self.record = roster_lib.NodeRecord(
-            settings.name,
-            settings.zone,
-            settings.region,
-            settings.front_address,
-            settings.peer_address,
-            incarnation,
-        )
-        self.roster = roster_lib.Roster(self.record)
-        self.stock = inventory_lib.Inventory()
-        self.residency = residency_lib.Residency()
-        self.balancer = balancer_lib.Balancer(
-            settings.zone, clock, self.generator
-        )
-        self.quarantine = quarantine_lib.Quarantine(
-            quarantine_lib.QuarantineMode(max_deaths=MAX_DEATHS), clock
-        )
-        self.popularity = popularity.Popularity()
+        generator = random.Random(settings.name + str(time.time_ns()))
+        self.roster = roster_lib.Roster(_describe(settings))
         self.turn = holder_lib.HolderMachine(
             settings.name,
-            str(incarnation),
+            str(self.roster.own.incarnation),
             settings.handover_pause,
             leadership_lib.LEASE,
         )
+        stock = inventory_lib.Inventory()
+        balancer = balancer_lib.Balancer(settings.zone, clock, generator)
         self.orderer = orderer_lib.Orderer(
             self.turn,
-            client,
-            self.stock,
+            platform.upstreams,
+            orderer_lib.Outlook(
+                stock,
+                lambda: self.forwarder.configuration,
+                self.get_demand,
+                balancer.list_used_copies,
+            ),
             clock,
             settings.load_window,
-            lambda: self.forwarder.configuration,
-            self.get_demand,
-            self.balancer.list_used_copies,
         )
         self.copy_client = peering.CopyClient()
-        self.copies = copies_lib.Copies(
-            self.orderer, self.copy_client, self.roster, clock
-        )
-        self.forwarder = forwarder_lib.Forwarder(
-            settings.name,
-            forwarder_lib.Parts(
-                clock,
-                self.stock,
-                self.residency,
-                self.balancer,
-                self.quarantine,
-                client,
-                self.copies,
-                retrybudget.RetryBudgetMode(
-                    settings.retry_ratio,
-                    settings.retry_slack,
-                    settings.retry_window,
-                ),
-                self.generator,
-                self.popularity,
+        self.parts = forwarder_lib.Parts(
+            clock,
+            stock,
+            residency_lib.Residency(),
+            balancer,
+            quarantine_lib.Quarantine(
+                quarantine_lib.QuarantineMode(max_deaths=MAX_DEATHS), clock
+            ),
+            platform.upstreams,
+            copies_lib.Copies(
+                self.orderer, self.copy_client, self.roster, clock
             ),
+            retrybudget.RetryBudgetMode(
+                settings.retry_ratio,
+                settings.retry_slack,
+                settings.retry_window,
+            ),
+            generator,
+            popularity.Popularity(),
         )
+        self.forwarder = forwarder_lib.Forwarder(settings.name, self.parts)
         self.directory = directory_lib.Directory(
             self.roster, clock, self.is_ready, settings.address_lifetime
         )
         self.leadership = leadership_lib.Leadership(
-            store,
+            platform.store,
             self.turn,
             storage.Put(
-                NODE_PREFIX + settings.name,
-                json.dumps(_to_fields(self.record)).encode(),
+                listeners.NODE_PREFIX + settings.name,
+                listeners.encode_record(self.roster.own),
             ),
             clock,
         )
-        self.own_keys = OwnKeysListener(self.roster, self.turn, clock)
+        self.own_keys = listeners.OwnKeysListener(self.roster, self.turn, clock)
         self.statuses = peering.StatusEndpoint(self.take_status)
-        self.copy_server = peering.CopyServer(self.orderer.ensure)
-        listeners: dict[str, watcher_lib.Listener] = {
-            configuration_key: ConfigurationListener(
-                decode_configuration, self.take_configuration
+        self.watcher = self._create_watcher(platform, generator)
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def _create_watcher(
+        self, platform: Platform, generator: random.Random
+    ) -> watcher_lib.Watcher:
+        """Return the watcher that keeps all parts up to date."""
+        parts: dict[str, watcher_lib.Listener] = {
+            platform.configuration_key: listeners.ConfigurationListener(
+                platform.decode_configuration, self.take_configuration
             ),
-            instance_prefix: InventoryListener(
-                instance_prefix,
-                decode_instance,
-                self.stock,
-                clock,
+            platform.instance_prefix: listeners.InventoryListener(
+                platform.instance_prefix,
+                platform.decode_instance,
+                self.parts.inventory,
+                self.clock,
                 self.take_inventory,
             ),
             OWN_PREFIX: self.own_keys,
         }
-        self.watcher = watcher_lib.Watcher(
-            store, "", watcher_lib.Fanout(listeners), self.generator
+        return watcher_lib.Watcher(
+            platform.store, "", watcher_lib.Fanout(parts), generator
         )
-        self.tasks: set[asyncio.Task[None]] = set()
 
     def is_ready(self) -> bool:
         """Whether new callers may come."""
         is_informed = self.forwarder.configuration is not None
-        return is_informed and bool(self.stock.instances) and not self.is_stopping
+        return (
+            is_informed
+            and bool(self.parts.inventory.instances)
+            and not self.is_stopping
+        )
 
     def take_configuration(self, configuration: routes.Configuration) -> None:
         """Use a newer configuration."""
@@ -340,29 +180,31 @@
 
     def take_inventory(self) -> None:
         """Bring what depends on the upstreams up to date."""
-        known = self.stock.instances
-        for name in self.residency.incarnations.keys() - known.keys():
-            self.residency.forget(name)
+        known = self.parts.inventory.instances
+        for name in self.parts.residency.incarnations.keys() - known.keys():
+            self.parts.residency.forget(name)
         for entry in known.values():
-            self.residency.take_instance(entry)
-        self.balancer.forget_others(known)
+            self.parts.residency.take_instance(entry)
+        self.parts.balancer.forget_others(known)
         self.forwarder.note_deaths(
-            self.forwarder.crashes.compare(self.stock, self.clock.now())
+            self.forwarder.crashes.compare(
+                self.parts.inventory, self.clock.now()
+            )
         )
 
     def take_status(self, status: roster_lib.NodeStatus) -> None:
         """Take note of what another node tells."""
         if self.roster.take_status(status, self.clock.now()):
-            self.balancer.take_peer_loads(status.node.name, status.loads)
-            self.balancer.paces.take_peer(status.node.name, status.paces)
-            self.quarantine.merge(status.suspects)
+            self.parts.balancer.take_peer_loads(status.node.name, status.loads)
+            self.parts.balancer.paces.take_peer(status.node.name, status.paces)
+            self.parts.quarantine.merge(status.suspects)
             self.withdraw(status.withdrawn)
 
     def withdraw(self, copies: Iterable[roster_lib.WithdrawnCopy]) -> None:
         """Send nothing more to copies that engines were ordered to drop."""
         now = self.clock.now()
         for copy in copies:
-            self.residency.note_missing(
+            self.parts.residency.note_missing(
                 residency_lib.CopyKey(copy.instance, copy.model), now
             )
 
@@ -370,7 +212,9 @@
         """Return the share of an engine that each model keeps busy."""
         now = self.clock.now()
         demand: dict[str, float] = {}
-        for (name, model), share in self.popularity.list_shares(now).items():
+        for (name, model), share in self.parts.popularity.list_shares(
+            now
+        ).items():
             if name == service:
                 demand[model] = demand.get(model, 0.0) + share
         for _, status in self.roster.list_heard(now):
@@ -418,7 +262,7 @@
     async def _keep_house(self) -> None:
         while True:
             now = self.clock.now()
-            self.stock.drop_expired(now)
+            self.parts.inventory.drop_expired(now)
             self.forwarder.machines = self.roster.count_machines(now)
             self.withdraw(self.orderer.list_withdrawn())
             await asyncio.sleep(HOUSEKEEPING_PERIOD.total_seconds())
@@ -447,32 +291,34 @@
         configuration = self.forwarder.configuration
         self.number += 1
         return roster_lib.NodeStatus(
-            node=self.record,
+            node=self.roster.own,
             number=self.number,
             is_ready=self.is_ready(),
             is_holder=self.turn.can_send(now),
             fence=self.turn.fence,
             configuration=configuration.version if configuration else 0,
-            inventory=self.stock.revision,
-            loads=self.balancer.list_own_loads(),
+            inventory=self.parts.inventory.revision,
+            loads=self.parts.balancer.list_own_loads(),
             wanted=tuple(
                 roster_lib.ModelDemand(service, model, share)
-                for (service, model), share in self.popularity.list_shares(
-                    now
-                ).items()
+                for (
+                    service,
+                    model,
+                ), share in self.parts.popularity.list_shares(now).items()
             ),
-            paces=tuple(self.balancer.paces.own.values()),
+            paces=tuple(self.parts.balancer.paces.own.values()),
             withdrawn=self.orderer.list_withdrawn(),
-            suspects=self.quarantine.list_suspects(),
+            suspects=self.parts.quarantine.list_suspects(),
         )
 
 
-def _to_fields(record: roster_lib.NodeRecord) -> dict[str, object]:
-    return {
-        "name": record.name,
-        "zone": record.zone,
-        "region": record.region,
-        "front_address": record.front_address,
-        "peer_address": record.peer_address,
-        "incarnation": record.incarnation,
-    }
+def _describe(settings: nodes.NodeSettings) -> roster_lib.NodeRecord:
+    """Return this start of a machine as others are to know it."""
+    return roster_lib.NodeRecord(
+        settings.name,
+        settings.zone,
+        settings.region,
+        settings.front_address,
+        settings.peer_address,
+        int(time.time() * 1000),
+    )
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -73,11 +73,30 @@
     doubted: datetime.datetime | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class Outlook:
+    """What the orderer plans by.
+
+    Attributes:
+        stock: the upstreams registered.
+        get_configuration: returns the newest configuration, if any.
+        get_demand: returns, for a service, the share of an engine that each
+            model keeps busy over all machines.
+        get_used: returns model and adapter of the requests at an engine.
+    """
+
+    stock: inventory.Inventory
+    get_configuration: Callable[[], routes.Configuration | None]
+    get_demand: Callable[[str], dict[str, float]]
+    get_used: Callable[[str], set[tuple[str, str]]]
+
+
 class Orderer:
     """Loads models and adapters on request.
 
     Attributes:
         turn: whether this machine may send.
+        outlook: what it plans by.
         engines: the engines known, by id.
         loading: loads under way, by service, model and adapter.
         windows: loads from the weight store, by service.
@@ -91,21 +110,15 @@
         self,
         turn: holder_lib.HolderMachine,
         client: Engines,
-        stock: inventory.Inventory,
+        outlook: Outlook,
         clock: clock_lib.Clock,
         load_window: datetime.timedelta,
-        get_configuration: Callable[[], routes.Configuration | None],
-        get_demand: Callable[[str], dict[str, float]],
-        get_used: Callable[[str], set[tuple[str, str]]],
     ) -> None:
         self.turn = turn
         self.client = client
-        self.stock = stock
+        self.outlook = outlook
         self.clock = clock
         self.load_window = load_window
-        self.get_configuration = get_configuration
-        self.get_demand = get_demand
-        self.get_used = get_used
         self.engines: dict[str, Engine] = {}
         self.loading: dict[tuple[str, str, str], asyncio.Task[str]] = {}
         self.windows: dict[str, stocker.LoadWindow] = {}
@@ -160,7 +173,7 @@
         return since is not None and self.clock.now() - since < DOUBT_PERIOD
 
     def _find_pool(self, service: str) -> routes.EnginePool | None:
-        configuration = self.get_configuration()
+        configuration = self.outlook.get_configuration()
         if configuration is None or service not in configuration.services:
             return None
         return configuration.services[service].engines
@@ -174,7 +187,7 @@
             self.began = now
             for engine in self.engines.values():
                 engine.ledger.sequence = None
-        for entry in self.stock.list_usable(service):
+        for entry in self.outlook.stock.list_usable(service):
             known = self.engines.get(entry.id)
             if known is None or known.ledger.instance.born != entry.born:
                 ledger = engines.EngineLedger(entry, pool)
@@ -189,7 +202,7 @@
     def _list_engines(self, service: str) -> list[Engine]:
         known = (
             self.engines.get(entry.id)
-            for entry in self.stock.list_usable(service)
+            for entry in self.outlook.stock.list_usable(service)
         )
         return [engine for engine in known if engine is not None]
 
@@ -275,7 +288,7 @@
         """Load ahead of requests while this machine is holder."""
         while True:
             await asyncio.sleep(PLAN_PERIOD.total_seconds())
-            configuration = self.get_configuration()
+            configuration = self.outlook.get_configuration()
             if configuration is None:
                 continue
             if not self.turn.can_send(self.clock.now()):
@@ -323,9 +336,9 @@
         )
         return stocker.Stock(
             ledgers,
-            self.get_demand(service),
+            self.outlook.get_demand(service),
             {
-                ledger.instance.id: self.get_used(ledger.instance.id)
+                ledger.instance.id: self.outlook.get_used(ledger.instance.id)
                 for ledger in ledgers
             },
             is_store_open,
@@ -340,9 +353,7 @@
     ) -> str:
         """Load a model that no engine holds; return where, or nothing."""
         window = self._get_window(service, pool)
-        stock = self._describe_stock(
-            service, window.is_open(self.clock.now())
-        )
+        stock = self._describe_stock(service, window.is_open(self.clock.now()))
         if stock.copies[model.name]:
             # Being loaded already.
             return ""
@@ -446,9 +457,7 @@
         ledger.copies[model.name] = engines.ModelCopy(
             model, engines.CopyState.LOADING, now
         )
-        result = await self._send(
-            engine, ordering.Operation.LOAD, model, ""
-        )
+        result = await self._send(engine, ordering.Operation.LOAD, model, "")
         if result is ordering.OrderResult.HELD:
             ledger.copies[model.name].state = engines.CopyState.READY
         elif result is not ordering.OrderResult.ACCEPTED:
@@ -503,8 +512,7 @@
         holders = [
             engine
             for engine in self._list_engines(service)
-            if engine.ledger.is_ready(model)
-            and not self._is_doubtful(engine)
+            if engine.ledger.is_ready(model) and not self._is_doubtful(engine)
         ]
         return sorted(
             holders,
@@ -548,7 +556,9 @@
     async def _evict_adapter(self, engine: Engine) -> bool:
         """Unload the oldest adapter that no request uses."""
         ledger = engine.ledger
-        spare = ledger.find_spare_adapter(self.get_used(ledger.instance.id))
+        spare = ledger.find_spare_adapter(
+            self.outlook.get_used(ledger.instance.id)
+        )
         if spare is None:
             return False
         name, adapter = spare
@@ -614,9 +624,7 @@
                 self.turn.fence,
                 sequence,
             )
-            result = await self.client.send_order(
-                engine.ledger.instance, order
-            )
+            result = await self.client.send_order(engine.ledger.instance, order)
             engine.last_sent = self.clock.now()
             self._settle(engine, order, model, result)
             if result is not ordering.OrderResult.UNKNOWN:
--- a/src/cicadahook/net/peering.py
+++ b/src/cicadahook/net/peering.py
@@ -129,9 +129,7 @@
         except codec.DecodeError as error:
             return web.Response(status=400, text=str(error))
         key = residency_lib.CopyKey(asked.instance, asked.model, asked.adapter)
-        held = await self.ensure(
-            asked.service, key, frozenset(asked.failed)
-        )
+        held = await self.ensure(asked.service, key, frozenset(asked.failed))
         answer = CopyAnswer(held.instance if held else "")
         return web.Response(body=COPY_ANSWERS.encode(answer))
 
--- a/src/cicadahook/net/watcher.py
+++ b/src/cicadahook/net/watcher.py
@@ -118,9 +118,7 @@
         self.revision = listing.revision
 
     async def _watch(self) -> None:
-        changes = await self.store.watch(
-            self.prefix, self.revision, WATCH_WAIT
-        )
+        changes = await self.store.watch(self.prefix, self.revision, WATCH_WAIT)
         self._note_answer(changes.revision)
         if changes.changes:
             self.listener.take_changes(changes)
--- a/src/cicadahook/platform/upstream.py
+++ b/src/cicadahook/platform/upstream.py
@@ -5,7 +5,6 @@
 import contextlib
 import dataclasses
 import datetime
-import json
 from typing import Any, Final
 
 import aiohttp
@@ -92,7 +91,11 @@
                 that could be seen.
         """
         headers = self.response.headers
-        if "Content-Length" in headers or "Transfer-Encoding" in headers:
+        lengths = (
+            headers.get("Content-Length"),
+            headers.get("Transfer-Encoding"),
+        )
+        if any(length is not None for length in lengths):
             return
         if isinstance(self.protocol, client_proto.ResponseHandler):
             error = self.protocol.exception()
@@ -264,9 +267,7 @@
 
 
 def _decode_report(fields: dict[str, Any]) -> ordering.EngineReport:
-    incoming = [
-        name.rsplit("@", 1)[0] for name in fields.get("incoming") or ()
-    ]
+    incoming = [name.rsplit("@", 1)[0] for name in fields.get("incoming") or ()]
     return ordering.EngineReport(
         # Orders accepted since the start.
         sequence=int(fields["sequence_number"]),
--- a/src/cicadahook/programs/node.py
+++ b/src/cicadahook/programs/node.py
@@ -15,6 +15,7 @@
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import node as node_lib
+from cicadahook.net import peering
 from cicadahook.platform import front as front_lib
 from cicadahook.platform import messages
 from cicadahook.platform import settings as settings_lib
@@ -56,16 +57,15 @@
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         store = store_lib.PlatformStore(self.settings.store_address)
         client = upstream_lib.UpstreamClient()
-        node = node_lib.Node(
-            self.settings,
+        platform = node_lib.Platform(
             store,
             client,
-            self.clock,
             messages.CONFIGURATION_KEY,
             messages.INSTANCE_PREFIX,
             messages.decode_configuration,
             messages.decode_instance,
         )
+        node = node_lib.Node(self.settings, platform, self.clock)
         self.node = node
         front = front_lib.Front(node.forwarder, self.clock)
         try:
@@ -96,12 +96,14 @@
     ) -> None:
         """Open all ports."""
         checks = front_lib.Checks(node.directory)
-        self.front_server = front.create_server()
         ports = (
-            (self.front_server, self.settings.front_port),
+            (front.create_server(), self.settings.front_port),
             (web.Server(checks.handle_ready), self.settings.ready_port),
             (web.Server(checks.handle_resolve), self.settings.directory_port),
-            (web.Server(node.copy_server.handle), self.settings.peer_port),
+            (
+                web.Server(peering.CopyServer(node.orderer.ensure).handle),
+                self.settings.peer_port,
+            ),
             (web.Server(metrics.show), METRICS_PORT),
         )
         for server, port in ports:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -89,5 +89,5 @@
 ) -> AsyncIterator[node_world.World]:
     """Run two nodes on a stand-in of the cooperative platform."""
     monkeypatch.setattr(node_program, "METRICS_PORT", 0)
-    async with node_world.run(find_base_port()) as running:
-        yield running
+    async with contextlib.AsyncExitStack() as stack:
+        yield await stack.enter_async_context(node_world.run(find_base_port()))
--- a/tests/node_store.py
+++ b/tests/node_store.py
@@ -104,7 +104,11 @@
             if key.startswith(prefix) and key > request.query.get("after", "")
         ]
         return web.json_response(
-            {"items": items[:2], "has_more": len(items) > 2, "at": self.revision}
+            {
+                "items": items[:2],
+                "has_more": len(items) > 2,
+                "at": self.revision,
+            }
         )
 
     async def _watch(self, request: web.BaseRequest) -> web.Response:
--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -87,9 +87,7 @@
         if request.path == "/order":
             return self._order(json.loads(await request.read()))
         body = await request.read()
-        self.arrivals.append(
-            Arrival(request.raw_path, request.headers, body)
-        )
+        self.arrivals.append(Arrival(request.raw_path, request.headers, body))
         self.running += 1
         try:
             return await self._answer(request)
@@ -105,9 +103,7 @@
             or (adapter and adapter not in self.models[model])
         )
         if expected != self.id or is_missing:
-            return web.Response(
-                status=421, headers={"X-Instance-Id": self.id}
-            )
+            return web.Response(status=421, headers={"X-Instance-Id": self.id})
         headers = {
             "X-Request-Id": request_id,
             "X-Response-Signature": f"sig-{request_id}",
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -154,7 +154,7 @@
     node = world.programs[0].node
     assert node is not None
     await node_world.wait_until(
-        lambda: node.stock.instances["e2"].holds("big")
+        lambda: node.parts.inventory.instances["e2"].holds("big")
     )
     async with world.call("/review/x", headers=MODEL) as response:
         body = await response.read()
@@ -222,7 +222,9 @@
     world.store.delete("servers/p2")
     node = world.programs[0].node
     assert node is not None
-    await node_world.wait_until(lambda: "p2" not in node.stock.instances)
+    await node_world.wait_until(
+        lambda: "p2" not in node.parts.inventory.instances
+    )
     async with world.call(READ) as response:
         assert response.status == 503
     assert not world.plain[0].arrivals + world.plain[1].arrivals
@@ -246,7 +248,7 @@
     await asyncio.sleep(0.3)
     node = world.programs[0].node
     assert node is not None
-    assert not {"x1", "x2", "x3"} & node.stock.instances.keys()
+    assert not {"x1", "x2", "x3"} & node.parts.inventory.instances.keys()
     async with world.call(READ) as response:
         assert response.status == 200
 
@@ -351,7 +353,8 @@
             world.store.put(f"servers/{upstream.id}", entry)
         await node_world.wait_until(
             lambda born=100 + death: all(  # type: ignore[misc]
-                node.stock.instances[name].born == born for name in ("p1", "p2")
+                node.parts.inventory.instances[name].born == born
+                for name in ("p1", "p2")
             )
         )
     for upstream in world.plain:
@@ -363,7 +366,7 @@
     await node_world.wait_until(
         lambda: any(
             len(suspect.deaths) == 3
-            for suspect in other.quarantine.list_suspects()
+            for suspect in other.parts.quarantine.list_suspects()
         )
     )
     async with world.call("/write/item", 1, data=b"poison") as response:
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -27,6 +27,7 @@
 
 
 def create_route(prefix: str, name: str = "") -> routes.Route:
+    """Return a route of one service."""
     return routes.Route(
         name or prefix,
         "api.example",
@@ -43,6 +44,7 @@
 def create_instance(
     name: str, models: tuple[str, ...] = (), **more: object
 ) -> inventory.Instance:
+    """Return an upstream that holds some models."""
     return inventory.Instance(
         name,
         "s",
@@ -55,12 +57,14 @@
 
 
 def create_model(name: str, size_mb: float = 40.0) -> routes.Model:
+    """Return a model that loads in 4, 1 or 0.5 s."""
     return routes.Model(
         name, size_mb, 1.0, frozenset({"a1"}), 4 * SECOND, SECOND, SECOND / 2
     )
 
 
 def create_pool(*names: str) -> routes.EnginePool:
+    """Return engines of 100 MB with two places for adapters."""
     models = {name: create_model(name) for name in names}
     return routes.EnginePool(models, 100.0, 2, 8, 1.0)
 
@@ -68,6 +72,7 @@
 def create_ledger(
     name: str, pool: routes.EnginePool, held: tuple[str, ...]
 ) -> engines.EngineLedger:
+    """Return the account of an engine that holds some models."""
     ledger = engines.EngineLedger(create_instance(name, held), pool)
     ledger.take_report(create_report(0, *held), clock_lib.EPOCH)
     return ledger
@@ -76,6 +81,7 @@
 def create_report(
     sequence: int, *models: str, is_busy: bool = False
 ) -> ordering.EngineReport:
+    """Return what an engine says of itself."""
     holdings = {model: inventory.Holding(model, 1) for model in models}
     return ordering.EngineReport(sequence, is_busy, holdings, frozenset(), 0)
 
@@ -191,8 +197,8 @@
     assert [key[2] for key in cache.tokens] == ["b", "c"]
 
 
-@pytest.fixture
-def balancer(clock: clock_lib.ManualClock) -> balancer_lib.Balancer:
+@pytest.fixture(name="balancer")
+def create_balancer(clock: clock_lib.ManualClock) -> balancer_lib.Balancer:
     """Return a balancer whose draws repeat."""
     return balancer_lib.Balancer("z", clock, random.Random(1))
 
@@ -375,6 +381,7 @@
 def create_stock(
     *ledgers: engines.EngineLedger, is_store_open: bool = True, **demand: float
 ) -> stocker.Stock:
+    """Return what a load is planned by."""
     return stocker.Stock(ledgers, demand, {}, is_store_open, clock_lib.EPOCH)
 
 
--- a/tests/test_orderer.py
+++ b/tests/test_orderer.py
@@ -29,7 +29,13 @@
 POOL = routes.EnginePool(
     {
         name: routes.Model(
-            name, size, 2.0, frozenset({"a1", "a2", "a3"}), 30 * MS, 8 * MS, 4 * MS
+            name,
+            size,
+            2.0,
+            frozenset({"a1", "a2", "a3"}),
+            30 * MS,
+            8 * MS,
+            4 * MS,
         )
         for name, size in SIZES.items()
     },
@@ -105,7 +111,9 @@
         self.failures: list[str] = []
         self.tasks: set[asyncio.Task[None]] = set()
         for number in range(count):
-            entry = inventory.Instance(f"e{number}", "s", f"e{number}:1", "z", 8)
+            entry = inventory.Instance(
+                f"e{number}", "s", f"e{number}:1", "z", 8
+            )
             self.models[entry.id] = EngineModel(entry)
             self.stock.put(entry)
 
@@ -232,12 +240,14 @@
     orderer = orderer_lib.Orderer(
         turn,
         network,
-        network.stock,
+        orderer_lib.Outlook(
+            network.stock,
+            lambda: CONFIGURATION,
+            lambda service: {name: 0.3 for name in SIZES},
+            lambda instance: set(),
+        ),
         clock,
         datetime.timedelta(seconds=5),
-        lambda: CONFIGURATION,
-        lambda service: {name: 0.3 for name in SIZES},
-        lambda instance: set(),
     )
     task = asyncio.create_task(orderer.run())
     try:
