--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from cicadahook.core import balancer
+from cicadahook.core import grants
 from cicadahook.core import paces as paces_lib
 from cicadahook.core import view
 
@@ -45,7 +46,10 @@
         number: grows with each message of an incarnation.
         is_ready: whether it takes new callers.
         is_holder: whether it sends orders to engines.
-        fence: number of its term as holder of orders; 0 if it never was.
+        has_left: whether this is its last message.
+        fence: fence of its term as holder of orders; 0 if it has none.
+        newest_term: highest fence that it knows of.
+        grant: leave for the holder that it knows.
         configuration: version of its configuration.
         inventory: revision of its picture of the upstreams.
         loads: its work at each upstream.
@@ -59,9 +63,12 @@
     number: int
     is_ready: bool
     is_holder: bool
+    has_left: bool
     fence: int
+    newest_term: int
     configuration: int
     inventory: int
+    grant: grants.Grant = grants.Grant()
     loads: tuple[balancer.InstanceLoad, ...] = ()
     wanted: tuple["ModelDemand", ...] = ()
     paces: tuple[paces_lib.PaceEstimate, ...] = ()
@@ -125,6 +132,28 @@
             if name != self.own.name:
                 yield record
 
+    def list_needed_grants(self) -> frozenset[str]:
+        """Return the machines without whose leave no holder goes on."""
+        left = {
+            name
+            for name, (_, status) in self.statuses.items()
+            if status.has_left
+        }
+        heard = self.statuses.keys() | self.registered.keys()
+        return frozenset(heard - left - {self.own.name})
+
+    def create_grant(self, term: int, now: datetime.datetime) -> grants.Grant:
+        """Return what this machine grants, knowing of terms up to `term`."""
+        holders = [
+            status
+            for _, status in self.list_heard(now)
+            if status.fence and status.fence >= term
+        ]
+        if not holders:
+            return grants.Grant()
+        newest = max(holders, key=lambda status: status.fence)
+        return grants.Grant(newest.node.name, newest.fence, newest.number)
+
     def list_heard(
         self, now: datetime.datetime
     ) -> Iterator[tuple[datetime.datetime, NodeStatus]]:
--- a/src/cicadahook/net/copies.py
+++ b/src/cicadahook/net/copies.py
@@ -75,7 +75,7 @@
         failed: frozenset[str],
     ) -> residency_lib.CopyKey | None:
         now = self.clock.now()
-        if self.orderer.turn.is_holder(now):
+        if self.orderer.can_send():
             return await self.orderer.ensure(service, key, failed)
         holder = self.roster.find_holder(now)
         if holder is None:
--- a/src/cicadahook/net/leadership.py
+++ b/src/cicadahook/net/leadership.py
@@ -1,6 +1,7 @@
 """Keeps this machine's lease, its registration and its turn as holder."""
 
 import asyncio
+from collections.abc import Callable
 import datetime
 from typing import Final
 
@@ -22,6 +23,8 @@
 
     Attributes:
         turn: decides what may be proposed and sent.
+        hears_holder: whether another machine still sends orders, by leave of
+            all others, though its key is gone.
         lease: id of the lease; 0 without one.
         is_stopping: whether nothing is to be proposed any more.
     """
@@ -32,7 +35,9 @@
         turn: holder_lib.HolderMachine,
         registration: storage.Put,
         clock: clock_lib.Clock,
+        hears_holder: Callable[[], bool],
     ) -> None:
+        self.hears_holder = hears_holder
         self.store = store
         self.turn = turn
         self.registration = registration
@@ -60,7 +65,7 @@
         """End turn, registration and lease, as far as the store answers."""
         self.is_stopping = True
         release = self.turn.propose_release()
-        self.turn.note_lease_ended()
+        self.turn.resign()
         try:
             if release is not None:
                 await self.store.write(release)
@@ -87,7 +92,7 @@
     async def propose(self) -> None:
         """Propose this machine as holder if nobody is."""
         write = self.turn.propose(self.lease, self.clock.now())
-        if write is None or self.is_stopping:
+        if write is None or self.is_stopping or self.hears_holder():
             return
         try:
             revision = await self.store.write(write)
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -11,6 +11,7 @@
 from cicadahook.core import balancer as balancer_lib
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
+from cicadahook.core import grants
 from cicadahook.core import holder as holder_lib
 from cicadahook.core import inventory as inventory_lib
 from cicadahook.core import nodes
@@ -71,6 +72,7 @@
 
     Attributes:
         is_stopping: whether new callers are to go elsewhere.
+        has_left: whether the next status is the last one.
     """
 
     def __init__(
@@ -82,9 +84,11 @@
         self.settings = settings
         self.clock = clock
         self.is_stopping = False
+        self.has_left = False
         self.number = 0
         generator = random.Random(settings.name + str(time.time_ns()))
         self.roster = roster_lib.Roster(_describe(settings))
+        self.grants = grants.GrantBook()
         self.turn = holder_lib.HolderMachine(
             settings.name,
             str(self.roster.own.incarnation),
@@ -101,6 +105,7 @@
                 lambda: self.forwarder.configuration,
                 self.get_demand,
                 balancer.list_used_copies,
+                self.is_granted,
             ),
             clock,
             settings.load_window,
@@ -138,6 +143,7 @@
                 listeners.encode_record(self.roster.own),
             ),
             clock,
+            self.hears_holder,
         )
         self.own_keys = listeners.OwnKeysListener(self.roster, self.turn, clock)
         self.statuses = peering.StatusEndpoint(self.take_status)
@@ -165,6 +171,25 @@
             platform.store, "", watcher_lib.Fanout(parts), generator
         )
 
+    def is_granted(self) -> bool:
+        """Whether all other machines let this one go on as holder."""
+        needed = self.roster.list_needed_grants()
+        return self.grants.is_complete(needed, self.clock.now())
+
+    def _create_grant(self, now: datetime.datetime) -> grants.Grant:
+        """Return the leave given to the holder that this machine knows.
+
+        A machine that has not seen the keys since its start may have been
+        holder itself before.
+        """
+        if not self.turn.is_informed:
+            return grants.Grant()
+        return self.roster.create_grant(self.turn.newest_term, now)
+
+    def hears_holder(self) -> bool:
+        """Whether another machine says that it sends orders."""
+        return self.roster.find_holder(self.clock.now()) is not None
+
     def is_ready(self) -> bool:
         """Whether new callers may come."""
         is_informed = self.forwarder.configuration is not None
@@ -195,6 +220,11 @@
     def take_status(self, status: roster_lib.NodeStatus) -> None:
         """Take note of what another node tells."""
         if self.roster.take_status(status, self.clock.now()):
+            self.turn.note_term(status.newest_term)
+            if status.grant.holder == self.settings.name:
+                self.grants.take(
+                    status.node.name, status.grant, self.turn.fence
+                )
             self.parts.balancer.take_peer_loads(status.node.name, status.loads)
             self.parts.balancer.paces.take_peer(status.node.name, status.paces)
             self.parts.quarantine.merge(status.suspects)
@@ -236,7 +266,9 @@
         self._spawn(self.orderer.run)
 
     async def stop(self) -> None:
-        """Stop all tasks."""
+        """Say goodbye and stop all tasks."""
+        self.has_left = True
+        self._send_status()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -269,12 +301,13 @@
 
     async def _tell_status(self) -> None:
         while True:
-            now = self.clock.now()
-            self.statuses.send(
-                self.create_status(), self.roster.list_peers(now)
-            )
+            self._send_status()
             await asyncio.sleep(peering.STATUS_PERIOD.total_seconds())
 
+    def _send_status(self) -> None:
+        peers = self.roster.list_peers(self.clock.now())
+        self.statuses.send(self.create_status(), peers)
+
     async def _propose_when_free(self) -> None:
         while True:
             await self.own_keys.is_holder_free.wait()
@@ -290,12 +323,16 @@
         now = self.clock.now()
         configuration = self.forwarder.configuration
         self.number += 1
+        self.grants.note_sent(self.number, now)
         return roster_lib.NodeStatus(
             node=self.roster.own,
             number=self.number,
             is_ready=self.is_ready(),
-            is_holder=self.turn.can_send(now),
+            is_holder=self.orderer.can_send(),
+            has_left=self.has_left,
             fence=self.turn.fence,
+            newest_term=self.turn.newest_term,
+            grant=self._create_grant(now),
             configuration=configuration.version if configuration else 0,
             inventory=self.parts.inventory.revision,
             loads=self.parts.balancer.list_own_loads(),
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -83,12 +83,14 @@
         get_demand: returns, for a service, the share of an engine that each
             model keeps busy over all machines.
         get_used: returns model and adapter of the requests at an engine.
+        is_granted: whether all other machines let this one send.
     """
 
     stock: inventory.Inventory
     get_configuration: Callable[[], routes.Configuration | None]
     get_demand: Callable[[str], dict[str, float]]
     get_used: Callable[[str], set[tuple[str, str]]]
+    is_granted: Callable[[], bool]
 
 
 class Orderer:
@@ -140,7 +142,7 @@
             key: what is wanted, and the engine preferred.
             failed: engines that could not be reached or lack the copy.
         """
-        if not self.turn.can_send(self.clock.now()):
+        if not self.can_send():
             return None
         pool = self._find_pool(service)
         if pool is None or key.model not in pool.models:
@@ -221,7 +223,7 @@
     ) -> str:
         end = self.clock.now() + MAX_WAIT
         while self.clock.now() < end:
-            if not self.turn.can_send(self.clock.now()):
+            if not self.can_send():
                 return ""
             await self._sync_all(service)
             instance = await self._load_model(service, pool, key)
@@ -291,11 +293,15 @@
             configuration = self.outlook.get_configuration()
             if configuration is None:
                 continue
-            if not self.turn.can_send(self.clock.now()):
+            if not self.can_send():
                 continue
             for service in configuration.list_engine_services():
                 await self._load_ahead(service)
 
+    def can_send(self) -> bool:
+        """Whether an order may be sent now."""
+        return self.turn.can_send(self.clock.now(), self.outlook.is_granted())
+
     def list_withdrawn(self) -> tuple[roster.WithdrawnCopy, ...]:
         """Return the copies that engines were ordered to drop."""
         return tuple(
@@ -614,7 +620,7 @@
         assert sequence is not None, "an order needs the engine's sequence"
         result = ordering.OrderResult.NOT_SENT
         for _ in range(MAX_COPIES):
-            if not self.turn.can_send(self.clock.now()):
+            if not self.can_send():
                 break
             order = ordering.Order(
                 operation,
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -36,6 +36,12 @@
   weight @2 :Float64;
 }
 
+struct Grant {
+  holder @0 :Text;
+  fence @1 :UInt64;
+  echo @2 :UInt64;
+}
+
 struct NodeStatus {
   node @0 :NodeRecord;
   number @1 :UInt64;
@@ -49,6 +55,9 @@
   suspects @9 :List(Link.Suspect);
   withdrawn @10 :List(WithdrawnCopy);
   paces @11 :List(PaceEstimate);
+  hasLeft @12 :Bool;
+  grant @13 :Grant;
+  newestTerm @14 :UInt64;
 }
 
 struct CopyRequest {
--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -224,4 +224,4 @@
 def can_order(program: node_program.NodeProgram) -> bool:
     """Whether a node may send orders."""
     assert program.node is not None, "not started"
-    return program.node.turn.can_send(program.clock.now())
+    return program.node.orderer.can_send()
--- a/tests/test_holder_machine.py
+++ b/tests/test_holder_machine.py
@@ -4,6 +4,7 @@
 fences must never fall, whatever is paused, lapses, or is told late.
 """
 
+import dataclasses
 import datetime
 import itertools
 
@@ -12,7 +13,9 @@
 from hypothesis import strategies as st
 
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import grants
 from cicadahook.core import holder as holder_lib
+from cicadahook.core import roster as roster_lib
 from cicadahook.core import storage
 
 PAUSE = datetime.timedelta(seconds=3)
@@ -21,6 +24,53 @@
 MISHAPS = ("", "", "", "no_renewal", "no_view", "lost_answer")
 
 
+@dataclasses.dataclass
+class Machine:
+    """One machine's part in it."""
+
+    turn: holder_lib.HolderMachine
+    roster: roster_lib.Roster
+    grants: grants.GrantBook
+    number: int = 0
+    has_left: bool = False
+
+    def can_send(self, now: datetime.datetime) -> bool:
+        """Whether it believes that it may send an order."""
+        needed = self.roster.list_needed_grants()
+        return self.turn.can_send(now, self.grants.is_complete(needed, now))
+
+    def create_status(self, now: datetime.datetime) -> roster_lib.NodeStatus:
+        """Return its next status."""
+        self.number += 1
+        self.grants.note_sent(self.number, now)
+        grant = grants.Grant()
+        if self.turn.is_informed:
+            grant = self.roster.create_grant(self.turn.newest_term, now)
+        return roster_lib.NodeStatus(
+            self.roster.own,
+            self.number,
+            True,
+            self.can_send(now),
+            self.has_left,
+            self.turn.fence,
+            self.turn.newest_term,
+            1,
+            1,
+            grant,
+        )
+
+    def take_status(
+        self, status: roster_lib.NodeStatus, now: datetime.datetime
+    ) -> None:
+        """Take another machine's status."""
+        if self.roster.take_status(status, now):
+            self.turn.note_term(status.newest_term)
+            if status.grant.holder == self.turn.name:
+                self.grants.take(
+                    status.node.name, status.grant, self.turn.fence
+                )
+
+
 class HolderWorld(stateful.RuleBasedStateMachine):
     """Three machines, their leases and the store."""
 
@@ -33,10 +83,21 @@
         self.lease_ends: dict[str, datetime.datetime] = {}
         self.machines = {name: self._create(name) for name in NAMES}
         self.sends: list[tuple[datetime.datetime, str, int]] = []
+        self.is_store_up = True
+        self.delayed: list[roster_lib.NodeStatus] = []
 
-    def _create(self, name: str) -> holder_lib.HolderMachine:
-        token = str(self.revision)
-        return holder_lib.HolderMachine(name, token, PAUSE, LEASE)
+    def _create(self, name: str) -> "Machine":
+        self.starts = getattr(self, "starts", 0) + 1
+        record = roster_lib.NodeRecord(
+            name, "z", "r", "f:1", "p:1", self.starts
+        )
+        known = roster_lib.Roster(record)
+        known.take_registrations(
+            roster_lib.NodeRecord(other, "z", "r", "f:1", "p:1", 0)
+            for other in NAMES
+        )
+        turn = holder_lib.HolderMachine(name, str(self.starts), PAUSE, LEASE)
+        return Machine(turn, known, grants.GrantBook())
 
     def _expire(self) -> None:
         end = self.lease_ends.get(self.owner)
@@ -49,12 +110,21 @@
         awake=st.lists(st.sampled_from(NAMES), max_size=3, unique=True),
         ms=st.integers(50, 900),
         mishap=st.sampled_from(MISHAPS),
+        is_cut=st.booleans(),
     )
-    def live(self, awake: list[str], ms: int, mishap: str) -> None:
+    def live(
+        self, awake: list[str], ms: int, mishap: str, is_cut: bool
+    ) -> None:
         """Let time pass, then the machines that are awake do their work."""
         self.now += datetime.timedelta(milliseconds=ms)
         self._expire()
+        if not is_cut:
+            self._tell(awake)
+            self._tell(awake)
         for name in awake:
+            self._send(name)
+            if not self.is_store_up:
+                continue
             if mishap != "no_renewal":
                 self._renew(name)
             if mishap != "no_view":
@@ -62,21 +132,53 @@
             self._propose(name, mishap != "lost_answer")
             self._send(name)
 
+    @stateful.rule(rounds=st.integers(1, 20))
+    def go_on(self, rounds: int) -> None:
+        """Let all machines live on undisturbed."""
+        for _ in range(rounds):
+            self.live(list(NAMES), 200, "", False)
+
+    @stateful.rule()
+    def switch_store(self) -> None:
+        """Let the store go away or come back."""
+        self.is_store_up = not self.is_store_up
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def deliver_late(self, name: str) -> None:
+        """Deliver statuses that were held up."""
+        for status in self.delayed[-6:]:
+            self.machines[name].take_status(status, self.now)
+
+    def _tell(self, awake: list[str]) -> None:
+        for name in awake:
+            status = self.machines[name].create_status(self.now)
+            self.delayed.append(status)
+            for other in awake:
+                if other != name:
+                    self.machines[other].take_status(status, self.now)
+
     @stateful.rule(name=st.sampled_from(NAMES), seconds=st.integers(1, 8))
     def freeze_all_but(self, name: str, seconds: int) -> None:
         """Let one machine live alone for some seconds."""
         for _ in range(seconds * 2):
-            self.live([name], 500, "")
+            self.live([name], 500, "", True)
 
     @stateful.rule(name=st.sampled_from(NAMES))
     def wake(self, name: str) -> None:
         """Let a machine send before it does anything else."""
         self._send(name)
 
-    @stateful.rule(name=st.sampled_from(NAMES))
-    def restart(self, name: str) -> None:
-        """Let a machine stop and start again."""
-        write = self.machines[name].propose_release()
+    @stateful.rule(name=st.sampled_from(NAMES), hears_goodbye=st.booleans())
+    def restart(self, name: str, hears_goodbye: bool) -> None:
+        """Let a machine stop and start again; its goodbye may be lost."""
+        leaving = self.machines[name]
+        if hears_goodbye:
+            leaving.has_left = True
+            status = leaving.create_status(self.now)
+            for other in NAMES:
+                if other != name:
+                    self.machines[other].take_status(status, self.now)
+        write = self.machines[name].turn.propose_release()
         known = self.items.get(holder_lib.HOLDER_KEY)
         if write and known and write.expected[0][1] == known.revision:
             del self.items[holder_lib.HOLDER_KEY]
@@ -85,7 +187,7 @@
         self.machines[name] = self._create(name)
 
     def _renew(self, name: str) -> None:
-        machine = self.machines[name]
+        machine = self.machines[name].turn
         sent = self.now
         end = self.lease_ends.get(name)
         if end is not None and end <= self.now:
@@ -95,7 +197,7 @@
         machine.note_renewed(sent)
 
     def _see(self, name: str) -> None:
-        self.machines[name].take_keys(
+        self.machines[name].turn.take_keys(
             self.items.get(holder_lib.HOLDER_KEY),
             self.items.get(holder_lib.TERM_KEY),
             self.revision,
@@ -103,8 +205,10 @@
         )
 
     def _propose(self, name: str, is_answered: bool) -> None:
-        machine = self.machines[name]
+        machine = self.machines[name].turn
         write = machine.propose(1, self.now)
+        if self.machines[name].roster.find_holder(self.now) is not None:
+            return
         end = self.lease_ends.get(name)
         if write is None or end is None or end <= self.now:
             return
@@ -124,7 +228,7 @@
     def _send(self, name: str) -> None:
         machine = self.machines[name]
         if machine.can_send(self.now):
-            self.sends.append((self.now, name, machine.fence))
+            self.sends.append((self.now, name, machine.turn.fence))
 
     @stateful.invariant()
     def turns_lie_apart(self) -> None:
--- a/tests/test_orderer.py
+++ b/tests/test_orderer.py
@@ -245,6 +245,7 @@
             lambda: CONFIGURATION,
             lambda service: {name: 0.3 for name in SIZES},
             lambda instance: set(),
+            lambda: False,
         ),
         clock,
         datetime.timedelta(seconds=5),
