--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -195,7 +195,7 @@
         except TimeoutError:
             await self._time_out(work)
         except errors.RefusalError as refusal:
-            await self._refuse(request, sink, refusal)
+            await self._refuse(request, sink, refusal, work)
         except asyncio.CancelledError:
             self._log(work, "caller_left")
             raise
@@ -581,6 +581,7 @@
     ) -> None:
         """Send an answer of our own, or break a stream off."""
         metrics.count_refusal(refusal.code, self.node)
+        generation = request.generation
         logger.info(
             "Request refused.",
             extra={
@@ -588,7 +589,11 @@
                 "code": refusal.code,
                 "status": refusal.status,
                 "outcome": str(refusal.outcome),
+                "route": work.route.name if work else "",
+                "model": generation.model if generation else "",
+                "adapter": generation.adapter if generation else "",
                 "configuration": self._get_version(),
+                "inventory": self.parts.inventory.revision,
                 "waited_ms": self._count_ms(request),
                 "sends": work.sends if work else 0,
                 "instance": work.instance if work else "",
--- a/src/cicadahook/net/http.py
+++ b/src/cicadahook/net/http.py
@@ -1,7 +1,6 @@
 """What all HTTP servers share: start and stop, errors, JSON bodies."""
 
 import dataclasses
-import json
 from typing import Any, Final
 
 from aiohttp import web
@@ -142,7 +141,7 @@
     """
     try:
         body = await request.json()
-    except (json.JSONDecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
         raise errors.RefusalError(
             "bad_json", f"body: not valid JSON: {error}", 400
         ) from error
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -107,3 +107,14 @@
         f"{entry_url(shared_system)}/readyz"
     ) as ready:
         assert ready.status == 200
+
+
+@pytest.mark.parametrize("body", ["[" * 100_000, "{", "7", "\ud800"])
+@pytest.mark.asyncio(loop_scope="module")
+async def test_refuses_bodies_that_are_no_json_object(
+    shared_system: local.LocalSystem, body: str
+) -> None:
+    url = f"{entry_url(shared_system)}/v1/chat/completions"
+    data = body.encode("utf-8", "surrogatepass")
+    async with shared_system.session.post(url, data=data) as response:
+        assert response.status == 400
