Leave a fresh adapter to the request that waits for it

Change: an adapter is not evicted within 400 ms of its load. The test failed before (the function took no time).

--- a/src/cicadahook/core/engines.py
+++ b/src/cicadahook/core/engines.py
@@ -19,6 +19,8 @@
 LATE_ORDER_PERIOD: Final = datetime.timedelta(seconds=15)
 
 
+# By then other machines have told of the request for which it was loaded.
+ADAPTER_GRACE: Final = datetime.timedelta(milliseconds=400)
 # Above every number of orders.
 ANY_SEQUENCE: Final = 2**62
 
@@ -201,15 +203,20 @@
         )
 
     def find_spare_adapter(
-        self, used: Set[tuple[str, str]]
+        self, used: Set[tuple[str, str]], now: datetime.datetime
     ) -> tuple[str, str] | None:
-        """Return model and adapter of the oldest adapter not in use."""
+        """Return model and adapter of the oldest adapter not in use.
+
+        One that was loaded a moment ago is left to the request that waits
+        for it, which does not show among those in use yet.
+        """
         adapters = [
             (loaded, copy.model.name, adapter)
             for copy in self.copies.values()
             if copy.state is CopyState.READY
             for adapter, loaded in copy.adapters.items()
             if (copy.model.name, adapter) not in used
+            and now - loaded >= ADAPTER_GRACE
         ]
         if not adapters:
             return None
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -563,7 +563,7 @@
         """Unload the oldest adapter that no request uses."""
         ledger = engine.ledger
         spare = ledger.find_spare_adapter(
-            self.outlook.get_used(ledger.instance.id)
+            self.outlook.get_used(ledger.instance.id), self.clock.now()
         )
         if spare is None:
             return False
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -374,8 +374,18 @@
     ledger = create_ledger("a", create_pool("m"), ("m",))
     adapters = ledger.copies["m"].adapters
     adapters["a1"], adapters["a2"] = clock_lib.EPOCH, clock_lib.EPOCH + MS
-    assert ledger.find_spare_adapter({("m", "a1")}) == ("m", "a2")
-    assert ledger.find_spare_adapter({("m", "a1"), ("m", "a2")}) is None
+    now = clock_lib.EPOCH + SECOND
+    assert ledger.find_spare_adapter({("m", "a1")}, now) == ("m", "a2")
+    both = {("m", "a1"), ("m", "a2")}
+    assert ledger.find_spare_adapter(both, now) is None
+
+
+def test_leaves_a_fresh_adapter_to_the_request_that_waits_for_it() -> None:
+    ledger = create_ledger("a", create_pool("m"), ("m",))
+    ledger.copies["m"].adapters["a1"] = clock_lib.EPOCH
+    soon = clock_lib.EPOCH + engines.ADAPTER_GRACE - MS
+    assert ledger.find_spare_adapter(set(), soon) is None
+    assert ledger.find_spare_adapter(set(), soon + MS) == ("m", "a1")
 
 
 def create_stock(
--- a/tests/test_orderer.py
+++ b/tests/test_orderer.py
@@ -215,9 +215,8 @@
         "DOUBT_PERIOD",
     ):
         monkeypatch.setattr(orderer_lib, name, getattr(orderer_lib, name) / 50)
-    monkeypatch.setattr(
-        engines_lib, "LATE_ORDER_PERIOD", engines_lib.LATE_ORDER_PERIOD / 50
-    )
+    for name in ("LATE_ORDER_PERIOD", "ADAPTER_GRACE"):
+        monkeypatch.setattr(engines_lib, name, getattr(engines_lib, name) / 50)
 
 
 @contextlib.asynccontextmanager
