--- a/src/cicadahook/core/inventory.py
+++ b/src/cicadahook/core/inventory.py
@@ -83,7 +83,7 @@
         fresh = {entry.id: entry for entry in entries}
         for name in self.instances.keys() - fresh.keys():
             if not is_after_outage:
-                self._drop(name)
+                self.remove(name)
             elif name not in self.doubtful:
                 self.doubtful[name] = now + RETURN_PERIOD
         for entry in fresh.values():
@@ -96,13 +96,14 @@
 
     def remove(self, name: str) -> None:
         """Take note that a registration has ended."""
-        self._drop(name)
+        self.instances.pop(name, None)
+        self.doubtful.pop(name, None)
 
     def drop_expired(self, now: datetime.datetime) -> None:
         """Drop registrations that did not come back after an outage."""
         for name, end in list(self.doubtful.items()):
             if end <= now:
-                self._drop(name)
+                self.remove(name)
 
     def list_usable(self, service: str) -> Iterator[Instance]:
         """Yield the upstreams of `service` that take new work."""
@@ -114,7 +115,3 @@
         """Return the upstream with an id if it takes new work."""
         entry = self.instances.get(name)
         return None if entry is None or entry.is_leaving else entry
-
-    def _drop(self, name: str) -> None:
-        self.instances.pop(name, None)
-        self.doubtful.pop(name, None)
--- a/src/cicadahook/core/residency.py
+++ b/src/cicadahook/core/residency.py
@@ -80,7 +80,7 @@
 
         If an adapter was asked for, that is what is taken to be missing.
         """
-        if key.adapter in ("", None) or key not in self.adapters:
+        if not key.adapter or key not in self.adapters:
             self.corrections[CopyKey(key.instance, key.model)] = Correction(
                 False, now
             )
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -122,7 +122,6 @@
         runs: upstreams that may have run it.
         last_event_id: id of the last event passed on.
         has_begun: whether the answer has begun.
-        failure: why the last attempt failed.
         instance: upstream of the last attempt.
         sent: when the last attempt was sent.
         first_piece: when the answer began.
@@ -140,7 +139,6 @@
     runs: int = 0
     last_event_id: str = ""
     has_begun: bool = False
-    failure: exchange.AttemptError | None = None
     instance: str = ""
     sent: datetime.datetime | None = None
     first_piece: datetime.datetime | None = None
@@ -453,7 +451,6 @@
             work.route.is_repeatable and work.runs < work.route.max_attempts
         )
         if work.has_begun or (head.status >= 500 and may_repeat):
-            work.failure = None
             raise exchange.AttemptError(
                 exchange.FailureKind.SERVER_ERROR, f"status {head.status}"
             )
@@ -468,7 +465,7 @@
         """Pass on whole events as they arrive."""
         splitter = events.EventSplitter()
         async for chunk in answer.iterate():
-            whole = list(splitter.feed(chunk))
+            whole = _split(splitter, chunk)
             if not whole:
                 continue
             self.parts.balancer.note_first_piece(placement)
@@ -498,7 +495,6 @@
         Raises:
             errors.RefusalError: none may.
         """
-        work.failure = error
         reason = self._find_obstacle(work, error)
         self._log(
             work,
@@ -644,6 +640,20 @@
         return budget
 
 
+def _split(splitter: events.EventSplitter, chunk: bytes) -> list[events.Event]:
+    """Return the events that `chunk` completes.
+
+    Raises:
+        exchange.AttemptError: an event grows too long.
+    """
+    try:
+        return list(splitter.feed(chunk))
+    except events.OversizedEventError as error:
+        raise exchange.AttemptError(
+            exchange.FailureKind.MALFORMED, str(error)
+        ) from error
+
+
 def _refuse(
     code: str,
     status: int,
--- a/src/cicadahook/net/watcher.py
+++ b/src/cicadahook/net/watcher.py
@@ -91,7 +91,6 @@
         self.backoff = budget.Backoff(FIRST_PAUSE, LONGEST_PAUSE, generator)
         self.revision = 0
         self.is_connected = True
-        self.call: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
