Ask an engine again that is busy with a late order

A late load of an earlier order was under way when the engine was asked for its state: the report named the new number of orders but not yet the model, so its memory was neither reserved nor counted, and adapters were loaded beside it. Change: a report of a busy engine counts only while an own load or unload is under way there. 20 fresh seeds with lost orders pass.

--- a/src/cicadahook/core/engines.py
+++ b/src/cicadahook/core/engines.py
@@ -162,6 +162,16 @@
             )
         )
 
+    def explains(self, report: ordering.EngineReport) -> bool:
+        """Whether what a report shows as under way is in the account.
+
+        An engine that is busy though no own order is under way carries out a
+        late one: what that loads shows only when it has ended.
+        """
+        return not report.is_busy or any(
+            copy.state is not CopyState.READY for copy in self.copies.values()
+        )
+
     def take_report(
         self, report: ordering.EngineReport, now: datetime.datetime
     ) -> None:
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -259,6 +259,8 @@
             return False
         if ledger.sequence is not None and report.sequence < ledger.sequence:
             return False
+        if not ledger.explains(report):
+            return False
         ledger.take_report(report, self.clock.now())
         return True
 
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -348,6 +348,14 @@
     assert ledger.count_used_mb(now) == 40
 
 
+def test_an_engine_busy_with_a_late_order_is_asked_again() -> None:
+    ledger = create_ledger("a", create_pool("m", "n"), ("m",))
+    assert not ledger.explains(create_report(1, "m", is_busy=True))
+    assert ledger.explains(create_report(1, "m", "n"))
+    ledger.copies["m"].state = engines.CopyState.UNLOADING
+    assert ledger.explains(create_report(1, "m", is_busy=True))
+
+
 def test_marks_an_unload_until_the_report_shows_it() -> None:
     ledger = create_ledger("a", create_pool("m"), ("m",))
     ledger.copies["m"].state = engines.CopyState.UNLOADING
