--- a/src/cicadahook/core/balancer.py
+++ b/src/cicadahook/core/balancer.py
@@ -338,11 +338,6 @@
         outcome = 0.0 if failure is None else 1.0
         state.failure_rate += LEARNING_RATE * (outcome - state.failure_rate)
 
-    def forget_model(self, instance: str, model: str) -> None:
-        """Drop what was known of prompts for a model no longer held."""
-        if instance in self.states:
-            self.states[instance].kept.forget_model(model)
-
     def _avoid(self, state: InstanceState, pause: datetime.timedelta) -> None:
         state.avoided_until = self.clock.now() + pause
 
--- a/src/cicadahook/core/exchange.py
+++ b/src/cicadahook/core/exchange.py
@@ -93,7 +93,6 @@
     CUT = "cut"
     CROSSED = "crossed"  # the answer belongs to another request
     MALFORMED = "malformed"
-    TIMED_OUT = "timed_out"
     SERVER_ERROR = "server_error"  # the upstream ran it and failed
 
 
--- a/src/cicadahook/core/nodes.py
+++ b/src/cicadahook/core/nodes.py
@@ -1,6 +1,5 @@
 """A machine of the system: its settings, and what it tells the others."""
 
-from collections.abc import Mapping
 import dataclasses
 import datetime
 
@@ -14,7 +13,6 @@
         host: its IP address.
         zone: availability zone.
         region: region of that zone.
-        zone_regions: the region of each zone.
         front_port: where callers send requests.
         ready_port: where the platform asks whether the node is ready.
         directory_port: where callers ask for addresses.
@@ -27,14 +25,12 @@
         retry_slack: the same.
         retry_window: the same.
         load_window: span in which loads from the weight store are counted.
-        load_overage: factor by which they may exceed the store's rate.
     """
 
     name: str
     host: str
     zone: str
     region: str
-    zone_regions: Mapping[str, str]
     front_port: int
     ready_port: int
     directory_port: int
@@ -47,7 +43,6 @@
     retry_slack: float
     retry_window: datetime.timedelta
     load_window: datetime.timedelta
-    load_overage: float
 
     @property
     def front_address(self) -> str:
--- a/src/cicadahook/core/prefixes.py
+++ b/src/cicadahook/core/prefixes.py
@@ -43,11 +43,6 @@
             _, dropped = self.tokens.popitem(last=False)
             self.total -= dropped
 
-    def forget_model(self, model: str) -> None:
-        """Drop all parts of a model that the engine no longer holds."""
-        for key in [key for key in self.tokens if key[0] == model]:
-            self.total -= self.tokens.pop(key)
-
 
 def list_keys(
     generation: exchange.Generation,
--- a/src/cicadahook/platform/settings.py
+++ b/src/cicadahook/platform/settings.py
@@ -40,7 +40,6 @@
             host=str(fields["ip_address"]),
             zone=str(fields["zone"]),
             region=str(fields["region"]),
-            zone_regions=dict(fields.get("zones", {})),
             front_port=_read_port(listen["front"]),
             ready_port=_read_port(listen["ready"]),
             directory_port=_read_port(listen["directory"]),
@@ -54,7 +53,6 @@
             retry_slack=float(bounds["retry_budget_slack"]),
             retry_window=_read_seconds(bounds["budget_window_s"]),
             load_window=_read_seconds(bounds["ceiling_window_s"]),
-            load_overage=float(bounds["ceiling_overage"]),
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
         raise errors.SettingsError(f"bad settings: {error!r}") from error
--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -91,7 +91,6 @@
         host=HOST,
         zone="zone-a",
         region="region",
-        zone_regions={"zone-a": "region"},
         front_port=base,
         ready_port=base + 1,
         directory_port=base + 2,
@@ -104,7 +103,6 @@
         retry_slack=50.0,
         retry_window=10 * second,
         load_window=5 * second,
-        load_overage=1.1,
     )
 
 
