Copy busy models before those that nobody asks for

The engines that came empty after crashes were filled with models without a copy and without a request, which plan_ahead put first; and copies of one model came one by one, 5.8 s each.

Change: relief for the busiest models first, then models without a copy; as many copies under way as the work fills engines.

--- a/src/cicadahook/core/stocker.py
+++ b/src/cicadahook/core/stocker.py
@@ -139,9 +139,9 @@
             name for ledger in self.ledgers for name in list_models(ledger)
         )
 
-    def is_planned(self, model: str) -> bool:
-        """Whether a copy of a model is being loaded."""
-        return any(ledger.planned == model for ledger in self.ledgers)
+    def count_planned(self, model: str) -> int:
+        """Return how many copies of a model are being loaded."""
+        return sum(ledger.planned == model for ledger in self.ledgers)
 
     def count_share(self, ledger: engines.EngineLedger) -> float:
         """Return the share of an engine that its models keep busy."""
@@ -198,19 +198,33 @@
 ) -> LoadPlan | None:
     """Return a load that is worth it before any request waits for it.
 
-    Models without a copy come first, as far as memory is free. Then come
-    further copies of models whose engines are busiest; they may replace
-    models that nobody asks for, which load again within a second from where
-    they were.
+    Further copies of models whose engines are busiest come first; they may
+    replace models that nobody asks for, which load again within a second from
+    where they were. Then come models without a copy, as far as memory is free:
+    one request or none waits for each of them.
     """
     busy = sum(ledger.is_busy for ledger in stock.ledgers)
     if busy >= math.ceil(AHEAD_SHARE * len(stock.ledgers)) and stock.demand:
         return None
+    return _plan_relief(models, stock) or _plan_missing(models, stock)
+
+
+def _plan_missing(
+    models: Mapping[str, routes.Model], stock: Stock
+) -> LoadPlan | None:
+    """Return a load of a model without a copy, if memory is free for it."""
     for name, model in models.items():
         if not stock.copies[name]:
             plan = plan_load(model, stock)
             if plan is not None and not plan.evicted:
                 return plan
+    return None
+
+
+def _plan_relief(
+    models: Mapping[str, routes.Model], stock: Stock
+) -> LoadPlan | None:
+    """Return a further copy of the model whose engines are busiest."""
     by_load = sorted(
         (
             (_price_shortage(name, stock), name)
@@ -241,7 +255,11 @@
     wanted = math.ceil(stock.demand.get(name, 0.0) / SHARE_PER_COPY)
     if stock.starved.get(name, 0):
         wanted += 1
-    if stock.copies[name] >= wanted or stock.is_planned(name):
+    planned = stock.count_planned(name)
+    ready = stock.copies[name] - planned
+    # One copy at a time, unless the work fills more engines than hold it.
+    most = max(1, math.ceil(stock.demand.get(name, 0.0)) - ready)
+    if stock.copies[name] >= wanted or planned >= most:
         return False
     gain = STARVED_SECONDS * stock.starved.get(name, 0)
     peak = stock.find_peak(name)
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -450,6 +450,34 @@
     assert again is None, "one copy at a time"
 
 
+def test_a_busy_model_goes_before_those_without_a_copy() -> None:
+    """An empty engine is not filled with models that nobody asks for."""
+    pool = create_pool("m", "n", "o")
+    ledgers = [
+        create_ledger("a", pool, ("m",)),
+        create_ledger("b", pool, ()),
+        create_ledger("c", pool, ()),
+    ]
+    plan = stocker.plan_ahead(pool.models, create_stock(*ledgers))
+    assert plan is not None and plan.model.name == "n", "nothing else to do"
+    busy = create_stock(*ledgers, m=2.0)
+    plan = stocker.plan_ahead(pool.models, busy)
+    assert plan is not None and plan.model.name == "m"
+
+
+def test_a_model_that_fills_two_engines_gets_two_copies_at_once() -> None:
+    """Copies that take seconds each would come too late one by one."""
+    pool = create_pool("m")
+    ledgers = [create_ledger(name, pool, ()) for name in "abcde"]
+    ledgers[0] = create_ledger("a", pool, ("m",))
+    ledgers[1].planned = "m"
+    plan = stocker.plan_ahead(pool.models, create_stock(*ledgers, m=2.8))
+    assert plan is not None and plan.instance != "b"
+    ledgers[2].planned = "m"
+    again = stocker.plan_ahead(pool.models, create_stock(*ledgers, m=2.8))
+    assert again is None, "three copies for the work of 2.8 engines"
+
+
 def test_leaves_calm_engines_as_they_are() -> None:
     pool = create_pool("m", "n")
     stock = create_stock(
