Take requests for 2.8 s after a stop signal, not for 3.6

What is sent later than 3 s after the signal has to be answered in full.

Change: requests are taken for 45% of the grace period, 2.8 s at the most, and those under way may end until 90% of it (85% before), which leaves 0.8 s of 8 for the process.

The test of the plan fails on the old figures.

--- a/src/cicadahook/core/nodes.py
+++ b/src/cicadahook/core/nodes.py
@@ -2,6 +2,15 @@
 
 import dataclasses
 import datetime
+from typing import Final
+
+# A request that is sent later than 3 s after the stop signal must be answered
+# before the kill, which a long stream can't be; the users' rules say so.
+ACCEPT_PERIOD: Final = datetime.timedelta(milliseconds=2800)
+# Shares of the grace period. Streams that still run in its last sixth may be
+# cut off; a tenth is left for the process to end, also on a slow machine.
+ACCEPT_SHARE: Final = 0.45
+FINISH_SHARE: Final = 0.9
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,3 +62,24 @@
     def peer_address(self) -> str:
         """Return `host:port` for other nodes."""
         return f"{self.host}:{self.peer_port}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainPlan:
+    """How a machine ends after a stop signal.
+
+    Attributes:
+        accepts_until: until when requests are still taken.
+        finishes_until: when those under way are cut off.
+    """
+
+    accepts_until: datetime.datetime
+    finishes_until: datetime.datetime
+
+
+def plan_drain(
+    started: datetime.datetime, grace_period: datetime.timedelta
+) -> DrainPlan:
+    """Return how a machine ends that was told to stop at `started`."""
+    accept = min(ACCEPT_PERIOD, ACCEPT_SHARE * grace_period)
+    return DrainPlan(started + accept, started + FINISH_SHARE * grace_period)
--- a/src/cicadahook/programs/node.py
+++ b/src/cicadahook/programs/node.py
@@ -22,10 +22,6 @@
 from cicadahook.platform import store as store_lib
 from cicadahook.platform import upstream as upstream_lib
 
-# Shares of the grace period: until then new connections are accepted, until
-# then requests under way may end.
-ACCEPT_SHARE: Final = 0.45
-FINISH_SHARE: Final = 0.85
 # The port that deploy/system.toml names for metrics.
 METRICS_PORT: Final = 9464
 POLL_SECONDS: Final = 0.05
@@ -118,11 +114,10 @@
         node.is_stopping = True
         front.is_stopping = True
         node.leadership.stop_proposing()
-        accept_end = started + self.settings.grace_period * ACCEPT_SHARE
-        finish_end = started + self.settings.grace_period * FINISH_SHARE
-        await self._sleep_until(accept_end)
+        drain = nodes.plan_drain(started, self.settings.grace_period)
+        await self._sleep_until(drain.accepts_until)
         front.is_closed = True
-        while front.active and self.clock.now() < finish_end:
+        while front.active and self.clock.now() < drain.finishes_until:
             await asyncio.sleep(POLL_SECONDS)
         logger.info("Drained.", extra={"cut_off": front.active})
         await node.leadership.leave()
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -6,6 +6,7 @@
 
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import holder as holder_lib
+from cicadahook.core import nodes
 from cicadahook.core import roster
 from cicadahook.core import stocker
 from cicadahook.core import storage
@@ -98,3 +99,15 @@
     turn.take_keys(None, own, None, 7, again)
     turn.take_written(8, again)
     assert turn.may_send_from == due
+
+
+@pytest.mark.parametrize("grace_seconds", [2, 5, 8, 30])
+def test_a_stopping_machine_takes_only_what_it_may_cut_off(
+    grace_seconds: int,
+) -> None:
+    """Later requests must all be answered, which long streams can't be."""
+    grace = datetime.timedelta(seconds=grace_seconds)
+    drain = nodes.plan_drain(NOW, grace)
+    assert drain.accepts_until < NOW + datetime.timedelta(seconds=3)
+    assert NOW + grace * 5 / 6 <= drain.finishes_until < NOW + grace
+    assert drain.accepts_until < drain.finishes_until
