Tell machines everything in turns, and pause between watches

Change: with more than 8 machines a watcher pauses after changes, 25 ms a machine, 0.8 s at the most; full statuses go to 8 machines a period in turns, brief ones (turn, leave, readiness, withdrawn copies) between holder and all every period. Silence is judged by the length of a turn.

--- a/src/cicadahook/core/balancer.py
+++ b/src/cicadahook/core/balancer.py
@@ -126,6 +126,7 @@
         states: what is known of each upstream, by id.
         peers: the newest loads of each other machine, with their time.
         paces: how long the models take.
+        peer_expiry: how long loads of other machines count.
     """
 
     def __init__(
@@ -139,6 +140,7 @@
             str, tuple[datetime.datetime, Mapping[str, InstanceLoad]]
         ] = {}
         self.paces = paces.PaceBook()
+        self.peer_expiry = PEER_EXPIRY
 
     def take_peer_loads(self, peer: str, loads: Iterable[InstanceLoad]) -> None:
         """Replace what is known of the loads of another machine."""
@@ -165,7 +167,7 @@
             names.update(+self.states[instance].copies)
         now = self.clock.now()
         for told, loads in self.peers.values():
-            if instance in loads and now - told < PEER_EXPIRY:
+            if instance in loads and now - told < self.peer_expiry:
                 names.update(loads[instance].copies)
         return {
             (model, adapter)
@@ -279,7 +281,7 @@
         now = self.clock.now()
         for told, loads in self.peers.values():
             load = loads.get(entry.id)
-            if load is not None and now - told < PEER_EXPIRY:
+            if load is not None and now - told < self.peer_expiry:
                 running += load.running
                 unread += load.unread_ms
         return running, unread
--- a/src/cicadahook/core/grants.py
+++ b/src/cicadahook/core/grants.py
@@ -12,7 +12,7 @@
 import datetime
 from typing import Final
 
-# Three statuses; see `peering.STATUS_PERIOD`.
+# Three statuses; see `roster.STATUS_PERIOD`.
 GRANT_LENGTH: Final = datetime.timedelta(milliseconds=500)
 
 
--- a/src/cicadahook/core/nodes.py
+++ b/src/cicadahook/core/nodes.py
@@ -11,6 +11,13 @@
 # cut off; a tenth is left for the process to end, also on a slow machine.
 ACCEPT_SHARE: Final = 0.45
 FINISH_SHARE: Final = 0.9
+# Each change in the store wakes all machines that watch it. In larger fleets
+# they pause before they ask again, so that one answer holds several changes:
+# 34 machines made 13,190 calls in 50 s without. The shortest bound on changes
+# of a larger fleet is 3 s.
+WATCHERS_WITHOUT_PAUSE: Final = 8
+WATCH_PAUSE_PER_MACHINE: Final = datetime.timedelta(milliseconds=25)
+LONGEST_WATCH_PAUSE: Final = datetime.timedelta(milliseconds=800)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,3 +90,9 @@
     """Return how a machine ends that was told to stop at `started`."""
     accept = min(ACCEPT_PERIOD, ACCEPT_SHARE * grace_period)
     return DrainPlan(started + accept, started + FINISH_SHARE * grace_period)
+
+
+def plan_watch_pause(machines: int) -> datetime.timedelta:
+    """Return the pause between two watches in a fleet of some size."""
+    beyond = max(0, machines - WATCHERS_WITHOUT_PAUSE)
+    return min(LONGEST_WATCH_PAUSE, beyond * WATCH_PAUSE_PER_MACHINE)
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Iterator
 import dataclasses
 import datetime
+import math
 from typing import Final
 
 from cicadahook.core import balancer
@@ -10,6 +11,12 @@
 from cicadahook.core import paces as paces_lib
 from cicadahook.core import view
 
+STATUS_PERIOD: Final = datetime.timedelta(milliseconds=150)
+# Machines that are told everything in one period; the others have their turn
+# in the next ones. With 1.2 KB a status, that is 64 KB/s a machine at most.
+STATUS_FANOUT: Final = 8
+# Turns after which a machine counts as silent, when turns take long.
+SILENT_TURNS: Final = 2.5
 # A machine that was silent for so long is left out of address answers.
 SILENCE_LIMIT: Final = datetime.timedelta(milliseconds=1500)
 # A machine that is neither registered nor heard for so long is taken to be
@@ -50,6 +57,8 @@
         is_ready: whether it takes new callers.
         is_holder: whether it sends orders to engines.
         has_left: whether this is its last message.
+        is_brief: whether loads, demand, paces and suspects are left out, as
+            the last message that had them told them.
         fence: fence of its term as holder of orders; 0 if it has none.
         newest_term: highest fence that it knows of.
         grant: leave for the holder that it knows.
@@ -72,6 +81,7 @@
     configuration: int
     inventory: int
     grant: grants.Grant = grants.Grant()
+    is_brief: bool = False
     loads: tuple[balancer.InstanceLoad, ...] = ()
     wanted: tuple["ModelDemand", ...] = ()
     paces: tuple[paces_lib.PaceEstimate, ...] = ()
@@ -123,9 +133,38 @@
                 newest.number,
             ):
                 return False
+            if status.is_brief:
+                status = dataclasses.replace(
+                    status,
+                    loads=newest.loads,
+                    wanted=newest.wanted,
+                    paces=newest.paces,
+                    suspects=newest.suspects,
+                )
         self.statuses[name] = (now, status)
         return True
 
+    def list_turn(self, number: int, now: datetime.datetime) -> set[str]:
+        """Return the machines that are told everything this time.
+
+        Args:
+            number: counts the periods.
+            now: the time.
+        """
+        names = sorted(record.name for record in self.list_peers(now))
+        turns = self._count_turns()
+        return set(names[number % turns :: turns])
+
+    def get_silence_limit(self) -> datetime.timedelta:
+        """Return after how long a machine counts as silent."""
+        turn = self._count_turns() * STATUS_PERIOD
+        return max(SILENCE_LIMIT, SILENT_TURNS * turn)
+
+    def _count_turns(self) -> int:
+        """Return the periods in which each machine is told everything once."""
+        machines = len(self.statuses.keys() | self.registered.keys())
+        return max(1, math.ceil(machines / STATUS_FANOUT))
+
     def list_peers(self, now: datetime.datetime) -> Iterator[NodeRecord]:
         """Yield the other machines to which messages are sent."""
         heard = {
@@ -162,8 +201,9 @@
         self, now: datetime.datetime
     ) -> Iterator[tuple[datetime.datetime, NodeStatus]]:
         """Yield the newest message of each machine that still speaks."""
+        limit = self.get_silence_limit()
         for told, status in self.statuses.values():
-            if now - told < SILENCE_LIMIT:
+            if now - told < limit:
                 yield told, status
 
     def count_machines(self, now: datetime.datetime) -> int:
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -86,6 +86,7 @@
         self.is_stopping = False
         self.has_left = False
         self.number = 0
+        self.round = 0
         generator = random.Random(settings.name + str(time.time_ns()))
         self.roster = roster_lib.Roster(_describe(settings))
         self.grants = grants.GrantBook()
@@ -168,7 +169,13 @@
             OWN_PREFIX: self.own_keys,
         }
         return watcher_lib.Watcher(
-            platform.store, "", watcher_lib.Fanout(parts), generator
+            platform.store,
+            "",
+            watcher_lib.Fanout(parts),
+            generator,
+            lambda: nodes.plan_watch_pause(
+                self.roster.count_machines(self.clock.now())
+            ),
         )
 
     def is_granted(self) -> bool:
@@ -226,10 +233,12 @@
                 self.grants.take(
                     status.node.name, status.grant, self.turn.fence
                 )
+            self.withdraw(status.withdrawn)
+            if status.is_brief:
+                return
             self.parts.balancer.take_peer_loads(status.node.name, status.loads)
             self.parts.balancer.paces.take_peer(status.node.name, status.paces)
             self.parts.quarantine.merge(status.suspects)
-            self.withdraw(status.withdrawn)
 
     def withdraw(self, copies: Iterable[roster_lib.WithdrawnCopy]) -> None:
         """Send nothing more to copies that engines were ordered to drop."""
@@ -295,6 +304,9 @@
     async def _keep_house(self) -> None:
         while True:
             now = self.clock.now()
+            self.parts.balancer.peer_expiry = max(
+                balancer_lib.PEER_EXPIRY, self.roster.get_silence_limit()
+            )
             self.parts.inventory.drop_expired(now)
             self.forwarder.machines = self.roster.count_machines(now)
             self.withdraw(self.orderer.list_withdrawn())
@@ -303,11 +315,32 @@
     async def _tell_status(self) -> None:
         while True:
             self._send_status()
-            await asyncio.sleep(peering.STATUS_PERIOD.total_seconds())
+            await asyncio.sleep(roster_lib.STATUS_PERIOD.total_seconds())
 
     def _send_status(self) -> None:
-        peers = self.roster.list_peers(self.clock.now())
-        self.statuses.send(self.create_status(), peers)
+        """Tell some machines everything, and others what can't wait.
+
+        The holder needs the others' leave, and they its newest status; that a
+        machine takes no more callers concerns all at once.
+        """
+        now = self.clock.now()
+        self.round += 1
+        turn = self.roster.list_turn(self.round, now)
+        peers = list(self.roster.list_peers(now))
+        status = self.create_status()
+        self.statuses.send(
+            status, [peer for peer in peers if peer.name in turn]
+        )
+        holder = self.roster.find_holder(now)
+        is_urgent = status.fence or not status.is_ready or status.has_left
+        others = [
+            peer
+            for peer in peers
+            if peer.name not in turn
+            and (is_urgent or (holder and peer.name == holder.name))
+        ]
+        if others:
+            self.statuses.send(_shorten(status), others)
 
     async def _propose_when_open(self) -> None:
         while True:
@@ -350,6 +383,13 @@
         )
 
 
+def _shorten(status: roster_lib.NodeStatus) -> roster_lib.NodeStatus:
+    """Return a status without what may wait for the next full one."""
+    return dataclasses.replace(
+        status, is_brief=True, loads=(), wanted=(), paces=(), suspects=()
+    )
+
+
 def _describe(settings: nodes.NodeSettings) -> roster_lib.NodeRecord:
     """Return this start of a machine as others are to know it."""
     return roster_lib.NodeRecord(
--- a/src/cicadahook/net/peering.py
+++ b/src/cicadahook/net/peering.py
@@ -15,7 +15,6 @@
 from cicadahook.net import logs
 from cicadahook.net import sockets
 
-STATUS_PERIOD: Final = datetime.timedelta(milliseconds=150)
 CONNECT_TIMEOUT: Final = datetime.timedelta(milliseconds=500)
 COPY_TIMEOUT: Final = datetime.timedelta(seconds=12)
 COPIES_PATH: Final = "/copies"
--- a/src/cicadahook/net/watcher.py
+++ b/src/cicadahook/net/watcher.py
@@ -1,7 +1,7 @@
 """Follows a part of the store through outages and lost history."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import datetime
 import random
 from typing import Final, Protocol
@@ -14,6 +14,7 @@
 # A watch may be forgotten without a word; the bounds on configuration and
 # drain leave two seconds after the three in which that is excused.
 WATCH_WAIT: Final = datetime.timedelta(milliseconds=2500)
+NO_PAUSE: Final = datetime.timedelta()
 FIRST_PAUSE: Final = datetime.timedelta(milliseconds=200)
 LONGEST_PAUSE: Final = datetime.timedelta(milliseconds=800)
 
@@ -76,6 +77,7 @@
         prefix: what is watched.
         revision: revision up to which the listener knows all.
         is_connected: whether the last call was answered.
+        get_pause: returns the pause after changes, in which more may come.
     """
 
     def __init__(
@@ -84,7 +86,9 @@
         prefix: str,
         listener: Listener,
         generator: random.Random,
+        get_pause: Callable[[], datetime.timedelta] = lambda: NO_PAUSE,
     ) -> None:
+        self.get_pause = get_pause
         self.store = store
         self.prefix = prefix
         self.listener = listener
@@ -117,11 +121,16 @@
         self.revision = listing.revision
 
     async def _watch(self) -> None:
-        changes = await self.store.watch(self.prefix, self.revision, WATCH_WAIT)
+        pause = self.get_pause()
+        changes = await self.store.watch(
+            self.prefix, self.revision, WATCH_WAIT - pause
+        )
         self._note_answer(changes.revision)
         if changes.changes:
             self.listener.take_changes(changes)
         self.revision = max(self.revision, changes.revision)
+        if changes.changes:
+            await asyncio.sleep(pause.total_seconds())
 
     def _note_answer(self, revision: int) -> None:
         self.backoff.succeed()
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -58,6 +58,7 @@
   hasLeft @12 :Bool;
   grant @13 :Grant;
   newestTerm @14 :UInt64;
+  isBrief @15 :Bool;
 }
 
 struct CopyRequest {
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -1,5 +1,6 @@
 """Which machine has the turn to send orders, and what it knows of others."""
 
+import dataclasses
 import datetime
 
 import pytest
@@ -111,3 +112,35 @@
     assert drain.accepts_until < NOW + datetime.timedelta(seconds=3)
     assert NOW + grace * 5 / 6 <= drain.finishes_until < NOW + grace
     assert drain.accepts_until < drain.finishes_until
+
+
+def test_in_a_larger_fleet_each_machine_is_told_everything_in_turn() -> None:
+    """A period's messages stay few, and nobody is left out or silent."""
+    known = roster.Roster(create_record("n00"))
+    others = [f"n{number:02}" for number in range(1, 34)]
+    known.take_registrations(create_record(name) for name in others)
+    turns = [known.list_turn(number, NOW) for number in range(5)]
+    assert all(len(turn) <= roster.STATUS_FANOUT for turn in turns)
+    assert set().union(*turns) == set(others)
+    assert known.get_silence_limit() > 2 * 5 * roster.STATUS_PERIOD
+
+
+def test_a_brief_status_keeps_what_was_told_before() -> None:
+    """Loads and demand count until the next full message."""
+    known = roster.Roster(create_record("n1"))
+    wanted = (roster.ModelDemand("s", "m", 0.5),)
+    full = dataclasses.replace(create_status("n2", 1), wanted=wanted)
+    brief = dataclasses.replace(
+        create_status("n2", 2), is_brief=True, is_ready=False
+    )
+    assert known.take_status(full, NOW) and known.take_status(brief, NOW)
+    (_, newest), *_ = known.list_heard(NOW)
+    assert newest.wanted == wanted and not newest.is_ready
+
+
+@pytest.mark.parametrize("machines", [1, 4, 34, 400])
+def test_watches_pause_within_the_bounds_on_changes(machines: int) -> None:
+    """A fleet of a few does not pause; the largest stays below a second."""
+    pause = nodes.plan_watch_pause(machines)
+    assert (pause == datetime.timedelta()) == (machines <= 8)
+    assert pause < datetime.timedelta(seconds=1)
