Load an adapter without asking other engines for their state

The orderer first asked every engine of the service whose state it did not know, which takes 400 ms after the engine's last order; with 45 engines there nearly always is one.

Change: an engine that is known to hold the model is used at once; others are asked only if none is known.

Small sites' waits were 15 and 23 ms already.

--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -226,8 +226,14 @@
         while self.clock.now() < end:
             if not self.can_send():
                 return ""
-            await self._sync_all(service)
-            instance = await self._load_model(service, pool, key)
+            instance = self._find_copy(service, key)
+            if not instance:
+                await self._sync_all(service)
+                instance = self._find_copy(service, key)
+            if not instance:
+                instance = await self._place_model(
+                    service, pool.models[key.model], pool
+                )
             if instance and key.adapter:
                 instance = await self._load_adapter(service, instance, key)
                 if not instance:
@@ -265,14 +271,11 @@
         ledger.take_report(report, self.clock.now())
         return True
 
-    async def _load_model(
-        self, service: str, pool: routes.EnginePool, key: residency_lib.CopyKey
-    ) -> str:
-        """Return an engine that holds the model, loading it if none does."""
-        known = self._list_engines(service)
+    def _find_copy(self, service: str, key: residency_lib.CopyKey) -> str:
+        """Return an engine known to hold a model now, or nothing."""
         holders = [
             engine
-            for engine in known
+            for engine in self._list_engines(service)
             if engine.ledger.sequence is not None
             and engine.ledger.is_ready(key.model)
             and not self._is_doubtful(engine)
@@ -280,14 +283,13 @@
         names = [engine.ledger.instance.id for engine in holders]
         if key.instance in names:
             return key.instance
-        if holders:
-            return min(
-                holders,
-                key=lambda engine: -engine.ledger.count_free_slots(
-                    self.clock.now()
-                ),
-            ).ledger.instance.id
-        return await self._place_model(service, pool.models[key.model], pool)
+        if not holders:
+            return ""
+        now = self.clock.now()
+        freest = max(
+            holders, key=lambda engine: engine.ledger.count_free_slots(now)
+        )
+        return freest.ledger.instance.id
 
     async def run(self) -> None:
         """Load ahead of requests while this machine is holder."""
--- a/tests/test_orderer.py
+++ b/tests/test_orderer.py
@@ -291,3 +291,21 @@
                 network.restart(generator.choice(list(network.models)))
     assert not network.failures
     assert served >= (200 if not loss else 60)
+
+
+async def test_an_adapter_waits_for_no_other_engine(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An engine whose state is unknown holds up no request for another."""
+    network = EngineNetwork(2, 0.0, 1)
+    async with run_orderer(network) as orderer:
+        held = await orderer.ensure("s", residency.CopyKey("", "a"))
+        assert held is not None
+        other = next(name for name in network.models if name != held.instance)
+        clock = clock_lib.BootClock()
+        monkeypatch.setattr(orderer_lib, "REPORT_LAG", 5000 * MS)
+        orderer.engines[other].last_sent = clock.now()
+        orderer.engines[other].ledger.sequence = None
+        async with asyncio.timeout(1):
+            adapter = residency.CopyKey(held.instance, "a", "a1")
+            assert await orderer.ensure("s", adapter) == adapter
