Stop at the first signal, also while starting; ready means able to serve

Cause 1: cicada-local heard SIGINT only once everything was placed. Before, the signal cancelled the start, which closed the session under the controls; a task that fails while it is cancelled was run again, so that the process stayed for more than 30 s (measured) and printed a traceback each second. Cause 2: an entry was ready as soon as it had a view, about 1.5 s before a model was there (seven polls, 0.2 s apart, answered 200 beside a 503 for the first request).

Change: one function starts a daemon and stops it at the first signal or after a time, whatever it is at; a control's task that is being cancelled ends. An entry is ready once it can serve a model, or a service if there is no model.

--- a/src/cicadahook/net/control.py
+++ b/src/cicadahook/net/control.py
@@ -269,6 +269,10 @@
         try:
             await run()
         except Exception:  # pylint: disable=broad-exception-caught
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                logger.exception("Task %s failed while it was ended.", run)
+                return
             logger.exception("Task %s failed and is run again.", run)
             metrics.create_counter(
                 "cicada_task_failures", "Tasks that failed and were run again."
--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -18,6 +18,7 @@
 from cicadahook.core import locate
 from cicadahook.core import quarantine
 from cicadahook.core import retry
+from cicadahook.core import table as table_lib
 from cicadahook.core import view as view_lib
 from cicadahook.net import attempts
 from cicadahook.net import claims
@@ -267,9 +268,16 @@
         return web.json_response({"state": "live"})
 
     async def check_ready(self, request: web.Request) -> web.Response:
-        """Answer 200 once requests can be routed, and until it drains."""
+        """Answer 200 once it can serve, and until it drains.
+
+        Services are there at once, so where there are models, one of them
+        must be served.
+        """
         del request
-        is_ready = bool(self.view.number) and not self.is_draining
+        rows = self.view.table.rows
+        models = [row for row in rows if row.kind is table_lib.RowKind.MODEL]
+        can_serve = any(self.view.upstreams_for(row) for row in models or rows)
+        is_ready = can_serve and not self.is_draining
         return web.json_response(
             {"ready": is_ready}, status=200 if is_ready else 503
         )
--- a/src/cicadahook/programs/daemon.py
+++ b/src/cicadahook/programs/daemon.py
@@ -61,14 +61,35 @@
 
     async def serve() -> None:
         async with open_session() as session:
-            daemon = create(session)
-            await daemon.start()
-            await wait_for_stop()
-            await daemon.stop()
+            await run_until_stopped(create(session))
 
     run_main(serve)
 
 
+async def run_until_stopped(
+    daemon: Daemon, seconds: float | None = None
+) -> None:
+    """Start a daemon, and stop it at the first signal or after a time.
+
+    A signal counts from the beginning: what has been started by then is
+    stopped as usual.
+    """
+    stopping = asyncio.create_task(wait_for_stop())
+    starting = asyncio.create_task(daemon.start())
+    try:
+        await asyncio.wait(
+            (stopping, starting), return_when=asyncio.FIRST_COMPLETED
+        )
+        if starting.done():
+            starting.result()
+            await asyncio.wait((stopping,), timeout=seconds)
+    finally:
+        for task in (starting, stopping):
+            task.cancel()
+        await asyncio.gather(starting, stopping, return_exceptions=True)
+        await daemon.stop()
+
+
 def run_main(main: Callable[[], Awaitable[None]]) -> None:
     """Run `main`; exit with code 1 and a sentence on an expected error."""
 
--- a/src/cicadahook/programs/local.py
+++ b/src/cicadahook/programs/local.py
@@ -1,7 +1,7 @@
 """cicada-local: the whole system on loopback in one process, to try it."""
 
 import asyncio
-import contextlib
+from collections.abc import Callable
 import dataclasses
 import secrets
 from typing import Any, Final
@@ -93,8 +93,14 @@
 class LocalSystem:
     """Four entry VMs and all stand-ins."""
 
-    def __init__(self, mode: LocalMode, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        mode: LocalMode,
+        session: aiohttp.ClientSession,
+        on_ready: Callable[[], None] = lambda: None,
+    ) -> None:
         self.mode = mode
+        self.on_ready = on_ready
         self.session = session
         self.cluster_key = secrets.token_hex(CLUSTER_KEY_BYTES)
         base_port = mode.base_port
@@ -216,6 +222,7 @@
             await part.start()
         await self._fill_table()
         await self._wait_until_placed()
+        self.on_ready()
 
     async def _fill_table(self) -> None:
         """Write the example rows."""
@@ -248,6 +255,8 @@
 
     async def stop(self) -> None:
         """Stop entries, controls, then the stand-ins."""
+        # The whole system goes, so records have no peer to go to.
+        logs.create_logger("peers").setLevel("ERROR")
         for part in reversed(self.daemons):
             await part.stop()
         for server in reversed(self.standins):
@@ -279,16 +288,12 @@
 
     async def serve() -> None:
         async with daemon.open_session() as session:
-            system = LocalSystem(LocalMode(settings.base_port), session)
-            await system.start()
-            print(create_guide(settings.base_port), flush=True)
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(
-                    daemon.wait_for_stop(), settings.seconds or None
-                )
-            # The whole system goes, so records have no peer to go to.
-            logs.create_logger("peers").setLevel("ERROR")
-            await system.stop()
+            system = LocalSystem(
+                LocalMode(settings.base_port),
+                session,
+                lambda: print(create_guide(settings.base_port), flush=True),
+            )
+            await daemon.run_until_stopped(system, settings.seconds or None)
 
     daemon.run_main(serve)
 
