--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -1,27 +1,22 @@
 """Takes a caller's request to an upstream and the answer back, unread."""
 
 import asyncio
-from collections.abc import AsyncIterator, Iterable
-import contextlib
-import dataclasses
+from collections.abc import Iterable
 import datetime
-import random
-from typing import Any, Final, NoReturn, Protocol
+from typing import Any, Final, NoReturn
 
 from cicadahook.core import balancer as balancer_lib
-from cicadahook.core import clock as clock_lib
 from cicadahook.core import crashes
 from cicadahook.core import errors
 from cicadahook.core import events
 from cicadahook.core import exchange
 from cicadahook.core import inventory
-from cicadahook.core import popularity as popularity_lib
-from cicadahook.core import quarantine as quarantine_lib
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import retrybudget
 from cicadahook.core import routes
 from cicadahook.net import logs
 from cicadahook.net import metrics
+from cicadahook.net import work as work_lib
 
 # A caller that keeps a request is told of its end this long before.
 ANSWER_MARGIN: Final = datetime.timedelta(milliseconds=15)
@@ -44,122 +39,6 @@
 logger: Final = logs.create_logger("forwarder")
 
 
-class Answer(Protocol):
-    """An answer whose head has come."""
-
-    head: exchange.AnswerHead
-
-    async def read(self) -> bytes:
-        """Return the whole body."""
-
-    def iterate(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives."""
-
-
-class Upstreams(Protocol):
-    """Sends requests to upstreams."""
-
-    def send(
-        self, attempt: exchange.Attempt
-    ) -> contextlib.AbstractAsyncContextManager[Answer]:
-        """Send a request and yield its answer; leaving early cancels it."""
-
-
-class Copies(Protocol):
-    """Gets models and adapters loaded."""
-
-    async def ensure(
-        self,
-        service: str,
-        key: residency_lib.CopyKey,
-        failed: frozenset[str],
-    ) -> residency_lib.CopyKey | None:
-        """Return where a copy is now, or None if none could be loaded.
-
-        Args:
-            service: name of the service.
-            key: what is wanted, and the engine preferred.
-            failed: engines that could not be reached or lack the copy.
-        """
-
-
-class Sink(Protocol):
-    """Where an answer goes."""
-
-    async def answer(self, head: exchange.AnswerHead, body: bytes) -> None:
-        """Send a whole answer."""
-
-    async def refuse(self, refusal: errors.RefusalError) -> None:
-        """Send an answer of our own."""
-
-    async def begin(self, head: exchange.AnswerHead) -> None:
-        """Start a stream."""
-
-    async def send(self, data: bytes) -> None:
-        """Send a part of a stream."""
-
-    async def finish(self) -> None:
-        """End a stream as complete."""
-
-    def break_off(self) -> None:
-        """End a stream so that it does not look complete."""
-
-
-@dataclasses.dataclass
-class Work:
-    """A request under way.
-
-    Attributes:
-        request: what the caller sent.
-        sink: where the answer goes.
-        route: the route that it matched.
-        service: the service drawn for it.
-        deadline: when the final answer must be there.
-        fingerprint: digest by which it is known again.
-        excluded: upstreams not to be tried again.
-        missed: upstreams that lacked the copy once.
-        sends: times that it was sent.
-        runs: upstreams that may have run it.
-        last_event_id: id of the last event passed on.
-        has_begun: whether the answer has begun.
-        instance: upstream of the last attempt.
-        sent: when the last attempt was sent.
-        first_piece: when the answer began.
-    """
-
-    request: exchange.CallerRequest
-    sink: Sink
-    route: routes.Route
-    service: routes.Service
-    deadline: datetime.datetime
-    fingerprint: str
-    excluded: frozenset[str] = frozenset()
-    missed: frozenset[str] = frozenset()
-    sends: int = 0
-    runs: int = 0
-    last_event_id: str = ""
-    has_begun: bool = False
-    instance: str = ""
-    sent: datetime.datetime | None = None
-    first_piece: datetime.datetime | None = None
-
-
-@dataclasses.dataclass
-class Parts:
-    """What a forwarder decides with."""
-
-    clock: clock_lib.Clock
-    inventory: inventory.Inventory
-    residency: residency_lib.Residency
-    balancer: balancer_lib.Balancer
-    quarantine: quarantine_lib.Quarantine
-    upstreams: Upstreams
-    copies: Copies
-    budget_mode: retrybudget.RetryBudgetMode
-    generator: random.Random
-    popularity: popularity_lib.Popularity
-
-
 class Forwarder:
     """Serves the requests of one machine.
 
@@ -170,7 +49,7 @@
         crashes: tells crashes of upstreams from broken connections.
     """
 
-    def __init__(self, node: str, parts: Parts) -> None:
+    def __init__(self, node: str, parts: work_lib.Parts) -> None:
         self.node = node
         self.parts = parts
         self.clock = parts.clock
@@ -179,7 +58,9 @@
         self.budgets: dict[str, retrybudget.RetryBudget] = {}
         self.crashes = crashes.CrashTracker()
 
-    async def serve(self, request: exchange.CallerRequest, sink: Sink) -> None:
+    async def serve(
+        self, request: exchange.CallerRequest, sink: work_lib.Sink
+    ) -> None:
         """Bring the final answer of a request to its caller."""
         try:
             work = self._admit(request, sink)
@@ -198,7 +79,9 @@
             self._log(work, "caller_left")
             raise
 
-    def _admit(self, request: exchange.CallerRequest, sink: Sink) -> Work:
+    def _admit(
+        self, request: exchange.CallerRequest, sink: work_lib.Sink
+    ) -> work_lib.Work:
         """Return the work that a request makes.
 
         Raises:
@@ -230,7 +113,7 @@
         if request.patience is not None:
             patience = min(patience, request.patience)
         deadline = request.received + patience - ANSWER_MARGIN
-        return Work(
+        return work_lib.Work(
             request,
             sink,
             route,
@@ -279,7 +162,7 @@
         if generation.adapter and generation.adapter not in model.adapters:
             raise _refuse("unknown_adapter", 503, RETRY_AFTER)
 
-    async def _serve_work(self, work: Work) -> None:
+    async def _serve_work(self, work: work_lib.Work) -> None:
         """Make attempts until one brings the answer.
 
         Raises:
@@ -293,7 +176,7 @@
             except exchange.AttemptError as error:
                 await self._consider_retry(work, instance, error)
 
-    async def _select(self, work: Work) -> inventory.Instance:
+    async def _select(self, work: work_lib.Work) -> inventory.Instance:
         """Return the upstream for the next attempt.
 
         Raises:
@@ -318,7 +201,7 @@
 
     async def _select_engine(
         self,
-        work: Work,
+        work: work_lib.Work,
         usable: list[inventory.Instance],
         generation: exchange.Generation,
     ) -> inventory.Instance | None:
@@ -359,7 +242,9 @@
             parts.residency.note_held(held, self.clock.now())
         return entry
 
-    def _check_overload(self, work: Work, chosen: inventory.Instance) -> None:
+    def _check_overload(
+        self, work: work_lib.Work, chosen: inventory.Instance
+    ) -> None:
         """Refuse a request that the best engine would begin too late.
 
         What begins late there also takes long: the streams of an engine that
@@ -372,7 +257,7 @@
             spread = self.parts.generator.uniform(0.7, 1.3)
             raise _refuse("overloaded", 503, COPY_RETRY_AFTER * spread)
 
-    def _raise_no_copy(self, work: Work) -> NoReturn:
+    def _raise_no_copy(self, work: work_lib.Work) -> NoReturn:
         """Refuse a request whose copy takes too long.
 
         Raises:
@@ -384,12 +269,14 @@
         spread = self.parts.generator.uniform(0.7, 1.3)
         raise _refuse("no_copy", 503, COPY_RETRY_AFTER * spread)
 
-    def _raise_no_upstream(self, work: Work) -> NoReturn:
+    def _raise_no_upstream(self, work: work_lib.Work) -> NoReturn:
         if work.runs:
             raise _refuse("attempts_failed", 502, outcome="unknown")
         raise _refuse("no_upstream", 503, RETRY_AFTER)
 
-    async def _attempt(self, work: Work, instance: inventory.Instance) -> None:
+    async def _attempt(
+        self, work: work_lib.Work, instance: inventory.Instance
+    ) -> None:
         """Send a request to one upstream and pass its answer on.
 
         Raises:
@@ -436,7 +323,7 @@
 
     def _look_for_crash(
         self,
-        work: Work,
+        work: work_lib.Work,
         instance: inventory.Instance,
         kind: exchange.FailureKind,
     ) -> None:
@@ -451,8 +338,8 @@
 
     async def _pass_on(
         self,
-        work: Work,
-        answer: Answer,
+        work: work_lib.Work,
+        answer: work_lib.Answer,
         placement: balancer_lib.Placement,
     ) -> None:
         """Pass an answer on once it is known that it may be."""
@@ -473,8 +360,8 @@
 
     async def _pass_events(
         self,
-        work: Work,
-        answer: Answer,
+        work: work_lib.Work,
+        answer: work_lib.Answer,
         placement: balancer_lib.Placement,
     ) -> None:
         """Pass on whole events as they arrive."""
@@ -501,7 +388,7 @@
 
     async def _consider_retry(
         self,
-        work: Work,
+        work: work_lib.Work,
         instance: inventory.Instance,
         error: exchange.AttemptError,
     ) -> None:
@@ -527,7 +414,7 @@
             await asyncio.sleep(RETRY_PAUSE.total_seconds())
 
     def _find_obstacle(
-        self, work: Work, error: exchange.AttemptError
+        self, work: work_lib.Work, error: exchange.AttemptError
     ) -> str | None:
         """Return why no further attempt may be made, if it may not."""
         if not error.is_not_run:
@@ -547,7 +434,7 @@
 
     def _note_failure(
         self,
-        work: Work,
+        work: work_lib.Work,
         instance: inventory.Instance,
         error: exchange.AttemptError,
     ) -> None:
@@ -565,7 +452,7 @@
                 return
         work.excluded |= {instance.id}
 
-    def _give_up(self, work: Work, reason: str) -> NoReturn:
+    def _give_up(self, work: work_lib.Work, reason: str) -> NoReturn:
         """End a request that can't be tried again.
 
         Raises:
@@ -575,7 +462,7 @@
             raise _refuse(reason, 502, outcome="unknown")
         raise _refuse(reason, 503, RETRY_AFTER)
 
-    async def _time_out(self, work: Work) -> None:
+    async def _time_out(self, work: work_lib.Work) -> None:
         """Answer a request whose time is over."""
         if work.runs:
             refusal = _refuse("deadline_passed", 504, outcome="unknown")
@@ -586,9 +473,9 @@
     async def _refuse(
         self,
         request: exchange.CallerRequest,
-        sink: Sink,
+        sink: work_lib.Sink,
         refusal: errors.RefusalError,
-        work: Work | None = None,
+        work: work_lib.Work | None = None,
     ) -> None:
         """Send an answer of our own, or break a stream off."""
         metrics.count_refusal(refusal.code, self.node)
@@ -613,7 +500,7 @@
         )
         await sink.refuse(refusal)
 
-    def _log(self, work: Work, outcome: str, **fields: Any) -> None:
+    def _log(self, work: work_lib.Work, outcome: str, **fields: Any) -> None:
         """Write one line on a decision about a request."""
         generation = work.request.generation
         logger.info(
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -30,7 +30,9 @@
 from cicadahook.net import logs
 from cicadahook.net import orderer as orderer_lib
 from cicadahook.net import peering
+from cicadahook.net import sender as sender_lib
 from cicadahook.net import watcher as watcher_lib
+from cicadahook.net import work as work_lib
 
 OWN_PREFIX: Final = "cicada/"
 # Others that ran beside a crashing request are met with it by chance; the
@@ -42,7 +44,7 @@
 logger: Final = logs.create_logger("node")
 
 
-class UpstreamClient(forwarder_lib.Upstreams, orderer_lib.Engines, Protocol):
+class UpstreamClient(work_lib.Upstreams, sender_lib.Engines, Protocol):
     """Speaks to upstreams: requests, orders and reports."""
 
 
@@ -99,20 +101,20 @@
         stock = inventory_lib.Inventory()
         balancer = balancer_lib.Balancer(settings.zone, clock, generator)
         self.orderer = orderer_lib.Orderer(
-            self.turn,
-            platform.upstreams,
+            sender_lib.OrderSender(
+                self.turn, platform.upstreams, clock, self.is_granted
+            ),
             orderer_lib.Outlook(
                 stock,
                 lambda: self.forwarder.configuration,
                 self.get_demand,
                 balancer.list_used_copies,
-                self.is_granted,
             ),
             clock,
             settings.load_window,
         )
         self.copy_client = peering.CopyClient()
-        self.parts = forwarder_lib.Parts(
+        self.parts = work_lib.Parts(
             clock,
             stock,
             residency_lib.Residency(),
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -5,11 +5,10 @@
 from collections.abc import Callable
 import dataclasses
 import datetime
-from typing import Final, Protocol
+from typing import Final
 
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import engines
-from cicadahook.core import holder as holder_lib
 from cicadahook.core import inventory
 from cicadahook.core import ordering
 from cicadahook.core import residency as residency_lib
@@ -17,10 +16,8 @@
 from cicadahook.core import routes
 from cicadahook.core import stocker
 from cicadahook.net import logs
-from cicadahook.net import metrics
+from cicadahook.net import sender as sender_lib
 
-# Reports are that old at times, so a fresh one is asked for after it.
-REPORT_LAG: Final = datetime.timedelta(milliseconds=400)
 POLL_PERIOD: Final = datetime.timedelta(milliseconds=100)
 # An operation that takes longer than planned by so much is given up.
 OPERATION_SLACK: Final = datetime.timedelta(seconds=4)
@@ -29,8 +26,6 @@
 # How long an engine is avoided that could not be reached or lacked a copy.
 DOUBT_PERIOD: Final = datetime.timedelta(seconds=1)
 MAX_TRIES: Final = 3
-# Copies of one order that are sent until one is answered.
-MAX_COPIES: Final = 6
 MODEL_RETRY_PAUSE: Final = datetime.timedelta(milliseconds=150)
 PLAN_PERIOD: Final = datetime.timedelta(milliseconds=300)
 MAX_WAIT: Final = datetime.timedelta(seconds=10)
@@ -42,37 +37,6 @@
 logger: Final = logs.create_logger("orders")
 
 
-class Engines(Protocol):
-    """Carries orders to engines."""
-
-    async def send_order(
-        self, instance: inventory.Instance, order: ordering.Order
-    ) -> ordering.OrderResult:
-        """Send an order; no answer leaves open whether it is carried out."""
-
-    async def fetch_report(
-        self, instance: inventory.Instance
-    ) -> ordering.EngineReport | None:
-        """Return what an engine says of itself; None if it doesn't answer."""
-
-
-@dataclasses.dataclass
-class Engine:
-    """An engine under this holder.
-
-    Attributes:
-        ledger: the account of its memory.
-        sending: held while an order is on its way or its state is asked.
-        last_sent: when the last order was sent.
-        doubted: when its state was last taken to be wrong.
-    """
-
-    ledger: engines.EngineLedger
-    sending: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
-    last_sent: datetime.datetime | None = None
-    doubted: datetime.datetime | None = None
-
-
 @dataclasses.dataclass(frozen=True)
 class Outlook:
     """What the orderer plans by.
@@ -83,21 +47,19 @@
         get_demand: returns, for a service, the share of an engine that each
             model keeps busy over all machines.
         get_used: returns model and adapter of the requests at an engine.
-        is_granted: whether all other machines let this one send.
     """
 
     stock: inventory.Inventory
     get_configuration: Callable[[], routes.Configuration | None]
     get_demand: Callable[[str], dict[str, float]]
     get_used: Callable[[str], set[tuple[str, str]]]
-    is_granted: Callable[[], bool]
 
 
 class Orderer:
     """Loads models and adapters on request.
 
     Attributes:
-        turn: whether this machine may send.
+        sender: sends the orders, while this machine has the turn.
         outlook: what it plans by.
         engines: the engines known, by id.
         loading: loads under way, by service, model and adapter.
@@ -110,18 +72,16 @@
 
     def __init__(
         self,
-        turn: holder_lib.HolderMachine,
-        client: Engines,
+        sender: sender_lib.OrderSender,
         outlook: Outlook,
         clock: clock_lib.Clock,
         load_window: datetime.timedelta,
     ) -> None:
-        self.turn = turn
-        self.client = client
+        self.sender = sender
         self.outlook = outlook
         self.clock = clock
         self.load_window = load_window
-        self.engines: dict[str, Engine] = {}
+        self.engines: dict[str, sender_lib.Engine] = {}
         self.loading: dict[tuple[str, str, str], asyncio.Task[str]] = {}
         self.windows: dict[str, stocker.LoadWindow] = {}
         self.operations: set[asyncio.Task[bool]] = set()
@@ -170,7 +130,7 @@
         if not engine.ledger.is_busy:
             engine.ledger.sequence = None
 
-    def _is_doubtful(self, engine: Engine) -> bool:
+    def _is_doubtful(self, engine: sender_lib.Engine) -> bool:
         since = engine.doubted
         return since is not None and self.clock.now() - since < DOUBT_PERIOD
 
@@ -183,9 +143,9 @@
     def _take_engines(self, service: str, pool: routes.EnginePool) -> None:
         """Keep ledgers of the engines that are registered now."""
         now = self.clock.now()
-        if self.fence != self.turn.fence:
+        if self.fence != self.sender.turn.fence:
             # Others may have sent orders since the last own term.
-            self.fence = self.turn.fence
+            self.fence = self.sender.turn.fence
             self.began = now
             self.windows.clear()
             for engine in self.engines.values():
@@ -197,12 +157,12 @@
                 if known is not None:
                     ledger.reservations = known.ledger.reservations
                     ledger.reserve_restart(self.began)
-                self.engines[entry.id] = Engine(ledger)
+                self.engines[entry.id] = sender_lib.Engine(ledger)
             else:
                 known.ledger.instance = entry
                 known.ledger.pool = pool
 
-    def _list_engines(self, service: str) -> list[Engine]:
+    def _list_engines(self, service: str) -> list[sender_lib.Engine]:
         known = (
             self.engines.get(entry.id)
             for entry in self.outlook.stock.list_usable(service)
@@ -252,24 +212,9 @@
         ]
         await asyncio.gather(*(self._ask_state(engine) for engine in unknown))
 
-    async def _ask_state(self, engine: Engine) -> None:
+    async def _ask_state(self, engine: sender_lib.Engine) -> None:
         async with engine.sending:
-            await self._settle_sequence(engine)
-
-    async def _sync(self, engine: Engine) -> bool:
-        """Take over the report of an engine; return whether it was fresh."""
-        ledger = engine.ledger
-        report = await self.client.fetch_report(ledger.instance)
-        if report is None:
-            return False
-        if report.born != ledger.instance.born:
-            return False
-        if ledger.sequence is not None and report.sequence < ledger.sequence:
-            return False
-        if not ledger.explains(report):
-            return False
-        ledger.take_report(report, self.clock.now())
-        return True
+            await self.sender.settle_sequence(engine)
 
     def _find_copy(self, service: str, key: residency_lib.CopyKey) -> str:
         """Return an engine known to hold a model now, or nothing."""
@@ -305,7 +250,7 @@
 
     def can_send(self) -> bool:
         """Whether an order may be sent now."""
-        return self.turn.can_send(self.clock.now(), self.outlook.is_granted())
+        return self.sender.can_send()
 
     def list_withdrawn(self) -> tuple[roster.WithdrawnCopy, ...]:
         """Return the copies that engines were ordered to drop."""
@@ -414,18 +359,18 @@
         window = self.windows.get(service)
         if window is None or window.limit != limit:
             window = stocker.LoadWindow(max(1, limit), self.load_window)
-            if self.turn.others_sent_until is not None:
-                window.fill(self.turn.others_sent_until)
+            if self.sender.turn.others_sent_until is not None:
+                window.fill(self.sender.turn.others_sent_until)
             self.windows[service] = window
         return window
 
-    async def _unload_model(self, engine: Engine, name: str) -> bool:
+    async def _unload_model(self, engine: sender_lib.Engine, name: str) -> bool:
         """Unload a model and wait until its memory is free."""
         copy = engine.ledger.copies.get(name)
         if copy is None:
             return True
         copy.state = engines.CopyState.UNLOADING
-        result = await self._order(
+        result = await self.sender.order(
             engine, ordering.Operation.UNLOAD, copy.model
         )
         if result is ordering.OrderResult.HELD:
@@ -440,7 +385,9 @@
             datetime.timedelta(),
         )
 
-    async def _run_load(self, engine: Engine, plan: stocker.LoadPlan) -> bool:
+    async def _run_load(
+        self, engine: sender_lib.Engine, plan: stocker.LoadPlan
+    ) -> bool:
         """Order a load and wait for it."""
         async with engine.sending:
             result = await self._order_load(engine, plan.model)
@@ -456,10 +403,10 @@
         )
 
     async def _order_load(
-        self, engine: Engine, model: routes.Model
+        self, engine: sender_lib.Engine, model: routes.Model
     ) -> ordering.OrderResult:
         """Order a load if it fits; `engine.sending` must be held."""
-        if not await self._settle_sequence(engine):
+        if not await self.sender.settle_sequence(engine):
             return ordering.OrderResult.NOT_SENT
         ledger = engine.ledger
         now = self.clock.now()
@@ -470,7 +417,9 @@
         ledger.copies[model.name] = engines.ModelCopy(
             model, engines.CopyState.LOADING, now
         )
-        result = await self._send(engine, ordering.Operation.LOAD, model, "")
+        result = await self.sender.send(
+            engine, ordering.Operation.LOAD, model, ""
+        )
         if result is ordering.OrderResult.HELD:
             ledger.copies[model.name].state = engines.CopyState.READY
         elif result is not ordering.OrderResult.ACCEPTED:
@@ -479,7 +428,7 @@
 
     async def _wait_for(
         self,
-        engine: Engine,
+        engine: sender_lib.Engine,
         is_done: Callable[[engines.EngineLedger], bool],
         duration: datetime.timedelta,
     ) -> bool:
@@ -487,7 +436,9 @@
         end = self.clock.now() + duration + OPERATION_SLACK
         while self.clock.now() < end:
             async with engine.sending:
-                report = await self.client.fetch_report(engine.ledger.instance)
+                report = await self.sender.client.fetch_report(
+                    engine.ledger.instance
+                )
                 is_fresh = (
                     report is not None
                     and report.born == engine.ledger.instance.born
@@ -519,7 +470,7 @@
 
     def _rank_for_adapter(
         self, service: str, preferred: str, model: str
-    ) -> list[Engine]:
+    ) -> list[sender_lib.Engine]:
         """Return the engines with a model, those with free places first."""
         now = self.clock.now()
         holders = [
@@ -537,11 +488,11 @@
         )
 
     async def _load_adapter_at(
-        self, engine: Engine, key: residency_lib.CopyKey
+        self, engine: sender_lib.Engine, key: residency_lib.CopyKey
     ) -> bool:
         """Load an adapter on one engine; `engine.sending` must be held."""
         for _ in range(MAX_TRIES):
-            if not await self._settle_sequence(engine):
+            if not await self.sender.settle_sequence(engine):
                 return False
             if engine.ledger.is_ready(key.model, key.adapter):
                 return True
@@ -558,7 +509,7 @@
                     return False
                 continue
             copy.adapters[key.adapter] = now
-            result = await self._send(
+            result = await self.sender.send(
                 engine, ordering.Operation.LOAD, copy.model, key.adapter
             )
             if result in DONE_RESULTS:
@@ -566,7 +517,7 @@
             copy.adapters.pop(key.adapter, None)
         return False
 
-    async def _evict_adapter(self, engine: Engine) -> bool:
+    async def _evict_adapter(self, engine: sender_lib.Engine) -> bool:
         """Unload the oldest adapter that no request uses."""
         ledger = engine.ledger
         spare = ledger.find_spare_adapter(
@@ -576,7 +527,7 @@
             return False
         name, adapter = spare
         copy = ledger.copies[name]
-        result = await self._send(
+        result = await self.sender.send(
             engine, ordering.Operation.UNLOAD, copy.model, adapter
         )
         if result is ordering.OrderResult.HELD:
@@ -585,101 +536,3 @@
             # It leaves when the requests that use it have ended.
             ledger.sequence = None
         return result in DONE_RESULTS
-
-    async def _settle_sequence(self, engine: Engine) -> bool:
-        """Ask an engine for its state if that is not known.
-
-        Reports are late, so one counts only if it was asked for some time
-        after the last order.
-        """
-        if engine.ledger.sequence is not None:
-            return True
-        if engine.last_sent is not None:
-            wait = engine.last_sent + REPORT_LAG - self.clock.now()
-            await asyncio.sleep(max(0.0, wait.total_seconds()))
-        return await self._sync(engine)
-
-    async def _order(
-        self,
-        engine: Engine,
-        operation: ordering.Operation,
-        model: routes.Model,
-    ) -> ordering.OrderResult:
-        """Send an order that concerns a model."""
-        async with engine.sending:
-            if not await self._settle_sequence(engine):
-                return ordering.OrderResult.NOT_SENT
-            return await self._send(engine, operation, model, "")
-
-    async def _send(
-        self,
-        engine: Engine,
-        operation: ordering.Operation,
-        model: routes.Model,
-        adapter: str,
-    ) -> ordering.OrderResult:
-        """Send an order; `engine.sending` must be held.
-
-        A copy of an order that got no answer is harmless: it expects the same
-        sequence, so the engine accepts one of them at the most.
-        """
-        sequence = engine.ledger.sequence
-        assert sequence is not None, "an order needs the engine's sequence"
-        result = ordering.OrderResult.NOT_SENT
-        for _ in range(MAX_COPIES):
-            if not self.can_send():
-                break
-            order = ordering.Order(
-                operation,
-                model.name,
-                adapter,
-                self.turn.name,
-                self.turn.fence,
-                sequence,
-            )
-            result = await self.client.send_order(engine.ledger.instance, order)
-            engine.last_sent = self.clock.now()
-            self._settle(engine, order, model, result)
-            if result is not ordering.OrderResult.UNKNOWN:
-                break
-        return result
-
-    def _settle(
-        self,
-        engine: Engine,
-        order: ordering.Order,
-        model: routes.Model,
-        result: ordering.OrderResult,
-    ) -> None:
-        """Take note of the result of an order."""
-        ledger = engine.ledger
-        results = ordering.OrderResult
-        is_unload = order.operation is ordering.Operation.UNLOAD
-        if result is results.ACCEPTED or (
-            result is results.HELD and is_unload and order.adapter
-        ):
-            ledger.sequence = order.expected_sequence + 1
-        elif result is not results.NOT_SENT:
-            ledger.sequence = None
-        if result is results.UNKNOWN and not is_unload:
-            ledger.reserve_unanswered(
-                model,
-                order.adapter,
-                order.expected_sequence,
-                self.clock.now(),
-            )
-        metrics.create_counter(
-            "cicada_orders", "Orders sent to engines, by result."
-        ).add(1, {"operation": str(order.operation), "result": str(result)})
-        logger.info(
-            "Order sent.",
-            extra={
-                "instance": ledger.instance.id,
-                "operation": str(order.operation),
-                "model": order.model,
-                "adapter": order.adapter,
-                "fence": order.fence,
-                "expected_sequence": order.expected_sequence,
-                "outcome": str(result),
-            },
-        )
--- a/tests/test_orderer.py
+++ b/tests/test_orderer.py
@@ -23,6 +23,7 @@
 from cicadahook.core import storage
 from cicadahook.net import clock as clock_lib
 from cicadahook.net import orderer as orderer_lib
+from cicadahook.net import sender as sender_lib
 
 MS = datetime.timedelta(milliseconds=1)
 SIZES = {"a": 30.0, "b": 40.0, "c": 50.0, "d": 35.0, "e": 45.0}
@@ -205,7 +206,6 @@
 def run_faster(monkeypatch: pytest.MonkeyPatch) -> None:
     """Let the orderer's pauses be fifty times as short."""
     for name in (
-        "REPORT_LAG",
         "POLL_PERIOD",
         "OPERATION_SLACK",
         "ADAPTER_DELAY",
@@ -215,6 +215,8 @@
         "DOUBT_PERIOD",
     ):
         monkeypatch.setattr(orderer_lib, name, getattr(orderer_lib, name) / 50)
+    lag = sender_lib.REPORT_LAG / 50
+    monkeypatch.setattr(sender_lib, "REPORT_LAG", lag)
     for name in ("LATE_ORDER_PERIOD", "ADAPTER_GRACE"):
         monkeypatch.setattr(engines_lib, name, getattr(engines_lib, name) / 50)
 
@@ -238,14 +240,12 @@
         clock.now(),
     )
     orderer = orderer_lib.Orderer(
-        turn,
-        network,
+        sender_lib.OrderSender(turn, network, clock, lambda: False),
         orderer_lib.Outlook(
             network.stock,
             lambda: CONFIGURATION,
             lambda service: {name: 0.3 for name in SIZES},
             lambda instance: set(),
-            lambda: False,
         ),
         clock,
         datetime.timedelta(seconds=5),
@@ -303,7 +303,7 @@
         assert held is not None
         other = next(name for name in network.models if name != held.instance)
         clock = clock_lib.BootClock()
-        monkeypatch.setattr(orderer_lib, "REPORT_LAG", 5000 * MS)
+        monkeypatch.setattr(sender_lib, "REPORT_LAG", 5000 * MS)
         orderer.engines[other].last_sent = clock.now()
         orderer.engines[other].ledger.sequence = None
         async with asyncio.timeout(1):
