--- a/src/cicadahook/core/nodes.py
+++ b/src/cicadahook/core/nodes.py
@@ -1,4 +1,4 @@
-"""A machine of the system: its settings, and what it tells the others."""
+"""A machine of the system: its settings, how it watches and how it ends."""
 
 import dataclasses
 import datetime
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -20,8 +20,8 @@
 # A machine that was silent for so long is left out of address answers.
 SILENCE_LIMIT: Final = datetime.timedelta(milliseconds=1500)
 # A machine that is neither registered nor heard for so long is taken to be
-# gone for good; the longest cuts of single machines in trials lasted 12 s, but
-# those come back with a registration.
+# gone for good. One that was only cut off must register again before it can
+# take a turn; leases last 3 s, and silence shows after 1.5 s or a few turns.
 GONE_AFTER: Final = datetime.timedelta(seconds=10)
 ADDRESS_LIMIT: Final = 64
 
@@ -133,7 +133,7 @@
                 newest.number,
             ):
                 return False
-            if status.is_brief:
+            if status.is_brief and newest.node == status.node:
                 status = dataclasses.replace(
                     status,
                     loads=newest.loads,
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -32,7 +32,7 @@
 # longer ones the caller may as well come back.
 MAX_COPY_WAIT: Final = datetime.timedelta(seconds=3)
 COPY_WAIT_SHARE: Final = 0.5
-COPY_RETRY_AFTER: Final = datetime.timedelta(milliseconds=1200)
+LOAD_RETRY_AFTER: Final = datetime.timedelta(milliseconds=1200)
 QUARANTINE_RETRY_AFTER: Final = datetime.timedelta(seconds=10)
 MAX_SENDS: Final = 8
 
@@ -254,8 +254,7 @@
             errors.RefusalError: the caller should come back.
         """
         if self.parts.balancer.is_overloaded(chosen, work.route.target_latency):
-            spread = self.parts.generator.uniform(0.7, 1.3)
-            raise _refuse("overloaded", 503, COPY_RETRY_AFTER * spread)
+            raise _refuse("overloaded", 503, self._draw_load_pause())
 
     def _raise_no_copy(self, work: work_lib.Work) -> NoReturn:
         """Refuse a request whose copy takes too long.
@@ -265,9 +264,14 @@
         """
         if work.runs:
             raise _refuse("attempts_failed", 502, outcome="unknown")
-        # Callers that come back together would find the same engine full.
-        spread = self.parts.generator.uniform(0.7, 1.3)
-        raise _refuse("no_copy", 503, COPY_RETRY_AFTER * spread)
+        raise _refuse("no_copy", 503, self._draw_load_pause())
+
+    def _draw_load_pause(self) -> datetime.timedelta:
+        """Return when a caller should ask again for what may be loaded then.
+
+        Callers that come back together would find the same engine full.
+        """
+        return LOAD_RETRY_AFTER * self.parts.generator.uniform(0.7, 1.3)
 
     def _raise_no_upstream(self, work: work_lib.Work) -> NoReturn:
         if work.runs:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -136,6 +136,10 @@
     assert known.take_status(full, NOW) and known.take_status(brief, NOW)
     (_, newest), *_ = known.list_heard(NOW)
     assert newest.wanted == wanted and not newest.is_ready
+    record = dataclasses.replace(create_record("n2"), incarnation=2)
+    assert known.take_status(dataclasses.replace(brief, node=record), NOW)
+    (_, restarted), *_ = known.list_heard(NOW)
+    assert not restarted.wanted, "that was another process"
 
 
 @pytest.mark.parametrize("machines", [1, 4, 34, 400])
