Relieve an overloaded engine whatever else is being loaded

Loads ahead of requests stop when a quarter of the engines is busy with any load, and loads of models that somebody asks for once kept three of nine busy all the time.

Change: a model whose busiest engine is asked for more than it can do gets its next copy at any time.

--- a/src/cicadahook/core/stocker.py
+++ b/src/cicadahook/core/stocker.py
@@ -21,6 +21,8 @@
 SHARE_PER_COPY: Final = 0.4
 # Share of the engines that may load ahead of requests at once.
 AHEAD_SHARE: Final = 0.25
+# An engine that is asked for more than this share gets relief at any time.
+OVERLOADED_SHARE: Final = 1.0
 # Seconds of waiting that dropping a copy costs for a full engine's work.
 DROP_SECONDS: Final = 10.0
 # The same if another engine holds the model too.
@@ -204,9 +206,14 @@
     one request or none waits for each of them.
     """
     busy = sum(ledger.is_busy for ledger in stock.ledgers)
-    if busy >= math.ceil(AHEAD_SHARE * len(stock.ledgers)) and stock.demand:
-        return None
-    return _plan_relief(models, stock) or _plan_missing(models, stock)
+    if busy < math.ceil(AHEAD_SHARE * len(stock.ledgers)) or not stock.demand:
+        return _plan_relief(models, stock) or _plan_missing(models, stock)
+    overloaded = {
+        name: model
+        for name, model in models.items()
+        if stock.find_peak(name) > OVERLOADED_SHARE
+    }
+    return _plan_relief(overloaded, stock)
 
 
 def _plan_missing(
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -495,6 +495,18 @@
     assert again is None, "three copies for the work of 2.8 engines"
 
 
+def test_an_overloaded_model_waits_for_no_other_loads() -> None:
+    """Loads of models that few ask for don't hold up its next copy."""
+    pool = create_pool("m", "n", "o")
+    ledgers = [create_ledger(name, pool, ()) for name in "abcde"]
+    ledgers[0] = create_ledger("a", pool, ("m",))
+    ledgers[1].planned, ledgers[2].planned = "n", "o"
+    plan = stocker.plan_ahead(pool.models, create_stock(*ledgers, m=0.9))
+    assert plan is None, "enough engines are busy with loads"
+    plan = stocker.plan_ahead(pool.models, create_stock(*ledgers, m=1.5))
+    assert plan is not None and plan.model.name == "m"
+
+
 def test_leaves_calm_engines_as_they_are() -> None:
     pool = create_pool("m", "n")
     stock = create_stock(
