--- a/tests/test_holder_machine.py
+++ b/tests/test_holder_machine.py
@@ -181,6 +181,27 @@
                     self.machines[other].take_status(status, self.now)
         self.machines[name] = self._create(name)
 
+    @stateful.rule(is_restarted=st.booleans())
+    def change_holder(self, is_restarted: bool) -> None:
+        """Let the holder send on its lease, then another take its turn.
+
+        That one may restart before its pause is over.
+        """
+        self.is_store_up = True
+        self.go_on(3)
+        before = self.owner
+        for _ in range(12):
+            self.live([before] if before else [], 200, "no_renewal", True)
+        others = [name for name in NAMES if name != before]
+        for _ in range(25):
+            self.live(others, 200, "", True)
+            if self.owner not in ("", before):
+                break
+        if is_restarted and self.owner:
+            self.machines[self.owner] = self._create(self.owner)
+        for _ in range(4):
+            self.live(others, 200, "", True)
+
     def _renew(self, name: str) -> None:
         machine = self.machines[name].turn
         sent = self.now
