Run tasks again, and share them, in one place

The node and the control each had a loop that runs a failed task again. The fault mended in the control's (a task that fails while it is cancelled was run again, so that the process stayed) stood in the node's still. A number that counted statuses twice is gone.

--- a/src/cicadahook/net/control.py
+++ b/src/cicadahook/net/control.py
@@ -1,11 +1,10 @@
 """A control: follows table, upstreams and members, and publishes views."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
 import contextlib
 import dataclasses
 import datetime
-from typing import Any, Final
+from typing import Final
 
 import aiohttp
 from aiohttp import web
@@ -32,10 +31,10 @@
 from cicadahook.net import placer
 from cicadahook.net import reports
 from cicadahook.net import tables
+from cicadahook.net import tasks as tasks_lib
 from cicadahook.net import wall
 
 VIEW_PAUSE: Final = datetime.timedelta(seconds=0.1)
-RESTART_PAUSE: Final = datetime.timedelta(seconds=1)
 LOAD_PAUSE: Final = datetime.timedelta(seconds=0.4)
 
 logger: Final = logs.create_logger("control")
@@ -236,7 +235,9 @@
             self.placer.run,
             self._publish_views,
         ):
-            self.tasks.append(asyncio.create_task(_keep_running(run)))
+            self.tasks.append(
+                asyncio.create_task(tasks_lib.keep_running(run, logger))
+            )
 
     async def stop(self) -> None:
         """Tell the others, hand over the entries, remove the registration."""
@@ -261,20 +262,3 @@
         return web.json_response(
             {"ready": is_ready}, status=200 if is_ready else 503
         )
-
-
-async def _keep_running(run: Callable[[], Coroutine[Any, Any, None]]) -> None:
-    """Run a task of the control; after an unexpected error, run it again."""
-    while True:
-        try:
-            await run()
-        except Exception:  # pylint: disable=broad-exception-caught
-            task = asyncio.current_task()
-            if task is not None and task.cancelling():
-                logger.exception("Task %s failed while it was ended.", run)
-                return
-            logger.exception("Task %s failed and is run again.", run)
-            metrics.create_counter(
-                "cicada_task_failures", "Tasks that failed and were run again."
-            ).add(1, {"task": run.__qualname__})
-            await asyncio.sleep(RESTART_PAUSE.total_seconds())
--- a/src/cicadahook/net/copies.py
+++ b/src/cicadahook/net/copies.py
@@ -9,6 +9,7 @@
 from cicadahook.core import roster as roster_lib
 from cicadahook.net import orderer as orderer_lib
 from cicadahook.net import peering
+from cicadahook.net import tasks as tasks_lib
 
 # While no machine is holder, one may become it within this time.
 HOLDER_POLL: Final = datetime.timedelta(milliseconds=100)
@@ -61,12 +62,9 @@
         failed: frozenset[str],
     ) -> "asyncio.Task[residency_lib.CopyKey | None]":
         name = (service, key.model, key.adapter)
-        task = self.asking.get(name)
-        if task is None:
-            task = asyncio.create_task(self._ask(service, key, failed))
-            self.asking[name] = task
-            task.add_done_callback(lambda _: self.asking.pop(name, None))
-        return task
+        return tasks_lib.share(
+            self.asking, name, lambda: self._ask(service, key, failed)
+        )
 
     async def _ask(
         self,
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -31,6 +31,7 @@
 from cicadahook.net import orderer as orderer_lib
 from cicadahook.net import peering
 from cicadahook.net import sender as sender_lib
+from cicadahook.net import tasks as tasks_lib
 from cicadahook.net import watcher as watcher_lib
 from cicadahook.net import work as work_lib
 
@@ -88,7 +89,6 @@
         self.is_stopping = False
         self.has_left = False
         self.number = 0
-        self.round = 0
         generator = random.Random(settings.name + str(time.time_ns()))
         self.roster = roster_lib.Roster(_describe(settings))
         self.grants = grants.GrantBook()
@@ -288,21 +288,12 @@
         await self.copy_client.close()
 
     def _spawn(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
-        task = asyncio.create_task(self._supervise(run))
+        task = asyncio.create_task(
+            tasks_lib.keep_running(run, logger, RESTART_PAUSE)
+        )
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _supervise(
-        self, run: Callable[[], Coroutine[Any, Any, None]]
-    ) -> None:
-        """Start a task again if it fails: the others need its work."""
-        while True:
-            try:
-                await run()
-            except Exception:  # pylint: disable=broad-exception-caught
-                logger.exception("A task failed and starts again.")
-            await asyncio.sleep(RESTART_PAUSE.total_seconds())
-
     async def _keep_house(self) -> None:
         while True:
             now = self.clock.now()
@@ -326,10 +317,9 @@
         machine takes no more callers concerns all at once.
         """
         now = self.clock.now()
-        self.round += 1
-        turn = self.roster.list_turn(self.round, now)
-        peers = list(self.roster.list_peers(now))
         status = self.create_status()
+        turn = self.roster.list_turn(status.number, now)
+        peers = list(self.roster.list_peers(now))
         self.statuses.send(
             status, [peer for peer in peers if peer.name in turn]
         )
--- /dev/null
+++ b/tests/test_tasks.py
@@ -0,0 +1,68 @@
+"""Tasks that are run again, and tasks that are shared."""
+
+import asyncio
+import datetime
+import logging
+
+from cicadahook.net import tasks
+
+LOGGER = logging.getLogger("test")
+NO_PAUSE = datetime.timedelta()
+
+
+async def test_runs_a_failed_task_again() -> None:
+    """One fault does not end the work that others need."""
+    runs = 0
+    is_back = asyncio.Event()
+
+    async def run() -> None:
+        nonlocal runs
+        runs += 1
+        if runs == 1:
+            raise ValueError("a fault")
+        is_back.set()
+        await asyncio.Event().wait()
+
+    task = asyncio.create_task(tasks.keep_running(run, LOGGER, NO_PAUSE))
+    async with asyncio.timeout(1):
+        await is_back.wait()
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert runs == 2 and task.cancelled()
+
+
+async def test_a_task_that_fails_while_it_is_ended_ends() -> None:
+    """What it cleans up may fail, since the rest is going too."""
+    started = asyncio.Event()
+
+    async def run() -> None:
+        started.set()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            raise RuntimeError("session is closed")
+
+    task = asyncio.create_task(tasks.keep_running(run, LOGGER, NO_PAUSE))
+    await started.wait()
+    task.cancel()
+    async with asyncio.timeout(1):
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_those_who_wait_share_one_task() -> None:
+    """A later caller starts it anew."""
+    running: dict[str, asyncio.Task[int]] = {}
+    starts = 0
+
+    async def start() -> int:
+        nonlocal starts
+        starts += 1
+        await asyncio.sleep(0)
+        return starts
+
+    first = tasks.share(running, "a", start)
+    assert tasks.share(running, "a", start) is first
+    assert await first == 1
+    await asyncio.sleep(0)
+    assert not running
+    assert await tasks.share(running, "a", start) == 2
