Compute once what was computed twice; drop a check that can't fail

Read-through of the whole change, no decision altered: - an engine was chosen twice for each request, and the second choice only needed if none is ready; - the shares of all engines were summed anew for each model of each plan; - the work ahead of a prompt stood in two formulas and a subtraction; - a report is only asked for while the sequence is unknown, so it can't be older than it; - engines that hold a model, milliseconds of a message, and the two clocks each were written twice.

--- a/src/cicadahook/core/balancer.py
+++ b/src/cicadahook/core/balancer.py
@@ -231,25 +231,30 @@
         generation: exchange.Generation | None,
     ) -> float:
         """Return the wait for the first piece of an answer, in ms."""
-        running, unread = self.count_load(entry)
         if generation is None:
-            beyond = max(0, running + 1 - entry.slots)
-            share = running / max(1, entry.slots)
-            return PLAIN_MS * (1 + share * 0.2 + beyond / max(1, entry.slots))
+            return self._predict_plain_ms(entry)
         reading = self._predict_reading_ms(entry, generation)
-        return (
-            unread
-            + reading * self.paces.get(generation.model)
-            + running * BATCH_MS_PER_RUN
-        )
+        own = reading * self.paces.get(generation.model)
+        return self._predict_ahead_ms(entry) + own
 
     def is_overloaded(
         self, entry: inventory.Instance, target: datetime.timedelta
     ) -> bool:
         """Whether an engine would begin a new prompt only after `target`."""
+        bound = OVERLOAD_SHARE * target / MILLISECOND
+        return self._predict_ahead_ms(entry) > bound
+
+    def _predict_plain_ms(self, entry: inventory.Instance) -> float:
+        """Return the wait for an answer that no model makes, in ms."""
+        running, _ = self.count_load(entry)
+        beyond = max(0, running + 1 - entry.slots)
+        share = running / max(1, entry.slots)
+        return PLAIN_MS * (1 + share * 0.2 + beyond / max(1, entry.slots))
+
+    def _predict_ahead_ms(self, entry: inventory.Instance) -> float:
+        """Return the wait before an engine reads a new prompt, in ms."""
         running, unread = self.count_load(entry)
-        ahead = unread + running * BATCH_MS_PER_RUN
-        return ahead > OVERLOAD_SHARE * target / MILLISECOND
+        return unread + running * BATCH_MS_PER_RUN
 
     def _predict_reading_ms(
         self, entry: inventory.Instance, generation: exchange.Generation
@@ -293,12 +298,13 @@
     ) -> Placement:
         """Take note that a request is sent to `entry`."""
         state = self._get(entry)
-        ahead = self.predict_ms(entry, generation)
         reading = unread = 0.0
-        if generation is not None:
+        if generation is None:
+            ahead = self._predict_plain_ms(entry)
+        else:
+            ahead = self._predict_ahead_ms(entry)
             reading = self._predict_reading_ms(entry, generation)
             unread = reading * self.paces.get(generation.model)
-            ahead -= unread
             state.kept.note_read(generation)
             state.copies[_name_copy(generation)] += 1
         state.running += 1
--- a/src/cicadahook/core/stocker.py
+++ b/src/cicadahook/core/stocker.py
@@ -145,23 +145,26 @@
         """Return how many copies of a model are being loaded."""
         return sum(ledger.planned == model for ledger in self.ledgers)
 
-    def count_share(self, ledger: engines.EngineLedger) -> float:
-        """Return the share of an engine that its models keep busy."""
-        return sum(
-            self.demand.get(name, 0.0) / max(1, self.copies[name])
-            for name in list_models(ledger)
-        )
+    @functools.cached_property
+    def shares(self) -> dict[str, float]:
+        """Return the share of each engine that its models keep busy, by id."""
+        return {
+            ledger.instance.id: sum(
+                self.demand.get(name, 0.0) / max(1, self.copies[name])
+                for name in list_models(ledger)
+            )
+            for ledger in self.ledgers
+        }
 
-    def find_peak(self, model: str) -> float:
-        """Return the share of the busiest engine that holds a model."""
-        return max(
-            (
-                self.count_share(ledger)
-                for ledger in self.ledgers
-                if model in list_models(ledger)
-            ),
-            default=0.0,
-        )
+    @functools.cached_property
+    def peaks(self) -> dict[str, float]:
+        """Return the share of the busiest engine that holds each model."""
+        peaks: dict[str, float] = {}
+        for ledger in self.ledgers:
+            share = self.shares[ledger.instance.id]
+            for name in list_models(ledger):
+                peaks[name] = max(share, peaks.get(name, 0.0))
+        return peaks
 
 
 def list_models(ledger: engines.EngineLedger) -> set[str]:
@@ -211,7 +214,7 @@
     overloaded = {
         name: model
         for name, model in models.items()
-        if stock.find_peak(name) > OVERLOADED_SHARE
+        if stock.peaks.get(name, 0.0) > OVERLOADED_SHARE
     }
     return _plan_relief(overloaded, stock)
 
@@ -251,7 +254,7 @@
 
 def _price_shortage(name: str, stock: Stock) -> float:
     """Return the seconds of waiting that the copies of a model cause."""
-    load = stock.find_peak(name) * stock.demand.get(name, 0.0)
+    load = stock.peaks.get(name, 0.0) * stock.demand.get(name, 0.0)
     waiting = STARVED_SECONDS * stock.starved.get(name, 0)
     return COPY_GAIN_SECONDS * load + waiting
 
@@ -269,7 +272,7 @@
     if stock.copies[name] >= wanted or planned >= most:
         return False
     gain = STARVED_SECONDS * stock.starved.get(name, 0)
-    peak = stock.find_peak(name)
+    peak = stock.peaks.get(name, 0.0)
     if peak > CALM_SHARE:
         relief = peak - plan.engine_share
         gain += COPY_GAIN_SECONDS * stock.demand.get(name, 0.0) * relief
@@ -301,7 +304,7 @@
     if missing > 0:
         return None
     cost = duration.total_seconds() + eviction_cost
-    engine_share = stock.count_share(ledger)
+    engine_share = stock.shares[ledger.instance.id]
     cost += BUSY_SECONDS * engine_share
     if is_from_store:
         cost += STORE_LOAD_SECONDS
--- a/src/cicadahook/net/clock.py
+++ b/src/cicadahook/net/clock.py
@@ -1,5 +1,6 @@
 """The clocks of a running process."""
 
+from collections.abc import Callable
 import datetime
 import time
 
@@ -7,17 +8,20 @@
 class SystemClock:
     """Wall-clock time at start plus monotonic time since; never goes back."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, read_seconds: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.read_seconds = read_seconds
         self.started = datetime.datetime.now(datetime.UTC)
-        self.origin = time.monotonic()
+        self.origin = read_seconds()
 
     def now(self) -> datetime.datetime:
         """Return the current time in UTC."""
-        elapsed = time.monotonic() - self.origin
+        elapsed = self.read_seconds() - self.origin
         return self.started + datetime.timedelta(seconds=elapsed)
 
 
-class BootClock:
+class BootClock(SystemClock):
     """Like `SystemClock`, but counts time in which the machine is suspended.
 
     A lease goes on running while its holder is suspended, so whoever relies
@@ -25,10 +29,4 @@
     """
 
     def __init__(self) -> None:
-        self.started = datetime.datetime.now(datetime.UTC)
-        self.origin = time.clock_gettime(time.CLOCK_BOOTTIME)
-
-    def now(self) -> datetime.datetime:
-        """Return the current time in UTC."""
-        elapsed = time.clock_gettime(time.CLOCK_BOOTTIME) - self.origin
-        return self.started + datetime.timedelta(seconds=elapsed)
+        super().__init__(lambda: time.clock_gettime(time.CLOCK_BOOTTIME))
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -208,20 +208,18 @@
         """Return an engine that holds what is asked for, loading it if need."""
         parts = self.parts
         now = self.clock.now()
-        holders = parts.residency.list_holders(
-            usable, generation.model, "", now
+        ready = parts.residency.list_holders(
+            usable, generation.model, generation.adapter, now
         )
-        best = parts.balancer.choose(holders, generation)
-        ready = holders
-        if generation.adapter:
-            ready = parts.residency.list_holders(
-                holders, generation.model, generation.adapter, now
-            )
         chosen = parts.balancer.choose(ready, generation)
         if chosen is not None:
             if not work.sends:
                 self._check_overload(work, chosen)
             return chosen
+        holders = parts.residency.list_holders(
+            usable, generation.model, "", now
+        )
+        best = parts.balancer.choose(holders, generation)
         key = residency_lib.CopyKey(
             best.id if best else "", generation.model, generation.adapter
         )
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -17,6 +17,7 @@
 from cicadahook.core import stocker
 from cicadahook.net import logs
 from cicadahook.net import sender as sender_lib
+from cicadahook.net import tasks as tasks_lib
 
 POLL_PERIOD: Final = datetime.timedelta(milliseconds=100)
 # An operation that takes longer than planned by so much is given up.
@@ -111,11 +112,9 @@
         for instance in failed:
             self._doubt(instance)
         name = (service, key.model, key.adapter)
-        task = self.loading.get(name)
-        if task is None:
-            task = asyncio.create_task(self._load(service, pool, key))
-            self.loading[name] = task
-            task.add_done_callback(lambda _: self.loading.pop(name, None))
+        task = tasks_lib.share(
+            self.loading, name, lambda: self._load(service, pool, key)
+        )
         instance = await asyncio.shield(task)
         if not instance:
             return None
@@ -169,6 +168,16 @@
         )
         return [engine for engine in known if engine is not None]
 
+    def _list_holders(
+        self, service: str, model: str
+    ) -> list[sender_lib.Engine]:
+        """Return the engines that hold a model, as far as is known."""
+        return [
+            engine
+            for engine in self._list_engines(service)
+            if engine.ledger.is_ready(model) and not self._is_doubtful(engine)
+        ]
+
     async def _load(
         self, service: str, pool: routes.EnginePool, key: residency_lib.CopyKey
     ) -> str:
@@ -220,10 +229,8 @@
         """Return an engine known to hold a model now, or nothing."""
         holders = [
             engine
-            for engine in self._list_engines(service)
+            for engine in self._list_holders(service, key.model)
             if engine.ledger.sequence is not None
-            and engine.ledger.is_ready(key.model)
-            and not self._is_doubtful(engine)
         ]
         names = [engine.ledger.instance.id for engine in holders]
         if key.instance in names:
@@ -473,13 +480,8 @@
     ) -> list[sender_lib.Engine]:
         """Return the engines with a model, those with free places first."""
         now = self.clock.now()
-        holders = [
-            engine
-            for engine in self._list_engines(service)
-            if engine.ledger.is_ready(model) and not self._is_doubtful(engine)
-        ]
         return sorted(
-            holders,
+            self._list_holders(service, model),
             key=lambda engine: (
                 engine.ledger.count_free_slots(now) <= 0,
                 engine.ledger.instance.id != preferred,
--- a/src/cicadahook/net/sender.py
+++ b/src/cicadahook/net/sender.py
@@ -176,9 +176,9 @@
         if engine.last_sent is not None:
             wait = engine.last_sent + REPORT_LAG - self.clock.now()
             await asyncio.sleep(max(0.0, wait.total_seconds()))
-        return await self.sync(engine)
+        return await self._take_report(engine)
 
-    async def sync(self, engine: Engine) -> bool:
+    async def _take_report(self, engine: Engine) -> bool:
         """Take over the report of an engine; return whether it was fresh."""
         ledger = engine.ledger
         report = await self.client.fetch_report(ledger.instance)
@@ -186,8 +186,6 @@
             return False
         if report.born != ledger.instance.born:
             return False
-        if ledger.sequence is not None and report.sequence < ledger.sequence:
-            return False
         if not ledger.explains(report):
             return False
         ledger.take_report(report, self.clock.now())
--- a/src/cicadahook/platform/settings.py
+++ b/src/cicadahook/platform/settings.py
@@ -8,6 +8,7 @@
 
 from cicadahook.core import errors
 from cicadahook.core import nodes
+from cicadahook.platform import messages
 
 SETTINGS_VARIABLE: Final = "CICADAHOOK_BOOT"
 DEFAULT_PATH: Final = "/etc/cicadahook/node.toml"
@@ -48,7 +49,7 @@
             address_lifetime=_read_seconds(bounds["ttl_max_s"]),
             grace_period=_read_seconds(bounds["grace_period_s"]),
             # Holders of orders may not alternate within this span.
-            handover_pause=_read_ms(bounds["lease_ms"]),
+            handover_pause=messages.read_ms(bounds["lease_ms"]),
             retry_ratio=float(bounds["retry_budget_ratio"]),
             retry_slack=float(bounds["retry_budget_slack"]),
             retry_window=_read_seconds(bounds["budget_window_s"]),
@@ -64,7 +65,3 @@
 
 def _read_seconds(value: float) -> datetime.timedelta:
     return datetime.timedelta(seconds=value)
-
-
-def _read_ms(value: float) -> datetime.timedelta:
-    return datetime.timedelta(milliseconds=value)
