Log what a node cuts off at its end apart from callers that left

So the log could not tell a request that was taken too late from a caller that gave up.

Change: the line says `cut_off` while the caller's connection is still there, and names the upstream.

--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -76,7 +76,8 @@
         except errors.RefusalError as refusal:
             await self._refuse(request, sink, refusal, work)
         except asyncio.CancelledError:
-            self._log(work, "caller_left")
+            outcome = "cut_off" if sink.is_connected else "caller_left"
+            self._log(work, outcome, instance=work.instance)
             raise
 
     def _admit(
--- a/src/cicadahook/net/work.py
+++ b/src/cicadahook/net/work.py
@@ -61,6 +61,10 @@
 class Sink(Protocol):
     """Where an answer goes."""
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the caller's connection is still there."""
+
     async def answer(self, head: exchange.AnswerHead, body: bytes) -> None:
         """Send a whole answer."""
 
--- a/src/cicadahook/platform/front.py
+++ b/src/cicadahook/platform/front.py
@@ -38,6 +38,11 @@
         self.response: web.StreamResponse | None = None
         self.is_closing = is_closing
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the caller's connection is still there."""
+        return self.request.transport is not None
+
     async def answer(self, head: exchange.AnswerHead, body: bytes) -> None:
         """Send a whole answer."""
         response = web.Response(status=head.status, body=body)
