Show requests that a stopping node loses, as known reds

- a request whose copy comes after the node takes no more is sent to an engine and its stream is cut off;
- a request that waits for a copy longer than the drain ends without an answer;
- a body that ends after the node takes no more is passed on;
- a stream that certainly outlasts the drain is taken.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -91,3 +91,10 @@
     monkeypatch.setattr(node_program, "METRICS_PORT", 0)
     async with contextlib.AsyncExitStack() as stack:
         yield await stack.enter_async_context(node_world.run(find_base_port()))
+
+
+@pytest_asyncio.fixture
+async def platform() -> AsyncIterator[node_world.World]:
+    """Run a stand-in of the cooperative platform without nodes."""
+    async with node_world.open_platform(find_base_port()) as running:
+        yield running
--- /dev/null
+++ b/tests/node_process.py
@@ -0,0 +1,133 @@
+"""cicada-node as a process of its own, on a loopback address of its own."""
+
+import asyncio
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import sys
+from typing import Any, Final
+
+import aiohttp
+
+from cicadahook.platform import settings as settings_lib
+
+START_SECONDS: Final = 20.0
+POLL_SECONDS: Final = 0.05
+SETTINGS: Final = """\
+node_name = "{name}"
+ip_address = "{host}"
+zone = "zone-a"
+region = "region"
+internal_port_range = [{peer_port}, {peer_port}]
+[listen_addresses]
+front = "{host}:{front_port}"
+ready = "{host}:{ready_port}"
+directory = "{host}:{directory_port}"
+[bounds]
+ttl_max_s = 5
+grace_period_s = {grace_seconds}
+lease_ms = 300
+retry_budget_ratio = 0.2
+retry_budget_slack = 50
+budget_window_s = 10
+ceiling_window_s = 5
+[platform_settings]
+address = "{store}"
+"""
+
+
+@dataclasses.dataclass
+class NodeProcess:
+    """One process, started and ended by its own id.
+
+    Attributes:
+        name: unique name of the machine.
+        host: its loopback address; no other process listens there.
+        base: first of its four ports.
+        store: `host:port` of the platform's store.
+        folder: where its settings and its log lie.
+        grace_seconds: time from a stop signal to the kill.
+        child: the process, once started.
+    """
+
+    name: str
+    host: str
+    base: int
+    store: str
+    folder: pathlib.Path
+    grace_seconds: float = 2.0
+    child: asyncio.subprocess.Process | None = None
+
+    @property
+    def front_address(self) -> str:
+        """Where callers send requests."""
+        return f"{self.host}:{self.base}"
+
+    @property
+    def log_path(self) -> pathlib.Path:
+        """File of all lines that it wrote."""
+        return self.folder / f"{self.name}.log"
+
+    async def start(self, session: aiohttp.ClientSession) -> None:
+        """Start it and wait until it is ready.
+
+        Raises:
+            TimeoutError: it does not get ready.
+        """
+        path = self.folder / f"{self.name}.toml"
+        path.write_text(
+            SETTINGS.format(
+                name=self.name,
+                host=self.host,
+                front_port=self.base,
+                ready_port=self.base + 1,
+                directory_port=self.base + 2,
+                peer_port=self.base + 3,
+                store=self.store,
+                grace_seconds=self.grace_seconds,
+            ),
+            encoding="utf-8",
+        )
+        with self.log_path.open("ab") as output:
+            self.child = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "cicadahook.programs.node",
+                stdout=output,
+                stderr=output,
+                env={**os.environ, settings_lib.SETTINGS_VARIABLE: str(path)},
+            )
+        async with asyncio.timeout(START_SECONDS):
+            while not await self.is_ready(session):
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def is_ready(self, session: aiohttp.ClientSession) -> bool:
+        """Whether it says that callers may come."""
+        url = f"http://{self.host}:{self.base + 1}/ready"
+        try:
+            async with session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientConnectionError:
+            return False
+
+    def terminate(self) -> None:
+        """Tell it to stop."""
+        assert self.child is not None, "not started"
+        self.child.send_signal(signal.SIGTERM)
+
+    async def wait(self) -> int:
+        """Return its exit code; it is killed when its grace period is over."""
+        assert self.child is not None, "not started"
+        try:
+            async with asyncio.timeout(self.grace_seconds):
+                return await self.child.wait()
+        except TimeoutError:
+            self.child.kill()
+            return await self.child.wait()
+
+    def read_log(self) -> list[dict[str, Any]]:
+        """Return the fields of each line of its log."""
+        lines = self.log_path.read_text(encoding="utf-8").splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -1,15 +1,55 @@
 """What becomes of requests that are under way when a node is told to stop."""
 
 import asyncio
+from collections.abc import AsyncIterator
 import contextlib
 import logging
+import pathlib
+from typing import Any
 
 import pytest
 
 from cicadahook.core import errors
 from cicadahook.core import exchange
+from cicadahook.net import node as node_lib
+import node_process
 import node_world
 
+# The nodes of the world take requests for 0.9 s after a stop signal and end
+# 1.8 s after it.
+LOADED = {"X-Model": "big", "X-Token-Counts": "10,10"}
+NOT_LOADED = {"X-Model": "other", "X-Token-Counts": "10,10"}
+
+
+CALL = {"Host": "api.example", "X-Request-Id": "r1"}
+
+
+@contextlib.asynccontextmanager
+async def run_process(
+    platform: node_world.World, folder: pathlib.Path
+) -> AsyncIterator[node_process.NodeProcess]:
+    """Run a node as a process, which the caller tells to stop."""
+    port = int(platform.store_address.rsplit(":", 1)[1]) + 10
+    process = node_process.NodeProcess(
+        "n1", "127.0.0.2", port, platform.store_address, folder
+    )
+    try:
+        await process.start(platform.session)
+        yield process
+    finally:
+        code = await process.wait()
+    assert code == 0
+
+
+def create_slow_loads(seconds: float) -> dict[str, Any]:
+    """Return version 2 of the configuration, whose models load that long."""
+    slow = node_world.create_configuration(2)
+    for model in slow["services"][1]["inference_engine"]["models"]:
+        model["load_time_s"] = seconds
+    for route in slow["routes"]:
+        route["timeout_ms"] = 6000
+    return slow
+
 
 class DiscardingSink:
     """A caller's connection whose answer nobody reads."""
@@ -69,3 +109,83 @@
     ]
     assert fields["outcome"] == outcome
     assert fields["instance"] in ("p1", "p2")
+
+
+async def test_a_stopping_node_begins_no_stream_that_it_would_cut_off(
+    world: node_world.World,
+) -> None:
+    """The copy comes after the node has stopped taking requests."""
+    node = world.programs[0].node
+    assert node is not None
+    world.store.put("op/config", create_slow_loads(1.2))
+    await node_world.wait_until(lambda: _get_version(node) == 2)
+    for engine in world.engines:
+        engine.events, engine.event_seconds = 10, 0.2
+    world.programs[0].stopped.set()
+    async with world.call("/chat/x", headers=NOT_LOADED) as response:
+        assert response.status == 503
+        assert float(response.headers["Retry-After"]) >= 0
+    assert not world.engines[0].arrivals + world.engines[1].arrivals
+
+
+async def test_a_stopping_process_answers_what_waits_for_a_copy(
+    platform: node_world.World, tmp_path: pathlib.Path
+) -> None:
+    """The wait ends with the drain, whatever the grace period is."""
+    platform.store.put("op/config", create_slow_loads(5.0))
+    async with run_process(platform, tmp_path) as process:
+        process.terminate()
+        async with platform.session.post(
+            f"http://{process.front_address}/chat/x",
+            headers={**CALL, **NOT_LOADED},
+        ) as response:
+            assert response.status == 503
+
+
+async def test_a_stopping_process_answers_what_an_upstream_holds(
+    platform: node_world.World, tmp_path: pathlib.Path
+) -> None:
+    for upstream in platform.plain:
+        upstream.mode = "hang"
+    async with run_process(platform, tmp_path) as process:
+        process.terminate()
+        await asyncio.sleep(0.5)
+        async with platform.session.post(
+            f"http://{process.front_address}/write/item", headers=CALL
+        ) as response:
+            assert response.status in (502, 504)
+
+
+async def test_a_body_that_ends_after_the_node_takes_no_more_is_not_run(
+    world: node_world.World,
+) -> None:
+    async def send_slowly() -> AsyncIterator[bytes]:
+        yield b"begin"
+        await asyncio.sleep(1.1)
+        yield b"end"
+
+    world.programs[0].stopped.set()
+    async with world.call("/write/item", data=send_slowly()) as response:
+        assert response.status == 503
+    assert not world.plain[0].arrivals + world.plain[1].arrivals
+
+
+async def test_a_stopping_node_refuses_streams_that_last_too_long(
+    world: node_world.World,
+) -> None:
+    """Such a stream takes 1.5 s, and the node ends in 1.3 s."""
+    engine = world.engines[0]
+    engine.events, engine.event_seconds = 10, 0.15
+    async with world.call("/chat/x", headers=LOADED) as response:
+        await response.read()
+    world.programs[0].stopped.set()
+    await asyncio.sleep(0.5)
+    async with world.call("/chat/x", headers=LOADED) as response:
+        assert response.status == 503
+        assert float(response.headers["Retry-After"]) >= 0
+    assert len(engine.arrivals) == 1
+
+
+def _get_version(node: node_lib.Node) -> int:
+    configuration = node.forwarder.configuration
+    return configuration.version if configuration else 0
