Begin on a stopping machine only what it can finish, and answer the rest

Callers saw streams that were closed in the middle of their answer, and requests without an answer, at machines that had been told to stop.

Cause: the period in which a stopping machine takes requests and the time at which it ends were two figures that did not know of each other, nor of the request. Class: work is begun, or kept waiting, without regard to the end of the process that must finish it.

Change: each request has one time limit. When the machine is told to stop, that of a request that was not sent yet becomes the latest moment at which an upstream could still finish it (by what its route's requests took lately), and it is refused then as not run, to be begun by another machine. What was sent may go on until 90% of the grace period and then gets a final answer before the process ends at 95%. Retries go by the same rule. A body that ends late is refused too.

--- a/src/cicadahook/core/nodes.py
+++ b/src/cicadahook/core/nodes.py
@@ -8,9 +8,11 @@
 # before the kill, which a long stream can't be; the users' rules say so.
 ACCEPT_PERIOD: Final = datetime.timedelta(milliseconds=2800)
 # Shares of the grace period. Streams that still run in its last sixth may be
-# cut off; a tenth is left for the process to end, also on a slow machine.
+# cut off; a tenth is left for the last answers and for the process to end,
+# also on a slow machine.
 ACCEPT_SHARE: Final = 0.45
 FINISH_SHARE: Final = 0.9
+END_SHARE: Final = 0.95
 # Each change in the store wakes all machines that watch it. In larger fleets
 # they pause before they ask again, so that one answer holds several changes:
 # 34 machines made 13,190 calls in 50 s without. The shortest bound on changes
@@ -78,10 +80,25 @@
     Attributes:
         accepts_until: until when requests are still taken.
         finishes_until: when those under way are cut off.
+        ends_at: when the process ends, whatever is left.
     """
 
     accepts_until: datetime.datetime
     finishes_until: datetime.datetime
+    ends_at: datetime.datetime
+
+    def get_latest_begin(
+        self, duration: datetime.timedelta, *, is_retry: bool
+    ) -> datetime.datetime:
+        """Return until when an upstream may be asked for an answer.
+
+        Args:
+            duration: how long it probably takes.
+            is_retry: whether an upstream was asked before; another machine
+                would only begin anew.
+        """
+        latest = self.finishes_until - duration
+        return latest if is_retry else min(latest, self.accepts_until)
 
 
 def plan_drain(
@@ -89,7 +106,11 @@
 ) -> DrainPlan:
     """Return how a machine ends that was told to stop at `started`."""
     accept = min(ACCEPT_PERIOD, ACCEPT_SHARE * grace_period)
-    return DrainPlan(started + accept, started + FINISH_SHARE * grace_period)
+    return DrainPlan(
+        started + accept,
+        started + FINISH_SHARE * grace_period,
+        started + END_SHARE * grace_period,
+    )
 
 
 def plan_watch_pause(machines: int) -> datetime.timedelta:
--- /dev/null
+++ b/src/cicadahook/net/drain.py
@@ -0,0 +1,112 @@
+"""Ends the requests of a machine in time when it is told to stop."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import datetime
+from typing import Final
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import durations as durations_lib
+from cicadahook.core import nodes
+from cicadahook.net import work as work_lib
+
+# Other machines take the request right away.
+RETRY_AFTER: Final = datetime.timedelta()
+
+
+class RequestDrain:
+    """Gives each request the time that is left for it.
+
+    What was sent to an upstream may go on until the machine ends. What still
+    waits is refused as soon as it could not be finished here, so that another
+    machine begins it.
+
+    Attributes:
+        plan: how the machine ends; None while it has not been told to stop.
+        durations: how long requests take.
+        works: requests under way.
+    """
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        self.clock = clock
+        self.plan: nodes.DrainPlan | None = None
+        self.durations = durations_lib.DurationBook()
+        self.works: set[work_lib.Work] = set()
+
+    def start(self, plan: nodes.DrainPlan) -> None:
+        """End all requests by a plan from now on."""
+        self.plan = plan
+        for work in self.works:
+            self._reschedule(work)
+
+    def check_open(self) -> None:
+        """Refuse a request that comes too late.
+
+        Raises:
+            errors.RefusalError: the machine takes no more requests.
+        """
+        if self.plan and self.clock.now() >= self.plan.accepts_until:
+            raise work_lib.create_refusal("stopping", 503, RETRY_AFTER)
+
+    def check_attempt(self, work: work_lib.Work) -> None:
+        """Refuse to begin what would probably be cut off.
+
+        Raises:
+            errors.RefusalError: the answer would end after the machine.
+        """
+        if self.plan is None or work.has_begun:
+            return
+        duration = self.durations.predict(work.route.name)
+        if self.clock.now() < self.plan.get_latest_begin(
+            duration, is_retry=work.sends > 0
+        ):
+            return
+        if work.runs:
+            raise work_lib.create_refusal("stopping", 502, outcome="unknown")
+        raise work_lib.create_refusal("stopping", 503, RETRY_AFTER)
+
+    def is_cut_short(self, work: work_lib.Work) -> bool:
+        """Whether time ran out by the plan, before the request's deadline."""
+        return self.plan is not None and self.clock.now() < work.deadline
+
+    @contextlib.asynccontextmanager
+    async def limit(self, work: work_lib.Work) -> AsyncIterator[None]:
+        """Serve a request within its time.
+
+        Raises:
+            TimeoutError: its time is over.
+        """
+        async with asyncio.timeout(None) as work.timeout:
+            self._reschedule(work)
+            self.works.add(work)
+            try:
+                yield
+            finally:
+                self.works.discard(work)
+
+    def note_sent(self, work: work_lib.Work) -> None:
+        """Let a request that an upstream has go on until the end."""
+        self._reschedule(work)
+
+    def note_answered(self, work: work_lib.Work) -> None:
+        """Learn from a whole answer."""
+        if work.sent is not None:
+            self.durations.note(work.route.name, self.clock.now() - work.sent)
+
+    def _reschedule(self, work: work_lib.Work) -> None:
+        if work.timeout is None or work.timeout.expired():
+            return
+        end = min(work.deadline, self._get_limit(work))
+        left = max(datetime.timedelta(), end - self.clock.now())
+        loop = asyncio.get_running_loop()
+        work.timeout.reschedule(loop.time() + left.total_seconds())
+
+    def _get_limit(self, work: work_lib.Work) -> datetime.datetime:
+        """Return when the machine's end ends a request."""
+        if self.plan is None:
+            return work.deadline
+        if work.sends:
+            return self.plan.finishes_until
+        duration = self.durations.predict(work.route.name)
+        return self.plan.get_latest_begin(duration, is_retry=False)
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -14,6 +14,7 @@
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import retrybudget
 from cicadahook.core import routes
+from cicadahook.net import drain as drain_lib
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import work as work_lib
@@ -47,6 +48,7 @@
         machines: machines that share the retry budgets.
         budgets: retry budget of each service.
         crashes: tells crashes of upstreams from broken connections.
+        drain: ends requests in time when the machine is told to stop.
     """
 
     def __init__(self, node: str, parts: work_lib.Parts) -> None:
@@ -57,6 +59,7 @@
         self.machines = 1
         self.budgets: dict[str, retrybudget.RetryBudget] = {}
         self.crashes = crashes.CrashTracker()
+        self.drain = drain_lib.RequestDrain(parts.clock)
 
     async def serve(
         self, request: exchange.CallerRequest, sink: work_lib.Sink
@@ -68,8 +71,7 @@
             await self._refuse(request, sink, refusal)
             return
         try:
-            left = work.deadline - self.clock.now()
-            async with asyncio.timeout(max(0.0, left.total_seconds())):
+            async with self.drain.limit(work):
                 await self._serve_work(work)
         except TimeoutError:
             await self._time_out(work)
@@ -88,16 +90,17 @@
         Raises:
             errors.RefusalError: it is not to be served.
         """
+        self.drain.check_open()
         configuration = self.configuration
         if configuration is None:
-            raise _refuse("no_configuration", 503, RETRY_AFTER)
+            raise work_lib.create_refusal("no_configuration", 503, RETRY_AFTER)
         route = configuration.find_route(request.host, request.path)
         if route is None:
-            raise _refuse("no_route", 404)
+            raise work_lib.create_refusal("no_route", 404)
         name = route.draw_service(self.parts.generator)
         service = configuration.services.get(name)
         if service is None:
-            raise _refuse("unknown_service", 503, RETRY_AFTER)
+            raise work_lib.create_refusal("unknown_service", 503, RETRY_AFTER)
         self._check_generation(request, service)
         fingerprint = request.create_fingerprint()
         self._check_quarantine(fingerprint)
@@ -129,7 +132,7 @@
         try:
             self.parts.quarantine.check(fingerprint)
         except errors.RefusalError as refusal:
-            raise _refuse(
+            raise work_lib.create_refusal(
                 refusal.code, 503, QUARANTINE_RETRY_AFTER
             ) from refusal
 
@@ -156,12 +159,12 @@
         if service.engines is None:
             return
         if generation is None:
-            raise _refuse("no_model_named", 400)
+            raise work_lib.create_refusal("no_model_named", 400)
         model = service.engines.models.get(generation.model)
         if model is None:
-            raise _refuse("unknown_model", 503, RETRY_AFTER)
+            raise work_lib.create_refusal("unknown_model", 503, RETRY_AFTER)
         if generation.adapter and generation.adapter not in model.adapters:
-            raise _refuse("unknown_adapter", 503, RETRY_AFTER)
+            raise work_lib.create_refusal("unknown_adapter", 503, RETRY_AFTER)
 
     async def _serve_work(self, work: work_lib.Work) -> None:
         """Make attempts until one brings the answer.
@@ -170,6 +173,7 @@
             errors.RefusalError: there is none.
         """
         while True:
+            self.drain.check_attempt(work)
             instance = await self._select(work)
             try:
                 await self._attempt(work, instance)
@@ -253,7 +257,9 @@
             errors.RefusalError: the caller should come back.
         """
         if self.parts.balancer.is_overloaded(chosen, work.route.target_latency):
-            raise _refuse("overloaded", 503, self._draw_load_pause())
+            raise work_lib.create_refusal(
+                "overloaded", 503, self._draw_load_pause()
+            )
 
     def _raise_no_copy(self, work: work_lib.Work) -> NoReturn:
         """Refuse a request whose copy takes too long.
@@ -262,8 +268,10 @@
             errors.RefusalError: always.
         """
         if work.runs:
-            raise _refuse("attempts_failed", 502, outcome="unknown")
-        raise _refuse("no_copy", 503, self._draw_load_pause())
+            raise work_lib.create_refusal(
+                "attempts_failed", 502, outcome="unknown"
+            )
+        raise work_lib.create_refusal("no_copy", 503, self._draw_load_pause())
 
     def _draw_load_pause(self) -> datetime.timedelta:
         """Return when a caller should ask again for what may be loaded then.
@@ -274,8 +282,10 @@
 
     def _raise_no_upstream(self, work: work_lib.Work) -> NoReturn:
         if work.runs:
-            raise _refuse("attempts_failed", 502, outcome="unknown")
-        raise _refuse("no_upstream", 503, RETRY_AFTER)
+            raise work_lib.create_refusal(
+                "attempts_failed", 502, outcome="unknown"
+            )
+        raise work_lib.create_refusal("no_upstream", 503, RETRY_AFTER)
 
     async def _attempt(
         self, work: work_lib.Work, instance: inventory.Instance
@@ -288,6 +298,7 @@
         left = work.deadline - self.clock.now()
         if left < MIN_ATTEMPT:
             raise TimeoutError
+        self.drain.check_attempt(work)
         attempt = exchange.Attempt(
             work.request,
             instance,
@@ -300,6 +311,7 @@
         work.runs += 1
         work.instance = instance.id
         work.sent = self.clock.now()
+        self.drain.note_sent(work)
         failure: exchange.FailureKind | None = None
         try:
             async with self.parts.upstreams.send(attempt) as answer:
@@ -312,6 +324,7 @@
             raise
         finally:
             self.parts.balancer.end(placement, failure)
+        self.drain.note_answered(work)
         self._log(work, "answered", instance=instance.id)
         received = work.request.received
         if work.first_piece is not None:
@@ -462,15 +475,18 @@
             errors.RefusalError: always.
         """
         if work.runs:
-            raise _refuse(reason, 502, outcome="unknown")
-        raise _refuse(reason, 503, RETRY_AFTER)
+            raise work_lib.create_refusal(reason, 502, outcome="unknown")
+        raise work_lib.create_refusal(reason, 503, RETRY_AFTER)
 
     async def _time_out(self, work: work_lib.Work) -> None:
         """Answer a request whose time is over."""
+        code, pause = "deadline_passed", RETRY_AFTER
+        if self.drain.is_cut_short(work):
+            code, pause = "stopping", drain_lib.RETRY_AFTER
         if work.runs:
-            refusal = _refuse("deadline_passed", 504, outcome="unknown")
+            refusal = work_lib.create_refusal(code, 504, outcome="unknown")
         else:
-            refusal = _refuse("deadline_passed", 503, RETRY_AFTER)
+            refusal = work_lib.create_refusal(code, 503, pause)
         await self._refuse(work.request, work.sink, refusal, work)
 
     async def _refuse(
@@ -557,18 +573,3 @@
         raise exchange.AttemptError(
             exchange.FailureKind.MALFORMED, str(error)
         ) from error
-
-
-def _refuse(
-    code: str,
-    status: int,
-    retry_after: datetime.timedelta | None = None,
-    outcome: str = "not_run",
-) -> errors.RefusalError:
-    return errors.RefusalError(
-        code,
-        code.replace("_", " "),
-        status,
-        errors.Outcome(outcome),
-        retry_after,
-    )
--- a/src/cicadahook/net/work.py
+++ b/src/cicadahook/net/work.py
@@ -1,5 +1,6 @@
 """A request under way, and what a forwarder serves it with."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
@@ -84,7 +85,7 @@
         """End a stream so that it does not look complete."""
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
 class Work:
     """A request under way.
 
@@ -101,6 +102,7 @@
         runs: upstreams that may have run it.
         last_event_id: id of the last event passed on.
         has_begun: whether the answer has begun.
+        timeout: ends the work when its time is over.
         instance: upstream of the last attempt.
         sent: when the last attempt was sent.
         first_piece: when the answer began.
@@ -118,6 +120,7 @@
     runs: int = 0
     last_event_id: str = ""
     has_begun: bool = False
+    timeout: asyncio.Timeout | None = None
     instance: str = ""
     sent: datetime.datetime | None = None
     first_piece: datetime.datetime | None = None
@@ -137,3 +140,19 @@
     budget_mode: retrybudget.RetryBudgetMode
     generator: random.Random
     popularity: popularity_lib.Popularity
+
+
+def create_refusal(
+    code: str,
+    status: int,
+    retry_after: datetime.timedelta | None = None,
+    outcome: str = "not_run",
+) -> errors.RefusalError:
+    """Return an answer of our own, whose reason is its code in words."""
+    return errors.RefusalError(
+        code,
+        code.replace("_", " "),
+        status,
+        errors.Outcome(outcome),
+        retry_after,
+    )
--- a/src/cicadahook/platform/front.py
+++ b/src/cicadahook/platform/front.py
@@ -1,6 +1,7 @@
 """What callers and the platform's checks speak to a node."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import datetime
 import json
@@ -30,10 +31,13 @@
     Attributes:
         request: the request as the server read it.
         response: the answer, once it has begun.
-        is_closing: whether the connection is to end with this answer.
+        is_closing: whether the connection is to end with this answer; asked
+            when the answer begins.
     """
 
-    def __init__(self, request: web.BaseRequest, *, is_closing: bool) -> None:
+    def __init__(
+        self, request: web.BaseRequest, is_closing: Callable[[], bool]
+    ) -> None:
         self.request = request
         self.response: web.StreamResponse | None = None
         self.is_closing = is_closing
@@ -106,7 +110,7 @@
         request_id = self.request.headers.get(header_names.REQUEST_ID)
         if request_id and header_names.REQUEST_ID not in response.headers:
             response.headers[header_names.REQUEST_ID] = request_id
-        if self.is_closing:
+        if self.is_closing():
             response.force_close()
 
 
@@ -114,8 +118,6 @@
     """Reads requests of callers and hands them to the forwarder.
 
     Attributes:
-        is_stopping: whether connections end with their next answer.
-        is_closed: whether new requests are turned away.
         active: requests under way.
     """
 
@@ -124,10 +126,12 @@
     ) -> None:
         self.serving = serving
         self.clock = clock
-        self.is_stopping = False
-        self.is_closed = False
         self.active = 0
 
+    def is_stopping(self) -> bool:
+        """Whether connections end with their next answer."""
+        return self.serving.drain.plan is not None
+
     @property
     def limits(self) -> routes.CallerLimits:
         """Return what callers may send."""
@@ -149,16 +153,10 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
         received = self.clock.now()
-        sink = HttpSink(request, is_closing=self.is_stopping)
+        sink = HttpSink(request, self.is_stopping)
         self.active += 1
         try:
-            if self.is_closed:
-                raise errors.RefusalError(
-                    "stopping",
-                    "this node stops",
-                    503,
-                    retry_after=datetime.timedelta(),
-                )
+            self.serving.drain.check_open()
             decoded = await self._decode(request, received)
             await self.serving.serve(decoded, sink)
         except errors.RefusalError as refusal:
--- a/src/cicadahook/programs/node.py
+++ b/src/cicadahook/programs/node.py
@@ -110,14 +110,12 @@
     async def _drain(self, node: node_lib.Node, front: front_lib.Front) -> None:
         """Send callers elsewhere, and end what is under way."""
         logger.info("Stops.", extra={"active": front.active})
-        started = self.clock.now()
+        plan = nodes.plan_drain(self.clock.now(), self.settings.grace_period)
         node.is_stopping = True
-        front.is_stopping = True
+        node.forwarder.drain.start(plan)
         node.leadership.stop_proposing()
-        drain = nodes.plan_drain(started, self.settings.grace_period)
-        await self._sleep_until(drain.accepts_until)
-        front.is_closed = True
-        while front.active and self.clock.now() < drain.finishes_until:
+        await self._sleep_until(plan.accepts_until)
+        while front.active and self.clock.now() < plan.ends_at:
             await asyncio.sleep(POLL_SECONDS)
         logger.info("Drained.", extra={"cut_off": front.active})
         await node.leadership.leave()
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -3,10 +3,12 @@
 import asyncio
 import dataclasses
 import datetime
+import random
 
 import pytest
 
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import durations
 from cicadahook.core import holder as holder_lib
 from cicadahook.core import nodes
 from cicadahook.core import roster
@@ -173,3 +175,36 @@
     leaving.lease = 7
     async with asyncio.timeout(1):
         await leaving.leave()
+
+
+@pytest.mark.parametrize(
+    ("duration_ms", "is_retry", "expected_ms"),
+    [
+        (0, False, 2800),
+        (4400, False, 2800),
+        (5200, False, 2000),
+        (9000, False, -1800),
+        (90, True, 7110),
+    ],
+)
+def test_a_stopping_machine_begins_what_it_can_finish(
+    duration_ms: int, is_retry: bool, expected_ms: int
+) -> None:
+    """A retry may begin later: another machine would only start anew."""
+    drain = nodes.plan_drain(NOW, datetime.timedelta(seconds=8))
+    duration = datetime.timedelta(milliseconds=duration_ms)
+    latest = drain.get_latest_begin(duration, is_retry=is_retry)
+    assert latest - NOW == datetime.timedelta(milliseconds=expected_ms)
+
+
+def test_predicts_a_duration_that_most_requests_keep() -> None:
+    """Nothing is refused for a route of which nothing is known."""
+    generator = random.Random(1)
+    book = durations.DurationBook()
+    assert not book.predict("r")
+    took = [generator.uniform(2.0, 5.0) for _ in range(300)]
+    for seconds in took[:200]:
+        book.note("r", datetime.timedelta(seconds=seconds))
+    predicted = book.predict("r").total_seconds()
+    kept = sum(seconds <= predicted for seconds in took[200:])
+    assert kept >= 80 and predicted < 7.0
