Leave a process with a short grace period time to end

Seen by the review and, beside load, once by the suite: a process with a grace period of 2 s answered at 1.8 s and ended at 1.96 to 2.11 s, after its kill was due (the stand-in counted the period from the wait, not from the signal, so no test saw it). Now requests end 400 ms before the kill, but not before the last sixth, and the process half way between.

--- a/src/cicadahook/core/nodes.py
+++ b/src/cicadahook/core/nodes.py
@@ -9,10 +9,11 @@
 ACCEPT_PERIOD: Final = datetime.timedelta(milliseconds=2800)
 # Shares of the grace period. Streams that still run in its last sixth may be
 # cut off; a tenth is left for the last answers and for the process to end,
-# also on a slow machine.
+# also on a slow machine, and more of a short one.
 ACCEPT_SHARE: Final = 0.45
+EARLIEST_FINISH_SHARE: Final = 5 / 6
 FINISH_SHARE: Final = 0.9
-END_SHARE: Final = 0.95
+END_PERIOD: Final = datetime.timedelta(milliseconds=400)
 # Each change in the store wakes all machines that watch it. In larger fleets
 # they pause before they ask again, so that one answer holds several changes:
 # 34 machines made 13,190 calls in 50 s without. The shortest bound on changes
@@ -106,11 +107,12 @@
 ) -> DrainPlan:
     """Return how a machine ends that was told to stop at `started`."""
     accept = min(ACCEPT_PERIOD, ACCEPT_SHARE * grace_period)
-    return DrainPlan(
-        started + accept,
-        started + FINISH_SHARE * grace_period,
-        started + END_SHARE * grace_period,
+    finish = max(
+        EARLIEST_FINISH_SHARE * grace_period,
+        min(FINISH_SHARE * grace_period, grace_period - END_PERIOD),
     )
+    end = (finish + grace_period) / 2
+    return DrainPlan(started + accept, started + finish, started + end)
 
 
 def plan_watch_pause(machines: int) -> datetime.timedelta:
--- a/tests/node_process.py
+++ b/tests/node_process.py
@@ -50,6 +50,8 @@
         folder: where its settings and its log lie.
         grace_seconds: time from a stop signal to the kill.
         child: the process, once started.
+        killed_at: when it is to be gone, by the clock of the event loop;
+            None until it is told to stop.
     """
 
     name: str
@@ -59,6 +61,7 @@
     folder: pathlib.Path
     grace_seconds: float = 2.0
     child: asyncio.subprocess.Process | None = None
+    killed_at: float | None = None
 
     @property
     def front_address(self) -> str:
@@ -116,12 +119,14 @@
         """Tell it to stop."""
         assert self.child is not None, "not started"
         self.child.send_signal(signal.SIGTERM)
+        now = asyncio.get_running_loop().time()
+        self.killed_at = now + self.grace_seconds
 
     async def wait(self) -> int:
         """Return its exit code; it is killed when its grace period is over."""
         assert self.child is not None, "not started"
         try:
-            async with asyncio.timeout(self.grace_seconds):
+            async with asyncio.timeout_at(self.killed_at or 0.0):
                 return await self.child.wait()
         except TimeoutError:
             self.child.kill()
