Begin nothing anew after a rejection on a stopping machine

Callers saw the same as before: a stream begun after the machine took no more requests, and cut off. Cause: a request counted as begun once it had been sent, though the upstream had said that it had not run it; it then waited for another copy until the machine's end. Now it counts as begun while an upstream may have run it. The test of the rejection fails on the code before (200 and a broken stream, 503 expected).

The other tests fill gaps that mutations of the fix showed: requests under way when the signal comes, resumed streams, and 502 for what may have run.

--- a/src/cicadahook/net/drain.py
+++ b/src/cicadahook/net/drain.py
@@ -59,7 +59,7 @@
             return
         duration = self.durations.predict(work.route.name)
         if self.clock.now() < self.plan.get_latest_begin(
-            duration, is_retry=work.sends > 0
+            duration, is_retry=work.runs > 0
         ):
             return
         if work.runs:
@@ -85,8 +85,8 @@
             finally:
                 self.works.discard(work)
 
-    def note_sent(self, work: work_lib.Work) -> None:
-        """Let a request that an upstream has go on until the end."""
+    def note_attempt(self, work: work_lib.Work) -> None:
+        """Take note that a request was sent, or that it was not run."""
         self._reschedule(work)
 
     def note_answered(self, work: work_lib.Work) -> None:
@@ -106,7 +106,7 @@
         """Return when the machine's end ends a request."""
         if self.plan is None:
             return work.deadline
-        if work.sends:
+        if work.runs:
             return self.plan.finishes_until
         duration = self.durations.predict(work.route.name)
         return self.plan.get_latest_begin(duration, is_retry=False)
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -311,7 +311,7 @@
         work.runs += 1
         work.instance = instance.id
         work.sent = self.clock.now()
-        self.drain.note_sent(work)
+        self.drain.note_attempt(work)
         failure: exchange.FailureKind | None = None
         try:
             async with self.parts.upstreams.send(attempt) as answer:
@@ -320,6 +320,7 @@
             failure = error.kind
             if error.is_not_run:
                 work.runs -= 1
+                self.drain.note_attempt(work)
             self._look_for_crash(work, instance, error.kind)
             raise
         finally:
--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import datetime
 import logging
 import pathlib
 from typing import Any
@@ -15,9 +16,10 @@
 import node_process
 import node_world
 
-# The nodes of the world take requests for 0.9 s after a stop signal and end
-# 1.8 s after it.
+# The nodes of the world take requests for 0.9 s after a stop signal and finish
+# them until 1.67 s after it.
 LOADED = {"X-Model": "big", "X-Token-Counts": "10,10"}
+READ = "/read/item"
 NOT_LOADED = {"X-Model": "other", "X-Token-Counts": "10,10"}
 
 
@@ -30,8 +32,10 @@
 ) -> AsyncIterator[node_process.NodeProcess]:
     """Run a node as a process, which the caller tells to stop."""
     port = int(platform.store_address.rsplit(":", 1)[1]) + 10
+    # The metrics port is fixed, and other suites may run on this machine.
+    host = f"127.{port // 250}.{port % 250}.2"
     process = node_process.NodeProcess(
-        "n1", "127.0.0.2", port, platform.store_address, folder
+        "n1", host, port, platform.store_address, folder
     )
     try:
         await process.start(platform.session)
@@ -173,7 +177,7 @@
 async def test_a_stopping_node_refuses_streams_that_last_too_long(
     world: node_world.World,
 ) -> None:
-    """Such a stream takes 1.5 s, and the node ends in 1.3 s."""
+    """Such a stream takes 1.5 s, and the node ends in 1.17 s."""
     engine = world.engines[0]
     engine.events, engine.event_seconds = 10, 0.15
     async with world.call("/chat/x", headers=LOADED) as response:
@@ -186,6 +190,97 @@
     assert len(engine.arrivals) == 1
 
 
+async def test_a_stopping_node_begins_nothing_anew_after_a_rejection(
+    world: node_world.World,
+) -> None:
+    """The other copy comes after the node has stopped taking requests."""
+    node = world.programs[0].node
+    assert node is not None
+    world.store.put("op/config", create_slow_loads(1.2))
+    await node_world.wait_until(lambda: _get_version(node) == 2)
+    world.engines[0].mode = "full"
+    world.engines[1].events, world.engines[1].event_seconds = 10, 0.2
+    world.programs[0].stopped.set()
+    async with world.call("/chat/x", headers=LOADED) as response:
+        assert response.status == 503
+    assert not world.engines[1].arrivals
+
+
+async def test_a_stopping_node_never_says_not_run_of_what_may_have_run(
+    world: node_world.World,
+) -> None:
+    """The first attempt fails, and a second would end after the node."""
+    node = world.programs[0].node
+    assert node is not None
+    node.forwarder.drain.durations.note("read", datetime.timedelta(seconds=2))
+    for upstream in world.plain:
+        upstream.mode = "reset"
+    calling = asyncio.create_task(_fetch_status(world, READ))
+    await node_world.wait_until(
+        lambda: bool(world.plain[0].arrivals + world.plain[1].arrivals)
+    )
+    world.programs[0].stopped.set()
+    assert await calling == 502
+    assert len(world.plain[0].arrivals + world.plain[1].arrivals) == 1
+
+
+async def test_a_stopping_node_resumes_a_stream_that_has_begun(
+    world: node_world.World,
+) -> None:
+    node = world.programs[0].node
+    assert node is not None
+    first, second = world.engines
+    first.events = second.events = 8
+    first.event_seconds, first.cut_after = 0.1, 4
+    second.models["big"] = set()
+    world.register(second)
+    await node_world.wait_until(
+        lambda: node.parts.inventory.instances["e2"].holds("big")
+    )
+    second.mode = "full"
+    async with world.call("/review/x", headers=LOADED) as response:
+        await response.content.readany()
+        second.mode = "ok"
+        world.programs[0].stopped.set()
+        rest = await response.read()
+    assert rest.count(b"data") == 7
+
+
+async def test_a_signal_ends_the_wait_of_requests_that_came_before(
+    world: node_world.World,
+) -> None:
+    node = world.programs[0].node
+    assert node is not None
+    world.store.put("op/config", create_slow_loads(5.0))
+    await node_world.wait_until(lambda: _get_version(node) == 2)
+    calling = asyncio.create_task(_fetch_status(world, "/chat/x", NOT_LOADED))
+    await node_world.wait_until(lambda: bool(node.forwarder.drain.works))
+    world.programs[0].stopped.set()
+    async with asyncio.timeout(1.5):
+        assert await calling == 503
+
+
+async def test_a_stream_sent_before_the_signal_ends_in_full(
+    world: node_world.World,
+) -> None:
+    """It ends 1.3 s after the signal, when no more requests are taken."""
+    engine = world.engines[0]
+    engine.events, engine.event_seconds = 14, 0.1
+    async with world.call("/chat/x", headers=LOADED) as response:
+        first = await response.content.readany()
+        world.programs[0].stopped.set()
+        rest = await response.read()
+    assert (first + rest).count(b"data") == 14
+
+
+async def _fetch_status(
+    world: node_world.World, path: str, headers: dict[str, str] | None = None
+) -> int:
+    async with world.call(path, headers=headers or {}) as response:
+        await response.read()
+        return response.status
+
+
 def _get_version(node: node_lib.Node) -> int:
     configuration = node.forwarder.configuration
     return configuration.version if configuration else 0
