Refuse on a stopping machine only what is more likely cut off than finished

Quick failures taught it too.

Now it is the mean of successes: what is refused would more likely be cut off than finished. The new test fails on the code before (503, 200 expected).

--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -316,6 +316,8 @@
         try:
             async with self.parts.upstreams.send(attempt) as answer:
                 await self._pass_on(work, answer, placement)
+                if answer.head.status < 300:
+                    self.drain.note_answered(work)
         except exchange.AttemptError as error:
             failure = error.kind
             if error.is_not_run:
@@ -325,7 +327,6 @@
             raise
         finally:
             self.parts.balancer.end(placement, failure)
-        self.drain.note_answered(work)
         self._log(work, "answered", instance=instance.id)
         received = work.request.received
         if work.first_piece is not None:
--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -190,6 +190,21 @@
     assert len(engine.arrivals) == 1
 
 
+async def test_a_stopping_node_still_serves_streams_that_end_in_time(
+    world: node_world.World,
+) -> None:
+    """Such a stream takes 1 s, and the node ends in 1.57 s."""
+    engine = world.engines[0]
+    engine.events, engine.event_seconds = 10, 0.1
+    async with world.call("/chat/x", headers=LOADED) as response:
+        await response.read()
+    world.programs[0].stopped.set()
+    await asyncio.sleep(0.1)
+    async with world.call("/chat/x", headers=LOADED) as response:
+        assert response.status == 200
+        assert (await response.read()).count(b"data") == 10
+
+
 async def test_a_stopping_node_begins_nothing_anew_after_a_rejection(
     world: node_world.World,
 ) -> None:
