Bound the reading of requests on a stopping machine

A caller whose body did not end got no answer: the process ended under the request, without a line that names it, and was held up until its last moment by it. Cause: only what had been read was limited. Now reading ends with the period in which requests are taken, with 503 and the request's id in the log. The test fails on the code before (connection ended without an answer).

--- a/src/cicadahook/net/drain.py
+++ b/src/cicadahook/net/drain.py
@@ -26,6 +26,7 @@
         plan: how the machine ends; None while it has not been told to stop.
         durations: how long requests take.
         works: requests under way.
+        readings: limits of the requests that are being read.
     """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
@@ -33,12 +34,15 @@
         self.plan: nodes.DrainPlan | None = None
         self.durations = durations_lib.DurationBook()
         self.works: set[work_lib.Work] = set()
+        self.readings: set[asyncio.Timeout] = set()
 
     def start(self, plan: nodes.DrainPlan) -> None:
         """End all requests by a plan from now on."""
         self.plan = plan
         for work in self.works:
             self._reschedule(work)
+        for timeout in self.readings:
+            self._reschedule_reading(timeout)
 
     def check_open(self) -> None:
         """Refuse a request that comes too late.
@@ -85,6 +89,26 @@
             finally:
                 self.works.discard(work)
 
+    @contextlib.asynccontextmanager
+    async def limit_reading(self) -> AsyncIterator[None]:
+        """Read a request while it could still be begun.
+
+        Raises:
+            errors.RefusalError: it came too late.
+        """
+        try:
+            async with asyncio.timeout(None) as timeout:
+                self._reschedule_reading(timeout)
+                self.readings.add(timeout)
+                try:
+                    yield
+                finally:
+                    self.readings.discard(timeout)
+        except TimeoutError as error:
+            raise work_lib.create_refusal(
+                "stopping", 503, RETRY_AFTER
+            ) from error
+
     def note_attempt(self, work: work_lib.Work) -> None:
         """Take note that a request was sent, or that it was not run."""
         self._reschedule(work)
@@ -98,9 +122,16 @@
         if work.timeout is None or work.timeout.expired():
             return
         end = min(work.deadline, self._get_limit(work))
+        work.timeout.reschedule(self._convert(end))
+
+    def _reschedule_reading(self, timeout: asyncio.Timeout) -> None:
+        if self.plan is not None and not timeout.expired():
+            timeout.reschedule(self._convert(self.plan.accepts_until))
+
+    def _convert(self, end: datetime.datetime) -> float:
+        """Return a time by the clock of the event loop, in seconds."""
         left = max(datetime.timedelta(), end - self.clock.now())
-        loop = asyncio.get_running_loop()
-        work.timeout.reschedule(loop.time() + left.total_seconds())
+        return asyncio.get_running_loop().time() + left.total_seconds()
 
     def _get_limit(self, work: work_lib.Work) -> datetime.datetime:
         """Return when the machine's end ends a request."""
--- a/src/cicadahook/platform/front.py
+++ b/src/cicadahook/platform/front.py
@@ -157,12 +157,17 @@
         self.active += 1
         try:
             self.serving.drain.check_open()
-            decoded = await self._decode(request, received)
+            async with self.serving.drain.limit_reading():
+                decoded = await self._decode(request, received)
             await self.serving.serve(decoded, sink)
         except errors.RefusalError as refusal:
             logger.info(
                 "Request refused.",
-                extra={"code": refusal.code, "status": refusal.status},
+                extra={
+                    "request_id": request.headers.get(header_names.REQUEST_ID),
+                    "code": refusal.code,
+                    "status": refusal.status,
+                },
             )
             await sink.refuse(refusal)
         except ConnectionError as error:
--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -288,6 +288,25 @@
     assert (first + rest).count(b"data") == 14
 
 
+async def test_a_body_that_never_ends_is_answered_by_a_stopping_process(
+    platform: node_world.World, tmp_path: pathlib.Path
+) -> None:
+    async def trickle() -> AsyncIterator[bytes]:
+        while True:
+            yield b"x"
+            await asyncio.sleep(0.1)
+
+    async with run_process(platform, tmp_path) as process:
+        process.terminate()
+        async with platform.session.post(
+            f"http://{process.front_address}/write/item",
+            headers=CALL,
+            data=trickle(),
+        ) as response:
+            assert response.status == 503
+    assert not platform.plain[0].arrivals + platform.plain[1].arrivals
+
+
 async def _fetch_status(
     world: node_world.World, path: str, headers: dict[str, str] | None = None
 ) -> int:
