Ask the next holder of orders for a copy as soon as there is one

Requests of a machine for one copy share a call to the holder of orders, which lasts up to 12 s. If that holder froze, or lost its turn while an operation of its own went on, the call stayed open: the requests that waited, and all later ones for that model and adapter, waited for it although another machine, or this one, had become holder.

Cause: the holder was chosen when the call began and never looked at again.

Change: the call is given up once another machine says that it sends orders, or this one may, or the holder's machine has started again; those who wait ask anew 0.1 s later. A holder that is merely silent may answer yet.

Evidence: both tests of tests/test_node_waits.py fail on the code before, with no answer within 1 s of the next holder's first status and within 2 s of the own turn, and pass now.

--- a/src/cicadahook/net/copies.py
+++ b/src/cicadahook/net/copies.py
@@ -7,6 +7,7 @@
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import roster as roster_lib
+from cicadahook.net import logs
 from cicadahook.net import orderer as orderer_lib
 from cicadahook.net import peering
 from cicadahook.net import tasks as tasks_lib
@@ -15,6 +16,8 @@
 HOLDER_POLL: Final = datetime.timedelta(milliseconds=100)
 RETRY_PAUSE: Final = datetime.timedelta(milliseconds=100)
 
+logger: Final = logs.create_logger("copies")
+
 
 class Copies:
     """Asks whoever may send orders; equal requests share one call.
@@ -72,11 +75,42 @@
         key: residency_lib.CopyKey,
         failed: frozenset[str],
     ) -> residency_lib.CopyKey | None:
-        now = self.clock.now()
-        if self.orderer.can_send():
-            return await self.orderer.ensure(service, key, failed)
-        holder = self.roster.find_holder(now)
+        """Ask the present holder, until another machine is holder."""
+        holder = self._find_holder()
         if holder is None:
             await asyncio.sleep(HOLDER_POLL.total_seconds())
             return None
+        call = asyncio.create_task(self._call(holder, service, key, failed))
+        try:
+            while not call.done():
+                await asyncio.wait({call}, timeout=HOLDER_POLL.total_seconds())
+                if not call.done() and self._is_replaced(holder):
+                    logger.info(
+                        "Copy asked of the next holder.",
+                        extra={"holder": holder.name, "model": key.model},
+                    )
+                    return None
+            return call.result()
+        finally:
+            call.cancel()
+
+    def _is_replaced(self, holder: roster_lib.NodeRecord) -> bool:
+        """Whether another machine is holder; a silent one may answer yet."""
+        return self._find_holder() not in (None, holder)
+
+    def _find_holder(self) -> roster_lib.NodeRecord | None:
+        """Return the machine that may send orders, this one included."""
+        if self.orderer.can_send():
+            return self.roster.own
+        return self.roster.find_holder(self.clock.now())
+
+    async def _call(
+        self,
+        holder: roster_lib.NodeRecord,
+        service: str,
+        key: residency_lib.CopyKey,
+        failed: frozenset[str],
+    ) -> residency_lib.CopyKey | None:
+        if holder == self.roster.own:
+            return await self.orderer.ensure(service, key, failed)
         return await self.client.ask(holder, service, key, failed)
--- /dev/null
+++ b/tests/test_node_waits.py
@@ -0,0 +1,164 @@
+"""What becomes of requests whose copy another machine or engine must bring."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+from aiohttp import web
+import pytest
+import pytest_asyncio
+
+from cicadahook.core import holder as holder_lib
+from cicadahook.core import roster as roster_lib
+from cicadahook.net import node as node_lib
+from cicadahook.net import peering
+from cicadahook.platform import front
+from cicadahook.programs import node as node_program
+import node_world
+
+NOT_LOADED = {"X-Model": "other", "X-Token-Counts": "10,10"}
+# A request waits half of this for a copy.
+TIMEOUT_MS = 6000
+
+
+class HolderStandin:
+    """Another machine that says it sends orders.
+
+    Attributes:
+        record: how it is known.
+        fence: fence of its term.
+        answer: the engine that it names; it never answers while it is empty.
+        asked: requests for copies that reached it.
+    """
+
+    def __init__(self, name: str, port: int, fence: int, answer: str) -> None:
+        address = f"{node_world.HOST}:{port}"
+        self.record = roster_lib.NodeRecord(
+            name, "zone-a", "region", address, address, 1
+        )
+        self.port = port
+        self.fence = fence
+        self.answer = answer
+        self.asked = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a request for a copy, or leave it open."""
+        await request.read()
+        self.asked += 1
+        if not self.answer:
+            await asyncio.Event().wait()
+        answer = peering.COPY_ANSWERS.encode(peering.CopyAnswer(self.answer))
+        return web.Response(body=answer)
+
+    @contextlib.asynccontextmanager
+    async def run(self, node: node_lib.Node) -> AsyncIterator[None]:
+        """Serve, and tell a node several times a second who sends orders."""
+        async with front.listen(
+            web.Server(self.handle), node_world.HOST, self.port
+        ):
+            telling = asyncio.create_task(self._tell(node))
+            try:
+                yield
+            finally:
+                telling.cancel()
+
+    async def _tell(self, node: node_lib.Node) -> None:
+        number = 0
+        while True:
+            number += 1
+            node.take_status(
+                roster_lib.NodeStatus(
+                    self.record,
+                    number,
+                    is_ready=False,
+                    is_holder=True,
+                    has_left=False,
+                    fence=self.fence,
+                    newest_term=self.fence,
+                    configuration=1,
+                    inventory=1,
+                )
+            )
+            await asyncio.sleep(roster_lib.STATUS_PERIOD.total_seconds())
+
+
+@pytest_asyncio.fixture(name="node")
+async def run_node(
+    platform: node_world.World, monkeypatch: pytest.MonkeyPatch
+) -> AsyncIterator[node_lib.Node]:
+    """Run one node, while another machine has the turn.
+
+    Each engine has room for one model, so that nothing is loaded ahead.
+    """
+    monkeypatch.setattr(node_program, "METRICS_PORT", 0)
+    configuration = node_world.create_configuration()
+    configuration["services"][1]["inference_engine"]["weights_mb"] = 50.0
+    for model in configuration["services"][1]["inference_engine"]["models"]:
+        model["load_time_s"] = 1.0
+    for route in configuration["routes"]:
+        route["timeout_ms"] = TIMEOUT_MS
+    platform.store.put("op/config", configuration)
+    platform.store.put(holder_lib.TERM_KEY, b"n1 1")
+    platform.store.put(holder_lib.HOLDER_KEY, b"n1 1")
+    program = node_program.NodeProgram(
+        node_world.create_settings(
+            "n0", _get_port(platform, 10), platform.store_address
+        )
+    )
+    platform.programs.append(program)
+    running = asyncio.create_task(program.run())
+    await node_world.wait_until(
+        lambda: program.node is not None and program.node.is_ready()
+    )
+    assert program.node is not None
+    yield program.node
+    program.stopped.set()
+    await running
+
+
+def _get_port(platform: node_world.World, offset: int) -> int:
+    """Return a port of the platform's block."""
+    return int(platform.store_address.rsplit(":", 1)[1]) + offset
+
+
+async def test_a_copy_is_asked_of_the_next_holder_at_once(
+    platform: node_world.World, node: node_lib.Node
+) -> None:
+    """Requests stayed bound to a frozen holder's call for 12 s."""
+    frozen = HolderStandin("n1", _get_port(platform, 30), 1, "")
+    following = HolderStandin("n2", _get_port(platform, 31), 9, "e1")
+    platform.engines[0].models["other"] = set()
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(frozen.run(node))
+        await node_world.wait_until(
+            lambda: node.roster.find_holder(node.clock.now()) == frozen.record
+        )
+        first = asyncio.create_task(_get_status(platform))
+        await node_world.wait_until(lambda: frozen.asked == 1)
+        await stack.enter_async_context(following.run(node))
+        async with asyncio.timeout(1):
+            assert await _get_status(platform) == 200
+            assert await first == 200
+
+
+async def test_a_copy_is_loaded_by_a_node_that_became_holder(
+    platform: node_world.World, node: node_lib.Node
+) -> None:
+    """Its own requests stayed bound to the call to the holder before."""
+    frozen = HolderStandin("n1", _get_port(platform, 30), 1, "")
+    async with frozen.run(node):
+        await node_world.wait_until(node.hears_holder)
+        first = asyncio.create_task(_get_status(platform))
+        await node_world.wait_until(lambda: frozen.asked == 1)
+    platform.store.delete(holder_lib.HOLDER_KEY)
+    await node_world.wait_until(node.orderer.can_send)
+    async with asyncio.timeout(2):
+        assert await _get_status(platform) == 200
+    assert await first in (200, 503)
+
+
+async def _get_status(platform: node_world.World) -> int:
+    """Return the status of a request for a model that is not loaded."""
+    async with platform.call("/chat/x", headers=NOT_LOADED) as response:
+        await response.read()
+        return response.status
