Begin a load elsewhere when its engine ends before it

A request whose model was being loaded at an engine that then left, was removed or restarted was refused with 503, though another engine could have loaded it in time. All requests of all machines for that model shared the wait, for twice the load's time and 4 s if the engine was dead.

Cause: whoever waits for a load awaited the operation itself, which polls its engine until it is done or overdue, whatever the store says of the engine.

Change: the wait ends once the engine's entry is gone, leaving or of another start, and the load is planned anew. The operation itself runs on as before, since its account of the engine's memory must hold if a removed engine is merely silent and comes back.

Evidence: the three cases of the new test get 503 on the code before and 200 now.

--- a/src/cicadahook/net/copies.py
+++ b/src/cicadahook/net/copies.py
@@ -82,17 +82,17 @@
             return None
         call = asyncio.create_task(self._call(holder, service, key, failed))
         try:
-            while not call.done():
-                await asyncio.wait({call}, timeout=HOLDER_POLL.total_seconds())
-                if not call.done() and self._is_replaced(holder):
-                    logger.info(
-                        "Copy asked of the next holder.",
-                        extra={"holder": holder.name, "model": key.model},
-                    )
-                    return None
-            return call.result()
+            if await tasks_lib.wait_while(
+                call, lambda: not self._is_replaced(holder), HOLDER_POLL
+            ):
+                return call.result()
         finally:
             call.cancel()
+        logger.info(
+            "Copy asked of the next holder.",
+            extra={"holder": holder.name, "model": key.model},
+        )
+        return None
 
     def _is_replaced(self, holder: roster_lib.NodeRecord) -> bool:
         """Whether another machine is holder; a silent one may answer yet."""
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -65,7 +65,7 @@
         engines: the engines known, by id.
         loading: loads under way, by service, model and adapter.
         windows: loads from the weight store, by service.
-        operations: loads begun ahead of requests.
+        operations: loads of models under way.
         starved: adapters wanted for which no engine has a place.
         fence: fence of the term that the accounts are of.
         began: when that term began.
@@ -283,10 +283,7 @@
             plan = stocker.plan_ahead(pool.models, stock)
             if plan is None:
                 return
-            self._mark_planned(plan)
-            task = asyncio.create_task(self._execute(plan, window))
-            self.operations.add(task)
-            task.add_done_callback(self.operations.discard)
+            self._begin(plan, window)
 
     def _describe_stock(
         self, service: str, is_store_open: bool
@@ -324,11 +321,33 @@
         if plan is None:
             logger.info("No engine for a model.", extra={"model": model.name})
             return ""
-        self._mark_planned(plan)
-        return plan.instance if await self._execute(plan, window) else ""
+        load = self._begin(plan, window)
+        engine = self.engines[plan.instance]
+        if await tasks_lib.wait_while(
+            load, lambda: self._is_usable(engine), POLL_PERIOD
+        ):
+            return plan.instance if load.result() else ""
+        logger.info(
+            "An engine ended before a load.",
+            extra={"model": model.name, "instance": plan.instance},
+        )
+        return ""
 
-    def _mark_planned(self, plan: stocker.LoadPlan) -> None:
+    def _begin(
+        self, plan: stocker.LoadPlan, window: stocker.LoadWindow
+    ) -> asyncio.Task[bool]:
+        """Carry out a plan, which keeps its account whoever waits for it."""
         self.engines[plan.instance].ledger.planned = plan.model.name
+        task = asyncio.create_task(self._execute(plan, window))
+        self.operations.add(task)
+        task.add_done_callback(self.operations.discard)
+        return task
+
+    def _is_usable(self, engine: sender_lib.Engine) -> bool:
+        """Whether an engine is registered, not leaving and not restarted."""
+        known = engine.ledger.instance
+        entry = self.outlook.stock.find_usable(known.id)
+        return entry is not None and entry.born == known.born
 
     async def _execute(
         self, plan: stocker.LoadPlan, window: stocker.LoadWindow
--- a/src/cicadahook/net/tasks.py
+++ b/src/cicadahook/net/tasks.py
@@ -50,3 +50,20 @@
         running[key] = task
         task.add_done_callback(lambda _: running.pop(key, None))
     return task
+
+
+async def wait_while(
+    task: asyncio.Task[Any],
+    is_worth_it: Callable[[], bool],
+    period: datetime.timedelta,
+) -> bool:
+    """Wait for a task while that is worth it; return whether it has ended.
+
+    Args:
+        task: runs on if it is not worth it any more.
+        is_worth_it: asked once in each period.
+        period: time between two questions.
+    """
+    while not task.done() and is_worth_it():
+        await asyncio.wait({task}, timeout=period.total_seconds())
+    return task.done()
--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -38,6 +38,7 @@
         events: events of a stream.
         event_seconds: time between events.
         cut_after: events after which a stream is cut; 0 for none.
+        born: Unix milliseconds of its start.
     """
 
     def __init__(self, name: str, service: str) -> None:
@@ -54,6 +55,7 @@
         self.cut_after = 0
         self.address = ""
         self.state = "ready"
+        self.born = 1_700_000_000_000
 
     def describe(self) -> dict[str, Any]:
         """Return its entry in the store."""
@@ -68,9 +70,15 @@
             "models": self._list_models(),
             "available": {"in_memory": [], "on_disk": []},
             "sequence_number": self.sequence,
-            "born": 1_700_000_000_000,
+            "born": self.born,
         }
 
+    def restart(self) -> None:
+        """Start again under the same id, empty."""
+        self.born += 1
+        self.models = {}
+        self.sequence = 0
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
         if request.path == "/report":
@@ -81,7 +89,7 @@
                     "busy": False,
                     "sequence_number": self.sequence,
                     "incoming": [],
-                    "born": 1_700_000_000_000,
+                    "born": self.born,
                 }
             )
         if request.path == "/order":
--- a/tests/test_node_waits.py
+++ b/tests/test_node_waits.py
@@ -157,6 +157,31 @@
     assert await first in (200, 503)
 
 
+@pytest.mark.parametrize("end", ["leaves", "is_removed", "restarts"])
+async def test_a_load_at_an_engine_that_ends_is_begun_at_another(
+    platform: node_world.World, node: node_lib.Node, end: str
+) -> None:
+    """The request waited for the engine, and was refused with a free one."""
+    platform.store.delete(holder_lib.HOLDER_KEY)
+    await node_world.wait_until(node.orderer.can_send)
+    asked = asyncio.create_task(_get_status(platform))
+    await node_world.wait_until(
+        lambda: any("other" in engine.models for engine in platform.engines)
+    )
+    (engine,) = [
+        engine for engine in platform.engines if "other" in engine.models
+    ]
+    if end == "restarts":
+        engine.restart()
+    if end == "leaves":
+        engine.state = "draining"
+    if end == "is_removed":
+        platform.store.delete(f"servers/{engine.id}")
+    else:
+        platform.register(engine)
+    assert await asked == 200
+
+
 async def _get_status(platform: node_world.World) -> int:
     """Return the status of a request for a model that is not loaded."""
     async with platform.call("/chat/x", headers=NOT_LOADED) as response:
