Ask again for a copy that is at an engine which takes no work

A request that had waited for a copy was refused with 503 (`no_upstream`) when the holder of orders named an engine that was leaving, or one that this machine had not seen yet, though most of its time was left and other engines could have loaded the copy.

Cause: the holder's view of the engines and this machine's differ by the time that their watches take, and an engine may leave while a copy is loaded there. The answer was taken as final.

Change: such an answer counts as none; the request asks again 0.1 s later, as it does after any other answer without a copy, until its wait is over.

Evidence: both cases of the new test get 503 on the code before and 200 now.

--- a/src/cicadahook/net/copies.py
+++ b/src/cicadahook/net/copies.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import inventory
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import roster as roster_lib
 from cicadahook.net import logs
@@ -34,11 +35,13 @@
         orderer: orderer_lib.Orderer,
         client: peering.CopyClient,
         roster: roster_lib.Roster,
+        stock: inventory.Inventory,
         clock: clock_lib.Clock,
     ) -> None:
         self.orderer = orderer
         self.client = client
         self.roster = roster
+        self.stock = stock
         self.clock = clock
         self.asking: dict[
             tuple[str, str, str],
@@ -54,7 +57,8 @@
         """Return where a copy is, waiting until it is loaded."""
         while True:
             held = await asyncio.shield(self._share(service, key, failed))
-            if held is not None:
+            # The holder may know of an engine's start or end later, or sooner.
+            if held is not None and self.stock.find_usable(held.instance):
                 return held
             await asyncio.sleep(RETRY_PAUSE.total_seconds())
 
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -124,7 +124,7 @@
             ),
             platform.upstreams,
             copies_lib.Copies(
-                self.orderer, self.copy_client, self.roster, clock
+                self.orderer, self.copy_client, self.roster, stock, clock
             ),
             retrybudget.RetryBudgetMode(
                 settings.retry_ratio,
--- a/tests/test_node_waits.py
+++ b/tests/test_node_waits.py
@@ -182,6 +182,27 @@
     assert await asked == 200
 
 
+@pytest.mark.parametrize("unusable", ["leaving", "not_known_yet"])
+async def test_a_copy_at_an_engine_that_takes_no_work_is_asked_for_again(
+    platform: node_world.World, node: node_lib.Node, unusable: str
+) -> None:
+    """The request was refused at once, as if there were no engine."""
+    first, second = platform.engines
+    name = first.id if unusable == "leaving" else "e3"
+    first.state = "draining"
+    platform.register(first)
+    second.models["other"] = set()
+    await node_world.wait_until(
+        lambda: node.parts.inventory.find_usable(first.id) is None
+    )
+    holder = HolderStandin("n1", _get_port(platform, 30), 1, name)
+    async with holder.run(node):
+        asked = asyncio.create_task(_get_status(platform))
+        await node_world.wait_until(lambda: holder.asked > 0)
+        holder.answer = second.id
+        assert await asked == 200
+
+
 async def _get_status(platform: node_world.World) -> int:
     """Return the status of a request for a model that is not loaded."""
     async with platform.call("/chat/x", headers=NOT_LOADED) as response:
