Let a silent engine hold up no loads at other engines

While one engine answered nothing (frozen, or cut off from the holder of orders) and its state was not known, requests for models and adapters that other engines could load within a second were refused with 503 after 3 s.

Cause: each load asks all engines whose state is not known, one request at a time for each engine, and waits 1 s for each answer.

Change: an engine that does not tell its state is doubted until it has told it. Loads pass it over, those that wait in line for it too; the planner, which runs beside the requests, asks it again once the doubt is a second old.

--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -130,6 +130,13 @@
             engine.ledger.sequence = None
 
     def _is_doubtful(self, engine: sender_lib.Engine) -> bool:
+        """Whether an engine was doubted lately, or not heard since."""
+        is_unheard = (
+            engine.doubted is not None and engine.ledger.sequence is None
+        )
+        return is_unheard or self._is_newly_doubted(engine)
+
+    def _is_newly_doubted(self, engine: sender_lib.Engine) -> bool:
         since = engine.doubted
         return since is not None and self.clock.now() - since < DOUBT_PERIOD
 
@@ -197,7 +204,7 @@
                 return ""
             instance = self._find_copy(service, key)
             if not instance:
-                await self._sync_all(service)
+                await self._sync_all(service, self._is_doubtful)
                 instance = self._find_copy(service, key)
             if not instance:
                 instance = await self._place_model(
@@ -212,18 +219,32 @@
             await asyncio.sleep(MODEL_RETRY_PAUSE.total_seconds())
         return ""
 
-    async def _sync_all(self, service: str) -> None:
-        """Ask the engines whose state is not known."""
+    async def _sync_all(
+        self, service: str, is_passed: Callable[[sender_lib.Engine], bool]
+    ) -> None:
+        """Ask the engines whose state is not known, but for those passed."""
         unknown = [
             engine
             for engine in self._list_engines(service)
-            if engine.ledger.sequence is None
+            if engine.ledger.sequence is None and not is_passed(engine)
         ]
         await asyncio.gather(*(self._ask_state(engine) for engine in unknown))
 
     async def _ask_state(self, engine: sender_lib.Engine) -> None:
+        doubted = engine.doubted
         async with engine.sending:
-            await self.sender.settle_sequence(engine)
+            # Another may have asked in vain meanwhile.
+            if engine.doubted == doubted:
+                await self._settle(engine)
+
+    async def _settle(self, engine: sender_lib.Engine) -> bool:
+        """Make an engine's state known; `engine.sending` must be held."""
+        is_known = await self.sender.settle_sequence(engine)
+        if not is_known:
+            engine.doubted = self.clock.now()
+        elif not self._is_newly_doubted(engine):
+            engine.doubted = None
+        return is_known
 
     def _find_copy(self, service: str, key: residency_lib.CopyKey) -> str:
         """Return an engine known to hold a model now, or nothing."""
@@ -273,7 +294,7 @@
         pool = service.engines
         assert pool is not None, f"{service.name} has no engines"
         self._take_engines(service.name, pool)
-        await self._sync_all(service.name)
+        await self._sync_all(service.name, self._is_newly_doubted)
         window = self._get_window(service.name, pool)
         for _ in range(len(self.engines)):
             reserved = min(stocker.RESERVED_LOADS, window.limit - 1)
@@ -432,7 +453,7 @@
         self, engine: sender_lib.Engine, model: routes.Model
     ) -> ordering.OrderResult:
         """Order a load if it fits; `engine.sending` must be held."""
-        if not await self.sender.settle_sequence(engine):
+        if not await self._settle(engine):
             return ordering.OrderResult.NOT_SENT
         ledger = engine.ledger
         now = self.clock.now()
@@ -513,7 +534,7 @@
     ) -> bool:
         """Load an adapter on one engine; `engine.sending` must be held."""
         for _ in range(MAX_TRIES):
-            if not await self.sender.settle_sequence(engine):
+            if self._is_doubtful(engine) or not await self._settle(engine):
                 return False
             if engine.ledger.is_ready(key.model, key.adapter):
                 return True
--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -39,6 +39,7 @@
         event_seconds: time between events.
         cut_after: events after which a stream is cut; 0 for none.
         born: Unix milliseconds of its start.
+        is_silent: whether orders and reports get no answer.
     """
 
     def __init__(self, name: str, service: str) -> None:
@@ -56,6 +57,7 @@
         self.address = ""
         self.state = "ready"
         self.born = 1_700_000_000_000
+        self.is_silent = False
 
     def describe(self) -> dict[str, Any]:
         """Return its entry in the store."""
@@ -81,6 +83,8 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
+        if self.is_silent and request.path in ("/report", "/order"):
+            await asyncio.Event().wait()
         if request.path == "/report":
             return web.json_response(
                 {
--- a/tests/test_node_waits.py
+++ b/tests/test_node_waits.py
@@ -16,7 +16,6 @@
 from cicadahook.programs import node as node_program
 import node_world
 
-NOT_LOADED = {"X-Model": "other", "X-Token-Counts": "10,10"}
 # A request waits half of this for a copy.
 TIMEOUT_MS = 6000
 
@@ -203,8 +202,28 @@
         assert await asked == 200
 
 
-async def _get_status(platform: node_world.World) -> int:
+async def test_a_silent_engine_holds_up_no_load_at_others(
+    platform: node_world.World, node: node_lib.Node
+) -> None:
+    """All who waited asked it anew, one after the other, for 1 s each."""
+    platform.store.delete(holder_lib.HOLDER_KEY)
+    await node_world.wait_until(node.orderer.can_send)
+    await node_world.wait_until(lambda: len(node.orderer.engines) == 2)
+    silent = platform.engines[0]
+    silent.is_silent = True
+    node.orderer.engines[silent.id].ledger.sequence = None
+    statuses = await asyncio.gather(
+        *(
+            _get_status(platform, name)
+            for name in ("other", "other/a1", "other/a2")
+        )
+    )
+    assert statuses == [200, 200, 200]
+
+
+async def _get_status(platform: node_world.World, model: str = "other") -> int:
     """Return the status of a request for a model that is not loaded."""
-    async with platform.call("/chat/x", headers=NOT_LOADED) as response:
+    headers = {"X-Model": model, "X-Token-Counts": "10,10"}
+    async with platform.call("/chat/x", headers=headers) as response:
         await response.read()
         return response.status
