Tell the holder of orders which engines failed since a copy was asked for

A request that joined a call for a copy was sent to the engine that the first asker was told, also if that engine had failed on this machine meanwhile; the holder of orders did not hear of the failure before the call ended, up to 12 s later.

Cause: calls were shared by model and adapter; the failed engines were those of the request that began the call.

Change: only requests with the same failed engines share a call.

Evidence: in the new test the holder is not asked again within 1 s on the code before, and hears of the engine now.

--- a/src/cicadahook/net/copies.py
+++ b/src/cicadahook/net/copies.py
@@ -27,7 +27,7 @@
     or a free engine may turn up any moment.
 
     Attributes:
-        asking: calls under way, by service and copy.
+        asking: calls under way, by service, model, adapter and failed engines.
     """
 
     def __init__(
@@ -44,7 +44,7 @@
         self.stock = stock
         self.clock = clock
         self.asking: dict[
-            tuple[str, str, str],
+            tuple[str, str, str, frozenset[str]],
             asyncio.Task[residency_lib.CopyKey | None],
         ] = {}
 
@@ -68,7 +68,7 @@
         key: residency_lib.CopyKey,
         failed: frozenset[str],
     ) -> "asyncio.Task[residency_lib.CopyKey | None]":
-        name = (service, key.model, key.adapter)
+        name = (service, key.model, key.adapter, failed)
         return tasks_lib.share(
             self.asking, name, lambda: self._ask(service, key, failed)
         )
--- a/tests/test_node_waits.py
+++ b/tests/test_node_waits.py
@@ -28,6 +28,7 @@
         fence: fence of its term.
         answer: the engine that it names; it never answers while it is empty.
         asked: requests for copies that reached it.
+        failed: engines that the newest one named as failed.
     """
 
     def __init__(self, name: str, port: int, fence: int, answer: str) -> None:
@@ -39,10 +40,12 @@
         self.fence = fence
         self.answer = answer
         self.asked = 0
+        self.failed: tuple[str, ...] = ()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request for a copy, or leave it open."""
-        await request.read()
+        content = await request.read()
+        self.failed = peering.COPY_REQUESTS.decode(content).failed
         self.asked += 1
         if not self.answer:
             await asyncio.Event().wait()
@@ -221,6 +224,31 @@
     assert statuses == [200, 200, 200]
 
 
+async def test_a_holder_hears_of_an_engine_that_failed_meanwhile(
+    platform: node_world.World, node: node_lib.Node
+) -> None:
+    """Who joined a call got the engine that had just failed."""
+    holder = HolderStandin("n1", _get_port(platform, 30), 1, "")
+    first = platform.engines[0]
+    async with holder.run(node):
+        await node_world.wait_until(node.hears_holder)
+        early = asyncio.create_task(_get_status(platform))
+        await node_world.wait_until(lambda: holder.asked == 1)
+        # Nobody listens there.
+        first.address = f"{node_world.HOST}:{_get_port(platform, 40)}"
+        platform.register(first)
+        await node_world.wait_until(
+            lambda: node.parts.inventory.instances["e1"].address
+            == first.address
+        )
+        failing = asyncio.create_task(_get_status(platform, "big"))
+        await node_world.wait_until(lambda: holder.asked == 2)
+        late = asyncio.create_task(_get_status(platform))
+        await node_world.wait_until(lambda: holder.asked == 3, 1)
+        assert holder.failed == ("e1",)
+    await asyncio.gather(early, failing, late)
+
+
 async def _get_status(platform: node_world.World, model: str = "other") -> int:
     """Return the status of a request for a model that is not loaded."""
     headers = {"X-Model": model, "X-Token-Counts": "10,10"}
