--- a/src/cicadahook/net/copies.py
+++ b/src/cicadahook/net/copies.py
@@ -1,12 +1,15 @@
 """Gets copies loaded, by this machine or by the holder of orders."""
 
 import asyncio
+import dataclasses
 import datetime
 from typing import Final
 
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import inventory
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import roster as roster_lib
+from cicadahook.net import logs
 from cicadahook.net import orderer as orderer_lib
 from cicadahook.net import peering
 from cicadahook.net import tasks as tasks_lib
@@ -15,6 +18,8 @@
 HOLDER_POLL: Final = datetime.timedelta(milliseconds=100)
 RETRY_PAUSE: Final = datetime.timedelta(milliseconds=100)
 
+logger: Final = logs.create_logger("copies")
+
 
 class Copies:
     """Asks whoever may send orders; equal requests share one call.
@@ -23,7 +28,7 @@
     or a free engine may turn up any moment.
 
     Attributes:
-        asking: calls under way, by service and copy.
+        asking: calls under way, by service, model, adapter and failed engines.
     """
 
     def __init__(
@@ -31,14 +36,18 @@
         orderer: orderer_lib.Orderer,
         client: peering.CopyClient,
         roster: roster_lib.Roster,
+        stock: inventory.Inventory,
+        residency: residency_lib.Residency,
         clock: clock_lib.Clock,
     ) -> None:
         self.orderer = orderer
         self.client = client
         self.roster = roster
+        self.stock = stock
+        self.residency = residency
         self.clock = clock
         self.asking: dict[
-            tuple[str, str, str],
+            tuple[str, str, str, frozenset[str]],
             asyncio.Task[residency_lib.CopyKey | None],
         ] = {}
 
@@ -51,7 +60,8 @@
         """Return where a copy is, waiting until it is loaded."""
         while True:
             held = await asyncio.shield(self._share(service, key, failed))
-            if held is not None:
+            # The holder may know of an engine's start or end later, or sooner.
+            if held is not None and self.stock.find_usable(held.instance):
                 return held
             await asyncio.sleep(RETRY_PAUSE.total_seconds())
 
@@ -61,7 +71,7 @@
         key: residency_lib.CopyKey,
         failed: frozenset[str],
     ) -> "asyncio.Task[residency_lib.CopyKey | None]":
-        name = (service, key.model, key.adapter)
+        name = (service, key.model, key.adapter, failed)
         return tasks_lib.share(
             self.asking, name, lambda: self._ask(service, key, failed)
         )
@@ -72,11 +82,75 @@
         key: residency_lib.CopyKey,
         failed: frozenset[str],
     ) -> residency_lib.CopyKey | None:
-        now = self.clock.now()
-        if self.orderer.can_send():
-            return await self.orderer.ensure(service, key, failed)
-        holder = self.roster.find_holder(now)
+        """Ask the present holder, until another is, or a copy shows."""
+        holder = self._find_holder()
         if holder is None:
             await asyncio.sleep(HOLDER_POLL.total_seconds())
+            return self._find_copy(service, key, failed)
+        call = asyncio.create_task(self._call(holder, service, key, failed))
+        try:
+            if await tasks_lib.wait_while(
+                call,
+                lambda: not self._is_overtaken(holder, service, key, failed),
+                HOLDER_POLL,
+            ):
+                return call.result()
+        finally:
+            call.cancel()
+        logger.info(
+            "Call to a holder given up.",
+            extra={"holder": holder.name, "model": key.model},
+        )
+        return None
+
+    def _is_overtaken(
+        self,
+        holder: roster_lib.NodeRecord,
+        service: str,
+        key: residency_lib.CopyKey,
+        failed: frozenset[str],
+    ) -> bool:
+        """Whether the answer of a holder is not needed any more.
+
+        A silent one may answer yet, unless a copy shows.
+        """
+        present = self._find_holder()
+        if present is None:
+            return self._find_copy(service, key, failed) is not None
+        return present != holder
+
+    def _find_copy(
+        self,
+        service: str,
+        key: residency_lib.CopyKey,
+        failed: frozenset[str],
+    ) -> residency_lib.CopyKey | None:
+        """Return a copy that this machine knows of."""
+        usable = (
+            entry
+            for entry in self.stock.list_usable(service)
+            if entry.id not in failed
+        )
+        holders = self.residency.list_holders(
+            usable, key.model, key.adapter, self.clock.now()
+        )
+        if not holders:
             return None
+        return dataclasses.replace(key, instance=holders[0].id)
+
+    def _find_holder(self) -> roster_lib.NodeRecord | None:
+        """Return the machine that may send orders, this one included."""
+        if self.orderer.can_send():
+            return self.roster.own
+        return self.roster.find_holder(self.clock.now())
+
+    async def _call(
+        self,
+        holder: roster_lib.NodeRecord,
+        service: str,
+        key: residency_lib.CopyKey,
+        failed: frozenset[str],
+    ) -> residency_lib.CopyKey | None:
+        if holder == self.roster.own:
+            return await self.orderer.ensure(service, key, failed)
         return await self.client.ask(holder, service, key, failed)
