Hand records over before long streams end, not after

A stopping entry handed its records of non-idempotent calls over last, after each open request had ended. One stream with a long deadline (up to 24 h are allowed) thus kept them in a process that its supervisor may kill: after that all its keys answer `unknown`, also of calls that ended long before.

What must be done before the end stood behind what may go on until the end. The hand-over needs only that the ledger is sealed and that no non-idempotent call runs, and `OnceRunner.finish` sees to both.

Change: hand over right after `finish`, then wait for the open requests. The entry still answers resends from its own records meanwhile.

Evidence: the test stops an entry beside a stream of 3,000 tokens; on the code before, no heir holds its records within 5 s (TimeoutError), now two do.

--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -239,16 +239,17 @@
         """Serve until kept address answers have lapsed, then finish.
 
         No request is cut off: each ends by itself, at its deadline at the
-        latest. The records of non-idempotent calls go to other entries.
+        latest. The records of non-idempotent calls go to other entries as soon
+        as none of these calls runs, so that no long stream puts them at risk.
         """
         self.is_draining = True
         logger.info("Drains for %s.", self.mode.drain)
         await asyncio.sleep(self.mode.drain.total_seconds())
         self.is_closing = True
         await self.once.finish(SETTLE_LIMIT)
+        await self._hand_over()
         while self.open_requests:
             await asyncio.sleep(OPEN_POLL.total_seconds())
-        await self._hand_over()
 
     async def _hand_over(self) -> None:
         """Give all records to other live entries."""
--- /dev/null
+++ b/tests/test_entry_drain.py
@@ -0,0 +1,68 @@
+"""What becomes of requests and records when an entry is told to stop."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+from cicadahook.programs import entry as entry_program
+from cicadahook.programs import local
+import test_failures
+
+# A stream of so many tokens lasts for some 18 s.
+LONG_STREAM_TOKENS = 3000
+# Stopping takes no second, but for what it waits for.
+STOP_LIMIT_SECONDS = 5.0
+STOPPED = 1
+
+
+@contextlib.asynccontextmanager
+async def stop_beside_stream(
+    system: local.LocalSystem,
+) -> AsyncIterator[asyncio.Task[None]]:
+    """Stop an entry that streams a long answer; yield its stop."""
+    stopping = test_failures.list_entries(system)[STOPPED]
+    url = f"{test_failures.entry_url(system, STOPPED)}/v1/completions"
+    body = {
+        "model": "inspector",
+        "prompt": "a long prompt",
+        "max_tokens": LONG_STREAM_TOKENS,
+        "stream": True,
+    }
+    async with system.session.post(url, json=body) as stream:
+        assert stream.status == 200
+        system.daemons.remove(stopping)
+        stop = asyncio.create_task(stopping.stop())
+        await test_failures.wait_until(lambda: stopping.entry.is_closing)
+        yield stop
+        assert not stop.done(), "the stream was not waited for"
+        stream.close()
+    await stop
+
+
+def list_heirs(
+    system: local.LocalSystem, owner: str
+) -> list[entry_program.EntryDaemon]:
+    """Return the entries that hold all records of the entry `owner`."""
+    return [
+        part
+        for part in test_failures.list_entries(system)
+        if any(
+            held.entry == owner and heritage.is_complete
+            for held, heritage in part.entry.ledger.heritage.items()
+        )
+    ]
+
+
+async def test_records_are_handed_over_before_a_long_stream_ends(
+    system: local.LocalSystem,
+) -> None:
+    """Else they are lost if the process is killed while it streams."""
+    prefix = (await test_failures.locate(system, STOPPED))["key_prefix"]
+    booked = await test_failures.book(system, prefix + "1", "a", STOPPED)
+    async with stop_beside_stream(system):
+        async with asyncio.timeout(STOP_LIMIT_SECONDS):
+            await test_failures.wait_until(
+                lambda: len(list_heirs(system, "vm2")) == 2
+            )
+        again = await test_failures.book(system, prefix + "1", "a", STOPPED)
+        assert again == booked
