Let a key into an ending entry for its record only, not to begin requests

An entry that had served its drain refused new requests, but not those with an Idempotency-Key, so that resends find their record. Completions and idempotent calls have no record, and keys of other entries have theirs there: all these were begun and run in full, at any time until the process ended. The stop waits for open requests, so it did not end while such requests kept coming, and what began after that wait was cut off by the server's 60 s.

Change: with a key, only calls of services pass the gate, and of these the idempotent ones and those to be forwarded are refused (`draining`, outcome `unknown` as for claimed keys). What another entry forwards here is still answered as before, 421 included, so the search for an heir goes on.

Evidence: the three cases of the test got 200, 200 and 201 before, 503 now.

--- a/src/cicadahook/core/idempotency.py
+++ b/src/cicadahook/core/idempotency.py
@@ -143,13 +143,7 @@
         # Another entry may have run the key, so nothing here proves that it
         # did not run.
         if self.is_sealed:
-            return _refuse(
-                "draining",
-                "this entry is leaving; ask another one",
-                503,
-                errors.Outcome.UNKNOWN,
-                RETRY_AFTER,
-            )
+            return calls.Refuse(create_draining_error(errors.Outcome.UNKNOWN))
         if not self._make_room():
             return _refuse_full(errors.Outcome.UNKNOWN)
         return self._start_claim(call, ABSENT_REVISION)
@@ -329,6 +323,17 @@
         return issued.issued + self.mode.retention < self.clock.now()
 
 
+def create_draining_error(outcome: errors.Outcome) -> errors.RefusalError:
+    """Return the refusal of what an entry that ends does not begin."""
+    return errors.RefusalError(
+        "draining",
+        "this entry is leaving; ask another one",
+        503,
+        outcome,
+        RETRY_AFTER,
+    )
+
+
 def _split(
     owner: keys.Owner,
     forgotten_before: datetime.datetime,
--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -39,7 +39,11 @@
 INCARNATION_BYTES: Final = 8
 OPEN_POLL: Final = datetime.timedelta(seconds=0.02)
 SETTLE_LIMIT: Final = datetime.timedelta(seconds=5)
-CALLER_PATHS: Final = ("/v1/chat/", "/v1/completions", "/services/")
+CALLER_PATHS: Final = (
+    "/v1/chat/",
+    "/v1/completions",
+    services.PATH_PREFIX,
+)
 
 logger: Final = logs.create_logger("entry")
 
@@ -206,7 +210,7 @@
         if not request.path.startswith(CALLER_PATHS):
             response: web.StreamResponse = await handler(request)
             return response
-        self._check_open(headers.KEY_HEADER in request.headers)
+        self._check_open(request)
         self.open_requests += 1
         try:
             response = await handler(request)
@@ -214,26 +218,25 @@
         finally:
             self.open_requests -= 1
 
-    def _check_open(self, has_key: bool) -> None:
+    def _check_open(self, request: web.Request) -> None:
         """Refuse requests before there is a view, and at the end of a drain.
 
         What another entry knows of a key is not known here at either time.
         """
+        has_key = headers.KEY_HEADER in request.headers
+        outcome = errors.Outcome.UNKNOWN if has_key else errors.Outcome.NOT_RUN
         if not self.view.number:
             raise errors.RefusalError(
                 "not_ready",
                 "this entry has just started; ask another one",
                 503,
-                errors.Outcome.UNKNOWN if has_key else errors.Outcome.NOT_RUN,
-                retry_after=idempotency.RETRY_AFTER,
-            )
-        if self.is_closing and not has_key:
-            raise errors.RefusalError(
-                "draining",
-                "this entry is leaving; ask another one",
-                503,
+                outcome,
                 retry_after=idempotency.RETRY_AFTER,
             )
+        # Only calls of services have records that a resend may be answered by.
+        is_service = request.path.startswith(services.PATH_PREFIX)
+        if self.is_closing and not (has_key and is_service):
+            raise idempotency.create_draining_error(outcome)
 
     async def drain(self) -> None:
         """Serve until kept address answers have lapsed, then finish.
--- a/src/cicadahook/net/services.py
+++ b/src/cicadahook/net/services.py
@@ -28,6 +28,7 @@
 
 ANSWER_GRACE: Final = datetime.timedelta(seconds=10)
 CONNECT_TIMEOUT: Final = datetime.timedelta(seconds=2)
+PATH_PREFIX: Final = "/services/"
 PREFIX_PARTS: Final = 3
 
 logger: Final = logs.create_logger("services")
@@ -98,7 +99,7 @@
 
     def install(self, app: web.Application) -> None:
         """Add the routes to `app`."""
-        app.router.add_route("*", "/services/{name}/{path:.*}", self.call)
+        app.router.add_route("*", PATH_PREFIX + "{name}/{path:.*}", self.call)
 
     async def call(self, http: web.Request) -> web.StreamResponse:
         """Route a call to a plain service."""
@@ -106,6 +107,7 @@
         if call.row is not None:
             self.dispatcher.note_arrival(call.row)
         if call.request.is_idempotent:
+            self._check_open(call)
             return _respond(call, await self._attempt(call))
         if not call.request.key:
             return _respond(call, await self._call_keyless(call))
@@ -114,6 +116,15 @@
             return await self._forward(call, found)
         return _respond(call, found)
 
+    def _check_open(self, call: ServiceCall) -> None:
+        """Refuse what a resend with a key would begin at an entry that ends.
+
+        Raises:
+            errors.RefusalError: the entry ends.
+        """
+        if call.request.key and self.once.ledger.is_sealed:
+            raise idempotency.create_draining_error(errors.Outcome.UNKNOWN)
+
     async def _read(self, http: web.Request) -> ServiceCall:
         """Return the checked call."""
         name = http.match_info["name"]
@@ -168,6 +179,7 @@
                 peers_lib.MISDIRECTED_STATUS,
                 errors.Outcome.UNKNOWN,
             )
+        self._check_open(call)
         answer = await self.peers.forward(
             peers_lib.ForwardedCall(
                 method=call.method,
--- a/tests/test_entry_drain.py
+++ b/tests/test_entry_drain.py
@@ -4,6 +4,8 @@
 from collections.abc import AsyncIterator
 import contextlib
 
+import pytest
+
 from cicadahook.programs import entry as entry_program
 from cicadahook.programs import local
 import test_failures
@@ -66,3 +68,34 @@
             )
         again = await test_failures.book(system, prefix + "1", "a", STOPPED)
         assert again == booked
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body"),
+    [
+        ("POST", "/v1/completions", {"model": "inspector", "prompt": "short"}),
+        ("GET", "/services/portal/bookings", None),
+        ("POST", "/services/portal/bookings", {"name": "a"}),
+    ],
+    ids=["completion", "idempotent", "forwarded"],
+)
+async def test_an_entry_that_ends_begins_nothing_because_of_a_key(
+    system: local.LocalSystem,
+    method: str,
+    path: str,
+    body: dict[str, str] | None,
+) -> None:
+    """A key lets a resend in for its record, and nothing else."""
+    elsewhere = (await test_failures.locate(system, 0))["key_prefix"]
+    url = test_failures.entry_url(system, STOPPED) + path
+    async with stop_beside_stream(system):
+        async with system.session.request(
+            method,
+            url,
+            json=body,
+            headers={"Idempotency-Key": elsewhere + "1"},
+        ) as response:
+            answer = await response.json()
+        assert (response.status, answer.get("code")) == (503, "draining")
+        assert answer["outcome"] == "unknown"
+    assert not system.service.runs
