Wait for a request's body until the request's deadline only

A caller that sends its headers and then goes silent, or is cut off without a reset, kept its request open for ever. A stopping entry waits for open requests, so one such caller kept it from ending until it was killed.

The deadline of a completion was counted only from the end of its body, and that of a service's call was not applied to the body.

Evidence: the three cases of the test failed on the code before (the drain had not ended after 5 s with a deadline of 0.3 s) and pass now.

--- a/src/cicadahook/net/completions.py
+++ b/src/cicadahook/net/completions.py
@@ -1,5 +1,7 @@
 """Chat and text completions: from the caller's request to its answer."""
 
+import dataclasses
+
 from aiohttp import web
 
 from cicadahook.core import clock as clock_lib
@@ -42,12 +44,12 @@
         self, http: web.Request, form: answers.Form
     ) -> web.StreamResponse:
         """Check, route and answer a completion."""
+        request = headers.read_request(http, "", self.clock)
+        await headers.read_body(http, request, self.clock)
         body = await http_lib.read_object(http)
         row = self._find_row(headers.read_model(body))
         request = headers.with_content(
-            headers.read_request(http, row.name, self.clock),
-            body,
-            form.is_chat,
+            dataclasses.replace(request, row=row.name), body, form.is_chat
         )
         self.dispatcher.note_arrival(row)
         chunks = self.relay.stream(request, row, body, form)
--- a/src/cicadahook/net/headers.py
+++ b/src/cicadahook/net/headers.py
@@ -1,5 +1,6 @@
 """Callers' headers and bodies, checked and turned into typed requests."""
 
+import asyncio
 import dataclasses
 import datetime
 import re
@@ -44,6 +45,28 @@
     )
 
 
+async def read_body(
+    http: web.Request, request: request_lib.Request, clock: clock_lib.Clock
+) -> bytes:
+    """Return the body of `http`, waiting for its end until the deadline.
+
+    Raises:
+        errors.RefusalError: the deadline has passed.
+    """
+    left = request.deadline - clock.now()
+    try:
+        async with asyncio.timeout(left.total_seconds()):
+            return await http.read()
+    except TimeoutError as error:
+        raise errors.RefusalError(
+            "body_late",
+            "body: must end before the deadline",
+            408,
+            # Whether an earlier request ran the key was not looked up.
+            errors.Outcome.UNKNOWN if request.key else errors.Outcome.NOT_RUN,
+        ) from error
+
+
 def _read_token(http: web.Request, name: str) -> str:
     """Return a header that must be a short visible text, or empty."""
     value = http.headers.get(name, "")
--- a/src/cicadahook/net/services.py
+++ b/src/cicadahook/net/services.py
@@ -137,7 +137,7 @@
         is_idempotent = not request.key
         if row is not None:
             is_idempotent = not path.startswith(row.non_idempotent)
-        body = await http.read()
+        body = await headers.read_body(http, request, self.clock)
         fingerprint = digests.name(
             f"{http.method} {http.rel_url}\n{body.decode('latin-1')}"
         )
--- a/tests/test_entry_drain.py
+++ b/tests/test_entry_drain.py
@@ -127,3 +127,24 @@
     await stopping.stop()
     await asyncio.gather(*callers)
     assert set(answers) <= {200, 503}
+
+
+@pytest.mark.parametrize(
+    "path",
+    ["/v1/chat/completions", "/v1/completions", "/services/portal/bookings"],
+)
+async def test_a_body_without_an_end_does_not_keep_an_entry_from_ending(
+    system: local.LocalSystem, path: str
+) -> None:
+    entry = test_failures.list_entries(system)[STOPPED].entry
+    reader, writer = await asyncio.open_connection(*entry.address.split(":"))
+    with contextlib.closing(writer):
+        writer.write(
+            f"POST {path} HTTP/1.1\r\nHost: {entry.address}\r\n"
+            "X-Deadline-Ms: 300\r\nContent-Length: 100\r\n\r\nbegin".encode()
+        )
+        await test_failures.wait_until(lambda: entry.open_requests > 0)
+        async with asyncio.timeout(STOP_LIMIT_SECONDS):
+            await entry.drain()
+            answer = await reader.readuntil(b"\r\n\r\n")
+    assert answer.startswith(b"HTTP/1.1 408 ")
