Cut off a stream whose caller does not read it, soon after its deadline

A caller that stays connected and reads nothing fills the buffers on its way, and after that the entry waited for ever to write the next part. It kept the upstream's slot too. A stopping entry waits for open requests, so one such caller kept it from ending until it was killed.

The deadline was looked at only while an upstream's answer is read.

Change: a stream ends 4 s after its deadline at the latest: a failed attempt is examined for 3 s first, so that one still gets its error event. The connection is aborted, since nothing more can be told on it; a log line and the refusal `answer_not_read` name it.

--- a/src/cicadahook/net/completions.py
+++ b/src/cicadahook/net/completions.py
@@ -1,18 +1,29 @@
 """Chat and text completions: from the caller's request to its answer."""
 
+import asyncio
 import dataclasses
+import datetime
+from typing import Final
 
 from aiohttp import web
 
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
+from cicadahook.core import request as request_lib
 from cicadahook.core import table as table_lib
 from cicadahook.net import answers
 from cicadahook.net import dispatch
 from cicadahook.net import headers
 from cicadahook.net import http as http_lib
+from cicadahook.net import logs
 from cicadahook.net import relay as relay_lib
 
+# Time after the deadline for a caller to read the end of its stream. An attempt
+# that fails at the deadline is examined for 3 s first: a probe, two notices.
+UNREAD_LIMIT: Final = datetime.timedelta(seconds=4)
+
+logger: Final = logs.create_logger("completions")
+
 
 class CompletionsApi:
     """Serves the OpenAI completions of all models and adapters."""
@@ -54,9 +65,33 @@
         self.dispatcher.note_arrival(row)
         chunks = self.relay.stream(request, row, body, form)
         if body.get("stream"):
-            return await answers.send_stream(http, request, chunks)
+            return await self._send_stream(http, request, chunks)
         return await answers.send_whole(request, form, chunks)
 
+    async def _send_stream(
+        self,
+        http: web.Request,
+        request: request_lib.Request,
+        chunks: relay_lib.Chunks,
+    ) -> web.StreamResponse:
+        """Stream an answer to a caller that reads it in time."""
+        limit = request.deadline + UNREAD_LIMIT - self.clock.now()
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                return await answers.send_stream(http, request, chunks)
+        except TimeoutError as error:
+            logger.warning(
+                "Request %s is cut off: its caller does not read.", request.id
+            )
+            if http.transport is not None:
+                http.transport.abort()
+            raise errors.RefusalError(
+                "answer_not_read",
+                "the caller did not read the answer before the deadline",
+                504,
+                errors.Outcome.UNKNOWN,
+            ) from error
+
     def _find_row(self, name: str) -> table_lib.Row:
         """Return the model or adapter called `name`."""
         row = self.dispatcher.view.table.find(name)
