--- a/src/cicadahook/net/drain.py
+++ b/src/cicadahook/net/drain.py
@@ -90,14 +90,20 @@
                 self.works.discard(work)
 
     @contextlib.asynccontextmanager
-    async def limit_reading(self) -> AsyncIterator[None]:
+    async def limit_reading(
+        self, deadline: datetime.datetime | None
+    ) -> AsyncIterator[None]:
         """Read a request while it could still be begun.
 
+        Args:
+            deadline: until when its caller waits, if that is known.
+
         Raises:
             errors.RefusalError: it came too late.
         """
+        end = None if deadline is None else self._convert(deadline)
         try:
-            async with asyncio.timeout(None) as timeout:
+            async with asyncio.timeout_at(end) as timeout:
                 self._reschedule_reading(timeout)
                 self.readings.add(timeout)
                 try:
@@ -105,9 +111,8 @@
                 finally:
                     self.readings.discard(timeout)
         except TimeoutError as error:
-            raise work_lib.create_refusal(
-                "stopping", 503, RETRY_AFTER
-            ) from error
+            self.check_open()
+            raise work_lib.create_refusal("body_late", 408) from error
 
     def note_attempt(self, work: work_lib.Work) -> None:
         """Take note that a request was sent, or that it was not run."""
@@ -125,8 +130,11 @@
         work.timeout.reschedule(self._convert(end))
 
     def _reschedule_reading(self, timeout: asyncio.Timeout) -> None:
-        if self.plan is not None and not timeout.expired():
-            timeout.reschedule(self._convert(self.plan.accepts_until))
+        if self.plan is None or timeout.expired():
+            return
+        end = self._convert(self.plan.accepts_until)
+        known = timeout.when()
+        timeout.reschedule(end if known is None else min(known, end))
 
     def _convert(self, end: datetime.datetime) -> float:
         """Return a time by the clock of the event loop, in seconds."""
--- a/src/cicadahook/platform/front.py
+++ b/src/cicadahook/platform/front.py
@@ -157,8 +157,7 @@
         self.active += 1
         try:
             self.serving.drain.check_open()
-            async with self.serving.drain.limit_reading():
-                decoded = await self._decode(request, received)
+            decoded = await self._decode(request, received)
             await self.serving.serve(decoded, sink)
         except errors.RefusalError as refusal:
             logger.info(
@@ -202,7 +201,9 @@
             raise errors.RefusalError(
                 "malformed_header", str(error), 400
             ) from error
-        body = await self._read_body(request)
+        deadline = None if patience is None else received + patience
+        async with self.serving.drain.limit_reading(deadline):
+            body = await self._read_body(request)
         kept = header_names.strip_own_headers(
             header_names.strip_connection_headers(headers.items())
         )
--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -291,22 +291,36 @@
 async def test_a_body_that_never_ends_is_answered_by_a_stopping_process(
     platform: node_world.World, tmp_path: pathlib.Path
 ) -> None:
-    async def trickle() -> AsyncIterator[bytes]:
-        while True:
-            yield b"x"
-            await asyncio.sleep(0.1)
-
     async with run_process(platform, tmp_path) as process:
         process.terminate()
         async with platform.session.post(
             f"http://{process.front_address}/write/item",
             headers=CALL,
-            data=trickle(),
+            data=send_forever(),
         ) as response:
             assert response.status == 503
     assert not platform.plain[0].arrivals + platform.plain[1].arrivals
 
 
+async def test_a_body_that_never_ends_is_refused_at_the_deadline(
+    world: node_world.World,
+) -> None:
+    headers = {"X-Deadline-Ms": "400"}
+    async with asyncio.timeout(1.5):
+        async with world.call(
+            "/write/item", headers=headers, data=send_forever()
+        ) as response:
+            assert response.status == 408
+    assert not world.plain[0].arrivals + world.plain[1].arrivals
+
+
+async def send_forever() -> AsyncIterator[bytes]:
+    """Yield a body that has no end."""
+    while True:
+        yield b"x"
+        await asyncio.sleep(0.1)
+
+
 async def _fetch_status(
     world: node_world.World, path: str, headers: dict[str, str] | None = None
 ) -> int:
