Doubt an engine for its silence only, not for being busy

A new holder of orders used engines that an earlier one had kept busy up to 1.1 s later than it could.

Cause: doubts an engine that does not tell its state, for a second at least. One that is busy with an order of an earlier holder tells a state which the account does not explain, and was doubted like a silent one.

Change: an engine is doubted if asking it took as long as silence does. What is merely not explained is asked again with the next load, as before.

--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -26,6 +26,9 @@
 ADAPTER_DELAY: Final = datetime.timedelta(milliseconds=10)
 # How long an engine is avoided that could not be reached or lacked a copy.
 DOUBT_PERIOD: Final = datetime.timedelta(seconds=1)
+# Who asks an engine for its state waits 0.4 s for a report that is fresh, and
+# 1 s for one that never comes.
+SILENT_AFTER: Final = datetime.timedelta(milliseconds=800)
 MAX_TRIES: Final = 3
 MODEL_RETRY_PAUSE: Final = datetime.timedelta(milliseconds=150)
 PLAN_PERIOD: Final = datetime.timedelta(milliseconds=300)
@@ -238,11 +241,17 @@
                 await self._settle(engine)
 
     async def _settle(self, engine: sender_lib.Engine) -> bool:
-        """Make an engine's state known; `engine.sending` must be held."""
+        """Make an engine's state known; `engine.sending` must be held.
+
+        One that says nothing is doubted; one that is busy with an order of an
+        earlier holder may be asked again at once.
+        """
+        asked = self.clock.now()
         is_known = await self.sender.settle_sequence(engine)
-        if not is_known:
-            engine.doubted = self.clock.now()
-        elif not self._is_newly_doubted(engine):
+        now = self.clock.now()
+        if not is_known and now - asked >= SILENT_AFTER:
+            engine.doubted = now
+        elif is_known and not self._is_newly_doubted(engine):
             engine.doubted = None
         return is_known
 
--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -40,6 +40,7 @@
         cut_after: events after which a stream is cut; 0 for none.
         born: Unix milliseconds of its start.
         is_silent: whether orders and reports get no answer.
+        is_busy: whether it says that it carries out an order.
     """
 
     def __init__(self, name: str, service: str) -> None:
@@ -58,6 +59,7 @@
         self.state = "ready"
         self.born = 1_700_000_000_000
         self.is_silent = False
+        self.is_busy = False
 
     def describe(self) -> dict[str, Any]:
         """Return its entry in the store."""
@@ -90,7 +92,7 @@
                 {
                     "stage": "both",
                     "models": self._list_models(),
-                    "busy": False,
+                    "busy": self.is_busy,
                     "sequence_number": self.sequence,
                     "incoming": [],
                     "born": self.born,
--- a/tests/test_node_waits.py
+++ b/tests/test_node_waits.py
@@ -269,6 +269,25 @@
     assert await asked == 200
 
 
+async def test_engines_that_an_earlier_holder_kept_busy_are_used_in_time(
+    platform: node_world.World, node: node_lib.Node
+) -> None:
+    """They were taken for silent, and asked again a second later."""
+    for engine in platform.engines:
+        engine.is_busy = True
+    platform.store.delete(holder_lib.HOLDER_KEY)
+    await node_world.wait_until(node.orderer.can_send)
+    asked = asyncio.create_task(_get_status(platform))
+    await asyncio.sleep(0.3)
+    for engine in platform.engines:
+        engine.is_busy = False
+    await node_world.wait_until(
+        lambda: any("other" in engine.models for engine in platform.engines),
+        0.5,
+    )
+    assert await asked == 200
+
+
 async def _get_status(platform: node_world.World, model: str = "other") -> int:
     """Return the status of a request for a model that is not loaded."""
     headers = {"X-Model": model, "X-Token-Counts": "10,10"}
