Answer a request whose body does not end

A caller whose body stopped arriving got no answer, and its connection and handler were kept for good: accepted connections have the system's keep-alive of two hours. At a machine told to stop they count as under way.

Cause: a request had a time limit only once it had been read whole.

Change: the body must have come by the end that the request would have, which is the earlier of its own time limit and its route's timeout; else it is refused with 408, since nothing was sent. Requests of no route have the idle timeout of the configuration.

--- a/src/cicadahook/platform/front.py
+++ b/src/cicadahook/platform/front.py
@@ -197,7 +197,12 @@
             raise errors.RefusalError(
                 "malformed_header", str(error), 400
             ) from error
-        body = await self._read_body(request)
+        limit = self._get_limit(request, patience)
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                body = await self._read_body(request)
+        except TimeoutError as error:
+            raise errors.RefusalError("body_late", "body", 408) from error
         kept = header_names.strip_own_headers(
             header_names.strip_connection_headers(headers.items())
         )
@@ -214,6 +219,20 @@
             headers.get(header_names.LAST_EVENT_ID, ""),
         )
 
+    def _get_limit(
+        self, request: web.BaseRequest, patience: datetime.timedelta | None
+    ) -> datetime.timedelta:
+        """Return within what time a request must be read."""
+        configuration = self.serving.configuration
+        route = None
+        if configuration is not None:
+            host = request.headers.get("Host", "")
+            route = configuration.find_route(host, request.raw_path)
+        limit = route.timeout if route else self.limits.idle_timeout
+        if patience is not None:
+            limit = min(limit, patience)
+        return limit - forwarder.ANSWER_MARGIN
+
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         chunks: list[bytes] = []
         size = 0
--- a/tests/test_node_waits.py
+++ b/tests/test_node_waits.py
@@ -1,4 +1,4 @@
-"""What becomes of requests whose copy another machine or engine must bring."""
+"""What becomes of requests that wait for a machine, engine or caller."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -288,6 +288,26 @@
     assert await asked == 200
 
 
+@pytest.mark.parametrize("deadline_ms", [1000, 9000])
+async def test_a_body_that_does_not_end_is_answered_in_time(
+    world: node_world.World, deadline_ms: int
+) -> None:
+    """The route gives it 2 s; the connection was kept for good."""
+
+    async def stall() -> AsyncIterator[bytes]:
+        yield b"begin"
+        await asyncio.Event().wait()
+
+    async with asyncio.timeout(min(deadline_ms, 2000) / 1000 + 0.5):
+        async with world.call(
+            "/write/x",
+            headers={"X-Deadline-Ms": str(deadline_ms)},
+            data=stall(),
+        ) as response:
+            assert response.status == 408
+    assert not world.plain[0].arrivals + world.plain[1].arrivals
+
+
 async def _get_status(platform: node_world.World, model: str = "other") -> int:
     """Return the status of a request for a model that is not loaded."""
     headers = {"X-Model": model, "X-Token-Counts": "10,10"}
