--- a/src/cicadahook/net/drain.py
+++ b/src/cicadahook/net/drain.py
@@ -91,19 +91,18 @@
 
     @contextlib.asynccontextmanager
     async def limit_reading(
-        self, deadline: datetime.datetime | None
+        self, deadline: datetime.datetime
     ) -> AsyncIterator[None]:
         """Read a request while it could still be begun.
 
         Args:
-            deadline: until when its caller waits, if that is known.
+            deadline: when it must have been read.
 
         Raises:
             errors.RefusalError: it came too late.
         """
-        end = None if deadline is None else self._convert(deadline)
         try:
-            async with asyncio.timeout_at(end) as timeout:
+            async with asyncio.timeout_at(self._convert(deadline)) as timeout:
                 self._reschedule_reading(timeout)
                 self.readings.add(timeout)
                 try:
@@ -132,9 +131,9 @@
     def _reschedule_reading(self, timeout: asyncio.Timeout) -> None:
         if self.plan is None or timeout.expired():
             return
-        end = self._convert(self.plan.accepts_until)
         known = timeout.when()
-        timeout.reschedule(end if known is None else min(known, end))
+        assert known is not None, "reading has a deadline"
+        timeout.reschedule(min(known, self._convert(self.plan.accepts_until)))
 
     def _convert(self, end: datetime.datetime) -> float:
         """Return a time by the clock of the event loop, in seconds."""
