Count a machine that has left as holder of orders no more

For 1.5 s after a holder of orders had stopped, requests at other machines went on asking it, every 0.1 s, and did not use a copy that showed meanwhile.

Cause: the last message of a machine, which says that it has left, says too that it may send orders, since its lease still runs; the other machines took it for the holder until its silence showed.

Change: a machine that has left is not found as holder. Another may then propose itself as soon as the holder's key has lapsed with its lease; the pause before its first order is as before.

Evidence: the new test gets no answer within 0.8 s on the code before and 200 now.

--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -214,7 +214,9 @@
     def find_holder(self, now: datetime.datetime) -> NodeRecord | None:
         """Return the machine that sends orders, if one says so."""
         holders = [
-            status for _, status in self.list_heard(now) if status.is_holder
+            status
+            for _, status in self.list_heard(now)
+            if status.is_holder and not status.has_left
         ]
         if not holders:
             return None
--- a/tests/test_node_waits.py
+++ b/tests/test_node_waits.py
@@ -29,6 +29,7 @@
         answer: the engine that it names; it never answers while it is empty.
         asked: requests for copies that reached it.
         failed: engines that the newest one named as failed.
+        has_left: whether it says that its process ends.
     """
 
     def __init__(self, name: str, port: int, fence: int, answer: str) -> None:
@@ -41,6 +42,7 @@
         self.answer = answer
         self.asked = 0
         self.failed: tuple[str, ...] = ()
+        self.has_left = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request for a copy, or leave it open."""
@@ -74,7 +76,7 @@
                     number,
                     is_ready=False,
                     is_holder=True,
-                    has_left=False,
+                    has_left=self.has_left,
                     fence=self.fence,
                     newest_term=self.fence,
                     configuration=1,
@@ -288,6 +290,24 @@
     assert await asked == 200
 
 
+async def test_a_holder_that_has_left_is_asked_no_more(
+    platform: node_world.World, node: node_lib.Node
+) -> None:
+    """A copy that showed was not used while it counted as holder, for 1.5 s."""
+    holder = HolderStandin("n1", _get_port(platform, 30), 1, "")
+    async with holder.run(node):
+        await node_world.wait_until(node.hears_holder)
+        holder.has_left = True
+        await asyncio.sleep(2 * roster_lib.STATUS_PERIOD.total_seconds())
+    engine = platform.engines[0]
+    engine.models["other"] = set()
+    asked = asyncio.create_task(_get_status(platform))
+    await node_world.wait_until(lambda: bool(node.forwarder.drain.works))
+    platform.register(engine)
+    async with asyncio.timeout(0.8):
+        assert await asked == 200
+
+
 @pytest.mark.parametrize("deadline_ms", [1000, 9000])
 async def test_a_body_that_does_not_end_is_answered_in_time(
     world: node_world.World, deadline_ms: int
