Run real nodes through stop signals in series, with callers that stay

No test of ours ran cicada-node processes through stop signals while callers kept connections and addresses, so that requests lost around SIGTERM went unseen.

SIGTERM in series is the only fault yet. The stand-in of upstreams lets a subclass choose its answers; NodeProcess counts the grace period from the signal, no longer from when a test begins to wait.

--- a/tests/node_process.py
+++ b/tests/node_process.py
@@ -7,6 +7,7 @@
 import pathlib
 import signal
 import sys
+import time
 from typing import Any, Final
 
 import aiohttp
@@ -38,6 +39,15 @@
 """
 
 
+def create_host(base: int, number: int) -> str:
+    """Return a loopback address that only users of a block of ports use.
+
+    The port for metrics is fixed, so nodes of runs side by side must not share
+    an address.
+    """
+    return f"127.{base // 256}.{base % 256}.{number}"
+
+
 @dataclasses.dataclass
 class NodeProcess:
     """One process, started and ended by its own id.
@@ -50,6 +60,7 @@
         folder: where its settings and its log lie.
         grace_seconds: time from a stop signal to the kill.
         child: the process, once started.
+        told: monotonic time of the first stop signal.
     """
 
     name: str
@@ -59,6 +70,7 @@
     folder: pathlib.Path
     grace_seconds: float = 2.0
     child: asyncio.subprocess.Process | None = None
+    told: float | None = None
 
     @property
     def front_address(self) -> str:
@@ -75,6 +87,7 @@
 
         Raises:
             TimeoutError: it does not get ready.
+            RuntimeError: it has ended.
         """
         path = self.folder / f"{self.name}.toml"
         path.write_text(
@@ -99,8 +112,13 @@
                 stderr=output,
                 env={**os.environ, settings_lib.SETTINGS_VARIABLE: str(path)},
             )
+        self.told = None
         async with asyncio.timeout(START_SECONDS):
             while not await self.is_ready(session):
+                if self.child.returncode is not None:
+                    raise RuntimeError(
+                        f"{self.name} exited {self.child.returncode}"
+                    )
                 await asyncio.sleep(POLL_SECONDS)
 
     async def is_ready(self, session: aiohttp.ClientSession) -> bool:
@@ -115,13 +133,15 @@
     def terminate(self) -> None:
         """Tell it to stop."""
         assert self.child is not None, "not started"
+        self.told = self.told or time.monotonic()
         self.child.send_signal(signal.SIGTERM)
 
     async def wait(self) -> int:
         """Return its exit code; it is killed when its grace period is over."""
         assert self.child is not None, "not started"
+        waited = time.monotonic() - (self.told or time.monotonic())
         try:
-            async with asyncio.timeout(self.grace_seconds):
+            async with asyncio.timeout(self.grace_seconds - waited):
                 return await self.child.wait()
         except TimeoutError:
             self.child.kill()
--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -38,6 +38,7 @@
         events: events of a stream.
         event_seconds: time between events.
         cut_after: events after which a stream is cut; 0 for none.
+        born: Unix milliseconds of its start.
     """
 
     def __init__(self, name: str, service: str) -> None:
@@ -54,6 +55,7 @@
         self.cut_after = 0
         self.address = ""
         self.state = "ready"
+        self.born = 1_700_000_000_000
 
     def describe(self) -> dict[str, Any]:
         """Return its entry in the store."""
@@ -68,7 +70,7 @@
             "models": self._list_models(),
             "available": {"in_memory": [], "on_disk": []},
             "sequence_number": self.sequence,
-            "born": 1_700_000_000_000,
+            "born": self.born,
         }
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -81,7 +83,7 @@
                     "busy": False,
                     "sequence_number": self.sequence,
                     "incoming": [],
-                    "born": 1_700_000_000_000,
+                    "born": self.born,
                 }
             )
         if request.path == "/order":
@@ -90,12 +92,15 @@
         self.arrivals.append(Arrival(request.raw_path, request.headers, body))
         self.running += 1
         try:
-            return await self._answer(request)
+            rejection = self._reject(request)
+            if rejection is not None:
+                return rejection
+            return await self._answer(request, body)
         finally:
             self.running -= 1
 
-    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        request_id = request.headers.get("X-Request-Id", "")
+    def _reject(self, request: web.BaseRequest) -> web.Response | None:
+        """Return the answer to what it does not run."""
         expected = request.headers.get("X-Expected-Instance", self.id)
         model, _, adapter = request.headers.get("X-Model", "").partition("/")
         is_missing = model and (
@@ -104,12 +109,19 @@
         )
         if expected != self.id or is_missing:
             return web.Response(status=421, headers={"X-Instance-Id": self.id})
+        if self.mode == "full":
+            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+        return None
+
+    async def _answer(
+        self, request: web.BaseRequest, body: bytes
+    ) -> web.StreamResponse:
+        """Run a request."""
+        request_id = request.headers.get("X-Request-Id", "")
         headers = {
             "X-Request-Id": request_id,
             "X-Response-Signature": f"sig-{request_id}",
         }
-        if self.mode == "full":
-            return web.Response(status=503, headers={"X-Not-Executed": "1"})
         if self.mode == "error":
             return web.Response(status=500, body=b"broken", headers=headers)
         if self.mode == "crossed":
@@ -120,9 +132,26 @@
             await asyncio.sleep(30)
         if self.mode == "reset":
             await self._reset(request, headers)
-        if model:
+        if "X-Model" in request.headers:
             return await self._stream(request, headers)
-        return web.Response(body=b"answer", headers=headers)
+        answer = await self._create_answer(request, body)
+        return web.Response(body=answer, headers=headers)
+
+    async def _create_answer(
+        self, request: web.BaseRequest, body: bytes
+    ) -> bytes:
+        """Return the body of a plain answer."""
+        del request, body
+        return b"answer"
+
+    def _plan_stream(self, request: web.BaseRequest) -> tuple[int, float]:
+        """Return the number of events and the seconds between them."""
+        del request
+        return self.events, self.event_seconds
+
+    def _create_event(self, request: web.BaseRequest, number: int) -> bytes:
+        del request
+        return f"id: {number}\ndata: piece {number}\n\n".encode()
 
     async def _reset(
         self, request: web.BaseRequest, headers: dict[str, str]
@@ -146,9 +175,10 @@
         response.enable_chunked_encoding()
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        for number in range(first, self.events + 1):
-            await asyncio.sleep(self.event_seconds)
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+        count, seconds = self._plan_stream(request)
+        for number in range(first, count + 1):
+            await asyncio.sleep(seconds)
+            event = self._create_event(request, number)
             if number == self.cut_after:
                 await response.write(event[:7])
                 assert request.transport is not None, "no connection"
--- /dev/null
+++ b/tests/soak/node_run.py
@@ -0,0 +1,123 @@
+"""Runs real nodes under random faults and checks the promises.
+
+    python tests/soak/node_run.py --seconds 60 --seed 1
+
+Prints a JSON summary. Exits 0 if every promise held, 1 if one was broken,
+3 if the run itself failed.
+"""
+
+import argparse
+import asyncio
+import json
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+from typing import Final
+
+import aiohttp
+
+sys.path.insert(0, str(pathlib.Path(__file__).parents[1]))
+
+# pylint: disable=wrong-import-position
+import conftest
+from soak import ledger as ledger_lib
+from soak import node_callers
+from soak import node_faults
+from soak import node_system
+
+BROKEN_EXIT_CODE: Final = 1
+FAILED_EXIT_CODE: Final = 3
+GRACE_SECONDS: Final = (3.0, 8.0)
+SETTLE_SECONDS: Final = 1.0
+
+
+async def soak(
+    seconds: float,
+    seed: int,
+    logs: pathlib.Path,
+    grace_seconds: float | None = None,
+    kinds: tuple[str, ...] = tuple(node_faults.KINDS),
+) -> ledger_lib.Ledger:
+    """Run once; return what was seen.
+
+    Args:
+        seconds: how long faults are brought about.
+        seed: what they and the requests are drawn from.
+        logs: folder for the logs of the nodes.
+        grace_seconds: grace period of the nodes; drawn if None.
+        kinds: kinds of faults.
+    """
+    rng = random.Random(seed)
+    grace_seconds = grace_seconds or rng.choice(GRACE_SECONDS)
+    plan = node_faults.draw_plan(rng, seconds, kinds)
+    ledger = ledger_lib.Ledger(seed)
+    system = node_system.System(
+        conftest.find_base_port(), grace_seconds, logs, ledger
+    )
+    async with aiohttp.ClientSession() as session, system.run(session):
+        callers = [
+            node_callers.Caller(
+                f"c{number}", system, session, random.Random(rng.random())
+            )
+            for number in range(node_callers.CALLERS)
+        ]
+        async with asyncio.TaskGroup() as group:
+            for caller in callers:
+                group.create_task(caller.run())
+            await node_faults.Faults(system, session).run(plan)
+            await system.wait_until_well(session)
+            for caller in callers:
+                caller.is_stopping = True
+        await asyncio.gather(*map(system.stop, system.nodes))
+        await asyncio.sleep(SETTLE_SECONDS)
+        system.book.judge_runs()
+    ledger.counts["grace_seconds"] = int(grace_seconds)
+    ledger.counts["calls"] = len(system.book.calls)
+    return ledger
+
+
+def main() -> None:
+    """Run by the flags of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--grace-seconds", type=float)
+    parser.add_argument("--kinds", nargs="+", default=list(node_faults.KINDS))
+    parser.add_argument("--logs", type=pathlib.Path)
+    flags = parser.parse_args()
+    logs = pathlib.Path(
+        tempfile.mkdtemp(prefix=f"node-{flags.seed}-", dir=flags.logs)
+    )
+    print(f"logs in {logs}", flush=True)
+
+    async def run() -> ledger_lib.Ledger:
+        task = asyncio.current_task()
+        assert task is not None, "runs in a task"
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        return await soak(
+            flags.seconds,
+            flags.seed,
+            logs,
+            flags.grace_seconds,
+            tuple(flags.kinds),
+        )
+
+    try:
+        ledger = asyncio.run(run())
+    except (OSError, RuntimeError, ExceptionGroup, TimeoutError) as error:
+        print(f"the run failed: {error!r}", file=sys.stderr)
+        sys.exit(FAILED_EXIT_CODE)
+    summary = json.dumps(ledger.describe(), indent=2)
+    print(summary)
+    if ledger.broken:
+        (logs / "summary.json").write_text(summary, encoding="utf-8")
+        sys.exit(BROKEN_EXIT_CODE)
+    shutil.rmtree(logs)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/soak/node_system.py
@@ -0,0 +1,367 @@
+"""Real nodes on loopback, and the platform that they run on."""
+
+import asyncio
+import contextlib
+import enum
+import pathlib
+import socket
+import time
+from typing import Any, Final
+
+import aiohttp
+from aiohttp import web
+
+from cicadahook.platform import front
+import node_process
+import node_store
+import node_upstreams
+import node_world
+from soak import ledger as ledger_lib
+from soak import node_book
+
+NODE_COUNT: Final = 4
+PORT_OFFSET: Final = 10
+LINK_OFFSET: Final = 20
+READ_BYTES: Final = 65_536
+DELAY_SECONDS: Final = 0.15
+WEIGHTS_MB: Final = 100.0
+MODEL_MB: Final = 40.0
+ADAPTER_MB: Final = 1.0
+ADAPTER_SLOTS: Final = 2
+LOAD_SECONDS: Final = 0.6
+POLL_SECONDS: Final = 0.2
+PROBE_SECONDS: Final = 2.0
+MODELS: Final = ("big", "small", "other")
+
+
+class LinkMode(enum.StrEnum):
+    """What a link does with bytes; what it holds comes once it is well."""
+
+    WELL = enum.auto()
+    DELAY = enum.auto()
+    HOLD_UP = enum.auto()
+    HOLD_DOWN = enum.auto()
+    HOLD_BOTH = enum.auto()
+
+
+class Link:
+    """Passes bytes between nodes and an upstream.
+
+    Attributes:
+        mode: what it does with them.
+    """
+
+    def __init__(self, port: int, upstream_port: int) -> None:
+        self.port = port
+        self.upstream_port = upstream_port
+        self.mode = LinkMode.WELL
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def open(self) -> None:
+        """Accept connections."""
+        self.server = await asyncio.start_server(
+            self._serve, node_world.HOST, self.port, reuse_address=True
+        )
+
+    def close(self) -> None:
+        """Accept none, and reset those that there are."""
+        if self.server is not None:
+            self.server.close()
+        self.reset()
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in self.writers:
+            sock: socket.socket = writer.get_extra_info("socket")
+            with contextlib.suppress(OSError):  # Closed already.
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, node_upstreams.RESET
+                )
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                node_world.HOST, self.upstream_port
+            )
+        except OSError:
+            # The run is ending; the stand-in is gone before the link.
+            writer.close()
+            return
+        both = {writer, far_writer}
+        self.writers |= both
+        try:
+            await asyncio.gather(
+                self._pump(reader, far_writer, LinkMode.HOLD_UP),
+                self._pump(far_reader, writer, LinkMode.HOLD_DOWN),
+            )
+        finally:
+            self.writers -= both
+            for each in both:
+                each.close()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        held: LinkMode,
+    ) -> None:
+        """Pass bytes on in one direction until it ends."""
+        # Either end may reset the connection at any time; both are told.
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(READ_BYTES):
+                if self.mode is LinkMode.DELAY:
+                    await asyncio.sleep(DELAY_SECONDS)
+                while self.mode in (held, LinkMode.HOLD_BOTH):
+                    await asyncio.sleep(DELAY_SECONDS)
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+
+class Upstream(node_upstreams.UpstreamStandin):
+    """An upstream behind a link, which keeps what it runs.
+
+    Attributes:
+        name: stays the same when it comes back under another id.
+        leaves: since when its entry says that it leaves.
+    """
+
+    def __init__(
+        self, name: str, service: str, link: Link, book: node_book.Book
+    ) -> None:
+        super().__init__(name, service)
+        self.name = name
+        self.link = link
+        self.book = book
+        self.leaves: float | None = None
+        self.address = f"{node_world.HOST}:{link.port}"
+
+    def restart(self, name: str) -> None:
+        """Begin anew under an id, holding nothing."""
+        self.id = name
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.models = {}
+        self.state = "ready"
+        self.leaves = None
+
+    async def _answer(
+        self, request: web.BaseRequest, body: bytes
+    ) -> web.StreamResponse:
+        request_id = request.headers.get("X-Request-Id", "")
+        run = self.book.begin_run(request_id, self.name, self.leaves)
+        try:
+            response = await super()._answer(request, body)
+            run.status = response.status
+            return response
+        finally:
+            run.ended = time.monotonic()
+
+    async def _create_answer(
+        self, request: web.BaseRequest, body: bytes
+    ) -> bytes:
+        count, seconds = node_book.parse_work(request.path)
+        await asyncio.sleep(count * seconds)
+        request_id = request.headers["X-Request-Id"]
+        return node_book.create_answer(request.raw_path, request_id, body)
+
+    def _plan_stream(self, request: web.BaseRequest) -> tuple[int, float]:
+        return node_book.parse_work(request.path)
+
+    def _create_event(self, request: web.BaseRequest, number: int) -> bytes:
+        return node_book.create_event(request.headers["X-Request-Id"], number)
+
+    def _order(self, order: dict[str, Any]) -> web.Response:
+        response = super()._order(order)
+        adapters = sum(map(len, self.models.values()))
+        weight = MODEL_MB * len(self.models) + ADAPTER_MB * adapters
+        if weight > WEIGHTS_MB or adapters > ADAPTER_SLOTS:
+            self.book.ledger.note_broken(
+                "no overcommit", f"{self.name}: {self.models} after {order}"
+            )
+        return response
+
+
+class System:
+    """The nodes, the store and the upstreams of one run.
+
+    Attributes:
+        book: what was seen.
+        nodes: the processes.
+        upstreams: by name.
+    """
+
+    def __init__(
+        self,
+        base: int,
+        grace_seconds: float,
+        logs: pathlib.Path,
+        ledger: ledger_lib.Ledger,
+    ) -> None:
+        self.base = base
+        self.book = node_book.Book(ledger)
+        self.store = node_store.StoreStandin()
+        self.upstreams: dict[str, Upstream] = {}
+        for offset, name in enumerate(("p1", "p2", "p3", "e1", "e2")):
+            service = "plain" if name.startswith("p") else "engines"
+            link = Link(base + LINK_OFFSET + offset, base + 1 + offset)
+            self.upstreams[name] = Upstream(name, service, link, self.book)
+        self.upstreams["e1"].models = {"big": set()}
+        self.upstreams["e2"].models = {"small": {"a1"}}
+        self.nodes = [
+            node_process.NodeProcess(
+                f"n{number}",
+                node_process.create_host(base, number),
+                base + PORT_OFFSET,
+                f"{node_world.HOST}:{base}",
+                logs,
+                grace_seconds,
+            )
+            for number in range(1, NODE_COUNT + 1)
+        ]
+
+    @contextlib.asynccontextmanager
+    async def run(self, session: aiohttp.ClientSession) -> Any:
+        """Run everything; in the end, kill what still runs."""
+        async with contextlib.AsyncExitStack() as stack:
+            for name, upstream in self.upstreams.items():
+                server = web.Server(upstream.handle, handler_cancellation=True)
+                port = upstream.link.upstream_port
+                await stack.enter_async_context(
+                    front.listen(server, node_world.HOST, port)
+                )
+                await upstream.link.open()
+                stack.callback(upstream.link.close)
+                self.register(name)
+            await stack.enter_async_context(
+                front.listen(
+                    web.Server(self.store.handle), node_world.HOST, self.base
+                )
+            )
+            self.store.put("op/config", create_configuration())
+            try:
+                await asyncio.gather(
+                    *(node.start(session) for node in self.nodes)
+                )
+                yield
+            finally:
+                await asyncio.gather(*map(_kill, self.nodes))
+
+    def register(self, name: str) -> None:
+        """Write an upstream's entry."""
+        upstream = self.upstreams[name]
+        self.store.put(f"servers/{upstream.id}", upstream.describe())
+
+    async def stop(self, node: node_process.NodeProcess) -> None:
+        """Stop a node as planned and check how it ends."""
+        stop = node_book.Stop(node.name, time.monotonic(), node.grace_seconds)
+        self.book.stops.append(stop)
+        node.terminate()
+        code = await node.wait()
+        took = time.monotonic() - stop.at
+        is_frozen = self.book.is_disturbed(
+            node.name, stop.at, stop.at + node.grace_seconds
+        )
+        if code and not is_frozen:
+            self.book.ledger.note_broken(
+                "a planned stop exits 0 in time",
+                f"{node.name} exited {code} after {took:.3f} s",
+            )
+
+    async def find_missing(self, session: aiohttp.ClientSession) -> list[str]:
+        """Return what the nodes do not serve."""
+        probes = [
+            self._probe(session, node, kind, model)
+            for node in self.nodes
+            for kind in node_book.KINDS
+            for model in (MODELS if kind.is_stream else ("",))
+        ]
+        ready = await asyncio.gather(
+            *(node.is_ready(session) for node in self.nodes)
+        )
+        missing = [
+            f"{node.name} is not ready"
+            for node, is_ready in zip(self.nodes, ready, strict=True)
+            if not is_ready
+        ]
+        return missing + [
+            each for each in await asyncio.gather(*probes) if each
+        ]
+
+    async def _probe(
+        self,
+        session: aiohttp.ClientSession,
+        node: node_process.NodeProcess,
+        kind: node_book.Kind,
+        model: str,
+    ) -> str:
+        """Return why a node does not serve a kind of request, or nothing."""
+        name = f"{node.name} {kind.name} {model}"
+        call = node_book.Call(
+            f"probe {name} {time.monotonic()}",
+            node.name,
+            kind,
+            f"/{kind.name}/1/10",
+            model,
+            b"",
+        )
+        self.book.calls[call.id] = call
+        timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
+        try:
+            async with session.post(
+                f"http://{node.front_address}{call.path}",
+                headers=create_headers(call),
+                timeout=timeout,
+            ) as response:
+                content = await response.read()
+                return "" if response.status == 200 else f"{name}: {content!r}"
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return f"{name}: {error!r}"
+
+    async def wait_until_well(self, session: aiohttp.ClientSession) -> None:
+        """Check that all is served again in time."""
+        began = time.monotonic()
+        missing = await self.find_missing(session)
+        while missing:
+            if time.monotonic() > began + node_book.RECOVERY_SECONDS:
+                for detail in missing:
+                    self.book.ledger.note_broken("recovered", detail)
+                return
+            await asyncio.sleep(POLL_SECONDS)
+            missing = await self.find_missing(session)
+        took = int((time.monotonic() - began) * 1000)
+        self.book.ledger.counts["milliseconds_until_recovered"] = took
+
+
+def create_headers(call: node_book.Call) -> dict[str, str]:
+    """Return the headers of a request."""
+    headers = {
+        "Host": "api.example",
+        "X-Request-Id": call.id,
+        "X-Deadline-Ms": str(int(call.kind.seconds * 1000)),
+    }
+    if call.model:
+        headers |= {"X-Model": call.model, "X-Token-Counts": "10,10"}
+    return headers
+
+
+def create_configuration() -> dict[str, Any]:
+    """Return the operators' configuration."""
+    configuration = node_world.create_configuration()
+    seconds = {kind.name: kind.seconds for kind in node_book.KINDS}
+    for route in configuration["routes"]:
+        route["timeout_ms"] = int(seconds[route["name"]] * 1000)
+    for model in configuration["services"][1]["inference_engine"]["models"]:
+        model["load_time_s"] = LOAD_SECONDS
+    return configuration
+
+
+async def _kill(node: node_process.NodeProcess) -> None:
+    """End a process if it still runs."""
+    if node.child is not None and node.child.returncode is None:
+        node.child.kill()
+        await node.child.wait()
