End the process at once when everything is closed

Cause: the interpreter looks through all objects when it ends. That took 0.13 to 0.18 s here (6 stops of an idle node) after the last line, more than the last twentieth of a short grace period.

Change: the objects are exempted from that once all is closed (gc.freeze).

--- a/src/cicadahook/programs/node.py
+++ b/src/cicadahook/programs/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import datetime
+import gc
 import signal
 import sys
 from typing import Final
@@ -140,6 +141,9 @@
         sys.exit(1)
     finally:
         listener.stop()
+        # All is closed. Without this the interpreter takes 0.2 s to look
+        # through its objects, and the kill may come before.
+        gc.freeze()
 
 
 if __name__ == "__main__":
--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -7,6 +7,7 @@
 import pathlib
 from typing import Any
 
+import aiohttp
 import pytest
 
 from cicadahook.core import errors
@@ -31,7 +32,11 @@
     """Run a node as a process, which the caller tells to stop."""
     port = int(platform.store_address.rsplit(":", 1)[1]) + 10
     process = node_process.NodeProcess(
-        "n1", "127.0.0.2", port, platform.store_address, folder
+        "n1",
+        node_process.create_host(port, 1),
+        port,
+        platform.store_address,
+        folder,
     )
     try:
         await process.start(platform.session)
@@ -156,6 +161,27 @@
             assert response.status in (502, 504)
 
 
+async def test_a_stopping_process_exits_in_time_with_a_body_on_its_way(
+    platform: node_world.World, tmp_path: pathlib.Path
+) -> None:
+    """It goes on until 95% of the grace period; the kill comes 0.1 s later."""
+
+    async def send_forever() -> AsyncIterator[bytes]:
+        while True:
+            yield b"part"
+            await asyncio.sleep(0.1)
+
+    async with run_process(platform, tmp_path) as process:
+        process.terminate()
+        with contextlib.suppress(aiohttp.ClientError):
+            async with platform.session.post(
+                f"http://{process.front_address}/write/item",
+                headers=CALL,
+                data=send_forever(),
+            ):
+                pass
+
+
 async def test_a_body_that_ends_after_the_node_takes_no_more_is_not_run(
     world: node_world.World,
 ) -> None:
