--- a/tests/node_process.py
+++ b/tests/node_process.py
@@ -61,6 +61,7 @@
         grace_seconds: time from a stop signal to the kill.
         child: the process, once started.
         told: monotonic time of the first stop signal.
+        logged: lines of its log that earlier processes wrote.
     """
 
     name: str
@@ -71,6 +72,7 @@
     grace_seconds: float = 2.0
     child: asyncio.subprocess.Process | None = None
     told: float | None = None
+    logged: int = 0
 
     @property
     def front_address(self) -> str:
@@ -89,6 +91,17 @@
             TimeoutError: it does not get ready.
             RuntimeError: it has ended.
         """
+        await self.spawn()
+        async with asyncio.timeout(START_SECONDS):
+            while not await self.is_ready(session):
+                if self.child is not None and self.child.returncode is not None:
+                    raise RuntimeError(
+                        f"{self.name} exited {self.child.returncode}"
+                    )
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def spawn(self) -> None:
+        """Start it."""
         path = self.folder / f"{self.name}.toml"
         path.write_text(
             SETTINGS.format(
@@ -103,23 +116,29 @@
             ),
             encoding="utf-8",
         )
+        if self.log_path.exists():
+            self.logged = len(self.read_log())
         with self.log_path.open("ab") as output:
-            self.child = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "cicadahook.programs.node",
-                stdout=output,
-                stderr=output,
-                env={**os.environ, settings_lib.SETTINGS_VARIABLE: str(path)},
+            creation = asyncio.ensure_future(
+                asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "cicadahook.programs.node",
+                    stdout=output,
+                    stderr=output,
+                    env={
+                        **os.environ,
+                        settings_lib.SETTINGS_VARIABLE: str(path),
+                    },
+                )
             )
+            try:
+                self.child = await asyncio.shield(creation)
+            except asyncio.CancelledError:
+                # Whoever ends the processes must know this one too.
+                self.child = await creation
+                raise
         self.told = None
-        async with asyncio.timeout(START_SECONDS):
-            while not await self.is_ready(session):
-                if self.child.returncode is not None:
-                    raise RuntimeError(
-                        f"{self.name} exited {self.child.returncode}"
-                    )
-                await asyncio.sleep(POLL_SECONDS)
 
     async def is_ready(self, session: aiohttp.ClientSession) -> bool:
         """Whether it says that callers may come."""
@@ -147,6 +166,12 @@
             self.child.kill()
             return await self.child.wait()
 
+    def has_started(self) -> bool:
+        """Whether the newest process has opened its ports."""
+        return "Started." in [
+            line["message"] for line in self.read_log()[self.logged :]
+        ]
+
     def read_log(self) -> list[dict[str, Any]]:
         """Return the fields of each line of its log."""
         lines = self.log_path.read_text(encoding="utf-8").splitlines()
--- a/tests/soak/node_book.py
+++ b/tests/soak/node_book.py
@@ -74,6 +74,7 @@
         path: says how many events or pauses the answer takes.
         model: model and adapter of a stream.
         body: all of its bytes.
+        seconds: how long its caller waits.
         began: when its first byte was sent.
         sent: when its last byte was sent.
         ended: when it ended.
@@ -89,6 +90,7 @@
     path: str
     model: str
     body: bytes
+    seconds: float
     began: float = 0.0
     sent: float | None = None
     ended: float = 0.0
@@ -254,7 +256,7 @@
             return False
         return (
             call.sent > stop.at + LATE_SECONDS
-            and call.ended < call.began + call.kind.seconds
+            and call.ended < call.began + call.seconds
             and not any(
                 item.began <= call.ended
                 and call.began <= item.ended + CONTACT_SECONDS
@@ -288,7 +290,7 @@
             for run in runs
         ):
             return "by_upstream_fault"
-        if call.status and call.ended >= call.began + call.kind.seconds - 0.1:
+        if call.status and call.ended >= call.began + call.seconds - 0.1:
             return "at_deadline"
         if stop and call.sent <= stop.at + LATE_SECONDS:
             last = max((run.ended or call.ended for run in runs), default=0.0)
@@ -309,12 +311,11 @@
         )
 
     def _find_stop(self, call: Call) -> Stop | None:
-        """Return the planned stop of the node around a call."""
-        for stop in self.stops:
-            end = stop.at + stop.grace_seconds + 1.0
+        """Return the last planned stop of the node around a call."""
+        for stop in reversed(self.stops):
             if stop.node == call.node and stop.at <= call.ended:
-                if call.began <= end:
-                    return stop
+                end = stop.at + stop.grace_seconds + 1.0
+                return stop if call.began <= end else None
         return None
 
     def judge_runs(self) -> None:
--- a/tests/soak/node_callers.py
+++ b/tests/soak/node_callers.py
@@ -29,6 +29,8 @@
 BODY_BYTES: Final = 600
 ADAPTER_SHARE: Final = 0.3
 LONG_SHARE: Final = 0.15
+IMPATIENT_SHARE: Final = 0.3
+SHORTEST_SECONDS: Final = 0.2
 # Events and milliseconds before each.
 SHORT_STREAM: Final = ((1, 12), (5, 40))
 LONG_STREAM: Final = ((15, 40), (50, 100))
@@ -215,8 +217,15 @@
             f"/{kind.name}/{count}/{pause}",
             model,
             self.rng.randbytes(BODY_PARTS * self.rng.randint(0, BODY_BYTES)),
+            self._draw_seconds(kind),
         )
 
+    def _draw_seconds(self, kind: node_book.Kind) -> float:
+        """Return how long to wait for an answer."""
+        if self.rng.random() < IMPATIENT_SHARE:
+            return self.rng.uniform(SHORTEST_SECONDS, kind.seconds)
+        return kind.seconds
+
     def _draw_pauses(self) -> tuple[float, ...] | None:
         """Return the pauses within a body; None to send it with a length."""
         if self.rng.random() < SLOW_BODY_SHARE:
@@ -231,9 +240,7 @@
         call = self._draw(channel.address)
         pauses = self._draw_pauses()
         is_leaving = self.rng.random() < LEAVE_SHARE
-        wait = (
-            call.kind.seconds + node_book.PATIENCE_SECONDS + sum(pauses or ())
-        )
+        wait = call.seconds + node_book.PATIENCE_SECONDS + sum(pauses or ())
         if is_leaving:
             wait = self.rng.uniform(*LEAVE_SECONDS)
         book = self.system.book
--- a/tests/soak/node_run.py
+++ b/tests/soak/node_run.py
@@ -15,6 +15,7 @@
 import signal
 import sys
 import tempfile
+import time
 from typing import Final
 
 import aiohttp
@@ -32,6 +33,8 @@
 FAILED_EXIT_CODE: Final = 3
 GRACE_SECONDS: Final = (3.0, 8.0)
 SETTLE_SECONDS: Final = 1.0
+LAG_POLL_SECONDS: Final = 0.02
+LAG_SECONDS: Final = 0.1
 
 
 async def soak(
@@ -67,10 +70,12 @@
         async with asyncio.TaskGroup() as group:
             for caller in callers:
                 group.create_task(caller.run())
+            watch = group.create_task(_watch_lag(ledger))
             await node_faults.Faults(system, session).run(plan)
             await system.wait_until_well(session)
             for caller in callers:
                 caller.is_stopping = True
+            watch.cancel()
         await asyncio.gather(*map(system.stop, system.nodes))
         await asyncio.sleep(SETTLE_SECONDS)
         system.book.judge_runs()
@@ -79,6 +84,19 @@
     return ledger
 
 
+async def _watch_lag(ledger: ledger_lib.Ledger) -> None:
+    """Tell when this process, or the whole machine, stood still."""
+    while True:
+        began = time.monotonic()
+        await asyncio.sleep(LAG_POLL_SECONDS)
+        lag = time.monotonic() - began - LAG_POLL_SECONDS
+        milliseconds = int(lag * 1000)
+        name = "longest_lag_milliseconds"
+        ledger.counts[name] = max(ledger.counts[name], milliseconds)
+        if lag > LAG_SECONDS:
+            print(f"{ledger.elapsed_seconds} late by {lag:.3f} s", flush=True)
+
+
 def main() -> None:
     """Run by the flags of the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/tests/soak/node_system.py
+++ b/tests/soak/node_system.py
@@ -4,6 +4,7 @@
 import contextlib
 import enum
 import pathlib
+import signal
 import socket
 import time
 from typing import Any, Final
@@ -73,12 +74,7 @@
     def reset(self) -> None:
         """Reset all connections."""
         for writer in self.writers:
-            sock: socket.socket = writer.get_extra_info("socket")
-            with contextlib.suppress(OSError):  # Closed already.
-                sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, node_upstreams.RESET
-                )
-            writer.transport.abort()
+            _reset(writer)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -110,8 +106,7 @@
         held: LinkMode,
     ) -> None:
         """Pass bytes on in one direction until it ends."""
-        # Either end may reset the connection at any time; both are told.
-        with contextlib.suppress(ConnectionError):
+        try:
             while data := await reader.read(READ_BYTES):
                 if self.mode is LinkMode.DELAY:
                     await asyncio.sleep(DELAY_SECONDS)
@@ -119,7 +114,10 @@
                     await asyncio.sleep(DELAY_SECONDS)
                 writer.write(data)
                 await writer.drain()
-        writer.close()
+            writer.close()
+        except ConnectionError:
+            # Either end may reset the connection; the other is to see it.
+            _reset(writer)
 
 
 class Upstream(node_upstreams.UpstreamStandin):
@@ -266,7 +264,10 @@
         is_frozen = self.book.is_disturbed(
             node.name, stop.at, stop.at + node.grace_seconds
         )
-        if code and not is_frozen:
+        if code == -signal.SIGTERM and not node.has_started():
+            # Nothing was open yet.
+            self.book.ledger.counts["ended_before_start"] += 1
+        elif code and not is_frozen:
             self.book.ledger.note_broken(
                 "a planned stop exits 0 in time",
                 f"{node.name} exited {code} after {took:.3f} s",
@@ -308,6 +309,7 @@
             f"/{kind.name}/1/10",
             model,
             b"",
+            kind.seconds,
         )
         self.book.calls[call.id] = call
         timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
@@ -342,7 +344,7 @@
     headers = {
         "Host": "api.example",
         "X-Request-Id": call.id,
-        "X-Deadline-Ms": str(int(call.kind.seconds * 1000)),
+        "X-Deadline-Ms": str(int(call.seconds * 1000)),
     }
     if call.model:
         headers |= {"X-Model": call.model, "X-Token-Counts": "10,10"}
@@ -360,6 +362,16 @@
     return configuration
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    sock: socket.socket = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):  # Closed already.
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, node_upstreams.RESET
+        )
+    writer.transport.abort()
+
+
 async def _kill(node: node_process.NodeProcess) -> None:
     """End a process if it still runs."""
     if node.child is not None and node.child.returncode is None:
