--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -311,20 +311,22 @@
         work.runs += 1
         work.instance = instance.id
         work.sent = self.clock.now()
-        self.drain.note_sent(work)
+        self.drain.note_attempt(work)
         failure: exchange.FailureKind | None = None
         try:
             async with self.parts.upstreams.send(attempt) as answer:
                 await self._pass_on(work, answer, placement)
+                if answer.head.status < 300:
+                    self.drain.note_answered(work)
         except exchange.AttemptError as error:
             failure = error.kind
             if error.is_not_run:
                 work.runs -= 1
+                self.drain.note_attempt(work)
             self._look_for_crash(work, instance, error.kind)
             raise
         finally:
             self.parts.balancer.end(placement, failure)
-        self.drain.note_answered(work)
         self._log(work, "answered", instance=instance.id)
         received = work.request.received
         if work.first_piece is not None:
--- a/tests/node_process.py
+++ b/tests/node_process.py
@@ -7,7 +7,6 @@
 import pathlib
 import signal
 import sys
-import time
 from typing import Any, Final
 
 import aiohttp
@@ -60,7 +59,8 @@
         folder: where its settings and its log lie.
         grace_seconds: time from a stop signal to the kill.
         child: the process, once started.
-        told: monotonic time of the first stop signal.
+        killed_at: when it is to be gone, by the clock of the event loop;
+            None until it is told to stop.
         logged: lines of its log that earlier processes wrote.
     """
 
@@ -71,7 +71,7 @@
     folder: pathlib.Path
     grace_seconds: float = 2.0
     child: asyncio.subprocess.Process | None = None
-    told: float | None = None
+    killed_at: float | None = None
     logged: int = 0
 
     @property
@@ -138,7 +138,7 @@
                 # Whoever ends the processes must know this one too.
                 self.child = await creation
                 raise
-        self.told = None
+        self.killed_at = None
 
     async def is_ready(self, session: aiohttp.ClientSession) -> bool:
         """Whether it says that callers may come."""
@@ -152,15 +152,15 @@
     def terminate(self) -> None:
         """Tell it to stop."""
         assert self.child is not None, "not started"
-        self.told = self.told or time.monotonic()
         self.child.send_signal(signal.SIGTERM)
+        now = asyncio.get_running_loop().time()
+        self.killed_at = now + self.grace_seconds
 
     async def wait(self) -> int:
         """Return its exit code; it is killed when its grace period is over."""
         assert self.child is not None, "not started"
-        waited = time.monotonic() - (self.told or time.monotonic())
         try:
-            async with asyncio.timeout(self.grace_seconds - waited):
+            async with asyncio.timeout_at(self.killed_at or 0.0):
                 return await self.child.wait()
         except TimeoutError:
             self.child.kill()
--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -251,7 +251,7 @@
             return
         with faults.disturb("crash", upstream.name):
             upstream.link.close()
-            upstream.restart(upstream.id)
+            upstream.begin_anew(upstream.id)
             await hold(rng)
             await upstream.link.open()
             faults.system.register(upstream.name)
@@ -275,7 +275,7 @@
         with faults.disturb("leave", upstream.name):
             upstream.link.close()
             store.delete(key)
-            upstream.restart(f"{upstream.name}-{rng.randrange(1 << 32):x}")
+            upstream.begin_anew(f"{upstream.name}-{rng.randrange(1 << 32):x}")
             await hold(rng)
             await upstream.link.open()
             faults.system.register(upstream.name)
--- a/tests/soak/node_run.py
+++ b/tests/soak/node_run.py
@@ -126,7 +126,13 @@
 
     try:
         ledger = asyncio.run(run())
-    except (OSError, RuntimeError, ExceptionGroup, TimeoutError) as error:
+    except (
+        OSError,
+        RuntimeError,
+        ExceptionGroup,
+        TimeoutError,
+        asyncio.CancelledError,
+    ) as error:
         print(f"the run failed: {error!r}", file=sys.stderr)
         sys.exit(FAILED_EXIT_CODE)
     summary = json.dumps(ledger.describe(), indent=2)
--- a/tests/soak/node_system.py
+++ b/tests/soak/node_system.py
@@ -138,12 +138,10 @@
         self.leaves: float | None = None
         self.address = f"{node_world.HOST}:{link.port}"
 
-    def restart(self, name: str) -> None:
-        """Begin anew under an id, holding nothing."""
+    def begin_anew(self, name: str) -> None:
+        """Start again under an id, holding nothing."""
+        self.restart()
         self.id = name
-        self.born = int(time.time() * 1000)
-        self.sequence = 0
-        self.models = {}
         self.state = "ready"
         self.leaves = None
 
--- /dev/null
+++ b/tests/test_node_waits.py
@@ -0,0 +1,277 @@
+"""What becomes of requests whose copy another machine or engine must bring."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+from aiohttp import web
+import pytest
+import pytest_asyncio
+
+from cicadahook.core import holder as holder_lib
+from cicadahook.core import roster as roster_lib
+from cicadahook.net import node as node_lib
+from cicadahook.net import peering
+from cicadahook.platform import front
+from cicadahook.programs import node as node_program
+import node_world
+
+# A request waits half of this for a copy.
+TIMEOUT_MS = 6000
+
+
+class HolderStandin:
+    """Another machine that says it sends orders.
+
+    Attributes:
+        record: how it is known.
+        fence: fence of its term.
+        answer: the engine that it names; it never answers while it is empty.
+        asked: requests for copies that reached it.
+        failed: engines that the newest one named as failed.
+    """
+
+    def __init__(self, name: str, port: int, fence: int, answer: str) -> None:
+        address = f"{node_world.HOST}:{port}"
+        self.record = roster_lib.NodeRecord(
+            name, "zone-a", "region", address, address, 1
+        )
+        self.port = port
+        self.fence = fence
+        self.answer = answer
+        self.asked = 0
+        self.failed: tuple[str, ...] = ()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a request for a copy, or leave it open."""
+        content = await request.read()
+        self.failed = peering.COPY_REQUESTS.decode(content).failed
+        self.asked += 1
+        if not self.answer:
+            await asyncio.Event().wait()
+        answer = peering.COPY_ANSWERS.encode(peering.CopyAnswer(self.answer))
+        return web.Response(body=answer)
+
+    @contextlib.asynccontextmanager
+    async def run(self, node: node_lib.Node) -> AsyncIterator[None]:
+        """Serve, and tell a node several times a second who sends orders."""
+        async with front.listen(
+            web.Server(self.handle), node_world.HOST, self.port
+        ):
+            telling = asyncio.create_task(self._tell(node))
+            try:
+                yield
+            finally:
+                telling.cancel()
+
+    async def _tell(self, node: node_lib.Node) -> None:
+        number = 0
+        while True:
+            number += 1
+            node.take_status(
+                roster_lib.NodeStatus(
+                    self.record,
+                    number,
+                    is_ready=False,
+                    is_holder=True,
+                    has_left=False,
+                    fence=self.fence,
+                    newest_term=self.fence,
+                    configuration=1,
+                    inventory=1,
+                )
+            )
+            await asyncio.sleep(roster_lib.STATUS_PERIOD.total_seconds())
+
+
+@pytest_asyncio.fixture(name="node")
+async def run_node(
+    platform: node_world.World, monkeypatch: pytest.MonkeyPatch
+) -> AsyncIterator[node_lib.Node]:
+    """Run one node, while another machine has the turn.
+
+    Each engine has room for one model, so that nothing is loaded ahead.
+    """
+    monkeypatch.setattr(node_program, "METRICS_PORT", 0)
+    configuration = node_world.create_configuration()
+    configuration["services"][1]["inference_engine"]["weights_mb"] = 50.0
+    for model in configuration["services"][1]["inference_engine"]["models"]:
+        model["load_time_s"] = 1.0
+    for route in configuration["routes"]:
+        route["timeout_ms"] = TIMEOUT_MS
+    platform.store.put("op/config", configuration)
+    platform.store.put(holder_lib.TERM_KEY, b"n1 1")
+    platform.store.put(holder_lib.HOLDER_KEY, b"n1 1")
+    program = node_program.NodeProgram(
+        node_world.create_settings(
+            "n0", _get_port(platform, 10), platform.store_address
+        )
+    )
+    platform.programs.append(program)
+    running = asyncio.create_task(program.run())
+    await node_world.wait_until(
+        lambda: program.node is not None and program.node.is_ready()
+    )
+    assert program.node is not None
+    yield program.node
+    program.stopped.set()
+    await running
+
+
+def _get_port(platform: node_world.World, offset: int) -> int:
+    """Return a port of the platform's block."""
+    return int(platform.store_address.rsplit(":", 1)[1]) + offset
+
+
+async def test_a_copy_is_asked_of_the_next_holder_at_once(
+    platform: node_world.World, node: node_lib.Node
+) -> None:
+    """Requests stayed bound to a frozen holder's call for 12 s."""
+    frozen = HolderStandin("n1", _get_port(platform, 30), 1, "")
+    following = HolderStandin("n2", _get_port(platform, 31), 9, "e1")
+    platform.engines[0].models["other"] = set()
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(frozen.run(node))
+        await node_world.wait_until(
+            lambda: node.roster.find_holder(node.clock.now()) == frozen.record
+        )
+        first = asyncio.create_task(_get_status(platform))
+        await node_world.wait_until(lambda: frozen.asked == 1)
+        await stack.enter_async_context(following.run(node))
+        async with asyncio.timeout(1):
+            assert await _get_status(platform) == 200
+            assert await first == 200
+
+
+async def test_a_copy_is_loaded_by_a_node_that_became_holder(
+    platform: node_world.World, node: node_lib.Node
+) -> None:
+    """Its own requests stayed bound to the call to the holder before."""
+    frozen = HolderStandin("n1", _get_port(platform, 30), 1, "")
+    async with frozen.run(node):
+        await node_world.wait_until(node.hears_holder)
+        first = asyncio.create_task(_get_status(platform))
+        await node_world.wait_until(lambda: frozen.asked == 1)
+    platform.store.delete(holder_lib.HOLDER_KEY)
+    await node_world.wait_until(node.orderer.can_send)
+    async with asyncio.timeout(2):
+        assert await _get_status(platform) == 200
+    assert await first in (200, 503)
+
+
+@pytest.mark.parametrize("end", ["leaves", "is_removed", "restarts"])
+async def test_a_load_at_an_engine_that_ends_is_begun_at_another(
+    platform: node_world.World, node: node_lib.Node, end: str
+) -> None:
+    """The request waited for the engine, and was refused with a free one."""
+    platform.store.delete(holder_lib.HOLDER_KEY)
+    await node_world.wait_until(node.orderer.can_send)
+    asked = asyncio.create_task(_get_status(platform))
+    await node_world.wait_until(
+        lambda: any("other" in engine.models for engine in platform.engines)
+    )
+    (engine,) = [
+        engine for engine in platform.engines if "other" in engine.models
+    ]
+    if end == "restarts":
+        engine.restart()
+    if end == "leaves":
+        engine.state = "draining"
+    if end == "is_removed":
+        platform.store.delete(f"servers/{engine.id}")
+    else:
+        platform.register(engine)
+    assert await asked == 200
+
+
+@pytest.mark.parametrize("unusable", ["leaving", "not_known_yet"])
+async def test_a_copy_at_an_engine_that_takes_no_work_is_asked_for_again(
+    platform: node_world.World, node: node_lib.Node, unusable: str
+) -> None:
+    """The request was refused at once, as if there were no engine."""
+    first, second = platform.engines
+    name = first.id if unusable == "leaving" else "e3"
+    first.state = "draining"
+    platform.register(first)
+    second.models["other"] = set()
+    await node_world.wait_until(
+        lambda: node.parts.inventory.find_usable(first.id) is None
+    )
+    holder = HolderStandin("n1", _get_port(platform, 30), 1, name)
+    async with holder.run(node):
+        asked = asyncio.create_task(_get_status(platform))
+        await node_world.wait_until(lambda: holder.asked > 0)
+        holder.answer = second.id
+        assert await asked == 200
+
+
+async def test_a_silent_engine_holds_up_no_load_at_others(
+    platform: node_world.World, node: node_lib.Node
+) -> None:
+    """All who waited asked it anew, one after the other, for 1 s each."""
+    platform.store.delete(holder_lib.HOLDER_KEY)
+    await node_world.wait_until(node.orderer.can_send)
+    await node_world.wait_until(lambda: len(node.orderer.engines) == 2)
+    silent = platform.engines[0]
+    silent.is_silent = True
+    node.orderer.engines[silent.id].ledger.sequence = None
+    statuses = await asyncio.gather(
+        *(
+            _get_status(platform, name)
+            for name in ("other", "other/a1", "other/a2")
+        )
+    )
+    assert statuses == [200, 200, 200]
+
+
+async def test_a_holder_hears_of_an_engine_that_failed_meanwhile(
+    platform: node_world.World, node: node_lib.Node
+) -> None:
+    """Who joined a call got the engine that had just failed."""
+    holder = HolderStandin("n1", _get_port(platform, 30), 1, "")
+    first = platform.engines[0]
+    async with holder.run(node):
+        await node_world.wait_until(node.hears_holder)
+        early = asyncio.create_task(_get_status(platform))
+        await node_world.wait_until(lambda: holder.asked == 1)
+        # Nobody listens there.
+        first.address = f"{node_world.HOST}:{_get_port(platform, 40)}"
+        platform.register(first)
+        await node_world.wait_until(
+            lambda: node.parts.inventory.instances["e1"].address
+            == first.address
+        )
+        failing = asyncio.create_task(_get_status(platform, "big"))
+        await node_world.wait_until(lambda: holder.asked == 2)
+        late = asyncio.create_task(_get_status(platform))
+        await node_world.wait_until(lambda: holder.asked == 3, 1)
+        assert holder.failed == ("e1",)
+    await asyncio.gather(early, failing, late)
+
+
+@pytest.mark.parametrize("is_asked", [False, True])
+async def test_a_copy_that_shows_is_used_while_there_is_no_holder(
+    platform: node_world.World, node: node_lib.Node, is_asked: bool
+) -> None:
+    """The holder ended, or froze, after it had ordered the load."""
+    holder = HolderStandin("n1", _get_port(platform, 30), 1, "")
+    engine = platform.engines[0]
+    if is_asked:
+        async with holder.run(node):
+            await node_world.wait_until(node.hears_holder)
+            asked = asyncio.create_task(_get_status(platform))
+            await node_world.wait_until(lambda: holder.asked == 1)
+    else:
+        asked = asyncio.create_task(_get_status(platform))
+        await node_world.wait_until(lambda: bool(node.forwarder.drain.works))
+    engine.models["other"] = set()
+    platform.register(engine)
+    assert await asked == 200
+
+
+async def _get_status(platform: node_world.World, model: str = "other") -> int:
+    """Return the status of a request for a model that is not loaded."""
+    headers = {"X-Model": model, "X-Token-Counts": "10,10"}
+    async with platform.call("/chat/x", headers=headers) as response:
+        await response.read()
+        return response.status
