--- a/tests/node_process.py
+++ b/tests/node_process.py
@@ -38,6 +38,15 @@
 """
 
 
+def create_host(base: int, number: int) -> str:
+    """Return a loopback address that only users of a block of ports use.
+
+    The port for metrics is fixed, so nodes of runs side by side must not share
+    an address.
+    """
+    return f"127.{base // 256}.{base % 256}.{number}"
+
+
 @dataclasses.dataclass
 class NodeProcess:
     """One process, started and ended by its own id.
@@ -52,6 +61,7 @@
         child: the process, once started.
         killed_at: when it is to be gone, by the clock of the event loop;
             None until it is told to stop.
+        logged: lines of its log that earlier processes wrote.
     """
 
     name: str
@@ -62,6 +72,7 @@
     grace_seconds: float = 2.0
     child: asyncio.subprocess.Process | None = None
     killed_at: float | None = None
+    logged: int = 0
 
     @property
     def front_address(self) -> str:
@@ -78,7 +89,19 @@
 
         Raises:
             TimeoutError: it does not get ready.
+            RuntimeError: it has ended.
         """
+        await self.spawn()
+        async with asyncio.timeout(START_SECONDS):
+            while not await self.is_ready(session):
+                if self.child is not None and self.child.returncode is not None:
+                    raise RuntimeError(
+                        f"{self.name} exited {self.child.returncode}"
+                    )
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def spawn(self) -> None:
+        """Start it."""
         path = self.folder / f"{self.name}.toml"
         path.write_text(
             SETTINGS.format(
@@ -93,18 +116,29 @@
             ),
             encoding="utf-8",
         )
+        if self.log_path.exists():
+            self.logged = len(self.read_log())
         with self.log_path.open("ab") as output:
-            self.child = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "cicadahook.programs.node",
-                stdout=output,
-                stderr=output,
-                env={**os.environ, settings_lib.SETTINGS_VARIABLE: str(path)},
+            creation = asyncio.ensure_future(
+                asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "cicadahook.programs.node",
+                    stdout=output,
+                    stderr=output,
+                    env={
+                        **os.environ,
+                        settings_lib.SETTINGS_VARIABLE: str(path),
+                    },
+                )
             )
-        async with asyncio.timeout(START_SECONDS):
-            while not await self.is_ready(session):
-                await asyncio.sleep(POLL_SECONDS)
+            try:
+                self.child = await asyncio.shield(creation)
+            except asyncio.CancelledError:
+                # Whoever ends the processes must know this one too.
+                self.child = await creation
+                raise
+        self.killed_at = None
 
     async def is_ready(self, session: aiohttp.ClientSession) -> bool:
         """Whether it says that callers may come."""
@@ -132,6 +166,12 @@
             self.child.kill()
             return await self.child.wait()
 
+    def has_started(self) -> bool:
+        """Whether the newest process has opened its ports."""
+        return "Started." in [
+            line["message"] for line in self.read_log()[self.logged :]
+        ]
+
     def read_log(self) -> list[dict[str, Any]]:
         """Return the fields of each line of its log."""
         lines = self.log_path.read_text(encoding="utf-8").splitlines()
