Let an entry that will be killed end its requests with an answer first

A stopping entry went on for as long as its longest request, up to 24 h, and could not be told that its supervisor kills it sooner. At the kill callers lost their connection without a word, also those whose request was begun after the stop signal; keys of calls under way could not be looked up any more, since the hand-over of records waits for these calls.

Change: `--grace-seconds` (unset: as before, nothing is cut off). New requests come to an end for at most 45% of it. From the signal on, the end of open requests, at 80%, is the latest deadline of new ones, so that admission refuses by what it learned what would probably not end (`too_late`, not run). At 80% all open requests get 504, or an error event in a stream (`stopping`, `unknown`). Non-idempotent calls still under way are recorded as unknown and handed over, so that a resend is never run.

Evidence: there was no such setting. With the setting but without the line that sets the end, all three cases of the tests fail (not stopped 4 s after the signal); with it they pass.

Left: a request that waits in the admission queue from before the signal until the end is answered `unknown` though it was not run, and `cicada_admissions` counts it as `caller_left`.

--- a/src/cicadahook/net/answers.py
+++ b/src/cicadahook/net/answers.py
@@ -93,8 +93,16 @@
     http: web.Request,
     request: request_lib.Request,
     chunks: AsyncGenerator[dict[str, Any], None],
+    limit: contextlib.AbstractAsyncContextManager[None],
 ) -> web.StreamResponse:
-    """Relay chunks as they come; an error after the first is an event."""
+    """Relay chunks as they come; an error after the first is an event.
+
+    Args:
+        http: the caller's request.
+        request: the same, checked.
+        chunks: the answer.
+        limit: ends the stream by a refusal when time is over.
+    """
     response = web.StreamResponse(
         headers={
             "Content-Type": "text/event-stream",
@@ -102,7 +110,7 @@
         }
     )
     try:
-        async with contextlib.aclosing(chunks):
+        async with limit, contextlib.aclosing(chunks):
             async for chunk in chunks:
                 if not response.prepared:
                     await response.prepare(http)
--- a/src/cicadahook/net/completions.py
+++ b/src/cicadahook/net/completions.py
@@ -16,6 +16,7 @@
 from cicadahook.net import headers
 from cicadahook.net import http as http_lib
 from cicadahook.net import logs
+from cicadahook.net import open_requests
 from cicadahook.net import relay as relay_lib
 
 # Time after the deadline for a caller to read the end of its stream. An attempt
@@ -33,7 +34,9 @@
         clock: clock_lib.Clock,
         dispatcher: dispatch.Dispatcher,
         relay: relay_lib.Relay,
+        opened: open_requests.OpenRequests,
     ) -> None:
+        self.opened = opened
         self.clock = clock
         self.dispatcher = dispatcher
         self.relay = relay
@@ -56,17 +59,21 @@
     ) -> web.StreamResponse:
         """Check, route and answer a completion."""
         request = headers.read_request(http, "", self.clock)
-        await headers.read_body(http, request, self.clock)
+        async with self.opened.limit(request.id):
+            await headers.read_body(http, request, self.clock)
         body = await http_lib.read_object(http)
         row = self._find_row(headers.read_model(body))
         request = headers.with_content(
-            dataclasses.replace(request, row=row.name), body, form.is_chat
+            self.opened.cap(dataclasses.replace(request, row=row.name)),
+            body,
+            form.is_chat,
         )
         self.dispatcher.note_arrival(row)
         chunks = self.relay.stream(request, row, body, form)
         if body.get("stream"):
             return await self._send_stream(http, request, chunks)
-        return await answers.send_whole(request, form, chunks)
+        async with self.opened.limit(request.id):
+            return await answers.send_whole(request, form, chunks)
 
     async def _send_stream(
         self,
@@ -78,7 +85,9 @@
         limit = request.deadline + UNREAD_LIMIT - self.clock.now()
         try:
             async with asyncio.timeout(limit.total_seconds()):
-                return await answers.send_stream(http, request, chunks)
+                return await answers.send_stream(
+                    http, request, chunks, self.opened.limit(request.id)
+                )
         except TimeoutError as error:
             logger.warning(
                 "Request %s is cut off: its caller does not read.", request.id
--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -32,6 +32,7 @@
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import once as once_lib
+from cicadahook.net import open_requests
 from cicadahook.net import relay
 from cicadahook.net import services
 from cicadahook.net import suspects
@@ -39,6 +40,11 @@
 INCARNATION_BYTES: Final = 8
 OPEN_POLL: Final = datetime.timedelta(seconds=0.02)
 SETTLE_LIMIT: Final = datetime.timedelta(seconds=5)
+# Shares of the grace period: new requests are served for about half of it, so
+# that most can end; the last fifth is left for claims, hand-over and exit.
+SERVE_SHARE: Final = 0.45
+OPEN_SHARE: Final = 0.8
+SETTLE_SHARE: Final = 0.05
 CALLER_PATHS: Final = (
     "/v1/chat/",
     "/v1/completions",
@@ -61,6 +67,8 @@
         records: how records of non-idempotent calls are kept.
         cluster_key: key shared by all daemons.
         drain: how long a stop waits for kept address answers to lapse.
+        grace_period: time from the stop signal to the kill; None if the
+            process is not killed.
         progress: deadlines within a stream.
     """
 
@@ -73,6 +81,7 @@
     cluster_key: str
     drain: datetime.timedelta
     progress: attempts.ProgressMode
+    grace_period: datetime.timedelta | None = None
 
 
 class Entry:
@@ -86,6 +95,8 @@
         fresh_session: aiohttp.ClientSession,
     ) -> None:
         self.mode = mode
+        self.clock = clock
+        self.opened = open_requests.OpenRequests(clock)
         self.owner = keys.Owner(mode.name, secrets.token_hex(INCARNATION_BYTES))
         self.random = random.Random(self.owner.incarnation)
         self.dispatcher = dispatch.Dispatcher(mode.admission, clock)
@@ -114,7 +125,7 @@
             ),
         )
         self.completions = completions.CompletionsApi(
-            clock, self.dispatcher, self.relay
+            clock, self.dispatcher, self.relay, self.opened
         )
         self.peers = entry_peers.PeerClient(fresh_session, mode.cluster_key)
         self.ledger = idempotency.Ledger(mode.records, self.owner, clock)
@@ -128,7 +139,7 @@
             clock,
             self.dispatcher,
             services.ServiceParts(
-                fresh_session, self.once, self.peers, self.policy
+                fresh_session, self.once, self.peers, self.policy, self.opened
             ),
         )
         self.is_draining = False
@@ -252,14 +263,21 @@
         """Serve until kept address answers have lapsed, then finish.
 
         No request is cut off: each ends by itself, at its deadline at the
-        latest. The records of non-idempotent calls go to other entries as soon
-        as none of these calls runs, so that no long stream puts them at risk.
+        latest, or by a refusal before the process is killed. The records of
+        non-idempotent calls go to other entries as soon as none of these calls
+        runs, so that no long stream puts them at risk.
         """
         self.is_draining = True
-        logger.info("Drains for %s.", self.mode.drain)
-        await asyncio.sleep(self.mode.drain.total_seconds())
+        serve, settle = self.mode.drain, SETTLE_LIMIT
+        grace_period = self.mode.grace_period
+        if grace_period is not None:
+            self.opened.end_at(self.clock.now() + OPEN_SHARE * grace_period)
+            serve = min(serve, SERVE_SHARE * grace_period)
+            settle = min(settle, SETTLE_SHARE * grace_period)
+        logger.info("Drains for %s.", serve)
+        await asyncio.sleep(serve.total_seconds())
         self.is_closing = True
-        await self.once.finish(SETTLE_LIMIT)
+        await self.once.finish(settle, self.opened.find_end())
         await self._hand_over()
         while self.open_requests:
             await asyncio.sleep(OPEN_POLL.total_seconds())
--- a/src/cicadahook/net/once.py
+++ b/src/cicadahook/net/once.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+import contextlib
 import datetime
 from typing import Final
 
@@ -76,7 +77,7 @@
         left = request.deadline - self.clock.now()
         task = self.runs[request.key]
         done, _ = await asyncio.wait({task}, timeout=left.total_seconds())
-        if done:
+        if done and not task.cancelled():
             return task.result()
         raise errors.RefusalError(
             "deadline_passed",
@@ -147,14 +148,28 @@
         if isinstance(effect, calls.SaveClaim):
             self.ledger.note_saved(effect.claim.record.key)
 
-    async def finish(self, settle_limit: datetime.timedelta) -> None:
+    async def finish(
+        self, settle_limit: datetime.timedelta, end_seconds: float | None
+    ) -> None:
         """Run no new call, and wait for those that run.
 
         Each run ends soon after its deadline. Claims that the key-value
         service does not take within `settle_limit` stay as they are, which
         resends read as a call that may be running.
+
+        Args:
+            settle_limit: how long to wait for claims.
+            end_seconds: when runs are given up, by the event loop's clock;
+                their outcome is recorded as unknown.
         """
         self.ledger.seal()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(end_seconds):
+                while self.runs:
+                    await asyncio.wait(set(self.runs.values()))
+        for key, run in self.runs.items():
+            logger.warning("Call %s is given up: the process ends.", key)
+            run.cancel()
         while self.runs:
             await asyncio.wait(set(self.runs.values()))
         if not self.settlements:
--- /dev/null
+++ b/src/cicadahook/net/open_requests.py
@@ -0,0 +1,83 @@
+"""Ends the open requests of an entry before it is killed."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import datetime
+from typing import Final
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import errors
+from cicadahook.core import idempotency
+from cicadahook.core import request as request_lib
+from cicadahook.net import logs
+
+logger: Final = logs.create_logger("entry")
+
+
+class OpenRequests:
+    """Gives each open request no more time than the process has left.
+
+    Attributes:
+        ends: when requests are ended; None while no end is known.
+        timeouts: those of the requests under way.
+    """
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        self.clock = clock
+        self.ends: datetime.datetime | None = None
+        self.timeouts: set[asyncio.Timeout] = set()
+
+    def end_at(self, ends: datetime.datetime) -> None:
+        """End all requests, also those yet to come, at `ends`."""
+        self.ends = ends
+        for timeout in self.timeouts:
+            if not timeout.expired():
+                timeout.reschedule(self.find_end())
+
+    def find_end(self) -> float | None:
+        """Return the end by the event loop's clock, in seconds."""
+        if self.ends is None:
+            return None
+        left = self.ends - self.clock.now()
+        return asyncio.get_running_loop().time() + left.total_seconds()
+
+    def cap(self, request: request_lib.Request) -> request_lib.Request:
+        """Return `request` with a deadline that the process lives to see.
+
+        Admission then refuses what would probably not end in time.
+        """
+        if self.ends is None or request.deadline <= self.ends:
+            return request
+        return dataclasses.replace(request, deadline=self.ends)
+
+    @contextlib.asynccontextmanager
+    async def limit(self, name: str) -> AsyncIterator[None]:
+        """Serve a request until the end.
+
+        Args:
+            name: names it in the log.
+
+        Raises:
+            errors.RefusalError: the end came first.
+        """
+        timeout = asyncio.timeout_at(self.find_end())
+        try:
+            async with timeout:
+                self.timeouts.add(timeout)
+                try:
+                    yield
+                finally:
+                    self.timeouts.discard(timeout)
+        except TimeoutError as error:
+            if not timeout.expired():
+                raise
+            logger.warning("Request %s is cut off: the process ends.", name)
+            raise errors.RefusalError(
+                "stopping",
+                "this entry ended before the answer was whole; ask another one",
+                504,
+                errors.Outcome.UNKNOWN,
+                idempotency.RETRY_AFTER,
+            ) from error
--- a/src/cicadahook/net/services.py
+++ b/src/cicadahook/net/services.py
@@ -24,6 +24,7 @@
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import once as once_lib
+from cicadahook.net import open_requests
 from cicadahook.net import entry_peers as peers_lib
 
 ANSWER_GRACE: Final = datetime.timedelta(seconds=10)
@@ -71,12 +72,14 @@
         once: runs non-idempotent calls.
         peers: reaches other entries.
         policy: decides on retries.
+        opened: ends open requests before the process is killed.
     """
 
     session: aiohttp.ClientSession
     once: once_lib.OnceRunner
     peers: peers_lib.PeerClient
     policy: retry.RetryPolicy
+    opened: open_requests.OpenRequests
 
 
 class ServicesApi:
@@ -96,6 +99,7 @@
         self.once = parts.once
         self.peers = parts.peers
         self.policy = parts.policy
+        self.opened = parts.opened
 
     def install(self, app: web.Application) -> None:
         """Add the routes to `app`."""
@@ -103,6 +107,10 @@
 
     async def call(self, http: web.Request) -> web.StreamResponse:
         """Route a call to a plain service."""
+        async with self.opened.limit(http.path):
+            return await self._call(http)
+
+    async def _call(self, http: web.Request) -> web.StreamResponse:
         call = await self._read(http)
         if call.row is not None:
             self.dispatcher.note_arrival(call.row)
@@ -132,7 +140,7 @@
         row = self.dispatcher.view.table.find(name)
         if row is not None and row.kind is not table_lib.RowKind.SERVICE:
             row = None
-        request = headers.read_request(http, name, self.clock)
+        request = self.opened.cap(headers.read_request(http, name, self.clock))
         # A key of an unknown service may have run before its row went.
         is_idempotent = not request.key
         if row is not None:
--- a/src/cicadahook/programs/entry.py
+++ b/src/cicadahook/programs/entry.py
@@ -43,6 +43,7 @@
             ),
             cluster_key=settings.cluster_key,
             drain=_read_drain(settings),
+            grace_period=_read_grace_period(settings),
             progress=attempts.ProgressMode(
                 datetime.timedelta(seconds=settings.first_token_seconds),
                 datetime.timedelta(seconds=settings.token_gap_seconds),
@@ -89,6 +90,15 @@
     return datetime.timedelta(seconds=seconds)
 
 
+def _read_grace_period(
+    settings: settings_lib.EntrySettings,
+) -> datetime.timedelta | None:
+    """Return the time from the stop signal to the kill, if there is one."""
+    if settings.grace_seconds is None:
+        return None
+    return datetime.timedelta(seconds=settings.grace_seconds)
+
+
 def _create_admission(
     settings: settings_lib.EntrySettings,
 ) -> admission.AdmissionMode:
--- a/src/cicadahook/programs/settings.py
+++ b/src/cicadahook/programs/settings.py
@@ -126,6 +126,11 @@
         description="seconds that a stop waits for kept address answers to"
         " lapse; unset: keep_seconds and 3",
     )
+    grace_seconds: Seconds | None = pydantic.Field(
+        None,
+        description="seconds from the stop signal until the supervisor kills"
+        " this process; unset: it never does",
+    )
     first_token_seconds: Seconds = pydantic.Field(
         3.0, description="seconds without a first token before a probe"
     )
--- a/tests/test_entry_drain.py
+++ b/tests/test_entry_drain.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
+import datetime
 from typing import Any
 
 import aiohttp
@@ -18,6 +20,7 @@
 STOP_LIMIT_SECONDS = 10.0
 STOPPED = 1
 CALLERS = 4
+GRACE_PERIOD = datetime.timedelta(seconds=4)
 # Some parts of this size fill all buffers on the way to a caller.
 FLOOD_BYTES = 1_000_000
 
@@ -173,3 +176,61 @@
         await test_failures.wait_until(lambda: entry.open_requests > 0)
         async with asyncio.timeout(STOP_LIMIT_SECONDS):
             await entry.drain()
+
+
+@pytest.fixture(name="killed_soon")
+def limit_grace_period(system: local.LocalSystem) -> entry_program.EntryDaemon:
+    """Return an entry that has to end within its grace period."""
+    part = test_failures.list_entries(system)[STOPPED]
+    part.entry.mode = dataclasses.replace(
+        part.entry.mode,
+        drain=datetime.timedelta(minutes=1),
+        grace_period=GRACE_PERIOD,
+    )
+    return part
+
+
+@pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
+async def test_an_entry_answers_what_it_has_to_cut_off(
+    system: local.LocalSystem,
+    killed_soon: entry_program.EntryDaemon,
+    is_stream: bool,
+) -> None:
+    body = {
+        "model": "inspector",
+        "prompt": "a long prompt",
+        "max_tokens": LONG_STREAM_TOKENS,
+        "stream": is_stream,
+    }
+    url = f"{test_failures.entry_url(system, STOPPED)}/v1/completions"
+    system.daemons.remove(killed_soon)
+    async with asyncio.timeout(GRACE_PERIOD.total_seconds()):
+        stop = asyncio.create_task(killed_soon.stop())
+        async with system.session.post(url, json=body) as response:
+            content = await response.text()
+            assert response.status == (200 if is_stream else 504)
+        await stop
+    assert '"outcome": "unknown"' in content
+    assert ('"code": "stopping"' in content) or (
+        '"code": "deadline_passed"' in content
+    )
+
+
+async def test_a_call_under_way_at_the_end_is_recorded_and_handed_over(
+    system: local.LocalSystem, killed_soon: entry_program.EntryDaemon
+) -> None:
+    """Its resend is not run, wherever it goes."""
+    system.service.faults.faults = dataclasses.replace(
+        system.service.faults.faults, silent=True
+    )
+    key = (await test_failures.locate(system, STOPPED))["key_prefix"] + "1"
+    calling = asyncio.create_task(test_failures.book(system, key, "a", STOPPED))
+    await test_failures.wait_until(lambda: bool(killed_soon.entry.once.runs))
+    system.daemons.remove(killed_soon)
+    async with asyncio.timeout(GRACE_PERIOD.total_seconds()):
+        await killed_soon.stop()
+    status, body = await calling
+    assert (status, body["outcome"]) == (504, "unknown")
+    assert len(list_heirs(system, "vm2")) == 2
+    status, body = await test_failures.book(system, key, "a", 0)
+    assert (status, body["code"]) == (502, "outcome_unknown")
