Count as spare only a copy that another engine holds already

Cause: the price of dropping a copy took each copy, also one that is planned or loading, for another that holds the model.

Change: only copies that are ready count. The core test fails on the code before.

--- a/src/cicadahook/core/stocker.py
+++ b/src/cicadahook/core/stocker.py
@@ -145,6 +145,10 @@
         """Return how many copies of a model are being loaded."""
         return sum(ledger.planned == model for ledger in self.ledgers)
 
+    def count_ready(self, model: str) -> int:
+        """Return how many engines hold a model now."""
+        return sum(ledger.is_ready(model) for ledger in self.ledgers)
+
     @functools.cached_property
     def shares(self) -> dict[str, float]:
         """Return the share of each engine that its models keep busy, by id."""
@@ -337,7 +341,7 @@
     """Return the seconds of waiting that dropping a copy costs."""
     name = copy.model.name
     price = DROP_SECONDS * stock.demand.get(name, 0.0)
-    if stock.copies[name] > 1:
+    if stock.count_ready(name) > 1:
         price *= SPARE_DROP_SHARE
     else:
         price += LAST_COPY_SHARE * copy.model.store_load.total_seconds()
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -444,6 +444,22 @@
     assert stocker.plan_load(pool.models["o"], stock) is None
 
 
+def test_a_copy_under_way_makes_no_other_spare() -> None:
+    """Until it has come, requests have only the one that is there."""
+    pool = create_pool("m", "n", "o")
+    ledgers = [
+        create_ledger("a", pool, ("m", "n")),
+        create_ledger("b", pool, ("n",)),
+    ]
+    ledgers[1].planned = "m"
+    stock = create_stock(*ledgers, m=0.2, n=5.0)
+    assert stocker.plan_load(pool.models["o"], stock) is None
+    ledgers[1] = create_ledger("b", pool, ("m", "n"))
+    stock = create_stock(*ledgers, m=0.2, n=5.0)
+    plan = stocker.plan_load(pool.models["o"], stock)
+    assert plan is not None and plan.evicted == ("m",)
+
+
 def test_waits_for_the_weight_store() -> None:
     pool = create_pool("m")
     stock = create_stock(create_ledger("a", pool, ()), is_store_open=False)
