--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEED ?= 1
 TEST_OPTIONS ?=
 
-.PHONY: run test lint format fuzz soak lock clean
+.PHONY: run test lint format fuzz soak node-soak lock clean
 
 $(STAMP): pyproject.toml requirements.lock
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -36,6 +36,9 @@
 soak: $(STAMP)
 	$(BIN)/python tests/soak/run.py --seconds $(SECONDS) --seed $(SEED)
 
+node-soak: $(STAMP)
+	$(BIN)/python tests/soak/node_run.py --seconds $(SECONDS) --seed $(SEED)
+
 lock: $(STAMP)
 	$(BIN)/python -m pip freeze --exclude-editable > requirements.lock
 
--- /dev/null
+++ b/tests/test_node_soak.py
@@ -0,0 +1,16 @@
+"""A short soak of real nodes; long ones are run by hand."""
+
+import pathlib
+
+from soak import node_run
+
+SECONDS = 5.0
+SEED = 1
+# Long enough for a process to end on a busy machine, short enough for a test.
+GRACE_SECONDS = 6.0
+
+
+async def test_promises_hold_under_faults(tmp_path: pathlib.Path) -> None:
+    ledger = await node_run.soak(SECONDS, SEED, tmp_path, GRACE_SECONDS)
+    assert not ledger.broken
+    assert ledger.counts["chat_200"] and ledger.counts["write_200"]
