--- a/src/cicadahook/platform/headers.py
+++ b/src/cicadahook/platform/headers.py
@@ -135,7 +135,10 @@
     value = headers.get(DEADLINE)
     if value is None:
         return None
-    return datetime.timedelta(milliseconds=float(value))
+    try:
+        return datetime.timedelta(milliseconds=float(value))
+    except OverflowError as error:
+        raise ValueError(f"{DEADLINE}: {value}") from error
 
 
 def _decode_parts(value: str) -> Iterable[exchange.PromptPart]:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -257,6 +257,7 @@
     ("headers", "data", "status"),
     [
         ({"X-Deadline-Ms": "soon"}, b"", 400),
+        ({"X-Deadline-Ms": "inf"}, b"", 400),
         ({"X-Model": "big", "X-Token-Counts": "many"}, b"", 400),
         ({}, b"x" * 100_001, 413),
         ({"X-Padding": "x" * 20_000}, b"", 431),
