Always give connections just accepted time before a server closes

A server that stopped while a connection was being accepted marked it closed before its task waited for a request. aiohttp then drops what comes on it, and waits up to 60 s for that task: the caller got no answer and the stop of an entry, a control or a stand-in took as long.

--- a/src/cicadahook/net/http.py
+++ b/src/cicadahook/net/http.py
@@ -68,8 +68,7 @@
         """
         for site in self.runner.sites:
             await site.stop()
-        if self.runner.server is not None and self.runner.server.connections:
-            await asyncio.sleep(LAST_REQUEST_SECONDS)
+        await asyncio.sleep(LAST_REQUEST_SECONDS)
         await self.runner.cleanup()
 
     @property
--- a/tests/test_entry_drain.py
+++ b/tests/test_entry_drain.py
@@ -8,8 +8,11 @@
 from typing import Any
 
 import aiohttp
+from aiohttp import web
 import pytest
 
+from cicadahook.net import http as http_lib
+from cicadahook.programs import daemon
 from cicadahook.programs import entry as entry_program
 from cicadahook.programs import local
 import test_failures
@@ -20,6 +23,8 @@
 STOP_LIMIT_SECONDS = 10.0
 STOPPED = 1
 CALLERS = 4
+SERVER_STOPS = 10
+SERVE_SECONDS = 0.02
 GRACE_PERIOD = datetime.timedelta(seconds=4)
 # Some parts of this size fill all buffers on the way to a caller.
 FLOOD_BYTES = 1_000_000
@@ -234,3 +239,33 @@
     assert len(list_heirs(system, "vm2")) == 2
     status, body = await test_failures.book(system, key, "a", 0)
     assert (status, body["code"]) == (502, "outcome_unknown")
+
+
+async def test_a_server_that_stops_answers_who_has_just_connected() -> None:
+    """Such callers got no answer, and the stop took 60 s."""
+
+    async def answer(request: web.Request) -> web.Response:
+        response = web.json_response({"path": request.path})
+        response.force_close()
+        return response
+
+    async def call_until_gone(address: str) -> None:
+        async with daemon.open_session() as session:
+            with contextlib.suppress(aiohttp.ClientConnectorError):
+                while True:
+                    async with session.post(f"http://{address}/") as response:
+                        await response.read()
+
+    for _ in range(SERVER_STOPS):
+        app = web.Application()
+        app.router.add_post("/", answer)
+        server = http_lib.Server(app, local.HOST, 0)
+        await server.start()
+        callers = [
+            asyncio.create_task(call_until_gone(server.address))
+            for _ in range(CALLERS)
+        ]
+        await asyncio.sleep(SERVE_SECONDS)
+        async with asyncio.timeout(STOP_LIMIT_SECONDS):
+            await server.stop()
+            await asyncio.gather(*callers)
