Let no request wait long for a copy on a stopping machine

Cause: a request that needs a copy waited for it until the machine took no more requests, though what takes so long is a load that another machine can wait for as well.

Change: a stopping machine waits 0.3 s for a copy, long enough for an adapter that has a place, then refuses the request as not run, to be taken elsewhere at once. The test fails on the code before (no answer within 0.6 s).

--- a/src/cicadahook/net/drain.py
+++ b/src/cicadahook/net/drain.py
@@ -13,6 +13,9 @@
 
 # Other machines take the request right away.
 RETRY_AFTER: Final = datetime.timedelta()
+# An adapter that finds a place is there by then; a model is not, and another
+# machine may as well begin to wait for it.
+COPY_WAIT: Final = datetime.timedelta(milliseconds=300)
 
 
 class RequestDrain:
@@ -70,6 +73,10 @@
             raise work_lib.create_refusal("stopping", 502, outcome="unknown")
         raise work_lib.create_refusal("stopping", 503, RETRY_AFTER)
 
+    def limit_copy_wait(self, wait: datetime.timedelta) -> datetime.timedelta:
+        """Return how long a request may wait here for a copy."""
+        return wait if self.plan is None else min(wait, COPY_WAIT)
+
     def is_cut_short(self, work: work_lib.Work) -> bool:
         """Whether time ran out by the plan, before the request's deadline."""
         return self.plan is not None and self.clock.now() < work.deadline
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -230,7 +230,9 @@
         )
         avoided = parts.balancer.list_unreachable() | work.excluded
         left = work.deadline - self.clock.now()
-        wait = min(MAX_COPY_WAIT, left * COPY_WAIT_SHARE)
+        wait = self.drain.limit_copy_wait(
+            min(MAX_COPY_WAIT, left * COPY_WAIT_SHARE)
+        )
         try:
             async with asyncio.timeout(wait.total_seconds()):
                 held = await parts.copies.ensure(
@@ -271,6 +273,10 @@
             raise work_lib.create_refusal(
                 "attempts_failed", 502, outcome="unknown"
             )
+        if self.drain.plan is not None:
+            raise work_lib.create_refusal(
+                "stopping", 503, drain_lib.RETRY_AFTER
+            )
         raise work_lib.create_refusal("no_copy", 503, self._draw_load_pause())
 
     def _draw_load_pause(self) -> datetime.timedelta:
--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -149,6 +149,21 @@
             assert response.status == 503
 
 
+async def test_a_request_for_a_missing_model_does_not_wait_at_a_stopping_node(
+    world: node_world.World,
+) -> None:
+    """Another machine may serve it; this one takes requests for 0.9 s."""
+    node = world.programs[0].node
+    assert node is not None
+    world.store.put("op/config", create_slow_loads(5.0))
+    await node_world.wait_until(lambda: _get_version(node) == 2)
+    world.programs[0].stopped.set()
+    async with asyncio.timeout(0.6):
+        async with world.call("/chat/x", headers=NOT_LOADED) as response:
+            assert response.status == 503
+            assert float(response.headers["Retry-After"]) == 0
+
+
 async def test_a_stopping_process_answers_what_an_upstream_holds(
     platform: node_world.World, tmp_path: pathlib.Path
 ) -> None:
