Keep the exit code of a node that is told to stop once more

Cause: the event loop gives its signals up when it closes, which restores the default action, some time before the process has ended.

Change: SIGTERM, SIGINT and SIGHUP are ignored once the node has stopped.

--- a/src/cicadahook/programs/node.py
+++ b/src/cicadahook/programs/node.py
@@ -26,6 +26,7 @@
 # The port that deploy/system.toml names for metrics.
 METRICS_PORT: Final = 9464
 POLL_SECONDS: Final = 0.05
+STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 
 logger: Final = logs.create_logger("daemon")
 
@@ -49,7 +50,7 @@
     async def run(self) -> None:
         """Serve until a stop signal, then end gracefully."""
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self.stopped.set)
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         store = store_lib.PlatformStore(self.settings.store_address)
@@ -129,13 +130,26 @@
         logger.info("Settings file changed; read at the next start.")
 
 
+async def _run(settings: nodes.NodeSettings) -> None:
+    """Run the node; further signals do not change how it exits."""
+    try:
+        await NodeProgram(settings).run()
+    finally:
+        # Left to itself, the event loop would restore the default actions,
+        # which kill, some time before the process has ended.
+        loop = asyncio.get_running_loop()
+        for number in (*STOP_SIGNALS, signal.SIGHUP):
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+
+
 def main() -> None:
     """Run the node; exit with 1 and a sentence on an expected error."""
     listener = logs.setup_stream()
     try:
         settings = settings_lib.read()
         metrics.setup("")
-        asyncio.run(NodeProgram(settings).run())
+        asyncio.run(_run(settings))
     except (errors.CicadaError, OSError) as error:
         logger.error("Ended.", extra={"error": str(error)})
         sys.exit(1)
--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
 import contextlib
 import dataclasses
+import os
 import random
 import signal
 import time
@@ -173,7 +174,9 @@
         if rng.random() < SECOND_SIGNAL_SHARE:
             await hold(rng)
             if child.returncode is None:
-                child.send_signal(signal.SIGTERM)
+                # Its own `send_signal` may take the exit code from the loop.
+                with contextlib.suppress(ProcessLookupError):  # It has ended.
+                    os.kill(child.pid, signal.SIGTERM)
         await replacing
 
 
--- a/tests/soak/node_system.py
+++ b/tests/soak/node_system.py
@@ -268,7 +268,9 @@
         elif code and not is_frozen:
             self.book.ledger.note_broken(
                 "a planned stop exits 0 in time",
-                f"{node.name} exited {code} after {took:.3f} s",
+                f"{node.name} exited {code} after {took:.3f} s of"
+                f" {node.grace_seconds}; its last line says"
+                f" {node.read_log()[-1]['message']}",
             )
 
     async def find_missing(self, session: aiohttp.ClientSession) -> list[str]:
--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -5,7 +5,9 @@
 import contextlib
 import datetime
 import logging
+import os
 import pathlib
+import signal
 from typing import Any
 
 import aiohttp
@@ -184,6 +186,20 @@
                 pass
 
 
+async def test_a_process_that_is_told_again_exits_well(
+    platform: node_world.World, tmp_path: pathlib.Path
+) -> None:
+    """Also by a signal that comes while it closes everything."""
+    async with run_process(platform, tmp_path) as process:
+        process.terminate()
+        assert process.child is not None
+        while process.child.returncode is None:
+            # Its own `send_signal` may take the exit code from the loop.
+            with contextlib.suppress(ProcessLookupError):  # It has just ended.
+                os.kill(process.child.pid, signal.SIGTERM)
+            await asyncio.sleep(0.001)
+
+
 async def test_a_body_that_ends_after_the_node_takes_no_more_is_not_run(
     world: node_world.World,
 ) -> None:
