--- a/tests/soak/node_system.py
+++ b/tests/soak/node_system.py
@@ -258,7 +258,8 @@
         self.book.stops.append(stop)
         node.terminate()
         code = await node.wait()
-        took = time.monotonic() - stop.at
+        stop.ended = time.monotonic()
+        took = stop.ended - stop.at
         is_frozen = self.book.is_disturbed(
             node.name, stop.at, stop.at + node.grace_seconds
         )
@@ -268,7 +269,9 @@
         elif code and not is_frozen:
             self.book.ledger.note_broken(
                 "a planned stop exits 0 in time",
-                f"{node.name} exited {code} after {took:.3f} s",
+                f"{node.name} exited {code} after {took:.3f} s of"
+                f" {node.grace_seconds}; its last line says"
+                f" {node.read_log()[-1]['message']}",
             )
 
     async def find_missing(self, session: aiohttp.ClientSession) -> list[str]:
