Wait for a call before the test silences its connection

Trace: it silences the connections that are there after 50 ms; with 0 ms instead it fails the same way, since no call has reached an engine. It now also waits until one has; what it checks is unchanged.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -18,6 +18,7 @@
 from cicadahook.standins import engine
 from cicadahook.standins import faults
 from cicadahook.standins import text
+import node_world
 
 TOKENS = 40
 
@@ -90,6 +91,9 @@
         asyncio.create_task(complete(system, prompt)) for prompt in prompts
     ]
     await asyncio.sleep(0.05)
+    await node_world.wait_until(
+        lambda: any(part.batch.in_flight for part in system.engines)
+    )
     for upstream in system.engines:
         upstream.silenced |= set(upstream.transports)
     for prompt, answer in zip(prompts, await asyncio.gather(*calls)):
--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -185,11 +185,6 @@
 ) -> None:
     """The kill comes 2 s after the signal."""
 
-    async def send_forever() -> AsyncIterator[bytes]:
-        while True:
-            yield b"part"
-            await asyncio.sleep(0.1)
-
     async with run_process(platform, tmp_path) as process:
         process.terminate()
         with contextlib.suppress(aiohttp.ClientError):
