Keep statuses short however many requests are suspected

Trace: the machine saw the caller leave after 7 ms and closed the connection, but the request itself had taken 1.74 s from the machine to its engine, and the close as long: the machine's thin link was full. When 15 and 14 engines had crashed, 348 requests were suspected, and each full status told all of them, by each machine to eight others every 150 ms, for ten minutes. Such a status has 39,479 bytes, which makes 17 Mbit/s a machine; the thinnest links carry 12.5. One of 1,000 suspects has 113,157, more than a datagram holds, and its machine would fall silent.

Change: a status tells what was noted on its machine in the last 3 s, 64 suspects at the most, and four of the rest for machines that have started since: 6,834 bytes at the most.

--- a/src/cicadahook/core/quarantine.py
+++ b/src/cicadahook/core/quarantine.py
@@ -4,10 +4,21 @@
 import dataclasses
 import datetime
 import enum
+import random
+from typing import Final
+
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
 from cicadahook.core import view
 
+# How long a suspect counts as news where its death was noted. Each machine of a
+# larger fleet is told everything once in 0.75 s.
+NEWS_PERIOD: Final = datetime.timedelta(seconds=3)
+# Suspects in one message, some 100 bytes each. When engines crash, hundreds of
+# requests are suspected, which would fill thin links and exceed a datagram.
+MAX_NEWS: Final = 64
+MAX_RETOLD: Final = 4
+
 
 @dataclasses.dataclass(frozen=True)
 class QuarantineMode:
@@ -59,6 +70,7 @@
 
     Attributes:
         suspects: by fingerprint.
+        noted: when a death of a suspect was last noted here.
         cleared: deaths that a suspect was cleared of by a served trial.
         dead: upstream incarnations that died lately, and when that was known.
         trials: fingerprints and upstream addresses of the trials here.
@@ -69,6 +81,7 @@
         self.mode = mode
         self.clock = clock
         self.suspects: dict[str, view.Suspect] = {}
+        self.noted: dict[str, datetime.datetime] = {}
         self.cleared: dict[str, frozenset[str]] = {}
         self.dead: dict[str, datetime.datetime] = {}
         self.trials: set[str] = set()
@@ -79,6 +92,24 @@
         self._drop_expired()
         return tuple(self.suspects.values())
 
+    def select_suspects(
+        self, generator: random.Random
+    ) -> tuple[view.Suspect, ...]:
+        """Return some suspects, to be told to other machines.
+
+        Where a death was noted it is news for a while, and told each time, or
+        drawn where too many were noted. The machines have told each other the
+        rest, so that only one that has started since may miss it: a few of
+        these are drawn.
+        """
+        known = self.list_suspects()
+        news = [entry for entry in known if entry.fingerprint in self.noted]
+        rest = [entry for entry in known if entry.fingerprint not in self.noted]
+        return (
+            *generator.sample(news, min(len(news), MAX_NEWS)),
+            *generator.sample(rest, min(len(rest), MAX_RETOLD)),
+        )
+
     def list_deaths(self, fingerprint: str) -> frozenset[str]:
         """Return the upstream incarnations that died running a request."""
         suspect = self.suspects.get(fingerprint)
@@ -137,6 +168,7 @@
         if known is not None and known <= began:
             return False
         self.merge((view.Suspect(fingerprint, (death,), self.clock.now()),))
+        self.noted[fingerprint] = self.clock.now()
         return True
 
     def is_dead(self, upstream: view.Upstream) -> bool:
@@ -193,6 +225,9 @@
             if suspect.last_seen + self.mode.expiry <= now:
                 del self.suspects[fingerprint]
                 self.cleared.pop(fingerprint, None)
+        for fingerprint, noted in list(self.noted.items()):
+            if noted + NEWS_PERIOD <= now:
+                del self.noted[fingerprint]
         for death, known_since in list(self.dead.items()):
             if known_since + self.mode.death_expiry <= now:
                 del self.dead[death]
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -377,7 +377,9 @@
             ),
             paces=tuple(self.parts.balancer.paces.own.values()),
             withdrawn=self.orderer.list_withdrawn(),
-            suspects=self.parts.quarantine.list_suspects(),
+            suspects=self.parts.quarantine.select_suspects(
+                self.parts.generator
+            ),
         )
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import random
 
 import pytest
 
@@ -98,3 +99,31 @@
     assert kept == {"f1", "f2", "f3"}
     clock.advance(MODE.expiry)
     assert not desk.list_suspects()
+
+
+def test_many_suspects_do_not_make_messages_longer(
+    clock: clock_lib.ManualClock,
+) -> None:
+    """Each is told while it is news, and now and then after that."""
+    desk = quarantine.Quarantine(quarantine.QuarantineMode(), clock)
+    generator = random.Random(1)
+    desk.merge(
+        view.Suspect(f"told {number}", ("u/a",), clock.now())
+        for number in range(300)
+    )
+    for number in range(100):
+        desk.note_death(f"news {number}", "v/a", START)
+    told: set[str] = set()
+    for _ in range(20):
+        suspects = desk.select_suspects(generator)
+        assert len(suspects) <= 70
+        told.update(entry.fingerprint for entry in suspects)
+        clock.advance(datetime.timedelta(milliseconds=100))
+    assert {f"news {number}" for number in range(100)} <= told
+    clock.advance(datetime.timedelta(seconds=2))
+    later: set[str] = set()
+    for _ in range(2000):
+        suspects = desk.select_suspects(generator)
+        assert len(suspects) <= 6
+        later.update(entry.fingerprint for entry in suspects)
+    assert len(later) == 400
