--- a/src/cicadahook/core/nodes.py
+++ b/src/cicadahook/core/nodes.py
@@ -95,8 +95,8 @@
 
         Args:
             duration: how long it probably takes.
-            is_retry: whether an upstream was asked before; another machine
-                would only begin anew.
+            is_retry: whether an upstream may have run it before; another
+                machine could not be asked to go on.
         """
         latest = self.finishes_until - duration
         return latest if is_retry else min(latest, self.accepts_until)
