--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -60,6 +60,17 @@
     return slow
 
 
+async def use_slow_loads(
+    world: node_world.World, seconds: float
+) -> node_lib.Node:
+    """Give the first node, which is returned, models that load that long."""
+    node = world.programs[0].node
+    assert node is not None
+    world.store.put("op/config", create_slow_loads(seconds))
+    await node_world.wait_until(lambda: _get_version(node) == 2)
+    return node
+
+
 class DiscardingSink:
     """A caller's connection whose answer nobody reads."""
 
@@ -124,10 +135,7 @@
     world: node_world.World,
 ) -> None:
     """The copy comes after the node has stopped taking requests."""
-    node = world.programs[0].node
-    assert node is not None
-    world.store.put("op/config", create_slow_loads(1.2))
-    await node_world.wait_until(lambda: _get_version(node) == 2)
+    await use_slow_loads(world, 1.2)
     for engine in world.engines:
         engine.events, engine.event_seconds = 10, 0.2
     world.programs[0].stopped.set()
@@ -155,10 +163,7 @@
     world: node_world.World,
 ) -> None:
     """Another machine may serve it; this one takes requests for 0.9 s."""
-    node = world.programs[0].node
-    assert node is not None
-    world.store.put("op/config", create_slow_loads(5.0))
-    await node_world.wait_until(lambda: _get_version(node) == 2)
+    await use_slow_loads(world, 5.0)
     world.programs[0].stopped.set()
     async with asyncio.timeout(0.6):
         async with world.call("/chat/x", headers=NOT_LOADED) as response:
@@ -259,10 +264,7 @@
     world: node_world.World,
 ) -> None:
     """The other copy comes after the node has stopped taking requests."""
-    node = world.programs[0].node
-    assert node is not None
-    world.store.put("op/config", create_slow_loads(1.2))
-    await node_world.wait_until(lambda: _get_version(node) == 2)
+    await use_slow_loads(world, 1.2)
     world.engines[0].mode = "full"
     world.engines[1].events, world.engines[1].event_seconds = 10, 0.2
     world.programs[0].stopped.set()
@@ -312,10 +314,7 @@
 async def test_a_signal_ends_the_wait_of_requests_that_came_before(
     world: node_world.World,
 ) -> None:
-    node = world.programs[0].node
-    assert node is not None
-    world.store.put("op/config", create_slow_loads(5.0))
-    await node_world.wait_until(lambda: _get_version(node) == 2)
+    node = await use_slow_loads(world, 5.0)
     calling = asyncio.create_task(_fetch_status(world, "/chat/x", NOT_LOADED))
     await node_world.wait_until(lambda: bool(node.forwarder.drain.works))
     world.programs[0].stopped.set()
