--- a/src/cicadahook/platform/upstream.py
+++ b/src/cicadahook/platform/upstream.py
@@ -14,6 +14,7 @@
 from cicadahook.core import exchange
 from cicadahook.core import inventory
 from cicadahook.core import ordering
+from cicadahook.net import logs
 from cicadahook.net import sockets
 from cicadahook.platform import headers as header_names
 from cicadahook.platform import messages
@@ -34,6 +35,8 @@
     "Content-Type",
 )
 
+logger: Final = logs.create_logger("upstreams")
+
 ORDER_RESULTS: Final = {
     200: ordering.OrderResult.HELD,
     202: ordering.OrderResult.ACCEPTED,
@@ -172,7 +175,17 @@
                 if response.status != 200:
                     return None
                 return _decode_report(await response.json())
-        except (aiohttp.ClientError, OSError, ValueError, KeyError, TypeError):
+        except (
+            aiohttp.ClientError,
+            OSError,
+            ValueError,
+            KeyError,
+            TypeError,
+        ) as error:
+            logger.info(
+                "Report not read.",
+                extra={"instance": instance.id, "error": repr(error)},
+            )
             return None
 
     async def send_order(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,11 +1,14 @@
 """Two nodes on a stand-in of the platform's store and upstreams."""
 
 import asyncio
+import dataclasses
 import json
+import logging
 
 import aiohttp
 import pytest
 
+from cicadahook.platform import upstream as upstream_lib
 import node_upstreams
 import node_world
 
@@ -374,3 +377,18 @@
         assert response.status == 503
     async with world.call("/write/item", data=b"harmless") as response:
         assert response.status == 200
+
+
+async def test_logs_why_an_engine_tells_no_state(
+    world: node_world.World, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO, "upstreams")
+    node = world.programs[0].node
+    assert node is not None
+    engine = node.parts.inventory.instances["e1"]
+    gone = dataclasses.replace(engine, address="127.0.0.1:1")
+    client = upstream_lib.UpstreamClient()
+    assert await client.fetch_report(gone) is None
+    await client.close()
+    fields = [vars(record) for record in caplog.records]
+    assert any(entry.get("instance") == "e1" for entry in fields)
