Log what upstreams say of their request limits in their answers

Callers saw nothing; on call could not tell whether a node knows the limit that an upstream names. The platform adapter decodes the header of each answer once, and the node keeps the newest statement by incarnation. No decision uses it yet.

`Upstream changed its request limit.` says what was named and what before; `Request decided.` has upstream_limit, the limit that the node knew; the counter cicada_request_limit_changes counts the changes. A value that is no number is logged and ignored.

That no limit is named counts only in signed answers to the request sent; refusals, late answers and other incarnations may lack the header.

--- a/src/cicadahook/net/active_request.py
+++ b/src/cicadahook/net/active_request.py
@@ -19,6 +19,7 @@
 from cicadahook.core import inventory
 from cicadahook.core import model_demand
 from cicadahook.core import quarantine as quarantine_lib
+from cicadahook.core import request_limits
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import retry_budget
 from cicadahook.core import routes
@@ -150,6 +151,7 @@
     budget_mode: retry_budget.RetryBudgetMode
     generator: random.Random
     demand_tracker: model_demand.ModelDemandTracker
+    limits: request_limits.RequestLimits
 
 
 def create_refusal(
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -389,7 +389,13 @@
             raise
         finally:
             self.components.balancer.end(placement, failure)
-        self._log(active, "answered", instance=instance.id)
+        limit = self.components.limits.find(instance)
+        self._log(
+            active,
+            "answered",
+            instance=instance.id,
+            upstream_limit=limit.rate if limit else None,
+        )
         received = active.request.received
         if active.first_chunk_at is not None:
             metrics.record_latency(
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -70,3 +70,12 @@
         body=prometheus_client.generate_latest(),
         headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
     )
+
+
+def count_limit_change(node: str) -> None:
+    """Count a change of an upstream's request limit that `node` has heard."""
+    counter = create_counter(
+        "cicada_request_limit_changes",
+        "Request limits that upstreams named, changed or stopped naming.",
+    )
+    counter.add(1, {"node": node})
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -21,6 +21,7 @@
 from cicadahook.core import node_lifecycle
 from cicadahook.core import order_holder
 from cicadahook.core import quarantine
+from cicadahook.core import request_limits
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import retry_budget
 from cicadahook.core import roster as roster_lib
@@ -32,6 +33,7 @@
 from cicadahook.net import forwarder
 from cicadahook.net import holder_lease
 from cicadahook.net import logs
+from cicadahook.net import metrics
 from cicadahook.net import node_peers
 from cicadahook.net import order_sender
 from cicadahook.net import orderer
@@ -52,7 +54,14 @@
 class UpstreamClient(
     active_request.UpstreamSender, order_sender.EngineApi, Protocol
 ):
-    """Client of the upstreams for requests, orders and reports."""
+    """Client of the upstreams for requests, orders and reports.
+
+    Attributes:
+        limit_listener: called with each answer's upstream and the request limit
+            that it names, if any.
+    """
+
+    limit_listener: Callable[[inventory_lib.Instance, float | None], None]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -112,6 +121,8 @@
         )
         inventory = inventory_lib.Inventory()
         residency = residency_lib.Residency()
+        self.limits = request_limits.RequestLimits(settings.name, generator)
+        platform.upstreams.limit_listener = self.record_limit
         balancer = balancer_lib.Balancer(settings.zone, clock, generator)
         self.orderer = orderer.Orderer(
             order_sender.OrderSender(
@@ -151,6 +162,7 @@
             ),
             generator,
             model_demand.ModelDemandTracker(),
+            self.limits,
         )
         self.forwarder = forwarder.Forwarder(settings.name, self.components)
         self.directory = address_directory.AddressDirectory(
@@ -243,12 +255,31 @@
         for entry in known.values():
             self.components.residency.record_registration(entry)
         self.components.balancer.drop_unlisted(known)
+        self.limits.update_registered(known)
         self.forwarder.record_crashes(
             self.forwarder.crashes.compare(
                 self.components.inventory, self.clock.now()
             )
         )
 
+    def record_limit(
+        self, instance: inventory_lib.Instance, rate: float | None
+    ) -> None:
+        """Record what an answer says of its upstream's request limit."""
+        before = self.limits.find(instance)
+        if not self.limits.record_answer(instance, rate, self.clock.now()):
+            return
+        metrics.count_limit_change(self.settings.name)
+        logger.info(
+            "Upstream changed its request limit.",
+            extra={
+                "instance": instance.id,
+                "service": instance.service,
+                "per_second": rate,
+                "before": before.rate if before else None,
+            },
+        )
+
     def receive_status(self, status: roster_lib.NodeStatus) -> None:
         """Apply a status received from another node."""
         if self.roster.record_status(status, self.clock.now()):
--- a/src/cicadahook/platform/headers.py
+++ b/src/cicadahook/platform/headers.py
@@ -1,7 +1,8 @@
 """Header names of the platform, and translation of request headers."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 import datetime
+import math
 from typing import Final
 
 import multidict
@@ -19,6 +20,9 @@
 INSTANCE_ID: Final = "X-Instance-Id"
 NOT_EXECUTED: Final = "X-Not-Executed"
 SIGNATURE: Final = "X-Response-Signature"
+# Requests a second that an upstream takes from all nodes, as long as its
+# answers say so.
+REQUEST_LIMIT: Final = "Server-Limit"
 
 LOWEST_PRIORITY: Final = 9
 
@@ -142,6 +146,23 @@
         raise ValueError(f"{DEADLINE}: {value}") from error
 
 
+def decode_request_limit(
+    headers: Mapping[str, str],
+) -> float | None:
+    """Return the requests a second that an upstream takes; None if not named.
+
+    Raises:
+        ValueError: the value is no number from 0 up.
+    """
+    value = headers.get(REQUEST_LIMIT)
+    if value is None:
+        return None
+    rate = float(value)
+    if not 0 <= rate < math.inf:
+        raise ValueError(f"{REQUEST_LIMIT}: {value}")
+    return rate
+
+
 def _decode_parts(value: str) -> Iterable[forwarding.PromptPart]:
     for part in filter(None, value.split(",")):
         name, _, tokens = part.strip().partition(":")
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -1,7 +1,7 @@
 """Client of upstreams: callers' requests, orders and engine reports."""
 
 import asyncio
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 import contextlib
 import dataclasses
 import datetime
@@ -37,6 +37,8 @@
     "Content-Type",
 )
 
+LimitListener = Callable[[inventory.Instance, float | None], None]
+
 logger: Final = logs.create_logger("upstreams")
 
 ORDER_RESULTS_BY_STATUS: Final = {
@@ -116,9 +118,12 @@
     Attributes:
         request_session: connections for callers' requests.
         order_session: connections for orders and reports.
+        limit_listener: called with each answer's upstream and the request limit
+            that it names, if any.
     """
 
     def __init__(self) -> None:
+        self.limit_listener: LimitListener = lambda instance, rate: None
         self.request_session = _create_session(resets=False)
         # Some GET requests may not be repeated, so aiohttp must not resend
         # them on its own.
@@ -158,6 +163,7 @@
         is_reusable = False
         try:
             connection = response.connection
+            self._record_limit(attempt.instance, response, request.id)
             yield UpstreamAnswer(
                 _decode_head(response, request.id),
                 response,
@@ -179,6 +185,7 @@
                 f"http://{instance.address}/report",
                 timeout=_create_timeout(REPORT_TIMEOUT),
             ) as response:
+                self._record_limit(instance, response)
                 if response.status != 200:
                     return None
                 return _decode_report(await response.json())
@@ -219,6 +226,7 @@
                 headers={header_names.EXPECTED_INSTANCE: instance.id},
                 timeout=_create_timeout(ORDER_TIMEOUT),
             ) as response:
+                self._record_limit(instance, response)
                 await response.read()
                 return ORDER_RESULTS_BY_STATUS.get(
                     response.status, engine_orders.OrderResult.UNKNOWN
@@ -228,6 +236,33 @@
         except (aiohttp.ClientError, OSError):
             return engine_orders.OrderResult.UNKNOWN
 
+    def _record_limit(
+        self,
+        instance: inventory.Instance,
+        response: aiohttp.ClientResponse,
+        request_id: str = "",
+    ) -> None:
+        """Pass on what an answer says of its upstream's request limit.
+
+        That a limit is not named counts only in signed answers to the request
+        sent: refusals and late answers may lack it, and a 421 may come from
+        another upstream at this address.
+        """
+        if response.status == 421:
+            return
+        try:
+            rate = header_names.decode_request_limit(response.headers)
+        except ValueError as error:
+            logger.warning(
+                "Request limit of an upstream ignored; it is not a number.",
+                extra={"instance": instance.id, "error": str(error)},
+            )
+            return
+        is_signed = header_names.SIGNATURE in response.headers
+        answered_id = response.headers.get(header_names.REQUEST_ID)
+        if rate is not None or (is_signed and answered_id == request_id):
+            self.limit_listener(instance, rate)
+
 
 def _create_session(*, resets: bool) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -11,6 +11,7 @@
 import multidict
 
 RESET = struct.pack("ii", 1, 0)
+LIMIT_HEADER = "Server-Limit"
 
 
 @dataclasses.dataclass
@@ -41,6 +42,8 @@
         born: start time in Unix milliseconds.
         is_silent: whether orders and reports get no answer.
         is_busy: whether it reports that it is carrying out an order.
+        limit: value of the request limit that it names; None for none.
+        calls: times of all calls that it received, by the event loop's clock.
     """
 
     def __init__(self, name: str, service: str) -> None:
@@ -60,6 +63,8 @@
         self.born = 1_700_000_000_000
         self.is_silent = False
         self.is_busy = False
+        self.limit: float | str | None = None
+        self.calls: list[float] = []
 
     def describe(self) -> dict[str, Any]:
         """Return its registration in the store."""
@@ -84,33 +89,43 @@
         self.sequence = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer one call."""
+        """Answer one call; each answer names the limit in force."""
+        self.calls.append(asyncio.get_running_loop().time())
         if self.is_silent and request.path in ("/report", "/order"):
             await asyncio.Event().wait()
         if request.path == "/report":
-            return web.json_response(
-                {
-                    "stage": "both",
-                    "models": self._list_models(),
-                    "busy": self.is_busy,
-                    "sequence_number": self.sequence,
-                    "incoming": [],
-                    "born": self.born,
-                }
+            return self._name_limit(
+                web.json_response(
+                    {
+                        "stage": "both",
+                        "models": self._list_models(),
+                        "busy": self.is_busy,
+                        "sequence_number": self.sequence,
+                        "incoming": [],
+                        "born": self.born,
+                    }
+                )
             )
         if request.path == "/order":
-            return self._order(json.loads(await request.read()))
+            order = json.loads(await request.read())
+            return self._name_limit(self._order(order))
         body = await request.read()
         self.arrivals.append(Arrival(request.raw_path, request.headers, body))
         self.running += 1
         try:
             rejection = self._reject(request)
             if rejection is not None:
-                return rejection
+                return self._name_limit(rejection)
             return await self._answer(request, body)
         finally:
             self.running -= 1
 
+    def _name_limit(self, response: web.Response) -> web.Response:
+        """Add the limit in force to an answer."""
+        if self.limit is not None:
+            response.headers[LIMIT_HEADER] = str(self.limit)
+        return response
+
     def _reject(self, request: web.BaseRequest) -> web.Response | None:
         """Return the answer to a request that it does not run, else None."""
         expected = request.headers.get("X-Expected-Instance", self.id)
@@ -134,6 +149,8 @@
             "X-Request-Id": request_id,
             "X-Response-Signature": f"sig-{request_id}",
         }
+        if self.limit is not None:
+            headers[LIMIT_HEADER] = str(self.limit)
         if self.mode == "error":
             return web.Response(status=500, body=b"broken", headers=headers)
         if self.mode == "crossed":
