Keep the request limits that upstreams name, over all nodes

Cause: no part read the limit.

core/request_limits.py keeps the newest statement of each incarnation and paces what this node sends there. Each of at most 4 senders has an equal share, and one share more stays unused: a node that the others do not know of then exceeds nothing, and a cut or frozen node keeps its own share without asking anybody. Statements travel in the statuses, with their age, so a restarted node knows them before its first request, and the end of a limit reaches all. A limited upstream is asked again while it is silent, since only its answers show the end.

All ways to an upstream go through it: the balancer (first and further attempts, resumed streams), copy requests, orders and report queries. The holder places and counts copies on engines without a limit, so a model in demand gets a copy elsewhere. What no upstream may get is refused at once with 503 upstream_limit, not run, and each caller gets its own Retry-After.

--- a/src/cicadahook/core/balancer.py
+++ b/src/cicadahook/core/balancer.py
@@ -18,6 +18,7 @@
 from cicadahook.core import inventory
 from cicadahook.core import model_paces
 from cicadahook.core import prefix_cache
+from cicadahook.core import request_limits
 
 # Prefill rate of an engine for the reference model, as deployments state it.
 PREFILL_TOKENS_PER_MS: Final = 38.4
@@ -130,12 +131,18 @@
         peers: the newest loads of each other node, with their time.
         paces: learned relative paces of the models.
         peer_expiry: how long loads of other nodes count.
+        limits: request limits that upstreams have named.
     """
 
     def __init__(
-        self, zone: str, clock: clock_lib.Clock, generator: random.Random
+        self,
+        zone: str,
+        clock: clock_lib.Clock,
+        generator: random.Random,
+        limits: request_limits.RequestLimits,
     ) -> None:
         self.zone = zone
+        self.limits = limits
         self.clock = clock
         self.random = generator
         self.states: dict[str, InstanceState] = {}
@@ -205,11 +212,18 @@
         generation: forwarding.Generation | None,
         excluded: frozenset[str] = frozenset(),
     ) -> inventory.Instance | None:
-        """Return the upstream with the least cost, or None without one."""
-        usable = [entry for entry in candidates if entry.id not in excluded]
+        """Return the upstream with the least cost, or None without one.
+
+        Upstreams whose request limit has no room are left out.
+        """
+        now = self.clock.now()
+        usable = [
+            entry
+            for entry in candidates
+            if entry.id not in excluded and self.limits.has_room(entry, now)
+        ]
         if not usable:
             return None
-        now = self.clock.now()
         preferred = [
             entry for entry in usable if not self._is_avoided(entry, now)
         ]
@@ -230,6 +244,7 @@
         state = self._get(entry)
         cost = self.predict_ms(entry, generation) * state.slowness
         cost += state.failure_rate * FAILURE_MS
+        cost += self.limits.get_cost_ms(entry, self.clock.now())
         return cost if entry.zone == self.zone else cost + ZONE_MS
 
     def predict_ms(
@@ -305,6 +320,7 @@
         generation: forwarding.Generation | None,
     ) -> Placement:
         """Record that a request is sent to `entry`."""
+        self.limits.record_send(entry, self.clock.now())
         state = self._get(entry)
         reading = unread = 0.0
         if generation is None:
--- a/src/cicadahook/core/load_planning.py
+++ b/src/cicadahook/core/load_planning.py
@@ -135,6 +135,8 @@
         is_store_open: whether a load from the weight store may start.
         now: the time.
         starved: number of requests that wait for an adapter slot, by model.
+        limited_models: models on engines that name a request limit, which are
+            not among `ledgers`.
     """
 
     ledgers: tuple[engine_ledger.EngineLedger, ...]
@@ -143,6 +145,7 @@
     is_store_open: bool
     now: datetime.datetime
     starved: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    limited_models: Set[str] = frozenset()
 
     @functools.cached_property
     def copies(self) -> "collections.Counter[str]":
@@ -244,9 +247,14 @@
 def _plan_missing(
     models: Mapping[str, routes.Model], state: ServiceState
 ) -> LoadPlan | None:
-    """Return a load of a model without a copy, if memory is free for it."""
+    """Return a load of a model without a copy, if memory is free for it.
+
+    A copy on an engine that names a request limit is enough for a model without
+    demand.
+    """
     for name, model in models.items():
-        if not state.copies[name]:
+        is_enough = name in state.limited_models and not state.demand.get(name)
+        if not state.copies[name] and not is_enough:
             plan = plan_load(model, state)
             if plan is not None and not plan.evicted:
                 return plan
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -9,6 +9,7 @@
 from cicadahook.core import balancer
 from cicadahook.core import grants
 from cicadahook.core import model_paces
+from cicadahook.core import request_limits
 from cicadahook.core import view
 
 STATUS_PERIOD: Final = datetime.timedelta(milliseconds=150)
@@ -72,6 +73,7 @@
         paces: run times of models that it has observed.
         withdrawn: copies that it has ordered engines to drop.
         suspects: requests suspected of crashing upstreams.
+        limits: what upstreams last said of their request limits.
     """
 
     node: NodeRecord
@@ -90,6 +92,7 @@
     paces: tuple[model_paces.PaceEstimate, ...] = ()
     withdrawn: tuple["WithdrawnCopy", ...] = ()
     suspects: tuple[view.Suspect, ...] = ()
+    limits: tuple[request_limits.LimitStatement, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -223,8 +226,12 @@
 
     def count_nodes(self, now: datetime.datetime) -> int:
         """Return the number of nodes among which shared limits are divided."""
+        return len(self.list_names(now))
+
+    def list_names(self, now: datetime.datetime) -> frozenset[str]:
+        """Return the nodes among which shared limits are divided."""
         names = {status.node.name for _, status in self.list_recent(now)}
-        return len(names | self.registered.keys() | {self.own.name})
+        return frozenset(names | self.registered.keys() | {self.own.name})
 
     def find_holder(self, now: datetime.datetime) -> NodeRecord | None:
         """Return the node that sends orders, if a status reports one."""
--- a/src/cicadahook/net/copy_requests.py
+++ b/src/cicadahook/net/copy_requests.py
@@ -51,6 +51,7 @@
         self.roster = roster
         self.inventory = instances
         self.residency = residency
+        self.limits = orderer.inputs.limits
         self.clock = clock
         self.pending: dict[
             tuple[str, str, str, frozenset[str]],
@@ -74,12 +75,19 @@
             held = await asyncio.shield(
                 self._join_request(service, key, failed)
             )
-            # The holder may learn of an engine's start or end earlier or later
-            # than this node.
-            if held is not None and self.inventory.find_usable(held.instance):
+            # The holder may learn of an engine's start, end or request limit
+            # earlier or later than this node.
+            if held is not None and self._can_use(held):
                 return held
             await asyncio.sleep(RETRY_DELAY.total_seconds())
 
+    def _can_use(self, held: residency_lib.CopyKey) -> bool:
+        """Whether a request may be sent to a copy now."""
+        engine = self.inventory.find_usable(held.instance)
+        return engine is not None and self.limits.has_room(
+            engine, self.clock.now()
+        )
+
     def _join_request(
         self,
         service: str,
@@ -152,6 +160,7 @@
             candidate
             for candidate in self.inventory.list_usable(service)
             if candidate.id not in failed
+            and self.limits.has_room(candidate, self.clock.now())
         )
         holders = self.residency.list_holders(
             usable, key.model, key.adapter, self.clock.now()
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -240,8 +240,10 @@
             chosen = components.balancer.choose(usable, None)
         else:
             chosen = await self._select_engine(active, usable, generation)
-        if chosen is None:
-            self._raise_no_upstream(active)
+        if chosen is None or not components.limits.has_room(
+            chosen, self.clock.now()
+        ):
+            self._raise_no_upstream(active, usable)
         return chosen
 
     async def _select_engine(
@@ -252,7 +254,7 @@
     ) -> inventory.Instance | None:
         """Return an engine that holds the requested copy, or None.
 
-        If no usable engine holds it, the copy is loaded first.
+        If no usable engine with room holds it, the copy is loaded first.
 
         Raises:
             errors.RefusalError: the engine is overloaded, or the load takes
@@ -268,6 +270,8 @@
             if not active.send_count:
                 self._check_overload(active, chosen)
             return chosen
+        if not any(components.limits.has_room(entry, now) for entry in usable):
+            return None
         holders = components.residency.list_holders(
             usable, generation.model, "", now
         )
@@ -286,7 +290,10 @@
                     active.service.name, key, avoided
                 )
         except TimeoutError:
-            self._raise_no_copy(active)
+            chosen = components.balancer.choose(ready, generation)
+            if chosen is None:
+                self._raise_no_copy(active)
+            return chosen
         if held is None:
             return None
         candidate = components.inventory.find_usable(held.instance)
@@ -339,12 +346,28 @@
         return LOAD_RETRY_AFTER * self.components.generator.uniform(0.7, 1.3)
 
     def _raise_no_upstream(
-        self, active: active_request.ActiveRequest
+        self,
+        active: active_request.ActiveRequest,
+        usable: Iterable[inventory.Instance],
     ) -> NoReturn:
+        """Refuse a request that no upstream may get now.
+
+        Raises:
+            errors.RefusalError: always; if upstreams have reached their request
+                limits, it says when there will be room.
+        """
         if active.possible_runs:
             raise active_request.create_refusal(
                 "attempts_failed", 502, outcome="unknown"
             )
+        limits = self.components.limits
+        limited = [entry for entry in usable if limits.find(entry) is not None]
+        if limited:
+            raise active_request.create_refusal(
+                "upstream_limit",
+                503,
+                limits.plan_return(limited, self.clock.now()),
+            )
         raise active_request.create_refusal("no_upstream", 503, RETRY_AFTER)
 
     async def _attempt(
@@ -366,6 +389,8 @@
             active.route.priority,
             active.last_event_id,
         )
+        if self.components.limits.find(instance) is not None:
+            metrics.count_limited_call("request", self.node)
         placement = self.components.balancer.start(
             instance, active.request.generation
         )
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -79,3 +79,12 @@
         "Request limits that upstreams named, changed or stopped naming.",
     )
     counter.add(1, {"node": node})
+
+
+def count_limited_call(kind: str, node: str) -> None:
+    """Count a request, order or report query within a request limit."""
+    counter = create_counter(
+        "cicada_limited_calls",
+        "Calls to upstreams that name a request limit, by kind.",
+    )
+    counter.add(1, {"kind": kind, "node": node})
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -123,16 +123,24 @@
         residency = residency_lib.Residency()
         self.limits = request_limits.RequestLimits(settings.name, generator)
         platform.upstreams.limit_listener = self.record_limit
-        balancer = balancer_lib.Balancer(settings.zone, clock, generator)
+        balancer = balancer_lib.Balancer(
+            settings.zone, clock, generator, self.limits
+        )
         self.orderer = orderer.Orderer(
             order_sender.OrderSender(
-                self.holder_state, platform.upstreams, clock, self.is_granted
+                self.holder_state,
+                order_sender.PacedEngineApi(
+                    platform.upstreams, self.limits, clock, settings.name
+                ),
+                clock,
+                self.is_granted,
             ),
             orderer.PlanningInputs(
                 inventory,
                 lambda: self.forwarder.configuration,
                 self.get_demand,
                 balancer.list_used_copies,
+                self.limits,
             ),
             clock,
             settings.load_window,
@@ -289,6 +297,7 @@
                     status.node.name, status.grant, self.holder_state.fence
                 )
             self.withdraw(status.withdrawn)
+            self.limits.merge(status.limits, self.clock.now())
             if status.is_brief:
                 return
             self.components.balancer.replace_peer_loads(
@@ -371,6 +380,7 @@
             )
             self.components.inventory.drop_expired(now)
             self.forwarder.node_count = self.roster.count_nodes(now)
+            self.limits.replace_nodes(self.roster.list_names(now))
             self.withdraw(self.orderer.list_withdrawn_copies())
             await asyncio.sleep(MAINTENANCE_PERIOD.total_seconds())
 
@@ -449,6 +459,7 @@
             suspects=self.components.quarantine.select_suspects(
                 self.components.generator
             ),
+            limits=self.limits.list_statements(now),
         )
 
 
--- a/src/cicadahook/net/order_sender.py
+++ b/src/cicadahook/net/order_sender.py
@@ -15,6 +15,7 @@
 from cicadahook.core import engine_orders
 from cicadahook.core import inventory
 from cicadahook.core import order_holder
+from cicadahook.core import request_limits
 from cicadahook.core import routes
 from cicadahook.net import logs
 from cicadahook.net import metrics
@@ -41,6 +42,56 @@
         """Return an engine's report; None if it does not answer."""
 
 
+class PacedEngineApi:
+    """Sends orders and report queries within the engines' request limits.
+
+    Attributes:
+        client: interface to the engines.
+        limits: request limits that engines have named.
+        clock: source of the current time.
+        node: name of the node, for metrics.
+    """
+
+    def __init__(
+        self,
+        client: EngineApi,
+        limits: request_limits.RequestLimits,
+        clock: clock_lib.Clock,
+        node: str,
+    ) -> None:
+        self.client = client
+        self.limits = limits
+        self.clock = clock
+        self.node = node
+
+    async def send_order(
+        self, instance: inventory.Instance, order: engine_orders.Order
+    ) -> engine_orders.OrderResult:
+        """Send an order unless the engine's limit has no room for it."""
+        if not self._acquire(instance, "order"):
+            return engine_orders.OrderResult.NOT_SENT
+        return await self.client.send_order(instance, order)
+
+    async def fetch_report(
+        self, instance: inventory.Instance
+    ) -> engine_orders.EngineReport | None:
+        """Return an engine's report; None if its limit has no room."""
+        if not self._acquire(instance, "report"):
+            return None
+        return await self.client.fetch_report(instance)
+
+    def _acquire(self, instance: inventory.Instance, kind: str) -> bool:
+        """Count a call to an engine; return whether it may be sent."""
+        now = self.clock.now()
+        if self.limits.find(instance) is None:
+            return True
+        if not self.limits.has_room(instance, now):
+            return False
+        self.limits.record_send(instance, now)
+        metrics.count_limited_call(kind, self.node)
+        return True
+
+
 @dataclasses.dataclass
 class Engine:
     """An engine to which this node sends orders.
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -16,6 +16,7 @@
 from cicadahook.core import engine_orders
 from cicadahook.core import inventory
 from cicadahook.core import load_planning
+from cicadahook.core import request_limits
 from cicadahook.core import residency
 from cicadahook.core import roster
 from cicadahook.core import routes
@@ -56,12 +57,14 @@
             requests of all nodes for each model keep busy.
         get_copies_in_use: returns the (model, adapter) pairs of the requests
             that run on an engine.
+        limits: request limits that engines have named.
     """
 
     registry: inventory.Inventory
     get_configuration: Callable[[], routes.Configuration | None]
     get_demand: Callable[[str], dict[str, float]]
     get_copies_in_use: Callable[[str], set[tuple[str, str]]]
+    limits: request_limits.RequestLimits
 
 
 class Orderer:
@@ -191,13 +194,27 @@
         )
         return [engine for engine in known if engine is not None]
 
+    def _is_limited(self, engine: order_sender.Engine) -> bool:
+        return self.inputs.limits.find(engine.ledger.instance) is not None
+
+    def _list_assignable(self, service: str) -> list[order_sender.Engine]:
+        """Return the engines on which copies are placed and counted.
+
+        Engines that name a request limit are left out, unless all do.
+        """
+        engines = self._list_engines(service)
+        unlimited = [
+            engine for engine in engines if not self._is_limited(engine)
+        ]
+        return unlimited or engines
+
     def _list_holders(
         self, service: str, model: str
     ) -> list[order_sender.Engine]:
         """Return the engines that hold a model according to their ledgers."""
         return [
             engine
-            for engine in self._list_engines(service)
+            for engine in self._list_assignable(service)
             if engine.ledger.is_ready(model) and not self._is_unreliable(engine)
         ]
 
@@ -243,7 +260,7 @@
         """Query the engines of unknown state, except where `is_passed`."""
         unknown = [
             engine
-            for engine in self._list_engines(service)
+            for engine in self._list_assignable(service)
             if engine.ledger.sequence is None and not is_passed(engine)
         ]
         await asyncio.gather(*(self._fetch_state(engine) for engine in unknown))
@@ -340,9 +357,10 @@
     def _describe_service_state(
         self, service: str, is_store_open: bool
     ) -> load_planning.ServiceState:
+        assignable = self._list_assignable(service)
         ledgers = tuple(
             engine.ledger
-            for engine in self._list_engines(service)
+            for engine in assignable
             if not self._is_unreliable(engine)
             and (engine.ledger.sequence is not None or engine.ledger.is_busy)
         )
@@ -362,6 +380,12 @@
                 for name, model, _ in self.adapters_without_slot
                 if name == service
             ),
+            frozenset(
+                name
+                for engine in self._list_engines(service)
+                if engine not in assignable
+                for name in load_planning.list_models(engine.ledger)
+            ),
         )
 
     async def _place_model(
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -36,6 +36,13 @@
   weight @2 :Float64;
 }
 
+struct LimitStatement {
+  instance @0 :Text;
+  born @1 :UInt64;
+  rate @2 :Float64;
+  ageMs @3 :UInt64;
+}
+
 struct Grant {
   holder @0 :Text;
   fence @1 :UInt64;
@@ -59,6 +66,7 @@
   grant @13 :Grant;
   newestTerm @14 :UInt64;
   isBrief @15 :Bool;
+  limits @16 :List(LimitStatement);
 }
 
 struct CopyRequest {
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -17,6 +17,7 @@
 from cicadahook.core import model_demand
 from cicadahook.core import model_paces
 from cicadahook.core import prefix_cache
+from cicadahook.core import request_limits
 from cicadahook.core import residency
 from cicadahook.core import retry_budget
 from cicadahook.core import roster
@@ -208,7 +209,12 @@
 @pytest.fixture(name="balancer")
 def create_balancer(clock: clock_lib.ManualClock) -> balancer_lib.Balancer:
     """Return a balancer whose draws repeat."""
-    return balancer_lib.Balancer("z", clock, random.Random(1))
+    return balancer_lib.Balancer(
+        "z",
+        clock,
+        random.Random(1),
+        request_limits.RequestLimits("n1", random.Random(1)),
+    )
 
 
 def test_spreads_generations_by_work(balancer: balancer_lib.Balancer) -> None:
--- a/tests/test_orderer.py
+++ b/tests/test_orderer.py
@@ -18,6 +18,7 @@
 from cicadahook.core import engine_orders
 from cicadahook.core import inventory
 from cicadahook.core import order_holder
+from cicadahook.core import request_limits
 from cicadahook.core import residency
 from cicadahook.core import routes
 from cicadahook.core import store_api
@@ -235,6 +236,8 @@
 ) -> AsyncIterator[orderer_lib.Orderer]:
     """Run an orderer on a node that is the holder all the time."""
     clock = clock_lib.BootClock()
+    limits = request_limits.RequestLimits("n1", random.Random(1))
+    limits.update_registered(network.registry.instances)
     holder_state = order_holder.HolderStateMachine(
         "n1", "1", MS, datetime.timedelta(minutes=10)
     )
@@ -248,12 +251,18 @@
         clock.now(),
     )
     orderer = orderer_lib.Orderer(
-        order_sender.OrderSender(holder_state, network, clock, lambda: False),
+        order_sender.OrderSender(
+            holder_state,
+            order_sender.PacedEngineApi(network, limits, clock, "n1"),
+            clock,
+            lambda: False,
+        ),
         orderer_lib.PlanningInputs(
             network.registry,
             lambda: CONFIGURATION,
             lambda service: {name: 0.3 for name in SIZES},
             lambda instance: set(),
+            limits,
         ),
         clock,
         datetime.timedelta(seconds=5),
@@ -317,3 +326,38 @@
         async with asyncio.timeout(1):
             adapter = residency.CopyKey(held.instance, "a", "a1")
             assert await orderer.ensure("s", adapter) == adapter
+
+
+async def test_a_limited_engine_gets_no_orders_but_a_copy_elsewhere() -> None:
+    network = EngineNetwork(3, 0.0, 1)
+    async with run_orderer(network) as orderer:
+        held = await orderer.ensure("s", residency.CopyKey("", "a"))
+        assert held is not None
+        limited = network.engines[held.instance]
+        now = orderer.clock.now()
+        orderer.inputs.limits.record_answer(limited.entry, 0.5, now)
+        # A load that began before may still end.
+        await asyncio.sleep(0.2)
+        sequence = limited.sequence
+        for model in SIZES:
+            async with asyncio.timeout(1):
+                key = residency.CopyKey(held.instance, model, "a1")
+                elsewhere = await orderer.ensure("s", key)
+            assert elsewhere is not None
+            assert elsewhere.instance != held.instance
+        assert limited.sequence == sequence
+
+
+async def test_adapters_load_where_all_engines_are_limited() -> None:
+    network = EngineNetwork(1, 0.0, 1)
+    engine = network.engines["e0"]
+    async with run_orderer(network) as orderer:
+        assert await orderer.ensure("s", residency.CopyKey("", "a"))
+        limits = orderer.inputs.limits
+        limits.record_answer(engine.entry, 100.0, orderer.clock.now())
+        async with asyncio.timeout(2):
+            while True:
+                key = residency.CopyKey("", "a", "a1")
+                if await orderer.ensure("s", key) is not None:
+                    break
+        assert "a1" in engine.held["a"]
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -1,5 +1,6 @@
 """Tests the limits that upstreams name, without a network."""
 
+from collections.abc import Collection
 import dataclasses
 import datetime
 import math
@@ -11,12 +12,15 @@
 from cicadahook.core import inventory
 from cicadahook.core import request_limits
 
+STEP = datetime.timedelta(milliseconds=10)
+STATUS_STEPS = 15
+STATUS_FANOUT = 8
 SECOND = datetime.timedelta(seconds=1)
 ENGINE = inventory.Instance("e1", "engines", "h:1", "zone-a", 4, born=7)
 
 
-@pytest.fixture
-def limits() -> request_limits.RequestLimits:
+@pytest.fixture(name="limits")
+def create_limits() -> request_limits.RequestLimits:
     """Return the limits of a node that knows one upstream."""
     return create("n1")
 
@@ -78,3 +82,188 @@
     statement = request_limits.LimitStatement(ENGINE.id, ENGINE.born, rate, 0)
     limits.merge([statement], clock.now())
     assert limits.find(ENGINE) is None
+
+
+@dataclasses.dataclass
+class Fleet:
+    """Nodes that send to one upstream with a limit, as often as they may.
+
+    Attributes:
+        nodes: the limits of each node, by its name.
+        frozen: nodes that do nothing now.
+        partitioned: nodes that neither send nor receive statements.
+        sends: when requests were sent, by node.
+    """
+
+    clock: clock_lib.ManualClock
+    nodes: dict[str, request_limits.RequestLimits]
+    frozen: set[str] = dataclasses.field(default_factory=set)
+    partitioned: set[str] = dataclasses.field(default_factory=set)
+    sends: list[tuple[datetime.datetime, str]] = dataclasses.field(
+        default_factory=list
+    )
+
+    def share_names(self, names: Collection[str], among: str = "") -> None:
+        """Set the nodes that the given node knows, or all of them."""
+        for name, limits in self.nodes.items():
+            if not among or name == among:
+                limits.replace_nodes(names)
+
+    def run(self, seconds: float, rate: float) -> None:
+        """Let all nodes send whenever they have room; answers name `rate`."""
+        for step in range(int(seconds * SECOND / STEP)):
+            self.clock.advance(STEP)
+            now = self.clock.now()
+            for name, limits in self.nodes.items():
+                if name in self.frozen or not limits.has_room(ENGINE, now):
+                    continue
+                limits.record_send(ENGINE, now)
+                limits.record_answer(ENGINE, rate, now)
+                self.sends.append((now, name))
+            if step % STATUS_STEPS == 0:
+                self.exchange()
+
+    def exchange(self) -> None:
+        """Send the statements of each node to some others."""
+        now = self.clock.now()
+        linked = [
+            limits
+            for name, limits in self.nodes.items()
+            if name not in self.frozen | self.partitioned
+        ]
+        for limits in linked:
+            sent = limits.list_statements(now)
+            count = min(len(linked), STATUS_FANOUT)
+            for peer in limits.random.sample(linked, count):
+                peer.merge(sent, now)
+
+    def count_most(self, seconds: float, begin: datetime.datetime) -> int:
+        """Return the most requests in a window of this length."""
+        times = [time for time, _ in self.sends if time >= begin]
+        return max(
+            sum(first <= time < first + seconds * SECOND for time in times)
+            for first in times
+        )
+
+
+def create_fleet(count: int, clock: clock_lib.ManualClock) -> Fleet:
+    """Return nodes that know each other and a limit of one engine."""
+    names = [f"n{number}" for number in range(count)]
+    fleet = Fleet(clock, {name: create(name) for name in names})
+    fleet.share_names(names)
+    return fleet
+
+
+def count_allowed(rate: float) -> float:
+    """Return the requests that may reach an upstream in 4 s."""
+    return 1.5 * 4 * rate + 5
+
+
+RATES = pytest.mark.parametrize("rate", [0.2, 0.7, 1.1, 5.0])
+
+
+@pytest.mark.parametrize("count", [1, 2, 4, 34, 100])
+@RATES
+def test_a_fleet_keeps_a_limit_and_uses_half_of_it(
+    clock: clock_lib.ManualClock, count: int, rate: float
+) -> None:
+    fleet = create_fleet(count, clock)
+    fleet.nodes["n0"].record_answer(ENGINE, rate, clock.now())
+    fleet.exchange()
+    begin = clock.now()
+    fleet.run(60, rate)
+    assert len(fleet.sends) <= 60 * rate + request_limits.MAX_SENDERS
+    assert fleet.count_most(4, begin) <= 4 * rate + request_limits.MAX_SENDERS
+    assert len(fleet.sends) >= 0.5 * 60 * rate - 1
+
+
+@RATES
+def test_a_limit_holds_while_a_node_is_cut_off_from_the_others(
+    clock: clock_lib.ManualClock, rate: float
+) -> None:
+    fleet = create_fleet(4, clock)
+    fleet.run(4, rate)
+    begin = clock.now()
+    fleet.partitioned = {"n0"}
+    fleet.share_names(["n1", "n2", "n3"])
+    fleet.share_names(["n0"], among="n0")
+    fleet.run(20, rate)
+    assert fleet.count_most(4, begin) <= count_allowed(rate)
+
+
+@RATES
+def test_a_limit_is_kept_with_a_node_unknown_to_the_others(
+    clock: clock_lib.ManualClock, rate: float
+) -> None:
+    fleet = create_fleet(4, clock)
+    fleet.share_names(["n1", "n2", "n3"])
+    fleet.share_names(["n0", "n1", "n2", "n3"], among="n0")
+    fleet.run(4, rate)
+    begin = clock.now()
+    fleet.sends.clear()
+    fleet.run(40, rate)
+    assert len(fleet.sends) <= 40 * rate + request_limits.MAX_SENDERS + 1
+    assert fleet.count_most(4, begin) <= count_allowed(rate)
+
+
+@RATES
+def test_a_frozen_node_sends_at_most_one_request_more_when_it_is_back(
+    clock: clock_lib.ManualClock, rate: float
+) -> None:
+    fleet = create_fleet(4, clock)
+    fleet.run(4, rate)
+    begin = clock.now()
+    fleet.frozen = {"n0"}
+    fleet.run(8, rate)
+    fleet.share_names(["n1", "n2", "n3"])
+    fleet.run(8, rate)
+    fleet.frozen = set()
+    back = clock.now()
+    fleet.run(8, rate)
+    assert fleet.count_most(4, begin) <= count_allowed(rate)
+    interval = 5 / rate
+    after = [time for time, name in fleet.sends if name == "n0" and time > back]
+    assert len(after) <= 1 + 8 / interval
+
+
+def test_an_upstream_that_takes_nothing_is_asked_once_a_minute_at_most(
+    clock: clock_lib.ManualClock,
+) -> None:
+    fleet = create_fleet(4, clock)
+    fleet.nodes["n0"].record_answer(ENGINE, 0.0, clock.now())
+    fleet.exchange()
+    fleet.run(600, 0.0)
+    assert 1 <= len(fleet.sends) <= 10 + request_limits.MAX_SENDERS
+
+
+def test_refused_callers_return_one_by_one_when_there_is_room(
+    clock: clock_lib.ManualClock, limits: request_limits.RequestLimits
+) -> None:
+    limits.record_answer(ENGINE, 4.0, clock.now())
+    begin = clock.now()
+    returns = sorted(
+        begin + limits.plan_return([ENGINE], clock.now()) for _ in range(5)
+    )
+    for time in returns:
+        clock.advance(time - clock.now())
+        assert limits.has_room(ENGINE, clock.now())
+        limits.record_send(ENGINE, clock.now())
+        assert not limits.has_room(ENGINE, clock.now())
+
+
+def test_an_answer_with_the_same_limit_keeps_the_times_of_returns(
+    clock: clock_lib.ManualClock, limits: request_limits.RequestLimits
+) -> None:
+    limits.record_answer(ENGINE, 1.0, clock.now())
+    first = limits.plan_return([ENGINE], clock.now())
+    limits.record_answer(ENGINE, 1.0, clock.now())
+    assert limits.plan_return([ENGINE], clock.now()) >= first + SECOND
+
+
+def test_callers_are_not_told_to_return_after_more_than_the_longest_delay(
+    clock: clock_lib.ManualClock, limits: request_limits.RequestLimits
+) -> None:
+    limits.record_answer(ENGINE, 1.0, clock.now())
+    delays = [limits.plan_return([ENGINE], clock.now()) for _ in range(50)]
+    assert max(delays) <= request_limits.MAX_RETURN_DELAY
+    assert len(set(delays)) == len(delays)
