--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -274,7 +274,8 @@
         self, instance: inventory_lib.Instance, rate: float | None
     ) -> None:
         """Record what an answer says of its upstream's request limit."""
-        before = self.limits.find(instance)
+        known = self.limits.find(instance)
+        before = known.rate if known else None
         if not self.limits.record_answer(instance, rate, self.clock.now()):
             return
         metrics.count_limit_change(self.settings.name)
@@ -284,7 +285,7 @@
                 "instance": instance.id,
                 "service": instance.service,
                 "per_second": rate,
-                "before": before.rate if before else None,
+                "before": before,
             },
         )
 
