Let upstreams of the node soak name limits, and check that they are kept

A fault name_limit: an upstream names 0.3, 1.5 or 5 requests a second for 4.5 to 9 s; from 3 s on its calls in any 4 s stay within 1.5 times that and 5.

--- a/tests/soak/node_checker.py
+++ b/tests/soak/node_checker.py
@@ -45,6 +45,11 @@
 # Nodes answer slightly before the deadline of a request.
 DEADLINE_SLACK_SECONDS: Final = 0.1
 
+# In this time an upstream gets at most 1.5 times what its limit allows, and
+# LIMIT_SLACK requests more.
+LIMIT_WINDOW_SECONDS: Final = 4.0
+LIMIT_SLACK: Final = 5
+
 
 class Outcome(enum.StrEnum):
     """How a request ended for its caller."""
@@ -403,6 +408,32 @@
                 return stop if call.began <= stop.ended else None
         return None
 
+    def check_limit(
+        self, upstream: str, rate: float, began: float, calls: list[float]
+    ) -> None:
+        """Check the calls to an upstream that has named a limit.
+
+        Args:
+            upstream: name of the upstream.
+            rate: the limit, in requests per second.
+            began: when it was named first.
+            calls: when the upstream got calls.
+        """
+        late = [time for time in calls if time >= began + CONTACT_SECONDS]
+        for first in late:
+            end = first + LIMIT_WINDOW_SECONDS
+            count = sum(first <= time < end for time in late)
+            allowed = 1.5 * rate * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
+            if count > allowed and not self.is_disturbed(
+                SOAK_PROCESS, began, end
+            ):
+                self.results.record_violation(
+                    "named limits are kept",
+                    f"{upstream}: {count} calls in {LIMIT_WINDOW_SECONDS} s at"
+                    f" {rate} a second, {first - began:.3f} s after its naming",
+                )
+                return
+
     def check_runs(self) -> None:
         """Compare the runs of all requests with their answers.
 
--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -37,6 +37,8 @@
     "hang",
     "cut",
 )
+LIMIT_DURATION_SECONDS: Final = (4.5, 9.0)
+LIMIT_RATES: Final = (0.3, 1.5, 5.0)
 STORE_FAULTS: Final = ("is_down", "is_silent", "loses_answers")
 
 FaultFunction = Callable[
@@ -333,6 +335,19 @@
             upstream.mode, upstream.cut_after = "ok", 0
 
 
+@register
+async def name_limit(injector: FaultInjector, rng: random.Random) -> None:
+    """Let an upstream name a request limit, and check that it is kept."""
+    async with injector.reserve_upstream(rng, "name_limit") as upstream:
+        if upstream is None:
+            return
+        upstream.limit = rate = rng.choice(LIMIT_RATES)
+        began = time.monotonic()
+        await asyncio.sleep(rng.uniform(*LIMIT_DURATION_SECONDS))
+        injector.checker.check_limit(upstream.name, rate, began, upstream.calls)
+        upstream.limit = None
+
+
 @register
 async def harm_link(injector: FaultInjector, rng: random.Random) -> None:
     """Let the link to an upstream delay, hold back or reset bytes."""
