Leave every second slot under a request limit to requests

Callers saw refusals without an end.

Cause: where all engines of a service name limits, the holder asks them for reports several times a second and took each slot as soon as it came. Reports do not end a limit, only signed answers to requests do, so it never ended. Now an order or a report query leaves the next slot to requests.

The test of orders beside requests in test_request_limits.py holds the cause.

--- a/src/cicadahook/core/request_limits.py
+++ b/src/cicadahook/core/request_limits.py
@@ -75,6 +75,8 @@
         rate: requests per second; infinite if there is no limit.
         heard: when an answer last said so.
         next_send: when this node may send the next request.
+        next_order: when this node may send the next order or report query, which
+            must not take the room of all requests.
         next_return: when the next caller who is refused should return.
         sent: requests that this node has sent under limits.
         peers_sent: the same of the other nodes, by name.
@@ -84,6 +86,7 @@
     rate: float
     heard: datetime.datetime
     next_send: datetime.datetime = NEVER
+    next_order: datetime.datetime = NEVER
     next_return: datetime.datetime = NEVER
     sent: int = 0
     peers_sent: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -279,6 +282,25 @@
                 instance.id, limit, now
             )
 
+    def acquire_order(
+        self, instance: inventory.Instance, now: datetime.datetime
+    ) -> bool:
+        """Record an order or report query if it may be sent now.
+
+        Every second slot at least is left to requests, since only their answers
+        show that a limit has ended.
+        """
+        limit = self.find(instance)
+        if limit is None:
+            return True
+        if now < limit.next_order or not self.has_room(instance, now):
+            return False
+        self.record_send(instance, now)
+        limit.next_order = limit.next_send + self._get_interval(
+            instance.id, limit, now
+        )
+        return True
+
     def get_cost_ms(
         self, instance: inventory.Instance, now: datetime.datetime
     ) -> float:
--- a/src/cicadahook/net/order_sender.py
+++ b/src/cicadahook/net/order_sender.py
@@ -81,13 +81,11 @@
         return await self.client.fetch_report(instance)
 
     def _acquire(self, instance: inventory.Instance, kind: str) -> bool:
-        """Count a call to an engine; return whether it may be sent."""
-        now = self.clock.now()
+        """Return whether a call may be sent to an engine; count it if so."""
         if self.limits.find(instance) is None:
             return True
-        if not self.limits.has_room(instance, now):
+        if not self.limits.acquire_order(instance, self.clock.now()):
             return False
-        self.limits.record_send(instance, now)
         metrics.count_limited_call(kind, self.node)
         return True
 
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -288,3 +288,18 @@
     delays = [limits.plan_return([ENGINE], clock.now()) for _ in range(50)]
     assert max(delays) <= request_limits.MAX_RETURN_DELAY
     assert len(set(delays)) == len(delays)
+
+
+def test_orders_do_not_take_the_room_of_all_requests(
+    clock: clock_lib.ManualClock, limits: request_limits.RequestLimits
+) -> None:
+    limits.record_answer(ENGINE, 1.0, clock.now())
+    orders = requests = 0
+    for _ in range(6000):
+        clock.advance(STEP)
+        if limits.acquire_order(ENGINE, clock.now()):
+            orders += 1
+        elif limits.has_room(ENGINE, clock.now()):
+            limits.record_send(ENGINE, clock.now())
+            requests += 1
+    assert orders and requests >= orders
