End no limit by an answer that was read late, and forgive no sends at a change

A node that was frozen reads answers that were written before a limit was named; it took them as the newest word and told it to all nodes, which then sent without a limit until the next answer. That an answer names no limit now counts from when its request was sent; the client gets the node's clock, which counts a suspension.

A limit that changes from answer to answer cut the time until the next request to one interval, whatever the other nodes had sent. Now that time is scaled.

--- a/src/cicadahook/core/request_limits.py
+++ b/src/cicadahook/core/request_limits.py
@@ -75,8 +75,7 @@
         rate: requests per second; infinite if there is no limit.
         heard: when an answer last said so.
         next_send: when this node may send the next request.
-        next_order: when this node may send the next order or report query, which
-            must not take the room of all requests.
+        next_order: when this node may send the next order or report query.
         next_return: when the next caller who is refused should return.
         sent: requests that this node has sent under limits.
         peers_sent: the same of the other nodes, by name.
@@ -163,24 +162,30 @@
         instance: inventory.Instance,
         rate: float | None,
         now: datetime.datetime,
+        sent: datetime.datetime,
     ) -> bool:
         """Record what an answer of an upstream says of its limit.
 
+        An answer may be read long after it was written, for example by a node
+        that was frozen. That it names no limit counts from when its request was
+        sent, so that it does not end a limit that was named meanwhile.
+
         Args:
             instance: the upstream.
             rate: requests per second; None if the answer names no limit.
-            now: when the answer arrived.
+            now: when the answer is read.
+            sent: when its request was sent.
 
         Returns:
             Whether the limit has changed.
         """
-        if rate is None and instance.id not in self.limits:
+        if rate is not None:
+            limit = KnownLimit(instance.born, rate, now)
+        elif instance.id in self.limits:
+            limit = KnownLimit(instance.born, math.inf, sent)
+        else:
             return False
-        return self._record(
-            instance.id,
-            KnownLimit(instance.born, math.inf if rate is None else rate, now),
-            now,
-        )
+        return self._record(instance.id, limit, now)
 
     def merge(
         self,
@@ -230,7 +235,8 @@
     ) -> bool:
         """Record a statement unless a newer one is known.
 
-        After a new limit the nodes begin to send at different times.
+        After a new limit the nodes begin to send at different times. After a
+        changed one as many requests count as sent as before.
         """
         if self.registered.get(instance) != limit.born:
             return False
@@ -246,11 +252,13 @@
         if before == limit.rate:
             return False
         if not math.isinf(limit.rate):
-            interval = self._get_interval(instance, known, now)
             if math.isinf(before):
+                interval = self._get_interval(instance, known, now)
                 known.next_send = now + interval * self.random.random()
-            known.next_send = min(known.next_send, now + interval)
-            known.next_return = NEVER
+            elif known.next_send > now:
+                factor = max(before, MIN_RATE) / max(known.rate, MIN_RATE)
+                known.next_send = now + (known.next_send - now) * factor
+            known.next_order = known.next_return = NEVER
         return True
 
     def find(self, instance: inventory.Instance) -> KnownLimit | None:
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -57,11 +57,13 @@
     """Client of the upstreams for requests, orders and reports.
 
     Attributes:
-        limit_listener: called with each answer's upstream and the request limit
-            that it names, if any.
+        limit_listener: called with each answer's upstream, the request limit
+            that it names, if any, and when the call was sent.
     """
 
-    limit_listener: Callable[[inventory_lib.Instance, float | None], None]
+    limit_listener: Callable[
+        [inventory_lib.Instance, float | None, datetime.datetime], None
+    ]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -271,12 +273,16 @@
         )
 
     def record_limit(
-        self, instance: inventory_lib.Instance, rate: float | None
+        self,
+        instance: inventory_lib.Instance,
+        rate: float | None,
+        sent: datetime.datetime,
     ) -> None:
         """Record what an answer says of its upstream's request limit."""
         known = self.limits.find(instance)
         before = known.rate if known else None
-        if not self.limits.record_answer(instance, rate, self.clock.now()):
+        now = self.clock.now()
+        if not self.limits.record_answer(instance, rate, now, sent):
             return
         metrics.count_limit_change(self.settings.name)
         logger.info(
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -11,6 +11,7 @@
 from aiohttp import client_proto
 import yarl
 
+from cicadahook.core import clock as clock_lib
 from cicadahook.core import engine_orders
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
@@ -37,7 +38,9 @@
     "Content-Type",
 )
 
-LimitListener = Callable[[inventory.Instance, float | None], None]
+LimitListener = Callable[
+    [inventory.Instance, float | None, datetime.datetime], None
+]
 
 logger: Final = logs.create_logger("upstreams")
 
@@ -118,12 +121,13 @@
     Attributes:
         request_session: connections for callers' requests.
         order_session: connections for orders and reports.
-        limit_listener: called with each answer's upstream and the request limit
-            that it names, if any.
+        limit_listener: called with each answer's upstream, the request limit
+            that it names, if any, and when the call was sent.
     """
 
-    def __init__(self) -> None:
-        self.limit_listener: LimitListener = lambda instance, rate: None
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        self.clock = clock
+        self.limit_listener: LimitListener = lambda instance, rate, sent: None
         self.request_session = _create_session(resets=False)
         # Some GET requests may not be repeated, so aiohttp must not resend
         # them on its own.
@@ -151,6 +155,7 @@
         url = yarl.URL(
             f"http://{attempt.instance.address}{request.path}", encoded=True
         )
+        sent = self.clock.now()
         with _translate_errors():
             response = await self.request_session.request(
                 request.method,
@@ -163,7 +168,7 @@
         is_reusable = False
         try:
             connection = response.connection
-            self._record_limit(attempt.instance, response, request.id)
+            self._record_limit(attempt.instance, response, sent, request.id)
             yield UpstreamAnswer(
                 _decode_head(response, request.id),
                 response,
@@ -180,12 +185,13 @@
         self, instance: inventory.Instance
     ) -> engine_orders.EngineReport | None:
         """Return the report of an engine, or None if it could not be read."""
+        sent = self.clock.now()
         try:
             async with self.order_session.get(
                 f"http://{instance.address}/report",
                 timeout=_create_timeout(REPORT_TIMEOUT),
             ) as response:
-                self._record_limit(instance, response)
+                self._record_limit(instance, response, sent)
                 if response.status != 200:
                     return None
                 return _decode_report(await response.json())
@@ -219,6 +225,7 @@
         }
         if order.adapter:
             body["adapter"] = order.adapter
+        sent = self.clock.now()
         try:
             async with self.order_session.post(
                 f"http://{instance.address}/order",
@@ -226,7 +233,7 @@
                 headers={header_names.EXPECTED_INSTANCE: instance.id},
                 timeout=_create_timeout(ORDER_TIMEOUT),
             ) as response:
-                self._record_limit(instance, response)
+                self._record_limit(instance, response, sent)
                 await response.read()
                 return ORDER_RESULTS_BY_STATUS.get(
                     response.status, engine_orders.OrderResult.UNKNOWN
@@ -240,6 +247,7 @@
         self,
         instance: inventory.Instance,
         response: aiohttp.ClientResponse,
+        sent: datetime.datetime,
         request_id: str = "",
     ) -> None:
         """Pass on what an answer says of its upstream's request limit.
@@ -261,7 +269,7 @@
         is_signed = header_names.SIGNATURE in response.headers
         answered_id = response.headers.get(header_names.REQUEST_ID)
         if rate is not None or (is_signed and answered_id == request_id):
-            self.limit_listener(instance, rate)
+            self.limit_listener(instance, rate, sent)
 
 
 def _create_session(*, resets: bool) -> aiohttp.ClientSession:
--- a/src/cicadahook/programs/node.py
+++ b/src/cicadahook/programs/node.py
@@ -57,7 +57,7 @@
             loop.add_signal_handler(signal_number, self.stopped.set)
         loop.add_signal_handler(signal.SIGHUP, self._log_reload_request)
         store = metadata_store.PlatformStore(self.settings.store_address)
-        client = upstream_client.UpstreamClient()
+        client = upstream_client.UpstreamClient(self.clock)
         platform = node_lib.Platform(
             store,
             client,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -406,7 +406,7 @@
     assert node is not None
     engine = node.components.inventory.instances["e1"]
     unreachable = dataclasses.replace(engine, address="127.0.0.1:1")
-    client = upstream_client.UpstreamClient()
+    client = upstream_client.UpstreamClient(testbed.programs[0].clock)
     assert await client.fetch_report(unreachable) is None
     await client.close()
     fields = [vars(record) for record in caplog.records]
--- a/tests/test_node_limits.py
+++ b/tests/test_node_limits.py
@@ -111,7 +111,8 @@
     upstream.limit = rate
     for number in range(2):
         node = get_node(testbed, number)
-        node.record_limit(find_instance(node, upstream), rate)
+        instance = find_instance(node, upstream)
+        node.record_limit(instance, rate, node.clock.now())
 
 
 async def test_a_limit_and_its_end_reach_nodes_that_got_no_answer(
--- a/tests/test_orderer.py
+++ b/tests/test_orderer.py
@@ -335,7 +335,7 @@
         assert held is not None
         limited = network.engines[held.instance]
         now = orderer.clock.now()
-        orderer.inputs.limits.record_answer(limited.entry, 0.5, now)
+        orderer.inputs.limits.record_answer(limited.entry, 0.5, now, now)
         # A load that began before may still end.
         await asyncio.sleep(0.2)
         sequence = limited.sequence
@@ -354,7 +354,8 @@
     async with run_orderer(network) as orderer:
         assert await orderer.ensure("s", residency.CopyKey("", "a"))
         limits = orderer.inputs.limits
-        limits.record_answer(engine.entry, 100.0, orderer.clock.now())
+        now = orderer.clock.now()
+        limits.record_answer(engine.entry, 100.0, now, now)
         async with asyncio.timeout(2):
             while True:
                 key = residency.CopyKey("", "a", "a1")
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -37,24 +37,24 @@
 def test_a_limit_lasts_until_an_answer_names_none(
     limits: request_limits.RequestLimits, clock: clock_lib.ManualClock
 ) -> None:
-    assert not limits.record_answer(ENGINE, None, clock.now())
-    assert limits.record_answer(ENGINE, 1.5, clock.now())
-    assert not limits.record_answer(ENGINE, 1.5, clock.now())
+    assert not limits.record_answer(ENGINE, None, clock.now(), clock.now())
+    assert limits.record_answer(ENGINE, 1.5, clock.now(), clock.now())
+    assert not limits.record_answer(ENGINE, 1.5, clock.now(), clock.now())
     clock.advance(100 * SECOND)
     found = limits.find(ENGINE)
     assert found is not None and found.rate == 1.5
-    assert limits.record_answer(ENGINE, None, clock.now())
+    assert limits.record_answer(ENGINE, None, clock.now(), clock.now())
     assert limits.find(ENGINE) is None
 
 
 def test_a_restarted_upstream_has_no_limit(
     limits: request_limits.RequestLimits, clock: clock_lib.ManualClock
 ) -> None:
-    limits.record_answer(ENGINE, 1.5, clock.now())
+    limits.record_answer(ENGINE, 1.5, clock.now(), clock.now())
     reborn = dataclasses.replace(ENGINE, born=8)
     assert limits.find(reborn) is None
     limits.update_registered({reborn.id: reborn})
-    assert not limits.record_answer(ENGINE, 1.5, clock.now())
+    assert not limits.record_answer(ENGINE, 1.5, clock.now(), clock.now())
     assert limits.find(reborn) is None
 
 
@@ -62,12 +62,12 @@
     limits: request_limits.RequestLimits, clock: clock_lib.ManualClock
 ) -> None:
     other = create("n2")
-    limits.record_answer(ENGINE, 1.5, clock.now())
+    limits.record_answer(ENGINE, 1.5, clock.now(), clock.now())
     other.merge("n1", limits.list_statements(clock.now()), clock.now())
     found = other.find(ENGINE)
     assert found is not None and found.rate == 1.5
     clock.advance(SECOND)
-    other.record_answer(ENGINE, None, clock.now())
+    other.record_answer(ENGINE, None, clock.now(), clock.now())
     clock.advance(SECOND)
     other.merge("n1", limits.list_statements(clock.now()), clock.now())
     assert other.find(ENGINE) is None
@@ -126,7 +126,7 @@
                 ):
                     continue
                 limits.record_send(ENGINE, now)
-                limits.record_answer(ENGINE, rate, now)
+                limits.record_answer(ENGINE, rate, now, now)
                 self.sends.append((now, name))
             if step % STATUS_STEPS == 0:
                 self.exchange()
@@ -174,7 +174,7 @@
 ) -> None:
     fleet = create_fleet(4, clock)
     fleet.idle = {"n1", "n2", "n3"}
-    fleet.nodes["n0"].record_answer(ENGINE, 1.0, clock.now())
+    fleet.nodes["n0"].record_answer(ENGINE, 1.0, clock.now(), clock.now())
     fleet.run(60, 1.0)
     assert 0.7 * 60 <= len(fleet.sends) <= 60 + 1
 
@@ -188,7 +188,7 @@
     clock: clock_lib.ManualClock, count: int, rate: float
 ) -> None:
     fleet = create_fleet(count, clock)
-    fleet.nodes["n0"].record_answer(ENGINE, rate, clock.now())
+    fleet.nodes["n0"].record_answer(ENGINE, rate, clock.now(), clock.now())
     fleet.run(GRACE_SECONDS, rate)
     begin = clock.now()
     fleet.sends.clear()
@@ -251,7 +251,7 @@
     clock: clock_lib.ManualClock,
 ) -> None:
     fleet = create_fleet(4, clock)
-    fleet.nodes["n0"].record_answer(ENGINE, 0.0, clock.now())
+    fleet.nodes["n0"].record_answer(ENGINE, 0.0, clock.now(), clock.now())
     fleet.exchange()
     fleet.run(600, 0.0)
     assert 1 <= len(fleet.sends) <= 10 + request_limits.MAX_SENDERS
@@ -260,7 +260,7 @@
 def test_refused_callers_return_one_by_one_when_there_is_room(
     clock: clock_lib.ManualClock, limits: request_limits.RequestLimits
 ) -> None:
-    limits.record_answer(ENGINE, 4.0, clock.now())
+    limits.record_answer(ENGINE, 4.0, clock.now(), clock.now())
     begin = clock.now()
     returns = sorted(
         begin + limits.plan_return([ENGINE], clock.now()) for _ in range(5)
@@ -275,16 +275,16 @@
 def test_an_answer_with_the_same_limit_keeps_the_times_of_returns(
     clock: clock_lib.ManualClock, limits: request_limits.RequestLimits
 ) -> None:
-    limits.record_answer(ENGINE, 1.0, clock.now())
+    limits.record_answer(ENGINE, 1.0, clock.now(), clock.now())
     first = limits.plan_return([ENGINE], clock.now())
-    limits.record_answer(ENGINE, 1.0, clock.now())
+    limits.record_answer(ENGINE, 1.0, clock.now(), clock.now())
     assert limits.plan_return([ENGINE], clock.now()) >= first + SECOND
 
 
 def test_callers_are_not_told_to_return_after_more_than_the_longest_delay(
     clock: clock_lib.ManualClock, limits: request_limits.RequestLimits
 ) -> None:
-    limits.record_answer(ENGINE, 1.0, clock.now())
+    limits.record_answer(ENGINE, 1.0, clock.now(), clock.now())
     delays = [limits.plan_return([ENGINE], clock.now()) for _ in range(50)]
     assert max(delays) <= request_limits.MAX_RETURN_DELAY
     assert len(set(delays)) == len(delays)
@@ -293,7 +293,7 @@
 def test_orders_do_not_take_the_room_of_all_requests(
     clock: clock_lib.ManualClock, limits: request_limits.RequestLimits
 ) -> None:
-    limits.record_answer(ENGINE, 1.0, clock.now())
+    limits.record_answer(ENGINE, 1.0, clock.now(), clock.now())
     orders = requests = 0
     for _ in range(6000):
         clock.advance(STEP)
@@ -303,3 +303,41 @@
             limits.record_send(ENGINE, clock.now())
             requests += 1
     assert orders and requests >= orders
+
+
+def test_a_changed_limit_forgives_no_requests_that_other_nodes_sent(
+    clock: clock_lib.ManualClock, limits: request_limits.RequestLimits
+) -> None:
+    other = create("n2")
+    for node in (limits, other):
+        node.replace_nodes(["n1", "n2"])
+        node.record_answer(ENGINE, 1.0, clock.now(), clock.now())
+    limits.merge("n2", other.list_statements(clock.now()), clock.now())
+    for _ in range(10):
+        other.record_send(ENGINE, clock.now())
+    clock.advance(STEP)
+    limits.merge("n2", other.list_statements(clock.now()), clock.now())
+    limits.record_answer(ENGINE, 1.1, clock.now(), clock.now())
+    clock.advance(8 * SECOND)
+    assert not limits.has_room(ENGINE, clock.now())
+    clock.advance(12 * SECOND)
+    assert limits.has_room(ENGINE, clock.now())
+
+
+def test_a_node_that_was_frozen_does_not_end_a_limit_with_an_old_answer(
+    clock: clock_lib.ManualClock, limits: request_limits.RequestLimits
+) -> None:
+    frozen = create("n2")
+    sent = clock.now()
+    clock.advance(SECOND)
+    limits.record_answer(ENGINE, 1.0, clock.now(), clock.now())
+    clock.advance(5 * SECOND)
+    frozen.record_answer(ENGINE, 2.0, clock.now(), sent)
+    frozen.record_answer(ENGINE, None, clock.now(), sent)
+    assert frozen.find(ENGINE) is not None
+    frozen.merge("n1", limits.list_statements(clock.now()), clock.now())
+    clock.advance(SECOND)
+    limits.merge("n2", frozen.list_statements(clock.now()), clock.now())
+    assert limits.find(ENGINE) is not None
+    limits.record_answer(ENGINE, None, clock.now(), clock.now())
+    assert limits.find(ENGINE) is None
