Let requests wait for an engine again when none is usable

The check that no engine has room was true without any engine. test_node_waits.py fails on the code before (503 instead of 200).

Also, upstream_limit is said only where all upstreams that are left have reached their limits.

--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -245,10 +245,10 @@
             chosen = components.balancer.choose(usable, None)
         else:
             chosen = await self._select_engine(active, usable, generation)
-        if chosen is None or not components.limits.has_room(
-            chosen, self.clock.now()
-        ):
+        if chosen is None:
             self._raise_no_upstream(active, usable)
+        if not components.limits.has_room(chosen, self.clock.now()):
+            self._raise_no_upstream(active, [chosen])
         return chosen
 
     async def _select_engine(
@@ -275,7 +275,9 @@
             if not active.send_count:
                 self._check_overload(active, chosen)
             return chosen
-        if not any(components.limits.has_room(entry, now) for entry in usable):
+        if usable and not any(
+            components.limits.has_room(entry, now) for entry in usable
+        ):
             return None
         if ready:
             chosen = await self._wait_for_room(ready, generation)
@@ -403,25 +405,22 @@
     def _raise_no_upstream(
         self,
         active: active_request.ActiveRequest,
-        usable: Iterable[inventory.Instance],
+        usable: list[inventory.Instance],
     ) -> NoReturn:
         """Refuse a request that no upstream may get now.
 
         Raises:
-            errors.RefusalError: always; if upstreams have reached their request
-                limits, it says when there will be room.
+            errors.RefusalError: always; if all of `usable` have reached their
+                request limits, it says when there will be room.
         """
         if active.possible_runs:
             raise active_request.create_refusal(
                 "attempts_failed", 502, outcome="unknown"
             )
-        limits = self.components.limits
-        limited = [entry for entry in usable if limits.find(entry) is not None]
-        if limited:
+        limits, now = self.components.limits, self.clock.now()
+        if usable and not any(limits.has_room(entry, now) for entry in usable):
             raise active_request.create_refusal(
-                "upstream_limit",
-                503,
-                limits.plan_return(limited, self.clock.now()),
+                "upstream_limit", 503, limits.plan_return(usable, now)
             )
         raise active_request.create_refusal("no_upstream", 503, RETRY_AFTER)
 
--- a/tests/test_node_waits.py
+++ b/tests/test_node_waits.py
@@ -367,3 +367,26 @@
     async with platform.call("/chat/x", headers=headers) as response:
         await response.read()
         return response.status
+
+
+async def test_a_request_waits_for_an_engine_when_none_is_usable(
+    testbed: node_testbed.NodeTestbed,
+) -> None:
+    node = testbed.programs[0].node
+    assert node is not None
+    for engine in testbed.engines:
+        testbed.store.delete(f"servers/{engine.id}")
+    await node_testbed.wait_until(
+        lambda: not list(node.components.inventory.list_usable("engines"))
+    )
+    headers = {"X-Model": "big", "X-Token-Counts": "100,20"}
+
+    async def call() -> int:
+        async with testbed.call("/chat/item", headers=headers) as response:
+            await response.read()
+            return response.status
+
+    task = asyncio.create_task(call())
+    await asyncio.sleep(0.3)
+    testbed.register(testbed.engines[0])
+    assert await task == 200
