--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -10,7 +10,8 @@
 # Header names, paths and fields of the platform that only the adapter may use.
 NAMES: Final = re.compile(
     r"X-Response-Signature|X-Not-Executed|X-Expected-Instance|X-Token-Counts"
-    r"|X-Prompt-Prefix|X-Instance-Id|Server-Limit|kv-(txn|watch|range|lease|keep|events)"
+    r"|X-Prompt-Prefix|X-Instance-Id|Server-Limit"
+    r"|kv-(txn|watch|range|lease|keep|events)"
     r"|fencing_token|fencing_enforced|sequence_number|servers/|op/config"
     r"|CICADAHOOK_BOOT|listen_addresses|platform_settings|weights_mb"
 )
