--- a/src/cicadahook/core/crash_tracker.py
+++ b/src/cicadahook/core/crash_tracker.py
@@ -19,12 +19,18 @@
         instance: the upstream that ran it.
         began: when it was sent.
         ended: when the connection broke.
+        request_id: id of the attempt of its caller.
+        shared_parts: parts of its prompt that other requests may hold too.
+        first_event: when its answer had begun; None if it had not.
     """
 
     fingerprint: str
     instance: inventory.Instance
     began: datetime.datetime
     ended: datetime.datetime
+    request_id: str = ""
+    shared_parts: tuple[str, ...] = ()
+    first_event: datetime.datetime | None = None
 
     @property
     def death(self) -> str:
--- a/src/cicadahook/core/forwarding.py
+++ b/src/cicadahook/core/forwarding.py
@@ -36,6 +36,11 @@
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may hold too."""
+        return tuple(part.id for part in self.parts[:-1])
+
 
 @dataclasses.dataclass(frozen=True)
 class CallerRequest:
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -5,12 +5,10 @@
 """
 
 import asyncio
-from collections.abc import Iterable
 import datetime
 from typing import Any, Final, NoReturn
 
 from cicadahook.core import balancer
-from cicadahook.core import crash_tracker
 from cicadahook.core import errors
 from cicadahook.core import event_streams
 from cicadahook.core import forwarding
@@ -19,6 +17,7 @@
 from cicadahook.core import retry_budget
 from cicadahook.core import routes
 from cicadahook.net import active_request
+from cicadahook.net import crash_guard
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import request_drain
@@ -44,7 +43,6 @@
 MAX_ROOM_WAIT: Final = datetime.timedelta(milliseconds=300)
 ROOM_POLL_PERIOD: Final = datetime.timedelta(milliseconds=50)
 LOAD_RETRY_AFTER: Final = datetime.timedelta(milliseconds=1200)
-QUARANTINE_RETRY_AFTER: Final = datetime.timedelta(seconds=10)
 MAX_SENDS: Final = 8
 
 logger: Final = logs.create_logger("forwarder")
@@ -59,7 +57,7 @@
         configuration: the latest configuration; None before the first.
         node_count: number of nodes that share the retry budgets.
         budgets: retry budget of each service, by its name.
-        crashes: distinguishes crashes of upstreams from broken connections.
+        crash_guard: keeps requests that crash upstreams from them.
         drain: limits the time of requests once the node is asked to stop.
     """
 
@@ -72,7 +70,7 @@
         self.configuration: routes.Configuration | None = None
         self.node_count = 1
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
-        self.crashes = crash_tracker.CrashTracker()
+        self.crash_guard = crash_guard.CrashGuard(components)
         self.drain = request_drain.RequestDrain(components.clock)
 
     async def serve(
@@ -126,7 +124,7 @@
             )
         self._validate_generation(request, service)
         fingerprint = request.create_fingerprint()
-        self._check_quarantine(fingerprint)
+        self.crash_guard.check(fingerprint)
         now = self.clock.now()
         self._get_budget(name).record_request(now)
         if request.generation is not None:
@@ -150,39 +148,6 @@
             last_event_id=request.last_event_id,
         )
 
-    def _check_quarantine(self, fingerprint: str) -> None:
-        """Refuse a request that crashed several upstreams.
-
-        Raises:
-            errors.RefusalError: the request is quarantined.
-        """
-        try:
-            self.components.quarantine.check(fingerprint)
-        except errors.RefusalError as refusal:
-            raise active_request.create_refusal(
-                refusal.code, 503, QUARANTINE_RETRY_AFTER
-            ) from refusal
-
-    def record_crashes(
-        self, broken_requests: Iterable[crash_tracker.BrokenRequest]
-    ) -> None:
-        """Record the requests that were running on upstreams that crashed.
-
-        A request that was running in several crashes becomes a suspect.
-        """
-        for request in broken_requests:
-            is_suspect = self.components.quarantine.record_death(
-                request.fingerprint, request.death, request.began
-            )
-            logger.info(
-                "Request suspected of a crash.",
-                extra={
-                    "fingerprint": request.fingerprint,
-                    "death": request.death,
-                    "is_suspect": is_suspect,
-                },
-            )
-
     def _validate_generation(
         self, request: forwarding.CallerRequest, service: routes.Service
     ) -> None:
@@ -464,7 +429,7 @@
             if error.is_not_run:
                 active.possible_runs -= 1
                 self.drain.update_time_limit(active)
-            self._record_possible_crash(active, instance, error.kind)
+            self.crash_guard.record_failure(active, instance, error.kind)
             raise
         finally:
             self.components.balancer.end(placement, failure)
@@ -486,28 +451,6 @@
             "cicada_answer", self.clock.now() - received, active.service.name
         )
 
-    def _record_possible_crash(
-        self,
-        active: active_request.ActiveRequest,
-        instance: inventory.Instance,
-        kind: forwarding.FailureKind,
-    ) -> None:
-        """Record a failure that may come from a crash of the upstream.
-
-        An upstream that cannot be reached has crashed; the requests that it cut
-        off before are then recorded. A cut connection alone does not prove a
-        crash.
-        """
-        now = self.clock.now()
-        if kind is forwarding.FailureKind.UNREACHABLE:
-            self.record_crashes(self.crashes.pop_dead(instance.id, now))
-        elif kind is forwarding.FailureKind.CUT and active.sent_at is not None:
-            self.crashes.record_broken(
-                crash_tracker.BrokenRequest(
-                    active.fingerprint, instance, active.sent_at, now
-                )
-            )
-
     async def _relay_answer(
         self,
         active: active_request.ActiveRequest,
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -266,11 +266,7 @@
             self.components.residency.record_registration(entry)
         self.components.balancer.drop_unlisted(known)
         self.limits.update_registered(known)
-        self.forwarder.record_crashes(
-            self.forwarder.crashes.compare(
-                self.components.inventory, self.clock.now()
-            )
-        )
+        self.forwarder.crash_guard.apply_inventory()
 
     def record_limit(
         self,
