--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -96,6 +96,16 @@
         )
 
 
+@pytest_asyncio.fixture
+async def large_testbed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> AsyncIterator[node_testbed.NodeTestbed]:
+    """Run two nodes with seven engines."""
+    monkeypatch.setattr(node_program, "METRICS_PORT", 0)
+    async with node_testbed.run(find_base_port(), engine_count=7) as running:
+        yield running
+
+
 @pytest_asyncio.fixture
 async def platform() -> AsyncIterator[node_testbed.NodeTestbed]:
     """Run a stand-in of the platform without nodes."""
--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import datetime
+import functools
 from typing import Any
 
 import aiohttp
@@ -169,11 +170,15 @@
 
 
 @contextlib.asynccontextmanager
-async def open_platform(base: int) -> AsyncIterator[NodeTestbed]:
-    """Run the store, two plain upstreams and two engines, without nodes.
+async def open_platform(
+    base: int, engine_count: int = 2
+) -> AsyncIterator[NodeTestbed]:
+    """Run the store, two plain upstreams and some engines, without nodes.
 
     Args:
         base: first of a block of free ports.
+        engine_count: number of engines, at most 7; each from the third on
+            holds the same as the first.
     """
     async with contextlib.AsyncExitStack() as stack:
         store = node_store.StoreStandin()
@@ -183,9 +188,10 @@
         ]
         engines = [
             node_upstreams.UpstreamStandin(f"e{number}", "engines")
-            for number in (1, 2)
+            for number in range(1, engine_count + 1)
         ]
-        engines[0].models = {"big": set()}
+        for engine in engines:
+            engine.models = {"big": set()}
         engines[1].models = {"small": {"a1"}}
         await stack.enter_async_context(
             caller_server.listen(web.Server(store.handle), HOST, base)
@@ -201,18 +207,20 @@
                 caller_server.listen(web.Server(upstream.handle), HOST, port)
             )
             testbed.register(upstream)
+            upstream.on_restart = functools.partial(testbed.register, upstream)
         store.put("op/config", create_configuration())
         yield testbed
 
 
 @contextlib.asynccontextmanager
-async def run(base: int) -> AsyncIterator[NodeTestbed]:
+async def run(base: int, engine_count: int = 2) -> AsyncIterator[NodeTestbed]:
     """Run two nodes with their own store and upstreams.
 
     Args:
         base: first of a block of free ports.
+        engine_count: number of engines, see `open_platform`.
     """
-    async with open_platform(base) as testbed:
+    async with open_platform(base, engine_count) as testbed:
         for number in range(2):
             settings = create_settings(
                 f"n{number}", base + 10 + 10 * number, testbed.store_address
--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -1,6 +1,7 @@
 """Stand-ins of upstreams: a plain service and a model engine."""
 
 import asyncio
+from collections.abc import Callable, Mapping
 import dataclasses
 import json
 import socket
@@ -16,11 +17,18 @@
 
 @dataclasses.dataclass
 class Arrival:
-    """A request as an upstream received it."""
+    """A request as an upstream received it, by the event loop's clock."""
 
     path: str
     headers: "multidict.CIMultiDictProxy[str]"
     body: bytes
+    time: float = 0.0
+
+
+def list_shared_parts(headers: Mapping[str, str]) -> list[str]:
+    """Return the parts of a prompt that other requests may hold too."""
+    parts = headers.get("X-Prompt-Prefix", "").split(",")
+    return [part.partition(":")[0] for part in parts[:-1]]
 
 
 class UpstreamStandin:
@@ -44,6 +52,10 @@
         is_busy: whether it reports that it is carrying out an order.
         limit: value of the request limit that it names; None for none.
         calls: times of all calls that it received, by the event loop's clock.
+        fatal_parts: parts of prompts that crash it when it begins an answer.
+        crashes: times of its crashes, by the event loop's clock.
+        restart_seconds: time from a crash to its restart.
+        on_restart: called when it has restarted after a crash.
     """
 
     def __init__(self, name: str, service: str) -> None:
@@ -65,6 +77,13 @@
         self.is_busy = False
         self.limit: float | str | None = None
         self.calls: list[float] = []
+        self.fatal_parts: set[str] = set()
+        self.crashes: list[float] = []
+        self.restart_seconds = 0.5
+        self.on_restart: Callable[[], None] = lambda: None
+        self.is_down = False
+        self.transports: set[asyncio.Transport] = set()
+        self.restarting: set[asyncio.Task[None]] = set()
 
     def describe(self) -> dict[str, Any]:
         """Return its registration in the store."""
@@ -88,8 +107,30 @@
         self.models = {}
         self.sequence = 0
 
+    def crash(self) -> None:
+        """Break off all it runs, and restart with the models that it held."""
+        self.crashes.append(asyncio.get_running_loop().time())
+        self.is_down = True
+        for transport in self.transports:
+            transport.abort()
+        task = asyncio.create_task(self._come_back(self.models))
+        self.restarting.add(task)
+        task.add_done_callback(self.restarting.discard)
+
+    async def _come_back(self, models: dict[str, set[str]]) -> None:
+        await asyncio.sleep(self.restart_seconds)
+        self.restart()
+        self.models = models
+        self.is_down = False
+        self.on_restart()
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call; each answer names the limit in force."""
+        transport = request.transport
+        if self.is_down or transport is None:
+            if transport is not None:
+                transport.abort()
+            return web.Response()
         self.calls.append(asyncio.get_running_loop().time())
         if self.is_silent and request.path in ("/report", "/order"):
             await asyncio.Event().wait()
@@ -110,15 +151,23 @@
             order = json.loads(await request.read())
             return self._name_limit(self._order(order))
         body = await request.read()
-        self.arrivals.append(Arrival(request.raw_path, request.headers, body))
+        self.arrivals.append(
+            Arrival(request.raw_path, request.headers, body, self.calls[-1])
+        )
         self.running += 1
+        self.transports.add(transport)
         try:
             rejection = self._reject(request)
             if rejection is not None:
                 return self._name_limit(rejection)
             return await self._answer(request, body)
+        except ConnectionError:
+            if not self.crashes:
+                raise
+            return web.Response()
         finally:
             self.running -= 1
+            self.transports.discard(transport)
 
     def _name_limit(self, response: web.Response) -> web.Response:
         """Add the limit in force to an answer."""
@@ -203,6 +252,10 @@
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
         await response.prepare(request)
+        if self.fatal_parts & set(list_shared_parts(request.headers)):
+            await asyncio.sleep(self.event_seconds / 2)
+            self.crash()
+            return response
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         count, seconds = self._plan_stream(request)
         for number in range(first, count + 1):
