Find what requests that crash engines have in common

Cause: the memory of crashes knew whole requests. Requests that share one part of their prompt, and nothing else, were each seen for the first time (first hypothesis of the postmortem; each crash was recorded, none was refused).

Now a request has traits: its digest, and each prompt part that others may hold. A crash counts against the traits of what it cut off, unless the answer had gone on for a second. An answer that proves sound clears its traits. A trait with two crashes is run as a lone trial, unless another explains these crashes better; a crash in a trial counts, after four the part is refused for good (422, at once). Statuses carry crashes, clearances and trials, so peers and nodes that start again know them, with the store away too. Memory: 2,000 traits.

The quarantine of whole requests is one of the traits and keeps its test.

--- /dev/null
+++ b/src/cicadahook/core/crash_suspects.py
@@ -0,0 +1,425 @@
+"""Finds what the requests that crash upstreams have in common.
+
+A request has several traits: a digest of the whole request, and each part of
+its prompt that other requests may hold too. A crash counts against the traits
+of all requests that may have caused it. An answer that proves sound clears its
+traits of all crashes known when it began. A trait that keeps two crashes is a
+suspect, unless other traits explain these crashes better: then one request with
+it runs at a time over all nodes, as a trial. A trial that crashes its upstream
+counts once more; after `FINAL_DEATHS` requests with the trait are refused.
+"""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+import datetime
+import enum
+import random
+from typing import Final
+
+from cicadahook.core import clock as clock_lib
+
+SUSPECT_DEATHS: Final = 2
+FINAL_DEATHS: Final = 4
+# Time from the newest crash of a suspect to its next trial, by its crashes. The
+# first trial follows at once, since most suspects are sound.
+TRIAL_PAUSES: Final = {
+    SUSPECT_DEATHS: datetime.timedelta(),
+    SUSPECT_DEATHS + 1: datetime.timedelta(seconds=5),
+}
+FINAL_TRIAL_PAUSE: Final = datetime.timedelta(minutes=10)
+# A trait of sound answers becomes a suspect only after this time, within which
+# further requests with it clear it in most cases.
+GRACE_PERIOD: Final = datetime.timedelta(seconds=2)
+# Longer than any trial pause, so that the next trial takes place.
+EXPIRY: Final = datetime.timedelta(minutes=30)
+# Trials of other nodes count this long after they were last reported.
+PEER_TRIAL_EXPIRY: Final = datetime.timedelta(seconds=2)
+MAX_TRAITS: Final = 2000
+MAX_DEATHS: Final = 8
+MAX_SOUND_TRAITS: Final = 4096
+# How long a changed statement is part of each message. Each node of a larger
+# fleet receives everything once in 0.75 s.
+RECENT_PERIOD: Final = datetime.timedelta(seconds=3)
+# Statements in one message, 100 to 300 bytes each.
+MAX_RECENT: Final = 48
+MAX_OLDER: Final = 8
+MILLISECOND: Final = datetime.timedelta(milliseconds=1)
+NEVER: Final = datetime.datetime.min.replace(tzinfo=datetime.UTC)
+
+
+class Verdict(enum.StrEnum):
+    """How a request may be run now."""
+
+    CLEAR = "clear"
+    TRIAL = "trial"
+    SUSPECTED = "suspected"
+    QUARANTINED = "quarantined"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectStatement:
+    """What a node knows of a trait, as nodes tell each other.
+
+    Attributes:
+        trait: the trait.
+        deaths: upstream incarnations that crashed on requests with it.
+        cleared: those of `deaths` that an answer has cleared it of.
+        age_ms: time since the newest crash.
+        is_sound: whether answers with it have proved sound at some time.
+        is_on_trial: whether a trial runs at the telling node, or has broken
+            off there and may have crashed its upstream.
+    """
+
+    trait: str
+    deaths: tuple[str, ...]
+    cleared: tuple[str, ...] = ()
+    age_ms: int = 0
+    is_sound: bool = False
+    is_on_trial: bool = False
+
+
+@dataclasses.dataclass
+class SuspectRecord:
+    """The crashes of one trait.
+
+    Attributes:
+        deaths: when each crash became known here, by upstream incarnation.
+        cleared: crashes that an answer has cleared the trait of.
+        newest: when the newest crash happened.
+        changed: when this record last changed.
+    """
+
+    deaths: dict[str, datetime.datetime] = dataclasses.field(
+        default_factory=dict
+    )
+    cleared: set[str] = dataclasses.field(default_factory=set)
+    newest: datetime.datetime = NEVER
+    changed: datetime.datetime = NEVER
+
+    @property
+    def open_deaths(self) -> tuple[str, ...]:
+        """Crashes that the trait has not been cleared of."""
+        return tuple(
+            death for death in self.deaths if death not in self.cleared
+        )
+
+
+class CrashSuspects:
+    """The traits that one node suspects, and its trials.
+
+    Attributes:
+        records: crashes of each trait.
+        traits_by_death: traits that have not been cleared of a crash.
+        repeated: traits that have not been cleared of `SUSPECT_DEATHS` crashes.
+        sound: number of sound answers with each trait, the least recent first.
+        dead: when upstream incarnations were known to have crashed.
+        trials: traits on trial here, and until when at the latest.
+        peer_trials: the same of other nodes.
+    """
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        self.clock = clock
+        self.records: dict[str, SuspectRecord] = {}
+        self.traits_by_death: dict[str, set[str]] = {}
+        self.repeated: set[str] = set()
+        self.sound: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self.dead: dict[str, datetime.datetime] = {}
+        self.trials: dict[str, datetime.datetime] = {}
+        self.peer_trials: dict[str, datetime.datetime] = {}
+
+    def record_death(
+        self, traits: Iterable[str], death: str, began: datetime.datetime
+    ) -> bool:
+        """Record that an upstream incarnation crashed running a request.
+
+        Args:
+            traits: traits of the request.
+            death: the upstream incarnation.
+            began: when the request was sent there.
+
+        Returns:
+            Whether the request may have caused it. One that was sent when the
+            crash was known already has not.
+        """
+        now = self.clock.now()
+        known = self.dead.setdefault(death, now)
+        if known < began:
+            return False
+        for trait in traits:
+            self._add_death(trait, death, now, now)
+        self._drop_excess(now)
+        return True
+
+    def record_sound(
+        self, traits: Iterable[str], began: datetime.datetime
+    ) -> tuple[str, ...]:
+        """Record an answer that proved sound; return the traits it cleared.
+
+        Args:
+            traits: traits of the request.
+            began: when its upstream began to answer. Crashes that became known
+                later do not count as cleared.
+        """
+        now = self.clock.now()
+        cleared: list[str] = []
+        for trait in traits:
+            self.sound[trait] = self.sound.get(trait, 0) + 1
+            self.sound.move_to_end(trait)
+            record = self.records.get(trait)
+            if record is None:
+                continue
+            for death in record.open_deaths:
+                if record.deaths[death] <= began:
+                    self._clear_death(trait, death, now)
+                    cleared.append(trait)
+        while len(self.sound) > MAX_SOUND_TRAITS:
+            self.sound.popitem(last=False)
+        return tuple(dict.fromkeys(cleared))
+
+    def check(self, traits: Iterable[str]) -> Verdict:
+        """Return how a request with these traits may be run now."""
+        now = self.clock.now()
+        verdict = Verdict.CLEAR
+        for trait in traits:
+            if not self.is_suspect(trait):
+                continue
+            record = self.records[trait]
+            count = len(record.open_deaths)
+            pause = TRIAL_PAUSES.get(count, FINAL_TRIAL_PAUSE)
+            if now < record.newest + pause:
+                if count >= FINAL_DEATHS:
+                    return Verdict.QUARANTINED
+                verdict = Verdict.SUSPECTED
+            elif self._is_on_trial(trait, now):
+                verdict = Verdict.SUSPECTED
+            elif verdict is Verdict.CLEAR:
+                verdict = Verdict.TRIAL
+        return verdict
+
+    def _is_on_trial(self, trait: str, now: datetime.datetime) -> bool:
+        return any(
+            trait in trials and now < trials[trait]
+            for trials in (self.trials, self.peer_trials)
+        )
+
+    def is_suspect(self, trait: str) -> bool:
+        """Whether a trait must not be run except on trial."""
+        if trait not in self.repeated:
+            return False
+        rank = self._rank(trait)
+        if rank is None:
+            return False
+        record = self.records[trait]
+        if trait in self.sound:
+            second = sorted(record.deaths[name] for name in record.open_deaths)[
+                SUSPECT_DEATHS - 1
+            ]
+            if self.clock.now() < second + GRACE_PERIOD:
+                return False
+        for death in record.open_deaths:
+            others = self.traits_by_death[death] - {trait}
+            if not any(
+                other_rank > rank
+                for other_rank in map(self._rank, others)
+                if other_rank is not None
+            ):
+                return True
+        return False
+
+    def _rank(self, trait: str) -> tuple[bool, int, int] | None:
+        """Return how well a trait explains its crashes; None if it does not.
+
+        Traits without any sound answer come first, then those with most
+        crashes.
+        """
+        if trait not in self.repeated:
+            return None
+        count = len(self.records[trait].open_deaths)
+        sound = self.sound.get(trait, 0)
+        return (not sound, count, -sound)
+
+    def begin_trial(
+        self, traits: Iterable[str], end: datetime.datetime
+    ) -> tuple[str, ...]:
+        """Reserve the suspects among `traits` until `end`; return them."""
+        suspects = tuple(trait for trait in traits if self.is_suspect(trait))
+        now = self.clock.now()
+        for trait in suspects:
+            self.trials[trait] = end
+            self.records[trait].changed = now
+        return suspects
+
+    def end_trial(
+        self, suspects: Iterable[str], until: datetime.datetime | None = None
+    ) -> None:
+        """End a trial, or keep its suspects reserved until a verdict.
+
+        Args:
+            suspects: what `begin_trial` returned.
+            until: when an upstream that broke off the trial is certain not to
+                have crashed; None if it did not break it off.
+        """
+        for trait in suspects:
+            if until is None:
+                self.trials.pop(trait, None)
+            else:
+                self.trials[trait] = until
+
+    def list_statements(
+        self, generator: random.Random
+    ) -> tuple[SuspectStatement, ...]:
+        """Return what to tell other nodes in the next message.
+
+        Statements that changed lately are told each time, those with most
+        crashes first. The other nodes know all others unless they have started
+        since: a few of these are drawn, again the suspects first.
+        """
+        now = self.clock.now()
+        self._drop_expired(now)
+        recent: list[str] = []
+        older: list[str] = []
+        for trait, record in self.records.items():
+            is_recent = now - record.changed < RECENT_PERIOD
+            target = recent if is_recent or trait in self.trials else older
+            target.append(trait)
+        recent.sort(key=self._get_priority)
+        suspects = sorted(self.repeated.difference(recent))
+        drawn = {
+            *generator.sample(older, min(len(older), MAX_OLDER)),
+            *generator.sample(suspects, min(len(suspects), MAX_OLDER)),
+        }
+        return tuple(
+            self._create_statement(trait, now)
+            for trait in [*recent[:MAX_RECENT], *drawn]
+        )
+
+    def _get_priority(self, trait: str) -> tuple[bool, int]:
+        count = len(self.records[trait].open_deaths)
+        return trait not in self.trials, -count
+
+    def _create_statement(
+        self, trait: str, now: datetime.datetime
+    ) -> SuspectStatement:
+        record = self.records[trait]
+        return SuspectStatement(
+            trait,
+            tuple(record.deaths),
+            tuple(record.cleared),
+            max(0, int((now - record.newest) / MILLISECOND)),
+            trait in self.sound,
+            trait in self.trials,
+        )
+
+    def merge(self, statements: Iterable[SuspectStatement]) -> tuple[str, ...]:
+        """Add what another node tells; return the crashes heard first."""
+        now = self.clock.now()
+        heard: list[str] = []
+        for statement in statements:
+            newest = now - statement.age_ms * MILLISECOND
+            if newest + EXPIRY <= now:
+                continue
+            for death in statement.deaths[:MAX_DEATHS]:
+                if death not in self.dead:
+                    self.dead[death] = now
+                    heard.append(death)
+                self._add_death(statement.trait, death, now, newest)
+            record = self.records.get(statement.trait)
+            if record is None:
+                continue
+            if statement.is_sound:
+                self.sound.setdefault(statement.trait, 1)
+            for death in statement.cleared:
+                if death in record.deaths and death not in record.cleared:
+                    self._clear_death(statement.trait, death, now)
+            if statement.is_on_trial:
+                self.peer_trials[statement.trait] = now + PEER_TRIAL_EXPIRY
+        self._drop_excess(now)
+        return tuple(heard)
+
+    def _add_death(
+        self,
+        trait: str,
+        death: str,
+        now: datetime.datetime,
+        happened: datetime.datetime,
+    ) -> None:
+        record = self.records.setdefault(trait, SuspectRecord())
+        if death in record.deaths:
+            return
+        if len(record.deaths) >= MAX_DEATHS:
+            # Other nodes also tell of crashes that were dropped here.
+            is_new = now - self.dead[death] < RECENT_PERIOD
+            if not record.cleared or not is_new:
+                return
+            self._forget_death(trait, next(iter(record.cleared)))
+        record.deaths[death] = now
+        record.newest = max(record.newest, happened)
+        record.changed = now
+        self.traits_by_death.setdefault(death, set()).add(trait)
+        self._update_repeated(trait)
+
+    def _update_repeated(self, trait: str) -> None:
+        if len(self.records[trait].open_deaths) >= SUSPECT_DEATHS:
+            self.repeated.add(trait)
+        else:
+            self.repeated.discard(trait)
+
+    def _clear_death(
+        self, trait: str, death: str, now: datetime.datetime
+    ) -> None:
+        record = self.records[trait]
+        record.cleared.add(death)
+        record.changed = now
+        self._remove_from_death(trait, death)
+        self._update_repeated(trait)
+
+    def _forget_death(self, trait: str, death: str) -> None:
+        record = self.records[trait]
+        del record.deaths[death]
+        record.cleared.discard(death)
+        self._remove_from_death(trait, death)
+
+    def _remove_from_death(self, trait: str, death: str) -> None:
+        traits = self.traits_by_death.get(death)
+        if traits is not None:
+            traits.discard(trait)
+            if not traits:
+                del self.traits_by_death[death]
+
+    def _forget(self, trait: str) -> None:
+        for death in list(self.records[trait].deaths):
+            self._forget_death(trait, death)
+        del self.records[trait]
+        self.repeated.discard(trait)
+        self.trials.pop(trait, None)
+
+    def _drop_expired(self, now: datetime.datetime) -> None:
+        for trials in (self.trials, self.peer_trials):
+            for trait, until in list(trials.items()):
+                if until <= now:
+                    del trials[trait]
+        for trait, record in list(self.records.items()):
+            if record.newest + EXPIRY <= now:
+                self._forget(trait)
+        for death, known in list(self.dead.items()):
+            if known + EXPIRY <= now:
+                del self.dead[death]
+
+    def _drop_excess(self, now: datetime.datetime) -> None:
+        """Drop the traits with fewest crashes, the oldest first."""
+        self._drop_expired(now)
+        excess = len(self.records) - MAX_TRAITS
+        if excess <= 0:
+            return
+        least = sorted(
+            self.records,
+            key=lambda trait: (
+                len(self.records[trait].open_deaths),
+                self.records[trait].newest,
+            ),
+        )
+        for trait in least[:excess]:
+            self._forget(trait)
--- a/src/cicadahook/core/crash_tracker.py
+++ b/src/cicadahook/core/crash_tracker.py
@@ -1,5 +1,6 @@
 """Distinguishes crashes of upstreams from connections that only broke."""
 
+from collections.abc import Collection
 import dataclasses
 import datetime
 from typing import Final
@@ -15,22 +16,20 @@
     """A request whose connection broke while it ran.
 
     Attributes:
-        fingerprint: digest that identifies repeats of the request.
+        traits: what the crash may depend on.
         instance: the upstream that ran it.
         began: when it was sent.
         ended: when the connection broke.
         request_id: id of the attempt of its caller.
-        shared_parts: parts of its prompt that other requests may hold too.
-        first_event: when its answer had begun; None if it had not.
+        had_begun: whether its answer had begun.
     """
 
-    fingerprint: str
+    traits: tuple[str, ...]
     instance: inventory.Instance
     began: datetime.datetime
     ended: datetime.datetime
     request_id: str = ""
-    shared_parts: tuple[str, ...] = ()
-    first_event: datetime.datetime | None = None
+    had_begun: bool = False
 
     @property
     def death(self) -> str:
@@ -62,6 +61,17 @@
             if now - request.ended < EVIDENCE_PERIOD
         )
 
+    def pop_deaths(
+        self, deaths: Collection[str], now: datetime.datetime
+    ) -> tuple[BrokenRequest, ...]:
+        """Remove and return the requests that broke in these deaths."""
+        return tuple(
+            request
+            for name, requests in list(self.broken_requests.items())
+            if requests[0].death in deaths
+            for request in self.pop_dead(name, now)
+        )
+
     def compare(
         self, registrations: inventory.Inventory, now: datetime.datetime
     ) -> tuple[BrokenRequest, ...]:
--- a/src/cicadahook/core/forwarding.py
+++ b/src/cicadahook/core/forwarding.py
@@ -4,10 +4,13 @@
 import datetime
 import enum
 import hashlib
+from typing import Final
 
 from cicadahook.core import inventory
 
 Headers = tuple[tuple[str, str], ...]
+# Parts of a prompt that are compared over crashes.
+MAX_TRAIT_PARTS: Final = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +73,14 @@
     generation: Generation | None = None
     last_event_id: str = ""
 
+    def list_traits(self, service: str) -> tuple[str, ...]:
+        """Return what crashes of upstreams of `service` may depend on."""
+        shared = self.generation.shared_parts if self.generation else ()
+        return (
+            f"request:{self.create_fingerprint()}",
+            *(f"part:{service}:{part}" for part in shared[:MAX_TRAIT_PARTS]),
+        )
+
     def create_fingerprint(self) -> str:
         """Return a digest that is equal for repeats of the same request."""
         digest = hashlib.blake2b(digest_size=16)
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -7,10 +7,10 @@
 from typing import Final
 
 from cicadahook.core import balancer
+from cicadahook.core import crash_suspects as crash_suspects_lib
 from cicadahook.core import grants
 from cicadahook.core import model_paces
 from cicadahook.core import request_limits
-from cicadahook.core import view
 
 STATUS_PERIOD: Final = datetime.timedelta(milliseconds=150)
 # Number of nodes that receive the full status in one period; the others follow
@@ -72,7 +72,7 @@
         wanted: recent demand on it, by model.
         paces: run times of models that it has observed.
         withdrawn: copies that it has ordered engines to drop.
-        suspects: requests suspected of crashing upstreams.
+        crash_suspects: what it knows of traits that may crash upstreams.
         limits: what upstreams last said of their request limits.
     """
 
@@ -91,7 +91,7 @@
     wanted: tuple["ModelDemand", ...] = ()
     paces: tuple[model_paces.PaceEstimate, ...] = ()
     withdrawn: tuple["WithdrawnCopy", ...] = ()
-    suspects: tuple[view.Suspect, ...] = ()
+    crash_suspects: tuple[crash_suspects_lib.SuspectStatement, ...] = ()
     limits: tuple[request_limits.LimitStatement, ...] = ()
 
 
@@ -149,7 +149,7 @@
                     loads=newest.loads,
                     wanted=newest.wanted,
                     paces=newest.paces,
-                    suspects=newest.suspects,
+                    crash_suspects=newest.crash_suspects,
                 )
         self.statuses[name] = (now, status)
         return True
--- a/src/cicadahook/net/active_request.py
+++ b/src/cicadahook/net/active_request.py
@@ -14,11 +14,11 @@
 
 from cicadahook.core import balancer as balancer_lib
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import crash_suspects
 from cicadahook.core import errors
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
 from cicadahook.core import model_demand
-from cicadahook.core import quarantine as quarantine_lib
 from cicadahook.core import request_limits
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import retry_budget
@@ -106,7 +106,7 @@
         route: the route that it matched.
         service: the service drawn for it.
         deadline: when the final answer must be sent.
-        fingerprint: digest that identifies resends of the same request.
+        traits: what crashes of upstreams may depend on.
         excluded: ids of upstreams that must not be tried again.
         lacked_copy: ids of upstreams that lacked the copy once.
         send_count: number of attempts that were sent.
@@ -117,6 +117,9 @@
         instance: id of the upstream of the last attempt.
         sent_at: when the last attempt was sent.
         first_chunk_at: when the first part of a stream was relayed.
+        answer_began: when the upstream of the last attempt began to answer.
+        is_proven_sound: whether that answer shows that the request does not
+            crash upstreams.
     """
 
     request: forwarding.CallerRequest
@@ -124,7 +127,7 @@
     route: routes.Route
     service: routes.Service
     deadline: datetime.datetime
-    fingerprint: str
+    traits: tuple[str, ...]
     excluded: frozenset[str] = frozenset()
     lacked_copy: frozenset[str] = frozenset()
     send_count: int = 0
@@ -135,6 +138,8 @@
     instance: str = ""
     sent_at: datetime.datetime | None = None
     first_chunk_at: datetime.datetime | None = None
+    answer_began: datetime.datetime | None = None
+    is_proven_sound: bool = False
 
 
 @dataclasses.dataclass
@@ -145,7 +150,7 @@
     inventory: inventory.Inventory
     residency: residency_lib.Residency
     balancer: balancer_lib.Balancer
-    quarantine: quarantine_lib.Quarantine
+    suspects: crash_suspects.CrashSuspects
     upstreams: UpstreamSender
     copies: CopyLoader
     budget_mode: retry_budget.RetryBudgetMode
--- a/src/cicadahook/net/crash_guard.py
+++ b/src/cicadahook/net/crash_guard.py
@@ -1,9 +1,11 @@
 """Keeps requests that crash upstreams away from them."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+import contextlib
 import datetime
 from typing import Final
 
+from cicadahook.core import crash_suspects
 from cicadahook.core import crash_tracker
 from cicadahook.core import errors
 from cicadahook.core import forwarding
@@ -11,7 +13,11 @@
 from cicadahook.net import active_request
 from cicadahook.net import logs
 
-QUARANTINE_RETRY_AFTER: Final = datetime.timedelta(seconds=10)
+# A trial takes about this long to prove sound.
+SUSPECTED_RETRY_AFTER: Final = datetime.timedelta(seconds=1.5)
+# An answer that goes on for this time has not crashed its upstream by its
+# begin.
+SOUND_PERIOD: Final = datetime.timedelta(seconds=1)
 
 logger: Final = logs.create_logger("forwarder")
 
@@ -21,27 +27,110 @@
 
     Attributes:
         components: what requests are forwarded with.
+        clock: the time.
+        suspects: what the requests that crash upstreams have in common.
         tracker: distinguishes crashes of upstreams from broken connections.
     """
 
     def __init__(self, components: active_request.ForwarderComponents) -> None:
         self.components = components
+        self.clock = components.clock
+        self.suspects = components.suspects
         self.tracker = crash_tracker.CrashTracker()
 
-    def check(self, fingerprint: str) -> None:
-        """Refuse a request that crashed several upstreams.
+    def check(self, traits: tuple[str, ...]) -> crash_suspects.Verdict:
+        """Return how a request may be run now.
 
         Raises:
-            errors.RefusalError: the request is quarantined.
+            errors.RefusalError: it must not be run; for good if its traits
+                crash upstreams, or for now if that is being tried.
+        """
+        verdict = self.suspects.check(traits)
+        if verdict is crash_suspects.Verdict.QUARANTINED:
+            raise active_request.create_refusal("quarantined", 422)
+        if verdict is crash_suspects.Verdict.SUSPECTED:
+            factor = self.components.generator.uniform(0.7, 1.3)
+            raise active_request.create_refusal(
+                "suspected", 503, SUSPECTED_RETRY_AFTER * factor
+            )
+        return verdict
+
+    @contextlib.contextmanager
+    def watch(
+        self,
+        active: active_request.ActiveRequest,
+        instance: inventory.Instance,
+    ) -> Iterator[None]:
+        """Watch an attempt, as a trial if the request is a suspect.
+
+        Raises:
+            errors.RefusalError: the request must not be run now.
+        """
+        trial = self._begin_trial(active)
+        active.answer_began, active.is_proven_sound = None, False
+        reserved_until: datetime.datetime | None = None
+        try:
+            yield
+        except forwarding.AttemptError as error:
+            if error.kind is forwarding.FailureKind.CUT:
+                # Until then the end of the upstream becomes known.
+                reserved_until = (
+                    self.clock.now() + crash_tracker.EVIDENCE_PERIOD
+                )
+            self._record_failure(active, instance, error.kind)
+            raise
+        finally:
+            self.suspects.end_trial(trial, reserved_until)
+
+    def _begin_trial(
+        self, active: active_request.ActiveRequest
+    ) -> tuple[str, ...]:
+        """Return the traits of a request that are on trial with it.
+
+        Raises:
+            errors.RefusalError: the request must not be run now.
         """
         try:
-            self.components.quarantine.check(fingerprint)
+            verdict = self.check(active.traits)
         except errors.RefusalError as refusal:
-            raise active_request.create_refusal(
-                refusal.code, 503, QUARANTINE_RETRY_AFTER
-            ) from refusal
+            if active.possible_runs:
+                raise active_request.create_refusal(
+                    refusal.code, 502, outcome="unknown"
+                ) from refusal
+            raise
+        if verdict is crash_suspects.Verdict.CLEAR:
+            return ()
+        trial = self.suspects.begin_trial(active.traits, active.deadline)
+        logger.info(
+            "Request runs as a trial of its suspect traits.",
+            extra={"request_id": active.request.id, "traits": trial},
+        )
+        return trial
+
+    def record_progress(
+        self,
+        active: active_request.ActiveRequest,
+        *,
+        is_complete: bool = False,
+    ) -> None:
+        """Record that an answer goes on, or that it is complete."""
+        now = self.clock.now()
+        if active.answer_began is None:
+            active.answer_began = active.sent_at if is_complete else now
+        if active.is_proven_sound or active.answer_began is None:
+            return
+        if is_complete or now - active.answer_began >= SOUND_PERIOD:
+            active.is_proven_sound = True
+            cleared = self.suspects.record_sound(
+                active.traits, active.answer_began
+            )
+            if cleared:
+                logger.info(
+                    "Traits cleared of crashes by a sound answer.",
+                    extra={"request_id": active.request.id, "traits": cleared},
+                )
 
-    def record_failure(
+    def _record_failure(
         self,
         active: active_request.ActiveRequest,
         instance: inventory.Instance,
@@ -53,50 +142,58 @@
         off before are then recorded. A cut connection alone does not prove a
         crash.
         """
-        now = self.components.clock.now()
+        now = self.clock.now()
         if kind is forwarding.FailureKind.UNREACHABLE:
             self._record_crashes(self.tracker.pop_dead(instance.id, now))
-        elif kind is forwarding.FailureKind.CUT and active.sent_at is not None:
-            generation = active.request.generation
+        elif (
+            kind is forwarding.FailureKind.CUT
+            and active.sent_at is not None
+            and not active.is_proven_sound
+        ):
             self.tracker.record_broken(
                 crash_tracker.BrokenRequest(
-                    active.fingerprint,
+                    active.traits,
                     instance,
                     active.sent_at,
                     now,
                     active.request.id,
-                    generation.shared_parts if generation else (),
-                    active.first_chunk_at,
+                    active.answer_began is not None,
                 )
             )
 
     def apply_inventory(self) -> None:
         """Record the requests that ran on upstreams that ended or restarted."""
         self._record_crashes(
-            self.tracker.compare(
-                self.components.inventory, self.components.clock.now()
-            )
+            self.tracker.compare(self.components.inventory, self.clock.now())
         )
 
+    def merge(
+        self, statements: Iterable[crash_suspects.SuspectStatement]
+    ) -> None:
+        """Apply what another node tells of crashes and their suspects."""
+        heard = self.suspects.merge(statements)
+        self._record_crashes(self.tracker.pop_deaths(heard, self.clock.now()))
+
     def _record_crashes(
         self, broken_requests: Iterable[crash_tracker.BrokenRequest]
     ) -> None:
-        """Record the requests that were running on upstreams that crashed.
-
-        A request that was running in several crashes becomes a suspect.
-        """
+        """Record the requests that were running on upstreams that crashed."""
         for request in broken_requests:
-            is_suspect = self.components.quarantine.record_death(
-                request.fingerprint, request.death, request.began
+            may_have_caused = self.suspects.record_death(
+                request.traits, request.death, request.began
             )
             logger.info(
                 "Request suspected of a crash.",
                 extra={
-                    "fingerprint": request.fingerprint,
                     "request_id": request.request_id,
-                    "parts": request.shared_parts,
-                    "had_begun": request.first_event is not None,
+                    "traits": request.traits,
+                    "had_begun": request.had_begun,
                     "death": request.death,
-                    "is_suspect": is_suspect,
+                    "is_suspect": may_have_caused,
+                    "suspects": [
+                        trait
+                        for trait in request.traits
+                        if self.suspects.is_suspect(trait)
+                    ],
                 },
             )
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -123,8 +123,8 @@
                 "unknown_service", 503, RETRY_AFTER
             )
         self._validate_generation(request, service)
-        fingerprint = request.create_fingerprint()
-        self.crash_guard.check(fingerprint)
+        traits = request.list_traits(name)
+        self.crash_guard.check(traits)
         now = self.clock.now()
         self._get_budget(name).record_request(now)
         if request.generation is not None:
@@ -144,7 +144,7 @@
             route,
             service,
             deadline,
-            fingerprint,
+            traits,
             last_event_id=request.last_event_id,
         )
 
@@ -182,7 +182,8 @@
             self.drain.check_attempt(active)
             instance = await self._select(active)
             try:
-                await self._attempt(active, instance)
+                with self.crash_guard.watch(active, instance):
+                    await self._attempt(active, instance)
                 return
             except forwarding.AttemptError as error:
                 await self._prepare_retry(active, instance, error)
@@ -429,7 +430,6 @@
             if error.is_not_run:
                 active.possible_runs -= 1
                 self.drain.update_time_limit(active)
-            self.crash_guard.record_failure(active, instance, error.kind)
             raise
         finally:
             self.components.balancer.end(placement, failure)
@@ -477,6 +477,7 @@
             raise forwarding.AttemptError(
                 forwarding.FailureKind.SERVER_ERROR, f"status {head.status}"
             )
+        self.crash_guard.record_progress(active, is_complete=True)
         await active.sink.answer(head, body)
 
     async def _relay_events(
@@ -496,6 +497,7 @@
             if not complete_events:
                 continue
             self.components.balancer.record_first_piece(placement)
+            self.crash_guard.record_progress(active)
             if not active.has_begun:
                 active.has_begun = True
                 active.first_chunk_at = self.clock.now()
@@ -509,6 +511,7 @@
             raise forwarding.AttemptError(
                 forwarding.FailureKind.CUT, "stream ends within an event"
             )
+        self.crash_guard.record_progress(active, is_complete=True)
         if not active.has_begun:
             await active.sink.begin(answer.head)
         await active.sink.finish()
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -14,13 +14,13 @@
 
 from cicadahook.core import balancer as balancer_lib
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import crash_suspects
 from cicadahook.core import errors
 from cicadahook.core import grants
 from cicadahook.core import inventory as inventory_lib
 from cicadahook.core import model_demand
 from cicadahook.core import node_lifecycle
 from cicadahook.core import order_holder
-from cicadahook.core import quarantine
 from cicadahook.core import request_limits
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import retry_budget
@@ -42,9 +42,6 @@
 from cicadahook.net import tasks as tasks_lib
 
 OWN_PREFIX: Final = "cicada/"
-# Requests that ran beside a crashing one may by chance run at several crashes.
-# The required bound applies from the third crash on.
-MAX_DEATHS: Final = 3
 RESTART_PAUSE: Final = datetime.timedelta(milliseconds=200)
 MAINTENANCE_PERIOD: Final = datetime.timedelta(milliseconds=250)
 
@@ -153,9 +150,7 @@
             inventory,
             residency,
             balancer,
-            quarantine.Quarantine(
-                quarantine.QuarantineMode(max_deaths=MAX_DEATHS), clock
-            ),
+            crash_suspects.CrashSuspects(clock),
             platform.upstreams,
             copy_requests.CopyRequester(
                 self.orderer,
@@ -309,7 +304,7 @@
             self.components.balancer.paces.replace_peer(
                 status.node.name, status.paces
             )
-            self.components.quarantine.merge(status.suspects)
+            self.forwarder.crash_guard.merge(status.crash_suspects)
 
     def withdraw(self, copies: Iterable[roster_lib.WithdrawnCopy]) -> None:
         """Route no more requests to copies that engines must unload."""
@@ -459,7 +454,7 @@
             ),
             paces=tuple(self.components.balancer.paces.own.values()),
             withdrawn=self.orderer.list_withdrawn_copies(),
-            suspects=self.components.quarantine.select_suspects(
+            crash_suspects=self.components.suspects.list_statements(
                 self.components.generator
             ),
             limits=self.limits.list_statements(now),
@@ -469,7 +464,7 @@
 def _create_brief(status: roster_lib.NodeStatus) -> roster_lib.NodeStatus:
     """Return a status without the fields that may wait for a full one."""
     return dataclasses.replace(
-        status, is_brief=True, loads=(), wanted=(), paces=(), suspects=()
+        status, is_brief=True, loads=(), wanted=(), paces=(), crash_suspects=()
     )
 
 
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -44,6 +44,15 @@
   sent @4 :UInt64;
 }
 
+struct SuspectStatement {
+  trait @0 :Text;
+  deaths @1 :List(Text);
+  cleared @2 :List(Text);
+  ageMs @3 :UInt64;
+  isSound @4 :Bool;
+  isOnTrial @5 :Bool;
+}
+
 struct Grant {
   holder @0 :Text;
   fence @1 :UInt64;
@@ -60,6 +69,7 @@
   inventory @6 :UInt64;
   loads @7 :List(InstanceLoad);
   wanted @8 :List(ModelDemand);
+  # No longer sent; crashSuspects replaces it.
   suspects @9 :List(Link.Suspect);
   withdrawn @10 :List(WithdrawnCopy);
   paces @11 :List(PaceEstimate);
@@ -68,6 +78,7 @@
   newestTerm @14 :UInt64;
   isBrief @15 :Bool;
   limits @16 :List(LimitStatement);
+  crashSuspects @17 :List(SuspectStatement);
 }
 
 struct CopyRequest {
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -388,8 +388,8 @@
     assert other is not None
     await node_testbed.wait_until(
         lambda: any(
-            len(suspect.deaths) == 3
-            for suspect in other.components.quarantine.list_suspects()
+            len(record.open_deaths) == 3
+            for record in other.components.suspects.records.values()
         )
     )
     async with testbed.call("/write/item", 1, data=b"poison") as response:
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -584,7 +584,7 @@
     entry = create_instance("a")
     registrations.put(entry)
     now = clock_lib.EPOCH
-    broken = crash_tracker.BrokenRequest("f", entry, now, now + SECOND)
+    broken = crash_tracker.BrokenRequest(("f",), entry, now, now + SECOND)
     tracker.record_broken(broken)
     assert not tracker.compare(registrations, now + SECOND)
     registrations.put(create_instance("a", born=9))
@@ -598,7 +598,7 @@
     entry = create_instance("a")
     registrations.put(entry)
     now = clock_lib.EPOCH
-    tracker.record_broken(crash_tracker.BrokenRequest("f", entry, now, now))
+    tracker.record_broken(crash_tracker.BrokenRequest(("f",), entry, now, now))
     later = now + crash_tracker.EVIDENCE_PERIOD
     assert not tracker.compare(registrations, later)
     registrations.remove("a")
