Let the soak of nodes send prompt parts that crash engines

The fault sends requests with one fatal part, no two alike, to all nodes, and checks that they stop reaching engines as the users' rule wants it.

--- a/tests/soak/node_checker.py
+++ b/tests/soak/node_checker.py
@@ -49,6 +49,10 @@
 # LIMIT_SLACK requests more.
 LIMIT_WINDOW_SECONDS: Final = 4.0
 LIMIT_SLACK: Final = 5
+# From CONTACT_SECONDS after this crash on a part of prompts, at most
+# FATAL_PART_SLACK more requests with it reach upstreams.
+FATAL_PART_CRASHES: Final = 5
+FATAL_PART_SLACK: Final = 3
 
 
 class Outcome(enum.StrEnum):
@@ -102,6 +106,7 @@
         model: model and adapter of a stream; empty for a plain request.
         body: body of the request.
         timeout_seconds: time until the deadline of the request.
+        parts: parts of its prompt as in the header; empty for none.
         began: when the first byte was sent.
         sent: when the last byte was sent; None before.
         ended: when the call ended.
@@ -118,6 +123,7 @@
     model: str
     body: bytes
     timeout_seconds: float
+    parts: str = ""
     began: float = 0.0
     sent: float | None = None
     ended: float = 0.0
@@ -434,6 +440,39 @@
                 )
                 return
 
+    def check_fatal_part(
+        self, crashes: list[float], arrivals: list[tuple[float, str]]
+    ) -> None:
+        """Check the requests with a part that crashes upstreams.
+
+        Args:
+            crashes: when upstreams crashed on it, in order.
+            arrivals: when such requests reached an upstream, with their ids.
+        """
+        self.results.counts["crashes_by_part"] += len(crashes)
+        if len(crashes) < FATAL_PART_CRASHES:
+            return
+        begin = crashes[FATAL_PART_CRASHES - 1] + CONTACT_SECONDS
+        late = [
+            (at, request_id)
+            for at, request_id in arrivals
+            if at > begin
+            and not any(
+                self.is_disturbed(target, begin, at, CONTACT_SECONDS)
+                for target in (STORE, self.calls[request_id].node)
+            )
+            and not any(
+                stop.node == self.calls[request_id].node
+                and at - CONTACT_SECONDS <= stop.ended
+                for stop in self.stops
+            )
+        ]
+        if len(late) > FATAL_PART_SLACK:
+            self.results.record_violation(
+                "parts that crash upstreams stop reaching them",
+                f"{len(late)} requests after {len(crashes)} crashes: {late}",
+            )
+
     def check_runs(self) -> None:
         """Compare the runs of all requests with their answers.
 
--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -39,6 +39,9 @@
 )
 LIMIT_DURATION_SECONDS: Final = (4.5, 9.0)
 LIMIT_RATES: Final = (0.3, 1.5, 5.0)
+FATAL_PART_SECONDS: Final = (6.0, 10.0)
+FATAL_REQUESTS_PER_SECOND: Final = 4.0
+FATAL_CALL_SECONDS: Final = 3.0
 STORE_FAULTS: Final = ("is_down", "is_silent", "loses_answers")
 
 FaultFunction = Callable[
@@ -348,6 +351,74 @@
         upstream.limit = None
 
 
+@register
+async def send_fatal_part(injector: FaultInjector, rng: random.Random) -> None:
+    """Send requests with a part that crashes engines; check their number."""
+    engines = {
+        name: upstream
+        for name, upstream in injector.system.upstreams.items()
+        if upstream.service == "engines"
+    }
+    if engines.keys() & injector.busy_targets:
+        injector.checker.results.counts["fault_without_target"] += 1
+        return
+    injector.busy_targets |= engines.keys()
+    part = f"fatal{rng.randrange(1 << 32):x}"
+    injector.log(f"send_fatal_part {part}")
+    crashed = {name: len(engine.crashes) for name, engine in engines.items()}
+    for engine in engines.values():
+        engine.fatal_parts = {part}
+    end = time.monotonic() + rng.uniform(*FATAL_PART_SECONDS)
+    async with asyncio.TaskGroup() as group:
+        while time.monotonic() < end:
+            group.create_task(_send_fatal(injector, rng, part))
+            await asyncio.sleep(rng.expovariate(FATAL_REQUESTS_PER_SECOND))
+    injector.checker.check_fatal_part(
+        sorted(
+            at
+            for name, engine in engines.items()
+            for at in engine.crashes[crashed[name] :]
+        ),
+        [
+            (arrival.time, arrival.headers["X-Request-Id"])
+            for engine in engines.values()
+            for arrival in engine.arrivals
+            if part in arrival.headers.get("X-Prompt-Prefix", "")
+        ],
+    )
+    for engine in engines.values():
+        engine.fatal_parts = set()
+    await asyncio.sleep(max(e.restart_seconds for e in engines.values()))
+    injector.busy_targets -= engines.keys()
+
+
+async def _send_fatal(
+    injector: FaultInjector, rng: random.Random, part: str
+) -> None:
+    """Send one request with a part that crashes engines."""
+    number = rng.randrange(1 << 32)
+    node = rng.choice(injector.system.nodes)
+    call = node_checker.Call(
+        f"{part}-{number:x}",
+        node.name,
+        node_checker.REQUEST_KINDS[2],
+        "/chat/2/10",
+        rng.choice(("big", "small")),
+        b"",
+        FATAL_CALL_SECONDS,
+        f"aa:4,{part}:4,{number:x}:2",
+    )
+    injector.checker.calls[call.id] = call
+    timeout = aiohttp.ClientTimeout(total=FATAL_CALL_SECONDS)
+    with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+        async with injector.session.post(
+            f"http://{node.front_address}{call.path}",
+            headers=node_system.create_headers(call),
+            timeout=timeout,
+        ) as response:
+            await response.read()
+
+
 @register
 async def harm_link(injector: FaultInjector, rng: random.Random) -> None:
     """Let the link to an upstream delay, hold back or reset bytes."""
--- a/tests/soak/node_system.py
+++ b/tests/soak/node_system.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import enum
+import functools
 import pathlib
 import signal
 import socket
@@ -160,6 +161,12 @@
         self.state = "ready"
         self.leaving_since = None
 
+    def crash(self) -> None:
+        """Crash, which excuses what the upstream breaks off."""
+        disturbance = self.checker.begin_disturbance("crash", self.name)
+        disturbance.ended = time.monotonic() + self.restart_seconds
+        super().crash()
+
     async def _answer(
         self, request: web.BaseRequest, body: bytes
     ) -> web.StreamResponse:
@@ -226,7 +233,11 @@
         for offset, name in enumerate(("p1", "p2", "p3", "e1", "e2")):
             service = "plain" if name.startswith("p") else "engines"
             link = Link(base + LINK_OFFSET + offset, base + 1 + offset)
-            self.upstreams[name] = Upstream(name, service, link, self.checker)
+            upstream = Upstream(name, service, link, self.checker)
+            upstream.on_restart = functools.partial(
+                self.register_upstream, name
+            )
+            self.upstreams[name] = upstream
         self.upstreams["e1"].models = {"big": set()}
         self.upstreams["e2"].models = {"small": {"a1"}}
         self.nodes = [
@@ -372,6 +383,8 @@
     }
     if call.model:
         headers |= {"X-Model": call.model, "X-Token-Counts": "10,10"}
+    if call.parts:
+        headers["X-Prompt-Prefix"] = call.parts
     return headers
 
 
