Learn of a crash by a new connection, also while the store is away

A node that loses a request now connects to the upstream after 40 and 80 ms; a refused connection proves the end. Test: fails before with no record after 1 s.

--- a/src/cicadahook/net/active_request.py
+++ b/src/cicadahook/net/active_request.py
@@ -51,6 +51,9 @@
             forwarding.AttemptError: the attempt failed.
         """
 
+    async def has_ended(self, instance: inventory.Instance) -> bool:
+        """Return whether a new connection shows that an upstream has ended."""
+
 
 class CopyLoader(Protocol):
     """Makes engines load models and adapters."""
--- a/src/cicadahook/net/crash_guard.py
+++ b/src/cicadahook/net/crash_guard.py
@@ -1,5 +1,6 @@
 """Keeps requests that crash upstreams away from them."""
 
+import asyncio
 from collections.abc import Iterable, Iterator
 import contextlib
 import datetime
@@ -12,6 +13,7 @@
 from cicadahook.core import inventory
 from cicadahook.net import active_request
 from cicadahook.net import logs
+from cicadahook.net import tasks
 
 # A trial takes about this long to prove sound.
 SUSPECTED_RETRY_AFTER: Final = datetime.timedelta(seconds=1.5)
@@ -19,6 +21,9 @@
 # begin.
 SOUND_PERIOD: Final = datetime.timedelta(seconds=1)
 
+PROBE_COUNT: Final = 2
+PROBE_PAUSE: Final = datetime.timedelta(milliseconds=40)
+
 logger: Final = logs.create_logger("forwarder")
 
 
@@ -30,6 +35,7 @@
         clock: the time.
         suspects: what the requests that crash upstreams have in common.
         tracker: distinguishes crashes of upstreams from broken connections.
+        probes: running probes of upstreams that broke off a request, by id.
     """
 
     def __init__(self, components: active_request.ForwarderComponents) -> None:
@@ -37,6 +43,7 @@
         self.clock = components.clock
         self.suspects = components.suspects
         self.tracker = crash_tracker.CrashTracker()
+        self.probes: dict[str, asyncio.Task[None]] = {}
 
     def check(self, traits: tuple[str, ...]) -> crash_suspects.Verdict:
         """Return how a request may be run now.
@@ -160,6 +167,22 @@
                     active.answer_began is not None,
                 )
             )
+            tasks.share(self.probes, instance.id, lambda: self._probe(instance))
+
+    async def _probe(self, instance: inventory.Instance) -> None:
+        """Find out whether an upstream that broke off a request has ended.
+
+        The store would tell it seconds later, and not at all while it is away.
+        """
+        if self.components.limits.find(instance) is not None:
+            return
+        for _ in range(PROBE_COUNT):
+            await asyncio.sleep(PROBE_PAUSE.total_seconds())
+            if await self.components.upstreams.has_ended(instance):
+                self._record_crashes(
+                    self.tracker.pop_dead(instance.id, self.clock.now())
+                )
+                return
 
     def apply_inventory(self) -> None:
         """Record the requests that ran on upstreams that ended or restarted."""
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -24,6 +24,7 @@
 # An engine answers an order at once, and a repeated order does no harm, so
 # the time limit can be short.
 ORDER_TIMEOUT: Final = datetime.timedelta(milliseconds=120)
+PROBE_TIMEOUT: Final = datetime.timedelta(milliseconds=500)
 REPORT_TIMEOUT: Final = datetime.timedelta(milliseconds=1000)
 # Upstreams also close idle connections, mostly after a longer time,
 # so this side mostly closes first.
@@ -208,6 +209,26 @@
             )
             return None
 
+    async def has_ended(self, instance: inventory.Instance) -> bool:
+        """Return whether a new connection shows that an upstream has ended.
+
+        An upstream that does not answer may only be cut off.
+        """
+        host, port = instance.address.rsplit(":", 1)
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT.total_seconds()):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except OSError as error:
+            logger.info(
+                "Probe of an upstream not answered.",
+                extra={"instance": instance.id, "error": repr(error)},
+            )
+            return False
+        writer.close()
+        return False
+
     async def send_order(
         self, instance: inventory.Instance, order: engine_orders.Order
     ) -> engine_orders.OrderResult:
--- a/tests/test_node_crashes.py
+++ b/tests/test_node_crashes.py
@@ -132,8 +132,8 @@
     await traffic.run(2, 25, traffic.draw_sound)
     before = count_begun_share(traffic.outcomes)
     async with asyncio.TaskGroup() as group:
-        group.create_task(traffic.run(10, 25, traffic.draw_sound))
-        group.create_task(traffic.run(10, 3, traffic.draw_fatal))
+        group.create_task(traffic.run(15, 25, traffic.draw_sound))
+        group.create_task(traffic.run(15, 3, traffic.draw_fatal))
     crashes = sorted(time for engine in engines for time in engine.crashes)
     late = crashes[: FIFTH + 1][-1] + CONTACT_SECONDS
     arrivals = [time for time in list_fatal_arrivals(engines) if time > late]
@@ -143,3 +143,38 @@
     after = [each for each in traffic.outcomes if each.sent > settled]
     assert len(after) >= 20
     assert count_begun_share(after) >= before / 2
+
+
+async def test_a_crash_is_known_while_the_store_is_away(
+    testbed: node_testbed.NodeTestbed,
+) -> None:
+    node = testbed.programs[0].node
+    assert node is not None
+    engine = testbed.engines[0]
+    ended = asyncio.Event()
+
+    async def break_off(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        server.close()
+        writer.transport.abort()
+        ended.set()
+
+    server = await asyncio.start_server(break_off, node_testbed.HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    entry = {**engine.describe(), "address": f"{node_testbed.HOST}:{port}"}
+    testbed.store.put(f"servers/{engine.id}", entry)
+    await node_testbed.wait_until(
+        lambda: node.components.inventory.instances["e1"].address.endswith(
+            f":{port}"
+        )
+    )
+    testbed.store.faults.is_down = True
+    await Traffic(testbed, seed=1).call(FATAL_PART)
+    await ended.wait()
+    await node_testbed.wait_until(
+        lambda: f"part:engines:{FATAL_PART}"
+        in node.components.suspects.records,
+        seconds=1.0,
+    )
