--- a/src/cicadahook/core/forwarding.py
+++ b/src/cicadahook/core/forwarding.py
@@ -60,6 +60,8 @@
         caller_time_limit: how long the caller waits; None if not stated.
         generation: demand on a model engine; None if no model is used.
         last_event_id: event after which a stream resumes; empty for its start.
+        resumed_id: id of the caller's attempt that brought the first event of
+            that stream; empty if not stated.
     """
 
     id: str
@@ -72,6 +74,7 @@
     caller_time_limit: datetime.timedelta | None = None
     generation: Generation | None = None
     last_event_id: str = ""
+    resumed_id: str = ""
 
     def list_traits(self, service: str) -> tuple[str, ...]:
         """Return what crashes of upstreams of `service` may depend on."""
--- a/src/cicadahook/core/inventory.py
+++ b/src/cicadahook/core/inventory.py
@@ -34,6 +34,7 @@
         sequence: number of orders accepted since its start.
         born: time of its start in Unix milliseconds; only compared for
             equality.
+        software: version of its software; empty if it names none.
     """
 
     id: str
@@ -47,6 +48,7 @@
     on_disk: frozenset[str] = frozenset()
     sequence: int = 0
     born: int = 0
+    software: str = ""
 
     def holds(self, model: str) -> bool:
         """Return whether `model` is in accelerator memory."""
--- a/src/cicadahook/net/active_request.py
+++ b/src/cicadahook/net/active_request.py
@@ -118,6 +118,7 @@
         has_begun: whether a part of a stream has been relayed.
         timeout: cancels the request at its time limit.
         instance: id of the upstream of the last attempt.
+        software: version of the software of that upstream.
         sent_at: when the last attempt was sent.
         first_chunk_at: when the first part of a stream was relayed.
         answer_began: when the upstream of the last attempt began to answer.
@@ -139,6 +140,7 @@
     has_begun: bool = False
     timeout: asyncio.Timeout | None = None
     instance: str = ""
+    software: str = ""
     sent_at: datetime.datetime | None = None
     first_chunk_at: datetime.datetime | None = None
     answer_began: datetime.datetime | None = None
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -416,7 +416,7 @@
         )
         active.send_count += 1
         active.possible_runs += 1
-        active.instance = instance.id
+        active.instance, active.software = instance.id, instance.software
         active.sent_at = self.clock.now()
         self.drain.update_time_limit(active)
         failure: forwarding.FailureKind | None = None
@@ -666,6 +666,9 @@
                     active.request, active.first_chunk_at
                 ),
                 "took_ms": self._get_elapsed_ms(active.request),
+                "resumed_id": active.request.resumed_id,
+                "last_event_id": active.last_event_id,
+                "software": active.software,
                 **fields,
             },
         )
--- a/src/cicadahook/net/store_listeners.py
+++ b/src/cicadahook/net/store_listeners.py
@@ -132,6 +132,7 @@
                     "instance": name,
                     "revision": change.revision,
                     "is_leaving": instance.is_leaving if instance else None,
+                    "software": instance.software if instance else None,
                     "models": sorted(instance.holdings) if instance else None,
                 },
             )
--- a/src/cicadahook/platform/caller_server.py
+++ b/src/cicadahook/platform/caller_server.py
@@ -222,6 +222,7 @@
             time_limit,
             generation,
             headers.get(header_names.LAST_EVENT_ID, ""),
+            headers.get(header_names.RESUMED_REQUEST_ID, ""),
         )
 
     def _get_read_limit(
--- a/src/cicadahook/platform/headers.py
+++ b/src/cicadahook/platform/headers.py
@@ -15,6 +15,8 @@
 TOKEN_COUNTS: Final = "X-Token-Counts"
 PROMPT_PARTS: Final = "X-Prompt-Prefix"
 LAST_EVENT_ID: Final = "Last-Event-Id"
+# Id of the attempt that brought the first event of the stream to be resumed.
+RESUMED_REQUEST_ID: Final = "Resumes"
 PRIORITY: Final = "X-Request-Priority"
 EXPECTED_INSTANCE: Final = "X-Expected-Instance"
 INSTANCE_ID: Final = "X-Instance-Id"
--- a/src/cicadahook/platform/messages.py
+++ b/src/cicadahook/platform/messages.py
@@ -144,6 +144,8 @@
             # not a version of this entry.
             sequence=int(fields.get("sequence_number", 0)),
             born=int(fields.get("born", 0)),
+            # Of the upstream's software; models have versions of their own.
+            software=_check_text(fields.get("version", "")),
         )
     except (
         KeyError,
