--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -52,6 +52,8 @@
         is_busy: whether it reports that it is carrying out an order.
         limit: value of the request limit that it names; None for none.
         calls: times of all calls that it received, by the event loop's clock.
+        cuts_resumed: whether `cut_after` applies to resumed streams too.
+        software: version of its software.
         fatal_parts: parts of prompts that crash it when it begins an answer.
         crashes: times of its crashes, by the event loop's clock.
         restart_seconds: time from a crash to its restart.
@@ -80,6 +82,8 @@
         self.fatal_parts: set[str] = set()
         self.crashes: list[float] = []
         self.restart_seconds = 0.5
+        self.software = "v1"
+        self.cuts_resumed = True
         self.on_restart: Callable[[], None] = lambda: None
         self.is_down = False
         self.transports: set[asyncio.Transport] = set()
@@ -91,7 +95,7 @@
             "service_name": self.service,
             "address": self.address,
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.software,
             "slots": 4,
             "state": self.state,
             "cold_remaining_ms": 0,
@@ -261,7 +265,7 @@
         for number in range(first, count + 1):
             await asyncio.sleep(seconds)
             event = self._create_event(request, number)
-            if number == self.cut_after:
+            if number == self.cut_after and (first == 1 or self.cuts_resumed):
                 await response.write(event[:7])
                 assert request.transport is not None, "no connection"
                 request.transport.close()
--- /dev/null
+++ b/tests/test_node_resumption.py
@@ -0,0 +1,128 @@
+"""Tests that streams go on only at the software version that began them."""
+
+import asyncio
+import collections
+from collections.abc import Iterable
+import dataclasses
+
+import node_testbed
+
+STREAM_COUNT = 30
+EVENT_COUNT = 6
+HEADERS = {"X-Model": "big", "X-Token-Counts": "10,10"}
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """How a request ended: its status and the events that came."""
+
+    status: int
+    content: bytes
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the last event came."""
+        return f"piece {EVENT_COUNT}".encode() in self.content
+
+
+def set_versions(testbed: node_testbed.NodeTestbed) -> None:
+    """Let engines that hold the model run three software versions."""
+    for number, engine in enumerate(testbed.engines):
+        engine.software = ("v1", "v1.1", "v1.2")[number % 3]
+        engine.events = EVENT_COUNT
+        testbed.register(engine)
+
+
+async def wait_for_versions(testbed: node_testbed.NodeTestbed) -> None:
+    """Wait until all nodes know the software of the engines."""
+    for program in testbed.programs:
+        node = program.node
+        assert node is not None, "not started"
+        for engine in testbed.engines:
+            await node_testbed.wait_until(
+                lambda node=node, engine=engine: (  # type: ignore[misc]
+                    node.components.inventory.instances[engine.id].software
+                    == engine.software
+                )
+            )
+
+
+async def send(
+    testbed: node_testbed.NodeTestbed,
+    name: str,
+    node: int,
+    resumed: str = "",
+    last_event: int = 0,
+    leave_after: int = 0,
+) -> Result:
+    """Send a request; leave it after some events, if given."""
+    headers = {**HEADERS, "X-Request-Id": name}
+    if resumed:
+        headers |= {"Resumes": resumed, "Last-Event-Id": str(last_event)}
+    content = b""
+    async with testbed.call("/review/x", node, headers=headers) as response:
+        async for chunk in response.content.iter_any():
+            content += chunk
+            if leave_after and content.count(b"\n\n") >= leave_after:
+                response.close()
+                break
+        return Result(response.status, content)
+
+
+def list_versions(
+    testbed: node_testbed.NodeTestbed,
+) -> dict[str, list[str]]:
+    """Return the software versions that each request reached, by its id."""
+    reached = collections.defaultdict(list)
+    for engine in testbed.engines:
+        for arrival in engine.arrivals:
+            reached[arrival.headers["X-Request-Id"]].append(engine.software)
+    return reached
+
+
+def count_mixed(streams: Iterable[list[str]]) -> int:
+    """Return the number of streams that reached several versions."""
+    return sum(len(set(versions)) > 1 for versions in streams)
+
+
+async def test_an_answer_goes_on_at_the_software_version_that_began_it(
+    large_testbed: node_testbed.NodeTestbed,
+) -> None:
+    set_versions(large_testbed)
+    await wait_for_versions(large_testbed)
+    for engine in large_testbed.engines:
+        engine.cut_after, engine.cuts_resumed = 2, False
+    results = await asyncio.gather(
+        *(
+            send(large_testbed, f"r{number}", number % 2)
+            for number in range(STREAM_COUNT)
+        )
+    )
+    versions = list_versions(large_testbed)
+    assert count_mixed(versions.values()) == 0
+    assert all(len(reached) == 2 for reached in versions.values())
+    assert all(result.is_whole for result in results)
+
+
+async def test_a_caller_goes_on_at_any_node_with_the_version_that_began(
+    large_testbed: node_testbed.NodeTestbed,
+) -> None:
+    set_versions(large_testbed)
+    await wait_for_versions(large_testbed)
+
+    async def run(number: int) -> Result:
+        node = number % 2
+        first = await send(large_testbed, f"a{number}", node, leave_after=1)
+        begun = first.content.count(b"\n\n")
+        return await send(
+            large_testbed, f"b{number}", 1 - node, f"a{number}", begun
+        )
+
+    results = await asyncio.gather(*map(run, range(STREAM_COUNT)))
+    versions = list_versions(large_testbed)
+    streams = [
+        versions[f"a{number}"] + versions[f"b{number}"]
+        for number in range(STREAM_COUNT)
+    ]
+    assert count_mixed(streams) == 0
+    assert all(result.is_whole for result in results)
