Continue streams only at the software version that began them

Callers: streams held events of two software versions, which do not fit together.

Now an answer that has begun is bound to its version. A node tells the others in its statuses which version began each stream that may be resumed. Copies are found and loaded at that version; if none of its upstreams is left, the request is refused at once. A resumed stream is not held off as overload: the version that it needs may have little room.

--- a/src/cicadahook/core/load_planning.py
+++ b/src/cicadahook/core/load_planning.py
@@ -147,6 +147,21 @@
     starved: Mapping[str, int] = dataclasses.field(default_factory=dict)
     limited_models: Set[str] = frozenset()
 
+    def restrict(self, software: str) -> "ServiceState":
+        """Return the state with the engines of one software version only.
+
+        Args:
+            software: the version; empty for all.
+        """
+        if not software:
+            return self
+        ledgers = tuple(
+            ledger
+            for ledger in self.ledgers
+            if ledger.instance.software == software
+        )
+        return dataclasses.replace(self, ledgers=ledgers)
+
     @functools.cached_property
     def copies(self) -> "collections.Counter[str]":
         """Number of engines that hold or will hold each model."""
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -11,6 +11,7 @@
 from cicadahook.core import grants
 from cicadahook.core import model_paces
 from cicadahook.core import request_limits
+from cicadahook.core import stream_origins
 
 STATUS_PERIOD: Final = datetime.timedelta(milliseconds=150)
 # Number of nodes that receive the full status in one period; the others follow
@@ -74,6 +75,7 @@
         withdrawn: copies that it has ordered engines to drop.
         crash_suspects: what it knows of traits that may crash upstreams.
         limits: what upstreams last said of their request limits.
+        origins: software versions that began streams here lately.
     """
 
     node: NodeRecord
@@ -93,6 +95,7 @@
     withdrawn: tuple["WithdrawnCopy", ...] = ()
     crash_suspects: tuple[crash_suspects_lib.SuspectStatement, ...] = ()
     limits: tuple[request_limits.LimitStatement, ...] = ()
+    origins: tuple[stream_origins.OriginStatement, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadahook/net/active_request.py
+++ b/src/cicadahook/net/active_request.py
@@ -63,6 +63,7 @@
         service: str,
         key: residency_lib.CopyKey,
         failed: frozenset[str],
+        software: str = "",
     ) -> residency_lib.CopyKey | None:
         """Return the key of a loaded copy, or None if none could be loaded.
 
@@ -70,6 +71,7 @@
             service: name of the service.
             key: the model and adapter wanted, and the preferred engine.
             failed: ids of engines that were unreachable or lacked the copy.
+            software: version of the engine's software; empty for any.
         """
 
 
@@ -119,6 +121,8 @@
         timeout: cancels the request at its time limit.
         instance: id of the upstream of the last attempt.
         software: version of the software of that upstream.
+        required_software: the only version that may run the request, as it
+            began the stream; None while any may.
         sent_at: when the last attempt was sent.
         first_chunk_at: when the first part of a stream was relayed.
         answer_began: when the upstream of the last attempt began to answer.
@@ -141,11 +145,16 @@
     timeout: asyncio.Timeout | None = None
     instance: str = ""
     software: str = ""
+    required_software: str | None = None
     sent_at: datetime.datetime | None = None
     first_chunk_at: datetime.datetime | None = None
     answer_began: datetime.datetime | None = None
     is_proven_sound: bool = False
 
+    def accepts(self, instance: inventory.Instance) -> bool:
+        """Whether the software of an upstream may run the request."""
+        return self.required_software in (None, instance.software)
+
 
 @dataclasses.dataclass
 class ForwarderComponents:
--- a/src/cicadahook/net/copy_requests.py
+++ b/src/cicadahook/net/copy_requests.py
@@ -33,8 +33,8 @@
     Attributes:
         orderer: sends orders while this node is the holder.
         client: calls the holder if it is another node.
-        pending: calls in progress, by service, model, adapter and failed
-            engines.
+        pending: calls in progress, by service, model, adapter, failed engines
+            and software version.
     """
 
     def __init__(
@@ -54,7 +54,7 @@
         self.limits = orderer.inputs.limits
         self.clock = clock
         self.pending: dict[
-            tuple[str, str, str, frozenset[str]],
+            tuple[str, str, str, frozenset[str], str],
             asyncio.Task[residency_lib.CopyKey | None],
         ] = {}
 
@@ -63,6 +63,7 @@
         service: str,
         key: residency_lib.CopyKey,
         failed: frozenset[str],
+        software: str = "",
     ) -> residency_lib.CopyKey | None:
         """Return the key of a copy, waiting until it is loaded.
 
@@ -70,22 +71,25 @@
             service: name of the service.
             key: the model and adapter wanted, and the preferred engine.
             failed: ids of engines that were unreachable or lacked the copy.
+            software: version of the engine's software; empty for any.
         """
         while True:
             held = await asyncio.shield(
-                self._join_request(service, key, failed)
+                self._join_request(service, key, failed, software)
             )
             # The holder may learn of an engine's start, end or request limit
             # earlier or later than this node.
-            if held is not None and self._can_use(held):
+            if held is not None and self._can_use(held, software):
                 return held
             await asyncio.sleep(RETRY_DELAY.total_seconds())
 
-    def _can_use(self, held: residency_lib.CopyKey) -> bool:
+    def _can_use(self, held: residency_lib.CopyKey, software: str) -> bool:
         """Whether a request may be sent to a copy now."""
         engine = self.inventory.find_usable(held.instance)
-        return engine is not None and self.limits.has_room(
-            engine, self.clock.now()
+        return (
+            engine is not None
+            and software in ("", engine.software)
+            and self.limits.has_room(engine, self.clock.now())
         )
 
     def _join_request(
@@ -93,10 +97,13 @@
         service: str,
         key: residency_lib.CopyKey,
         failed: frozenset[str],
+        software: str,
     ) -> "asyncio.Task[residency_lib.CopyKey | None]":
-        name = (service, key.model, key.adapter, failed)
+        name = (service, key.model, key.adapter, failed, software)
         return tasks.share(
-            self.pending, name, lambda: self._request_copy(service, key, failed)
+            self.pending,
+            name,
+            lambda: self._request_copy(service, key, failed, software),
         )
 
     async def _request_copy(
@@ -104,6 +111,7 @@
         service: str,
         key: residency_lib.CopyKey,
         failed: frozenset[str],
+        software: str,
     ) -> residency_lib.CopyKey | None:
         """Call the current holder.
 
@@ -113,13 +121,15 @@
         holder = self._find_holder()
         if holder is None:
             await asyncio.sleep(HOLDER_POLL_INTERVAL.total_seconds())
-            return self._find_copy(service, key, failed)
-        call = asyncio.create_task(self._call(holder, service, key, failed))
+            return self._find_copy(service, key, failed, software)
+        call = asyncio.create_task(
+            self._call(holder, service, key, failed, software)
+        )
         try:
             if await tasks.wait_while(
                 call,
                 lambda: not self._is_call_obsolete(
-                    holder, service, key, failed
+                    holder, service, key, failed, software
                 ),
                 HOLDER_POLL_INTERVAL,
             ):
@@ -138,6 +148,7 @@
         service: str,
         key: residency_lib.CopyKey,
         failed: frozenset[str],
+        software: str,
     ) -> bool:
         """Whether the answer of a holder is no longer needed.
 
@@ -146,7 +157,7 @@
         """
         current = self._find_holder()
         if current is None:
-            return self._find_copy(service, key, failed) is not None
+            return self._find_copy(service, key, failed, software) is not None
         return current != holder
 
     def _find_copy(
@@ -154,12 +165,14 @@
         service: str,
         key: residency_lib.CopyKey,
         failed: frozenset[str],
+        software: str,
     ) -> residency_lib.CopyKey | None:
         """Return a copy that this node knows of, if any."""
         usable = (
             candidate
             for candidate in self.inventory.list_usable(service)
             if candidate.id not in failed
+            and software in ("", candidate.software)
             and self.limits.has_room(candidate, self.clock.now())
         )
         holders = self.residency.list_holders(
@@ -181,7 +194,8 @@
         service: str,
         key: residency_lib.CopyKey,
         failed: frozenset[str],
+        software: str,
     ) -> residency_lib.CopyKey | None:
         if holder == self.roster.own:
-            return await self.orderer.ensure(service, key, failed)
-        return await self.client.ask(holder, service, key, failed)
+            return await self.orderer.ensure(service, key, failed, software)
+        return await self.client.ask(holder, service, key, failed, software)
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -21,6 +21,7 @@
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import request_drain
+from cicadahook.net import stream_resumption
 from cicadahook.net import tasks
 
 # The final answer is sent this long before the request's deadline, so that it
@@ -57,15 +58,20 @@
         configuration: the latest configuration; None before the first.
         node_count: number of nodes that share the retry budgets.
         budgets: retry budget of each service, by its name.
+        resumption: binds streams to the software version that began them.
         crash_guard: keeps requests that crash upstreams from them.
         drain: limits the time of requests once the node is asked to stop.
     """
 
     def __init__(
-        self, node: str, components: active_request.ForwarderComponents
+        self,
+        node: str,
+        components: active_request.ForwarderComponents,
+        resumption: stream_resumption.StreamResumption,
     ) -> None:
         self.node = node
         self.components = components
+        self.resumption = resumption
         self.clock = components.clock
         self.configuration: routes.Configuration | None = None
         self.node_count = 1
@@ -178,6 +184,7 @@
         Raises:
             errors.RefusalError: no attempt succeeded, and no other may be made.
         """
+        await self.resumption.prepare(active)
         while True:
             self.drain.check_attempt(active)
             instance = await self._select(active)
@@ -203,12 +210,14 @@
             for candidate in components.inventory.list_usable(
                 active.service.name
             )
-            if candidate.id not in avoided
+            if candidate.id not in avoided and active.accepts(candidate)
         ]
         generation = active.request.generation
         chosen: inventory.Instance | None
         if generation is None or active.service.engines is None:
             chosen = components.balancer.choose(usable, None)
+        elif active.required_software is not None and not usable:
+            chosen = None
         else:
             chosen = await self._select_engine(active, usable, generation)
         if chosen is None:
@@ -238,7 +247,7 @@
         )
         chosen = components.balancer.choose(ready, generation)
         if chosen is not None:
-            if not active.send_count:
+            if not active.send_count and active.required_software is None:
                 self._check_overload(active, chosen)
             return chosen
         if usable and not any(
@@ -301,7 +310,12 @@
             min(MAX_COPY_WAIT, left * COPY_WAIT_SHARE)
         )
         load = asyncio.ensure_future(
-            components.copies.ensure(active.service.name, key, avoided)
+            components.copies.ensure(
+                active.service.name,
+                key,
+                avoided,
+                active.required_software or "",
+            )
         )
         try:
             async with asyncio.timeout(wait.total_seconds()):
@@ -500,6 +514,7 @@
             self.crash_guard.record_progress(active)
             if not active.has_begun:
                 active.has_begun = True
+                self.resumption.record_begin(active, placement.instance)
                 active.first_chunk_at = self.clock.now()
                 await active.sink.begin(answer.head)
             await active.sink.send(
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -72,6 +72,15 @@
     )
 
 
+def count_resumption(source: str, node: str) -> None:
+    """Count a stream resumed by its caller, by where its origin is known."""
+    counter = create_counter(
+        "cicada_resumptions",
+        "Streams that callers resume, by the source of their origin.",
+    )
+    counter.add(1, {"source": source, "node": node})
+
+
 def count_limit_change(node: str) -> None:
     """Count a change of an upstream's request limit that `node` has heard."""
     counter = create_counter(
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -27,6 +27,7 @@
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import routes
 from cicadahook.core import store_api
+from cicadahook.core import stream_origins
 from cicadahook.net import active_request
 from cicadahook.net import address_directory
 from cicadahook.net import copy_requests
@@ -39,6 +40,7 @@
 from cicadahook.net import orderer
 from cicadahook.net import store_listeners
 from cicadahook.net import store_watcher
+from cicadahook.net import stream_resumption
 from cicadahook.net import tasks as tasks_lib
 
 OWN_PREFIX: Final = "cicada/"
@@ -94,6 +96,7 @@
         number: number of the newest status.
         roster: the known nodes and their newest statuses.
         grants: grants received from other nodes while this one is the holder.
+        origins: software versions that began streams.
         holder_state: this node's part in the choice of the holder.
         tasks: running background tasks.
     """
@@ -169,7 +172,18 @@
             model_demand.ModelDemandTracker(),
             self.limits,
         )
-        self.forwarder = forwarder.Forwarder(settings.name, self.components)
+        self.origins = stream_origins.StreamOrigins()
+        origin_client = stream_resumption.OriginClient(
+            self.copy_client.session,
+            lambda: self.roster.list_peers(self.clock.now()),
+        )
+        self.forwarder = forwarder.Forwarder(
+            settings.name,
+            self.components,
+            stream_resumption.StreamResumption(
+                self.origins, origin_client.ask, clock, settings.name
+            ),
+        )
         self.directory = address_directory.AddressDirectory(
             self.roster, clock, self.is_ready, settings.address_lifetime
         )
@@ -298,6 +312,7 @@
             self.limits.merge(status.node.name, status.limits, self.clock.now())
             if status.is_brief:
                 return
+            self.origins.merge(status.origins, self.clock.now())
             self.components.balancer.replace_peer_loads(
                 status.node.name, status.loads
             )
@@ -338,6 +353,17 @@
                     )
         return demand
 
+    def create_peer_server(self) -> node_peers.PeerServer:
+        """Return the server of calls of other nodes."""
+        copies = node_peers.CopyServer(self.orderer.ensure)
+        answers = stream_resumption.OriginServer(self.origins, self.clock)
+        return node_peers.PeerServer(
+            {
+                node_peers.COPIES_PATH: copies.handle,
+                stream_resumption.ORIGINS_PATH: answers.handle,
+            }
+        )
+
     async def start(self) -> None:
         """Start all tasks that run beside the HTTP servers."""
         await self.statuses.open(self.settings.host, self.settings.peer_port)
@@ -377,6 +403,12 @@
                 balancer_lib.PEER_EXPIRY, self.roster.get_silence_limit()
             )
             self.components.inventory.drop_expired(now)
+            self.origins.record_versions(
+                self.components.inventory.instances.values(),
+                now,
+                is_current=self.watcher.is_connected
+                and self.components.inventory.revision > 0,
+            )
             self.forwarder.node_count = self.roster.count_nodes(now)
             self.limits.replace_nodes(self.roster.list_names(now))
             self.withdraw(self.orderer.list_withdrawn_copies())
@@ -458,13 +490,20 @@
                 self.components.generator
             ),
             limits=self.limits.list_statements(now),
+            origins=self.origins.list_statements(now),
         )
 
 
 def _create_brief(status: roster_lib.NodeStatus) -> roster_lib.NodeStatus:
     """Return a status without the fields that may wait for a full one."""
     return dataclasses.replace(
-        status, is_brief=True, loads=(), wanted=(), paces=(), crash_suspects=()
+        status,
+        is_brief=True,
+        loads=(),
+        wanted=(),
+        paces=(),
+        crash_suspects=(),
+        origins=(),
     )
 
 
--- a/src/cicadahook/net/node_peers.py
+++ b/src/cicadahook/net/node_peers.py
@@ -1,7 +1,7 @@
 """Messages between nodes: statuses over UDP, copy requests over HTTP."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 import dataclasses
 import datetime
 from typing import Any, Final
@@ -32,6 +32,7 @@
         model: name of the model.
         adapter: name of an adapter of it; empty for none.
         failed: engines that could not be reached or lack the copy.
+        software: version of the engine's software; empty for any.
     """
 
     service: str
@@ -39,6 +40,7 @@
     model: str
     adapter: str
     failed: tuple[str, ...] = ()
+    software: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,13 +109,32 @@
             self.transport.close()
 
 
+class PeerServer:
+    """Passes calls of other nodes to their handlers by path."""
+
+    def __init__(
+        self,
+        handlers: Mapping[
+            str, Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+        ],
+    ) -> None:
+        self.handlers = handlers
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Pass on one call."""
+        handler = self.handlers.get(request.path)
+        if handler is None:
+            return web.Response(status=404)
+        return await handler(request)
+
+
 class CopyServer:
     """Serves other nodes' requests for copies."""
 
     def __init__(
         self,
         ensure: Callable[
-            [str, residency.CopyKey, frozenset[str]],
+            [str, residency.CopyKey, frozenset[str], str],
             Awaitable[residency.CopyKey | None],
         ],
     ) -> None:
@@ -121,8 +142,6 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Load the requested copy and respond with its engine."""
-        if request.path != COPIES_PATH:
-            return web.Response(status=404)
         try:
             copy_request = COPY_REQUESTS.decode(await request.read())
         except codec.DecodeError as error:
@@ -131,7 +150,10 @@
             copy_request.instance, copy_request.model, copy_request.adapter
         )
         copy = await self.ensure(
-            copy_request.service, key, frozenset(copy_request.failed)
+            copy_request.service,
+            key,
+            frozenset(copy_request.failed),
+            copy_request.software,
         )
         answer = CopyAnswer(copy.instance if copy else "")
         return web.Response(body=COPY_ANSWERS.encode(answer))
@@ -161,10 +183,16 @@
         service: str,
         key: residency.CopyKey,
         failed: frozenset[str],
+        software: str,
     ) -> residency.CopyKey | None:
         """Return the copy with its engine, or None if there is none."""
         copy_request = CopyRequest(
-            service, key.instance, key.model, key.adapter, tuple(failed)
+            service,
+            key.instance,
+            key.model,
+            key.adapter,
+            tuple(failed),
+            software,
         )
         try:
             async with self.session.post(
--- a/src/cicadahook/net/order_sender.py
+++ b/src/cicadahook/net/order_sender.py
@@ -24,6 +24,8 @@
 REPORT_LAG: Final = datetime.timedelta(milliseconds=400)
 # How often one order is sent in all until a result is known.
 MAX_COPIES: Final = 6
+# How long to avoid an engine that could not be reached or lacked a copy.
+UNRELIABLE_PERIOD: Final = datetime.timedelta(seconds=1)
 
 logger: Final = logs.create_logger("orders")
 
@@ -107,6 +109,30 @@
     last_sent: datetime.datetime | None = None
     unreliable_since: datetime.datetime | None = None
 
+    def runs(self, software: str) -> bool:
+        """Whether it runs a version of its software; empty means any."""
+        return software in ("", self.ledger.instance.software)
+
+    def mark_unreliable(self, now: datetime.datetime) -> None:
+        """Avoid it for a while; its state is queried before the next use."""
+        if self.is_unreliable(now):
+            return
+        self.unreliable_since = now
+        if not self.ledger.is_busy:
+            self.ledger.sequence = None
+
+    def is_unreliable(self, now: datetime.datetime) -> bool:
+        """Whether it was marked lately or has not reported since."""
+        has_not_reported = (
+            self.unreliable_since is not None and self.ledger.sequence is None
+        )
+        return has_not_reported or self.is_recently_unreliable(now)
+
+    def is_recently_unreliable(self, now: datetime.datetime) -> bool:
+        """Whether it was marked within `UNRELIABLE_PERIOD`."""
+        since = self.unreliable_since
+        return since is not None and now - since < UNRELIABLE_PERIOD
+
 
 class OrderSender:
     """Sends orders while this node is the holder of orders.
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -29,8 +29,6 @@
 OPERATION_SLACK: Final = datetime.timedelta(seconds=4)
 # The platform specifies 5 to 10 ms for loading an adapter.
 ADAPTER_DELAY: Final = datetime.timedelta(milliseconds=10)
-# How long to avoid an engine that could not be reached or lacked a copy.
-UNRELIABLE_PERIOD: Final = datetime.timedelta(seconds=1)
 # A state query takes 0.4 s if the engine reports and 1 s if it never does. A
 # failed query that took longer than this limit means that it is silent.
 REPORT_SILENCE_LIMIT: Final = datetime.timedelta(milliseconds=800)
@@ -75,7 +73,8 @@
         inputs: the data that it plans by.
         load_window: period over which loads from the weight store are limited.
         engines: the known engines by instance id.
-        loading: pending requests for a copy, by service, model and adapter.
+        loading: pending requests for a copy, by service, model, adapter and
+            software version.
         load_windows: limits of loads from the weight store, by service.
         operations: model loads in progress.
         adapters_without_slot: requested adapters, by service, model and
@@ -96,7 +95,7 @@
         self.clock = clock
         self.load_window = load_window
         self.engines: dict[str, order_sender.Engine] = {}
-        self.loading: dict[tuple[str, str, str], asyncio.Task[str]] = {}
+        self.loading: dict[tuple[str, str, str, str], asyncio.Task[str]] = {}
         self.load_windows: dict[str, load_planning.LoadWindow] = {}
         self.operations: set[asyncio.Task[bool]] = set()
         self.adapters_without_slot: set[tuple[str, str, str]] = set()
@@ -108,6 +107,7 @@
         service: str,
         key: residency.CopyKey,
         failed: frozenset[str] = frozenset(),
+        software: str = "",
     ) -> residency.CopyKey | None:
         """Load a copy unless an engine holds it; return where it is.
 
@@ -115,6 +115,7 @@
             service: name of the service.
             key: the copy needed, with the preferred engine.
             failed: engines that could not be reached or lack the copy.
+            software: version of the engine's software; empty for any.
 
         Returns:
             The copy with its engine, or None if it could not be loaded.
@@ -125,39 +126,19 @@
         if pool is None or key.model not in pool.models:
             return None
         self._refresh_engines(service, pool)
-        for instance in failed:
-            self._mark_unreliable(instance)
-        name = (service, key.model, key.adapter)
+        for instance in failed & self.engines.keys():
+            self.engines[instance].mark_unreliable(self.clock.now())
+        name = (service, key.model, key.adapter, software)
         task = tasks.share(
-            self.loading, name, lambda: self._load(service, pool, key)
+            self.loading, name, lambda: self._load(service, pool, key, software)
         )
         instance = await asyncio.shield(task)
         if not instance:
             return None
         return residency.CopyKey(instance, key.model, key.adapter)
 
-    def _mark_unreliable(self, instance: str) -> None:
-        """Avoid an engine for a while; query its state before the next use."""
-        engine = self.engines.get(instance)
-        if engine is None or self._is_unreliable(engine):
-            return
-        engine.unreliable_since = self.clock.now()
-        if not engine.ledger.is_busy:
-            engine.ledger.sequence = None
-
     def _is_unreliable(self, engine: order_sender.Engine) -> bool:
-        """Whether an engine was marked lately or has not reported since."""
-        has_not_reported = (
-            engine.unreliable_since is not None
-            and engine.ledger.sequence is None
-        )
-        return has_not_reported or self._is_recently_unreliable(engine)
-
-    def _is_recently_unreliable(self, engine: order_sender.Engine) -> bool:
-        since = engine.unreliable_since
-        return (
-            since is not None and self.clock.now() - since < UNRELIABLE_PERIOD
-        )
+        return engine.is_unreliable(self.clock.now())
 
     def _find_pool(self, service: str) -> routes.EnginePool | None:
         configuration = self.inputs.get_configuration()
@@ -232,40 +213,39 @@
         ]
 
     async def _load(
-        self, service: str, pool: routes.EnginePool, key: residency.CopyKey
+        self,
+        service: str,
+        pool: routes.EnginePool,
+        key: residency.CopyKey,
+        software: str,
     ) -> str:
         """Load a model if necessary, then its adapter; return the engine."""
         name = (service, key.model, key.adapter)
-        try:
-            return await self._try_to_load(service, pool, key)
-        finally:
-            self.adapters_without_slot.discard(name)
-
-    async def _try_to_load(
-        self, service: str, pool: routes.EnginePool, key: residency.CopyKey
-    ) -> str:
         end = self.clock.now() + MAX_WAIT
-        while self.clock.now() < end:
-            if not self.can_send():
-                return ""
-            instance = self._find_copy(service, key)
-            if not instance:
-                await self._sync_all(service, self._is_unreliable)
-                instance = self._find_copy(service, key)
-            if not instance:
-                instance = await self._place_model(
-                    service, pool.models[key.model], pool
-                )
-            if instance and key.adapter:
-                instance = await self._load_adapter(service, instance, key)
+        try:
+            while self.clock.now() < end:
+                if not self.can_send():
+                    return ""
+                instance = self._find_copy(service, key, software)
+                if not instance:
+                    await self._sync_all(service, self._is_unreliable)
+                    instance = self._find_copy(service, key, software)
                 if not instance:
-                    self.adapters_without_slot.add(
-                        (service, key.model, key.adapter)
+                    instance = await self._place_model(
+                        service, pool.models[key.model], pool, software
                     )
-            if instance:
-                return instance
-            await asyncio.sleep(MODEL_RETRY_PAUSE.total_seconds())
-        return ""
+                if instance and key.adapter:
+                    instance = await self._load_adapter(
+                        service, instance, key, software
+                    )
+                    if not instance:
+                        self.adapters_without_slot.add(name)
+                if instance:
+                    return instance
+                await asyncio.sleep(MODEL_RETRY_PAUSE.total_seconds())
+            return ""
+        finally:
+            self.adapters_without_slot.discard(name)
 
     async def _sync_all(
         self, service: str, is_passed: Callable[[order_sender.Engine], bool]
@@ -300,16 +280,18 @@
         now = self.clock.now()
         if not is_known and now - asked >= REPORT_SILENCE_LIMIT:
             engine.unreliable_since = now
-        elif is_known and not self._is_recently_unreliable(engine):
+        elif is_known and not engine.is_recently_unreliable(now):
             engine.unreliable_since = None
         return is_known
 
-    def _find_copy(self, service: str, key: residency.CopyKey) -> str:
+    def _find_copy(
+        self, service: str, key: residency.CopyKey, software: str
+    ) -> str:
         """Return an engine known to hold a model now; empty if none."""
         holders = [
             engine
             for engine in self._list_holders(service, key.model)
-            if engine.ledger.sequence is not None
+            if engine.ledger.sequence is not None and engine.runs(software)
         ]
         names = [engine.ledger.instance.id for engine in holders]
         if key.instance in names:
@@ -355,7 +337,10 @@
         pool = service.engines
         assert pool is not None, f"{service.name} has no engines"
         self._refresh_engines(service.name, pool)
-        await self._sync_all(service.name, self._is_recently_unreliable)
+        await self._sync_all(
+            service.name,
+            lambda engine: engine.is_recently_unreliable(self.clock.now()),
+        )
         window = self._get_window(service.name, pool)
         for _ in range(len(self.engines)):
             reserved = min(load_planning.RESERVED_LOADS, window.limit - 1)
@@ -403,13 +388,17 @@
         )
 
     async def _place_model(
-        self, service: str, model: routes.Model, pool: routes.EnginePool
+        self,
+        service: str,
+        model: routes.Model,
+        pool: routes.EnginePool,
+        software: str,
     ) -> str:
         """Load a model that no engine holds; return the engine or empty."""
         window = self._get_window(service, pool)
         state = self._describe_service_state(
             service, window.is_open(self.clock.now())
-        )
+        ).restrict(software)
         if state.copies[model.name]:
             # A load of this model is already in progress.
             return ""
@@ -588,10 +577,16 @@
         return False
 
     async def _load_adapter(
-        self, service: str, preferred: str, key: residency.CopyKey
+        self,
+        service: str,
+        preferred: str,
+        key: residency.CopyKey,
+        software: str,
     ) -> str:
         """Load an adapter where its model is; return the engine or empty."""
         for engine in self._rank_for_adapter(service, preferred, key.model):
+            if not engine.runs(software):
+                continue
             async with engine.lock:
                 is_loaded = await self._load_adapter_at(engine, key)
             if is_loaded:
--- a/src/cicadahook/programs/node.py
+++ b/src/cicadahook/programs/node.py
@@ -105,7 +105,7 @@
                 self.settings.directory_port,
             ),
             (
-                web.Server(node_peers.CopyServer(node.orderer.ensure).handle),
+                web.Server(node.create_peer_server().handle),
                 self.settings.peer_port,
             ),
             (web.Server(metrics.serve), METRICS_PORT),
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -53,6 +53,12 @@
   isOnTrial @5 :Bool;
 }
 
+struct OriginStatement {
+  service @0 :Text;
+  software @1 :Text;
+  ids @2 :List(Text);
+}
+
 struct Grant {
   holder @0 :Text;
   fence @1 :UInt64;
@@ -79,6 +85,7 @@
   isBrief @15 :Bool;
   limits @16 :List(LimitStatement);
   crashSuspects @17 :List(SuspectStatement);
+  origins @18 :List(OriginStatement);
 }
 
 struct CopyRequest {
@@ -87,6 +94,17 @@
   model @2 :Text;
   adapter @3 :Text;
   failed @4 :List(Text);
+  software @5 :Text;
+}
+
+struct OriginRequest {
+  service @0 :Text;
+  requestId @1 :Text;
+}
+
+struct OriginAnswer {
+  isKnown @0 :Bool;
+  software @1 :Text;
 }
 
 struct CopyAnswer {
--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -207,7 +207,9 @@
                 caller_server.listen(web.Server(upstream.handle), HOST, port)
             )
             testbed.register(upstream)
-            upstream.on_restart = functools.partial(testbed.register, upstream)
+            upstream.crash_state.on_restart = functools.partial(
+                testbed.register, upstream
+            )
         store.put("op/config", create_configuration())
         yield testbed
 
--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -31,6 +31,29 @@
     return [part.partition(":")[0] for part in parts[:-1]]
 
 
+@dataclasses.dataclass
+class CrashState:
+    """Crashes of an upstream.
+
+    Attributes:
+        fatal_parts: parts of prompts that crash it when it begins an answer.
+        restart_seconds: time from a crash to its restart.
+        on_restart: called when it has restarted.
+        times: when it crashed, by the event loop's clock.
+        is_down: whether it has crashed and not restarted yet.
+        transports: connections of the requests that it runs.
+        restarting: tasks that restart it.
+    """
+
+    fatal_parts: set[str] = dataclasses.field(default_factory=set)
+    restart_seconds: float = 0.5
+    on_restart: Callable[[], None] = lambda: None
+    times: list[float] = dataclasses.field(default_factory=list)
+    is_down: bool = False
+    transports: set[asyncio.Transport] = dataclasses.field(default_factory=set)
+    restarting: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+
+
 class UpstreamStandin:
     """Stand-in of an upstream that records what it receives.
 
@@ -54,12 +77,12 @@
         calls: times of all calls that it received, by the event loop's clock.
         cuts_resumed: whether `cut_after` applies to resumed streams too.
         software: version of its software.
-        fatal_parts: parts of prompts that crash it when it begins an answer.
-        crashes: times of its crashes, by the event loop's clock.
-        restart_seconds: time from a crash to its restart.
-        on_restart: called when it has restarted after a crash.
+        crash_state: its crashes.
     """
 
+    cuts_resumed: bool = True
+    software: str = "v1"
+
     def __init__(self, name: str, service: str) -> None:
         self.id = name
         self.service = service
@@ -79,15 +102,7 @@
         self.is_busy = False
         self.limit: float | str | None = None
         self.calls: list[float] = []
-        self.fatal_parts: set[str] = set()
-        self.crashes: list[float] = []
-        self.restart_seconds = 0.5
-        self.software = "v1"
-        self.cuts_resumed = True
-        self.on_restart: Callable[[], None] = lambda: None
-        self.is_down = False
-        self.transports: set[asyncio.Transport] = set()
-        self.restarting: set[asyncio.Task[None]] = set()
+        self.crash_state = CrashState()
 
     def describe(self) -> dict[str, Any]:
         """Return its registration in the store."""
@@ -113,25 +128,25 @@
 
     def crash(self) -> None:
         """Break off all it runs, and restart with the models that it held."""
-        self.crashes.append(asyncio.get_running_loop().time())
-        self.is_down = True
-        for transport in self.transports:
+        self.crash_state.times.append(asyncio.get_running_loop().time())
+        self.crash_state.is_down = True
+        for transport in self.crash_state.transports:
             transport.abort()
         task = asyncio.create_task(self._come_back(self.models))
-        self.restarting.add(task)
-        task.add_done_callback(self.restarting.discard)
+        self.crash_state.restarting.add(task)
+        task.add_done_callback(self.crash_state.restarting.discard)
 
     async def _come_back(self, models: dict[str, set[str]]) -> None:
-        await asyncio.sleep(self.restart_seconds)
+        await asyncio.sleep(self.crash_state.restart_seconds)
         self.restart()
         self.models = models
-        self.is_down = False
-        self.on_restart()
+        self.crash_state.is_down = False
+        self.crash_state.on_restart()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call; each answer names the limit in force."""
         transport = request.transport
-        if self.is_down or transport is None:
+        if self.crash_state.is_down or transport is None:
             if transport is not None:
                 transport.abort()
             return web.Response()
@@ -159,19 +174,19 @@
             Arrival(request.raw_path, request.headers, body, self.calls[-1])
         )
         self.running += 1
-        self.transports.add(transport)
+        self.crash_state.transports.add(transport)
         try:
             rejection = self._reject(request)
             if rejection is not None:
                 return self._name_limit(rejection)
             return await self._answer(request, body)
         except ConnectionError:
-            if not self.crashes:
+            if not self.crash_state.times:
                 raise
             return web.Response()
         finally:
             self.running -= 1
-            self.transports.discard(transport)
+            self.crash_state.transports.discard(transport)
 
     def _name_limit(self, response: web.Response) -> web.Response:
         """Add the limit in force to an answer."""
@@ -256,7 +271,9 @@
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
         await response.prepare(request)
-        if self.fatal_parts & set(list_shared_parts(request.headers)):
+        if self.crash_state.fatal_parts & set(
+            list_shared_parts(request.headers)
+        ):
             await asyncio.sleep(self.event_seconds / 2)
             self.crash()
             return response
--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -365,9 +365,11 @@
     injector.busy_targets |= engines.keys()
     part = f"fatal{rng.randrange(1 << 32):x}"
     injector.log(f"send_fatal_part {part}")
-    crashed = {name: len(engine.crashes) for name, engine in engines.items()}
+    crashed = {
+        name: len(engine.crash_state.times) for name, engine in engines.items()
+    }
     for engine in engines.values():
-        engine.fatal_parts = {part}
+        engine.crash_state.fatal_parts = {part}
     end = time.monotonic() + rng.uniform(*FATAL_PART_SECONDS)
     async with asyncio.TaskGroup() as group:
         while time.monotonic() < end:
@@ -377,7 +379,7 @@
         sorted(
             at
             for name, engine in engines.items()
-            for at in engine.crashes[crashed[name] :]
+            for at in engine.crash_state.times[crashed[name] :]
         ),
         [
             (arrival.time, arrival.headers["X-Request-Id"])
@@ -387,8 +389,10 @@
         ],
     )
     for engine in engines.values():
-        engine.fatal_parts = set()
-    await asyncio.sleep(max(e.restart_seconds for e in engines.values()))
+        engine.crash_state.fatal_parts = set()
+    await asyncio.sleep(
+        max(e.crash_state.restart_seconds for e in engines.values())
+    )
     injector.busy_targets -= engines.keys()
 
 
--- a/tests/soak/node_system.py
+++ b/tests/soak/node_system.py
@@ -164,7 +164,7 @@
     def crash(self) -> None:
         """Crash, which excuses what the upstream breaks off."""
         disturbance = self.checker.begin_disturbance("crash", self.name)
-        disturbance.ended = time.monotonic() + self.restart_seconds
+        disturbance.ended = time.monotonic() + self.crash_state.restart_seconds
         super().crash()
 
     async def _answer(
@@ -234,7 +234,7 @@
             service = "plain" if name.startswith("p") else "engines"
             link = Link(base + LINK_OFFSET + offset, base + 1 + offset)
             upstream = Upstream(name, service, link, self.checker)
-            upstream.on_restart = functools.partial(
+            upstream.crash_state.on_restart = functools.partial(
                 self.register_upstream, name
             )
             self.upstreams[name] = upstream
--- a/tests/test_node_crashes.py
+++ b/tests/test_node_crashes.py
@@ -127,14 +127,16 @@
 ) -> None:
     engines = large_testbed.engines
     for engine in engines:
-        engine.fatal_parts = {FATAL_PART}
+        engine.crash_state.fatal_parts = {FATAL_PART}
     traffic = Traffic(large_testbed, seed=1)
     await traffic.run(2, 25, traffic.draw_sound)
     before = count_begun_share(traffic.outcomes)
     async with asyncio.TaskGroup() as group:
         group.create_task(traffic.run(15, 25, traffic.draw_sound))
         group.create_task(traffic.run(15, 3, traffic.draw_fatal))
-    crashes = sorted(time for engine in engines for time in engine.crashes)
+    crashes = sorted(
+        time for engine in engines for time in engine.crash_state.times
+    )
     late = crashes[: FIFTH + 1][-1] + CONTACT_SECONDS
     arrivals = [time for time in list_fatal_arrivals(engines) if time > late]
     assert len(arrivals) <= TOLERATED, f"{len(crashes)} crashes"
--- a/tests/test_node_resumption.py
+++ b/tests/test_node_resumption.py
@@ -4,7 +4,11 @@
 import collections
 from collections.abc import Iterable
 import dataclasses
+import datetime
 
+import pytest
+
+from cicadahook.core import stream_origins
 import node_testbed
 
 STREAM_COUNT = 30
@@ -126,3 +130,75 @@
     ]
     assert count_mixed(streams) == 0
     assert all(result.is_whole for result in results)
+
+
+async def test_a_stream_of_unknown_origin_is_refused_as_not_run(
+    large_testbed: node_testbed.NodeTestbed,
+) -> None:
+    set_versions(large_testbed)
+    await wait_for_versions(large_testbed)
+    for resumed in ("nobody", " "):
+        result = await send(large_testbed, "b", 0, resumed, 2)
+        assert result.status == 503
+        assert b"unknown_origin" in result.content
+    assert not list_versions(large_testbed)
+
+
+async def test_a_stream_goes_on_where_only_one_version_has_run(
+    testbed: node_testbed.NodeTestbed, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(
+        stream_origins, "RETENTION", datetime.timedelta(seconds=0.5)
+    )
+    await asyncio.sleep(1)
+    for engine in testbed.engines:
+        engine.events = EVENT_COUNT
+    result = await send(testbed, "b", 0, "nobody", 2)
+    assert result.is_whole
+
+
+async def test_a_node_that_started_again_asks_the_others_for_an_origin(
+    large_testbed: node_testbed.NodeTestbed,
+) -> None:
+    set_versions(large_testbed)
+    await wait_for_versions(large_testbed)
+    await send(large_testbed, "a", 0, leave_after=1)
+    other = large_testbed.programs[1].node
+    assert other is not None
+    await node_testbed.wait_until(
+        lambda: ("engines", "a") in other.origins.origins
+    )
+    started = large_testbed.programs[0].node
+    assert started is not None
+    started.origins.origins.clear()
+    result = await send(large_testbed, "b", 0, "a", 2)
+    versions = list_versions(large_testbed)
+    assert result.is_whole
+    assert versions["a"] == versions["b"]
+
+
+async def test_a_stream_whose_version_is_gone_is_refused_at_once(
+    large_testbed: node_testbed.NodeTestbed,
+) -> None:
+    set_versions(large_testbed)
+    await wait_for_versions(large_testbed)
+    await send(large_testbed, "a", 0, leave_after=1)
+    (begun,) = list_versions(large_testbed)["a"]
+    for engine in large_testbed.engines:
+        if engine.software == begun:
+            engine.state = "draining"
+            large_testbed.register(engine)
+    node = large_testbed.programs[1].node
+    assert node is not None
+    await node_testbed.wait_until(
+        lambda: all(
+            entry.software != begun
+            for entry in node.components.inventory.list_usable("engines")
+        )
+    )
+    loop = asyncio.get_running_loop()
+    asked = loop.time()
+    result = await send(large_testbed, "b", 1, "a", 1)
+    assert result.status == 503
+    assert loop.time() - asked < 0.5
+    assert "b" not in list_versions(large_testbed)
--- a/tests/test_orderer.py
+++ b/tests/test_orderer.py
@@ -219,11 +219,12 @@
         "MODEL_RETRY_PAUSE",
         "PLAN_PERIOD",
         "MAX_WAIT",
-        "UNRELIABLE_PERIOD",
     ):
         monkeypatch.setattr(orderer_lib, name, getattr(orderer_lib, name) / 50)
-    lag = order_sender.REPORT_LAG / 50
-    monkeypatch.setattr(order_sender, "REPORT_LAG", lag)
+    for name in ("REPORT_LAG", "UNRELIABLE_PERIOD"):
+        monkeypatch.setattr(
+            order_sender, name, getattr(order_sender, name) / 50
+        )
     for name in ("LATE_ORDER_PERIOD", "ADAPTER_GRACE_PERIOD"):
         monkeypatch.setattr(
             engine_ledger, name, getattr(engine_ledger, name) / 50
