Let the soak of nodes restart engines with other software versions

Callers of the soak resume streams that were cut, at any node; the checker compares the version of each run that goes on with the one that began it. Two more engines, so that a version can have two.

--- a/tests/soak/node_callers.py
+++ b/tests/soak/node_callers.py
@@ -34,6 +34,7 @@
 # Ranges of the number of events and of the milliseconds before each.
 SHORT_STREAM: Final = ((1, 12), (5, 40))
 LONG_STREAM: Final = ((15, 40), (50, 100))
+EVENT_END: Final = b"\n\n"
 PLAIN_MILLISECONDS: Final = (1, 300)
 
 
@@ -178,7 +179,14 @@
             await self._resolve_addresses()
             connection = await self._get_connection()
             if connection is not None:
-                await self._call(connection)
+                call = self._draw_call(connection.address)
+                await self._call(connection, call)
+                if (
+                    call.kind.name == "review"
+                    and call.outcome is node_checker.Outcome.CUT
+                    and EVENT_END in call.content
+                ):
+                    await self._resume(call)
         if self.connection is not None:
             self.connection.close()
 
@@ -267,9 +275,28 @@
             )
         return (0.0,) if self.rng.random() < CHUNKED_SHARE else None
 
-    async def _call(self, connection: Connection) -> None:
+    async def _resume(self, cut: node_checker.Call) -> None:
+        """Resume a stream that was cut, at any node."""
+        connection = await self._get_connection()
+        if connection is None:
+            return
+        call = node_checker.Call(
+            f"{self.name}-{next(self.numbers)}",
+            self.node_names[connection.address],
+            cut.kind,
+            cut.path,
+            cut.model,
+            cut.body,
+            cut.timeout_seconds,
+            resumed=cut.id,
+            last_event=cut.content.count(EVENT_END),
+        )
+        await self._call(connection, call)
+
+    async def _call(
+        self, connection: Connection, call: node_checker.Call
+    ) -> None:
         """Send a request, wait for its outcome and check it."""
-        call = self._draw_call(connection.address)
         pauses = self._draw_pauses()
         is_abandoned = self.rng.random() < ABANDON_SHARE
         wait = (
--- a/tests/soak/node_checker.py
+++ b/tests/soak/node_checker.py
@@ -107,6 +107,8 @@
         body: body of the request.
         timeout_seconds: time until the deadline of the request.
         parts: parts of its prompt as in the header; empty for none.
+        resumed: id of the call whose stream it resumes; empty for none.
+        last_event: number of the last event of that stream that came.
         began: when the first byte was sent.
         sent: when the last byte was sent; None before.
         ended: when the call ended.
@@ -124,6 +126,8 @@
     body: bytes
     timeout_seconds: float
     parts: str = ""
+    resumed: str = ""
+    last_event: int = 0
     began: float = 0.0
     sent: float | None = None
     ended: float = 0.0
@@ -151,12 +155,16 @@
         began: monotonic time of the begin.
         ended: monotonic time of the end; None while it runs.
         status: status of the answer; 0 before it is known.
+        software: version of the upstream's software.
+        is_resumed: whether it goes on with a stream.
     """
 
     upstream: str
     began: float
     ended: float | None = None
     status: int = 0
+    software: str = ""
+    is_resumed: bool = False
 
 
 @dataclasses.dataclass
@@ -253,7 +261,12 @@
         )
 
     def begin_run(
-        self, request_id: str, upstream: str, leaving_since: float | None
+        self,
+        request_id: str,
+        upstream: str,
+        leaving_since: float | None,
+        software: str = "",
+        is_resumed: bool = False,
     ) -> UpstreamRun:
         """Record that an upstream begins to run a request.
 
@@ -262,10 +275,19 @@
             upstream: name of the upstream.
             leaving_since: monotonic time since which the upstream is marked
                 as leaving; None if it is not.
+            software: version of its software.
+            is_resumed: whether it goes on with a stream.
         """
-        run = UpstreamRun(upstream, time.monotonic())
+        run = UpstreamRun(
+            upstream,
+            time.monotonic(),
+            software=software,
+            is_resumed=is_resumed,
+        )
         self.runs[request_id].append(run)
         call = self.calls.get(request_id)
+        if is_resumed and call is not None:
+            self._check_origin(call, run)
         if call is None:
             self.results.record_violation(
                 "only what was asked runs", request_id
@@ -292,6 +314,17 @@
                 )
         return run
 
+    def _check_origin(self, call: Call, run: UpstreamRun) -> None:
+        """Check that a stream goes on at the version that began it."""
+        begun = [
+            earlier
+            for earlier in self.runs[call.resumed or call.id]
+            if not earlier.is_resumed
+        ]
+        self.results.counts["streams_resumed"] += 1
+        if begun and begun[-1].software != run.software:
+            self._record_violation("streams hold one software version", call)
+
     def check_call(self, call: Call) -> None:
         """Count a call that has ended and check its outcome."""
         label = (
@@ -513,4 +546,5 @@
     if not call.kind.is_stream:
         return create_plain_answer(call.path, call.id, call.body)
     count, _ = parse_work(call.path)
-    return b"".join(create_event(call.id, n) for n in range(1, count + 1))
+    numbers = range(call.last_event + 1, count + 1)
+    return b"".join(create_event(call.id, number) for number in numbers)
--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -351,6 +351,22 @@
         upstream.limit = None
 
 
+@register
+async def replace_software(injector: FaultInjector, rng: random.Random) -> None:
+    """Restart an engine with another software version."""
+    async with injector.reserve_upstream(rng, "replace_software") as upstream:
+        if upstream is None:
+            return
+        with injector.record_disturbance("replace_software", upstream.name):
+            upstream.link.close()
+            injector.system.store.delete(f"servers/{upstream.id}")
+            upstream.restart_as(f"{upstream.name}-{rng.randrange(1 << 32):x}")
+            upstream.software = f"v{rng.randrange(3)}"
+            await sleep_fault_duration(rng)
+            await upstream.link.open()
+            injector.system.register_upstream(upstream.name)
+
+
 @register
 async def send_fatal_part(injector: FaultInjector, rng: random.Random) -> None:
     """Send requests with a part that crashes engines; check their number."""
--- a/tests/soak/node_system.py
+++ b/tests/soak/node_system.py
@@ -36,6 +36,7 @@
 LOAD_SECONDS: Final = 0.6
 POLL_SECONDS: Final = 0.2
 PROBE_SECONDS: Final = 2.0
+UPSTREAM_NAMES: Final = ("p1", "p2", "p3", "e1", "e2", "e3", "e4")
 MODELS: Final = ("big", "small", "other")
 
 
@@ -171,7 +172,13 @@
         self, request: web.BaseRequest, body: bytes
     ) -> web.StreamResponse:
         request_id = request.headers.get("X-Request-Id", "")
-        run = self.checker.begin_run(request_id, self.name, self.leaving_since)
+        run = self.checker.begin_run(
+            request_id,
+            self.name,
+            self.leaving_since,
+            self.software,
+            "Last-Event-Id" in request.headers,
+        )
         try:
             response = await super()._answer(request, body)
             run.status = response.status
@@ -230,7 +237,7 @@
         self.checker = node_checker.GuaranteeChecker(results)
         self.store = node_store.StoreStandin()
         self.upstreams: dict[str, Upstream] = {}
-        for offset, name in enumerate(("p1", "p2", "p3", "e1", "e2")):
+        for offset, name in enumerate(UPSTREAM_NAMES):
             service = "plain" if name.startswith("p") else "engines"
             link = Link(base + LINK_OFFSET + offset, base + 1 + offset)
             upstream = Upstream(name, service, link, self.checker)
@@ -238,8 +245,10 @@
                 self.register_upstream, name
             )
             self.upstreams[name] = upstream
-        self.upstreams["e1"].models = {"big": set()}
-        self.upstreams["e2"].models = {"small": {"a1"}}
+        for name in ("e1", "e3"):
+            self.upstreams[name].models = {"big": set()}
+        for name in ("e2", "e4"):
+            self.upstreams[name].models = {"small": {"a1"}}
         self.nodes = [
             node_process.NodeProcess(
                 f"n{number}",
@@ -383,6 +392,9 @@
     }
     if call.model:
         headers |= {"X-Model": call.model, "X-Token-Counts": "10,10"}
+    if call.resumed:
+        headers["Resumes"] = call.resumed
+        headers["Last-Event-Id"] = str(call.last_event)
     if call.parts:
         headers["X-Prompt-Prefix"] = call.parts
     return headers
