Let a first start say that no stream began before it

A node that has run for less than 60 s could not tell from the registered versions which one began a stream that it had not heard of, so the resumption of a stream that began just before its node died was refused, with one version in the whole system. At the first start of the system there is no earlier stream. Test: fails before.

--- a/src/cicadahook/core/node_lifecycle.py
+++ b/src/cicadahook/core/node_lifecycle.py
@@ -48,6 +48,7 @@
         retry_window: see `retry_budget.RetryBudgetMode`.
         load_window: time window in which loads from the weight store are
             counted.
+        is_first_start: whether the whole system starts for the first time.
     """
 
     name: str
@@ -66,6 +67,7 @@
     retry_slack: float
     retry_window: datetime.timedelta
     load_window: datetime.timedelta
+    is_first_start: bool = False
 
     @property
     def front_address(self) -> str:
--- a/src/cicadahook/core/stream_origins.py
+++ b/src/cicadahook/core/stream_origins.py
@@ -54,12 +54,15 @@
     Attributes:
         origins: by service and id of the caller's attempt, oldest first.
         own: streams begun here lately, oldest first.
+        is_first_start: whether no stream may have begun before this node
+            first reads the registrations.
         versions: when each version of each service was last registered.
         observed_since: since when all registrations are known without a gap;
             None while they are not.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_first_start: bool = False) -> None:
+        self.is_first_start = is_first_start
         self.origins: collections.OrderedDict[tuple[str, str], Origin] = (
             collections.OrderedDict()
         )
@@ -127,6 +130,9 @@
             return
         if self.observed_since is None:
             self.observed_since = now
+            if self.is_first_start:
+                self.observed_since -= RETENTION
+                self.is_first_start = False
         for instance in instances:
             self.versions.setdefault(instance.service, {})[
                 instance.software
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -172,7 +172,9 @@
             model_demand.ModelDemandTracker(),
             self.limits,
         )
-        self.origins = stream_origins.StreamOrigins()
+        self.origins = stream_origins.StreamOrigins(
+            is_first_start=settings.is_first_start
+        )
         origin_client = stream_resumption.OriginClient(
             self.copy_client.session,
             lambda: self.roster.list_peers(self.clock.now()),
--- a/src/cicadahook/platform/settings.py
+++ b/src/cicadahook/platform/settings.py
@@ -55,6 +55,7 @@
             retry_slack=float(bounds["retry_budget_slack"]),
             retry_window=_read_seconds(bounds["budget_window_s"]),
             load_window=_read_seconds(bounds["ceiling_window_s"]),
+            is_first_start=bool(fields.get("first_start", False)),
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
         raise errors.SettingsError(f"bad settings: {error!r}") from error
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -98,3 +98,13 @@
     assert len(origins.origins) == 50
     told = origins.list_statements(NOW)
     assert sum(len(statement.ids) for statement in told) <= 50
+
+
+def test_before_the_first_start_of_the_system_no_stream_began() -> None:
+    origins = stream_origins.StreamOrigins(is_first_start=True)
+    entry = create_instance("a", "v1")
+    origins.record_versions((entry,), NOW, is_current=True)
+    assert origins.find("s", "r", NOW) == "v1"
+    origins.record_versions((entry,), NOW + SECOND, is_current=False)
+    origins.record_versions((entry,), NOW + 2 * SECOND, is_current=True)
+    assert origins.find("s", "r", NOW + 2 * SECOND) is None
