Let shared suspects expire, and ignore ages that make no sense

Entries tell each other their suspects by the views without an age, so each of them took those of the others for new, for ever; an age beyond what a duration holds broke off the reading of a node's status. Each test fails with its part of the change taken back.

--- a/src/cicadahook/core/crash_suspects.py
+++ b/src/cicadahook/core/crash_suspects.py
@@ -366,9 +366,9 @@
         now = self.clock.now()
         heard: list[str] = []
         for statement in statements:
-            newest = now - statement.age_ms * MILLISECOND
-            if newest + EXPIRY <= now:
+            if statement.age_ms >= EXPIRY / MILLISECOND:
                 continue
+            newest = now - statement.age_ms * MILLISECOND
             for death in statement.deaths[:MAX_DEATHS]:
                 if death not in self.dead:
                     self.dead[death] = now
--- a/src/cicadahook/net/suspect_trials.py
+++ b/src/cicadahook/net/suspect_trials.py
@@ -326,8 +326,16 @@
             for suspect in listed
             if not suspect.fingerprint.startswith(TRAIT_PREFIX)
         )
+        now = self.clock.now()
         self.traits.merge(
-            crash_suspects.SuspectStatement(suspect.fingerprint, suspect.deaths)
+            crash_suspects.SuspectStatement(
+                suspect.fingerprint,
+                suspect.deaths,
+                age_ms=max(
+                    0,
+                    int((now - suspect.last_seen) / crash_suspects.MILLISECOND),
+                ),
+            )
             for suspect in listed
             if suspect.fingerprint.startswith(TRAIT_PREFIX)
         )
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -209,6 +209,17 @@
     assert not suspects.traits_by_death
 
 
+def test_a_statement_that_has_expired_or_makes_no_sense_is_ignored(
+    suspects: crash_suspects.CrashSuspects,
+) -> None:
+    expiry_ms = int(crash_suspects.EXPIRY / crash_suspects.MILLISECOND)
+    for age_ms in (expiry_ms, 2**64 - 1):
+        suspects.merge(
+            (crash_suspects.SuspectStatement("p", ("u1", "u2"), (), age_ms),)
+        )
+    assert not suspects.records
+
+
 @dataclasses.dataclass
 class Run:
     """A request that runs at an engine.
