Send no two alike in the soak's fault with a fatal part

The requests had the same path and body, so the memory of whole requests stopped them too, and the check passed on the code before the fix.

--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -424,7 +424,7 @@
         node_checker.REQUEST_KINDS[2],
         "/chat/2/10",
         rng.choice(("big", "small")),
-        b"",
+        b"%x" % number,
         FATAL_CALL_SECONDS,
         f"aa:4,{part}:4,{number:x}:2",
     )
@@ -434,6 +434,7 @@
         async with injector.session.post(
             f"http://{node.front_address}{call.path}",
             headers=node_system.create_headers(call),
+            data=call.body,
             timeout=timeout,
         ) as response:
             await response.read()
