Tell all recent suspects also when there are many

The statuses took the same 48 of more recent statements each time, so the others reached the nodes only by chance later. Half are now drawn. The selection in core/quarantine.py, used by statuses alone, goes; its test, with the same numbers, stands in test_crash_suspects.py (messages of old statements have 16 instead of 6).

--- a/src/cicadahook/core/crash_suspects.py
+++ b/src/cicadahook/core/crash_suspects.py
@@ -303,9 +303,10 @@
     ) -> tuple[SuspectStatement, ...]:
         """Return what to tell other nodes in the next message.
 
-        Statements that changed lately are told each time, those with most
-        crashes first. The other nodes know all others unless they have started
-        since: a few of these are drawn, again the suspects first.
+        Statements that changed lately are told each time; of too many, half are
+        those with most crashes and half are drawn. The other nodes know all
+        others unless they have started since: a few of these are drawn, and a
+        few of the suspects.
         """
         now = self.clock.now()
         self._drop_expired(now)
@@ -316,14 +317,15 @@
             target = recent if is_recent or trait in self.trials else older
             target.append(trait)
         recent.sort(key=self._get_priority)
+        first, rest = recent[: MAX_RECENT // 2], recent[MAX_RECENT // 2 :]
+        first += generator.sample(rest, min(len(rest), MAX_RECENT // 2))
         suspects = sorted(self.repeated.difference(recent))
         drawn = {
             *generator.sample(older, min(len(older), MAX_OLDER)),
             *generator.sample(suspects, min(len(suspects), MAX_OLDER)),
         }
         return tuple(
-            self._create_statement(trait, now)
-            for trait in [*recent[:MAX_RECENT], *drawn]
+            self._create_statement(trait, now) for trait in [*first, *drawn]
         )
 
     def _get_priority(self, trait: str) -> tuple[bool, int]:
--- a/src/cicadahook/core/quarantine.py
+++ b/src/cicadahook/core/quarantine.py
@@ -1,6 +1,6 @@
 """Quarantine of requests suspected of crashing the upstreams that run them.
 
-Entries and nodes exchange their suspects. A suspect is run alone, as a trial,
+Entries exchange their suspects. A suspect is run alone, as a trial,
 and is refused after too many deaths.
 """
 
@@ -8,21 +8,11 @@
 import dataclasses
 import datetime
 import enum
-import random
-from typing import Final
 
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
 from cicadahook.core import view
 
-# How long a suspect is sent in each message by the process that recorded its
-# death. Each node of a larger fleet receives everything once in 0.75 s.
-RECENT_PERIOD: Final = datetime.timedelta(seconds=3)
-# Suspects in one message, some 100 bytes each. When engines crash, hundreds of
-# requests are suspected, which would fill thin links and exceed a datagram.
-MAX_RECENT: Final = 64
-MAX_OLDER: Final = 4
-
 
 @dataclasses.dataclass(frozen=True)
 class QuarantineMode:
@@ -74,7 +64,6 @@
 
     Attributes:
         suspects: by fingerprint.
-        recorded: when a death of a suspect was last recorded here.
         cleared: deaths that a suspect was cleared of by a served trial.
         dead: upstream incarnations that died recently, with the time at which
             this became known.
@@ -86,7 +75,6 @@
         self.mode = mode
         self.clock = clock
         self.suspects: dict[str, view.Suspect] = {}
-        self.recorded: dict[str, datetime.datetime] = {}
         self.cleared: dict[str, frozenset[str]] = {}
         self.dead: dict[str, datetime.datetime] = {}
         self.trials: set[str] = set()
@@ -97,28 +85,6 @@
         self._drop_expired()
         return tuple(self.suspects.values())
 
-    def select_suspects(
-        self, generator: random.Random
-    ) -> tuple[view.Suspect, ...]:
-        """Return some suspects, to be sent to other nodes.
-
-        A suspect whose death was recorded here within RECENT_PERIOD is sent
-        each time; of more than MAX_RECENT such suspects a random sample is
-        sent. The nodes have exchanged all others already, so that only a node
-        started since may lack them: a few of these are sent, drawn at random.
-        """
-        known = self.list_suspects()
-        recent = [
-            entry for entry in known if entry.fingerprint in self.recorded
-        ]
-        older = [
-            entry for entry in known if entry.fingerprint not in self.recorded
-        ]
-        return (
-            *generator.sample(recent, min(len(recent), MAX_RECENT)),
-            *generator.sample(older, min(len(older), MAX_OLDER)),
-        )
-
     def list_deaths(self, fingerprint: str) -> frozenset[str]:
         """Return the upstream incarnations that died running a request."""
         suspect = self.suspects.get(fingerprint)
@@ -177,7 +143,6 @@
         if known is not None and known <= began:
             return False
         self.merge((view.Suspect(fingerprint, (death,), self.clock.now()),))
-        self.recorded[fingerprint] = self.clock.now()
         return True
 
     def is_dead(self, upstream: view.Upstream) -> bool:
@@ -234,9 +199,6 @@
             if suspect.last_seen + self.mode.expiry <= now:
                 del self.suspects[fingerprint]
                 self.cleared.pop(fingerprint, None)
-        for fingerprint, recorded in list(self.recorded.items()):
-            if recorded + RECENT_PERIOD <= now:
-                del self.recorded[fingerprint]
         for death, known_since in list(self.dead.items()):
             if known_since + self.mode.death_expiry <= now:
                 del self.dead[death]
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -188,6 +188,32 @@
     assert other.check(["rare"]) is VERDICTS.TRIAL
 
 
+def test_messages_are_bounded_and_all_statements_are_told(
+    suspects: crash_suspects.CrashSuspects, clock: clock_lib.ManualClock
+) -> None:
+    generator = random.Random(1)
+    suspects.merge(
+        crash_suspects.SuspectStatement(f"received {number}", ("u",))
+        for number in range(300)
+    )
+    clock.advance(crash_suspects.RECENT_PERIOD)
+    crash(suspects, "v", *(f"recorded{number}" for number in range(100)))
+    told: set[str] = set()
+    for _ in range(20):
+        statements = suspects.list_statements(generator)
+        assert len(statements) <= 70
+        told.update(statement.trait for statement in statements)
+        clock.advance(datetime.timedelta(milliseconds=100))
+    assert {f"recorded{number}" for number in range(100)} <= told
+    clock.advance(crash_suspects.RECENT_PERIOD)
+    later: set[str] = set()
+    for _ in range(2000):
+        statements = suspects.list_statements(generator)
+        assert len(statements) <= 2 * crash_suspects.MAX_OLDER
+        later.update(statement.trait for statement in statements)
+    assert len(later) == 400
+
+
 def test_memory_is_bounded_and_keeps_those_with_most_crashes(
     suspects: crash_suspects.CrashSuspects, clock: clock_lib.ManualClock
 ) -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import datetime
-import random
 
 import pytest
 
@@ -99,31 +98,3 @@
     assert kept == {"f1", "f2", "f3"}
     clock.advance(MODE.expiry)
     assert not guard.list_suspects()
-
-
-def test_many_suspects_do_not_make_messages_longer(
-    clock: clock_lib.ManualClock,
-) -> None:
-    """Each is sent while it is recent, and at random intervals after that."""
-    guard = quarantine.Quarantine(quarantine.QuarantineMode(), clock)
-    generator = random.Random(1)
-    guard.merge(
-        view.Suspect(f"received {number}", ("u/a",), clock.now())
-        for number in range(300)
-    )
-    for number in range(100):
-        guard.record_death(f"recorded {number}", "v/a", START)
-    sent: set[str] = set()
-    for _ in range(20):
-        suspects = guard.select_suspects(generator)
-        assert len(suspects) <= 70
-        sent.update(entry.fingerprint for entry in suspects)
-        clock.advance(datetime.timedelta(milliseconds=100))
-    assert {f"recorded {number}" for number in range(100)} <= sent
-    clock.advance(datetime.timedelta(seconds=2))
-    later: set[str] = set()
-    for _ in range(2000):
-        suspects = guard.select_suspects(generator)
-        assert len(suspects) <= 6
-        later.update(entry.fingerprint for entry in suspects)
-    assert len(later) == 400
