Draw when callers return whose stream's origin is unknown

Callers whose node died resume at the same moment, and were all told to return at the same moment. The fixture of the large testbed is closed when a test fails.

--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -183,7 +183,11 @@
             settings.name,
             self.components,
             stream_resumption.StreamResumption(
-                self.origins, origin_client.ask, clock, settings.name
+                self.origins,
+                origin_client.ask,
+                clock,
+                generator,
+                settings.name,
             ),
         )
         self.directory = address_directory.AddressDirectory(
--- a/src/cicadahook/net/stream_resumption.py
+++ b/src/cicadahook/net/stream_resumption.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 import dataclasses
 import datetime
+import random
 from typing import Final
 
 import aiohttp
@@ -58,6 +59,7 @@
         origins: what this node knows.
         ask_peers: asks other nodes; returns None if none knows.
         clock: the time.
+        random: draws when refused callers should return.
         node: name of the node, for metrics.
     """
 
@@ -66,11 +68,13 @@
         origins: stream_origins.StreamOrigins,
         ask_peers: AskPeers,
         clock: clock_lib.Clock,
+        generator: random.Random,
         node: str,
     ) -> None:
         self.origins = origins
         self.ask_peers = ask_peers
         self.clock = clock
+        self.random = generator
         self.node = node
 
     async def prepare(self, active: active_request.ActiveRequest) -> None:
@@ -106,7 +110,9 @@
         )
         if software is None:
             raise active_request.create_refusal(
-                "unknown_origin", 503, RETRY_AFTER
+                "unknown_origin",
+                503,
+                RETRY_AFTER * self.random.uniform(0.7, 1.3),
             )
         active.required_software = software
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -102,8 +102,10 @@
 ) -> AsyncIterator[node_testbed.NodeTestbed]:
     """Run two nodes with seven engines."""
     monkeypatch.setattr(node_program, "METRICS_PORT", 0)
-    async with node_testbed.run(find_base_port(), engine_count=7) as running:
-        yield running
+    async with contextlib.AsyncExitStack() as stack:
+        yield await stack.enter_async_context(
+            node_testbed.run(find_base_port(), engine_count=7)
+        )
 
 
 @pytest_asyncio.fixture
