--- a/src/cicadahook/programs/node.py
+++ b/src/cicadahook/programs/node.py
@@ -19,7 +19,6 @@
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import node as node_lib
-from cicadahook.net import node_peers
 from cicadahook.platform import caller_server
 from cicadahook.platform import messages
 from cicadahook.platform import metadata_store
