--- a/tests/test_suspect_trials.py
+++ b/tests/test_suspect_trials.py
@@ -1,4 +1,4 @@
-"""Entries tell each other, and entries that start, what crashed requests share."""
+"""Entries tell each other and new entries what crashed requests share."""
 
 import datetime
 import random
