Record which upstreams each node reaches, and log changes of its links

Each node now records what its calls show of its links, tells the others in its statuses, and logs a change with what the others told of the same upstream (cicada_link_changes counts them). The holder logs which engines it avoids because a node could not use them. Nothing is decided by it yet.

sent_ms and first_ms of 'Request decided.' are null until they are known; before, they held the time of the log line.

--- a/src/cicadahook/core/forwarding.py
+++ b/src/cicadahook/core/forwarding.py
@@ -115,6 +115,15 @@
     SERVER_ERROR = "server_error"  # the upstream ran it and failed
 
 
+class LinkEvent(enum.StrEnum):
+    """What a call shows of the link to its upstream."""
+
+    HEARD = "heard"  # an answer came, maybe on an old connection
+    CONNECTED = "connected"  # a new connection was opened
+    REFUSED = "refused"  # a new connection was refused
+    SILENT = "silent"  # a new connection was not answered, or an old one ended
+
+
 NOT_RUN_KINDS = frozenset(
     {FailureKind.UNREACHABLE, FailureKind.REJECTED, FailureKind.MISSING}
 )
--- /dev/null
+++ b/src/cicadahook/core/reachability.py
@@ -0,0 +1,222 @@
+"""Which upstreams each node can reach.
+
+That an upstream cannot be reached is a fact of a pair, a node and an upstream:
+the network between the two may be cut while the upstream serves other nodes.
+Nodes tell each other in their statuses what they reach.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+import dataclasses
+import datetime
+import random
+from typing import Final
+
+from cicadahook.core import inventory
+
+# Links on which nothing was heard for this time are not told to other nodes.
+HEARD_EXPIRY: Final = datetime.timedelta(seconds=10)
+# Statements of another node count for this time, or longer in large fleets.
+PEER_EXPIRY: Final = datetime.timedelta(seconds=2)
+# A peer that could not pass on a request is left out for this time.
+PEER_PAUSE: Final = datetime.timedelta(milliseconds=500)
+# Open connections may live on while new ones are refused. With an answer within
+# this time, requests may still be sent where no other node can help.
+LIVE_CONNECTION_PERIOD: Final = datetime.timedelta(seconds=2)
+# Statements in one status message; the others follow in later messages.
+MAX_STATEMENTS: Final = 48
+# An answer that was on its way when its upstream ended arrives within this
+# time.
+ANSWER_TRANSIT: Final = datetime.timedelta(milliseconds=50)
+MILLISECOND: Final = datetime.timedelta(milliseconds=1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkStatement:
+    """What a node tells others of its link to an upstream.
+
+    Attributes:
+        instance: id of the upstream.
+        born: start of its incarnation; see `inventory.Instance`.
+        is_cut: whether the node cannot connect to it.
+        age_ms: time since the node last heard from it; meaningless if it never
+            has, which `is_heard` says.
+        is_heard: whether the node has heard from it.
+    """
+
+    instance: str
+    born: int
+    is_cut: bool
+    age_ms: int = 0
+    is_heard: bool = False
+
+
+@dataclasses.dataclass
+class Link:
+    """The link between one node and one incarnation of an upstream.
+
+    Attributes:
+        born: start of the incarnation.
+        heard: when the upstream was last heard; None if never.
+        cut_since: since when new connections fail; None while they do not.
+    """
+
+    born: int
+    heard: datetime.datetime | None = None
+    cut_since: datetime.datetime | None = None
+
+    def was_heard_after(self, time: datetime.datetime) -> bool:
+        """Whether the upstream was heard after `time`."""
+        return self.heard is not None and self.heard > time
+
+
+class Reachability:
+    """The links of this node and what other nodes tell of theirs.
+
+    Attributes:
+        links: own links, by id of the upstream.
+        registered: start of the registered incarnations, by instance id.
+        peers: links of the other nodes, by their names and instance id.
+        told: when each other node last told of its links.
+        avoided_peers: until when another node is not asked to pass on requests.
+        peer_expiry: how long statements of other nodes count.
+    """
+
+    def __init__(self, generator: random.Random) -> None:
+        self.random = generator
+        self.links: dict[str, Link] = {}
+        self.registered: dict[str, int] = {}
+        self.peers: dict[str, dict[str, Link]] = {}
+        self.told: dict[str, datetime.datetime] = {}
+        self.avoided_peers: dict[str, datetime.datetime] = {}
+        self.peer_expiry = PEER_EXPIRY
+
+    def update_registered(
+        self, instances: Mapping[str, inventory.Instance]
+    ) -> None:
+        """Drop the links to upstreams that left or restarted."""
+        self.registered = {
+            name: entry.born for name, entry in instances.items()
+        }
+        self.links = {
+            name: link
+            for name, link in self.links.items()
+            if self.registered.get(name) == link.born
+        }
+
+    def replace_nodes(self, names: Iterable[str]) -> None:
+        """Drop what nodes other than `names` have told."""
+        for name in self.told.keys() - set(names):
+            del self.told[name]
+            self.peers.pop(name, None)
+            self.avoided_peers.pop(name, None)
+
+    def record_heard(
+        self, instance: inventory.Instance, now: datetime.datetime
+    ) -> None:
+        """Record an answer, which may come on an old connection."""
+        link = self._get(instance)
+        if link is not None:
+            link.heard = now
+
+    def record_connected(
+        self, instance: inventory.Instance, now: datetime.datetime
+    ) -> bool:
+        """Record a new connection; return whether the link was cut before."""
+        link = self._get(instance)
+        if link is None:
+            return False
+        was_cut = link.cut_since is not None
+        link.heard, link.cut_since = now, None
+        return was_cut
+
+    def record_failure(
+        self, instance: inventory.Instance, now: datetime.datetime
+    ) -> bool:
+        """Record a failed connection; return whether the link is newly cut."""
+        link = self._get(instance)
+        if link is None or link.cut_since is not None:
+            return False
+        link.cut_since = now
+        return True
+
+    def _get(self, instance: inventory.Instance) -> Link | None:
+        """Return the own link to a registered upstream."""
+        if self.registered.get(instance.id) != instance.born:
+            return None
+        link = self.links.get(instance.id)
+        if link is None:
+            link = self.links[instance.id] = Link(instance.born)
+        return link
+
+    def merge(
+        self,
+        peer: str,
+        statements: Iterable[LinkStatement],
+        now: datetime.datetime,
+    ) -> None:
+        """Record what another node tells of its links."""
+        links = self.peers.setdefault(peer, {})
+        self.told[peer] = now
+        for statement in statements:
+            heard = None
+            if statement.is_heard and statement.age_ms < 2**31:
+                heard = now - statement.age_ms * MILLISECOND
+            links[statement.instance] = Link(
+                statement.born, heard, now if statement.is_cut else None
+            )
+        for name in links.keys() - self.registered.keys():
+            del links[name]
+
+    def is_cut(self, instance: inventory.Instance) -> bool:
+        """Whether this node cannot open connections to an upstream."""
+        link = self.links.get(instance.id)
+        return (
+            link is not None
+            and link.born == instance.born
+            and link.cut_since is not None
+        )
+
+    def find_peer_links(
+        self, instance: inventory.Instance, now: datetime.datetime
+    ) -> Iterator[tuple[str, Link]]:
+        """Yield what other nodes told lately of their links to an upstream."""
+        for peer, links in self.peers.items():
+            link = links.get(instance.id)
+            is_recent = now - self.told[peer] < self.peer_expiry
+            if is_recent and link is not None and link.born == instance.born:
+                yield peer, link
+
+    def was_heard_elsewhere(
+        self,
+        instance: inventory.Instance,
+        since: datetime.datetime,
+        now: datetime.datetime,
+    ) -> bool:
+        """Whether another node has heard from an upstream after `since`."""
+        return any(
+            link.was_heard_after(since)
+            for _, link in self.find_peer_links(instance, now)
+        )
+
+    def list_statements(
+        self, now: datetime.datetime
+    ) -> tuple[LinkStatement, ...]:
+        """Return statements on own links to be sent to other nodes."""
+        told = [
+            (name, link)
+            for name, link in self.links.items()
+            if link.cut_since is not None
+            or link.was_heard_after(now - HEARD_EXPIRY)
+        ]
+        if len(told) > MAX_STATEMENTS:
+            told = self.random.sample(told, MAX_STATEMENTS)
+        return tuple(
+            LinkStatement(
+                name,
+                link.born,
+                link.cut_since is not None,
+                (now - link.heard) // MILLISECOND if link.heard else 0,
+                link.heard is not None,
+            )
+            for name, link in told
+        )
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -10,6 +10,7 @@
 from cicadahook.core import crash_suspects as crash_suspects_lib
 from cicadahook.core import grants
 from cicadahook.core import model_paces
+from cicadahook.core import reachability
 from cicadahook.core import request_limits
 from cicadahook.core import stream_origins
 
@@ -76,6 +77,7 @@
         crash_suspects: what it knows of traits that may crash upstreams.
         limits: what upstreams last said of their request limits.
         origins: software versions that began streams here lately.
+        links: which upstreams it can reach.
     """
 
     node: NodeRecord
@@ -96,6 +98,7 @@
     crash_suspects: tuple[crash_suspects_lib.SuspectStatement, ...] = ()
     limits: tuple[request_limits.LimitStatement, ...] = ()
     origins: tuple[stream_origins.OriginStatement, ...] = ()
+    links: tuple[reachability.LinkStatement, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -676,10 +676,10 @@
                 "configuration": self._get_version(),
                 "inventory": self.components.inventory.revision,
                 "sends": active.send_count,
-                "sent_ms": self._get_elapsed_ms(active.request, active.sent_at),
-                "first_ms": self._get_elapsed_ms(
-                    active.request, active.first_chunk_at
-                ),
+                "sent_ms": active.sent_at
+                and self._get_elapsed_ms(active.request, active.sent_at),
+                "first_ms": active.first_chunk_at
+                and self._get_elapsed_ms(active.request, active.first_chunk_at),
                 "took_ms": self._get_elapsed_ms(active.request),
                 "resumed_id": active.request.resumed_id,
                 "last_event_id": active.last_event_id,
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -81,6 +81,15 @@
     counter.add(1, {"source": source, "node": node})
 
 
+def count_link_change(state: str, node: str) -> None:
+    """Count a link from `node` to an upstream that was cut or came back."""
+    counter = create_counter(
+        "cicada_link_changes",
+        "Links to upstreams that were cut or came back, by state.",
+    )
+    counter.add(1, {"state": state, "node": node})
+
+
 def count_limit_change(node: str) -> None:
     """Count a change of an upstream's request limit that `node` has heard."""
     counter = create_counter(
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -16,11 +16,13 @@
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import crash_suspects
 from cicadahook.core import errors
+from cicadahook.core import forwarding
 from cicadahook.core import grants
 from cicadahook.core import inventory as inventory_lib
 from cicadahook.core import model_demand
 from cicadahook.core import node_lifecycle
 from cicadahook.core import order_holder
+from cicadahook.core import reachability as reachability_lib
 from cicadahook.core import request_limits
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import retry_budget
@@ -33,6 +35,7 @@
 from cicadahook.net import copy_requests
 from cicadahook.net import forwarder
 from cicadahook.net import holder_lease
+from cicadahook.net import link_monitor
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import node_peers
@@ -58,11 +61,16 @@
     Attributes:
         limit_listener: called with each answer's upstream, the request limit
             that it names, if any, and when the call was sent.
+        link_listener: called with the upstream of each call and what the call
+            shows of the link to it.
     """
 
     limit_listener: Callable[
         [inventory_lib.Instance, float | None, datetime.datetime], None
     ]
+    link_listener: Callable[
+        [inventory_lib.Instance, forwarding.LinkEvent], None
+    ]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -125,6 +133,11 @@
         residency = residency_lib.Residency()
         self.limits = request_limits.RequestLimits(settings.name, generator)
         platform.upstreams.limit_listener = self.record_limit
+        self.reachability = reachability_lib.Reachability(generator)
+        self.link_monitor = link_monitor.LinkMonitor(
+            self.reachability, clock, settings.name
+        )
+        platform.upstreams.link_listener = self.link_monitor.record
         balancer = balancer_lib.Balancer(
             settings.zone, clock, generator, self.limits
         )
@@ -281,6 +294,7 @@
             self.components.residency.record_registration(entry)
         self.components.balancer.drop_unlisted(known)
         self.limits.update_registered(known)
+        self.reachability.update_registered(known)
         self.forwarder.crash_guard.apply_inventory()
 
     def record_limit(
@@ -319,6 +333,9 @@
             if status.is_brief:
                 return
             self.origins.merge(status.origins, self.clock.now())
+            self.reachability.merge(
+                status.node.name, status.links, self.clock.now()
+            )
             self.components.balancer.replace_peer_loads(
                 status.node.name, status.loads
             )
@@ -417,6 +434,10 @@
             )
             self.forwarder.node_count = self.roster.count_nodes(now)
             self.limits.replace_nodes(self.roster.list_names(now))
+            self.reachability.replace_nodes(self.roster.list_names(now))
+            self.reachability.peer_expiry = max(
+                reachability_lib.PEER_EXPIRY, self.roster.get_silence_limit()
+            )
             self.withdraw(self.orderer.list_withdrawn_copies())
             await asyncio.sleep(MAINTENANCE_PERIOD.total_seconds())
 
@@ -497,6 +518,7 @@
             ),
             limits=self.limits.list_statements(now),
             origins=self.origins.list_statements(now),
+            links=self.reachability.list_statements(now),
         )
 
 
@@ -510,6 +532,7 @@
         paces=(),
         crash_suspects=(),
         origins=(),
+        links=(),
     )
 
 
--- a/src/cicadahook/net/order_sender.py
+++ b/src/cicadahook/net/order_sender.py
@@ -120,6 +120,10 @@
         self.unreliable_since = now
         if not self.ledger.is_busy:
             self.ledger.sequence = None
+        logger.info(
+            "Engine avoided for loads; a node could not use it.",
+            extra={"instance": self.ledger.instance.id},
+        )
 
     def is_unreliable(self, now: datetime.datetime) -> bool:
         """Whether it was marked lately or has not reported since."""
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import datetime
+import errno
 from typing import Any, Final
 
 import aiohttp
@@ -47,6 +48,8 @@
     [inventory.Instance, float | None, datetime.datetime], None
 ]
 
+LinkListener = Callable[[inventory.Instance, forwarding.LinkEvent], None]
+
 logger: Final = logs.create_logger("upstreams")
 
 ORDER_RESULTS_BY_STATUS: Final = {
@@ -170,10 +173,13 @@
         buffer: bytes of all plain answers that are being read.
         limit_listener: called with each answer's upstream, the request limit
             that it names, if any, and when the call was sent.
+        link_listener: called with the upstream of each call and what the call
+            shows of the link to it.
     """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
         self.clock = clock
+        self.link_listener: LinkListener = lambda instance, event: None
         self.limit_listener: LimitListener = lambda instance, rate, sent: None
         self.buffer = AnswerBuffer()
         self.request_session = _create_session(resets=False)
@@ -204,7 +210,7 @@
             f"http://{attempt.instance.address}{request.path}", encoded=True
         )
         sent = self.clock.now()
-        with _translate_errors():
+        with _translate_errors(), self._watch_link(attempt.instance):
             response = await self.request_session.request(
                 request.method,
                 url,
@@ -236,10 +242,12 @@
         """Return the report of an engine, or None if it could not be read."""
         sent = self.clock.now()
         try:
-            async with self.order_session.get(
-                f"http://{instance.address}/report",
-                timeout=_create_timeout(REPORT_TIMEOUT),
-            ) as response:
+            with self._watch_link(instance):
+                response = await self.order_session.get(
+                    f"http://{instance.address}/report",
+                    timeout=_create_timeout(REPORT_TIMEOUT),
+                )
+            async with response:
                 self._record_limit(instance, response, sent)
                 if response.status != 200:
                     return None
@@ -296,12 +304,14 @@
             body["adapter"] = order.adapter
         sent = self.clock.now()
         try:
-            async with self.order_session.post(
-                f"http://{instance.address}/order",
-                json=body,
-                headers={header_names.EXPECTED_INSTANCE: instance.id},
-                timeout=_create_timeout(ORDER_TIMEOUT),
-            ) as response:
+            with self._watch_link(instance):
+                response = await self.order_session.post(
+                    f"http://{instance.address}/order",
+                    json=body,
+                    headers={header_names.EXPECTED_INSTANCE: instance.id},
+                    timeout=_create_timeout(ORDER_TIMEOUT),
+                )
+            async with response:
                 self._record_limit(instance, response, sent)
                 await response.read()
                 return ORDER_RESULTS_BY_STATUS.get(
@@ -312,6 +322,18 @@
         except (aiohttp.ClientError, OSError):
             return engine_orders.OrderResult.UNKNOWN
 
+    @contextlib.contextmanager
+    def _watch_link(self, instance: inventory.Instance) -> Iterator[None]:
+        """Pass on what the time until the head of an answer shows of a link."""
+        try:
+            yield
+        except (aiohttp.ClientError, OSError) as error:
+            event = _describe_link_error(error)
+            if event is not None:
+                self.link_listener(instance, event)
+            raise
+        self.link_listener(instance, forwarding.LinkEvent.HEARD)
+
     def _record_limit(
         self,
         instance: inventory.Instance,
@@ -414,6 +436,21 @@
     )
 
 
+def _describe_link_error(error: Exception) -> forwarding.LinkEvent | None:
+    """Return what a failed call shows of the link; None if nothing.
+
+    A connection that was open may also end because the upstream does.
+    """
+    is_unanswered = (
+        isinstance(error, OSError) and error.errno == errno.ETIMEDOUT
+    )
+    if isinstance(error, aiohttp.ConnectionTimeoutError) or is_unanswered:
+        return forwarding.LinkEvent.SILENT
+    if isinstance(error, aiohttp.ClientConnectorError):
+        return forwarding.LinkEvent.REFUSED
+    return None
+
+
 @contextlib.contextmanager
 def _translate_errors() -> Iterator[None]:
     """Raise the errors of aiohttp as `forwarding.AttemptError`."""
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -59,6 +59,14 @@
   ids @2 :List(Text);
 }
 
+struct LinkStatement {
+  instance @0 :Text;
+  born @1 :UInt64;
+  isCut @2 :Bool;
+  ageMs @3 :UInt64;
+  isHeard @4 :Bool;
+}
+
 struct Grant {
   holder @0 :Text;
   fence @1 :UInt64;
@@ -86,6 +94,7 @@
   limits @16 :List(LimitStatement);
   crashSuspects @17 :List(SuspectStatement);
   origins @18 :List(OriginStatement);
+  links @19 :List(LinkStatement);
 }
 
 struct CopyRequest {
