--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -108,6 +108,18 @@
         )
 
 
+@pytest_asyncio.fixture
+async def linked_testbed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> AsyncIterator[node_testbed.NodeTestbed]:
+    """Run two nodes whose links to the upstreams can be cut."""
+    monkeypatch.setattr(node_program, "METRICS_PORT", 0)
+    async with contextlib.AsyncExitStack() as stack:
+        yield await stack.enter_async_context(
+            node_testbed.run(find_base_port(), has_links=True)
+        )
+
+
 @pytest_asyncio.fixture
 async def platform() -> AsyncIterator[node_testbed.NodeTestbed]:
     """Run a stand-in of the platform without nodes."""
--- /dev/null
+++ b/tests/node_links.py
@@ -0,0 +1,198 @@
+"""Links between nodes and upstreams that delay, hold back or reset bytes."""
+
+import asyncio
+import base64
+import contextlib
+import enum
+import json
+import socket
+from typing import Any, Final
+
+from aiohttp import web
+
+import node_store
+import node_upstreams
+
+HOST: Final = "127.0.0.1"
+READ_BYTES: Final = 65_536
+DELAY_SECONDS: Final = 0.15
+# Fills the queue of a socket that accepts nothing.
+FILLING_CONNECTIONS: Final = 3
+
+
+class LinkMode(enum.StrEnum):
+    """What a link does with bytes; held bytes are sent when the mode ends."""
+
+    WELL = enum.auto()
+    DELAY = enum.auto()
+    HOLD_UP = enum.auto()
+    HOLD_DOWN = enum.auto()
+    HOLD_BOTH = enum.auto()
+
+
+class Cut(enum.StrEnum):
+    """How a link is cut."""
+
+    HANGING = enum.auto()  # neither old nor new connections are answered
+    RESET = enum.auto()  # old connections are reset, new ones refused
+    REFUSING = enum.auto()  # old connections live on, new ones are refused
+
+
+class Link:
+    """Forwards bytes between the nodes and an upstream.
+
+    Attributes:
+        port: port where it accepts connections.
+        upstream_port: port of the upstream.
+        mode: what it does with bytes.
+        server: accepts connections; None before `open`.
+        writers: both directions of all open connections.
+        silent_sockets: sockets that leave new connections unanswered.
+    """
+
+    def __init__(self, port: int, upstream_port: int) -> None:
+        self.port = port
+        self.upstream_port = upstream_port
+        self.mode = LinkMode.WELL
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.silent_sockets: list[socket.socket] = []
+
+    async def open(self) -> None:
+        """Start to accept connections."""
+        for sock in self.silent_sockets:
+            sock.close()
+        self.silent_sockets.clear()
+        self.mode = LinkMode.WELL
+        self.server = await asyncio.start_server(
+            self._serve, HOST, self.port, reuse_address=True
+        )
+
+    def close(self) -> None:
+        """Stop accepting connections and reset the open ones."""
+        if self.server is not None:
+            self.server.close()
+        for sock in self.silent_sockets:
+            sock.close()
+        self.silent_sockets.clear()
+        self.reset()
+
+    def reset(self) -> None:
+        """Reset all open connections."""
+        for writer in self.writers:
+            reset(writer)
+
+    def cut(self, kind: Cut) -> None:
+        """Cut the link until it is opened again."""
+        assert self.server is not None, "not open"
+        self.server.close()
+        if kind is Cut.RESET:
+            self.reset()
+        if kind is Cut.HANGING:
+            self.mode = LinkMode.HOLD_BOTH
+            self._ignore_connections()
+
+    def _ignore_connections(self) -> None:
+        """Leave new connections unanswered."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((HOST, self.port))
+        listener.listen(0)
+        self.silent_sockets.append(listener)
+        for _ in range(FILLING_CONNECTIONS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((HOST, self.port))
+            self.silent_sockets.append(filler)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            upstream_reader, upstream_writer = await asyncio.open_connection(
+                HOST, self.upstream_port
+            )
+        except OSError:
+            # At the end of the run the stand-in stops before the link does.
+            writer.close()
+            return
+        both = {writer, upstream_writer}
+        self.writers |= both
+        try:
+            await asyncio.gather(
+                self._forward(reader, upstream_writer, LinkMode.HOLD_UP),
+                self._forward(upstream_reader, writer, LinkMode.HOLD_DOWN),
+            )
+        finally:
+            self.writers -= both
+            for each in both:
+                each.close()
+
+    async def _forward(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        held: LinkMode,
+    ) -> None:
+        """Forward bytes in one direction until the sender closes it."""
+        try:
+            while data := await reader.read(READ_BYTES):
+                if self.mode is LinkMode.DELAY:
+                    await asyncio.sleep(DELAY_SECONDS)
+                while self.mode in (held, LinkMode.HOLD_BOTH):
+                    await asyncio.sleep(DELAY_SECONDS)
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except ConnectionError:
+            # A reset by either end is passed on to the other.
+            reset(writer)
+
+
+class StoreView:
+    """The store as one node sees it, with the links as upstream addresses.
+
+    Attributes:
+        store: the store.
+        addresses: `host:port` of the node's link by the upstream's address.
+    """
+
+    def __init__(
+        self, store: node_store.StoreStandin, addresses: dict[str, str]
+    ) -> None:
+        self.store = store
+        self.addresses = addresses
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call."""
+        response = await self.store.handle(request)
+        if not isinstance(response, web.Response) or not response.text:
+            return response
+        content = json.loads(response.text)
+        for field in ("items", "events"):
+            content[field] = [
+                self._translate(row) for row in content.get(field, ())
+            ]
+        return web.json_response(content, status=response.status)
+
+    def _translate(self, row: dict[str, Any]) -> dict[str, Any]:
+        if not row["key"].startswith("servers/") or "value" not in row:
+            return row
+        try:
+            fields = json.loads(base64.b64decode(row["value"]))
+            fields["address"] = self.addresses[fields["address"]]
+        except (ValueError, KeyError, TypeError):
+            # Other writers' entries that name no upstream stay as they are.
+            return row
+        value = base64.b64encode(json.dumps(fields).encode()).decode()
+        return {**row, "value": value}
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    sock: socket.socket = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):  # Already closed.
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, node_upstreams.RESET
+        )
+    writer.transport.abort()
--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -13,10 +13,15 @@
 from cicadahook.core import node_lifecycle
 from cicadahook.platform import caller_server
 from cicadahook.programs import node as node_program
+import node_links
 import node_store
 import node_upstreams
 
 HOST = "127.0.0.1"
+NODE_COUNT = 2
+# Offsets from the first port of a block.
+VIEW_OFFSET = 40
+LINK_OFFSET = 42
 
 
 def create_configuration(version: int = 1) -> dict[str, Any]:
@@ -120,6 +125,8 @@
         engines: model engines.
         programs: the nodes.
         tasks: tasks that run the nodes.
+        links: links of each node to the upstreams, by the node's number and
+            the upstream's id; empty if nodes connect to upstreams directly.
         session: HTTP session of the callers.
     """
 
@@ -130,6 +137,9 @@
     programs: list[node_program.NodeProgram]
     tasks: list[asyncio.Task[None]]
     session: aiohttp.ClientSession
+    links: list[dict[str, node_links.Link]] = dataclasses.field(
+        default_factory=list
+    )
 
     def register(self, upstream: node_upstreams.UpstreamStandin) -> None:
         """Write an upstream's registration to the store."""
@@ -215,17 +225,67 @@
 
 
 @contextlib.asynccontextmanager
-async def run(base: int, engine_count: int = 2) -> AsyncIterator[NodeTestbed]:
+async def open_links(
+    base: int, testbed: NodeTestbed
+) -> AsyncIterator[tuple[str, ...]]:
+    """Open a link of each node to each upstream.
+
+    Args:
+        base: first of a block of free ports.
+        testbed: the platform.
+
+    Yields:
+        The `host:port` at which each node sees the store.
+    """
+    upstreams = [*testbed.plain, *testbed.engines]
+    async with contextlib.AsyncExitStack() as stack:
+        views = []
+        for number in range(NODE_COUNT):
+            links = {}
+            for offset, upstream in enumerate(upstreams):
+                port = base + LINK_OFFSET + number * len(upstreams) + offset
+                upstream_port = int(upstream.address.rsplit(":", 1)[1])
+                link = node_links.Link(port, upstream_port)
+                await link.open()
+                stack.callback(link.close)
+                links[upstream.id] = link
+            testbed.links.append(links)
+            view = node_links.StoreView(
+                testbed.store,
+                {
+                    upstream.address: f"{HOST}:{links[upstream.id].port}"
+                    for upstream in upstreams
+                },
+            )
+            port = base + VIEW_OFFSET + number
+            await stack.enter_async_context(
+                caller_server.listen(web.Server(view.handle), HOST, port)
+            )
+            views.append(f"{HOST}:{port}")
+        yield tuple(views)
+
+
+@contextlib.asynccontextmanager
+async def run(
+    base: int, engine_count: int = 2, *, has_links: bool = False
+) -> AsyncIterator[NodeTestbed]:
     """Run two nodes with their own store and upstreams.
 
     Args:
         base: first of a block of free ports.
-        engine_count: number of engines, see `open_platform`.
+        engine_count: number of engines, see `open_platform`; 2 with links.
+        has_links: whether nodes reach upstreams by links that can be cut.
     """
-    async with open_platform(base, engine_count) as testbed:
-        for number in range(2):
+    async with contextlib.AsyncExitStack() as stack:
+        testbed = await stack.enter_async_context(
+            open_platform(base, engine_count)
+        )
+        stores: tuple[str, ...] = (testbed.store_address,) * NODE_COUNT
+        if has_links:
+            stores = await stack.enter_async_context(open_links(base, testbed))
+        for number, store in enumerate(stores):
             settings = create_settings(
-                f"n{number}", base + 10 + 10 * number, testbed.store_address
+                f"n{number}", base + 10 + 10 * number, store
             )
             program = node_program.NodeProgram(settings)
             testbed.programs.append(program)
--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -15,6 +15,7 @@
 
 import aiohttp
 
+import node_links
 import node_process
 from soak import node_checker
 from soak import node_system
@@ -446,14 +447,14 @@
     async with injector.reserve_upstream(rng, "harm_link") as upstream:
         if upstream is None:
             return
-        mode = rng.choice(list(node_system.LinkMode))
+        mode = rng.choice(list(node_links.LinkMode))
         injector.log(f"{upstream.name} {mode}")
         with injector.record_disturbance("link", upstream.name):
-            if mode is node_system.LinkMode.WELL:
+            if mode is node_links.LinkMode.WELL:
                 upstream.link.reset()
             upstream.link.mode = mode
             await sleep_fault_duration(rng)
-            upstream.link.mode = node_system.LinkMode.WELL
+            upstream.link.mode = node_links.LinkMode.WELL
 
 
 @register
--- a/tests/soak/node_system.py
+++ b/tests/soak/node_system.py
@@ -5,11 +5,9 @@
 
 import asyncio
 import contextlib
-import enum
 import functools
 import pathlib
 import signal
-import socket
 import time
 from typing import Any, Final
 
@@ -17,6 +15,7 @@
 from aiohttp import web
 
 from cicadahook.platform import caller_server
+import node_links
 import node_process
 import node_store
 import node_testbed
@@ -27,8 +26,6 @@
 NODE_COUNT: Final = 4
 PORT_OFFSET: Final = 10
 LINK_OFFSET: Final = 20
-READ_BYTES: Final = 65_536
-DELAY_SECONDS: Final = 0.15
 WEIGHTS_MB: Final = 100.0
 MODEL_MB: Final = 40.0
 ADAPTER_MB: Final = 1.0
@@ -40,95 +37,6 @@
 MODELS: Final = ("big", "small", "other")
 
 
-class LinkMode(enum.StrEnum):
-    """What a link does with bytes; held bytes are sent when the mode ends."""
-
-    WELL = enum.auto()
-    DELAY = enum.auto()
-    HOLD_UP = enum.auto()
-    HOLD_DOWN = enum.auto()
-    HOLD_BOTH = enum.auto()
-
-
-class Link:
-    """Forwards bytes between the nodes and an upstream.
-
-    Attributes:
-        port: port where it accepts connections.
-        upstream_port: port of the upstream.
-        mode: what it does with bytes.
-        server: accepts connections; None before `open`.
-        writers: both directions of all open connections.
-    """
-
-    def __init__(self, port: int, upstream_port: int) -> None:
-        self.port = port
-        self.upstream_port = upstream_port
-        self.mode = LinkMode.WELL
-        self.server: asyncio.Server | None = None
-        self.writers: set[asyncio.StreamWriter] = set()
-
-    async def open(self) -> None:
-        """Start to accept connections."""
-        self.server = await asyncio.start_server(
-            self._serve, node_testbed.HOST, self.port, reuse_address=True
-        )
-
-    def close(self) -> None:
-        """Stop accepting connections and reset the open ones."""
-        if self.server is not None:
-            self.server.close()
-        self.reset()
-
-    def reset(self) -> None:
-        """Reset all open connections."""
-        for writer in self.writers:
-            _reset(writer)
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            upstream_reader, upstream_writer = await asyncio.open_connection(
-                node_testbed.HOST, self.upstream_port
-            )
-        except OSError:
-            # At the end of the run the stand-in stops before the link does.
-            writer.close()
-            return
-        both = {writer, upstream_writer}
-        self.writers |= both
-        try:
-            await asyncio.gather(
-                self._forward(reader, upstream_writer, LinkMode.HOLD_UP),
-                self._forward(upstream_reader, writer, LinkMode.HOLD_DOWN),
-            )
-        finally:
-            self.writers -= both
-            for each in both:
-                each.close()
-
-    async def _forward(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        held: LinkMode,
-    ) -> None:
-        """Forward bytes in one direction until the sender closes it."""
-        try:
-            while data := await reader.read(READ_BYTES):
-                if self.mode is LinkMode.DELAY:
-                    await asyncio.sleep(DELAY_SECONDS)
-                while self.mode in (held, LinkMode.HOLD_BOTH):
-                    await asyncio.sleep(DELAY_SECONDS)
-                writer.write(data)
-                await writer.drain()
-            writer.close()
-        except ConnectionError:
-            # A reset by either end is passed on to the other.
-            _reset(writer)
-
-
 class Upstream(node_upstreams.UpstreamStandin):
     """An upstream behind a link, which records its runs.
 
@@ -145,7 +53,7 @@
         self,
         name: str,
         service: str,
-        link: Link,
+        link: node_links.Link,
         checker: node_checker.GuaranteeChecker,
     ) -> None:
         super().__init__(name, service)
@@ -239,7 +147,9 @@
         self.upstreams: dict[str, Upstream] = {}
         for offset, name in enumerate(UPSTREAM_NAMES):
             service = "plain" if name.startswith("p") else "engines"
-            link = Link(base + LINK_OFFSET + offset, base + 1 + offset)
+            link = node_links.Link(
+                base + LINK_OFFSET + offset, base + 1 + offset
+            )
             upstream = Upstream(name, service, link, self.checker)
             upstream.crash_state.on_restart = functools.partial(
                 self.register_upstream, name
@@ -413,16 +323,6 @@
     return configuration
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Reset a connection."""
-    sock: socket.socket = writer.get_extra_info("socket")
-    with contextlib.suppress(OSError):  # Already closed.
-        sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, node_upstreams.RESET
-        )
-    writer.transport.abort()
-
-
 async def _kill(node: node_process.NodeProcess) -> None:
     """Kill a node process if it still runs."""
     if node.child is not None and node.child.returncode is None:
