Send requests through another node where the own links are cut

Callers of a node without links to upstreams were refused or waited for nothing: 0 of 48 first tries served from 3 s after the cut, where links hang or are reset (48 of 48 at the other node).

Cause: that an upstream cannot be reached was kept as a fact of the upstream, by each node for itself, and for 1 s only; then callers' requests found it out anew, 1 s for each attempt. The node had no other way, and told the holder of orders that sound engines had failed.

Now reachability is a fact of a pair. Links whose new connections fail are probed until one succeeds, others that were quiet are probed when two are cut within 2 s of each other. While a link is cut, the same attempt goes through a node that reaches the upstream (net/peer_relay.py): one hop, the same time limit, at most once, streams as they arrive; choice, retries and what counts as not run stay with the first node. What no node reaches is refused at once with a drawn Retry-After (unreachable, 503). Nodes that lack most links are left out of address answers while others have them.

--- a/src/cicadahook/core/balancer.py
+++ b/src/cicadahook/core/balancer.py
@@ -18,6 +18,7 @@
 from cicadahook.core import inventory
 from cicadahook.core import model_paces
 from cicadahook.core import prefix_cache
+from cicadahook.core import reachability as reachability_lib
 from cicadahook.core import request_limits
 
 # Prefill rate of an engine for the reference model, as deployments state it.
@@ -50,7 +51,6 @@
 FAILURE_MS: Final = 1500.0
 ZONE_MS: Final = 1.0
 REJECTION_PAUSE: Final = datetime.timedelta(milliseconds=150)
-UNREACHABLE_PAUSE: Final = datetime.timedelta(seconds=1)
 PEER_EXPIRY: Final = datetime.timedelta(seconds=2)
 
 
@@ -81,7 +81,6 @@
         failure_rate: running mean of failures, from 0 to 1.
         slowness: running mean of the ratio of measured to predicted wait.
         avoided_until: until then requests are sent elsewhere if possible.
-        unreachable_until: until then it counts as unreachable.
         kept: prompt parts that its prefix cache probably holds.
         copies: own requests for each model and adapter, by MODEL/ADAPTER.
     """
@@ -91,7 +90,6 @@
     failure_rate: float = 0.0
     slowness: float = 1.0
     avoided_until: datetime.datetime | None = None
-    unreachable_until: datetime.datetime | None = None
     kept: prefix_cache.PrefixCache = dataclasses.field(
         default_factory=lambda: prefix_cache.PrefixCache(DEFAULT_KEPT_TOKENS)
     )
@@ -132,6 +130,7 @@
         paces: learned relative paces of the models.
         peer_expiry: how long loads of other nodes count.
         limits: request limits that upstreams have named.
+        reachability: which upstreams this node and others can reach.
     """
 
     def __init__(
@@ -140,8 +139,10 @@
         clock: clock_lib.Clock,
         generator: random.Random,
         limits: request_limits.RequestLimits,
+        reachability: reachability_lib.Reachability,
     ) -> None:
         self.zone = zone
+        self.reachability = reachability
         self.limits = limits
         self.clock = clock
         self.random = generator
@@ -196,16 +197,6 @@
         ]:
             del self.states[name]
 
-    def list_unreachable(self) -> frozenset[str]:
-        """Return the upstreams that count as unreachable now."""
-        now = self.clock.now()
-        return frozenset(
-            name
-            for name, state in self.states.items()
-            if state.unreachable_until is not None
-            and now < state.unreachable_until
-        )
-
     def choose(
         self,
         candidates: Iterable[inventory.Instance],
@@ -244,7 +235,9 @@
         state = self._get(entry)
         cost = self.predict_ms(entry, generation) * state.slowness
         cost += state.failure_rate * FAILURE_MS
-        cost += self.limits.get_cost_ms(entry, self.clock.now())
+        now = self.clock.now()
+        cost += self.limits.get_cost_ms(entry, now)
+        cost += self.reachability.get_cost_ms(entry, now)
         return cost if entry.zone == self.zone else cost + ZONE_MS
 
     def predict_ms(
@@ -374,10 +367,10 @@
         if failure is forwarding.FailureKind.REJECTED:
             self._avoid(state, REJECTION_PAUSE)
             return
-        if failure is forwarding.FailureKind.UNREACHABLE:
-            self._avoid(state, UNREACHABLE_PAUSE)
-            state.unreachable_until = state.avoided_until
-        if failure is forwarding.FailureKind.MISSING:
+        if failure in (
+            forwarding.FailureKind.UNREACHABLE,
+            forwarding.FailureKind.MISSING,
+        ):
             return
         outcome = 0.0 if failure is None else 1.0
         state.failure_rate += LEARNING_RATE * (outcome - state.failure_rate)
--- a/src/cicadahook/core/forwarding.py
+++ b/src/cicadahook/core/forwarding.py
@@ -121,7 +121,8 @@
     HEARD = "heard"  # an answer came, maybe on an old connection
     CONNECTED = "connected"  # a new connection was opened
     REFUSED = "refused"  # a new connection was refused
-    SILENT = "silent"  # a new connection was not answered, or an old one ended
+    SILENT = "silent"  # a new connection was not answered
+    BROKEN = "broken"  # an open connection was not answered any more
 
 
 NOT_RUN_KINDS = frozenset(
--- a/src/cicadahook/core/reachability.py
+++ b/src/cicadahook/core/reachability.py
@@ -5,7 +5,7 @@
 Nodes tell each other in their statuses what they reach.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 import dataclasses
 import datetime
 import random
@@ -22,11 +22,14 @@
 # Open connections may live on while new ones are refused. With an answer within
 # this time, requests may still be sent where no other node can help.
 LIVE_CONNECTION_PERIOD: Final = datetime.timedelta(seconds=2)
+# A sound upstream may be silent for about a second.
+SILENCE_TOLERANCE: Final = datetime.timedelta(milliseconds=1500)
+# What the way through another node costs, in ms: two more transfers.
+DETOUR_MS: Final = 10.0
+# Cost of a link on which new connections fail and no other node can help.
+DOUBTFUL_MS: Final = 1500.0
 # Statements in one status message; the others follow in later messages.
 MAX_STATEMENTS: Final = 48
-# An answer that was on its way when its upstream ended arrives within this
-# time.
-ANSWER_TRANSIT: Final = datetime.timedelta(milliseconds=50)
 MILLISECOND: Final = datetime.timedelta(milliseconds=1)
 
 
@@ -58,11 +61,14 @@
         born: start of the incarnation.
         heard: when the upstream was last heard; None if never.
         cut_since: since when new connections fail; None while they do not.
+        is_refused: whether a new connection was refused since then, and not
+            only left unanswered.
     """
 
     born: int
     heard: datetime.datetime | None = None
     cut_since: datetime.datetime | None = None
+    is_refused: bool = False
 
     def was_heard_after(self, time: datetime.datetime) -> bool:
         """Whether the upstream was heard after `time`."""
@@ -103,12 +109,16 @@
             if self.registered.get(name) == link.born
         }
 
+    def forget_peer(self, name: str) -> None:
+        """Drop what another node has told, which passes on no requests."""
+        self.told.pop(name, None)
+        self.peers.pop(name, None)
+        self.avoided_peers.pop(name, None)
+
     def replace_nodes(self, names: Iterable[str]) -> None:
         """Drop what nodes other than `names` have told."""
-        for name in self.told.keys() - set(names):
-            del self.told[name]
-            self.peers.pop(name, None)
-            self.avoided_peers.pop(name, None)
+        for name in self.peers.keys() - set(names):
+            self.forget_peer(name)
 
     def record_heard(
         self, instance: inventory.Instance, now: datetime.datetime
@@ -126,19 +136,38 @@
         if link is None:
             return False
         was_cut = link.cut_since is not None
-        link.heard, link.cut_since = now, None
+        link.heard, link.cut_since, link.is_refused = now, None, False
         return was_cut
 
     def record_failure(
-        self, instance: inventory.Instance, now: datetime.datetime
+        self,
+        instance: inventory.Instance,
+        now: datetime.datetime,
+        *,
+        is_refused: bool,
     ) -> bool:
         """Record a failed connection; return whether the link is newly cut."""
         link = self._get(instance)
-        if link is None or link.cut_since is not None:
+        if link is None:
+            return False
+        link.is_refused |= is_refused
+        if link.cut_since is not None:
             return False
         link.cut_since = now
         return True
 
+    def record_peer_failure(
+        self, peer: str, instance: inventory.Instance, now: datetime.datetime
+    ) -> None:
+        """Record that another node could not reach an upstream either."""
+        links = self.peers.setdefault(peer, {})
+        link = links.setdefault(instance.id, Link(instance.born))
+        link.born, link.cut_since = instance.born, now
+
+    def avoid_peer(self, peer: str, now: datetime.datetime) -> None:
+        """Record that another node could not pass on a request."""
+        self.avoided_peers[peer] = now + PEER_PAUSE
+
     def _get(self, instance: inventory.Instance) -> Link | None:
         """Return the own link to a registered upstream."""
         if self.registered.get(instance.id) != instance.born:
@@ -167,6 +196,13 @@
         for name in links.keys() - self.registered.keys():
             del links[name]
 
+    def count_cut_since(self, time: datetime.datetime) -> int:
+        """Return the number of own links that were cut after `time`."""
+        return sum(
+            link.cut_since is not None and link.cut_since > time
+            for link in self.links.values()
+        )
+
     def is_cut(self, instance: inventory.Instance) -> bool:
         """Whether this node cannot open connections to an upstream."""
         link = self.links.get(instance.id)
@@ -182,21 +218,89 @@
         """Yield what other nodes told lately of their links to an upstream."""
         for peer, links in self.peers.items():
             link = links.get(instance.id)
-            is_recent = now - self.told[peer] < self.peer_expiry
-            if is_recent and link is not None and link.born == instance.born:
+            is_known = link is not None and link.born == instance.born
+            if link is not None and is_known and self._is_told(peer, now):
                 yield peer, link
 
-    def was_heard_elsewhere(
+    def _is_told(self, peer: str, now: datetime.datetime) -> bool:
+        """Whether another node has told of its links lately."""
+        told = self.told.get(peer)
+        return told is not None and now - told < self.peer_expiry
+
+    def list_helpers(
+        self, instance: inventory.Instance, now: datetime.datetime
+    ) -> tuple[str, ...]:
+        """Return the nodes that may pass on requests to an upstream.
+
+        Those that have heard from it come first. The others say nothing of it
+        and reach other upstreams.
+        """
+        helpers: list[str] = []
+        unknown: list[str] = []
+        for peer, links in self.peers.items():
+            is_avoided = now < self.avoided_peers.get(peer, now)
+            if is_avoided or not self._is_told(peer, now):
+                continue
+            link = links.get(instance.id)
+            if link is None or link.born != instance.born:
+                if any(other.cut_since is None for other in links.values()):
+                    unknown.append(peer)
+            elif link.cut_since is None:
+                helpers.append(peer)
+        return (*helpers, *unknown)
+
+    def find_unreachable(
+        self, instances: Iterable[inventory.Instance], now: datetime.datetime
+    ) -> frozenset[str]:
+        """Return the ids of the upstreams that no request can reach now."""
+        return frozenset(
+            entry.id for entry in instances if not self._has_path(entry, now)
+        )
+
+    def _has_path(
+        self, instance: inventory.Instance, now: datetime.datetime
+    ) -> bool:
+        if not self.is_cut(instance):
+            return True
+        link = self.links[instance.id]
+        assert link.cut_since is not None, "cut"
+        if not link.is_refused and now - link.cut_since < SILENCE_TOLERANCE:
+            return True
+        if link.was_heard_after(
+            max(link.cut_since, now - LIVE_CONNECTION_PERIOD)
+        ):
+            return True
+        return bool(self.list_helpers(instance, now))
+
+    def get_cost_ms(
+        self, instance: inventory.Instance, now: datetime.datetime
+    ) -> float:
+        """Return what the way to an upstream costs, in ms."""
+        if not self.is_cut(instance):
+            return 0.0
+        return DETOUR_MS if self.list_helpers(instance, now) else DOUBTFUL_MS
+
+    def is_cut_off(
         self,
-        instance: inventory.Instance,
-        since: datetime.datetime,
+        instances: Collection[inventory.Instance],
         now: datetime.datetime,
     ) -> bool:
-        """Whether another node has heard from an upstream after `since`."""
-        return any(
-            link.was_heard_after(since)
-            for _, link in self.find_peer_links(instance, now)
-        )
+        """Whether this node lacks most links, and another node has them."""
+        cut = [entry for entry in instances if self.is_cut(entry)]
+        if 2 * len(cut) <= len(instances):
+            return False
+        reached = lost = 0
+        for entry in cut:
+            links = [link for _, link in self.find_peer_links(entry, now)]
+            if any(
+                link.cut_since is None
+                and link.was_heard_after(now - HEARD_EXPIRY)
+                for link in links
+            ):
+                reached += 1
+            elif links:
+                lost += 1
+        return reached > lost
 
     def list_statements(
         self, now: datetime.datetime
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -78,6 +78,7 @@
         limits: what upstreams last said of their request limits.
         origins: software versions that began streams here lately.
         links: which upstreams it can reach.
+        is_cut_off: whether it lacks the links to most upstreams.
     """
 
     node: NodeRecord
@@ -99,6 +100,7 @@
     limits: tuple[request_limits.LimitStatement, ...] = ()
     origins: tuple[stream_origins.OriginStatement, ...] = ()
     links: tuple[reachability.LinkStatement, ...] = ()
+    is_cut_off: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,6 +120,14 @@
     model: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnState:
+    """Whether this node accepts callers, and lacks links to upstreams."""
+
+    is_ready: bool
+    is_cut_off: bool = False
+
+
 class Roster:
     """Tracks the other nodes.
 
@@ -230,6 +240,15 @@
             if now - received_at < limit:
                 yield received_at, status
 
+    def find_recent(
+        self, name: str, now: datetime.datetime
+    ) -> NodeStatus | None:
+        """Return the newest status of a node that is not silent."""
+        known = self.statuses.get(name)
+        if known is None or now - known[0] >= self.get_silence_limit():
+            return None
+        return known[1]
+
     def count_nodes(self, now: datetime.datetime) -> int:
         """Return the number of nodes among which shared limits are divided."""
         return len(self.list_names(now))
@@ -251,16 +270,25 @@
         return max(holders, key=lambda status: status.fence).node
 
     def list_addresses(
-        self, zone: str, region: str, is_own_ready: bool, now: datetime.datetime
+        self,
+        zone: str,
+        region: str,
+        own: OwnState,
+        now: datetime.datetime,
     ) -> tuple[str, ...]:
-        """Return the addresses of ready nodes for callers, nearest first."""
-        records = [
-            status.node
+        """Return the addresses of ready nodes for callers, nearest first.
+
+        Nodes that lack links to upstreams are left out, unless all do.
+        """
+        ready = [
+            (status.node, status.is_cut_off)
             for _, status in self.list_recent(now)
             if status.is_ready
         ]
-        if is_own_ready:
-            records.append(self.own)
+        if own.is_ready:
+            ready.append((self.own, own.is_cut_off))
+        records = [record for record, is_cut_off in ready if not is_cut_off]
+        records = records or [record for record, _ in ready]
         return tuple(
             record.front_address
             for record in sorted(
--- a/src/cicadahook/net/active_request.py
+++ b/src/cicadahook/net/active_request.py
@@ -19,6 +19,7 @@
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
 from cicadahook.core import model_demand
+from cicadahook.core import reachability as reachability_lib
 from cicadahook.core import request_limits
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import retry_budget
@@ -51,8 +52,8 @@
             forwarding.AttemptError: the attempt failed.
         """
 
-    async def has_ended(self, instance: inventory.Instance) -> bool:
-        """Return whether a new connection shows that an upstream has ended."""
+    async def probe(self, instance: inventory.Instance) -> forwarding.LinkEvent:
+        """Return what a new connection shows of the link to an upstream."""
 
 
 class CopyLoader(Protocol):
@@ -171,6 +172,7 @@
     generator: random.Random
     demand_tracker: model_demand.ModelDemandTracker
     limits: request_limits.RequestLimits
+    reachability: reachability_lib.Reachability
 
 
 def create_refusal(
--- a/src/cicadahook/net/address_directory.py
+++ b/src/cicadahook/net/address_directory.py
@@ -26,7 +26,7 @@
 
     Attributes:
         roster: the known nodes.
-        is_ready: returns whether this node accepts callers.
+        get_own_state: returns whether this node accepts callers.
         lifetime: how long callers may cache an answer.
     """
 
@@ -34,17 +34,21 @@
         self,
         roster: roster_lib.Roster,
         clock: clock_lib.Clock,
-        is_ready: Callable[[], bool],
+        get_own_state: Callable[[], roster_lib.OwnState],
         max_lifetime: datetime.timedelta,
     ) -> None:
         self.roster = roster
         self.clock = clock
-        self.is_ready = is_ready
+        self.get_own_state = get_own_state
         self.lifetime = min(DEFAULT_LIFETIME, max_lifetime)
 
+    def is_ready(self) -> bool:
+        """Whether this node accepts callers."""
+        return self.get_own_state().is_ready
+
     def resolve(self, zone: str, region: str) -> AddressAnswer:
         """Return the addresses that a caller in `zone` should use."""
         addresses = self.roster.list_addresses(
-            zone, region, self.is_ready(), self.clock.now()
+            zone, region, self.get_own_state(), self.clock.now()
         )
         return AddressAnswer(addresses, self.lifetime)
--- a/src/cicadahook/net/crash_guard.py
+++ b/src/cicadahook/net/crash_guard.py
@@ -178,7 +178,8 @@
             return
         for _ in range(PROBE_COUNT):
             await asyncio.sleep(PROBE_PAUSE.total_seconds())
-            if await self.components.upstreams.has_ended(instance):
+            event = await self.components.upstreams.probe(instance)
+            if event is forwarding.LinkEvent.REFUSED:
                 self._record_crashes(
                     self.tracker.pop_dead(instance.id, self.clock.now())
                 )
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import datetime
-from typing import Any, Final, NoReturn
+from typing import Any, Final
 
 from cicadahook.core import balancer
 from cicadahook.core import errors
@@ -20,6 +20,7 @@
 from cicadahook.net import crash_guard
 from cicadahook.net import logs
 from cicadahook.net import metrics
+from cicadahook.net import refusal_planner
 from cicadahook.net import request_drain
 from cicadahook.net import stream_resumption
 from cicadahook.net import tasks
@@ -30,7 +31,6 @@
 # With less time left, an upstream could not begin to work on a request.
 MIN_ATTEMPT_TIME: Final = datetime.timedelta(milliseconds=30)
 RETRY_DELAY: Final = datetime.timedelta(milliseconds=20)
-RETRY_AFTER: Final = datetime.timedelta(milliseconds=500)
 # Failures whose cause may have passed a moment later; the retry is delayed.
 TRANSIENT_KINDS: Final = frozenset(
     {forwarding.FailureKind.REJECTED, forwarding.FailureKind.MISSING}
@@ -43,7 +43,6 @@
 # copy is loaded elsewhere.
 MAX_ROOM_WAIT: Final = datetime.timedelta(milliseconds=300)
 ROOM_POLL_PERIOD: Final = datetime.timedelta(milliseconds=50)
-LOAD_RETRY_AFTER: Final = datetime.timedelta(milliseconds=1200)
 MAX_SENDS: Final = 8
 
 logger: Final = logs.create_logger("forwarder")
@@ -61,6 +60,7 @@
         resumption: binds streams to the software version that began them.
         crash_guard: keeps requests that crash upstreams from them.
         drain: limits the time of requests once the node is asked to stop.
+        refusals: decides how requests without an upstream are refused.
     """
 
     def __init__(
@@ -78,6 +78,7 @@
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.crash_guard = crash_guard.CrashGuard(components)
         self.drain = request_drain.RequestDrain(components.clock)
+        self.refusals = refusal_planner.RefusalPlanner(components, self.drain)
 
     async def serve(
         self, request: forwarding.CallerRequest, sink: active_request.AnswerSink
@@ -117,7 +118,7 @@
         configuration = self.configuration
         if configuration is None:
             raise active_request.create_refusal(
-                "no_configuration", 503, RETRY_AFTER
+                "no_configuration", 503, refusal_planner.RETRY_AFTER
             )
         route = configuration.find_route(request.host, request.path)
         if route is None:
@@ -126,7 +127,7 @@
         service = configuration.services.get(name)
         if service is None:
             raise active_request.create_refusal(
-                "unknown_service", 503, RETRY_AFTER
+                "unknown_service", 503, refusal_planner.RETRY_AFTER
             )
         self._validate_generation(request, service)
         traits = request.list_traits(name)
@@ -171,11 +172,11 @@
         model = service.engines.models.get(generation.model)
         if model is None:
             raise active_request.create_refusal(
-                "unknown_model", 503, RETRY_AFTER
+                "unknown_model", 503, refusal_planner.RETRY_AFTER
             )
         if generation.adapter and generation.adapter not in model.adapters:
             raise active_request.create_refusal(
-                "unknown_adapter", 503, RETRY_AFTER
+                "unknown_adapter", 503, refusal_planner.RETRY_AFTER
             )
 
     async def _serve_active(self, active: active_request.ActiveRequest) -> None:
@@ -204,14 +205,19 @@
             errors.RefusalError: no upstream could answer in time.
         """
         components = self.components
-        avoided = active.excluded | components.balancer.list_unreachable()
-        usable = [
+        candidates = [
             candidate
             for candidate in components.inventory.list_usable(
                 active.service.name
             )
-            if candidate.id not in avoided and active.accepts(candidate)
+            if candidate.id not in active.excluded and active.accepts(candidate)
         ]
+        unreachable = components.reachability.find_unreachable(
+            candidates, self.clock.now()
+        )
+        usable = [each for each in candidates if each.id not in unreachable]
+        if unreachable and not usable:
+            raise self.refusals.plan_unreachable(active)
         generation = active.request.generation
         chosen: inventory.Instance | None
         if generation is None or active.service.engines is None:
@@ -221,9 +227,9 @@
         else:
             chosen = await self._select_engine(active, usable, generation)
         if chosen is None:
-            self._raise_no_upstream(active, usable)
+            raise self.refusals.plan_no_upstream(active, usable)
         if not components.limits.has_room(chosen, self.clock.now()):
-            self._raise_no_upstream(active, [chosen])
+            raise self.refusals.plan_no_upstream(active, [chosen])
         return chosen
 
     async def _select_engine(
@@ -304,7 +310,10 @@
             errors.RefusalError: the load takes too long.
         """
         components = self.components
-        avoided = components.balancer.list_unreachable() | active.excluded
+        avoided = active.excluded | components.reachability.find_unreachable(
+            components.inventory.list_usable(active.service.name),
+            self.clock.now(),
+        )
         left = active.deadline - self.clock.now()
         wait = self.drain.limit_copy_wait(
             min(MAX_COPY_WAIT, left * COPY_WAIT_SHARE)
@@ -327,7 +336,7 @@
                 ):
                     return components.balancer.choose(ready, generation)
         except TimeoutError:
-            self._raise_no_copy(active)
+            raise self.refusals.plan_no_copy(active) from None
         finally:
             load.cancel()
         held = load.result()
@@ -352,57 +361,7 @@
         if self.components.balancer.is_overloaded(
             chosen, active.route.target_latency
         ):
-            raise active_request.create_refusal(
-                "overloaded", 503, self._draw_load_retry_after()
-            )
-
-    def _raise_no_copy(self, active: active_request.ActiveRequest) -> NoReturn:
-        """Refuse a request whose copy was not loaded in time.
-
-        Raises:
-            errors.RefusalError: always.
-        """
-        if active.possible_runs:
-            raise active_request.create_refusal(
-                "attempts_failed", 502, outcome="unknown"
-            )
-        if self.drain.plan is not None:
-            raise active_request.create_refusal(
-                "stopping", 503, request_drain.RETRY_AFTER
-            )
-        raise active_request.create_refusal(
-            "no_copy", 503, self._draw_load_retry_after()
-        )
-
-    def _draw_load_retry_after(self) -> datetime.timedelta:
-        """Return a randomised delay after which a caller may retry.
-
-        Callers that retry at the same time would overload the same engine
-        again.
-        """
-        return LOAD_RETRY_AFTER * self.components.generator.uniform(0.7, 1.3)
-
-    def _raise_no_upstream(
-        self,
-        active: active_request.ActiveRequest,
-        usable: list[inventory.Instance],
-    ) -> NoReturn:
-        """Refuse a request that no upstream may get now.
-
-        Raises:
-            errors.RefusalError: always; if all of `usable` have reached their
-                request limits, it says when there will be room.
-        """
-        if active.possible_runs:
-            raise active_request.create_refusal(
-                "attempts_failed", 502, outcome="unknown"
-            )
-        limits, now = self.components.limits, self.clock.now()
-        if usable and not any(limits.has_room(entry, now) for entry in usable):
-            raise active_request.create_refusal(
-                "upstream_limit", 503, limits.plan_return(usable, now)
-            )
-        raise active_request.create_refusal("no_upstream", 503, RETRY_AFTER)
+            raise self.refusals.plan_overloaded()
 
     async def _attempt(
         self, active: active_request.ActiveRequest, instance: inventory.Instance
@@ -552,7 +511,7 @@
             obstacle=reason,
         )
         if reason is not None:
-            self._give_up(active, reason)
+            raise self.refusals.plan_give_up(active, reason)
         metrics.count_retry(str(error.kind), self.node)
         self._record_failure(active, instance, error)
         if error.kind in TRANSIENT_KINDS:
@@ -587,8 +546,11 @@
     ) -> None:
         """Update what the next selection of an upstream depends on.
 
-        An upstream that lacks the copy may be tried once more, after a load.
+        An upstream that lacks the copy may be tried once more, after a load,
+        and one that was not reached by another way.
         """
+        if error.kind is forwarding.FailureKind.UNREACHABLE:
+            return
         generation = active.request.generation
         if error.kind is forwarding.FailureKind.MISSING and generation:
             self.components.residency.record_missing(
@@ -602,23 +564,11 @@
                 return
         active.excluded |= {instance.id}
 
-    def _give_up(
-        self, active: active_request.ActiveRequest, reason: str
-    ) -> NoReturn:
-        """Refuse a request that cannot be retried.
-
-        Raises:
-            errors.RefusalError: always.
-        """
-        if active.possible_runs:
-            raise active_request.create_refusal(reason, 502, outcome="unknown")
-        raise active_request.create_refusal(reason, 503, RETRY_AFTER)
-
     async def _refuse_timed_out(
         self, active: active_request.ActiveRequest
     ) -> None:
         """Refuse a request whose time limit has passed."""
-        code, pause = "deadline_passed", RETRY_AFTER
+        code, pause = "deadline_passed", refusal_planner.RETRY_AFTER
         if self.drain.is_cut_short(active):
             code, pause = "stopping", request_drain.RETRY_AFTER
         if active.possible_runs:
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -90,6 +90,15 @@
     counter.add(1, {"state": state, "node": node})
 
 
+def count_relay(role: str, node: str) -> None:
+    """Count a request that passed through a second node, by role of `node`."""
+    counter = create_counter(
+        "cicada_relayed_requests",
+        "Requests sent through another node, and served for one.",
+    )
+    counter.add(1, {"role": role, "node": node})
+
+
 def count_limit_change(node: str) -> None:
     """Count a change of an upstream's request limit that `node` has heard."""
     counter = create_counter(
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -41,6 +41,7 @@
 from cicadahook.net import node_peers
 from cicadahook.net import order_sender
 from cicadahook.net import orderer
+from cicadahook.net import peer_relay
 from cicadahook.net import store_listeners
 from cicadahook.net import store_watcher
 from cicadahook.net import stream_resumption
@@ -135,11 +136,16 @@
         platform.upstreams.limit_listener = self.record_limit
         self.reachability = reachability_lib.Reachability(generator)
         self.link_monitor = link_monitor.LinkMonitor(
-            self.reachability, clock, settings.name
+            self.reachability,
+            inventory,
+            platform.upstreams.probe,
+            clock,
+            generator,
+            settings.name,
         )
         platform.upstreams.link_listener = self.link_monitor.record
         balancer = balancer_lib.Balancer(
-            settings.zone, clock, generator, self.limits
+            settings.zone, clock, generator, self.limits, self.reachability
         )
         self.orderer = orderer.Orderer(
             order_sender.OrderSender(
@@ -161,13 +167,16 @@
             settings.load_window,
         )
         self.copy_client = node_peers.CopyClient()
+        self.relay_client = peer_relay.RelayClient(
+            self.reachability, self.roster, clock
+        )
         self.components = active_request.ForwarderComponents(
             clock,
             inventory,
             residency,
             balancer,
             crash_suspects.CrashSuspects(clock),
-            platform.upstreams,
+            peer_relay.UpstreamPaths(platform.upstreams, self.relay_client),
             copy_requests.CopyRequester(
                 self.orderer,
                 self.copy_client,
@@ -184,6 +193,7 @@
             generator,
             model_demand.ModelDemandTracker(),
             self.limits,
+            self.reachability,
         )
         self.origins = stream_origins.StreamOrigins(
             is_first_start=settings.is_first_start
@@ -203,8 +213,14 @@
                 settings.name,
             ),
         )
+        self.relay_server = peer_relay.RelayServer(
+            self.components,
+            platform.upstreams,
+            self.forwarder.drain,
+            settings.name,
+        )
         self.directory = address_directory.AddressDirectory(
-            self.roster, clock, self.is_ready, settings.address_lifetime
+            self.roster, clock, self.get_own_state, settings.address_lifetime
         )
         self.leadership = holder_lease.Leadership(
             platform.store,
@@ -279,6 +295,16 @@
             and not self.is_stopping
         )
 
+    def get_own_state(self) -> roster_lib.OwnState:
+        """Return whether this node accepts callers, and lacks links."""
+        return roster_lib.OwnState(self.is_ready(), self.is_cut_off())
+
+    def is_cut_off(self) -> bool:
+        """Whether this node lacks the links to most upstreams."""
+        return self.reachability.is_cut_off(
+            self.components.inventory.instances.values(), self.clock.now()
+        )
+
     def apply_configuration(self, configuration: routes.Configuration) -> None:
         """Replace the configuration by a newer one."""
         self.forwarder.configuration = configuration
@@ -330,12 +356,15 @@
                 )
             self.withdraw(status.withdrawn)
             self.limits.merge(status.node.name, status.limits, self.clock.now())
+            if status.has_left or not status.is_ready:
+                self.reachability.forget_peer(status.node.name)
             if status.is_brief:
                 return
             self.origins.merge(status.origins, self.clock.now())
-            self.reachability.merge(
-                status.node.name, status.links, self.clock.now()
-            )
+            if status.is_ready and not status.has_left:
+                self.reachability.merge(
+                    status.node.name, status.links, self.clock.now()
+                )
             self.components.balancer.replace_peer_loads(
                 status.node.name, status.loads
             )
@@ -384,6 +413,7 @@
             {
                 node_peers.COPIES_PATH: copies.handle,
                 stream_resumption.ORIGINS_PATH: answers.handle,
+                peer_relay.RELAY_PATH: self.relay_server.handle,
             }
         )
 
@@ -396,6 +426,7 @@
         self._start_task(self._tell_status)
         self._start_task(self._propose_when_open)
         self._start_task(self.orderer.run)
+        self._start_task(self.relay_server.run)
 
     async def stop(self) -> None:
         """Send the last status to the other nodes and stop all tasks."""
@@ -405,7 +436,9 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.statuses.close()
+        self.link_monitor.close()
         await self.copy_client.close()
+        await self.relay_client.close()
 
     def _start_task(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
         task = asyncio.create_task(
@@ -519,6 +552,7 @@
             limits=self.limits.list_statements(now),
             origins=self.origins.list_statements(now),
             links=self.reachability.list_statements(now),
+            is_cut_off=self.is_cut_off(),
         )
 
 
--- /dev/null
+++ b/src/cicadahook/net/refusal_planner.py
@@ -0,0 +1,96 @@
+"""Decides how a request that no upstream may get now is refused."""
+
+import datetime
+from typing import Final
+
+from cicadahook.core import errors
+from cicadahook.core import inventory
+from cicadahook.net import active_request
+from cicadahook.net import request_drain
+
+RETRY_AFTER: Final = datetime.timedelta(milliseconds=500)
+LOAD_RETRY_AFTER: Final = datetime.timedelta(milliseconds=1200)
+
+
+class RefusalPlanner:
+    """Creates refusals with the time after which their callers may return.
+
+    A request that an upstream may have run gets no promise that it has not.
+
+    Attributes:
+        components: what requests are forwarded with.
+        drain: whether the node is stopping.
+    """
+
+    def __init__(
+        self,
+        components: active_request.ForwarderComponents,
+        drain: request_drain.RequestDrain,
+    ) -> None:
+        self.components = components
+        self.drain = drain
+
+    def draw_delay(self, delay: datetime.timedelta) -> datetime.timedelta:
+        """Return a randomised delay after which a caller may return.
+
+        Callers that return at the same time would meet the same obstacle.
+        """
+        return delay * self.components.generator.uniform(0.7, 1.3)
+
+    def plan(
+        self,
+        active: active_request.ActiveRequest,
+        code: str,
+        retry_after: datetime.timedelta,
+    ) -> errors.RefusalError:
+        """Return the refusal of a request that may get no upstream now."""
+        if active.possible_runs:
+            return active_request.create_refusal(
+                "attempts_failed", 502, outcome="unknown"
+            )
+        return active_request.create_refusal(code, 503, retry_after)
+
+    def plan_give_up(
+        self, active: active_request.ActiveRequest, reason: str
+    ) -> errors.RefusalError:
+        """Return the refusal of a request that cannot be retried."""
+        if active.possible_runs:
+            return active_request.create_refusal(reason, 502, outcome="unknown")
+        return active_request.create_refusal(reason, 503, RETRY_AFTER)
+
+    def plan_overloaded(self) -> errors.RefusalError:
+        """Return the refusal of a request that would begin too late."""
+        return active_request.create_refusal(
+            "overloaded", 503, self.draw_delay(LOAD_RETRY_AFTER)
+        )
+
+    def plan_no_copy(
+        self, active: active_request.ActiveRequest
+    ) -> errors.RefusalError:
+        """Return the refusal of a request whose copy was not loaded in time."""
+        if self.drain.plan is not None:
+            return self.plan(active, "stopping", request_drain.RETRY_AFTER)
+        return self.plan(active, "no_copy", self.draw_delay(LOAD_RETRY_AFTER))
+
+    def plan_unreachable(
+        self, active: active_request.ActiveRequest
+    ) -> errors.RefusalError:
+        """Return the refusal of a request whose upstreams no node reaches."""
+        return self.plan(active, "unreachable", self.draw_delay(RETRY_AFTER))
+
+    def plan_no_upstream(
+        self,
+        active: active_request.ActiveRequest,
+        usable: list[inventory.Instance],
+    ) -> errors.RefusalError:
+        """Return the refusal of a request without an upstream.
+
+        If all of `usable` have reached their request limits, it says when there
+        will be room.
+        """
+        limits, now = self.components.limits, self.components.clock.now()
+        if usable and not any(limits.has_room(entry, now) for entry in usable):
+            return self.plan(
+                active, "upstream_limit", limits.plan_return(usable, now)
+            )
+        return self.plan(active, "no_upstream", RETRY_AFTER)
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -6,6 +6,7 @@
 import dataclasses
 import datetime
 import errno
+import functools
 from typing import Any, Final
 
 import aiohttp
@@ -21,7 +22,8 @@
 from cicadahook.platform import headers as header_names
 from cicadahook.platform import messages
 
-CONNECT_TIMEOUT: Final = datetime.timedelta(milliseconds=1000)
+# A lost opening packet is sent again only after a second.
+CONNECT_TIMEOUT: Final = datetime.timedelta(milliseconds=500)
 # An engine answers an order at once, and a repeated order does no harm, so
 # the time limit can be short.
 ORDER_TIMEOUT: Final = datetime.timedelta(milliseconds=120)
@@ -36,6 +38,15 @@
 # Answers that state no length may have no end.
 MAX_UNSTATED_BYTES: Final = 1024 * 1024
 MAX_UNSTATED_BYTES_IN_ALL: Final = 64 * 1024 * 1024
+UNANSWERED: Final = frozenset(
+    {errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH}
+)
+RESET: Final = frozenset({errno.ECONNRESET, errno.EPIPE})
+# The connection ended before the body did.
+PAYLOAD_ERRORS: Final = (
+    aiohttp.ClientPayloadError,
+    aiohttp.ServerDisconnectedError,
+)
 EVENT_STREAM: Final = "text/event-stream"
 SKIPPED_AUTO_HEADERS: Final = (
     "User-Agent",
@@ -71,12 +82,14 @@
         response: the response from which the body is read.
         protocol: protocol of its connection.
         buffer: bytes of all plain answers that are being read.
+        watch_link: passes on what an error shows of the link.
     """
 
     head: forwarding.AnswerHead
     response: aiohttp.ClientResponse
     protocol: asyncio.Protocol | None
     buffer: "AnswerBuffer"
+    watch_link: Callable[[], contextlib.AbstractContextManager[None]]
 
     async def read(self) -> bytes:
         """Return the complete body.
@@ -89,7 +102,7 @@
         chunks: list[bytes] = []
         size = 0
         try:
-            with _translate_errors():
+            with _translate_errors(), self.watch_link():
                 async for chunk in self.response.content.iter_any():
                     chunks.append(chunk)
                     size += len(chunk)
@@ -111,7 +124,7 @@
         Raises:
             forwarding.AttemptError: the body is not complete.
         """
-        with _translate_errors():
+        with _translate_errors(), self.watch_link():
             async for chunk in self.response.content.iter_any():
                 yield chunk
         self._check_end()
@@ -228,6 +241,7 @@
                 response,
                 protocol,
                 self.buffer,
+                functools.partial(self._watch_link, attempt.instance),
             )
             is_reusable = True
         finally:
@@ -265,25 +279,22 @@
             )
             return None
 
-    async def has_ended(self, instance: inventory.Instance) -> bool:
-        """Return whether a new connection shows that an upstream has ended.
-
-        An upstream that does not answer may only be cut off.
-        """
+    async def probe(self, instance: inventory.Instance) -> forwarding.LinkEvent:
+        """Return what a new connection shows of the link to an upstream."""
         host, port = instance.address.rsplit(":", 1)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT.total_seconds()):
                 _, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            return True
         except OSError as error:
             logger.info(
                 "Probe of an upstream not answered.",
                 extra={"instance": instance.id, "error": repr(error)},
             )
-            return False
+            if isinstance(error, TimeoutError) or error.errno in UNANSWERED:
+                return forwarding.LinkEvent.SILENT
+            return forwarding.LinkEvent.REFUSED
         writer.close()
-        return False
+        return forwarding.LinkEvent.CONNECTED
 
     async def send_order(
         self, instance: inventory.Instance, order: engine_orders.Order
@@ -324,7 +335,7 @@
 
     @contextlib.contextmanager
     def _watch_link(self, instance: inventory.Instance) -> Iterator[None]:
-        """Pass on what the time until the head of an answer shows of a link."""
+        """Pass on what a part of a call shows of the link to its upstream."""
         try:
             yield
         except (aiohttp.ClientError, OSError) as error:
@@ -437,17 +448,17 @@
 
 
 def _describe_link_error(error: Exception) -> forwarding.LinkEvent | None:
-    """Return what a failed call shows of the link; None if nothing.
-
-    A connection that was open may also end because the upstream does.
-    """
-    is_unanswered = (
-        isinstance(error, OSError) and error.errno == errno.ETIMEDOUT
-    )
-    if isinstance(error, aiohttp.ConnectionTimeoutError) or is_unanswered:
+    """Return what a failed call shows of the link; None if nothing."""
+    is_unanswered = isinstance(error, OSError) and error.errno in UNANSWERED
+    if isinstance(error, aiohttp.ConnectionTimeoutError):
         return forwarding.LinkEvent.SILENT
     if isinstance(error, aiohttp.ClientConnectorError):
+        if is_unanswered:
+            return forwarding.LinkEvent.SILENT
         return forwarding.LinkEvent.REFUSED
+    is_reset = isinstance(error, OSError) and error.errno in RESET
+    if is_unanswered or is_reset or isinstance(error, PAYLOAD_ERRORS):
+        return forwarding.LinkEvent.BROKEN
     return None
 
 
--- a/src/cicadahook/programs/node.py
+++ b/src/cicadahook/programs/node.py
@@ -104,7 +104,9 @@
                 self.settings.directory_port,
             ),
             (
-                web.Server(node.create_peer_server().handle),
+                web.Server(
+                    node.create_peer_server().handle, handler_cancellation=True
+                ),
                 self.settings.peer_port,
             ),
             (web.Server(metrics.serve), METRICS_PORT),
@@ -128,7 +130,10 @@
         node.forwarder.drain.start(plan)
         node.leadership.stop_proposing()
         await self._sleep_until(plan.accepts_until)
-        while callers.active and self.clock.now() < plan.ends_at:
+        while (
+            callers.active + node.relay_server.active
+            and self.clock.now() < plan.ends_at
+        ):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         logger.info("Drained.", extra={"cut_off": callers.active})
         await node.leadership.leave()
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -95,6 +95,35 @@
   crashSuspects @17 :List(SuspectStatement);
   origins @18 :List(OriginStatement);
   links @19 :List(LinkStatement);
+  isCutOff @20 :Bool;
+}
+
+struct RelayedHeader {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct RelayedAttempt {
+  requestId @0 :Text;
+  instance @1 :Text;
+  born @2 :UInt64;
+  method @3 :Text;
+  host @4 :Text;
+  path @5 :Text;
+  headers @6 :List(RelayedHeader);
+  timeLeftMs @7 :UInt64;
+  priority @8 :UInt32;
+  lastEventId @9 :Text;
+  isGeneration @10 :Bool;
+}
+
+struct RelayedHead {
+  status @0 :UInt32;
+  headers @1 :List(RelayedHeader);
+  isEventStream @2 :Bool;
+  failure @3 :Text;
+  detail @4 :Text;
+  isRefused @5 :Bool;
 }
 
 struct CopyRequest {
