Take no upstream for crashed that another node can connect to

A link that is reset refuses connections too.

A connection that is only not answered proves nothing.

--- a/src/cicadahook/net/active_request.py
+++ b/src/cicadahook/net/active_request.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
 import dataclasses
 import datetime
@@ -25,6 +25,8 @@
 from cicadahook.core import retry_budget
 from cicadahook.core import routes
 
+ReachCheck = Callable[[inventory.Instance], Awaitable[bool]]
+
 
 class Answer(Protocol):
     """An upstream's answer whose head has been received."""
@@ -159,7 +161,11 @@
 
 @dataclasses.dataclass
 class ForwarderComponents:
-    """The components that a forwarder works with."""
+    """The components that a forwarder works with.
+
+    `is_reached_elsewhere` returns whether another node can connect to an
+    upstream.
+    """
 
     clock: clock_lib.Clock
     inventory: inventory.Inventory
@@ -173,6 +179,7 @@
     demand_tracker: model_demand.ModelDemandTracker
     limits: request_limits.RequestLimits
     reachability: reachability_lib.Reachability
+    is_reached_elsewhere: ReachCheck
 
 
 def create_refusal(
--- a/src/cicadahook/net/crash_guard.py
+++ b/src/cicadahook/net/crash_guard.py
@@ -145,13 +145,13 @@
     ) -> None:
         """Record a failure that may come from a crash of the upstream.
 
-        An upstream that cannot be reached has crashed; the requests that it cut
-        off before are then recorded. A cut connection alone does not prove a
-        crash.
+        An upstream that this node cannot reach may only be cut off from it, and
+        a cut connection alone does not prove a crash either, so it is probed.
         """
         now = self.clock.now()
         if kind is forwarding.FailureKind.UNREACHABLE:
-            self._record_crashes(self.tracker.pop_dead(instance.id, now))
+            if instance.id in self.tracker.broken_requests:
+                self._start_probe(instance)
         elif (
             kind is forwarding.FailureKind.CUT
             and active.sent_at is not None
@@ -167,12 +167,16 @@
                     active.answer_began is not None,
                 )
             )
-            tasks.share(self.probes, instance.id, lambda: self._probe(instance))
+            self._start_probe(instance)
+
+    def _start_probe(self, instance: inventory.Instance) -> None:
+        tasks.share(self.probes, instance.id, lambda: self._probe(instance))
 
     async def _probe(self, instance: inventory.Instance) -> None:
         """Find out whether an upstream that broke off a request has ended.
 
         The store would tell it seconds later, and not at all while it is away.
+        It has ended if it refuses connections of this node and of others.
         """
         if self.components.limits.find(instance) is not None:
             return
@@ -180,9 +184,10 @@
             await asyncio.sleep(PROBE_PAUSE.total_seconds())
             event = await self.components.upstreams.probe(instance)
             if event is forwarding.LinkEvent.REFUSED:
-                self._record_crashes(
-                    self.tracker.pop_dead(instance.id, self.clock.now())
-                )
+                if not await self.components.is_reached_elsewhere(instance):
+                    self._record_crashes(
+                        self.tracker.pop_dead(instance.id, self.clock.now())
+                    )
                 return
 
     def apply_inventory(self) -> None:
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -41,6 +41,7 @@
 from cicadahook.net import node_peers
 from cicadahook.net import order_sender
 from cicadahook.net import orderer
+from cicadahook.net import peer_probes
 from cicadahook.net import peer_relay
 from cicadahook.net import store_listeners
 from cicadahook.net import store_watcher
@@ -170,6 +171,7 @@
         self.relay_client = peer_relay.RelayClient(
             self.reachability, self.roster, clock
         )
+        self.probe_upstream = platform.upstreams.probe
         self.components = active_request.ForwarderComponents(
             clock,
             inventory,
@@ -194,6 +196,9 @@
             model_demand.ModelDemandTracker(),
             self.limits,
             self.reachability,
+            peer_probes.ProbeClient(
+                self.copy_client.session, self.roster, self.reachability, clock
+            ).is_reached_elsewhere,
         )
         self.origins = stream_origins.StreamOrigins(
             is_first_start=settings.is_first_start
@@ -414,6 +419,9 @@
                 node_peers.COPIES_PATH: copies.handle,
                 stream_resumption.ORIGINS_PATH: answers.handle,
                 peer_relay.RELAY_PATH: self.relay_server.handle,
+                peer_probes.PROBE_PATH: peer_probes.ProbeServer(
+                    self.components.inventory, self.probe_upstream
+                ).handle,
             }
         )
 
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -98,6 +98,15 @@
   isCutOff @20 :Bool;
 }
 
+struct ProbeRequest {
+  instance @0 :Text;
+  born @1 :UInt64;
+}
+
+struct ProbeAnswer {
+  isConnected @0 :Bool;
+}
+
 struct RelayedHeader {
   name @0 :Text;
   value @1 :Text;
--- a/tests/test_node_links.py
+++ b/tests/test_node_links.py
@@ -261,6 +261,27 @@
     assert not any(upstream.arrivals for upstream in linked_testbed.plain)
 
 
+async def test_streams_broken_off_by_a_cut_are_no_suspects_of_a_crash(
+    linked_testbed: node_testbed.NodeTestbed,
+) -> None:
+    await tell_reached(linked_testbed)
+    for engine in linked_testbed.engines:
+        engine.events, engine.event_seconds = 100, 0.02
+    calls = [
+        asyncio.create_task(call(linked_testbed, CUT_OFF, number))
+        for number in (2, 3, 6, 7)
+    ]
+    await node_testbed.wait_until(
+        lambda: sum(engine.running for engine in linked_testbed.engines) == 4
+    )
+    await cut_known(linked_testbed, CUT_OFF)
+    await asyncio.gather(*calls)
+    await asyncio.sleep(1)
+    for number in (CUT_OFF, IN_TOUCH):
+        node = get_node(linked_testbed, number)
+        assert not node.components.suspects.records
+
+
 async def test_a_node_without_links_is_left_out_of_address_answers(
     linked_testbed: node_testbed.NodeTestbed,
 ) -> None:
