Let a holder of orders without links leave its term to another node

A node that is cut off from the engines can send no order, and kept the term: loads stood still for all nodes as long as the cut lasted.

Cause: who holds the orders was decided by the store alone. A node that lacks the links to most engines for a second, while another node has them, now ends its term in the store and proposes none until the links are back. It sends nothing in a term that it has resigned from, whatever is read later; the next holder waits the handover pause as after any other holder. Passing orders on through another node was weighed and left out: an engine counts the machine that orders come from as their holder.

--- a/src/cicadahook/core/order_holder.py
+++ b/src/cicadahook/core/order_holder.py
@@ -57,6 +57,8 @@
         keys_read_at: when the keys were first read; None if not yet.
         is_term_leased: whether the present lease is that of the own term.
         newest_term: highest fence that this node knows of.
+        resigned_fence: fence of the newest own term that this process has
+            resigned from; 0 if none.
     """
 
     name: str
@@ -74,6 +76,7 @@
     keys_read_at: datetime.datetime | None = None
     is_term_leased: bool = False
     newest_term: int = 0
+    resigned_fence: int = 0
 
     @property
     def value(self) -> bytes:
@@ -112,7 +115,7 @@
         self.term = term
         self.pause_end = pause_end
         if holder is not None and holder.value == self.value:
-            if self.fence != holder.revision:
+            if holder.revision not in (self.fence, self.resigned_fence):
                 self._begin_term(
                     holder.revision, previous, known_pause_end, now
                 )
@@ -206,6 +209,28 @@
             puts=(store_api.Put(PAUSE_END_KEY, self.value),),
         )
 
+    def resign(self) -> bool:
+        """End the own term; return whether there was one.
+
+        No order is sent in it any more, whatever is read later.
+        """
+        if not self.fence:
+            return False
+        self.resigned_fence, self.fence = self.fence, 0
+        self.is_term_leased = False
+        return True
+
+    def propose_end_of_term(self) -> store_api.Write | None:
+        """Return the write that lets others follow a resigned holder."""
+        holder = self.holder
+        if holder is None or holder.value != self.value:
+            return None
+        if holder.revision != self.resigned_fence:
+            return None
+        return store_api.Write(
+            expected=((HOLDER_KEY, holder.revision),), deletes=(HOLDER_KEY,)
+        )
+
     def _begin_term(
         self,
         revision: int,
--- a/src/cicadahook/net/holder_lease.py
+++ b/src/cicadahook/net/holder_lease.py
@@ -18,6 +18,8 @@
 # A shorter lease hands over sooner; a longer one survives longer outages.
 LEASE_TTL: Final = datetime.timedelta(seconds=3)
 RENEWAL_PERIOD: Final = datetime.timedelta(milliseconds=700)
+# A handover takes longer than the pause, so a short cut is waited out.
+RESIGN_DELAY: Final = datetime.timedelta(seconds=1)
 # A leaving node is near the end of its grace period; the store answers in
 # about 4 ms.
 LEAVE_TIMEOUT: Final = datetime.timedelta(milliseconds=200)
@@ -35,6 +37,9 @@
         holder_state: decides what may be proposed and sent.
         has_active_holder: returns whether another node still sends orders by
             the grants of all others, although its holder key has expired.
+        is_cut_off: returns whether this node reaches few engines and another
+            one reaches them.
+        cut_off_since: since when; None while it is not.
         registration: the key and value that register this node.
         lease: id of the lease; 0 without one.
         is_registered: whether the registration was written with this lease.
@@ -48,8 +53,11 @@
         registration: store_api.Put,
         clock: clock_lib.Clock,
         has_active_holder: Callable[[], bool],
+        is_cut_off: Callable[[], bool],
     ) -> None:
         self.has_active_holder = has_active_holder
+        self.is_cut_off = is_cut_off
+        self.cut_off_since: datetime.datetime | None = None
         self.store = store
         self.holder_state = holder_state
         self.registration = registration
@@ -74,8 +82,30 @@
                 continue
             except errors.KeyValueUnavailableError as error:
                 logger.info("Lease not renewed.", extra={"error": str(error)})
+            await self._resign_if_cut_off()
             await asyncio.sleep(RENEWAL_PERIOD.total_seconds())
 
+    async def _resign_if_cut_off(self) -> None:
+        """Leave the term to another node if this one reaches few engines."""
+        now = self.clock.now()
+        if not self.is_cut_off():
+            self.cut_off_since = None
+        elif self.cut_off_since is None:
+            self.cut_off_since = now
+        elif now - self.cut_off_since >= RESIGN_DELAY:
+            if self.holder_state.resign():
+                logger.warning("Resigned as holder; engines are out of reach.")
+        write = self.holder_state.propose_end_of_term()
+        if write is None:
+            return
+        try:
+            await self.store.write(write)
+        except errors.KeyValueError as error:
+            logger.info(
+                "End of the own term not written; it is tried again.",
+                extra={"error": str(error)},
+            )
+
     def stop_proposing(self) -> None:
         """Propose no new term; a running one lasts until the process ends."""
         self.is_stopping = True
@@ -131,6 +161,8 @@
         write = self.holder_state.propose(self.lease, self.clock.now())
         if write is None or self.is_stopping or self.has_active_holder():
             return
+        if self.cut_off_since is not None and self.is_cut_off():
+            return
         try:
             revision = await self.store.write(write)
         except errors.KeyValueConflictError as error:
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -236,6 +236,7 @@
             ),
             clock,
             self.has_active_holder,
+            self.is_cut_off_from_engines,
         )
         self.own_keys = store_listeners.OwnKeysListener(
             self.roster, self.holder_state, clock
@@ -310,6 +311,21 @@
             self.components.inventory.instances.values(), self.clock.now()
         )
 
+    def is_cut_off_from_engines(self) -> bool:
+        """Whether this node lacks the links to most engines."""
+        configuration = self.forwarder.configuration
+        if configuration is None:
+            return False
+        services = {each.name for each in configuration.list_engine_services()}
+        return self.reachability.is_cut_off(
+            [
+                entry
+                for entry in self.components.inventory.instances.values()
+                if entry.service in services
+            ],
+            self.clock.now(),
+        )
+
     def apply_configuration(self, configuration: routes.Configuration) -> None:
         """Replace the configuration by a newer one."""
         self.forwarder.configuration = configuration
--- a/tests/test_holder_and_roster.py
+++ b/tests/test_holder_and_roster.py
@@ -176,6 +176,7 @@
         store_api.Put("k", b""),
         clock_lib.ManualClock(),
         lambda: False,
+        lambda: False,
     )
     leaving.lease = 7
     async with asyncio.timeout(1):
--- a/tests/test_holder_stateful.py
+++ b/tests/test_holder_stateful.py
@@ -5,6 +5,7 @@
 or statuses arrive late.
 """
 
+from collections.abc import Callable
 import dataclasses
 import datetime
 import itertools
@@ -136,6 +137,7 @@
                 self._observe_keys(name)
             self._propose(name, fault != "lost_answer")
             self._end_pause(name)
+            self._end_term(name)
             self._send(name)
 
     @stateful.rule(rounds=st.integers(1, 20))
@@ -188,6 +190,11 @@
                     self.nodes[other].receive_status(status, self.now)
         self.nodes[name] = self._create(name)
 
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def resign(self, name: str) -> None:
+        """Let a node that lost its links leave its term to others."""
+        self.nodes[name].holder_state.resign()
+
     @stateful.rule(is_restarted=st.booleans())
     def change_holder(self, is_restarted: bool) -> None:
         """Let the holder's lease lapse until another node becomes holder.
@@ -255,12 +262,20 @@
             self.items[put.key] = store_api.Item(
                 put.key, put.value, self.revision
             )
+        for key in write.deletes:
+            self.items.pop(key, None)
 
     def _end_pause(self, name: str) -> None:
         write = self.nodes[name].holder_state.propose_pause_end(self.now)
         if write is not None and self._is_possible(write):
             self._write(write)
 
+    def _end_term(self, name: str) -> None:
+        write = self.nodes[name].holder_state.propose_end_of_term()
+        if write is not None and self._is_possible(write):
+            self._write(write)
+            self.owner = ""
+
     def _send(self, name: str) -> None:
         node = self.nodes[name]
         if node.can_send(self.now):
@@ -291,7 +306,7 @@
     None
 ):
     simulation = HolderSimulation()
-    steps = (
+    steps: tuple[Callable[[], None], ...] = (
         lambda: simulation.change_holder(is_restarted=False),
         simulation.switch_store,
         simulation.switch_store,
--- a/tests/test_node_links.py
+++ b/tests/test_node_links.py
@@ -282,6 +282,34 @@
         assert not node.components.suspects.records
 
 
+async def test_a_holder_without_links_leaves_the_orders_to_another_node(
+    linked_testbed: node_testbed.NodeTestbed,
+) -> None:
+    holder, other = (
+        (0, 1) if node_testbed.can_order(linked_testbed.programs[0]) else (1, 0)
+    )
+    await send(linked_testbed, 1)
+    fence = get_node(linked_testbed, holder).holder_state.fence
+    await cut_known(linked_testbed, holder)
+    await node_testbed.wait_until(
+        lambda: node_testbed.can_order(linked_testbed.programs[other]), 8
+    )
+    assert not node_testbed.can_order(linked_testbed.programs[holder])
+    assert get_node(linked_testbed, other).holder_state.fence > fence
+    async with linked_testbed.call(
+        "/chat/item",
+        node=holder,
+        headers={**CHAT, "X-Model": "big/a3"},
+    ) as response:
+        assert response.status == 200
+        await response.read()
+    assert any(
+        order["holder"] == linked_testbed.programs[other].settings.name
+        for engine in linked_testbed.engines
+        for order in engine.orders
+    )
+
+
 async def test_a_node_without_links_is_left_out_of_address_answers(
     linked_testbed: node_testbed.NodeTestbed,
 ) -> None:
