--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -13,6 +13,7 @@
 
 RESET = struct.pack("ii", 1, 0)
 LIMIT_HEADER = "Server-Limit"
+BRITTLE_HEADER = "Server-Brittle"
 
 
 @dataclasses.dataclass
@@ -54,6 +55,57 @@
     restarting: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
 
 
+@dataclasses.dataclass
+class BrittleState:
+    """Room of an upstream that fails when it rejects too much.
+
+    Attributes:
+        bound: rejections in a second beyond which it crashes.
+        slots: requests that it runs at once.
+        queue: requests that wait for a slot at the most.
+        run_seconds: time that a request takes.
+        waiting: requests that wait for a slot.
+        running: requests that have one.
+        rejections: when it rejected a request, by the event loop's clock.
+    """
+
+    bound: float
+    slots: int
+    queue: int
+    run_seconds: float
+    waiting: int = 0
+    running: int = 0
+    rejections: list[float] = dataclasses.field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.free = asyncio.Semaphore(self.slots)
+
+    def is_full(self) -> bool:
+        """Whether another request would neither run nor wait."""
+        return self.waiting + self.running >= self.slots + self.queue
+
+    def reject(self, now: float) -> bool:
+        """Record a rejection; return whether it is one too many."""
+        self.rejections.append(now)
+        recent = [time for time in self.rejections if now - time < 1]
+        return len(recent) > self.bound
+
+    async def run(self) -> None:
+        """Run one request."""
+        self.waiting += 1
+        try:
+            async with self.free:
+                self.waiting -= 1
+                self.running += 1
+                try:
+                    await asyncio.sleep(self.run_seconds)
+                finally:
+                    self.running -= 1
+                    self.waiting += 1
+        finally:
+            self.waiting -= 1
+
+
 class UpstreamStandin:
     """Stand-in of an upstream that records what it receives.
 
@@ -78,6 +130,7 @@
         cuts_resumed: whether `cut_after` applies to resumed streams too.
         software: version of its software.
         crash_state: its crashes.
+        brittle: its room if it is brittle, else None.
     """
 
     cuts_resumed: bool = True
@@ -103,6 +156,7 @@
         self.limit: float | str | None = None
         self.calls: list[float] = []
         self.crash_state = CrashState()
+        self.brittle: BrittleState | None = None
 
     def describe(self) -> dict[str, Any]:
         """Return its registration in the store."""
@@ -204,9 +258,18 @@
         )
         if expected != self.id or is_missing:
             return web.Response(status=421, headers={"X-Instance-Id": self.id})
-        if self.mode == "full":
-            return web.Response(status=503, headers={"X-Not-Executed": "1"})
-        return None
+        is_full = self.mode == "full"
+        brittle = self.brittle
+        if brittle and brittle.is_full():
+            is_full = True
+            if brittle.reject(asyncio.get_running_loop().time()):
+                self.crash()
+        if not is_full:
+            return None
+        headers = {"X-Not-Executed": "1"}
+        if brittle:
+            headers[BRITTLE_HEADER] = str(brittle.bound)
+        return web.Response(status=503, headers=headers)
 
     async def _answer(
         self, request: web.BaseRequest, body: bytes
@@ -219,6 +282,9 @@
         }
         if self.limit is not None:
             headers[LIMIT_HEADER] = str(self.limit)
+        if self.brittle is not None:
+            headers[BRITTLE_HEADER] = str(self.brittle.bound)
+            await self.brittle.run()
         if self.mode == "error":
             return web.Response(status=500, body=b"broken", headers=headers)
         if self.mode == "crossed":
