Keep what waits at brittle upstreams small over all nodes

Cause: that an upstream has no room was known only after its rejection, by the node that got it, for 150 ms.

Now nodes tell each other what they run at a brittle upstream, how much was rejected and how much it takes at once, which a rejection lowers. Together they send no more than that: each node its share, and what others leave as long as nothing is rejected. It is a statement of the upstream beside its request limit: both are decoded by a registry in platform/, kept in core/upstream_statements.py and asked there by all decisions. The metric cicada_upstream_statement_changes replaces cicada_request_limit_changes.

--- a/src/cicadahook/core/balancer.py
+++ b/src/cicadahook/core/balancer.py
@@ -19,7 +19,7 @@
 from cicadahook.core import model_paces
 from cicadahook.core import prefix_cache
 from cicadahook.core import reachability as reachability_lib
-from cicadahook.core import request_limits
+from cicadahook.core import upstream_statements
 
 # Prefill rate of an engine for the reference model, as deployments state it.
 PREFILL_TOKENS_PER_MS: Final = 38.4
@@ -129,7 +129,7 @@
         peers: the newest loads of each other node, with their time.
         paces: learned relative paces of the models.
         peer_expiry: how long loads of other nodes count.
-        limits: request limits that upstreams have named.
+        statements: what upstreams say of themselves.
         reachability: which upstreams this node and others can reach.
     """
 
@@ -138,12 +138,12 @@
         zone: str,
         clock: clock_lib.Clock,
         generator: random.Random,
-        limits: request_limits.RequestLimits,
+        statements: upstream_statements.UpstreamStatements,
         reachability: reachability_lib.Reachability,
     ) -> None:
         self.zone = zone
         self.reachability = reachability
-        self.limits = limits
+        self.statements = statements
         self.clock = clock
         self.random = generator
         self.states: dict[str, InstanceState] = {}
@@ -211,7 +211,7 @@
         usable = [
             entry
             for entry in candidates
-            if entry.id not in excluded and self.limits.has_room(entry, now)
+            if entry.id not in excluded and self.statements.has_room(entry, now)
         ]
         if not usable:
             return None
@@ -236,7 +236,7 @@
         cost = self.predict_ms(entry, generation) * state.slowness
         cost += state.failure_rate * FAILURE_MS
         now = self.clock.now()
-        cost += self.limits.get_cost_ms(entry, now)
+        cost += self.statements.get_cost_ms(entry, now)
         cost += self.reachability.get_cost_ms(entry, now)
         return cost if entry.zone == self.zone else cost + ZONE_MS
 
@@ -313,7 +313,7 @@
         generation: forwarding.Generation | None,
     ) -> Placement:
         """Record that a request is sent to `entry`."""
-        self.limits.record_send(entry, self.clock.now())
+        self.statements.record_send(entry, self.clock.now())
         state = self._get(entry)
         reading = unread = 0.0
         if generation is None:
@@ -358,6 +358,11 @@
         failure: forwarding.FailureKind | None = None,
     ) -> None:
         """Record that a request has ended, and how."""
+        self.statements.record_end(
+            placement.instance,
+            self.clock.now(),
+            is_rejected=failure is forwarding.FailureKind.REJECTED,
+        )
         state = self._get(placement.instance)
         state.running -= 1
         assert state.running >= 0, f"{placement.instance.id}: ended twice"
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from cicadahook.core import balancer
+from cicadahook.core import brittle_upstreams
 from cicadahook.core import crash_suspects as crash_suspects_lib
 from cicadahook.core import grants
 from cicadahook.core import model_paces
@@ -76,6 +77,7 @@
         withdrawn: copies that it has ordered engines to drop.
         crash_suspects: what it knows of traits that may crash upstreams.
         limits: what upstreams last said of their request limits.
+        brittle: what it knows of brittle upstreams.
         origins: software versions that began streams here lately.
         links: which upstreams it can reach.
         is_cut_off: whether it lacks the links to most upstreams.
@@ -98,6 +100,7 @@
     withdrawn: tuple["WithdrawnCopy", ...] = ()
     crash_suspects: tuple[crash_suspects_lib.SuspectStatement, ...] = ()
     limits: tuple[request_limits.LimitStatement, ...] = ()
+    brittle: tuple[brittle_upstreams.BrittleStatement, ...] = ()
     origins: tuple[stream_origins.OriginStatement, ...] = ()
     links: tuple[reachability.LinkStatement, ...] = ()
     is_cut_off: bool = False
--- a/src/cicadahook/net/active_request.py
+++ b/src/cicadahook/net/active_request.py
@@ -20,10 +20,10 @@
 from cicadahook.core import inventory
 from cicadahook.core import model_demand
 from cicadahook.core import reachability as reachability_lib
-from cicadahook.core import request_limits
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import retry_budget
 from cicadahook.core import routes
+from cicadahook.core import upstream_statements
 
 ReachCheck = Callable[[inventory.Instance], Awaitable[bool]]
 
@@ -177,7 +177,7 @@
     budget_mode: retry_budget.RetryBudgetMode
     generator: random.Random
     demand_tracker: model_demand.ModelDemandTracker
-    limits: request_limits.RequestLimits
+    statements: upstream_statements.UpstreamStatements
     reachability: reachability_lib.Reachability
     is_reached_elsewhere: ReachCheck
 
--- a/src/cicadahook/net/copy_requests.py
+++ b/src/cicadahook/net/copy_requests.py
@@ -51,7 +51,7 @@
         self.roster = roster
         self.inventory = instances
         self.residency = residency
-        self.limits = orderer.inputs.limits
+        self.statements = orderer.inputs.statements
         self.clock = clock
         self.pending: dict[
             tuple[str, str, str, frozenset[str], str],
@@ -89,7 +89,7 @@
         return (
             engine is not None
             and software in ("", engine.software)
-            and self.limits.has_room(engine, self.clock.now())
+            and self.statements.has_room(engine, self.clock.now())
         )
 
     def _join_request(
@@ -173,7 +173,7 @@
             for candidate in self.inventory.list_usable(service)
             if candidate.id not in failed
             and software in ("", candidate.software)
-            and self.limits.has_room(candidate, self.clock.now())
+            and self.statements.has_room(candidate, self.clock.now())
         )
         holders = self.residency.list_holders(
             usable, key.model, key.adapter, self.clock.now()
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -222,13 +222,15 @@
         chosen: inventory.Instance | None
         if generation is None or active.service.engines is None:
             chosen = components.balancer.choose(usable, None)
+            if chosen is None:
+                chosen = await self._wait_for_room(usable, None)
         elif active.required_software is not None and not usable:
             chosen = None
         else:
             chosen = await self._select_engine(active, usable, generation)
         if chosen is None:
             raise self.refusals.plan_no_upstream(active, usable)
-        if not components.limits.has_room(chosen, self.clock.now()):
+        if not components.statements.has_room(chosen, self.clock.now()):
             raise self.refusals.plan_no_upstream(active, [chosen])
         return chosen
 
@@ -257,7 +259,7 @@
                 self._check_overload(active, chosen)
             return chosen
         if usable and not any(
-            components.limits.has_room(entry, now) for entry in usable
+            components.statements.has_room(entry, now) for entry in usable
         ):
             return None
         if ready:
@@ -276,15 +278,20 @@
     async def _wait_for_room(
         self,
         ready: list[inventory.Instance],
-        generation: forwarding.Generation,
+        generation: forwarding.Generation | None,
     ) -> inventory.Instance | None:
-        """Return an engine once its request limit has room; None if late.
+        """Return an upstream once it has room; None if late.
 
         A copy elsewhere is worth its load only if the limits are too low for
-        the demand.
+        the demand. Plain requests wait only for others to end.
         """
+        statements = self.components.statements
         end = self.clock.now() + MAX_ROOM_WAIT
-        while self.clock.now() < end:
+        while (now := self.clock.now()) < end:
+            if generation is None and not any(
+                statements.has_room_soon(entry, now) for entry in ready
+            ):
+                return None
             await asyncio.sleep(ROOM_POLL_PERIOD.total_seconds())
             chosen = self.components.balancer.choose(ready, generation)
             if chosen is not None:
@@ -382,7 +389,7 @@
             active.route.priority,
             active.last_event_id,
         )
-        if self.components.limits.find(instance) is not None:
+        if self.components.statements.find_limit(instance) is not None:
             metrics.count_limited_call("request", self.node)
         placement = self.components.balancer.start(
             instance, active.request.generation
@@ -406,7 +413,7 @@
             raise
         finally:
             self.components.balancer.end(placement, failure)
-        limit = self.components.limits.find(instance)
+        limit = self.components.statements.find_limit(instance)
         self._log(
             active,
             "answered",
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -99,13 +99,13 @@
     counter.add(1, {"role": role, "node": node})
 
 
-def count_limit_change(node: str) -> None:
-    """Count a change of an upstream's request limit that `node` has heard."""
+def count_statement_change(statement: str, node: str) -> None:
+    """Count a change of what an upstream says of itself to `node`."""
     counter = create_counter(
-        "cicada_request_limit_changes",
-        "Request limits that upstreams named, changed or stopped naming.",
+        "cicada_upstream_statement_changes",
+        "What upstreams began, changed or stopped saying of themselves.",
     )
-    counter.add(1, {"node": node})
+    counter.add(1, {"statement": statement, "node": node})
 
 
 def count_limited_call(kind: str, node: str) -> None:
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -23,13 +23,13 @@
 from cicadahook.core import node_lifecycle
 from cicadahook.core import order_holder
 from cicadahook.core import reachability as reachability_lib
-from cicadahook.core import request_limits
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import retry_budget
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import routes
 from cicadahook.core import store_api
 from cicadahook.core import stream_origins
+from cicadahook.core import upstream_statements
 from cicadahook.net import active_request
 from cicadahook.net import address_directory
 from cicadahook.net import copy_requests
@@ -61,14 +61,19 @@
     """Client of the upstreams for requests, orders and reports.
 
     Attributes:
-        limit_listener: called with each answer's upstream, the request limit
-            that it names, if any, and when the call was sent.
+        statement_listener: called with each answer's upstream, what it says
+            of itself and when the call was sent.
         link_listener: called with the upstream of each call and what the call
             shows of the link to it.
     """
 
-    limit_listener: Callable[
-        [inventory_lib.Instance, float | None, datetime.datetime], None
+    statement_listener: Callable[
+        [
+            inventory_lib.Instance,
+            upstream_statements.Statement,
+            datetime.datetime,
+        ],
+        None,
     ]
     link_listener: Callable[
         [inventory_lib.Instance, forwarding.LinkEvent], None
@@ -133,8 +138,10 @@
         )
         inventory = inventory_lib.Inventory()
         residency = residency_lib.Residency()
-        self.limits = request_limits.RequestLimits(settings.name, generator)
-        platform.upstreams.limit_listener = self.record_limit
+        self.statements = upstream_statements.UpstreamStatements(
+            settings.name, generator
+        )
+        platform.upstreams.statement_listener = self.record_statement
         self.reachability = reachability_lib.Reachability(generator)
         self.link_monitor = link_monitor.LinkMonitor(
             self.reachability,
@@ -146,13 +153,13 @@
         )
         platform.upstreams.link_listener = self.link_monitor.record
         balancer = balancer_lib.Balancer(
-            settings.zone, clock, generator, self.limits, self.reachability
+            settings.zone, clock, generator, self.statements, self.reachability
         )
         self.orderer = orderer.Orderer(
             order_sender.OrderSender(
                 self.holder_state,
                 order_sender.PacedEngineApi(
-                    platform.upstreams, self.limits, clock, settings.name
+                    platform.upstreams, self.statements, clock, settings.name
                 ),
                 clock,
                 self.is_granted,
@@ -162,7 +169,7 @@
                 lambda: self.forwarder.configuration,
                 self.get_demand,
                 balancer.list_used_copies,
-                self.limits,
+                self.statements,
             ),
             clock,
             settings.load_window,
@@ -194,7 +201,7 @@
             ),
             generator,
             model_demand.ModelDemandTracker(),
-            self.limits,
+            self.statements,
             self.reachability,
             peer_probes.ProbeClient(
                 self.copy_client.session, self.roster, self.reachability, clock
@@ -340,32 +347,31 @@
         for entry in known.values():
             self.components.residency.record_registration(entry)
         self.components.balancer.drop_unlisted(known)
-        self.limits.update_registered(known)
+        self.statements.update_registered(known)
         self.reachability.update_registered(known)
         self.forwarder.crash_guard.apply_inventory()
 
-    def record_limit(
+    def record_statement(
         self,
         instance: inventory_lib.Instance,
-        rate: float | None,
+        statement: upstream_statements.Statement,
         sent: datetime.datetime,
     ) -> None:
-        """Record what an answer says of its upstream's request limit."""
-        known = self.limits.find(instance)
-        before = known.rate if known else None
-        now = self.clock.now()
-        if not self.limits.record_answer(instance, rate, now, sent):
-            return
-        metrics.count_limit_change(self.settings.name)
-        logger.info(
-            "Upstream changed its request limit.",
-            extra={
-                "instance": instance.id,
-                "service": instance.service,
-                "per_second": rate,
-                "before": before,
-            },
+        """Record what an answer says of its upstream."""
+        changed = self.statements.record_answer(
+            instance, statement, self.clock.now(), sent
         )
+        for field in sorted(changed):
+            metrics.count_statement_change(field, self.settings.name)
+            logger.info(
+                "Upstream changed what it says of itself.",
+                extra={
+                    "instance": instance.id,
+                    "service": instance.service,
+                    "statement": field,
+                    "value": getattr(statement, field),
+                },
+            )
 
     def receive_status(self, status: roster_lib.NodeStatus) -> None:
         """Apply a status received from another node."""
@@ -376,7 +382,12 @@
                     status.node.name, status.grant, self.holder_state.fence
                 )
             self.withdraw(status.withdrawn)
-            self.limits.merge(status.node.name, status.limits, self.clock.now())
+            self.statements.limits.merge(
+                status.node.name, status.limits, self.clock.now()
+            )
+            self.statements.brittle.merge(
+                status.node.name, status.brittle, self.clock.now()
+            )
             if status.has_left or not status.is_ready:
                 self.reachability.forget_peer(status.node.name)
             if status.is_brief:
@@ -490,7 +501,7 @@
                 and self.components.inventory.revision > 0,
             )
             self.forwarder.node_count = self.roster.count_nodes(now)
-            self.limits.replace_nodes(self.roster.list_names(now))
+            self.statements.replace_nodes(self.roster.list_names(now))
             self.reachability.replace_nodes(self.roster.list_names(now))
             self.reachability.peer_expiry = max(
                 reachability_lib.PEER_EXPIRY, self.roster.get_silence_limit()
@@ -573,7 +584,8 @@
             crash_suspects=self.components.suspects.list_statements(
                 self.components.generator
             ),
-            limits=self.limits.list_statements(now),
+            limits=self.statements.limits.list_statements(now),
+            brittle=self.statements.brittle.list_statements(now),
             origins=self.origins.list_statements(now),
             links=self.reachability.list_statements(now),
             is_cut_off=self.is_cut_off(),
--- a/src/cicadahook/net/order_sender.py
+++ b/src/cicadahook/net/order_sender.py
@@ -15,8 +15,8 @@
 from cicadahook.core import engine_orders
 from cicadahook.core import inventory
 from cicadahook.core import order_holder
-from cicadahook.core import request_limits
 from cicadahook.core import routes
+from cicadahook.core import upstream_statements
 from cicadahook.net import logs
 from cicadahook.net import metrics
 
@@ -49,7 +49,7 @@
 
     Attributes:
         client: interface to the engines.
-        limits: request limits that engines have named.
+        statements: what engines say of themselves.
         clock: source of the current time.
         node: name of the node, for metrics.
     """
@@ -57,12 +57,12 @@
     def __init__(
         self,
         client: EngineApi,
-        limits: request_limits.RequestLimits,
+        statements: upstream_statements.UpstreamStatements,
         clock: clock_lib.Clock,
         node: str,
     ) -> None:
         self.client = client
-        self.limits = limits
+        self.statements = statements
         self.clock = clock
         self.node = node
 
@@ -84,9 +84,9 @@
 
     def _acquire(self, instance: inventory.Instance, kind: str) -> bool:
         """Return whether a call may be sent to an engine; count it if so."""
-        if self.limits.find(instance) is None:
+        if self.statements.find_limit(instance) is None:
             return True
-        if not self.limits.acquire_order(instance, self.clock.now()):
+        if not self.statements.acquire_order(instance, self.clock.now()):
             return False
         metrics.count_limited_call(kind, self.node)
         return True
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -16,10 +16,10 @@
 from cicadahook.core import engine_orders
 from cicadahook.core import inventory
 from cicadahook.core import load_planning
-from cicadahook.core import request_limits
 from cicadahook.core import residency
 from cicadahook.core import roster
 from cicadahook.core import routes
+from cicadahook.core import upstream_statements
 from cicadahook.net import logs
 from cicadahook.net import order_sender
 from cicadahook.net import tasks
@@ -55,14 +55,14 @@
             requests of all nodes for each model keep busy.
         get_copies_in_use: returns the (model, adapter) pairs of the requests
             that run on an engine.
-        limits: request limits that engines have named.
+        statements: what engines say of themselves.
     """
 
     registry: inventory.Inventory
     get_configuration: Callable[[], routes.Configuration | None]
     get_demand: Callable[[str], dict[str, float]]
     get_copies_in_use: Callable[[str], set[tuple[str, str]]]
-    limits: request_limits.RequestLimits
+    statements: upstream_statements.UpstreamStatements
 
 
 class Orderer:
@@ -176,7 +176,8 @@
         return [engine for engine in known if engine is not None]
 
     def _is_limited(self, engine: order_sender.Engine) -> bool:
-        return self.inputs.limits.find(engine.ledger.instance) is not None
+        instance = engine.ledger.instance
+        return self.inputs.statements.asks_for_less(instance, self.clock.now())
 
     def _list_assignable(self, service: str) -> list[order_sender.Engine]:
         """Return the engines on which models are placed and counted.
@@ -184,10 +185,9 @@
         Engines that name a request limit are left out, unless all do.
         """
         engines = self._list_engines(service)
-        unlimited = [
+        return [
             engine for engine in engines if not self._is_limited(engine)
-        ]
-        return unlimited or engines
+        ] or engines
 
     def _list_holders(
         self, service: str, model: str
@@ -209,7 +209,7 @@
         return unlimited or [
             engine
             for engine in holders
-            if self.inputs.limits.has_room(engine.ledger.instance, now)
+            if self.inputs.statements.has_room(engine.ledger.instance, now)
         ]
 
     async def _load(
--- a/src/cicadahook/net/peer_relay.py
+++ b/src/cicadahook/net/peer_relay.py
@@ -399,7 +399,7 @@
         upstreams: client of the upstreams.
         inventory: the registered upstreams.
         reachability: which upstreams this node reaches.
-        limits: request limits that upstreams have named.
+        statements: what upstreams say of themselves.
         drain: whether this node is stopping.
         clock: the time.
         node: name of this node, for metrics.
@@ -418,7 +418,7 @@
         self.upstreams = upstreams
         self.inventory = components.inventory
         self.reachability = components.reachability
-        self.limits = components.limits
+        self.statements = components.statements
         self.clock = components.clock
         self.drain = drain
         self.node = node
@@ -477,8 +477,10 @@
         try:
             attempt = self._accept(data, stall)
             request_id = attempt.request.id
-            self.limits.record_send(attempt.instance, self.clock.now())
-            async with self.upstreams.send(attempt) as answer:
+            async with (
+                self._count(attempt),
+                self.upstreams.send(attempt) as answer,
+            ):
                 # A plain answer is read first: it may turn out to be broken.
                 body = b""
                 if not answer.head.is_event_stream:
@@ -504,6 +506,21 @@
             extra={"request_id": request_id, "outcome": outcome},
         )
 
+    @contextlib.asynccontextmanager
+    async def _count(self, attempt: forwarding.Attempt) -> AsyncIterator[None]:
+        """Count an attempt among those that this node sends."""
+        instance, is_rejected = attempt.instance, False
+        self.statements.record_send(instance, self.clock.now())
+        try:
+            yield
+        except forwarding.AttemptError as error:
+            is_rejected = error.kind is forwarding.FailureKind.REJECTED
+            raise
+        finally:
+            self.statements.record_end(
+                instance, self.clock.now(), is_rejected=is_rejected
+            )
+
     def _accept(
         self, data: bytes, stall: datetime.timedelta
     ) -> forwarding.Attempt:
@@ -533,7 +550,7 @@
             raise forwarding.AttemptError(
                 forwarding.FailureKind.UNREACHABLE, "link is cut"
             )
-        if not self.limits.has_room(instance, now):
+        if not self.statements.has_room(instance, now):
             raise RelayRefusedError("no room")
         generation = (
             forwarding.Generation("") if message.is_generation else None
--- a/src/cicadahook/net/refusal_planner.py
+++ b/src/cicadahook/net/refusal_planner.py
@@ -88,9 +88,18 @@
         If all of `usable` have reached their request limits, it says when there
         will be room.
         """
-        limits, now = self.components.limits, self.components.clock.now()
-        if usable and not any(limits.has_room(entry, now) for entry in usable):
+        statements = self.components.statements
+        now = self.components.clock.now()
+        if usable and not any(
+            statements.has_room(entry, now) for entry in usable
+        ):
+            if any(statements.has_room_soon(entry, now) for entry in usable):
+                return self.plan(
+                    active, "upstream_full", self.draw_delay(RETRY_AFTER)
+                )
             return self.plan(
-                active, "upstream_limit", limits.plan_return(usable, now)
+                active,
+                "upstream_limit",
+                statements.limits.plan_return(usable, now),
             )
         return self.plan(active, "no_upstream", RETRY_AFTER)
--- a/src/cicadahook/platform/headers.py
+++ b/src/cicadahook/platform/headers.py
@@ -1,13 +1,14 @@
 """Header names of the platform, and translation of request headers."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 import datetime
 import math
-from typing import Final
+from typing import Any, Final
 
 import multidict
 
 from cicadahook.core import forwarding
+from cicadahook.core import upstream_statements
 
 REQUEST_ID: Final = "X-Request-Id"
 DEADLINE: Final = "X-Deadline-Ms"
@@ -25,9 +26,16 @@
 # Requests a second that an upstream takes from all nodes, as long as its
 # answers say so.
 REQUEST_LIMIT: Final = "Server-Limit"
+# Rejections a second beyond which an upstream fails, as long as its answers say
+# so.
+REJECTION_BOUND: Final = "Server-Brittle"
 
 LOWEST_PRIORITY: Final = 9
 
+Decoder = Callable[[str], Any]
+# Header and decoder of each field of a statement.
+STATEMENT_DECODERS: Final[dict[str, tuple[str, Decoder]]] = {}
+
 # Hop-by-hop headers apply to one connection only, so they are not forwarded.
 HOP_BY_HOP_HEADERS: Final = frozenset(
     {
@@ -148,20 +156,56 @@
         raise ValueError(f"{DEADLINE}: {value}") from error
 
 
-def decode_request_limit(
-    headers: Mapping[str, str],
-) -> float | None:
-    """Return the requests a second that an upstream takes; None if not named.
+def decode_statement(
+    headers: Mapping[str, str], *, is_complete: bool
+) -> upstream_statements.Statement:
+    """Return what an answer says of its upstream.
+
+    Args:
+        headers: headers of the answer.
+        is_complete: whether what is not stated has ended.
+    """
+    values: dict[str, Any] = {}
+    unreadable = set()
+    for field, (name, decode) in STATEMENT_DECODERS.items():
+        value = headers.get(name)
+        if value is None:
+            continue
+        try:
+            values[field] = decode(value)
+        except ValueError:
+            unreadable.add(field)
+    return upstream_statements.Statement(
+        **values, is_complete=is_complete, unreadable=frozenset(unreadable)
+    )
+
+
+def register_statement(field: str, header: str) -> Callable[[Decoder], Decoder]:
+    """Return a decorator that registers the decoder of a statement.
+
+    Args:
+        field: field of `upstream_statements.Statement`.
+        header: name of the header that states it.
+    """
+
+    def register(decode: Decoder) -> Decoder:
+        STATEMENT_DECODERS[field] = (header, decode)
+        return decode
+
+    return register
+
+
+@register_statement("request_limit", REQUEST_LIMIT)
+@register_statement("rejection_bound", REJECTION_BOUND)
+def decode_rate(value: str) -> float:
+    """Return a number a second.
 
     Raises:
         ValueError: the value is no number from 0 up.
     """
-    value = headers.get(REQUEST_LIMIT)
-    if value is None:
-        return None
     rate = float(value)
     if not 0 <= rate < math.inf:
-        raise ValueError(f"{REQUEST_LIMIT}: {value}")
+        raise ValueError(value)
     return rate
 
 
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -17,6 +17,7 @@
 from cicadahook.core import engine_orders
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
+from cicadahook.core import upstream_statements
 from cicadahook.net import logs
 from cicadahook.net import sockets
 from cicadahook.platform import headers as header_names
@@ -55,8 +56,8 @@
     "Content-Type",
 )
 
-LimitListener = Callable[
-    [inventory.Instance, float | None, datetime.datetime], None
+StatementListener = Callable[
+    [inventory.Instance, upstream_statements.Statement, datetime.datetime], None
 ]
 
 LinkListener = Callable[[inventory.Instance, forwarding.LinkEvent], None]
@@ -184,8 +185,8 @@
         request_session: connections for callers' requests.
         order_session: connections for orders and reports.
         buffer: bytes of all plain answers that are being read.
-        limit_listener: called with each answer's upstream, the request limit
-            that it names, if any, and when the call was sent.
+        statement_listener: called with each answer's upstream, what it says
+            of itself and when the call was sent.
         link_listener: called with the upstream of each call and what the call
             shows of the link to it.
     """
@@ -193,7 +194,9 @@
     def __init__(self, clock: clock_lib.Clock) -> None:
         self.clock = clock
         self.link_listener: LinkListener = lambda instance, event: None
-        self.limit_listener: LimitListener = lambda instance, rate, sent: None
+        self.statement_listener: StatementListener = (
+            lambda instance, statement, sent: None
+        )
         self.buffer = AnswerBuffer()
         self.request_session = _create_session(resets=False)
         # Some GET requests may not be repeated, so aiohttp must not resend
@@ -234,7 +237,7 @@
             )
         is_reusable = False
         try:
-            self._record_limit(attempt.instance, response, sent, request.id)
+            self._record_statement(attempt.instance, response, sent, request.id)
             protocol = getattr(response, "protocol", None)
             yield UpstreamAnswer(
                 _decode_head(response, request.id),
@@ -262,7 +265,7 @@
                     timeout=_create_timeout(REPORT_TIMEOUT),
                 )
             async with response:
-                self._record_limit(instance, response, sent)
+                self._record_statement(instance, response, sent)
                 if response.status != 200:
                     return None
                 return _decode_report(await response.json())
@@ -323,7 +326,7 @@
                     timeout=_create_timeout(ORDER_TIMEOUT),
                 )
             async with response:
-                self._record_limit(instance, response, sent)
+                self._record_statement(instance, response, sent)
                 await response.read()
                 return ORDER_RESULTS_BY_STATUS.get(
                     response.status, engine_orders.OrderResult.UNKNOWN
@@ -345,33 +348,36 @@
             raise
         self.link_listener(instance, forwarding.LinkEvent.HEARD)
 
-    def _record_limit(
+    def _record_statement(
         self,
         instance: inventory.Instance,
         response: aiohttp.ClientResponse,
         sent: datetime.datetime,
         request_id: str = "",
     ) -> None:
-        """Pass on what an answer says of its upstream's request limit.
+        """Pass on what an answer says of its upstream.
 
-        That a limit is not named counts only in signed answers to the request
-        sent: refusals and late answers may lack it, and a 421 may come from
-        another upstream at this address.
+        What it does not state has ended only if it is a signed answer to the
+        request sent: refusals and late answers may lack it, and a 421 may come
+        from another upstream at this address.
         """
         if response.status == 421:
             return
-        try:
-            rate = header_names.decode_request_limit(response.headers)
-        except ValueError as error:
-            logger.warning(
-                "Request limit of an upstream ignored; it is not a number.",
-                extra={"instance": instance.id, "error": str(error)},
-            )
-            return
         is_signed = header_names.SIGNATURE in response.headers
         answered_id = response.headers.get(header_names.REQUEST_ID)
-        if rate is not None or (is_signed and answered_id == request_id):
-            self.limit_listener(instance, rate, sent)
+        statement = header_names.decode_statement(
+            response.headers,
+            is_complete=is_signed and answered_id == request_id,
+        )
+        if statement.unreadable:
+            logger.warning(
+                "Statements of an upstream ignored; they cannot be read.",
+                extra={
+                    "instance": instance.id,
+                    "statements": sorted(statement.unreadable),
+                },
+            )
+        self.statement_listener(instance, statement, sent)
 
 
 def _create_session(*, resets: bool) -> aiohttp.ClientSession:
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -44,6 +44,16 @@
   sent @4 :UInt64;
 }
 
+struct BrittleStatement {
+  instance @0 :Text;
+  born @1 :UInt64;
+  bound @2 :Float64;
+  ageMs @3 :UInt64;
+  running @4 :UInt32;
+  rejected @5 :UInt32;
+  capacity @6 :Float64;
+}
+
 struct SuspectStatement {
   trait @0 :Text;
   deaths @1 :List(Text);
@@ -96,6 +106,7 @@
   origins @18 :List(OriginStatement);
   links @19 :List(LinkStatement);
   isCutOff @20 :Bool;
+  brittle @21 :List(BrittleStatement);
 }
 
 struct ProbeRequest {
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -18,11 +18,11 @@
 from cicadahook.core import model_paces
 from cicadahook.core import prefix_cache
 from cicadahook.core import reachability
-from cicadahook.core import request_limits
 from cicadahook.core import residency
 from cicadahook.core import retry_budget
 from cicadahook.core import roster
 from cicadahook.core import routes
+from cicadahook.core import upstream_statements
 
 SECOND = datetime.timedelta(seconds=1)
 MS = datetime.timedelta(milliseconds=1)
@@ -214,7 +214,7 @@
         "z",
         clock,
         random.Random(1),
-        request_limits.RequestLimits("n1", random.Random(1)),
+        upstream_statements.UpstreamStatements("n1", random.Random(1)),
         reachability.Reachability(random.Random(1)),
     )
 
--- a/tests/test_node_limits.py
+++ b/tests/test_node_limits.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cicadahook.core import inventory
+from cicadahook.core import upstream_statements
 from cicadahook.net import node as node_lib
 from cicadahook.programs import node as node_program
 import node_testbed
@@ -91,7 +92,7 @@
     node: node_lib.Node, upstream: node_upstreams.UpstreamStandin
 ) -> float | None:
     """Return the limit of an upstream that a node knows, if any."""
-    limit = node.limits.find(find_instance(node, upstream))
+    limit = node.statements.limits.find(find_instance(node, upstream))
     return limit.rate if limit else None
 
 
@@ -112,7 +113,11 @@
     for number in range(2):
         node = get_node(testbed, number)
         instance = find_instance(node, upstream)
-        node.record_limit(instance, rate, node.clock.now())
+        node.record_statement(
+            instance,
+            upstream_statements.Statement(request_limit=rate),
+            node.clock.now(),
+        )
 
 
 async def test_a_limit_and_its_end_reach_nodes_that_got_no_answer(
@@ -252,4 +257,4 @@
         upstream.limit = value
     answers = await send(testbed, 0.5, 20)
     assert all(status == 200 for status, _ in answers)
-    assert not get_node(testbed, 0).limits.limits
+    assert not get_node(testbed, 0).statements.limits.limits
--- a/tests/test_orderer.py
+++ b/tests/test_orderer.py
@@ -18,10 +18,10 @@
 from cicadahook.core import engine_orders
 from cicadahook.core import inventory
 from cicadahook.core import order_holder
-from cicadahook.core import request_limits
 from cicadahook.core import residency
 from cicadahook.core import routes
 from cicadahook.core import store_api
+from cicadahook.core import upstream_statements
 from cicadahook.net import clock as clock_lib
 from cicadahook.net import order_sender
 from cicadahook.net import orderer as orderer_lib
@@ -237,8 +237,8 @@
 ) -> AsyncIterator[orderer_lib.Orderer]:
     """Run an orderer on a node that is the holder all the time."""
     clock = clock_lib.BootClock()
-    limits = request_limits.RequestLimits("n1", random.Random(1))
-    limits.update_registered(network.registry.instances)
+    statements = upstream_statements.UpstreamStatements("n1", random.Random(1))
+    statements.update_registered(network.registry.instances)
     holder_state = order_holder.HolderStateMachine(
         "n1", "1", MS, datetime.timedelta(minutes=10)
     )
@@ -254,7 +254,7 @@
     orderer = orderer_lib.Orderer(
         order_sender.OrderSender(
             holder_state,
-            order_sender.PacedEngineApi(network, limits, clock, "n1"),
+            order_sender.PacedEngineApi(network, statements, clock, "n1"),
             clock,
             lambda: False,
         ),
@@ -263,7 +263,7 @@
             lambda: CONFIGURATION,
             lambda service: {name: 0.3 for name in SIZES},
             lambda instance: set(),
-            limits,
+            statements,
         ),
         clock,
         datetime.timedelta(seconds=5),
@@ -336,7 +336,9 @@
         assert held is not None
         limited = network.engines[held.instance]
         now = orderer.clock.now()
-        orderer.inputs.limits.record_answer(limited.entry, 0.5, now, now)
+        orderer.inputs.statements.limits.record_answer(
+            limited.entry, 0.5, now, now
+        )
         # A load that began before may still end.
         await asyncio.sleep(0.2)
         sequence = limited.sequence
@@ -354,7 +356,7 @@
     engine = network.engines["e0"]
     async with run_orderer(network) as orderer:
         assert await orderer.ensure("s", residency.CopyKey("", "a"))
-        limits = orderer.inputs.limits
+        limits = orderer.inputs.statements.limits
         now = orderer.clock.now()
         limits.record_answer(engine.entry, 100.0, now, now)
         async with asyncio.timeout(2):
--- /dev/null
+++ b/tests/test_upstream_statements.py
@@ -0,0 +1,150 @@
+"""Tests of what upstreams say of themselves, and what follows from it."""
+
+import datetime
+import math
+import random
+
+import multidict
+import pytest
+
+from cicadahook.core import brittle_upstreams
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import inventory
+from cicadahook.core import upstream_statements
+from cicadahook.platform import headers as header_names
+
+SECOND = datetime.timedelta(seconds=1)
+SLOTS = 8
+UPSTREAM = inventory.Instance("a", "s", "a:1", "z", SLOTS, born=1)
+BRITTLE = upstream_statements.Statement(rejection_bound=8.0, is_complete=True)
+NOTHING = upstream_statements.Statement(is_complete=True)
+
+
+@pytest.fixture(name="known")
+def create_statements() -> upstream_statements.UpstreamStatements:
+    """Return the statements of one of two nodes before any answer."""
+    known = upstream_statements.UpstreamStatements("n1", random.Random(1))
+    known.update_registered({"a": UPSTREAM})
+    known.replace_nodes(["n2"])
+    return known
+
+
+def count_room(
+    known: upstream_statements.UpstreamStatements, now: datetime.datetime
+) -> int:
+    """Send as many requests as there is room for; return their number."""
+    count = 0
+    while count < 100 and known.has_room(UPSTREAM, now):
+        known.record_send(UPSTREAM, now)
+        count += 1
+    return count
+
+
+def tell(
+    known: upstream_statements.UpstreamStatements,
+    now: datetime.datetime,
+    running: int,
+    rejected: int = 0,
+    capacity: float = SLOTS,
+) -> None:
+    """Let the other node tell of the upstream."""
+    statement = brittle_upstreams.BrittleStatement(
+        "a", 1, 8.0, 0, running, rejected, capacity
+    )
+    known.brittle.merge("n2", [statement], now)
+
+
+def test_an_upstream_that_says_nothing_has_room(
+    known: upstream_statements.UpstreamStatements, clock: clock_lib.ManualClock
+) -> None:
+    assert not known.record_answer(UPSTREAM, NOTHING, clock.now(), clock.now())
+    assert count_room(known, clock.now()) == 100
+
+
+def test_a_brittle_upstream_gets_no_more_than_it_runs_at_once(
+    known: upstream_statements.UpstreamStatements, clock: clock_lib.ManualClock
+) -> None:
+    known.record_answer(UPSTREAM, BRITTLE, clock.now(), clock.now())
+    tell(known, clock.now(), running=3)
+    assert count_room(known, clock.now()) == SLOTS - 3
+    known.record_end(UPSTREAM, clock.now(), is_rejected=False)
+    assert count_room(known, clock.now()) == 1
+
+
+def test_after_a_rejection_each_node_keeps_to_its_share(
+    known: upstream_statements.UpstreamStatements, clock: clock_lib.ManualClock
+) -> None:
+    known.record_answer(UPSTREAM, BRITTLE, clock.now(), clock.now())
+    tell(known, clock.now(), running=0, rejected=1)
+    assert count_room(known, clock.now()) == SLOTS / 2
+
+
+def test_rejections_of_all_nodes_together_stop_requests(
+    known: upstream_statements.UpstreamStatements, clock: clock_lib.ManualClock
+) -> None:
+    known.record_answer(UPSTREAM, BRITTLE, clock.now(), clock.now())
+    known.record_send(UPSTREAM, clock.now())
+    known.record_end(UPSTREAM, clock.now(), is_rejected=True)
+    assert known.has_room(UPSTREAM, clock.now())
+    tell(known, clock.now(), running=0, rejected=1)
+    assert not known.has_room(UPSTREAM, clock.now())
+    clock.advance(brittle_upstreams.REJECTION_WINDOW + SECOND)
+    assert known.has_room(UPSTREAM, clock.now())
+
+
+def test_what_an_upstream_takes_is_learned_and_shared(
+    known: upstream_statements.UpstreamStatements, clock: clock_lib.ManualClock
+) -> None:
+    known.record_answer(UPSTREAM, BRITTLE, clock.now(), clock.now())
+    tell(known, clock.now(), running=0, capacity=4.0)
+    assert count_room(known, clock.now()) == 4
+    (told,) = known.brittle.list_statements(clock.now())
+    assert (told.running, told.capacity) == (4, 4.0)
+    clock.advance(2 * brittle_upstreams.RAISE_PERIOD)
+    assert count_room(known, clock.now()) == 2
+
+
+def test_brittleness_ends_with_a_newer_answer_and_with_the_incarnation(
+    known: upstream_statements.UpstreamStatements, clock: clock_lib.ManualClock
+) -> None:
+    asked = clock.now()
+    clock.advance(SECOND)
+    known.record_answer(UPSTREAM, BRITTLE, clock.now(), clock.now())
+    known.record_answer(UPSTREAM, NOTHING, clock.now(), asked)
+    assert known.brittle.find(UPSTREAM) is not None
+    known.record_answer(UPSTREAM, NOTHING, clock.now(), clock.now())
+    assert known.brittle.find(UPSTREAM) is None
+    known.record_answer(UPSTREAM, BRITTLE, clock.now(), clock.now())
+    again = inventory.Instance("a", "s", "a:1", "z", SLOTS, born=2)
+    known.update_registered({"a": again})
+    assert known.brittle.find(again) is None
+
+
+@pytest.mark.parametrize("number", [math.nan, math.inf, -math.inf])
+def test_absurd_numbers_of_other_nodes_change_nothing(
+    known: upstream_statements.UpstreamStatements,
+    clock: clock_lib.ManualClock,
+    number: float,
+) -> None:
+    known.record_answer(UPSTREAM, BRITTLE, clock.now(), clock.now())
+    for bound, capacity in ((number, 1.0), (1.0, number)):
+        known.brittle.merge(
+            "n2",
+            [
+                brittle_upstreams.BrittleStatement(
+                    "a", 1, bound, 0, 0, 0, capacity
+                )
+            ],
+            clock.now(),
+        )
+    assert count_room(known, clock.now()) == SLOTS
+
+
+@pytest.mark.parametrize("value", ["", "many", "nan", "-1", "1e999", "1, 2"])
+@pytest.mark.parametrize("name", ["Server-Limit", "Server-Brittle"])
+def test_an_unreadable_number_says_nothing(name: str, value: str) -> None:
+    statement = header_names.decode_statement(
+        multidict.CIMultiDict({name: value}), is_complete=True
+    )
+    (field,) = statement.unreadable
+    assert not statement.says(field)
