Let the soak of nodes cut nodes off and make upstreams brittle

Each node has links of its own to the upstreams. A fault cuts those of one node (hanging, reset, or refusing new connections only), and after 3 s checks that the node serves if another one is calm; another fault lets a plain upstream fall over when it rejects too much.

--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -17,6 +17,7 @@
 
 import node_links
 import node_process
+import node_upstreams
 from soak import node_checker
 from soak import node_system
 
@@ -43,6 +44,13 @@
 FATAL_PART_SECONDS: Final = (6.0, 10.0)
 FATAL_REQUESTS_PER_SECOND: Final = 4.0
 FATAL_CALL_SECONDS: Final = 3.0
+CUT_SHARES: Final = (0.5, 1.0, 1.0)
+CONTACT_SECONDS: Final = 3.0
+BRITTLE_SECONDS: Final = (4.0, 8.0)
+BRITTLE_BOUNDS: Final = (4.0, 8.0)
+BRITTLE_SLOTS: Final = 4
+BRITTLE_QUEUE: Final = 2
+BRITTLE_RUN_SECONDS: Final = 0.08
 STORE_FAULTS: Final = ("is_down", "is_silent", "loses_answers")
 
 FaultFunction = Callable[
@@ -163,6 +171,14 @@
         yield self.system.upstreams.get(name)
         self.busy_targets.discard(name)
 
+    def has_calm_helper(self) -> bool:
+        """Whether no upstream and not all nodes had a fault lately."""
+        nodes = {node.name for node in self.system.nodes}
+        disturbed = self.busy_targets | self.checker.list_disturbed(
+            CONTACT_SECONDS
+        )
+        return disturbed <= nodes and disturbed != nodes
+
     async def restart(self, node: node_process.NodeProcess) -> None:
         """Stop a node as planned and start it again."""
         await self.system.stop(node)
@@ -457,6 +473,53 @@
             upstream.link.mode = node_links.LinkMode.WELL
 
 
+@register
+async def cut_off_node(injector: FaultInjector, rng: random.Random) -> None:
+    """Cut the links of a node to all or most upstreams, and restore them."""
+    async with injector.reserve_node(rng, "cut_off_node") as node:
+        if node is None:
+            return
+        kind = rng.choice(list(node_links.Cut))
+        share = rng.choice(CUT_SHARES)
+        links = [
+            upstream.link
+            for upstream in injector.system.upstreams.values()
+            if rng.random() < share
+        ]
+        injector.log(f"{node.name} {kind} {len(links)}")
+        with injector.record_disturbance("cut", node.name):
+            for link in links:
+                link.cut(node.name, kind)
+            await asyncio.sleep(CONTACT_SECONDS)
+            if injector.has_calm_helper():
+                injector.checker.results.counts["checked_cuts"] += 1
+                await injector.system.check_cut_off(injector.session, node)
+            await sleep_fault_duration(rng)
+            for link in links:
+                await link.restore(node.name)
+
+
+@register
+async def make_brittle(injector: FaultInjector, rng: random.Random) -> None:
+    """Let a plain upstream have little room and fail when it rejects much."""
+    async with injector.reserve_upstream(rng, "make_brittle") as upstream:
+        if upstream is None or upstream.service != "plain":
+            return
+        falls = len(upstream.crash_state.times)
+        upstream.brittle = node_upstreams.BrittleState(
+            rng.choice(BRITTLE_BOUNDS),
+            BRITTLE_SLOTS,
+            BRITTLE_QUEUE,
+            BRITTLE_RUN_SECONDS,
+        )
+        await asyncio.sleep(rng.uniform(*BRITTLE_SECONDS))
+        injector.checker.check_falls(
+            upstream.name, len(upstream.crash_state.times) - falls
+        )
+        upstream.brittle = None
+        await asyncio.sleep(upstream.crash_state.restart_seconds)
+
+
 @register
 async def harm_store(injector: FaultInjector, rng: random.Random) -> None:
     """Let the store be down, be silent, or lose the answers of writes."""
