--- a/src/cicadahook/platform/headers.py
+++ b/src/cicadahook/platform/headers.py
@@ -30,6 +30,9 @@
 # so.
 REJECTION_BOUND: Final = "Server-Brittle"
 
+# How long an upstream that rejects a request wants no other, in seconds.
+RETRY_AFTER: Final = "Retry-After"
+
 LOWEST_PRIORITY: Final = 9
 
 Decoder = Callable[[str], Any]
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -267,6 +267,16 @@
             async with response:
                 self._record_statement(instance, response, sent)
                 if response.status != 200:
+                    logger.info(
+                        "Engine report refused.",
+                        extra={
+                            "instance": instance.id,
+                            "status": response.status,
+                            "retry_after": response.headers.get(
+                                header_names.RETRY_AFTER
+                            ),
+                        },
+                    )
                     return None
                 return _decode_report(await response.json())
         except (
@@ -425,7 +435,9 @@
         )
     if header_names.NOT_EXECUTED in response_headers:
         raise forwarding.AttemptError(
-            forwarding.FailureKind.REJECTED, f"status {response.status}"
+            forwarding.FailureKind.REJECTED,
+            f"status {response.status}, Retry-After"
+            f" {response_headers.get(header_names.RETRY_AFTER)}",
         )
     is_success = 200 <= response.status < 300
     if is_success and (
