--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -14,6 +14,7 @@
 RESET = struct.pack("ii", 1, 0)
 LIMIT_HEADER = "Server-Limit"
 BRITTLE_HEADER = "Server-Brittle"
+LEAVING_HEADER = "Server-Leaving"
 
 
 @dataclasses.dataclass
@@ -131,6 +132,8 @@
         software: version of its software.
         crash_state: its crashes.
         brittle: its room if it is brittle, else None.
+        rest: value of `Retry-After` in its rejections; None for none.
+        says_leaving: whether its answers say that it leaves.
     """
 
     cuts_resumed: bool = True
@@ -157,6 +160,8 @@
         self.calls: list[float] = []
         self.crash_state = CrashState()
         self.brittle: BrittleState | None = None
+        self.rest: float | str | None = None
+        self.says_leaving = False
 
     def describe(self) -> dict[str, Any]:
         """Return its registration in the store."""
@@ -269,6 +274,10 @@
         headers = {"X-Not-Executed": "1"}
         if brittle:
             headers[BRITTLE_HEADER] = str(brittle.bound)
+        if self.rest is not None:
+            headers["Retry-After"] = str(self.rest)
+        if self.says_leaving:
+            headers[LEAVING_HEADER] = "1"
         return web.Response(status=503, headers=headers)
 
     async def _answer(
@@ -282,6 +291,8 @@
         }
         if self.limit is not None:
             headers[LIMIT_HEADER] = str(self.limit)
+        if self.says_leaving:
+            headers[LEAVING_HEADER] = "1"
         if self.brittle is not None:
             headers[BRITTLE_HEADER] = str(self.brittle.bound)
             await self.brittle.run()
