Give upstreams the rest that they ask for

Cause: nobody read Retry-After of an upstream. A rejection kept it out for 150 ms, and then it ran little and so looked better than the others.

Now the rest is one more statement of an upstream (core/upstream_rests.py), kept by each node for itself, since it is asked of one. Choice, retries, resumed streams, trials, probes, orders, report queries and what is passed on for other nodes ask core/upstream_statements.py. A longer rest extends, a shorter one shortens nothing, values that are no seconds from 0 up (a date, negative, endless) are none, and 10 minutes are the most. Afterwards one request at a time shows whether it is over. Where all upstreams rest, requests are refused at once, as not run, each with its own Retry-After after the rest (upstream_rest).

--- a/src/cicadahook/core/upstream_statements.py
+++ b/src/cicadahook/core/upstream_statements.py
@@ -13,6 +13,7 @@
 from cicadahook.core import brittle_upstreams
 from cicadahook.core import inventory
 from cicadahook.core import request_limits
+from cicadahook.core import upstream_rests
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,6 +25,8 @@
             not stated.
         rejection_bound: rejections in a second beyond which it fails; None if
             not stated.
+        rest: time for which it wants nothing from this node; None if it did not
+            reject the request or asks for none.
         is_complete: whether what is not stated has ended.
         unreadable: names of the fields whose values are not readable; they
             change nothing.
@@ -31,6 +34,7 @@
 
     request_limit: float | None = None
     rejection_bound: float | None = None
+    rest: datetime.timedelta | None = None
     is_complete: bool = False
     unreadable: frozenset[str] = frozenset()
 
@@ -47,11 +51,13 @@
     Attributes:
         limits: their request limits.
         brittle: those that fail when they reject too much.
+        rests: those that want nothing from this node for a while.
     """
 
     def __init__(self, own: str, generator: random.Random) -> None:
         self.limits = request_limits.RequestLimits(own, generator)
         self.brittle = brittle_upstreams.BrittleUpstreams()
+        self.rests = upstream_rests.UpstreamRests(generator)
 
     def record_answer(
         self,
@@ -79,6 +85,11 @@
                 instance, statement.rejection_bound, now, sent
             ):
                 changed.add("rejection_bound")
+        if statement.rest is not None:
+            if self.rests.record_answer(instance, statement.rest, now):
+                changed.add("rest")
+        elif statement.is_complete:
+            self.rests.record_accepted(instance, now)
         return frozenset(changed)
 
     def replace_nodes(self, names: Iterable[str]) -> None:
@@ -92,6 +103,7 @@
         """Drop the statements of upstreams that left or restarted."""
         self.limits.update_registered(instances)
         self.brittle.update_registered(instances)
+        self.rests.update_registered(instances)
 
     def find_limit(
         self, instance: inventory.Instance
@@ -103,22 +115,42 @@
         self, instance: inventory.Instance, now: datetime.datetime
     ) -> bool:
         """Whether an upstream wants less than it could run."""
-        del now
-        return self.limits.find(instance) is not None
+        return self.limits.find(instance) is not None or self.is_resting(
+            instance, now
+        )
+
+    def is_resting(
+        self, instance: inventory.Instance, now: datetime.datetime
+    ) -> bool:
+        """Whether an upstream wants nothing from this node, connections too."""
+        return self.rests.get_end(instance, now) is not None
 
     def has_room(
         self, instance: inventory.Instance, now: datetime.datetime
     ) -> bool:
         """Whether this node may send a request to an upstream now."""
-        return self.limits.has_room(instance, now) and self.brittle.has_room(
-            instance, now
+        return (
+            self.limits.has_room(instance, now)
+            and self.rests.has_room(instance, now)
+            and self.brittle.has_room(instance, now)
         )
 
     def has_room_soon(
         self, instance: inventory.Instance, now: datetime.datetime
     ) -> bool:
         """Whether a request may be sent once another one has ended."""
-        return self.limits.has_room(instance, now)
+        return self.limits.has_room(instance, now) and not self.is_resting(
+            instance, now
+        )
+
+    def plan_return(
+        self, instances: list[inventory.Instance], now: datetime.datetime
+    ) -> datetime.timedelta:
+        """Return after which time a refused caller should return."""
+        resting = [each for each in instances if self.is_resting(each, now)]
+        if len(resting) == len(instances):
+            return self.rests.plan_return(resting, now)
+        return self.limits.plan_return(instances, now)
 
     def record_send(
         self, instance: inventory.Instance, now: datetime.datetime
@@ -126,6 +158,7 @@
         """Record that a request is sent to an upstream that has room."""
         self.limits.record_send(instance, now)
         self.brittle.record_send(instance)
+        self.rests.record_send(instance)
 
     def record_end(
         self,
@@ -136,12 +169,15 @@
     ) -> None:
         """Record that a request has ended, and whether it was rejected."""
         self.brittle.record_end(instance, now, is_rejected=is_rejected)
+        self.rests.record_end(instance)
 
     def acquire_order(
         self, instance: inventory.Instance, now: datetime.datetime
     ) -> bool:
         """Record an order or report query if it may be sent now."""
-        return self.limits.acquire_order(instance, now)
+        return not self.is_resting(instance, now) and self.limits.acquire_order(
+            instance, now
+        )
 
     def get_cost_ms(
         self, instance: inventory.Instance, now: datetime.datetime
--- a/src/cicadahook/net/crash_guard.py
+++ b/src/cicadahook/net/crash_guard.py
@@ -178,7 +178,7 @@
         The store would tell it seconds later, and not at all while it is away.
         It has ended if it refuses connections of this node and of others.
         """
-        if self.components.statements.find_limit(instance) is not None:
+        if self.components.statements.asks_for_less(instance, self.clock.now()):
             return
         for _ in range(PROBE_COUNT):
             await asyncio.sleep(PROBE_PAUSE.total_seconds())
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -288,6 +288,8 @@
         statements = self.components.statements
         end = self.clock.now() + MAX_ROOM_WAIT
         while (now := self.clock.now()) < end:
+            if all(statements.is_resting(entry, now) for entry in ready):
+                return None
             if generation is None and not any(
                 statements.has_room_soon(entry, now) for entry in ready
             ):
--- a/src/cicadahook/net/link_monitor.py
+++ b/src/cicadahook/net/link_monitor.py
@@ -41,6 +41,7 @@
         reachability: what is known of the links.
         instances: the registered upstreams.
         probe: opens a connection to an upstream.
+        is_resting: returns whether an upstream wants no connection now.
         clock: the time.
         random: spreads the probes.
         node: name of the node, for metrics.
@@ -52,6 +53,7 @@
         reachability: reachability_lib.Reachability,
         instances: inventory.Inventory,
         probe: Probe,
+        is_resting: Callable[[inventory.Instance], bool],
         clock: clock_lib.Clock,
         generator: random.Random,
         node: str,
@@ -59,6 +61,7 @@
         self.reachability = reachability
         self.inventory = instances
         self.probe = probe
+        self.is_resting = is_resting
         self.clock = clock
         self.random = generator
         self.node = node
@@ -117,7 +120,8 @@
         pause = FIRST_PROBE_PAUSE
         await asyncio.sleep(delay.total_seconds())
         while self.inventory.instances.get(instance.id) is not None:
-            self.record(instance, await self.probe(instance))
+            if not self.is_resting(instance):
+                self.record(instance, await self.probe(instance))
             if not self.reachability.is_cut(instance):
                 return
             factor = self.random.uniform(0.7, 1.3)
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -136,17 +136,18 @@
             settings.handover_pause,
             holder_lease.LEASE_TTL,
         )
-        inventory = inventory_lib.Inventory()
-        residency = residency_lib.Residency()
         self.statements = upstream_statements.UpstreamStatements(
             settings.name, generator
         )
+        inventory = inventory_lib.Inventory()
+        residency = residency_lib.Residency()
         platform.upstreams.statement_listener = self.record_statement
         self.reachability = reachability_lib.Reachability(generator)
         self.link_monitor = link_monitor.LinkMonitor(
             self.reachability,
             inventory,
             platform.upstreams.probe,
+            lambda instance: self.statements.is_resting(instance, clock.now()),
             clock,
             generator,
             settings.name,
@@ -308,6 +309,16 @@
             and not self.is_stopping
         )
 
+    async def _find_out_reached(self, instance: inventory_lib.Instance) -> bool:
+        """Return whether this node can connect to an upstream.
+
+        One that rests has answered lately and is not disturbed.
+        """
+        if self.statements.is_resting(instance, self.clock.now()):
+            return True
+        event = await self.probe_upstream(instance)
+        return event is forwarding.LinkEvent.CONNECTED
+
     def get_own_state(self) -> roster_lib.OwnState:
         """Return whether this node accepts callers, and lacks links."""
         return roster_lib.OwnState(self.is_ready(), self.is_cut_off())
@@ -369,7 +380,7 @@
                     "instance": instance.id,
                     "service": instance.service,
                     "statement": field,
-                    "value": getattr(statement, field),
+                    "value": _describe_value(getattr(statement, field)),
                 },
             )
 
@@ -447,7 +458,7 @@
                 stream_resumption.ORIGINS_PATH: answers.handle,
                 peer_relay.RELAY_PATH: self.relay_server.handle,
                 peer_probes.PROBE_PATH: peer_probes.ProbeServer(
-                    self.components.inventory, self.probe_upstream
+                    self.components.inventory, self._find_out_reached
                 ).handle,
             }
         )
@@ -592,6 +603,13 @@
         )
 
 
+def _describe_value(value: Any) -> Any:
+    """Return a value as it is logged; durations in seconds."""
+    if isinstance(value, datetime.timedelta):
+        return value.total_seconds()
+    return value
+
+
 def _create_brief(status: roster_lib.NodeStatus) -> roster_lib.NodeStatus:
     """Return a status without the fields that may wait for a full one."""
     return dataclasses.replace(
--- a/src/cicadahook/net/order_sender.py
+++ b/src/cicadahook/net/order_sender.py
@@ -84,11 +84,10 @@
 
     def _acquire(self, instance: inventory.Instance, kind: str) -> bool:
         """Return whether a call may be sent to an engine; count it if so."""
-        if self.statements.find_limit(instance) is None:
-            return True
         if not self.statements.acquire_order(instance, self.clock.now()):
             return False
-        metrics.count_limited_call(kind, self.node)
+        if self.statements.find_limit(instance) is not None:
+            metrics.count_limited_call(kind, self.node)
         return True
 
 
--- a/src/cicadahook/net/peer_probes.py
+++ b/src/cicadahook/net/peer_probes.py
@@ -14,7 +14,6 @@
 
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
-from cicadahook.core import forwarding
 from cicadahook.core import inventory
 from cicadahook.core import reachability as reachability_lib
 from cicadahook.core import roster as roster_lib
@@ -53,16 +52,16 @@
 
     Attributes:
         inventory: the registered upstreams.
-        probe: opens a connection to an upstream.
+        is_reached: returns whether this node can connect to an upstream.
     """
 
     def __init__(
         self,
         instances: inventory.Inventory,
-        probe: Callable[[inventory.Instance], Awaitable[forwarding.LinkEvent]],
+        is_reached: Callable[[inventory.Instance], Awaitable[bool]],
     ) -> None:
         self.inventory = instances
-        self.probe = probe
+        self.is_reached = is_reached
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one question."""
@@ -74,7 +73,7 @@
         is_connected = (
             instance is not None
             and instance.born == asked.born
-            and await self.probe(instance) is forwarding.LinkEvent.CONNECTED
+            and await self.is_reached(instance)
         )
         return web.Response(
             body=PROBE_ANSWERS.encode(ProbeAnswer(is_connected))
--- a/src/cicadahook/net/refusal_planner.py
+++ b/src/cicadahook/net/refusal_planner.py
@@ -97,9 +97,12 @@
                 return self.plan(
                     active, "upstream_full", self.draw_delay(RETRY_AFTER)
                 )
+            is_resting = all(
+                statements.is_resting(entry, now) for entry in usable
+            )
             return self.plan(
                 active,
-                "upstream_limit",
-                statements.limits.plan_return(usable, now),
+                "upstream_rest" if is_resting else "upstream_limit",
+                statements.plan_return(usable, now),
             )
         return self.plan(active, "no_upstream", RETRY_AFTER)
--- a/src/cicadahook/platform/headers.py
+++ b/src/cicadahook/platform/headers.py
@@ -160,19 +160,20 @@
 
 
 def decode_statement(
-    headers: Mapping[str, str], *, is_complete: bool
+    headers: Mapping[str, str], status: int, *, is_complete: bool
 ) -> upstream_statements.Statement:
     """Return what an answer says of its upstream.
 
     Args:
         headers: headers of the answer.
+        status: its status; only a 503 asks for rest.
         is_complete: whether what is not stated has ended.
     """
     values: dict[str, Any] = {}
     unreadable = set()
     for field, (name, decode) in STATEMENT_DECODERS.items():
         value = headers.get(name)
-        if value is None:
+        if value is None or (field == "rest" and status != 503):
             continue
         try:
             values[field] = decode(value)
@@ -198,6 +199,19 @@
     return register
 
 
+@register_statement("rest", RETRY_AFTER)
+def decode_rest(value: str) -> datetime.timedelta:
+    """Return how long an upstream wants nothing.
+
+    Raises:
+        ValueError: the value is no number of seconds from 0 up, or a date.
+    """
+    try:
+        return datetime.timedelta(seconds=decode_rate(value))
+    except OverflowError as error:
+        raise ValueError(value) from error
+
+
 @register_statement("request_limit", REQUEST_LIMIT)
 @register_statement("rejection_bound", REJECTION_BOUND)
 def decode_rate(value: str) -> float:
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -377,6 +377,7 @@
         answered_id = response.headers.get(header_names.REQUEST_ID)
         statement = header_names.decode_statement(
             response.headers,
+            response.status,
             is_complete=is_signed and answered_id == request_id,
         )
         if statement.unreadable:
--- a/tests/test_node_rests.py
+++ b/tests/test_node_rests.py
@@ -38,8 +38,11 @@
 async def test_an_upstream_gets_the_rest_that_it_asks_for(
     testbed: node_testbed.NodeTestbed, path: str
 ) -> None:
-    upstream = testbed.plain[0]
-    headers = {}
+    headers: dict[str, str] = {}
+    async with testbed.call(READ):
+        pass
+    (upstream,) = (each for each in testbed.plain if each.calls)
+    upstream.calls.clear()
     if path.startswith("/chat"):
         upstream, other = testbed.engines
         other.models["big"] = set()
@@ -139,12 +142,17 @@
     testbed: node_testbed.NodeTestbed,
 ) -> None:
     leaving = testbed.plain[0]
+    node = get_node(testbed, 0)
+    node.record_statement(
+        test_node_limits.find_instance(node, leaving),
+        upstream_statements.Statement(is_leaving=True),
+        node.clock.now(),
+    )
+    testbed.register(leaving)
     for number in range(2):
-        node = get_node(testbed, number)
-        node.record_statement(
-            test_node_limits.find_instance(node, leaving),
-            upstream_statements.Statement(is_leaving=True),
-            node.clock.now(),
+        registry = get_node(testbed, number).components.inventory
+        await node_testbed.wait_until(
+            lambda: registry.find_usable(leaving.id) is None
         )
     testbed.register(leaving)
     await asyncio.sleep(0.3)
@@ -152,6 +160,8 @@
     assert not leaving.calls
     leaving.restart()
     testbed.register(leaving)
-    async with asyncio.timeout(5):
-        while not leaving.calls:
-            await test_node_limits.send(testbed, 0.5, 20)
+    for number in range(2):
+        registry = get_node(testbed, number).components.inventory
+        await node_testbed.wait_until(
+            lambda: registry.find_usable(leaving.id) is not None
+        )
--- a/tests/test_upstream_statements.py
+++ b/tests/test_upstream_statements.py
@@ -10,6 +10,7 @@
 from cicadahook.core import brittle_upstreams
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import inventory
+from cicadahook.core import upstream_rests
 from cicadahook.core import upstream_statements
 from cicadahook.platform import headers as header_names
 
@@ -120,6 +121,84 @@
     assert known.brittle.find(again) is None
 
 
+def reject(
+    known: upstream_statements.UpstreamStatements,
+    now: datetime.datetime,
+    seconds: float,
+) -> None:
+    """Let the upstream reject a request and ask for rest."""
+    rest = datetime.timedelta(seconds=seconds)
+    known.record_answer(
+        UPSTREAM, upstream_statements.Statement(rest=rest), now, now
+    )
+
+
+def test_a_rest_is_kept_and_a_shorter_one_shortens_nothing(
+    known: upstream_statements.UpstreamStatements, clock: clock_lib.ManualClock
+) -> None:
+    reject(known, clock.now(), 3)
+    reject(known, clock.now(), 0.1)
+    known.record_answer(UPSTREAM, NOTHING, clock.now(), clock.now())
+    clock.advance(2.9 * SECOND)
+    assert not known.has_room(UPSTREAM, clock.now())
+    assert not known.acquire_order(UPSTREAM, clock.now())
+    assert known.is_resting(UPSTREAM, clock.now())
+    reject(known, clock.now(), 3)
+    clock.advance(2.9 * SECOND)
+    assert not known.has_room(UPSTREAM, clock.now())
+    clock.advance(2 * SECOND)
+    assert known.has_room(UPSTREAM, clock.now())
+
+
+def test_after_a_rest_one_request_shows_whether_it_is_over(
+    known: upstream_statements.UpstreamStatements, clock: clock_lib.ManualClock
+) -> None:
+    reject(known, clock.now(), 1)
+    clock.advance(2 * SECOND)
+    assert count_room(known, clock.now()) == 1
+    reject(known, clock.now(), 1)
+    known.record_end(UPSTREAM, clock.now(), is_rejected=True)
+    assert not known.has_room(UPSTREAM, clock.now())
+    clock.advance(2 * SECOND)
+    assert count_room(known, clock.now()) == 1
+    known.record_answer(UPSTREAM, NOTHING, clock.now(), clock.now())
+    assert count_room(known, clock.now()) == 100
+
+
+def test_a_trial_after_a_rest_that_fails_otherwise_lets_another_one_follow(
+    known: upstream_statements.UpstreamStatements, clock: clock_lib.ManualClock
+) -> None:
+    reject(known, clock.now(), 1)
+    clock.advance(2 * SECOND)
+    assert count_room(known, clock.now()) == 1
+    known.record_end(UPSTREAM, clock.now(), is_rejected=False)
+    assert count_room(known, clock.now()) == 1
+
+
+def test_callers_return_after_the_rest_and_not_all_at_once(
+    known: upstream_statements.UpstreamStatements, clock: clock_lib.ManualClock
+) -> None:
+    reject(known, clock.now(), 3)
+    delays = {known.plan_return([UPSTREAM], clock.now()) for _ in range(20)}
+    assert len(delays) == 20
+    assert min(delays) >= 3 * SECOND
+
+
+def test_an_endless_rest_has_an_end(
+    known: upstream_statements.UpstreamStatements, clock: clock_lib.ManualClock
+) -> None:
+    reject(known, clock.now(), 1e9)
+    clock.advance(upstream_rests.MAX_REST + upstream_rests.MAX_SPREAD)
+    assert known.has_room(UPSTREAM, clock.now())
+
+
+@pytest.mark.parametrize("status", [200, 429, 500])
+def test_only_a_503_asks_for_rest(status: int) -> None:
+    headers = multidict.CIMultiDict({"Retry-After": "3"})
+    statement = header_names.decode_statement(headers, status, is_complete=True)
+    assert statement.rest is None
+
+
 @pytest.mark.parametrize("number", [math.nan, math.inf, -math.inf])
 def test_absurd_numbers_of_other_nodes_change_nothing(
     known: upstream_statements.UpstreamStatements,
@@ -141,10 +220,12 @@
 
 
 @pytest.mark.parametrize("value", ["", "many", "nan", "-1", "1e999", "1, 2"])
-@pytest.mark.parametrize("name", ["Server-Limit", "Server-Brittle"])
+@pytest.mark.parametrize(
+    "name", ["Server-Limit", "Server-Brittle", "Retry-After"]
+)
 def test_an_unreadable_number_says_nothing(name: str, value: str) -> None:
     statement = header_names.decode_statement(
-        multidict.CIMultiDict({name: value}), is_complete=True
+        multidict.CIMultiDict({name: value}), 503, is_complete=True
     )
     (field,) = statement.unreadable
     assert not statement.says(field)
