Send nothing more to upstreams that say that they leave

An upstream whose answers say that it leaves, while the list still says ready, went on to get requests of all nodes, and what it alone held was loaded nowhere else. Nothing read the header.

Now it is one more statement (core/leaving_upstreams.py), which ends with the incarnation only: neither a late listing nor an older answer takes it back. The inventory leaves such an upstream out, so each decision keeps to it, and nodes tell each other in their statuses.

--- a/src/cicadahook/core/inventory.py
+++ b/src/cicadahook/core/inventory.py
@@ -4,6 +4,8 @@
 import dataclasses
 import datetime
 
+from cicadahook.core import leaving_upstreams
+
 # Time after the end of a store outage within which upstreams register again.
 REREGISTRATION_PERIOD = datetime.timedelta(seconds=2)
 
@@ -67,9 +69,13 @@
         revision: revision of the store that the inventory reflects.
         lapsed: when registrations that lapsed during an outage are removed,
             by id.
+        leaving: upstreams that have said themselves that they leave.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, leaving: leaving_upstreams.LeavingUpstreams | None = None
+    ) -> None:
+        self.leaving = leaving or leaving_upstreams.LeavingUpstreams()
         self.instances: dict[str, Instance] = {}
         self.revision = 0
         self.lapsed: dict[str, datetime.datetime] = {}
@@ -121,10 +127,13 @@
     def list_usable(self, service: str) -> Iterator[Instance]:
         """Yield the upstreams of `service` that accept new requests."""
         for entry in self.instances.values():
-            if entry.service == service and not entry.is_leaving:
+            if entry.service == service and not self._is_leaving(entry):
                 yield entry
 
     def find_usable(self, name: str) -> Instance | None:
         """Return the upstream with id `name` if it accepts new requests."""
         entry = self.instances.get(name)
-        return None if entry is None or entry.is_leaving else entry
+        return None if entry is None or self._is_leaving(entry) else entry
+
+    def _is_leaving(self, entry: Instance) -> bool:
+        return entry.is_leaving or self.leaving.is_leaving(entry.id, entry.born)
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -10,6 +10,7 @@
 from cicadahook.core import brittle_upstreams
 from cicadahook.core import crash_suspects as crash_suspects_lib
 from cicadahook.core import grants
+from cicadahook.core import leaving_upstreams
 from cicadahook.core import model_paces
 from cicadahook.core import reachability
 from cicadahook.core import request_limits
@@ -78,6 +79,7 @@
         crash_suspects: what it knows of traits that may crash upstreams.
         limits: what upstreams last said of their request limits.
         brittle: what it knows of brittle upstreams.
+        leaving: upstreams that have said that they leave.
         origins: software versions that began streams here lately.
         links: which upstreams it can reach.
         is_cut_off: whether it lacks the links to most upstreams.
@@ -101,6 +103,7 @@
     crash_suspects: tuple[crash_suspects_lib.SuspectStatement, ...] = ()
     limits: tuple[request_limits.LimitStatement, ...] = ()
     brittle: tuple[brittle_upstreams.BrittleStatement, ...] = ()
+    leaving: tuple[leaving_upstreams.LeavingStatement, ...] = ()
     origins: tuple[stream_origins.OriginStatement, ...] = ()
     links: tuple[reachability.LinkStatement, ...] = ()
     is_cut_off: bool = False
--- a/src/cicadahook/core/upstream_statements.py
+++ b/src/cicadahook/core/upstream_statements.py
@@ -12,6 +12,7 @@
 
 from cicadahook.core import brittle_upstreams
 from cicadahook.core import inventory
+from cicadahook.core import leaving_upstreams
 from cicadahook.core import request_limits
 from cicadahook.core import upstream_rests
 
@@ -27,6 +28,7 @@
             not stated.
         rest: time for which it wants nothing from this node; None if it did not
             reject the request or asks for none.
+        is_leaving: whether it leaves; None if not stated.
         is_complete: whether what is not stated has ended.
         unreadable: names of the fields whose values are not readable; they
             change nothing.
@@ -35,6 +37,7 @@
     request_limit: float | None = None
     rejection_bound: float | None = None
     rest: datetime.timedelta | None = None
+    is_leaving: bool | None = None
     is_complete: bool = False
     unreadable: frozenset[str] = frozenset()
 
@@ -52,12 +55,14 @@
         limits: their request limits.
         brittle: those that fail when they reject too much.
         rests: those that want nothing from this node for a while.
+        leaving: those that have said that they leave.
     """
 
     def __init__(self, own: str, generator: random.Random) -> None:
         self.limits = request_limits.RequestLimits(own, generator)
         self.brittle = brittle_upstreams.BrittleUpstreams()
         self.rests = upstream_rests.UpstreamRests(generator)
+        self.leaving = leaving_upstreams.LeavingUpstreams()
 
     def record_answer(
         self,
@@ -90,8 +95,20 @@
                 changed.add("rest")
         elif statement.is_complete:
             self.rests.record_accepted(instance, now)
+        if statement.is_leaving and self._is_registered(instance):
+            if self.leaving.record(instance.id, instance.born):
+                changed.add("is_leaving")
         return frozenset(changed)
 
+    def _is_registered(self, instance: inventory.Instance) -> bool:
+        return self.rests.registered.get(instance.id) == instance.born
+
+    def merge_leaving(
+        self, statements: Iterable[leaving_upstreams.LeavingStatement]
+    ) -> frozenset[str]:
+        """Record what another node tells; return the ids that are new."""
+        return self.leaving.merge(statements, self.rests.registered)
+
     def replace_nodes(self, names: Iterable[str]) -> None:
         """Replace the names of the nodes that share the upstreams."""
         self.limits.replace_nodes(names)
@@ -104,6 +121,7 @@
         self.limits.update_registered(instances)
         self.brittle.update_registered(instances)
         self.rests.update_registered(instances)
+        self.leaving.update_registered(self.rests.registered)
 
     def find_limit(
         self, instance: inventory.Instance
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -139,7 +139,7 @@
         self.statements = upstream_statements.UpstreamStatements(
             settings.name, generator
         )
-        inventory = inventory_lib.Inventory()
+        inventory = inventory_lib.Inventory(self.statements.leaving)
         residency = residency_lib.Residency()
         platform.upstreams.statement_listener = self.record_statement
         self.reachability = reachability_lib.Reachability(generator)
@@ -396,6 +396,11 @@
             self.statements.limits.merge(
                 status.node.name, status.limits, self.clock.now()
             )
+            for name in self.statements.merge_leaving(status.leaving):
+                logger.info(
+                    "Upstream leaves, as another node has heard.",
+                    extra={"instance": name, "node": status.node.name},
+                )
             self.statements.brittle.merge(
                 status.node.name, status.brittle, self.clock.now()
             )
@@ -597,6 +602,7 @@
             ),
             limits=self.statements.limits.list_statements(now),
             brittle=self.statements.brittle.list_statements(now),
+            leaving=self.statements.leaving.list_statements(),
             origins=self.origins.list_statements(now),
             links=self.reachability.list_statements(now),
             is_cut_off=self.is_cut_off(),
--- a/src/cicadahook/platform/headers.py
+++ b/src/cicadahook/platform/headers.py
@@ -30,6 +30,8 @@
 # so.
 REJECTION_BOUND: Final = "Server-Brittle"
 
+# 1 in all answers of an upstream that accepts no new requests.
+LEAVING: Final = "Server-Leaving"
 # How long an upstream that rejects a request wants no other, in seconds.
 RETRY_AFTER: Final = "Retry-After"
 
@@ -212,6 +214,18 @@
         raise ValueError(value) from error
 
 
+@register_statement("is_leaving", LEAVING)
+def decode_flag(value: str) -> bool:
+    """Return a flag, which is 1 or 0.
+
+    Raises:
+        ValueError: the value is something else.
+    """
+    if value not in ("0", "1"):
+        raise ValueError(value)
+    return value == "1"
+
+
 @register_statement("request_limit", REQUEST_LIMIT)
 @register_statement("rejection_bound", REJECTION_BOUND)
 def decode_rate(value: str) -> float:
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -54,6 +54,11 @@
   capacity @6 :Float64;
 }
 
+struct LeavingStatement {
+  instance @0 :Text;
+  born @1 :UInt64;
+}
+
 struct SuspectStatement {
   trait @0 :Text;
   deaths @1 :List(Text);
@@ -107,6 +112,7 @@
   links @19 :List(LinkStatement);
   isCutOff @20 :Bool;
   brittle @21 :List(BrittleStatement);
+  leaving @22 :List(LeavingStatement);
 }
 
 struct ProbeRequest {
--- a/tests/test_upstream_statements.py
+++ b/tests/test_upstream_statements.py
@@ -10,6 +10,7 @@
 from cicadahook.core import brittle_upstreams
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import inventory
+from cicadahook.core import leaving_upstreams
 from cicadahook.core import upstream_rests
 from cicadahook.core import upstream_statements
 from cicadahook.platform import headers as header_names
@@ -192,6 +193,40 @@
     assert known.has_room(UPSTREAM, clock.now())
 
 
+def test_a_restarted_upstream_rests_and_leaves_no_more(
+    known: upstream_statements.UpstreamStatements, clock: clock_lib.ManualClock
+) -> None:
+    registry = inventory.Inventory(known.leaving)
+    registry.put(UPSTREAM)
+    reject(known, clock.now(), 3)
+    leaving = upstream_statements.Statement(is_leaving=True)
+    known.record_answer(UPSTREAM, leaving, clock.now(), clock.now())
+    known.record_answer(UPSTREAM, NOTHING, clock.now(), clock.now())
+    assert registry.find_usable("a") is None
+    assert not list(registry.list_usable("s"))
+    again = inventory.Instance("a", "s", "a:1", "z", SLOTS, born=2)
+    registry.put(again)
+    known.update_registered(registry.instances)
+    assert registry.find_usable("a") == again
+    assert known.has_room(again, clock.now())
+    known.record_answer(UPSTREAM, leaving, clock.now(), clock.now())
+    reject(known, clock.now(), 3)
+    assert registry.find_usable("a") == again
+    assert known.has_room(again, clock.now())
+
+
+def test_other_nodes_hear_of_an_upstream_that_leaves(
+    known: upstream_statements.UpstreamStatements,
+) -> None:
+    statement = leaving_upstreams.LeavingStatement("a", 1)
+    assert known.merge_leaving([statement]) == {"a"}
+    assert not known.merge_leaving([statement])
+    older = leaving_upstreams.LeavingStatement("a", 0)
+    unknown = leaving_upstreams.LeavingStatement("b", 0)
+    assert not known.merge_leaving([older, unknown])
+    assert known.leaving.list_statements() == (statement,)
+
+
 @pytest.mark.parametrize("status", [200, 429, 500])
 def test_only_a_503_asks_for_rest(status: int) -> None:
     headers = multidict.CIMultiDict({"Retry-After": "3"})
@@ -221,7 +256,7 @@
 
 @pytest.mark.parametrize("value", ["", "many", "nan", "-1", "1e999", "1, 2"])
 @pytest.mark.parametrize(
-    "name", ["Server-Limit", "Server-Brittle", "Retry-After"]
+    "name", ["Server-Limit", "Server-Brittle", "Retry-After", "Server-Leaving"]
 )
 def test_an_unreadable_number_says_nothing(name: str, value: str) -> None:
     statement = header_names.decode_statement(
