Let the soak's upstreams ask for rest and say that they leave

Two faults with their checks: at most two requests of a node in the rest that it was asked for, and nothing new for an upstream that says it leaves.

--- a/tests/soak/node_checker.py
+++ b/tests/soak/node_checker.py
@@ -40,6 +40,9 @@
 NODE_FAULT_KINDS: Final = frozenset({"kill", "freeze"})
 # A service's upstreams may fall over this often while they are brittle.
 ALLOWED_FALLS: Final = 2
+# After a rejection with a rest, requests that cross it are tolerated.
+REST_GRACE_SECONDS: Final = 0.5
+REST_SLACK: Final = 2
 # Target name of the store stand-in.
 STORE: Final = "store"
 # Target name of the soak's own process: its callers, upstreams and links.
@@ -520,6 +523,78 @@
                 "brittle upstreams keep up", f"{name} fell {falls} times"
             )
 
+    def check_rest(
+        self,
+        name: str,
+        rest: float,
+        began: float,
+        arrivals: list[tuple[float, str]],
+    ) -> None:
+        """Check that nodes gave an upstream the rest that it asked for.
+
+        The users' rule: after `REST_GRACE_SECONDS`, at most `REST_SLACK`
+        requests of the node that was rejected.
+        """
+        nodes = {
+            call.node
+            for _, request_id in arrivals
+            if (call := self.calls.get(request_id)) is not None
+        }
+        for node in nodes - self._list_excused(began):
+            own = [
+                at
+                for at, request_id in arrivals
+                if request_id in self.calls
+                and self.calls[request_id].node == node
+            ]
+            for first in own:
+                late = [
+                    at
+                    for at in own
+                    if first + REST_GRACE_SECONDS < at < first + rest
+                ]
+                if len(late) > REST_SLACK:
+                    self.results.record_violation(
+                        "upstreams get their rest",
+                        f"{name}: {len(late)} requests of {node} in {rest} s",
+                    )
+                    break
+        self.results.counts["checked_rests"] += 1
+
+    def check_leaving(
+        self, name: str, arrivals: list[tuple[float, str]]
+    ) -> None:
+        """Check that an upstream that says it leaves gets no new requests."""
+        if not arrivals:
+            return
+        first = arrivals[0][0]
+        late = [
+            request_id
+            for _, request_id in arrivals
+            if (call := self.calls.get(request_id)) is not None
+            and call.node not in self._list_excused(first)
+            and call.began > first + DRAIN_SECONDS + ANSWER_SLACK_SECONDS
+        ]
+        if late:
+            self.results.record_violation(
+                "leaving upstreams get nothing new", f"{name}: {late}"
+            )
+        self.results.counts["checked_leavings"] += 1
+
+    def _list_excused(self, begin: float) -> set[str]:
+        """Return the nodes that a fault or stop since `begin` excuses.
+
+        Where links are cut, requests come from other nodes than their callers
+        chose.
+        """
+        disturbed = self.list_disturbed(time.monotonic() - begin)
+        if any(
+            each.kind == "cut" and each.target in disturbed
+            for each in self.disturbances
+        ):
+            return {call.node for call in self.calls.values()}
+        return disturbed
+
     def check_fatal_part(
         self, crashes: list[float], arrivals: list[tuple[float, str]]
     ) -> None:
--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -51,6 +51,8 @@
 BRITTLE_SLOTS: Final = 4
 BRITTLE_QUEUE: Final = 2
 BRITTLE_RUN_SECONDS: Final = 0.08
+REST_SECONDS: Final = (1.0, 3.0)
+LEAVING_SECONDS: Final = (4.0, 7.0)
 STORE_FAULTS: Final = ("is_down", "is_silent", "loses_answers")
 
 FaultFunction = Callable[
@@ -190,6 +192,23 @@
         await node.start(self.session)
         self.log(f"{node.name} has started again")
 
+    async def replace(
+        self,
+        upstream: node_system.Upstream,
+        rng: random.Random,
+        kind: str,
+        software: str = "",
+    ) -> None:
+        """End an upstream, and start it under another id some time later."""
+        with self.record_disturbance(kind, upstream.name):
+            upstream.link.close()
+            self.system.store.delete(f"servers/{upstream.id}")
+            upstream.restart_as(f"{upstream.name}-{rng.randrange(1 << 32):x}")
+            upstream.software = software or upstream.software
+            await sleep_fault_duration(rng)
+            await upstream.link.open()
+            self.system.register_upstream(upstream.name)
+
     async def freeze(
         self, node: node_process.NodeProcess, seconds: float
     ) -> None:
@@ -320,22 +339,15 @@
     async with injector.reserve_upstream(rng, "leave") as upstream:
         if upstream is None:
             return
-        store, key = injector.system.store, f"servers/{upstream.id}"
         if rng.random() < UNANNOUNCED_LEAVE_SHARE:
-            store.delete(key)
+            injector.system.store.delete(f"servers/{upstream.id}")
         else:
             upstream.state = "draining"
             injector.system.register_upstream(upstream.name)
         upstream.leaving_since = time.monotonic()
         await asyncio.sleep(node_checker.DRAIN_SECONDS)
         await sleep_fault_duration(rng)
-        with injector.record_disturbance("leave", upstream.name):
-            upstream.link.close()
-            store.delete(key)
-            upstream.restart_as(f"{upstream.name}-{rng.randrange(1 << 32):x}")
-            await sleep_fault_duration(rng)
-            await upstream.link.open()
-            injector.system.register_upstream(upstream.name)
+        await injector.replace(upstream, rng, "leave")
 
 
 @register
@@ -374,14 +386,9 @@
     async with injector.reserve_upstream(rng, "replace_software") as upstream:
         if upstream is None:
             return
-        with injector.record_disturbance("replace_software", upstream.name):
-            upstream.link.close()
-            injector.system.store.delete(f"servers/{upstream.id}")
-            upstream.restart_as(f"{upstream.name}-{rng.randrange(1 << 32):x}")
-            upstream.software = f"v{rng.randrange(3)}"
-            await sleep_fault_duration(rng)
-            await upstream.link.open()
-            injector.system.register_upstream(upstream.name)
+        await injector.replace(
+            upstream, rng, "replace_software", f"v{rng.randrange(3)}"
+        )
 
 
 @register
@@ -520,6 +527,38 @@
         await asyncio.sleep(upstream.crash_state.restart_seconds)
 
 
+@register
+async def ask_for_rest(injector: FaultInjector, rng: random.Random) -> None:
+    """Let an upstream reject all requests and ask for rest."""
+    async with injector.reserve_upstream(rng, "ask_for_rest") as upstream:
+        if upstream is None:
+            return
+        rest = rng.choice(REST_SECONDS)
+        began = time.monotonic()
+        with injector.record_disturbance("rest", upstream.name):
+            upstream.mode, upstream.rest = "full", rest
+            await asyncio.sleep(rng.uniform(1.0, 2.0) * rest)
+            upstream.mode, upstream.rest = "ok", None
+        injector.checker.check_rest(
+            upstream.name, rest, began, upstream.list_arrivals(began)
+        )
+
+
+@register
+async def say_leaving(injector: FaultInjector, rng: random.Random) -> None:
+    """Let an upstream say that it leaves while the store lists it as ready."""
+    async with injector.reserve_upstream(rng, "say_leaving") as upstream:
+        if upstream is None:
+            return
+        began = time.monotonic()
+        upstream.says_leaving = True
+        await asyncio.sleep(rng.uniform(*LEAVING_SECONDS))
+        injector.checker.check_leaving(
+            upstream.name, upstream.list_arrivals(began)
+        )
+        await injector.replace(upstream, rng, "say_leaving")
+
+
 @register
 async def harm_store(injector: FaultInjector, rng: random.Random) -> None:
     """Let the store be down, be silent, or lose the answers of writes."""
--- a/tests/soak/node_system.py
+++ b/tests/soak/node_system.py
@@ -68,8 +68,17 @@
         self.restart()
         self.id = name
         self.state = "ready"
+        self.says_leaving = False
         self.leaving_since = None
 
+    def list_arrivals(self, begin: float) -> list[tuple[float, str]]:
+        """Return time and request id of the arrivals since a time."""
+        return [
+            (arrival.time, arrival.headers.get("X-Request-Id", ""))
+            for arrival in self.arrivals
+            if arrival.time >= begin
+        ]
+
     def crash(self) -> None:
         """Crash, which excuses what the upstream breaks off."""
         disturbance = self.checker.begin_disturbance("crash", self.name)
