Tell only links that are cut or that another node lacks

Full statuses named each link on which something was heard in 10 s, which grew with the upstreams of a site. In calm a node now tells one, which shows that it reaches something; those that another node lacks follow within a status.

A first node that leaves is logged instead of a traceback, and an absurd time limit is bounded.

--- a/src/cicadahook/core/reachability.py
+++ b/src/cicadahook/core/reachability.py
@@ -13,7 +13,7 @@
 
 from cicadahook.core import inventory
 
-# Links on which nothing was heard for this time are not told to other nodes.
+# A link on which nothing was heard for this time may be cut unseen.
 HEARD_EXPIRY: Final = datetime.timedelta(seconds=10)
 # Statements of another node count for this time, or longer in large fleets.
 PEER_EXPIRY: Final = datetime.timedelta(seconds=2)
@@ -184,7 +184,7 @@
         now: datetime.datetime,
     ) -> None:
         """Record what another node tells of its links."""
-        links = self.peers.setdefault(peer, {})
+        links = self.peers[peer] = {}
         self.told[peer] = now
         for statement in statements:
             heard = None
@@ -193,8 +193,6 @@
             links[statement.instance] = Link(
                 statement.born, heard, now if statement.is_cut else None
             )
-        for name in links.keys() - self.registered.keys():
-            del links[name]
 
     def count_cut_since(self, time: datetime.datetime) -> int:
         """Return the number of own links that were cut after `time`."""
@@ -249,6 +247,16 @@
                 helpers.append(peer)
         return (*helpers, *unknown)
 
+    def _list_lacked(self, now: datetime.datetime) -> set[str]:
+        """Return the upstreams that other nodes cannot reach."""
+        return {
+            name
+            for peer, links in self.peers.items()
+            if self._is_told(peer, now)
+            for name, link in links.items()
+            if link.cut_since is not None
+        }
+
     def find_unreachable(
         self, instances: Iterable[inventory.Instance], now: datetime.datetime
     ) -> frozenset[str]:
@@ -305,12 +313,27 @@
     def list_statements(
         self, now: datetime.datetime
     ) -> tuple[LinkStatement, ...]:
-        """Return statements on own links to be sent to other nodes."""
+        """Return statements on own links to be sent to other nodes.
+
+        These are the links that are cut, those to upstreams that another node
+        lacks, and the one that was heard last, which shows that there is one.
+        """
+        heard = {
+            name: link
+            for name, link in self.links.items()
+            if link.cut_since is None
+            and link.was_heard_after(now - HEARD_EXPIRY)
+        }
+        newest = max(
+            heard, key=lambda name: heard[name].heard or now, default=""
+        )
+        lacked = self._list_lacked(now)
         told = [
             (name, link)
             for name, link in self.links.items()
             if link.cut_since is not None
-            or link.was_heard_after(now - HEARD_EXPIRY)
+            or name == newest
+            or (name in heard and name in lacked)
         ]
         if len(told) > MAX_STATEMENTS:
             told = self.random.sample(told, MAX_STATEMENTS)
--- a/src/cicadahook/net/peer_relay.py
+++ b/src/cicadahook/net/peer_relay.py
@@ -41,6 +41,8 @@
 TICK: Final = datetime.timedelta(milliseconds=100)
 # What is read after a longer stall of the process may be too old to be sent.
 MAX_STALL: Final = datetime.timedelta(milliseconds=400)
+# Longer than any request may take.
+MAX_TIME_LEFT_MS: Final = 24 * 60 * 60 * 1000
 SILENCE_POLL_PERIOD: Final = datetime.timedelta(milliseconds=250)
 FRAME_LENGTH: Final = struct.Struct(">I")
 
@@ -500,6 +502,9 @@
             else:
                 await response.write(_frame(_encode_failure(error)))
                 await response.write_eof()
+        except ConnectionError as error:
+            # The first node has left, mostly because its caller has.
+            outcome = repr(error)
         metrics.count_relay("served", self.node)
         logger.info(
             "Request of another node ended.",
@@ -567,7 +572,9 @@
                 generation=generation,
             ),
             instance,
-            datetime.timedelta(milliseconds=message.time_left_ms),
+            datetime.timedelta(
+                milliseconds=min(message.time_left_ms, MAX_TIME_LEFT_MS)
+            ),
             message.priority,
             message.last_event_id,
         )
