Require the grants of nodes that said they leave

Two holders sent orders 2.80 s apart where the pause is 3 s: a node left, started again seen by the store only, and became holder, while the former one stood still and then went on by the grants of the rest.

Cause: the word of a node that leaves was taken to hold for good, so its grant was not needed any more, also once it could be holder under another incarnation. Now it counts as any other silent node: its grant is needed until it is registered no more and has been silent for 10 s. The price: while the store is away, a holder goes on by grants only 10 s after a node has left for good. Nothing changes for a holder with a lease.

Of the places that trust a node that leaves, only the granters are mended here.

--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -209,15 +209,15 @@
                 yield record
 
     def list_required_granters(self, now: datetime.datetime) -> frozenset[str]:
-        """Return the nodes whose grants a holder needs to send orders."""
+        """Return the nodes whose grants a holder needs to send orders.
+
+        A node that said it leaves may come back unseen and become holder.
+        """
         removed = {
             name
-            for name, (received_at, status) in self.statuses.items()
-            if status.has_left
-            or (
-                name not in self.registered
-                and now - received_at >= REMOVAL_DELAY
-            )
+            for name, (received_at, _) in self.statuses.items()
+            if name not in self.registered
+            and now - received_at >= REMOVAL_DELAY
         }
         known = self.statuses.keys() | self.registered.keys()
         return frozenset(known - removed - {self.own.name})
