End requests passed on for other nodes at their time limit

A node that stands still holds its connections open, so what another one passed on for it had no end but the upstream's. Found by reading the change. An upstream without room here no longer keeps all other requests of the first node away for half a second.

--- a/src/cicadahook/net/peer_relay.py
+++ b/src/cicadahook/net/peer_relay.py
@@ -98,7 +98,7 @@
         is_event_stream: whether it is a stream of events.
         failure: kind of the failure if there is no answer.
         detail: what was observed, for the log.
-        is_refused: whether the node did not try.
+        is_refused: whether the node passes nothing on now.
     """
 
     status: int = 0
@@ -391,7 +391,7 @@
 
 
 class RelayRefusedError(Exception):
-    """This node does not try to send an attempt of another node."""
+    """This node passes nothing on now."""
 
 
 class RelayServer:
@@ -480,6 +480,7 @@
             attempt = self._accept(data, stall)
             request_id = attempt.request.id
             async with (
+                asyncio.timeout(attempt.time_left.total_seconds()),
                 self._count(attempt),
                 self.upstreams.send(attempt) as answer,
             ):
@@ -502,9 +503,11 @@
             else:
                 await response.write(_frame(_encode_failure(error)))
                 await response.write_eof()
-        except ConnectionError as error:
-            # The first node has left, mostly because its caller has.
+        except (ConnectionError, TimeoutError) as error:
+            # The first node has left, or stands still beyond the time limit.
             outcome = repr(error)
+            if request.transport is not None:
+                request.transport.close()
         metrics.count_relay("served", self.node)
         logger.info(
             "Request of another node ended.",
@@ -532,8 +535,8 @@
         """Return the attempt in a message.
 
         Raises:
-            RelayRefusedError: this node does not try to send it.
-            forwarding.AttemptError: this node cannot reach the upstream.
+            RelayRefusedError: this node passes nothing on now.
+            forwarding.AttemptError: this node may not send to the upstream.
         """
         if stall > MAX_STALL:
             raise RelayRefusedError(f"stalled for {stall}")
@@ -548,15 +551,12 @@
         except (struct.error, codec.DecodeError) as error:
             raise RelayRefusedError(f"malformed: {error}") from error
         instance = self.inventory.find_usable(message.instance)
-        if instance is None or instance.born != message.born:
-            raise RelayRefusedError("unknown upstream")
         now = self.clock.now()
-        if self.reachability.is_cut(instance):
+        obstacle = self._find_obstacle(instance, message, now)
+        if instance is None or obstacle:
             raise forwarding.AttemptError(
-                forwarding.FailureKind.UNREACHABLE, "link is cut"
+                forwarding.FailureKind.UNREACHABLE, obstacle
             )
-        if not self.statements.has_room(instance, now):
-            raise RelayRefusedError("no room")
         generation = (
             forwarding.Generation("") if message.is_generation else None
         )
@@ -579,6 +579,21 @@
             message.last_event_id,
         )
 
+    def _find_obstacle(
+        self,
+        instance: inventory.Instance | None,
+        message: RelayedAttempt,
+        now: datetime.datetime,
+    ) -> str:
+        """Return why an upstream may not be sent to from here, or nothing."""
+        if instance is None or instance.born != message.born:
+            return "unknown upstream"
+        if self.reachability.is_cut(instance):
+            return "link is cut"
+        if not self.statements.has_room(instance, now):
+            return "no room"
+        return ""
+
 
 def _encode_head(head: forwarding.AnswerHead) -> bytes:
     return _frame(
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -43,11 +43,6 @@
     {errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH}
 )
 RESET: Final = frozenset({errno.ECONNRESET, errno.EPIPE})
-# The connection ended before the body did.
-PAYLOAD_ERRORS: Final = (
-    aiohttp.ClientPayloadError,
-    aiohttp.ServerDisconnectedError,
-)
 EVENT_STREAM: Final = "text/event-stream"
 SKIPPED_AUTO_HEADERS: Final = (
     "User-Agent",
@@ -476,7 +471,8 @@
             return forwarding.LinkEvent.SILENT
         return forwarding.LinkEvent.REFUSED
     is_reset = isinstance(error, OSError) and error.errno in RESET
-    if is_unanswered or is_reset or isinstance(error, PAYLOAD_ERRORS):
+    has_ended_early = isinstance(error, aiohttp.ClientPayloadError)
+    if is_unanswered or is_reset or has_ended_early:
         return forwarding.LinkEvent.BROKEN
     return None
 
--- a/tests/test_node_links.py
+++ b/tests/test_node_links.py
@@ -395,3 +395,31 @@
     head = peer_relay.HEADS.decode(content[peer_relay.FRAME_LENGTH.size :])
     assert head.is_refused and not head.status
     assert not get_node(linked_testbed, IN_TOUCH).relay_server.active
+
+
+async def test_a_helper_ends_a_stream_at_its_time_limit_by_itself(
+    linked_testbed: node_testbed.NodeTestbed,
+) -> None:
+    engine = linked_testbed.engines[0]
+    engine.events = 1000
+    peer = linked_testbed.programs[IN_TOUCH].settings.peer_address
+    message = peer_relay.RelayedAttempt(
+        "r1",
+        engine.id,
+        engine.born,
+        "POST",
+        "api.example",
+        "/chat/item",
+        (peer_relay.RelayedHeader("X-Model", "big"),),
+        300,
+        1,
+    )
+    data = peer_relay.ATTEMPTS.encode(message)
+    length = peer_relay.FRAME_LENGTH.pack(len(data))
+    async with asyncio.timeout(1):
+        async with linked_testbed.session.post(
+            f"http://{peer}{peer_relay.RELAY_PATH}", data=length + data
+        ) as response:
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await response.read()
+    await node_testbed.wait_until(lambda: not engine.running, seconds=0.5)
