--- a/tests/test_node_links.py
+++ b/tests/test_node_links.py
@@ -410,7 +410,10 @@
         "POST",
         "api.example",
         "/chat/item",
-        (peer_relay.RelayedHeader("X-Model", "big"),),
+        (
+            peer_relay.RelayedHeader("X-Request-Id", "r1"),
+            peer_relay.RelayedHeader("X-Model", "big"),
+        ),
         300,
         1,
     )
