Split the passing on of requests, and gather a node's links in one module

net/peer_relay.py becomes messages, client and server; net/upstream_links.py holds what a node knows of its links and its ways around them; what nodes tell of single upstreams is one message. No behaviour changes.

A test of leaving upstreams failed once in a whole run: it took for granted that a node sends to the first of two equal upstreams, which it need not. It now takes the one that was used, as the test of rests does.

--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -54,6 +54,21 @@
     incarnation: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamNews:
+    """What a node tells others of single upstreams.
+
+    Attributes:
+        links: which upstreams it can reach.
+        brittle: what it knows of brittle upstreams.
+        leaving: upstreams that have said that they leave.
+    """
+
+    links: tuple[reachability.LinkStatement, ...] = ()
+    brittle: tuple[brittle_upstreams.BrittleStatement, ...] = ()
+    leaving: tuple[leaving_upstreams.LeavingStatement, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeStatus:
     """Status message that a node sends to the others several times a second.
@@ -78,10 +93,8 @@
         withdrawn: copies that it has ordered engines to drop.
         crash_suspects: what it knows of traits that may crash upstreams.
         limits: what upstreams last said of their request limits.
-        brittle: what it knows of brittle upstreams.
-        leaving: upstreams that have said that they leave.
         origins: software versions that began streams here lately.
-        links: which upstreams it can reach.
+        upstreams: what it knows of single upstreams.
         is_cut_off: whether it lacks the links to most upstreams.
     """
 
@@ -102,10 +115,8 @@
     withdrawn: tuple["WithdrawnCopy", ...] = ()
     crash_suspects: tuple[crash_suspects_lib.SuspectStatement, ...] = ()
     limits: tuple[request_limits.LimitStatement, ...] = ()
-    brittle: tuple[brittle_upstreams.BrittleStatement, ...] = ()
-    leaving: tuple[leaving_upstreams.LeavingStatement, ...] = ()
     origins: tuple[stream_origins.OriginStatement, ...] = ()
-    links: tuple[reachability.LinkStatement, ...] = ()
+    upstreams: UpstreamNews = UpstreamNews()
     is_cut_off: bool = False
 
 
--- a/src/cicadahook/net/link_monitor.py
+++ b/src/cicadahook/net/link_monitor.py
@@ -29,6 +29,7 @@
 PROBE_SPREAD: Final = datetime.timedelta(milliseconds=200)
 MAX_PROBED_LINKS: Final = 64
 
+LinkListener = Callable[[inventory.Instance, forwarding.LinkEvent], None]
 Probe = Callable[[inventory.Instance], Awaitable[forwarding.LinkEvent]]
 
 logger: Final = logs.create_logger("links")
@@ -53,8 +54,9 @@
         reachability: reachability_lib.Reachability,
         instances: inventory.Inventory,
         probe: Probe,
-        is_resting: Callable[[inventory.Instance], bool],
         clock: clock_lib.Clock,
+        *,
+        is_resting: Callable[[inventory.Instance], bool],
         generator: random.Random,
         node: str,
     ) -> None:
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Coroutine, Iterable
 import dataclasses
 import datetime
+import functools
 import random
 import time
 from typing import Any, Final, Protocol
@@ -16,13 +17,11 @@
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import crash_suspects
 from cicadahook.core import errors
-from cicadahook.core import forwarding
 from cicadahook.core import grants
 from cicadahook.core import inventory as inventory_lib
 from cicadahook.core import model_demand
 from cicadahook.core import node_lifecycle
 from cicadahook.core import order_holder
-from cicadahook.core import reachability as reachability_lib
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import retry_budget
 from cicadahook.core import roster as roster_lib
@@ -35,18 +34,19 @@
 from cicadahook.net import copy_requests
 from cicadahook.net import forwarder
 from cicadahook.net import holder_lease
-from cicadahook.net import link_monitor
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import node_peers
 from cicadahook.net import order_sender
 from cicadahook.net import orderer
 from cicadahook.net import peer_probes
-from cicadahook.net import peer_relay
+from cicadahook.net import peer_relay_messages
+from cicadahook.net import peer_relay_server
 from cicadahook.net import store_listeners
 from cicadahook.net import store_watcher
 from cicadahook.net import stream_resumption
 from cicadahook.net import tasks as tasks_lib
+from cicadahook.net import upstream_links
 
 OWN_PREFIX: Final = "cicada/"
 RESTART_PAUSE: Final = datetime.timedelta(milliseconds=200)
@@ -56,15 +56,13 @@
 
 
 class UpstreamClient(
-    active_request.UpstreamSender, order_sender.EngineApi, Protocol
+    upstream_links.LinkClient, order_sender.EngineApi, Protocol
 ):
     """Client of the upstreams for requests, orders and reports.
 
     Attributes:
         statement_listener: called with each answer's upstream, what it says
             of itself and when the call was sent.
-        link_listener: called with the upstream of each call and what the call
-            shows of the link to it.
     """
 
     statement_listener: Callable[
@@ -75,9 +73,6 @@
         ],
         None,
     ]
-    link_listener: Callable[
-        [inventory_lib.Instance, forwarding.LinkEvent], None
-    ]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -111,6 +106,7 @@
         number: number of the newest status.
         roster: the known nodes and their newest statuses.
         grants: grants received from other nodes while this one is the holder.
+        links: the links to the upstreams, and ways around them.
         origins: software versions that began streams.
         holder_state: this node's part in the choice of the holder.
         tasks: running background tasks.
@@ -136,31 +132,30 @@
             settings.handover_pause,
             holder_lease.LEASE_TTL,
         )
-        self.statements = upstream_statements.UpstreamStatements(
+        statements = upstream_statements.UpstreamStatements(
             settings.name, generator
         )
-        inventory = inventory_lib.Inventory(self.statements.leaving)
+        inventory = inventory_lib.Inventory(statements.leaving)
         residency = residency_lib.Residency()
         platform.upstreams.statement_listener = self.record_statement
-        self.reachability = reachability_lib.Reachability(generator)
-        self.link_monitor = link_monitor.LinkMonitor(
-            self.reachability,
+        self.copy_client = node_peers.CopyClient()
+        self.links = upstream_links.UpstreamLinks(
+            platform.upstreams,
             inventory,
-            platform.upstreams.probe,
-            lambda instance: self.statements.is_resting(instance, clock.now()),
+            statements,
+            self.roster,
             clock,
-            generator,
-            settings.name,
+            generator=generator,
+            session=self.copy_client.session,
         )
-        platform.upstreams.link_listener = self.link_monitor.record
         balancer = balancer_lib.Balancer(
-            settings.zone, clock, generator, self.statements, self.reachability
+            settings.zone, clock, generator, statements, self.links.reachability
         )
         self.orderer = orderer.Orderer(
             order_sender.OrderSender(
                 self.holder_state,
                 order_sender.PacedEngineApi(
-                    platform.upstreams, self.statements, clock, settings.name
+                    platform.upstreams, statements, clock, settings.name
                 ),
                 clock,
                 self.is_granted,
@@ -170,23 +165,18 @@
                 lambda: self.forwarder.configuration,
                 self.get_demand,
                 balancer.list_used_copies,
-                self.statements,
+                statements,
             ),
             clock,
             settings.load_window,
         )
-        self.copy_client = node_peers.CopyClient()
-        self.relay_client = peer_relay.RelayClient(
-            self.reachability, self.roster, clock
-        )
-        self.probe_upstream = platform.upstreams.probe
         self.components = active_request.ForwarderComponents(
             clock,
             inventory,
             residency,
             balancer,
             crash_suspects.CrashSuspects(clock),
-            peer_relay.UpstreamPaths(platform.upstreams, self.relay_client),
+            self.links.paths,
             copy_requests.CopyRequester(
                 self.orderer,
                 self.copy_client,
@@ -202,11 +192,9 @@
             ),
             generator,
             model_demand.ModelDemandTracker(),
-            self.statements,
-            self.reachability,
-            peer_probes.ProbeClient(
-                self.copy_client.session, self.roster, self.reachability, clock
-            ).is_reached_elsewhere,
+            statements,
+            self.links.reachability,
+            self.links.questions.is_reached_elsewhere,
         )
         self.origins = stream_origins.StreamOrigins(
             is_first_start=settings.is_first_start
@@ -226,12 +214,6 @@
                 settings.name,
             ),
         )
-        self.relay_server = peer_relay.RelayServer(
-            self.components,
-            platform.upstreams,
-            self.forwarder.drain,
-            settings.name,
-        )
         self.directory = address_directory.AddressDirectory(
             self.roster, clock, self.get_own_state, settings.address_lifetime
         )
@@ -309,40 +291,32 @@
             and not self.is_stopping
         )
 
-    async def _find_out_reached(self, instance: inventory_lib.Instance) -> bool:
-        """Return whether this node can connect to an upstream.
+    @functools.cached_property
+    def relay_server(self) -> peer_relay_server.RelayServer:
+        """Sends requests of other nodes to upstreams."""
+        return peer_relay_server.RelayServer(
+            self.components,
+            self.links.client,
+            self.forwarder.drain,
+            self.settings.name,
+        )
 
-        One that rests has answered lately and is not disturbed.
-        """
-        if self.statements.is_resting(instance, self.clock.now()):
-            return True
-        event = await self.probe_upstream(instance)
-        return event is forwarding.LinkEvent.CONNECTED
+    @property
+    def statements(self) -> upstream_statements.UpstreamStatements:
+        """What upstreams say of themselves."""
+        return self.components.statements
 
     def get_own_state(self) -> roster_lib.OwnState:
         """Return whether this node accepts callers, and lacks links."""
-        return roster_lib.OwnState(self.is_ready(), self.is_cut_off())
-
-    def is_cut_off(self) -> bool:
-        """Whether this node lacks the links to most upstreams."""
-        return self.reachability.is_cut_off(
-            self.components.inventory.instances.values(), self.clock.now()
-        )
+        return roster_lib.OwnState(self.is_ready(), self.links.is_cut_off())
 
     def is_cut_off_from_engines(self) -> bool:
-        """Whether this node lacks the links to most engines."""
+        """Whether this node lacks most links to engines that others have."""
         configuration = self.forwarder.configuration
         if configuration is None:
             return False
         services = {each.name for each in configuration.list_engine_services()}
-        return self.reachability.is_cut_off(
-            [
-                entry
-                for entry in self.components.inventory.instances.values()
-                if entry.service in services
-            ],
-            self.clock.now(),
-        )
+        return self.links.is_cut_off(services)
 
     def apply_configuration(self, configuration: routes.Configuration) -> None:
         """Replace the configuration by a newer one."""
@@ -359,7 +333,7 @@
             self.components.residency.record_registration(entry)
         self.components.balancer.drop_unlisted(known)
         self.statements.update_registered(known)
-        self.reachability.update_registered(known)
+        self.links.reachability.update_registered(known)
         self.forwarder.crash_guard.apply_inventory()
 
     def record_statement(
@@ -396,23 +370,18 @@
             self.statements.limits.merge(
                 status.node.name, status.limits, self.clock.now()
             )
-            for name in self.statements.merge_leaving(status.leaving):
+            for name in self.statements.merge_leaving(status.upstreams.leaving):
                 logger.info(
                     "Upstream leaves, as another node has heard.",
                     extra={"instance": name, "node": status.node.name},
                 )
             self.statements.brittle.merge(
-                status.node.name, status.brittle, self.clock.now()
+                status.node.name, status.upstreams.brittle, self.clock.now()
             )
-            if status.has_left or not status.is_ready:
-                self.reachability.forget_peer(status.node.name)
+            self.links.receive_status(status)
             if status.is_brief:
                 return
             self.origins.merge(status.origins, self.clock.now())
-            if status.is_ready and not status.has_left:
-                self.reachability.merge(
-                    status.node.name, status.links, self.clock.now()
-                )
             self.components.balancer.replace_peer_loads(
                 status.node.name, status.loads
             )
@@ -461,9 +430,9 @@
             {
                 node_peers.COPIES_PATH: copies.handle,
                 stream_resumption.ORIGINS_PATH: answers.handle,
-                peer_relay.RELAY_PATH: self.relay_server.handle,
+                peer_relay_messages.RELAY_PATH: self.relay_server.handle,
                 peer_probes.PROBE_PATH: peer_probes.ProbeServer(
-                    self.components.inventory, self._find_out_reached
+                    self.components.inventory, self.links.find_out_reached
                 ).handle,
             }
         )
@@ -487,9 +456,8 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.statuses.close()
-        self.link_monitor.close()
         await self.copy_client.close()
-        await self.relay_client.close()
+        await self.links.close()
 
     def _start_task(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
         task = asyncio.create_task(
@@ -518,10 +486,7 @@
             )
             self.forwarder.node_count = self.roster.count_nodes(now)
             self.statements.replace_nodes(self.roster.list_names(now))
-            self.reachability.replace_nodes(self.roster.list_names(now))
-            self.reachability.peer_expiry = max(
-                reachability_lib.PEER_EXPIRY, self.roster.get_silence_limit()
-            )
+            self.links.update_nodes()
             self.withdraw(self.orderer.list_withdrawn_copies())
             await asyncio.sleep(MAINTENANCE_PERIOD.total_seconds())
 
@@ -601,11 +566,13 @@
                 self.components.generator
             ),
             limits=self.statements.limits.list_statements(now),
-            brittle=self.statements.brittle.list_statements(now),
-            leaving=self.statements.leaving.list_statements(),
             origins=self.origins.list_statements(now),
-            links=self.reachability.list_statements(now),
-            is_cut_off=self.is_cut_off(),
+            upstreams=roster_lib.UpstreamNews(
+                self.links.reachability.list_statements(now),
+                self.statements.brittle.list_statements(now),
+                self.statements.leaving.list_statements(),
+            ),
+            is_cut_off=self.links.is_cut_off(),
         )
 
 
@@ -626,7 +593,9 @@
         paces=(),
         crash_suspects=(),
         origins=(),
-        links=(),
+        upstreams=roster_lib.UpstreamNews(
+            (), status.upstreams.brittle, status.upstreams.leaving
+        ),
     )
 
 
--- /dev/null
+++ b/src/cicadahook/net/upstream_links.py
@@ -0,0 +1,130 @@
+"""Links of a node to the upstreams, and its ways around those that are cut."""
+
+from collections.abc import Collection, Iterable
+import random
+from typing import Protocol
+
+import aiohttp
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import forwarding
+from cicadahook.core import inventory
+from cicadahook.core import reachability as reachability_lib
+from cicadahook.core import roster as roster_lib
+from cicadahook.core import upstream_statements
+from cicadahook.net import active_request
+from cicadahook.net import link_monitor
+from cicadahook.net import peer_probes
+from cicadahook.net import peer_relay_client
+
+
+class LinkClient(active_request.UpstreamSender, Protocol):
+    """Client of the upstreams that tells what its calls show of the links.
+
+    Attributes:
+        link_listener: called with the upstream of each call and what the call
+            shows of the link to it.
+    """
+
+    link_listener: link_monitor.LinkListener
+
+
+class UpstreamLinks:
+    """Knows which upstreams this node and others reach, and keeps it so.
+
+    Attributes:
+        client: sends requests on own connections.
+        reachability: what is known of the links.
+        monitor: records what calls show of them.
+        relays: sends requests through other nodes.
+        paths: sends requests to upstreams by the best way.
+        questions: asks other nodes whether they can connect to an upstream.
+    """
+
+    def __init__(
+        self,
+        client: LinkClient,
+        instances: inventory.Inventory,
+        statements: upstream_statements.UpstreamStatements,
+        nodes: roster_lib.Roster,
+        clock: clock_lib.Clock,
+        *,
+        generator: random.Random,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self.client = client
+        self.inventory = instances
+        self.statements = statements
+        self.roster = nodes
+        self.clock = clock
+        self.reachability = reachability_lib.Reachability(generator)
+        self.monitor = link_monitor.LinkMonitor(
+            self.reachability,
+            instances,
+            client.probe,
+            clock,
+            is_resting=self._is_resting,
+            generator=generator,
+            node=nodes.own.name,
+        )
+        client.link_listener = self.monitor.record
+        self.relays = peer_relay_client.RelayClient(
+            self.reachability, nodes, clock
+        )
+        self.paths = peer_relay_client.UpstreamPaths(client, self.relays)
+        self.questions = peer_probes.ProbeClient(
+            session, nodes, self.reachability, clock
+        )
+
+    async def close(self) -> None:
+        """Stop all probes and close the connections to other nodes."""
+        self.monitor.close()
+        await self.relays.close()
+
+    def update_nodes(self) -> None:
+        """Forget the nodes that are no longer known."""
+        now = self.clock.now()
+        self.reachability.replace_nodes(self.roster.list_names(now))
+        self.reachability.peer_expiry = max(
+            reachability_lib.PEER_EXPIRY, self.roster.get_silence_limit()
+        )
+
+    def receive_status(self, status: roster_lib.NodeStatus) -> None:
+        """Apply another node's status; one that stops passes nothing on."""
+        name = status.node.name
+        if status.has_left or not status.is_ready:
+            self.reachability.forget_peer(name)
+        elif not status.is_brief:
+            self.reachability.merge(
+                name, status.upstreams.links, self.clock.now()
+            )
+
+    def is_cut_off(self, services: Collection[str] | None = None) -> bool:
+        """Whether this node lacks most links that another node has.
+
+        Args:
+            services: names of the services to look at; None for all.
+        """
+        return self.reachability.is_cut_off(
+            list(self._list_instances(services)), self.clock.now()
+        )
+
+    def _list_instances(
+        self, services: Collection[str] | None
+    ) -> Iterable[inventory.Instance]:
+        for entry in self.inventory.instances.values():
+            if services is None or entry.service in services:
+                yield entry
+
+    def _is_resting(self, instance: inventory.Instance) -> bool:
+        return self.statements.is_resting(instance, self.clock.now())
+
+    async def find_out_reached(self, instance: inventory.Instance) -> bool:
+        """Return whether this node can connect to an upstream.
+
+        One that rests has answered lately and is not disturbed.
+        """
+        if self._is_resting(instance):
+            return True
+        event = await self.client.probe(instance)
+        return event is forwarding.LinkEvent.CONNECTED
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -88,6 +88,12 @@
   echo @2 :UInt64;
 }
 
+struct UpstreamNews {
+  links @0 :List(LinkStatement);
+  brittle @1 :List(BrittleStatement);
+  leaving @2 :List(LeavingStatement);
+}
+
 struct NodeStatus {
   node @0 :NodeRecord;
   number @1 :UInt64;
@@ -109,10 +115,8 @@
   limits @16 :List(LimitStatement);
   crashSuspects @17 :List(SuspectStatement);
   origins @18 :List(OriginStatement);
-  links @19 :List(LinkStatement);
+  upstreams @19 :UpstreamNews;
   isCutOff @20 :Bool;
-  brittle @21 :List(BrittleStatement);
-  leaving @22 :List(LeavingStatement);
 }
 
 struct ProbeRequest {
--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -137,6 +137,8 @@
     """
 
     cuts_resumed: bool = True
+    rest: float | str | None = None
+    says_leaving: bool = False
     software: str = "v1"
 
     def __init__(self, name: str, service: str) -> None:
@@ -160,8 +162,6 @@
         self.calls: list[float] = []
         self.crash_state = CrashState()
         self.brittle: BrittleState | None = None
-        self.rest: float | str | None = None
-        self.says_leaving = False
 
     def describe(self) -> dict[str, Any]:
         """Return its registration in the store."""
--- a/tests/soak/node_checker.py
+++ b/tests/soak/node_checker.py
@@ -266,7 +266,7 @@
         )
 
     def list_disturbed(self, seconds: float) -> set[str]:
-        """Return the targets of faults and planned stops of the last seconds."""
+        """Return the targets of the faults and stops of the last seconds."""
         begin = time.monotonic() - seconds
         return {
             each.target for each in self.disturbances if each.ended > begin
--- a/tests/test_node_links.py
+++ b/tests/test_node_links.py
@@ -8,7 +8,8 @@
 import pytest
 
 from cicadahook.net import node as node_lib
-from cicadahook.net import peer_relay
+from cicadahook.net import peer_relay_messages
+from cicadahook.net import peer_relay_server
 import node_links
 import node_testbed
 
@@ -142,16 +143,16 @@
     for number in numbers:
         node = get_node(testbed, number)
         for entry in node.components.inventory.instances.values():
-            node.link_monitor.record(
+            node.links.monitor.record(
                 entry, await node.components.upstreams.probe(entry)
             )
-            assert node.reachability.is_cut(entry)
+            assert node.links.reachability.is_cut(entry)
 
 
 async def tell_reached(testbed: node_testbed.NodeTestbed) -> None:
     """Wait until the node that is cut off knows that the other one is not."""
     await send(testbed, 1)
-    links = get_node(testbed, CUT_OFF).reachability
+    links = get_node(testbed, CUT_OFF).links.reachability
     await node_testbed.wait_until(
         lambda: any(
             link.cut_since is None
@@ -198,7 +199,7 @@
             link.cut_since is not None
             for links in get_node(
                 linked_testbed, CUT_OFF
-            ).reachability.peers.values()
+            ).links.reachability.peers.values()
             for link in links.values()
         )
     )
@@ -259,7 +260,7 @@
     await cut_known(linked_testbed, CUT_OFF)
     for upstream in linked_testbed.plain:
         upstream.arrivals.clear()
-    monkeypatch.setattr(peer_relay, "MAX_STALL", -peer_relay.TICK)
+    monkeypatch.setattr(peer_relay_server, "MAX_STALL", -peer_relay_server.TICK)
     async with linked_testbed.call("/write/item", node=CUT_OFF) as response:
         assert response.status == 503
     assert not any(upstream.arrivals for upstream in linked_testbed.plain)
@@ -388,11 +389,13 @@
 ) -> None:
     peer = linked_testbed.programs[IN_TOUCH].settings.peer_address
     async with linked_testbed.session.post(
-        f"http://{peer}{peer_relay.RELAY_PATH}", data=data
+        f"http://{peer}{peer_relay_messages.RELAY_PATH}", data=data
     ) as response:
         assert response.status == 200
         content = await response.read()
-    head = peer_relay.HEADS.decode(content[peer_relay.FRAME_LENGTH.size :])
+    head = peer_relay_messages.HEADS.decode(
+        content[peer_relay_messages.FRAME_LENGTH.size :]
+    )
     assert head.is_refused and not head.status
     assert not get_node(linked_testbed, IN_TOUCH).relay_server.active
 
@@ -403,7 +406,7 @@
     engine = linked_testbed.engines[0]
     engine.events = 1000
     peer = linked_testbed.programs[IN_TOUCH].settings.peer_address
-    message = peer_relay.RelayedAttempt(
+    message = peer_relay_messages.RelayedAttempt(
         "r1",
         engine.id,
         engine.born,
@@ -411,17 +414,17 @@
         "api.example",
         "/chat/item",
         (
-            peer_relay.RelayedHeader("X-Request-Id", "r1"),
-            peer_relay.RelayedHeader("X-Model", "big"),
+            peer_relay_messages.RelayedHeader("X-Request-Id", "r1"),
+            peer_relay_messages.RelayedHeader("X-Model", "big"),
         ),
         300,
         1,
     )
-    data = peer_relay.ATTEMPTS.encode(message)
-    length = peer_relay.FRAME_LENGTH.pack(len(data))
+    data = peer_relay_messages.ATTEMPTS.encode(message)
+    length = peer_relay_messages.FRAME_LENGTH.pack(len(data))
     async with asyncio.timeout(1):
         async with linked_testbed.session.post(
-            f"http://{peer}{peer_relay.RELAY_PATH}", data=length + data
+            f"http://{peer}{peer_relay_messages.RELAY_PATH}", data=length + data
         ) as response:
             with pytest.raises(aiohttp.ClientPayloadError):
                 await response.read()
--- a/tests/test_node_rests.py
+++ b/tests/test_node_rests.py
@@ -114,7 +114,10 @@
 async def test_an_upstream_that_says_it_leaves_gets_no_more_requests(
     testbed: node_testbed.NodeTestbed,
 ) -> None:
-    leaving = testbed.plain[0]
+    async with testbed.call(READ):
+        pass
+    (leaving,) = (each for each in testbed.plain if each.calls)
+    leaving.calls.clear()
     leaving.says_leaving = True
     answers = await test_node_limits.send(testbed, DRAIN_SECONDS + 2, 20)
     assert [status for status, _ in answers] == [200] * len(answers)
@@ -138,6 +141,15 @@
     assert not [order for order in leaving.orders if order["model"] == "big"]
 
 
+def count_usable(testbed: node_testbed.NodeTestbed, name: str) -> int:
+    """Return how many nodes may send requests to an upstream."""
+    return sum(
+        get_node(testbed, number).components.inventory.find_usable(name)
+        is not None
+        for number in range(node_testbed.NODE_COUNT)
+    )
+
+
 async def test_a_late_listing_does_not_take_back_that_an_upstream_leaves(
     testbed: node_testbed.NodeTestbed,
 ) -> None:
@@ -149,19 +161,15 @@
         node.clock.now(),
     )
     testbed.register(leaving)
-    for number in range(2):
-        registry = get_node(testbed, number).components.inventory
-        await node_testbed.wait_until(
-            lambda: registry.find_usable(leaving.id) is None
-        )
+    await node_testbed.wait_until(
+        lambda: count_usable(testbed, leaving.id) == 0
+    )
     testbed.register(leaving)
     await asyncio.sleep(0.3)
     await test_node_limits.send(testbed, 0.5, 20)
     assert not leaving.calls
     leaving.restart()
     testbed.register(leaving)
-    for number in range(2):
-        registry = get_node(testbed, number).components.inventory
-        await node_testbed.wait_until(
-            lambda: registry.find_usable(leaving.id) is not None
-        )
+    await node_testbed.wait_until(
+        lambda: count_usable(testbed, leaving.id) == node_testbed.NODE_COUNT
+    )
