Pass on nothing for half a second after a stall

A node that stood still might have sent a request of another node that waited in its buffers: the check compared with the last tick, and the tick may run before the request is read. Found by reading the change. Now each tick that comes over 0.4 s late begins half a second in which requests of other nodes are refused as not run.

Evidence: the new test; the order of tick and read was not reproduced.

--- a/src/cicadahook/net/peer_relay_server.py
+++ b/src/cicadahook/net/peer_relay_server.py
@@ -25,6 +25,8 @@
 TICK: Final = datetime.timedelta(milliseconds=100)
 # What is read after a longer stall of the process may be too old to be sent.
 MAX_STALL: Final = datetime.timedelta(milliseconds=400)
+# After a stall, what was sent before is read within this time.
+CATCH_UP_PERIOD: Final = datetime.timedelta(milliseconds=500)
 # Longer than any request may take.
 MAX_TIME_LEFT_MS: Final = 24 * 60 * 60 * 1000
 
@@ -49,6 +51,7 @@
         active: number of attempts in progress.
         held_bytes: size of their bodies.
         ticked: when the process last showed that it runs.
+        refuses_until: until when it reads what was sent before a stall.
     """
 
     def __init__(
@@ -67,17 +70,29 @@
         self.node = node
         self.active = 0
         self.held_bytes = 0
-        self.ticked = self.clock.now()
+        self.ticked = self.refuses_until = self.clock.now()
 
     async def run(self) -> None:
         """Record that the process runs, until cancelled."""
         while True:
-            self.ticked = self.clock.now()
+            self.record_tick()
             await asyncio.sleep(TICK.total_seconds())
 
+    def record_tick(self) -> None:
+        """Record that the process runs now."""
+        now = self.clock.now()
+        if now - self.ticked > MAX_STALL:
+            self.refuses_until = now + CATCH_UP_PERIOD
+        self.ticked = now
+
+    def _has_stalled(self) -> bool:
+        """Whether what is read now may have been sent before a stall."""
+        now = self.clock.now()
+        return now - self.ticked > MAX_STALL or now < self.refuses_until
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Send one attempt and pass on its answer."""
-        stall = self.clock.now() - self.ticked
+        has_stalled = self._has_stalled()
         response = web.StreamResponse()
         response.enable_chunked_encoding()
         self.active += 1
@@ -87,7 +102,7 @@
             size = len(data)
             self.held_bytes += size
             await response.prepare(request)
-            await self._serve(request, response, data, stall)
+            await self._serve(request, response, data, has_stalled)
         finally:
             self.active -= 1
             self.held_bytes -= size
@@ -113,12 +128,12 @@
         request: web.BaseRequest,
         response: web.StreamResponse,
         data: bytes,
-        stall: datetime.timedelta,
+        has_stalled: bool,
     ) -> None:
         """Send an attempt; the answer's end is sent only if it is whole."""
         request_id, has_begun = "", False
         try:
-            attempt = self._accept(data, stall)
+            attempt = self._accept(data, has_stalled)
             request_id = attempt.request.id
             async with (
                 asyncio.timeout(attempt.time_left.total_seconds()),
@@ -172,17 +187,15 @@
                 instance, self.clock.now(), is_rejected=is_rejected
             )
 
-    def _accept(
-        self, data: bytes, stall: datetime.timedelta
-    ) -> forwarding.Attempt:
+    def _accept(self, data: bytes, has_stalled: bool) -> forwarding.Attempt:
         """Return the attempt in a message.
 
         Raises:
             RelayRefusedError: this node passes nothing on now.
             forwarding.AttemptError: this node may not send to the upstream.
         """
-        if stall > MAX_STALL:
-            raise RelayRefusedError(f"stalled for {stall}")
+        if has_stalled:
+            raise RelayRefusedError("stalled")
         if self.drain.plan is not None:
             raise RelayRefusedError("stopping")
         if self.active > MAX_RELAYED:
--- a/tests/test_node_links.py
+++ b/tests/test_node_links.py
@@ -266,6 +266,24 @@
     assert not any(upstream.arrivals for upstream in linked_testbed.plain)
 
 
+async def test_a_node_passes_on_nothing_for_a_while_after_it_stood_still(
+    linked_testbed: node_testbed.NodeTestbed,
+) -> None:
+    await tell_reached(linked_testbed)
+    await cut_known(linked_testbed, CUT_OFF)
+    for upstream in linked_testbed.plain:
+        upstream.arrivals.clear()
+    server = get_node(linked_testbed, IN_TOUCH).relay_server
+    server.ticked -= 2 * peer_relay_server.MAX_STALL
+    server.record_tick()
+    async with linked_testbed.call("/write/item", node=CUT_OFF) as response:
+        assert response.status == 503
+    assert not any(upstream.arrivals for upstream in linked_testbed.plain)
+    await asyncio.sleep(1)
+    async with linked_testbed.call("/write/item", node=CUT_OFF) as response:
+        assert response.status == 200
+
+
 async def test_streams_broken_off_by_a_cut_are_no_suspects_of_a_crash(
     linked_testbed: node_testbed.NodeTestbed,
 ) -> None:
