--- a/tests/test_node_links.py
+++ b/tests/test_node_links.py
@@ -305,6 +305,30 @@
         assert not node.components.suspects.records
 
 
+async def test_streams_broken_off_at_all_nodes_are_no_suspects_of_a_crash(
+    linked_testbed: node_testbed.NodeTestbed,
+) -> None:
+    await tell_reached(linked_testbed)
+    for engine in linked_testbed.engines:
+        engine.events, engine.event_seconds = 100, 0.02
+    calls = [
+        asyncio.create_task(call(linked_testbed, node, number))
+        for node in (IN_TOUCH, CUT_OFF)
+        for number in (2, 3, 6, 7)
+    ]
+    await node_testbed.wait_until(
+        lambda: sum(engine.running for engine in linked_testbed.engines) == 8
+    )
+    for links in linked_testbed.links:
+        for link in links.values():
+            link.cut(node_links.Cut.RESET)
+    await asyncio.gather(*calls)
+    await asyncio.sleep(1)
+    for number in (IN_TOUCH, CUT_OFF):
+        node = get_node(linked_testbed, number)
+        assert not node.components.suspects.records
+
+
 async def test_a_holder_without_links_leaves_the_orders_to_another_node(
     linked_testbed: node_testbed.NodeTestbed,
 ) -> None:
