Take no upstream for crashed while no link of the node works

Cause: after a stream broke off, an upstream counted as crashed if it refused connections and no other node reached it. Where resets cut all nodes off at once, that holds for every upstream, so requests that were sound became suspects.

Change: a refusal is evidence only at a node that connects to one of three other upstreams at that moment. Without any link the node waits for the store to list the end of the upstream.

--- a/src/cicadahook/net/active_request.py
+++ b/src/cicadahook/net/active_request.py
@@ -163,8 +163,8 @@
 class ForwarderComponents:
     """The components that a forwarder works with.
 
-    `is_reached_elsewhere` returns whether another node can connect to an
-    upstream.
+    `may_have_ended` returns whether an upstream that refuses connections may
+    have ended, and not only its links.
     """
 
     clock: clock_lib.Clock
@@ -179,7 +179,7 @@
     demand_tracker: model_demand.ModelDemandTracker
     statements: upstream_statements.UpstreamStatements
     reachability: reachability_lib.Reachability
-    is_reached_elsewhere: ReachCheck
+    may_have_ended: ReachCheck
 
 
 def create_refusal(
--- a/src/cicadahook/net/crash_guard.py
+++ b/src/cicadahook/net/crash_guard.py
@@ -176,7 +176,8 @@
         """Find out whether an upstream that broke off a request has ended.
 
         The store would tell it seconds later, and not at all while it is away.
-        It has ended if it refuses connections of this node and of others.
+        It has ended if it refuses connections of this node and of others, while
+        this node has links to other upstreams.
         """
         if self.components.statements.asks_for_less(instance, self.clock.now()):
             return
@@ -184,7 +185,7 @@
             await asyncio.sleep(PROBE_PAUSE.total_seconds())
             event = await self.components.upstreams.probe(instance)
             if event is forwarding.LinkEvent.REFUSED:
-                if not await self.components.is_reached_elsewhere(instance):
+                if await self.components.may_have_ended(instance):
                     self._record_crashes(
                         self.tracker.pop_dead(instance.id, self.clock.now())
                     )
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -194,7 +194,7 @@
             model_demand.ModelDemandTracker(),
             statements,
             self.links.reachability,
-            self.links.questions.is_reached_elsewhere,
+            self.links.may_have_ended,
         )
         self.origins = stream_origins.StreamOrigins(
             is_first_start=settings.is_first_start
--- a/src/cicadahook/net/upstream_links.py
+++ b/src/cicadahook/net/upstream_links.py
@@ -1,8 +1,9 @@
 """Links of a node to the upstreams, and its ways around those that are cut."""
 
+import asyncio
 from collections.abc import Collection, Iterable
 import random
-from typing import Protocol
+from typing import Final, Protocol
 
 import aiohttp
 
@@ -17,6 +18,9 @@
 from cicadahook.net import peer_probes
 from cicadahook.net import peer_relay_client
 
+# Upstreams that are probed to find out whether this node has any link.
+MAX_WITNESSES: Final = 3
+
 
 class LinkClient(active_request.UpstreamSender, Protocol):
     """Client of the upstreams that tells what its calls show of the links.
@@ -57,6 +61,7 @@
         self.statements = statements
         self.roster = nodes
         self.clock = clock
+        self.generator = generator
         self.reachability = reachability_lib.Reachability(generator)
         self.monitor = link_monitor.LinkMonitor(
             self.reachability,
@@ -128,3 +133,28 @@
             return True
         event = await self.client.probe(instance)
         return event is forwarding.LinkEvent.CONNECTED
+
+    async def may_have_ended(self, instance: inventory.Instance) -> bool:
+        """Return whether an upstream that refuses connections may have ended.
+
+        That no node reaches it proves nothing while this node reaches no other
+        upstream either: then the links of all nodes may be cut.
+        """
+        if await self.questions.is_reached_elsewhere(instance):
+            return False
+        return await self._has_any_link(instance)
+
+    async def _has_any_link(self, besides: inventory.Instance) -> bool:
+        """Return whether this node can connect to any other upstream now."""
+        others = [
+            entry
+            for entry in self.inventory.instances.values()
+            if entry.id != besides.id and not self.reachability.is_cut(entry)
+        ]
+        witnesses = self.generator.sample(
+            others, min(len(others), MAX_WITNESSES)
+        )
+        reached = await asyncio.gather(
+            *(self.find_out_reached(entry) for entry in witnesses)
+        )
+        return any(reached)
