--- a/src/cicadahook/core/order_holder.py
+++ b/src/cicadahook/core/order_holder.py
@@ -29,6 +29,9 @@
 # Allows for the time between the check of the lease and the arrival of an
 # order.
 VALIDITY_MARGIN: Final = datetime.timedelta(milliseconds=400)
+# A holder whose lease ends within this time asks for grants. They arrive within
+# some statuses; the lease is renewed every 0.7 s.
+GRANT_REQUEST_LEAD: Final = datetime.timedelta(milliseconds=1500)
 # The previous holder may continue for as long as its last grant lasts.
 PAUSE_MARGIN: Final = grants.GRANT_DURATION + datetime.timedelta(
     milliseconds=300
@@ -149,6 +152,13 @@
         """Return whether the own lease is certainly valid."""
         return self.valid_until is not None and now < self.valid_until
 
+    def wants_grants(self, now: datetime.datetime) -> bool:
+        """Return whether the holder may soon have to go on without a lease."""
+        is_leased = self.is_term_leased and self.is_leased(
+            now + GRANT_REQUEST_LEAD
+        )
+        return self.fence > 0 and not is_leased
+
     def can_send(self, now: datetime.datetime, is_granted: bool) -> bool:
         """Return whether an order may be sent now.
 
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -96,6 +96,9 @@
         origins: software versions that began streams here lately.
         upstreams: what it knows of single upstreams.
         is_cut_off: whether it lacks the links to most upstreams.
+        capabilities: what its build can do, see `status_schedule`; empty if
+            the build is older than that list.
+        wants_grants: whether it needs the grants of all others as holder.
     """
 
     node: NodeRecord
@@ -118,6 +121,8 @@
     origins: tuple[stream_origins.OriginStatement, ...] = ()
     upstreams: UpstreamNews = UpstreamNews()
     is_cut_off: bool = False
+    capabilities: tuple[str, ...] = ()
+    wants_grants: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -266,6 +271,19 @@
             return None
         return known[1]
 
+    def supports(self, node: NodeRecord, capability: str) -> bool:
+        """Whether a process has told that its build can do something.
+
+        One that has left may be followed by a process of an older build.
+        """
+        known = self.statuses.get(node.name)
+        return (
+            known is not None
+            and known[1].node.incarnation == node.incarnation
+            and not known[1].has_left
+            and capability in known[1].capabilities
+        )
+
     def count_nodes(self, now: datetime.datetime) -> int:
         """Return the number of nodes among which shared limits are divided."""
         return len(self.list_names(now))
--- /dev/null
+++ b/src/cicadahook/core/status_schedule.py
@@ -0,0 +1,93 @@
+"""Decides to which nodes each status is sent, and in which form.
+
+Designed for fleets whose nodes each send a constant number of messages a
+second. The full status goes to a part of the nodes in each period, in turns. A
+brief one goes to the others only when they must know something at once.
+"""
+
+import dataclasses
+import datetime
+from typing import Any, Final
+
+from cicadahook.core import roster as roster_lib
+
+# What nodes of this build can do, as they tell in their statuses. Nodes of
+# older builds tell nothing.
+COMPACT_STATUS: Final = "compact_status"
+GRANTS_ON_REQUEST: Final = "grants_on_request"
+CAPABILITIES: Final = (COMPACT_STATUS, GRANTS_ON_REQUEST)
+# News goes to all nodes for this time, so that one lost message is no harm.
+URGENT_PERIOD: Final = 3 * roster_lib.STATUS_PERIOD
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Recipients:
+    """The nodes that get a status.
+
+    Attributes:
+        full: those that get all of it.
+        brief: those that get it without the lists that may wait.
+    """
+
+    full: tuple[roster_lib.NodeRecord, ...]
+    brief: tuple[roster_lib.NodeRecord, ...]
+
+
+class StatusSchedule:
+    """Chooses the recipients of one node's statuses.
+
+    Attributes:
+        roster: the other nodes.
+        news: what all nodes must know at once, as last told.
+        urgent_until: until when all nodes get each status.
+    """
+
+    def __init__(self, roster: roster_lib.Roster) -> None:
+        self.roster = roster
+        self.news: Any = None
+        self.urgent_until: datetime.datetime | None = None
+
+    def choose(
+        self, status: roster_lib.NodeStatus, now: datetime.datetime
+    ) -> Recipients:
+        """Return the recipients of this node's next status."""
+        turn = self.roster.list_full_status_peers(status.number, now)
+        full: list[roster_lib.NodeRecord] = []
+        brief: list[roster_lib.NodeRecord] = []
+        is_urgent = self._is_urgent(status, now)
+        granted = self._find_granted_holder(now)
+        for peer in self.roster.list_peers(now):
+            if peer.name in turn:
+                full.append(peer)
+            elif is_urgent or peer.name == granted:
+                brief.append(peer)
+        return Recipients(tuple(full), tuple(brief))
+
+    def _is_urgent(
+        self, status: roster_lib.NodeStatus, now: datetime.datetime
+    ) -> bool:
+        """Whether all nodes must know this status at once.
+
+        A holder that wants grants needs all nodes to know its newest status.
+        """
+        news = (status.is_holder, status.fence, status.withdrawn)
+        if news != self.news:
+            self.news = news
+            self.urgent_until = now + URGENT_PERIOD
+        is_news = self.urgent_until is not None and now < self.urgent_until
+        is_leaving = status.has_left or not status.is_ready
+        return status.wants_grants or is_leaving or is_news
+
+    def _find_granted_holder(self, now: datetime.datetime) -> str:
+        """Return the name of the holder that needs a grant now, if any.
+
+        A holder of an older build does not tell when it needs grants.
+        """
+        holder = self.roster.find_holder(now)
+        if holder is None:
+            return ""
+        status = self.roster.find_recent(holder.name, now)
+        if status is None:
+            return ""
+        is_old = GRANTS_ON_REQUEST not in status.capabilities
+        return holder.name if is_old or status.wants_grants else ""
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -42,6 +42,7 @@
 from cicadahook.net import peer_probes
 from cicadahook.net import peer_relay_messages
 from cicadahook.net import peer_relay_server
+from cicadahook.net import status_reporter
 from cicadahook.net import store_listeners
 from cicadahook.net import store_watcher
 from cicadahook.net import stream_resumption
@@ -102,13 +103,12 @@
 
     Attributes:
         is_stopping: whether new callers must use another node.
-        has_left: whether the next status is the last one.
-        number: number of the newest status.
         roster: the known nodes and their newest statuses.
         grants: grants received from other nodes while this one is the holder.
         links: the links to the upstreams, and ways around them.
         origins: software versions that began streams.
         holder_state: this node's part in the choice of the holder.
+        reporter: tells other nodes of this one.
         tasks: running background tasks.
     """
 
@@ -121,8 +121,6 @@
         self.settings = settings
         self.clock = clock
         self.is_stopping = False
-        self.has_left = False
-        self.number = 0
         generator = random.Random(settings.name + str(time.time_ns()))
         self.roster = roster_lib.Roster(_describe(settings))
         self.grants = grants.ReceivedGrants()
@@ -231,7 +229,21 @@
         self.own_keys = store_listeners.OwnKeysListener(
             self.roster, self.holder_state, clock
         )
-        self.statuses = node_peers.StatusEndpoint(self.receive_status)
+        self.statuses = status_reporter.StatusEndpoint(self.receive_status)
+        self.reporter = status_reporter.StatusReporter(
+            self.statuses,
+            status_reporter.StatusSources(
+                self.roster,
+                self.grants,
+                self.holder_state,
+                self.forwarder,
+                self.orderer,
+                self.links,
+                self.origins,
+                self.is_ready,
+            ),
+            clock,
+        )
         self.watcher = self._create_watcher(platform, generator)
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -268,16 +280,6 @@
         needed = self.roster.list_required_granters(now)
         return self.grants.is_complete(needed, now)
 
-    def _create_grant(self, now: datetime.datetime) -> grants.Grant:
-        """Return this node's grant to the holder that it knows.
-
-        A node that has not read the keys since its start grants nothing: it
-        may have been the holder itself before.
-        """
-        if not self.holder_state.has_read_keys:
-            return grants.Grant()
-        return self.roster.create_grant(self.holder_state.newest_term, now)
-
     def has_active_holder(self) -> bool:
         """Whether another node reports that it sends orders."""
         return self.roster.find_holder(self.clock.now()) is not None
@@ -443,15 +445,15 @@
         self._start_task(self.watcher.run)
         self._start_task(self.leadership.run)
         self._start_task(self._keep_house)
-        self._start_task(self._tell_status)
+        self._start_task(self.reporter.run)
         self._start_task(self._propose_when_open)
         self._start_task(self.orderer.run)
         self._start_task(self.relay_server.run)
 
     async def stop(self) -> None:
         """Send the last status to the other nodes and stop all tasks."""
-        self.has_left = True
-        self._send_status()
+        self.reporter.has_left = True
+        self.reporter.send()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -490,36 +492,6 @@
             self.withdraw(self.orderer.list_withdrawn_copies())
             await asyncio.sleep(MAINTENANCE_PERIOD.total_seconds())
 
-    async def _tell_status(self) -> None:
-        while True:
-            self._send_status()
-            await asyncio.sleep(roster_lib.STATUS_PERIOD.total_seconds())
-
-    def _send_status(self) -> None:
-        """Send the full status to some nodes and a brief one to others.
-
-        The full status goes to a part of the nodes each time. The holder
-        needs the others' grants, and they its newest status. That a
-        node accepts no more callers concerns all nodes at once.
-        """
-        now = self.clock.now()
-        status = self.create_status()
-        recipients = self.roster.list_full_status_peers(status.number, now)
-        peers = list(self.roster.list_peers(now))
-        self.statuses.send(
-            status, [peer for peer in peers if peer.name in recipients]
-        )
-        holder = self.roster.find_holder(now)
-        is_urgent = status.fence or not status.is_ready or status.has_left
-        others = [
-            peer
-            for peer in peers
-            if peer.name not in recipients
-            and (is_urgent or (holder and peer.name == holder.name))
-        ]
-        if others:
-            self.statuses.send(_create_brief(status), others)
-
     async def _propose_when_open(self) -> None:
         while True:
             await self.own_keys.is_holder_vacant.wait()
@@ -533,48 +505,6 @@
                     )
             await asyncio.sleep(MAINTENANCE_PERIOD.total_seconds())
 
-    def create_status(self) -> roster_lib.NodeStatus:
-        """Return the next status for the other nodes."""
-        now = self.clock.now()
-        configuration = self.forwarder.configuration
-        self.number += 1
-        self.grants.record_status(self.number, now)
-        return roster_lib.NodeStatus(
-            node=self.roster.own,
-            number=self.number,
-            is_ready=self.is_ready(),
-            is_holder=self.orderer.can_send(),
-            has_left=self.has_left,
-            fence=self.holder_state.fence,
-            newest_term=self.holder_state.newest_term,
-            grant=self._create_grant(now),
-            configuration=configuration.version if configuration else 0,
-            inventory=self.components.inventory.revision,
-            loads=self.components.balancer.list_own_loads(),
-            wanted=tuple(
-                roster_lib.ModelDemand(service, model, share)
-                for (
-                    service,
-                    model,
-                ), share in self.components.demand_tracker.list_shares(
-                    now
-                ).items()
-            ),
-            paces=tuple(self.components.balancer.paces.own.values()),
-            withdrawn=self.orderer.list_withdrawn_copies(),
-            crash_suspects=self.components.suspects.list_statements(
-                self.components.generator
-            ),
-            limits=self.statements.limits.list_statements(now),
-            origins=self.origins.list_statements(now),
-            upstreams=roster_lib.UpstreamNews(
-                self.links.reachability.list_statements(now),
-                self.statements.brittle.list_statements(now),
-                self.statements.leaving.list_statements(),
-            ),
-            is_cut_off=self.links.is_cut_off(),
-        )
-
 
 def _describe_value(value: Any) -> Any:
     """Return a value as it is logged; durations in seconds."""
@@ -583,22 +513,6 @@
     return value
 
 
-def _create_brief(status: roster_lib.NodeStatus) -> roster_lib.NodeStatus:
-    """Return a status without the fields that may wait for a full one."""
-    return dataclasses.replace(
-        status,
-        is_brief=True,
-        loads=(),
-        wanted=(),
-        paces=(),
-        crash_suspects=(),
-        origins=(),
-        upstreams=roster_lib.UpstreamNews(
-            (), status.upstreams.brittle, status.upstreams.leaving
-        ),
-    )
-
-
 def _describe(settings: node_lifecycle.NodeSettings) -> roster_lib.NodeRecord:
     """Return the record of this node and process start for other nodes."""
     return roster_lib.NodeRecord(
--- a/src/cicadahook/net/node_peers.py
+++ b/src/cicadahook/net/node_peers.py
@@ -1,10 +1,9 @@
-"""Messages between nodes: statuses over UDP, copy requests over HTTP."""
+"""Calls between nodes over HTTP, and requests for copies among them."""
 
-import asyncio
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 import dataclasses
 import datetime
-from typing import Any, Final
+from typing import Final
 
 import aiohttp
 from aiohttp import web
@@ -51,64 +50,10 @@
     reason: str = ""
 
 
-STATUSES: Final = codec.Codec(roster.NodeStatus, "peer")
 COPY_REQUESTS: Final = codec.Codec(CopyRequest, "peer")
 COPY_ANSWERS: Final = codec.Codec(CopyAnswer, "peer")
 
 
-class StatusEndpoint(asyncio.DatagramProtocol):
-    """Sends and receives statuses over UDP.
-
-    Attributes:
-        receive: called with each status received.
-        transport: set while the endpoint is open.
-    """
-
-    def __init__(self, receive: Callable[[roster.NodeStatus], None]) -> None:
-        self.receive = receive
-        self.transport: asyncio.DatagramTransport | None = None
-
-    async def open(self, host: str, port: int) -> None:
-        """Listen on a UDP port."""
-        await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: self, local_addr=(host, port)
-        )
-
-    def connection_made(self, transport: Any) -> None:
-        """Store the transport used for sending."""
-        self.transport = transport
-
-    def datagram_received(self, data: bytes, addr: Any) -> None:
-        """Decode a status and pass it on; drop anything else."""
-        try:
-            self.receive(STATUSES.decode(data))
-        except codec.DecodeError as error:
-            logger.warning(
-                "Datagram dropped; it is not a status.",
-                extra={"sender": str(addr), "error": str(error)},
-            )
-
-    def error_received(self, exc: Exception) -> None:
-        """Ignore a peer that does not listen; its missing statuses show it."""
-        logger.debug("Datagram not delivered.", extra={"error": repr(exc)})
-
-    def send(
-        self, status: roster.NodeStatus, peers: Iterable[roster.NodeRecord]
-    ) -> None:
-        """Send a status to all peers."""
-        if self.transport is None:
-            return
-        data = STATUSES.encode(status)
-        for peer in peers:
-            host, port = peer.peer_address.rsplit(":", 1)
-            self.transport.sendto(data, (host, int(port)))
-
-    def close(self) -> None:
-        """Stop listening."""
-        if self.transport is not None:
-            self.transport.close()
-
-
 class PeerServer:
     """Passes calls of other nodes to their handlers by path."""
 
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -117,6 +117,8 @@
   origins @18 :List(OriginStatement);
   upstreams @19 :UpstreamNews;
   isCutOff @20 :Bool;
+  capabilities @21 :List(Text);
+  wantsGrants @22 :Bool;
 }
 
 struct ProbeRequest {
