Refuse requests at once whose copy is expected too late

Cause: a request waited for a copy for the lesser of 3 s and half of what it had left.

Change: core/expected_waits.py says how much longer a copy should take, by the plan of its load, what the holder tells of loads in progress and what waits took lately. A request waits while that fits into its time limit and, on streaming routes, the pause after which callers leave; else it is refused as not run with that time as Retry-After. The load goes on. The waits move to net/engine_waits.py; the fixed 3 s and the half are gone.

--- a/src/cicadahook/core/load_planning.py
+++ b/src/cicadahook/core/load_planning.py
@@ -5,7 +5,7 @@
 """
 
 import collections
-from collections.abc import Mapping, Set
+from collections.abc import Iterable, Mapping, Set
 import dataclasses
 import datetime
 import functools
@@ -13,6 +13,7 @@
 from typing import Final
 
 from cicadahook.core import engine_ledger
+from cicadahook.core import expected_waits
 from cicadahook.core import routes
 
 # An engine that is busy for at most this share of time needs no further copies
@@ -55,6 +56,7 @@
 # Loads that the platform allows in a window beyond the rate. A new holder
 # starts at most this number while loads of the previous holder may still count.
 SPARE_LOADS: Final = 3
+MILLISECOND: Final = datetime.timedelta(milliseconds=1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -391,3 +393,20 @@
     if name in in_use:
         copy_cost += IN_USE_SECONDS
     return copy_cost
+
+
+def list_loads(
+    ledgers: Iterable[engine_ledger.EngineLedger], now: datetime.datetime
+) -> tuple[expected_waits.LoadStatement, ...]:
+    """Return the loads in progress, as the holder tells the other nodes."""
+    return tuple(
+        expected_waits.LoadStatement(
+            ledger.instance.service,
+            name,
+            max(0, (copy.loaded + duration - now) // MILLISECOND),
+        )
+        for ledger in ledgers
+        for name, copy in ledger.copies.items()
+        if copy.state is engine_ledger.CopyState.LOADING
+        for duration, _ in (_find_source(ledger, copy.model),)
+    )
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -9,6 +9,7 @@
 from cicadahook.core import balancer
 from cicadahook.core import brittle_upstreams
 from cicadahook.core import crash_suspects as crash_suspects_lib
+from cicadahook.core import expected_waits
 from cicadahook.core import grants
 from cicadahook.core import leaving_upstreams
 from cicadahook.core import model_paces
@@ -99,6 +100,7 @@
         capabilities: what its build can do, see `status_schedule`; empty if
             the build is older than that list.
         wants_grants: whether it needs the grants of all others as holder.
+        loading: loads that it has ordered and that are not done.
     """
 
     node: NodeRecord
@@ -123,6 +125,7 @@
     is_cut_off: bool = False
     capabilities: tuple[str, ...] = ()
     wants_grants: bool = False
+    loading: tuple[expected_waits.LoadStatement, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -188,6 +191,7 @@
                     wanted=newest.wanted,
                     paces=newest.paces,
                     crash_suspects=newest.crash_suspects,
+                    loading=newest.loading,
                 )
         self.statuses[name] = (now, status)
         return True
--- a/src/cicadahook/core/routes.py
+++ b/src/cicadahook/core/routes.py
@@ -6,6 +6,13 @@
 import enum
 import functools
 import random
+from typing import Final
+
+# Callers of a stream leave after the longest of these without an event: a fixed
+# time, and multiples of the route's target latency and target pause.
+MIN_PATIENCE: Final = datetime.timedelta(seconds=2)
+PATIENCE_PER_TARGET: Final = 4
+PATIENCE_PER_PAUSE: Final = 8
 
 
 class RouteKind(enum.StrEnum):
@@ -39,6 +46,8 @@
         services: services that receive the requests.
         max_attempts: maximum number of upstreams that may run one request.
         is_resumable: whether a stream may be continued by another upstream.
+        target_pause: longest pause between the events of a stream for which its
+            answer still counts in full; 0 if not stated.
     """
 
     name: str
@@ -51,6 +60,23 @@
     services: tuple[WeightedService, ...]
     max_attempts: int
     is_resumable: bool = False
+    target_pause: datetime.timedelta = datetime.timedelta()
+
+    @property
+    def patience(self) -> datetime.timedelta:
+        """Return the time without an event after which callers leave.
+
+        It holds for the first event of a stream too. Callers of other routes
+        wait until the timeout.
+        """
+        if self.kind is not RouteKind.STREAMING:
+            return self.timeout
+        patience = max(
+            MIN_PATIENCE,
+            PATIENCE_PER_TARGET * self.target_latency,
+            PATIENCE_PER_PAUSE * self.target_pause,
+        )
+        return min(self.timeout, patience)
 
     @property
     def is_repeatable(self) -> bool:
--- a/src/cicadahook/net/active_request.py
+++ b/src/cicadahook/net/active_request.py
@@ -58,25 +58,38 @@
         """Return what a new connection shows of the link to an upstream."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WantedCopy:
+    """A copy that a request needs.
+
+    Attributes:
+        service: name of the service.
+        key: the model and adapter, and the preferred engine.
+        failed: ids of engines that were unreachable or lacked the copy.
+        software: version of the engine's software; empty for any.
+    """
+
+    service: str
+    key: residency_lib.CopyKey
+    failed: frozenset[str] = frozenset()
+    software: str = ""
+
+
 class CopyLoader(Protocol):
     """Makes engines load models and adapters."""
 
-    async def ensure(
-        self,
-        service: str,
-        key: residency_lib.CopyKey,
-        failed: frozenset[str],
-        software: str = "",
-    ) -> residency_lib.CopyKey | None:
-        """Return the key of a loaded copy, or None if none could be loaded.
-
-        Args:
-            service: name of the service.
-            key: the model and adapter wanted, and the preferred engine.
-            failed: ids of engines that were unreachable or lacked the copy.
-            software: version of the engine's software; empty for any.
+    def begin(
+        self, wanted: WantedCopy
+    ) -> "asyncio.Task[residency_lib.CopyKey | None]":
+        """Begin to load a copy; the load goes on if the task is cancelled.
+
+        Returns:
+            A task that returns where the copy is, or None if there is none.
         """
 
+    def estimate_wait(self, wanted: WantedCopy) -> datetime.timedelta:
+        """Return how much longer a copy should take."""
+
 
 class AnswerSink(Protocol):
     """Sends an answer to the caller of a request."""
@@ -154,6 +167,13 @@
     answer_began: datetime.datetime | None = None
     is_proven_sound: bool = False
 
+    @property
+    def latest_first_piece(self) -> datetime.datetime:
+        """When the caller must have the first piece of the answer."""
+        if self.has_begun:
+            return self.deadline
+        return min(self.deadline, self.request.received + self.route.patience)
+
     def accepts(self, instance: inventory.Instance) -> bool:
         """Whether the software of an upstream may run the request."""
         return self.required_software in (None, instance.software)
--- a/src/cicadahook/net/copy_requests.py
+++ b/src/cicadahook/net/copy_requests.py
@@ -9,10 +9,13 @@
 from typing import Final
 
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import expected_waits
 from cicadahook.core import inventory
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import roster as roster_lib
+from cicadahook.net import active_request
 from cicadahook.net import logs
+from cicadahook.net import metrics
 from cicadahook.net import node_peers
 from cicadahook.net import orderer as orderer_lib
 from cicadahook.net import tasks
@@ -33,6 +36,8 @@
     Attributes:
         orderer: sends orders while this node is the holder.
         client: calls the holder if it is another node.
+        waits: how long the copies should take.
+        holder: the node that loads them, as last known.
         pending: calls in progress, by service, model, adapter, failed engines
             and software version.
     """
@@ -57,31 +62,75 @@
             tuple[str, str, str, frozenset[str], str],
             asyncio.Task[residency_lib.CopyKey | None],
         ] = {}
+        self.waits = expected_waits.CopyWaits()
+        self.holder: roster_lib.NodeRecord | None = None
 
-    async def ensure(
-        self,
-        service: str,
-        key: residency_lib.CopyKey,
-        failed: frozenset[str],
-        software: str = "",
-    ) -> residency_lib.CopyKey | None:
-        """Return the key of a copy, waiting until it is loaded.
+    def begin(
+        self, wanted: active_request.WantedCopy
+    ) -> asyncio.Task[residency_lib.CopyKey | None]:
+        """Begin to load a copy; the load goes on if the task is cancelled.
 
-        Args:
-            service: name of the service.
-            key: the model and adapter wanted, and the preferred engine.
-            failed: ids of engines that were unreachable or lacked the copy.
-            software: version of the engine's software; empty for any.
+        Returns:
+            A task that returns where the copy is, and waits until it is loaded.
         """
+        call = self._join_request(wanted)
+        return asyncio.create_task(self._wait(wanted, call))
+
+    def estimate_wait(
+        self, wanted: active_request.WantedCopy
+    ) -> datetime.timedelta:
+        """Return how much longer a copy should take."""
+        now = self.clock.now()
+        holder = self._find_holder()
+        if holder is not None and holder != self.holder:
+            self.holder = holder
+            self.waits.restart(now)
+        return self.waits.ask(
+            _name(wanted), lambda: self._plan_wait(wanted), now
+        )
+
+    def _plan_wait(
+        self, wanted: active_request.WantedCopy
+    ) -> datetime.timedelta:
+        """Return how long a copy takes by the plan of its load."""
+        configuration = self.orderer.inputs.get_configuration()
+        service = configuration and configuration.services.get(wanted.service)
+        pool = service.engines if service else None
+        model = pool.models.get(wanted.key.model) if pool else None
+        if model is None:
+            return datetime.timedelta()
+        usable = [
+            entry
+            for entry in self.inventory.list_usable(wanted.service)
+            if entry.id not in wanted.failed
+        ]
+        if self.residency.list_holders(
+            usable, model.name, "", self.clock.now()
+        ):
+            return expected_waits.ADAPTER_WAIT
+        return expected_waits.plan_load(model, usable)
+
+    async def _wait(
+        self,
+        wanted: active_request.WantedCopy,
+        call: asyncio.Task[residency_lib.CopyKey | None],
+    ) -> residency_lib.CopyKey:
+        """Return where a copy is once this node can use it."""
         while True:
-            held = await asyncio.shield(
-                self._join_request(service, key, failed, software)
-            )
+            held = await asyncio.shield(call)
             # The holder may learn of an engine's start, end or request limit
             # earlier or later than this node.
-            if held is not None and self._can_use(held, software):
+            if held is not None and self._can_use(held, wanted.software):
+                self._record_end(wanted)
                 return held
             await asyncio.sleep(RETRY_DELAY.total_seconds())
+            call = self._join_request(wanted)
+
+    def _record_end(self, wanted: active_request.WantedCopy) -> None:
+        """Learn from the end of a wait, and show how well it was predicted."""
+        finished = self.waits.finish(_name(wanted), self.clock.now())
+        if finished is not None:
+            metrics.record_wait(finished.expected, finished.actual)
 
     def _can_use(self, held: residency_lib.CopyKey, software: str) -> bool:
         """Whether a request may be sent to a copy now."""
@@ -93,12 +142,10 @@
         )
 
     def _join_request(
-        self,
-        service: str,
-        key: residency_lib.CopyKey,
-        failed: frozenset[str],
-        software: str,
+        self, wanted: active_request.WantedCopy
     ) -> "asyncio.Task[residency_lib.CopyKey | None]":
+        service, key = wanted.service, wanted.key
+        failed, software = wanted.failed, wanted.software
         name = (service, key.model, key.adapter, failed, software)
         return tasks.share(
             self.pending,
@@ -199,3 +246,9 @@
         if holder == self.roster.own:
             return await self.orderer.ensure(service, key, failed, software)
         return await self.client.ask(holder, service, key, failed, software)
+
+
+def _name(wanted: active_request.WantedCopy) -> expected_waits.CopyName:
+    return expected_waits.CopyName(
+        wanted.service, wanted.key.model, wanted.key.adapter
+    )
--- /dev/null
+++ b/src/cicadahook/net/engine_waits.py
@@ -0,0 +1,139 @@
+"""Waits of requests for room at engines and for copies on them."""
+
+import asyncio
+import datetime
+from typing import Final
+
+from cicadahook.core import forwarding
+from cicadahook.core import inventory
+from cicadahook.core import residency
+from cicadahook.net import active_request
+from cicadahook.net import refusal_planner
+from cicadahook.net import request_drain
+from cicadahook.net import tasks
+
+# How long a request waits for room at the engines that hold its copy before a
+# copy is loaded elsewhere.
+MAX_ROOM_WAIT: Final = datetime.timedelta(milliseconds=300)
+POLL_PERIOD: Final = datetime.timedelta(milliseconds=50)
+# Time from the end of a wait to the first piece of an answer.
+FIRST_PIECE_TIME: Final = datetime.timedelta(milliseconds=60)
+
+
+class EngineWaits:
+    """Lets requests wait while they can still be served in time.
+
+    Attributes:
+        components: what requests are forwarded with.
+        drain: limits the waits once the node is asked to stop.
+        refusals: decides how requests without an upstream are refused.
+    """
+
+    def __init__(
+        self,
+        components: active_request.ForwarderComponents,
+        drain: request_drain.RequestDrain,
+        refusals: refusal_planner.RefusalPlanner,
+    ) -> None:
+        self.components = components
+        self.clock = components.clock
+        self.drain = drain
+        self.refusals = refusals
+
+    async def wait_for_room(
+        self,
+        ready: list[inventory.Instance],
+        generation: forwarding.Generation | None,
+    ) -> inventory.Instance | None:
+        """Return an upstream once it has room; None if late.
+
+        A copy elsewhere is worth its load only if the limits are too low for
+        the demand. Plain requests wait only for others to end.
+        """
+        statements = self.components.statements
+        end = self.clock.now() + MAX_ROOM_WAIT
+        while (now := self.clock.now()) < end:
+            if all(statements.is_resting(entry, now) for entry in ready):
+                return None
+            if generation is None and not any(
+                statements.has_room_soon(entry, now) for entry in ready
+            ):
+                return None
+            await asyncio.sleep(POLL_PERIOD.total_seconds())
+            chosen = self.components.balancer.choose(ready, generation)
+            if chosen is not None:
+                return chosen
+        return None
+
+    async def wait_for_copy(
+        self,
+        active: active_request.ActiveRequest,
+        key: residency.CopyKey,
+        ready: list[inventory.Instance],
+        generation: forwarding.Generation,
+    ) -> inventory.Instance | None:
+        """Return an engine once a copy is loaded or a limit has room.
+
+        Args:
+            active: the request.
+            key: the copy, with the preferred engine.
+            ready: engines that hold it and have reached their request limits.
+            generation: what the request asks for.
+
+        Raises:
+            errors.RefusalError: the copy will not be there in time.
+        """
+        components = self.components
+        now = self.clock.now()
+        wanted = active_request.WantedCopy(
+            active.service.name,
+            key,
+            active.excluded
+            | components.reachability.find_unreachable(
+                components.inventory.list_usable(active.service.name), now
+            ),
+            active.required_software or "",
+        )
+        latest = active.latest_first_piece - FIRST_PIECE_TIME
+        wait = self.drain.limit_copy_wait(latest - now)
+        load = components.copies.begin(wanted)
+        try:
+            async with asyncio.timeout(wait.total_seconds()):
+                has_ended = await tasks.wait_while(
+                    load,
+                    lambda: self._is_worth_waiting(
+                        wanted, ready, generation, latest
+                    ),
+                    POLL_PERIOD,
+                )
+        except TimeoutError:
+            has_ended = False
+        finally:
+            load.cancel()
+        if not has_ended:
+            chosen = components.balancer.choose(ready, generation)
+            if chosen is not None:
+                return chosen
+            raise self.refusals.plan_no_copy(
+                active, components.copies.estimate_wait(wanted)
+            )
+        held = load.result()
+        if held is None:
+            return None
+        candidate = components.inventory.find_usable(held.instance)
+        if candidate is not None:
+            components.residency.record_held(held, self.clock.now())
+        return candidate
+
+    def _is_worth_waiting(
+        self,
+        wanted: active_request.WantedCopy,
+        ready: list[inventory.Instance],
+        generation: forwarding.Generation,
+        latest: datetime.datetime,
+    ) -> bool:
+        """Whether a copy is still expected in time and nothing else helps."""
+        if self.components.balancer.choose(ready, generation) is not None:
+            return False
+        expected = self.components.copies.estimate_wait(wanted)
+        return self.clock.now() + expected <= latest
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -18,12 +18,12 @@
 from cicadahook.core import routes
 from cicadahook.net import active_request
 from cicadahook.net import crash_guard
+from cicadahook.net import engine_waits
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import refusal_planner
 from cicadahook.net import request_drain
 from cicadahook.net import stream_resumption
-from cicadahook.net import tasks
 
 # The final answer is sent this long before the request's deadline, so that it
 # reaches the caller in time.
@@ -35,14 +35,6 @@
 TRANSIENT_KINDS: Final = frozenset(
     {forwarding.FailureKind.REJECTED, forwarding.FailureKind.MISSING}
 )
-# A load of the smaller models from the weight store takes up to 2.6 s. A caller
-# whose model takes longer is refused and may retry later.
-MAX_COPY_WAIT: Final = datetime.timedelta(seconds=3)
-COPY_WAIT_SHARE: Final = 0.5
-# How long a request waits for room at the engines that hold its copy before a
-# copy is loaded elsewhere.
-MAX_ROOM_WAIT: Final = datetime.timedelta(milliseconds=300)
-ROOM_POLL_PERIOD: Final = datetime.timedelta(milliseconds=50)
 MAX_SENDS: Final = 8
 
 logger: Final = logs.create_logger("forwarder")
@@ -61,6 +53,7 @@
         crash_guard: keeps requests that crash upstreams from them.
         drain: limits the time of requests once the node is asked to stop.
         refusals: decides how requests without an upstream are refused.
+        waits: lets requests wait for engines.
     """
 
     def __init__(
@@ -79,6 +72,9 @@
         self.crash_guard = crash_guard.CrashGuard(components)
         self.drain = request_drain.RequestDrain(components.clock)
         self.refusals = refusal_planner.RefusalPlanner(components, self.drain)
+        self.waits = engine_waits.EngineWaits(
+            components, self.drain, self.refusals
+        )
 
     async def serve(
         self, request: forwarding.CallerRequest, sink: active_request.AnswerSink
@@ -223,7 +219,7 @@
         if generation is None or active.service.engines is None:
             chosen = components.balancer.choose(usable, None)
             if chosen is None:
-                chosen = await self._wait_for_room(usable, None)
+                chosen = await self.waits.wait_for_room(usable, None)
         elif active.required_software is not None and not usable:
             chosen = None
         else:
@@ -263,7 +259,7 @@
         ):
             return None
         if ready:
-            chosen = await self._wait_for_room(ready, generation)
+            chosen = await self.waits.wait_for_room(ready, generation)
             if chosen is not None:
                 return chosen
         holders = components.residency.list_holders(
@@ -273,88 +269,7 @@
         key = residency.CopyKey(
             best.id if best else "", generation.model, generation.adapter
         )
-        return await self._wait_for_copy(active, key, ready, generation)
-
-    async def _wait_for_room(
-        self,
-        ready: list[inventory.Instance],
-        generation: forwarding.Generation | None,
-    ) -> inventory.Instance | None:
-        """Return an upstream once it has room; None if late.
-
-        A copy elsewhere is worth its load only if the limits are too low for
-        the demand. Plain requests wait only for others to end.
-        """
-        statements = self.components.statements
-        end = self.clock.now() + MAX_ROOM_WAIT
-        while (now := self.clock.now()) < end:
-            if all(statements.is_resting(entry, now) for entry in ready):
-                return None
-            if generation is None and not any(
-                statements.has_room_soon(entry, now) for entry in ready
-            ):
-                return None
-            await asyncio.sleep(ROOM_POLL_PERIOD.total_seconds())
-            chosen = self.components.balancer.choose(ready, generation)
-            if chosen is not None:
-                return chosen
-        return None
-
-    async def _wait_for_copy(
-        self,
-        active: active_request.ActiveRequest,
-        key: residency.CopyKey,
-        ready: list[inventory.Instance],
-        generation: forwarding.Generation,
-    ) -> inventory.Instance | None:
-        """Return an engine once a copy is loaded or a limit has room.
-
-        Args:
-            active: the request.
-            key: the copy, with the preferred engine.
-            ready: engines that hold it and have reached their request limits.
-            generation: what the request asks for.
-
-        Raises:
-            errors.RefusalError: the load takes too long.
-        """
-        components = self.components
-        avoided = active.excluded | components.reachability.find_unreachable(
-            components.inventory.list_usable(active.service.name),
-            self.clock.now(),
-        )
-        left = active.deadline - self.clock.now()
-        wait = self.drain.limit_copy_wait(
-            min(MAX_COPY_WAIT, left * COPY_WAIT_SHARE)
-        )
-        load = asyncio.ensure_future(
-            components.copies.ensure(
-                active.service.name,
-                key,
-                avoided,
-                active.required_software or "",
-            )
-        )
-        try:
-            async with asyncio.timeout(wait.total_seconds()):
-                if not await tasks.wait_while(
-                    load,
-                    lambda: components.balancer.choose(ready, generation)
-                    is None,
-                    ROOM_POLL_PERIOD,
-                ):
-                    return components.balancer.choose(ready, generation)
-        except TimeoutError:
-            raise self.refusals.plan_no_copy(active) from None
-        finally:
-            load.cancel()
-        held = load.result()
-        if held is None:
-            return None
-        candidate = components.inventory.find_usable(held.instance)
-        if candidate is not None:
-            components.residency.record_held(held, self.clock.now())
-        return candidate
+        return await self.waits.wait_for_copy(active, key, ready, generation)
 
     def _check_overload(
         self, active: active_request.ActiveRequest, chosen: inventory.Instance
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -47,6 +47,20 @@
     histogram.record(span.total_seconds(), {"service": service})
 
 
+def record_wait(
+    expected: datetime.timedelta, actual: datetime.timedelta
+) -> None:
+    """Record how much longer a wait for a copy took than expected.
+
+    The error is negative if it took less.
+    """
+    histogram = create_histogram(
+        "cicada_copy_wait_error",
+        "Time that waits for copies took beyond the expected.",
+    )
+    histogram.record((actual - expected).total_seconds())
+
+
 def count_refusal(code: str, node: str) -> None:
     """Count a request refused for the reason `code` on `node`."""
     counter = create_counter(
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -107,6 +107,7 @@
         grants: grants received from other nodes while this one is the holder.
         links: the links to the upstreams, and ways around them.
         origins: software versions that began streams.
+        copies: requests copies from the holder of orders.
         holder_state: this node's part in the choice of the holder.
         reporter: tells other nodes of this one.
         tasks: running background tasks.
@@ -168,6 +169,14 @@
             clock,
             settings.load_window,
         )
+        self.copies = copy_requests.CopyRequester(
+            self.orderer,
+            self.copy_client,
+            self.roster,
+            inventory,
+            residency,
+            clock,
+        )
         self.components = active_request.ForwarderComponents(
             clock,
             inventory,
@@ -175,14 +184,7 @@
             balancer,
             crash_suspects.CrashSuspects(clock),
             self.links.paths,
-            copy_requests.CopyRequester(
-                self.orderer,
-                self.copy_client,
-                self.roster,
-                inventory,
-                residency,
-                clock,
-            ),
+            self.copies,
             retry_budget.RetryBudgetMode(
                 settings.retry_ratio,
                 settings.retry_slack,
@@ -384,6 +386,8 @@
             if status.is_brief:
                 return
             self.origins.merge(status.origins, self.clock.now())
+            if status.is_holder:
+                self.copies.waits.merge(status.loading, self.clock.now())
             self.components.balancer.replace_peer_loads(
                 status.node.name, status.loads
             )
@@ -490,6 +494,9 @@
             self.statements.replace_nodes(self.roster.list_names(now))
             self.links.update_nodes()
             self.withdraw(self.orderer.list_withdrawn_copies())
+            self.copies.waits.drop_idle(now)
+            if self.holder_state.fence:
+                self.copies.waits.merge(self.reporter.list_loads(), now)
             await asyncio.sleep(MAINTENANCE_PERIOD.total_seconds())
 
     async def _propose_when_open(self) -> None:
--- a/src/cicadahook/net/refusal_planner.py
+++ b/src/cicadahook/net/refusal_planner.py
@@ -10,6 +10,8 @@
 
 RETRY_AFTER: Final = datetime.timedelta(milliseconds=500)
 LOAD_RETRY_AFTER: Final = datetime.timedelta(milliseconds=1200)
+# Callers that wait for one copy return within this factor of its expected time.
+COPY_RETURN_SPREAD: Final = 1.2
 
 
 class RefusalPlanner:
@@ -65,12 +67,21 @@
         )
 
     def plan_no_copy(
-        self, active: active_request.ActiveRequest
+        self,
+        active: active_request.ActiveRequest,
+        expected: datetime.timedelta,
     ) -> errors.RefusalError:
-        """Return the refusal of a request whose copy was not loaded in time."""
+        """Return the refusal of a request whose copy will be there too late.
+
+        Args:
+            active: the request.
+            expected: how much longer the copy should take.
+        """
         if self.drain.plan is not None:
             return self.plan(active, "stopping", request_drain.RETRY_AFTER)
-        return self.plan(active, "no_copy", self.draw_delay(LOAD_RETRY_AFTER))
+        factor = self.components.generator.uniform(1.0, COPY_RETURN_SPREAD)
+        delay = max(RETRY_AFTER, expected) * factor
+        return self.plan(active, "no_copy", delay)
 
     def plan_unreachable(
         self, active: active_request.ActiveRequest
--- a/src/cicadahook/net/status_reporter.py
+++ b/src/cicadahook/net/status_reporter.py
@@ -6,7 +6,9 @@
 from typing import Any, Final
 
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import expected_waits
 from cicadahook.core import grants
+from cicadahook.core import load_planning
 from cicadahook.core import order_holder
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import status_schedule
@@ -209,6 +211,16 @@
             is_cut_off=sources.links.is_cut_off(),
             capabilities=status_schedule.CAPABILITIES,
             wants_grants=sources.holder_state.wants_grants(now),
+            loading=self.list_loads(),
+        )
+
+    def list_loads(self) -> tuple[expected_waits.LoadStatement, ...]:
+        """Return the loads in progress, while this node is the holder."""
+        if not self.sources.holder_state.fence:
+            return ()
+        return load_planning.list_loads(
+            [engine.ledger for engine in self.sources.orderer.engines.values()],
+            self.clock.now(),
         )
 
     def _create_grant(self) -> grants.Grant:
@@ -234,6 +246,7 @@
         wanted=(),
         paces=(),
         crash_suspects=(),
+        loading=(),
         origins=(),
         upstreams=roster_lib.UpstreamNews(
             (), status.upstreams.brittle, status.upstreams.leaving
--- a/src/cicadahook/platform/messages.py
+++ b/src/cicadahook/platform/messages.py
@@ -75,6 +75,7 @@
         services=services,
         max_attempts=int(fields.get("max_attempts", 1)),
         is_resumable=bool(fields.get("resumable", False)),
+        target_pause=decode_milliseconds(fields.get("target_gap_ms") or 0),
     )
 
 
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -25,6 +25,12 @@
   share @2 :Float64;
 }
 
+struct LoadStatement {
+  service @0 :Text;
+  model @1 :Text;
+  remainingMs @2 :UInt64;
+}
+
 struct WithdrawnCopy {
   instance @0 :Text;
   model @1 :Text;
@@ -119,6 +125,7 @@
   isCutOff @20 :Bool;
   capabilities @21 :List(Text);
   wantsGrants @22 :Bool;
+  loading @23 :List(LoadStatement);
 }
 
 struct ProbeRequest {
