--- a/tests/node_process.py
+++ b/tests/node_process.py
@@ -58,6 +58,7 @@
         store: `host:port` of the platform's store.
         folder: directory of its settings and its log.
         grace_seconds: time from a stop signal to the kill.
+        source: import path of the build that it runs; None for this one.
         child: the process, once started.
         killed_at: when it is killed unless it has ended, on the event loop's
             clock; None until it is asked to stop.
@@ -70,6 +71,7 @@
     store: str
     folder: pathlib.Path
     grace_seconds: float = 2.0
+    source: pathlib.Path | None = None
     child: asyncio.subprocess.Process | None = None
     killed_at: float | None = None
     logged: int = 0
@@ -129,6 +131,7 @@
                     env={
                         **os.environ,
                         settings_lib.SETTINGS_VARIABLE: str(path),
+                        "PYTHONPATH": str(self.source or ""),
                     },
                 )
             )
