--- a/src/cicadahook/net/engine_waits.py
+++ b/src/cicadahook/net/engine_waits.py
@@ -16,6 +16,9 @@
 # copy is loaded elsewhere.
 MAX_ROOM_WAIT: Final = datetime.timedelta(milliseconds=300)
 POLL_PERIOD: Final = datetime.timedelta(milliseconds=50)
+# A copy that has come ends the wait by itself; this often its expected time is
+# looked at again.
+COPY_POLL_PERIOD: Final = datetime.timedelta(milliseconds=100)
 # Time from the end of a wait to the first piece of an answer.
 FIRST_PIECE_TIME: Final = datetime.timedelta(milliseconds=60)
 
@@ -104,7 +107,7 @@
                     lambda: self._is_worth_waiting(
                         wanted, ready, generation, latest
                     ),
-                    POLL_PERIOD,
+                    POLL_PERIOD if ready else COPY_POLL_PERIOD,
                 )
         except TimeoutError:
             has_ended = False
