Let two nodes of each zone watch the store for the others

Change: in fleets of more than 8 nodes two of each zone watch, chosen by rendezvous hashing among those heard; the others wait at them for changes and watch by themselves where neither answers.

Measured: 8 watchers of 16, 64 and 256 nodes in 4 zones; a change reaches a follower at once and without a call to the store, and within 1.8 s where the watcher freezes, watches no more or answers nonsense (test_store_relay.py).

--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -61,6 +61,15 @@
     histogram.record((actual - expected).total_seconds())
 
 
+def count_watch_answer(source: str) -> None:
+    """Count an answer on changes in the store, by who gave it."""
+    counter = create_counter(
+        "cicada_watch_answers",
+        "Answers on changes in the store, by source: the store or a node.",
+    )
+    counter.add(1, {"source": source})
+
+
 def count_refusal(code: str, node: str) -> None:
     """Count a request refused for the reason `code` on `node`."""
     counter = create_counter(
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -27,6 +27,7 @@
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import routes
 from cicadahook.core import store_api
+from cicadahook.core import store_sources
 from cicadahook.core import stream_origins
 from cicadahook.core import upstream_statements
 from cicadahook.net import active_request
@@ -44,6 +45,7 @@
 from cicadahook.net import peer_relay_server
 from cicadahook.net import status_reporter
 from cicadahook.net import store_listeners
+from cicadahook.net import store_relay
 from cicadahook.net import store_watcher
 from cicadahook.net import stream_resumption
 from cicadahook.net import tasks as tasks_lib
@@ -104,6 +106,8 @@
     Attributes:
         is_stopping: whether new callers must use another node.
         roster: the known nodes and their newest statuses.
+        relayed_store: the store, or nodes that watch it.
+        feed: tells other nodes of changes in the store.
         grants: grants received from other nodes while this one is the holder.
         links: the links to the upstreams, and ways around them.
         origins: software versions that began streams.
@@ -246,6 +250,13 @@
             ),
             clock,
         )
+        self.relayed_store = store_relay.RelayedStore(
+            platform.store,
+            store_sources.StoreSources(self.roster),
+            self.copy_client.session,
+            clock,
+        )
+        self.feed = store_relay.ChangeFeed(self.relayed_store.is_current)
         self.watcher = self._create_watcher(platform, generator)
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -265,15 +276,14 @@
                 self.apply_inventory,
             ),
             OWN_PREFIX: self.own_keys,
+            "": self.feed,
         }
         return store_watcher.Watcher(
-            platform.store,
+            self.relayed_store,
             "",
             store_watcher.PrefixFanout(listeners),
             generator,
-            lambda: node_lifecycle.plan_watch_pause(
-                self.roster.count_nodes(self.clock.now())
-            ),
+            self.relayed_store.get_pause,
         )
 
     def is_granted(self) -> bool:
@@ -436,6 +446,7 @@
             {
                 node_peers.COPIES_PATH: copies.handle,
                 stream_resumption.ORIGINS_PATH: answers.handle,
+                store_relay.CHANGES_PATH: self.feed.handle,
                 peer_relay_messages.RELAY_PATH: self.relay_server.handle,
                 peer_probes.PROBE_PATH: peer_probes.ProbeServer(
                     self.components.inventory, self.links.find_out_reached
--- /dev/null
+++ b/src/cicadahook/net/store_relay.py
@@ -0,0 +1,304 @@
+"""Passes changes of the store on from the nodes that watch it to others.
+
+`ChangeFeed` serves other nodes, `RelayedStore` follows them, or watches the
+store where there is nobody to follow.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+import dataclasses
+import datetime
+from typing import Final
+import zlib
+
+import aiohttp
+from aiohttp import web
+import msgspec
+
+from cicadahook.core import change_log
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import errors
+from cicadahook.core import node_lifecycle
+from cicadahook.core import roster as roster_lib
+from cicadahook.core import store_api
+from cicadahook.core import store_sources
+from cicadahook.net import logs
+from cicadahook.net import metrics
+
+CHANGES_PATH: Final = "/changes"
+# How long a watcher lets a follower wait for a change.
+MAX_WAIT: Final = datetime.timedelta(seconds=1)
+# Time for the way to a node of the same zone and back.
+ANSWER_SLACK: Final = datetime.timedelta(milliseconds=400)
+# A watcher whose own watch was not answered for this time may have lost it.
+CURRENT_PERIOD: Final = datetime.timedelta(milliseconds=3300)
+MILLISECOND: Final = datetime.timedelta(milliseconds=1)
+COMPRESSION_LEVEL: Final = 1
+MAX_DECOMPRESSED_BYTES: Final = 32 * 1024 * 1024
+
+logger: Final = logs.create_logger("watch")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FollowRequest:
+    """A node's question for changes.
+
+    Attributes:
+        after: revision after which changes are wanted; -1 for all items.
+        wait_ms: how long to wait for a change.
+    """
+
+    after: int
+    wait_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedChange:
+    """A key that was written, or deleted if `value` is None."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FollowAnswer:
+    """Changes, or all items, up to a revision."""
+
+    revision: int
+    changes: tuple[RelayedChange, ...] = ()
+
+
+class ChangeFeed:
+    """Tells other nodes of changes that this one has watched itself.
+
+    Attributes:
+        log: the items and changes that this node knows.
+        is_current: returns whether it watches the store and is answered.
+        news: set at the next change.
+    """
+
+    def __init__(self, is_current: Callable[[], bool]) -> None:
+        self.log = change_log.ChangeLog()
+        self.is_current = is_current
+        self.news = asyncio.Event()
+
+    def apply_listing(
+        self, listing: store_api.Listing, *, is_after_outage: bool
+    ) -> None:
+        """Replace all items by a listing."""
+        del is_after_outage
+        self.log.apply_listing(listing)
+        self._wake_followers()
+
+    def apply_changes(self, changes: store_api.Changes) -> None:
+        """Add changes."""
+        self.log.apply_changes(changes)
+        self._wake_followers()
+
+    def _wake_followers(self) -> None:
+        self.news.set()
+        self.news = asyncio.Event()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one question."""
+        try:
+            asked = msgspec.msgpack.decode(
+                await request.read(), type=FollowRequest
+            )
+        except msgspec.MsgspecError as error:
+            return web.Response(status=400, text=str(error))
+        try:
+            answer = await self.answer(asked)
+        except store_api.HistoryLostError:
+            return web.Response(status=410)
+        except errors.KeyValueUnavailableError:
+            return web.Response(status=503)
+        content = msgspec.msgpack.encode(answer)
+        return web.Response(body=zlib.compress(content, COMPRESSION_LEVEL))
+
+    async def answer(self, asked: FollowRequest) -> FollowAnswer:
+        """Return items or changes, waiting for a change if there is none.
+
+        Raises:
+            store_api.HistoryLostError: some changes are not known any more.
+            errors.KeyValueUnavailableError: this node does not watch the store.
+        """
+        self._check_current()
+        if asked.after < 0:
+            listing = self.log.create_listing()
+            return _create_answer(listing.revision, listing.items)
+        if self.log.revision <= asked.after:
+            wait = min(MAX_WAIT, max(0, asked.wait_ms) * MILLISECOND)
+            try:
+                async with asyncio.timeout(wait.total_seconds()):
+                    await self.news.wait()
+            except TimeoutError:
+                self._check_current()
+        changes = self.log.list_after(asked.after)
+        return _create_answer(changes.revision, changes.changes)
+
+    def _check_current(self) -> None:
+        if not self.is_current() or not self.log.revision:
+            raise errors.KeyValueUnavailableError("the store is not watched")
+
+
+class RelayedStore:
+    """The store, whose changes come from other nodes where these watch it.
+
+    It has the calls of `store_api.Store` that a watcher makes.
+
+    Attributes:
+        store: the store itself.
+        sources: chooses the nodes to follow.
+        session: session for calls to them.
+        clock: the time.
+        is_direct: whether the last answer came from the store itself.
+        answered: when the store last answered; None if it did not.
+    """
+
+    def __init__(
+        self,
+        store: store_api.Store,
+        sources: store_sources.StoreSources,
+        session: aiohttp.ClientSession,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self.store = store
+        self.sources = sources
+        self.session = session
+        self.clock = clock
+        self.is_direct = False
+        self.answered: datetime.datetime | None = None
+
+    def is_current(self) -> bool:
+        """Whether this node watches the store itself and is answered."""
+        if not self.is_direct or self.answered is None:
+            return False
+        return self.clock.now() - self.answered < CURRENT_PERIOD
+
+    def get_pause(self) -> datetime.timedelta:
+        """Return the pause after changes; followers need none."""
+        now = self.clock.now()
+        if not self.is_direct and self.sources.list_watchers(now):
+            return datetime.timedelta()
+        return node_lifecycle.plan_watch_pause(
+            self.sources.roster.count_nodes(now)
+        )
+
+    async def list_items(self, prefix: str) -> store_api.Listing:
+        """Return all items; those of another node while the store is away."""
+        self._set_direct(True)
+        try:
+            listing = await self.store.list_items(prefix)
+        except errors.KeyValueUnavailableError:
+            self._set_direct(False)
+            for peer in self.sources.list_watchers(self.clock.now()):
+                answer = await self._ask(peer, FollowRequest(-1))
+                if answer is not None:
+                    return store_api.Listing(
+                        tuple(
+                            store_api.Item(each.key, each.value, each.revision)
+                            for each in answer.changes
+                            if each.value is not None
+                            and each.key.startswith(prefix)
+                        ),
+                        answer.revision,
+                    )
+            raise
+        self.answered = self.clock.now()
+        return listing
+
+    async def watch(
+        self, prefix: str, revision: int, wait: datetime.timedelta
+    ) -> store_api.Changes:
+        """Return the changes after `revision`, waiting up to `wait` for one.
+
+        Raises:
+            store_api.HistoryLostError: changes are missing.
+            errors.KeyValueUnavailableError: nobody answered.
+        """
+        question = FollowRequest(revision, min(wait, MAX_WAIT) // MILLISECOND)
+        for peer in self.sources.list_watchers(self.clock.now()):
+            self._set_direct(False)
+            answer = await self._ask(peer, question)
+            if answer is not None and answer.revision >= revision:
+                metrics.count_watch_answer("node")
+                return store_api.Changes(
+                    tuple(
+                        store_api.Change(each.key, each.value, each.revision)
+                        for each in answer.changes
+                        if each.key.startswith(prefix)
+                    ),
+                    answer.revision,
+                )
+        self._set_direct(True)
+        try:
+            changes = await self.store.watch(prefix, revision, wait)
+        except errors.KeyValueError:
+            self.answered = None
+            raise
+        self.answered = self.clock.now()
+        metrics.count_watch_answer("store")
+        return changes
+
+    def _set_direct(self, is_direct: bool) -> None:
+        if is_direct != self.is_direct:
+            logger.info(
+                "Source of changes in the store changed.",
+                extra={"is_direct": is_direct},
+            )
+        self.is_direct = is_direct
+
+    async def _ask(
+        self, peer: roster_lib.NodeRecord, question: FollowRequest
+    ) -> FollowAnswer | None:
+        """Return a watcher's answer; avoid one that has none for a while."""
+        wait = question.wait_ms * MILLISECOND + ANSWER_SLACK
+        try:
+            async with self.session.post(
+                f"http://{peer.peer_address}{CHANGES_PATH}",
+                data=msgspec.msgpack.encode(question),
+                timeout=aiohttp.ClientTimeout(wait.total_seconds()),
+            ) as response:
+                if response.status == 200:
+                    return _decode(await response.read())
+                reason = f"status {response.status}"
+        except (
+            aiohttp.ClientError,
+            OSError,
+            msgspec.MsgspecError,
+            zlib.error,
+            ValueError,
+        ) as error:
+            reason = repr(error)
+        self.sources.avoid(peer.name, self.clock.now())
+        logger.info(
+            "Node could not be followed for changes in the store.",
+            extra={"peer": peer.name, "error": reason},
+        )
+        return None
+
+
+def _create_answer(
+    revision: int, rows: Iterable[store_api.Item | store_api.Change]
+) -> FollowAnswer:
+    """Return an answer with items or changes."""
+    return FollowAnswer(
+        revision,
+        tuple(RelayedChange(row.key, row.value, row.revision) for row in rows),
+    )
+
+
+def _decode(data: bytes) -> FollowAnswer:
+    """Return the answer in `data`.
+
+    Raises:
+        ValueError: it is too long, or malformed; see also `zlib.error` and
+            `msgspec.MsgspecError`.
+    """
+    decompressor = zlib.decompressobj()
+    content = decompressor.decompress(data, MAX_DECOMPRESSED_BYTES)
+    if not decompressor.eof:
+        raise ValueError("cut off or too long")
+    return msgspec.msgpack.decode(content, type=FollowAnswer)
--- a/src/cicadahook/net/store_watcher.py
+++ b/src/cicadahook/net/store_watcher.py
@@ -38,6 +38,18 @@
         """Apply the changes since the last listing or changes."""
 
 
+class ChangeSource(Protocol):
+    """Tells of items and changes, as `store_api.Store` does."""
+
+    async def list_items(self, prefix: str) -> store_api.Listing:
+        """Return all items whose key begins with `prefix`."""
+
+    async def watch(
+        self, prefix: str, revision: int, wait: datetime.timedelta
+    ) -> store_api.Changes:
+        """Return the changes after `revision`, waiting up to `wait` for one."""
+
+
 class PrefixFanout:
     """Distributes listings and changes to one listener for each prefix.
 
@@ -79,7 +91,7 @@
     """Keeps a listener up to date with the items below a prefix.
 
     Attributes:
-        store: the store to watch.
+        store: the store to watch, or what stands for it.
         prefix: key prefix that is watched.
         listener: receives listings and changes.
         revision: revision up to which the listener has all changes.
@@ -90,7 +102,7 @@
 
     def __init__(
         self,
-        store: store_api.Store,
+        store: ChangeSource,
         prefix: str,
         listener: StoreListener,
         generator: random.Random,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -125,3 +125,9 @@
     """Run a stand-in of the platform without nodes."""
     async with node_testbed.open_platform(find_base_port()) as running:
         yield running
+
+
+@pytest.fixture
+def unused_port() -> int:
+    """Return the first port of a free block."""
+    return find_base_port()
--- /dev/null
+++ b/tests/test_store_relay.py
@@ -0,0 +1,373 @@
+"""Tests of changes of the store that few nodes watch for all."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import datetime
+
+import aiohttp
+from aiohttp import web
+import pytest
+
+from cicadahook.core import change_log
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import errors
+from cicadahook.core import roster as roster_lib
+from cicadahook.core import status_schedule
+from cicadahook.core import store_api
+from cicadahook.core import store_sources
+from cicadahook.net import clock as system_clock
+from cicadahook.net import store_relay
+from cicadahook.platform import caller_server
+
+NOW = clock_lib.EPOCH
+HOST = "127.0.0.1"
+WAIT = datetime.timedelta(seconds=2.5)
+ZONES = 4
+
+
+def create_item(number: int) -> store_api.Item:
+    return store_api.Item(f"k{number}", b"v%d" % number, number)
+
+
+def create_change(number: int, key: str = "") -> store_api.Change:
+    return store_api.Change(key or f"k{number}", b"v%d" % number, number)
+
+
+def list_revisions(changes: store_api.Changes) -> list[int]:
+    return [change.revision for change in changes.changes]
+
+
+# Logs of changes.
+
+
+def test_a_log_holds_items_and_the_changes_since_its_listing() -> None:
+    log = change_log.ChangeLog()
+    log.apply_listing(store_api.Listing((create_item(1), create_item(2)), 5))
+    log.apply_changes(
+        store_api.Changes(
+            (create_change(6, "k1"), store_api.Change("k2", None, 7)), 8
+        )
+    )
+    assert list_revisions(log.list_after(5)) == [6, 7]
+    assert list_revisions(log.list_after(6)) == [7]
+    assert log.list_after(8) == store_api.Changes((), 8)
+    assert log.create_listing() == store_api.Listing(
+        (store_api.Item("k1", b"v6", 6),), 8
+    )
+
+
+def test_a_log_says_when_it_lacks_changes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(change_log, "MAX_CHANGES", 3)
+    log = change_log.ChangeLog()
+    log.apply_listing(store_api.Listing((), 5))
+    for number in range(6, 12):
+        log.apply_changes(store_api.Changes((create_change(number),), number))
+    with pytest.raises(store_api.HistoryLostError):
+        log.list_after(5)
+    assert list_revisions(log.list_after(8)) == [9, 10, 11]
+
+
+def test_a_log_that_is_behind_takes_nobody_back() -> None:
+    log = change_log.ChangeLog()
+    log.apply_listing(store_api.Listing((), 5))
+    assert log.list_after(9) == store_api.Changes((), 9)
+
+
+# Who watches.
+
+
+def create_rosters(
+    size: int,
+    capabilities: tuple[str, ...] = status_schedule.CAPABILITIES,
+    now: datetime.datetime = NOW,
+    base_port: int = 0,
+) -> list[roster_lib.Roster]:
+    """Return the rosters of a fleet whose nodes have heard each other."""
+    records = [
+        roster_lib.NodeRecord(
+            f"n{number}",
+            f"zone-{number % ZONES}",
+            "region",
+            f"{HOST}:1",
+            f"{HOST}:{base_port + number}",
+            1,
+        )
+        for number in range(size)
+    ]
+    rosters = []
+    for own in records:
+        roster = roster_lib.Roster(own)
+        for record in records:
+            roster.record_status(
+                roster_lib.NodeStatus(
+                    record,
+                    1,
+                    True,
+                    False,
+                    False,
+                    0,
+                    0,
+                    1,
+                    1,
+                    capabilities=capabilities,
+                ),
+                now,
+            )
+        rosters.append(roster)
+    return rosters
+
+
+def count_direct(rosters: list[roster_lib.Roster]) -> int:
+    return sum(
+        not store_sources.StoreSources(roster).list_watchers(NOW)
+        for roster in rosters
+    )
+
+
+@pytest.mark.parametrize("size", [16, 64, 256])
+def test_two_nodes_of_a_zone_watch_whatever_the_fleet(size: int) -> None:
+    rosters = create_rosters(size)
+    assert count_direct(rosters) == ZONES * store_sources.WATCHERS_PER_ZONE
+    followed = [
+        watchers[0].name
+        for roster in rosters
+        if (watchers := store_sources.StoreSources(roster).list_watchers(NOW))
+    ]
+    # No watcher carries nearly all of its zone.
+    share = size / ZONES - store_sources.WATCHERS_PER_ZONE
+    assert all(
+        followed.count(name) <= max(2, 0.8 * share) for name in set(followed)
+    )
+
+
+def test_nodes_of_small_fleets_watch_by_themselves() -> None:
+    size = store_sources.MIN_NODES - 1
+    assert count_direct(create_rosters(size)) == size
+
+
+def test_nodes_of_older_builds_are_not_followed() -> None:
+    assert count_direct(create_rosters(32, capabilities=())) == 32
+
+
+def test_nodes_that_do_not_answer_are_left_out_for_a_while() -> None:
+    for roster in create_rosters(32):
+        sources = store_sources.StoreSources(roster)
+        watchers = sources.list_watchers(NOW)
+        for number, watcher in enumerate(watchers):
+            assert watcher == sources.list_watchers(NOW)[0]
+            sources.avoid(watcher.name, NOW)
+            assert len(sources.list_watchers(NOW)) == len(watchers) - number - 1
+        later = NOW + store_sources.AVOIDED_PERIOD
+        for name, (_, status) in list(roster.statuses.items()):
+            roster.statuses[name] = (later, status)
+        assert sources.list_watchers(later) == watchers
+
+
+def test_nodes_that_leave_or_are_silent_are_not_followed() -> None:
+    roster = next(
+        each
+        for each in create_rosters(32)
+        if store_sources.StoreSources(each).list_watchers(NOW)
+    )
+    sources = store_sources.StoreSources(roster)
+    for watcher in sources.list_watchers(NOW):
+        status = roster.statuses[watcher.name][1]
+        roster.record_status(
+            dataclasses.replace(status, number=2, has_left=True), NOW
+        )
+        names = [each.name for each in sources.list_watchers(NOW)]
+        assert watcher.name not in names
+    silent = NOW + roster.get_silence_limit()
+    assert not sources.list_watchers(silent)
+
+
+# Following on real connections.
+
+
+class StoreStandin:
+    """A store that counts the calls, one change at a time.
+
+    Attributes:
+        log: its items and changes.
+        news: set at the next change.
+        is_down: whether it fails all calls.
+        watches: number of watches.
+        listings: number of listings.
+    """
+
+    def __init__(self) -> None:
+        self.log = change_log.ChangeLog()
+        self.log.apply_listing(store_api.Listing((create_item(1),), 1))
+        self.news = asyncio.Event()
+        self.is_down = False
+        self.watches = 0
+        self.listings = 0
+
+    def put(self) -> int:
+        """Change one item; return the revision."""
+        number = self.log.revision + 1
+        change = create_change(number, f"k{number % 50}")
+        self.log.apply_changes(store_api.Changes((change,), number))
+        self.news.set()
+        self.news = asyncio.Event()
+        return number
+
+    def _check(self) -> None:
+        if self.is_down:
+            raise errors.KeyValueUnavailableError("down")
+
+    async def list_items(self, prefix: str) -> store_api.Listing:
+        """Return all items."""
+        del prefix
+        self.listings += 1
+        self._check()
+        return self.log.create_listing()
+
+    async def watch(
+        self, prefix: str, revision: int, wait: datetime.timedelta
+    ) -> store_api.Changes:
+        """Return the changes after a revision."""
+        del prefix
+        self.watches += 1
+        self._check()
+        if self.log.revision <= revision:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait.total_seconds()):
+                    await self.news.wait()
+        return self.log.list_after(revision)
+
+
+class Fleet:
+    """Two nodes of one zone: one watches the store, the other follows it.
+
+    Attributes:
+        store: the store.
+        feed: what the watcher tells.
+        is_current: whether it says that it watches the store.
+        is_frozen: whether it leaves questions unanswered.
+        body: what it answers instead; None for the truth.
+        follower: the other node's store.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, port: int) -> None:
+        self.store = StoreStandin()
+        self.is_current = True
+        self.is_frozen = False
+        self.body: bytes | None = None
+        self.feed = store_relay.ChangeFeed(lambda: self.is_current)
+        self.feed.log = self.store.log
+        clock = system_clock.SystemClock()
+        rosters = create_rosters(9 * ZONES, now=clock.now(), base_port=port)
+        roster = next(
+            each
+            for each in rosters
+            if store_sources.StoreSources(each).list_watchers(clock.now())
+        )
+        self.sources = store_sources.StoreSources(roster)
+        self.follower = store_relay.RelayedStore(
+            self.store, self.sources, session, clock  # type: ignore[arg-type]
+        )
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one question as the watcher."""
+        if self.is_frozen:
+            await asyncio.sleep(10)
+        if self.body is not None:
+            return web.Response(body=self.body)
+        return await self.feed.handle(request)
+
+
+@pytest.fixture(name="fleet")
+async def run_fleet(unused_port: int) -> AsyncIterator[Fleet]:
+    """Run a watcher at the port of the first node that is followed."""
+    async with aiohttp.ClientSession() as session:
+        fleet = Fleet(session, unused_port)
+        first = fleet.sources.list_watchers(fleet.follower.clock.now())[0]
+        port = int(first.peer_address.rsplit(":", 1)[1])
+        async with caller_server.listen(web.Server(fleet.handle), HOST, port):
+            yield fleet
+
+
+async def test_a_follower_gets_changes_without_the_store(fleet: Fleet) -> None:
+    revision = 1
+    for _ in range(5):
+        fleet.store.put()
+        changes = await fleet.follower.watch("", revision, WAIT)
+        assert list_revisions(changes) == [revision + 1]
+        revision = changes.revision
+    assert fleet.store.watches == 0
+    assert not fleet.follower.is_current()
+
+
+async def test_a_follower_hears_of_a_change_at_once(fleet: Fleet) -> None:
+    waiting = asyncio.create_task(fleet.follower.watch("", 1, WAIT))
+    await asyncio.sleep(0.2)
+    fleet.store.put()
+    fleet.feed._wake_followers()  # pylint: disable=protected-access
+    async with asyncio.timeout(0.2):
+        assert list_revisions(await waiting) == [2]
+
+
+@pytest.mark.parametrize(
+    "fault", ["is_frozen", "not_current", "malformed", "truncated"]
+)
+async def test_a_follower_watches_by_itself_where_nobody_answers(
+    fleet: Fleet, fault: str
+) -> None:
+    if fault == "is_frozen":
+        fleet.is_frozen = True
+    elif fault == "not_current":
+        fleet.is_current = False
+    else:
+        fleet.body = b"nonsense" if fault == "malformed" else b"x\x9c"
+    fleet.store.put()
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    changes = await fleet.follower.watch("", 1, WAIT)
+    assert list_revisions(changes) == [2]
+    assert fleet.store.watches == 1
+    # Within the time in which a change must be in force, 3 s at such fleets.
+    assert loop.time() - began < 1.8
+    fleet.store.put()
+    await fleet.follower.watch("", 2, WAIT)
+    assert loop.time() - began < 2.0
+    assert fleet.follower.is_current()
+
+
+async def test_a_follower_gets_all_items_while_the_store_is_away(
+    fleet: Fleet,
+) -> None:
+    fleet.store.put()
+    fleet.store.is_down = True
+    listing = await fleet.follower.list_items("")
+    assert listing == fleet.store.log.create_listing()
+    fleet.is_current = False
+    with pytest.raises(errors.KeyValueUnavailableError):
+        await fleet.follower.list_items("")
+
+
+async def test_a_watcher_without_changes_enough_is_no_source(
+    fleet: Fleet,
+) -> None:
+    fleet.store.put()
+    behind = change_log.ChangeLog()
+    behind.apply_listing(store_api.Listing((), 9))
+    fleet.feed.log = behind
+    changes = await fleet.follower.watch("", 1, WAIT)
+    assert list_revisions(changes) == [2]
+    assert fleet.store.watches == 1
+
+
+@pytest.mark.parametrize("body", [b"", b"\xc1", b"\x93\x01\x02\x03"])
+async def test_malformed_questions_are_refused(
+    fleet: Fleet, body: bytes
+) -> None:
+    watcher = fleet.sources.list_watchers(fleet.follower.clock.now())[0]
+    async with fleet.follower.session.post(
+        f"http://{watcher.peer_address}{store_relay.CHANGES_PATH}", data=body
+    ) as response:
+        assert response.status == 400
