--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -107,7 +107,6 @@
         is_stopping: whether new callers must use another node.
         roster: the known nodes and their newest statuses.
         relayed_store: the store, or nodes that watch it.
-        feed: tells other nodes of changes in the store.
         grants: grants received from other nodes while this one is the holder.
         links: the links to the upstreams, and ways around them.
         origins: software versions that began streams.
@@ -235,9 +234,8 @@
         self.own_keys = store_listeners.OwnKeysListener(
             self.roster, self.holder_state, clock
         )
-        self.statuses = status_reporter.StatusEndpoint(self.receive_status)
         self.reporter = status_reporter.StatusReporter(
-            self.statuses,
+            status_reporter.StatusEndpoint(self.receive_status),
             status_reporter.StatusSources(
                 self.roster,
                 self.grants,
@@ -256,7 +254,6 @@
             self.copy_client.session,
             clock,
         )
-        self.feed = store_relay.ChangeFeed(self.relayed_store.is_current)
         self.watcher = self._create_watcher(platform, generator)
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -276,7 +273,7 @@
                 self.apply_inventory,
             ),
             OWN_PREFIX: self.own_keys,
-            "": self.feed,
+            "": self.relayed_store.feed,
         }
         return store_watcher.Watcher(
             self.relayed_store,
@@ -446,7 +443,7 @@
             {
                 node_peers.COPIES_PATH: copies.handle,
                 stream_resumption.ORIGINS_PATH: answers.handle,
-                store_relay.CHANGES_PATH: self.feed.handle,
+                store_relay.CHANGES_PATH: self.relayed_store.feed.handle,
                 peer_relay_messages.RELAY_PATH: self.relay_server.handle,
                 peer_probes.PROBE_PATH: peer_probes.ProbeServer(
                     self.components.inventory, self.links.find_out_reached
@@ -456,7 +453,9 @@
 
     async def start(self) -> None:
         """Start all tasks that run beside the HTTP servers."""
-        await self.statuses.open(self.settings.host, self.settings.peer_port)
+        await self.reporter.endpoint.open(
+            self.settings.host, self.settings.peer_port
+        )
         self._start_task(self.watcher.run)
         self._start_task(self.leadership.run)
         self._start_task(self._keep_house)
@@ -472,7 +471,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        self.statuses.close()
+        self.reporter.endpoint.close()
         await self.copy_client.close()
         await self.links.close()
 
--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -153,6 +153,7 @@
         sources: chooses the nodes to follow.
         session: session for calls to them.
         clock: the time.
+        feed: tells other nodes of what this one learns.
         is_direct: whether the last answer came from the store itself.
         answered: when the store last answered; None if it did not.
     """
@@ -168,6 +169,7 @@
         self.sources = sources
         self.session = session
         self.clock = clock
+        self.feed = ChangeFeed(self.is_current)
         self.is_direct = False
         self.answered: datetime.datetime | None = None
 
--- a/tests/test_expected_waits.py
+++ b/tests/test_expected_waits.py
@@ -21,6 +21,7 @@
 
 
 def seconds(value: float) -> datetime.timedelta:
+    """Return a number of seconds as a duration."""
     return datetime.timedelta(seconds=value)
 
 
--- a/tests/test_statuses.py
+++ b/tests/test_statuses.py
@@ -24,6 +24,7 @@
 
 
 def create_record(name: str, incarnation: int = 1) -> roster_lib.NodeRecord:
+    """Return the record of a node."""
     return roster_lib.NodeRecord(
         name, "z", "r", "10.0.0.1:80", "10.0.0.1:81", incarnation
     )
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -28,14 +28,17 @@
 
 
 def create_item(number: int) -> store_api.Item:
+    """Return an item that was last changed at a revision."""
     return store_api.Item(f"k{number}", b"v%d" % number, number)
 
 
 def create_change(number: int, key: str = "") -> store_api.Change:
+    """Return a write at a revision."""
     return store_api.Change(key or f"k{number}", b"v%d" % number, number)
 
 
 def list_revisions(changes: store_api.Changes) -> list[int]:
+    """Return the revisions of the single changes."""
     return [change.revision for change in changes.changes]
 
 
@@ -122,6 +125,7 @@
 
 
 def count_direct(rosters: list[roster_lib.Roster]) -> int:
+    """Return how many of the nodes watch the store by themselves."""
     return sum(
         not store_sources.StoreSources(roster).list_watchers(NOW)
         for roster in rosters
