Look at a wait for a copy again after a share of its expected time

Change: 0.1 to 0.5 s, a quarter of what the wait should still take; each 50 ms only where engines with the copy are at their limits.

--- a/src/cicadahook/net/engine_waits.py
+++ b/src/cicadahook/net/engine_waits.py
@@ -10,15 +10,16 @@
 from cicadahook.net import active_request
 from cicadahook.net import refusal_planner
 from cicadahook.net import request_drain
-from cicadahook.net import tasks
 
 # How long a request waits for room at the engines that hold its copy before a
 # copy is loaded elsewhere.
 MAX_ROOM_WAIT: Final = datetime.timedelta(milliseconds=300)
 POLL_PERIOD: Final = datetime.timedelta(milliseconds=50)
-# A copy that has come ends the wait by itself; this often its expected time is
-# looked at again.
-COPY_POLL_PERIOD: Final = datetime.timedelta(milliseconds=100)
+# A copy that has come ends the wait by itself. Its expected time is looked at
+# again after a share of that time, within these bounds.
+EXPECTED_SHARE: Final = 0.25
+MIN_COPY_PERIOD: Final = datetime.timedelta(milliseconds=100)
+MAX_COPY_PERIOD: Final = datetime.timedelta(milliseconds=500)
 # Time from the end of a wait to the first piece of an answer.
 FIRST_PIECE_TIME: Final = datetime.timedelta(milliseconds=60)
 
@@ -102,16 +103,18 @@
         load = components.copies.begin(wanted)
         try:
             async with asyncio.timeout(wait.total_seconds()):
-                has_ended = await tasks.wait_while(
-                    load,
-                    lambda: self._is_worth_waiting(
-                        wanted, ready, generation, latest
-                    ),
-                    POLL_PERIOD if ready else COPY_POLL_PERIOD,
-                )
+                while not load.done():
+                    if components.balancer.choose(ready, generation):
+                        break
+                    expected = components.copies.estimate_wait(wanted)
+                    if self.clock.now() + expected > latest:
+                        break
+                    pause = POLL_PERIOD if ready else _plan_pause(expected)
+                    await asyncio.wait({load}, timeout=pause.total_seconds())
         except TimeoutError:
-            has_ended = False
+            pass
         finally:
+            has_ended = load.done()
             load.cancel()
         if not has_ended:
             chosen = components.balancer.choose(ready, generation)
@@ -128,15 +131,7 @@
             components.residency.record_held(held, self.clock.now())
         return candidate
 
-    def _is_worth_waiting(
-        self,
-        wanted: active_request.WantedCopy,
-        ready: list[inventory.Instance],
-        generation: forwarding.Generation,
-        latest: datetime.datetime,
-    ) -> bool:
-        """Whether a copy is still expected in time and nothing else helps."""
-        if self.components.balancer.choose(ready, generation) is not None:
-            return False
-        expected = self.components.copies.estimate_wait(wanted)
-        return self.clock.now() + expected <= latest
+
+def _plan_pause(expected: datetime.timedelta) -> datetime.timedelta:
+    """Return when to look again at a copy that is expected after a time."""
+    return min(MAX_COPY_PERIOD, max(MIN_COPY_PERIOD, EXPECTED_SHARE * expected))
