Load the models with most demand first where engines are few

Change: core/load_queue.py ranks the models that requests wait for by demand and by how long they wait, and as many are due as engines are free. The limits of loads move there, so that the orderer grows no further. The metric of expected waits is two histograms: one of errors cannot hold negative values, and logged a warning for each.

--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -50,15 +50,12 @@
 def record_wait(
     expected: datetime.timedelta, actual: datetime.timedelta
 ) -> None:
-    """Record how much longer a wait for a copy took than expected.
-
-    The error is negative if it took less.
-    """
+    """Record how long a wait for a copy was expected to take, and took."""
     histogram = create_histogram(
-        "cicada_copy_wait_error",
-        "Time that waits for copies took beyond the expected.",
+        "cicada_copy_wait", "Waits for copies, as expected and actual."
     )
-    histogram.record((actual - expected).total_seconds())
+    histogram.record(expected.total_seconds(), {"kind": "expected"})
+    histogram.record(actual.total_seconds(), {"kind": "actual"})
 
 
 def count_watch_answer(source: str) -> None:
--- a/src/cicadahook/net/orderer.py
+++ b/src/cicadahook/net/orderer.py
@@ -16,6 +16,7 @@
 from cicadahook.core import engine_orders
 from cicadahook.core import inventory
 from cicadahook.core import load_planning
+from cicadahook.core import load_queue
 from cicadahook.core import residency
 from cicadahook.core import roster
 from cicadahook.core import routes
@@ -71,11 +72,11 @@
     Attributes:
         sender: sends the orders while this node is the holder.
         inputs: the data that it plans by.
-        load_window: period over which loads from the weight store are limited.
         engines: the known engines by instance id.
         loading: pending requests for a copy, by service, model, adapter and
             software version.
-        load_windows: limits of loads from the weight store, by service.
+        load_limits: limits of loads from the weight store.
+        load_queues: models that requests wait for, by service.
         operations: model loads in progress.
         adapters_without_slot: requested adapters, by service, model and
             adapter, for which no engine has a free slot.
@@ -93,10 +94,10 @@
         self.sender = sender
         self.inputs = inputs
         self.clock = clock
-        self.load_window = load_window
         self.engines: dict[str, order_sender.Engine] = {}
         self.loading: dict[tuple[str, str, str, str], asyncio.Task[str]] = {}
-        self.load_windows: dict[str, load_planning.LoadWindow] = {}
+        self.load_limits = load_queue.LoadLimits(load_window)
+        self.load_queues: dict[str, load_queue.LoadQueue] = {}
         self.operations: set[asyncio.Task[bool]] = set()
         self.adapters_without_slot: set[tuple[str, str, str]] = set()
         self.fence = 0
@@ -153,7 +154,7 @@
             # Other holders may have sent orders since this node's last term.
             self.fence = self.sender.holder_state.fence
             self.term_began = now
-            self.load_windows.clear()
+            self.load_limits.windows.clear()
             for engine in self.engines.values():
                 engine.ledger.sequence = None
         for entry in self.inputs.registry.list_usable(service):
@@ -402,6 +403,12 @@
         if state.copies[model.name]:
             # A load of this model is already in progress.
             return ""
+        queue = self.load_queues.setdefault(service, load_queue.LoadQueue())
+        waiting = {
+            name for known, name, _, _ in self.loading if known == service
+        }
+        if not queue.is_due(model.name, waiting, state):
+            return ""
         plan = load_planning.plan_load(model, state)
         if plan is None:
             # No engine can load the model now; its requests keep waiting.
@@ -471,16 +478,8 @@
     def _get_window(
         self, service: str, pool: routes.EnginePool
     ) -> load_planning.LoadWindow:
-        limit = int(pool.loads_per_second * self.load_window.total_seconds())
-        window = self.load_windows.get(service)
-        if window is None or window.limit != limit:
-            window = load_planning.LoadWindow(max(1, limit), self.load_window)
-            if self.sender.holder_state.others_sent_until is not None:
-                window.count_earlier_loads(
-                    self.sender.holder_state.others_sent_until
-                )
-            self.load_windows[service] = window
-        return window
+        others_sent_until = self.sender.holder_state.others_sent_until
+        return self.load_limits.get(service, pool, others_sent_until)
 
     async def _unload_model(
         self, engine: order_sender.Engine, name: str
