Learn from all waits for copies, and let the holder answer first

Cause: only waits that ended well taught the estimates, so loads that outlasted their callers did not count; loads from disk and from the store were corrected by one ratio; and a request was refused by the plan of a load although the holder knew of a copy that was not registered yet.

Change: the shared call to the holder records its end and the copy; corrections are kept by plan; a request waits 30 ms for the holder before it is refused.

--- a/src/cicadahook/core/expected_waits.py
+++ b/src/cicadahook/core/expected_waits.py
@@ -81,13 +81,14 @@
 
     Attributes:
         waits: current waits.
-        corrections: ratio of actual to planned waits, by service.
+        corrections: ratio of actual to planned waits, by service and plan:
+            loads from memory, disk and store meet different obstacles.
         told: when loads in progress should end, by service and model.
     """
 
     def __init__(self) -> None:
         self.waits: dict[CopyName, _Wait] = {}
-        self.corrections: dict[str, float] = {}
+        self.corrections: dict[tuple[str, datetime.timedelta], float] = {}
         self.told: dict[tuple[str, str], datetime.datetime] = {}
 
     def merge(
@@ -130,7 +131,9 @@
     ) -> datetime.timedelta:
         """Return how much longer a wait should take."""
         elapsed = now - wait.began
-        expected = wait.planned * self.corrections.get(name.service, 1.0)
+        expected = wait.planned * self.corrections.get(
+            (name.service, wait.planned), 1.0
+        )
         overrun = OVERRUN_SHARE * elapsed
         remaining = max(expected - elapsed, overrun)
         told = self.told.get((name.service, name.model))
@@ -146,11 +149,12 @@
         wait = self.waits.pop(name, None)
         if wait is None or wait.planned < MIN_LEARNT_WAIT:
             return None
-        correction = self.corrections.get(name.service, 1.0)
+        key = (name.service, wait.planned)
+        correction = self.corrections.get(key, 1.0)
         actual = now - wait.began
         finished = FinishedWait(wait.planned * correction, actual)
         ratio = min(MAX_CORRECTION, max(MIN_CORRECTION, actual / wait.planned))
-        self.corrections[name.service] = correction + LEARNING_RATE * (
+        self.corrections[key] = correction + LEARNING_RATE * (
             ratio - correction
         )
         return finished
--- a/src/cicadahook/net/copy_requests.py
+++ b/src/cicadahook/net/copy_requests.py
@@ -121,16 +121,28 @@
             # The holder may learn of an engine's start, end or request limit
             # earlier or later than this node.
             if held is not None and self._can_use(held, wanted.software):
-                self._record_end(wanted)
                 return held
             await asyncio.sleep(RETRY_DELAY.total_seconds())
             call = self._join_request(wanted)
 
-    def _record_end(self, wanted: active_request.WantedCopy) -> None:
-        """Learn from the end of a wait, and show how well it was predicted."""
-        finished = self.waits.finish(_name(wanted), self.clock.now())
+    async def _request_and_learn(
+        self, wanted: active_request.WantedCopy
+    ) -> residency_lib.CopyKey | None:
+        """Call the holder, and learn how long the copy took.
+
+        Also of copies that no request waits for any more, since these are the
+        ones that took longest.
+        """
+        held = await self._request_copy(
+            wanted.service, wanted.key, wanted.failed, wanted.software
+        )
+        finished = None
+        if held is not None:
+            self.residency.record_held(held, self.clock.now())
+            finished = self.waits.finish(_name(wanted), self.clock.now())
         if finished is not None:
             metrics.record_wait(finished.expected, finished.actual)
+        return held
 
     def _can_use(self, held: residency_lib.CopyKey, software: str) -> bool:
         """Whether a request may be sent to a copy now."""
@@ -150,7 +162,7 @@
         return tasks.share(
             self.pending,
             name,
-            lambda: self._request_copy(service, key, failed, software),
+            lambda: self._request_and_learn(wanted),
         )
 
     async def _request_copy(
--- a/src/cicadahook/net/engine_waits.py
+++ b/src/cicadahook/net/engine_waits.py
@@ -20,6 +20,8 @@
 EXPECTED_SHARE: Final = 0.25
 MIN_COPY_PERIOD: Final = datetime.timedelta(milliseconds=100)
 MAX_COPY_PERIOD: Final = datetime.timedelta(milliseconds=500)
+# Time in which the holder of orders answers for a copy that it knows.
+ANSWER_TIME: Final = datetime.timedelta(milliseconds=30)
 # Time from the end of a wait to the first piece of an answer.
 FIRST_PIECE_TIME: Final = datetime.timedelta(milliseconds=60)
 
@@ -103,14 +105,7 @@
         load = components.copies.begin(wanted)
         try:
             async with asyncio.timeout(wait.total_seconds()):
-                while not load.done():
-                    if components.balancer.choose(ready, generation):
-                        break
-                    expected = components.copies.estimate_wait(wanted)
-                    if self.clock.now() + expected > latest:
-                        break
-                    pause = POLL_PERIOD if ready else _plan_pause(expected)
-                    await asyncio.wait({load}, timeout=pause.total_seconds())
+                await self._await_load(load, wanted, ready, generation, latest)
         except TimeoutError:
             pass
         finally:
@@ -131,6 +126,28 @@
             components.residency.record_held(held, self.clock.now())
         return candidate
 
+    async def _await_load(
+        self,
+        load: asyncio.Task[residency.CopyKey | None],
+        wanted: active_request.WantedCopy,
+        ready: list[inventory.Instance],
+        generation: forwarding.Generation,
+        latest: datetime.datetime,
+    ) -> None:
+        """Return once a load has ended, or is not worth waiting for."""
+        # The holder may know of a copy that is not registered yet.
+        pause = ANSWER_TIME
+        while True:
+            await asyncio.wait({load}, timeout=pause.total_seconds())
+            if load.done() or self.components.balancer.choose(
+                ready, generation
+            ):
+                return
+            expected = self.components.copies.estimate_wait(wanted)
+            if self.clock.now() + expected > latest:
+                return
+            pause = POLL_PERIOD if ready else _plan_pause(expected)
+
 
 def _plan_pause(expected: datetime.timedelta) -> datetime.timedelta:
     """Return when to look again at a copy that is expected after a time."""
--- a/tests/test_expected_waits.py
+++ b/tests/test_expected_waits.py
@@ -77,6 +77,19 @@
     assert expected == pytest.approx(2 * LOAD, rel=0.05)
 
 
+def test_loads_of_different_plans_are_corrected_apart() -> None:
+    waits = expected_waits.CopyWaits()
+    for number in range(30):
+        began = NOW + number * seconds(20)
+        waits.ask(NAME, lambda: seconds(0.8), began)
+        waits.finish(NAME, began + seconds(2.4))
+    later = NOW + seconds(900)
+    assert waits.ask(NAME, lambda: LOAD, later) == LOAD
+    other = expected_waits.CopyName("chat", "m2")
+    expected = waits.ask(other, lambda: seconds(0.8), later)
+    assert expected == pytest.approx(seconds(2.4), rel=0.05)
+
+
 def test_corrections_are_bounded() -> None:
     waits = expected_waits.CopyWaits()
     for number in range(50):
