Tell of loads with the upstreams, and no longer of unread versions

A status had 23 fields; two of them nobody has read, in this build nor in those of, which read them as 0 now. The loads of the holder stand with what is told of single upstreams.

--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -63,11 +63,14 @@
         links: which upstreams it can reach.
         brittle: what it knows of brittle upstreams.
         leaving: upstreams that have said that they leave.
+        loading: loads that the holder of orders has ordered and that are not
+            done.
     """
 
     links: tuple[reachability.LinkStatement, ...] = ()
     brittle: tuple[brittle_upstreams.BrittleStatement, ...] = ()
     leaving: tuple[leaving_upstreams.LeavingStatement, ...] = ()
+    loading: tuple[expected_waits.LoadStatement, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,8 +89,6 @@
             term.
         newest_term: highest fencing number that it knows of.
         grant: its grant to the holder that it knows.
-        configuration: version of its configuration.
-        inventory: revision of its inventory of the upstreams.
         loads: its load on each upstream.
         wanted: recent demand on it, by model.
         paces: run times of models that it has observed.
@@ -100,7 +101,6 @@
         capabilities: what its build can do, see `status_schedule`; empty if
             the build is older than that list.
         wants_grants: whether it needs the grants of all others as holder.
-        loading: loads that it has ordered and that are not done.
     """
 
     node: NodeRecord
@@ -110,8 +110,6 @@
     has_left: bool
     fence: int
     newest_term: int
-    configuration: int
-    inventory: int
     grant: grants.Grant = grants.Grant()
     is_brief: bool = False
     loads: tuple[balancer.InstanceLoad, ...] = ()
@@ -125,7 +123,6 @@
     is_cut_off: bool = False
     capabilities: tuple[str, ...] = ()
     wants_grants: bool = False
-    loading: tuple[expected_waits.LoadStatement, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -191,7 +188,6 @@
                     wanted=newest.wanted,
                     paces=newest.paces,
                     crash_suspects=newest.crash_suspects,
-                    loading=newest.loading,
                 )
         self.statuses[name] = (now, status)
         return True
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -394,7 +394,9 @@
                 return
             self.origins.merge(status.origins, self.clock.now())
             if status.is_holder:
-                self.copies.waits.merge(status.loading, self.clock.now())
+                self.copies.waits.merge(
+                    status.upstreams.loading, self.clock.now()
+                )
             self.components.balancer.replace_peer_loads(
                 status.node.name, status.loads
             )
--- a/src/cicadahook/net/status_reporter.py
+++ b/src/cicadahook/net/status_reporter.py
@@ -174,7 +174,6 @@
         sources = self.sources
         components = sources.forwarder.components
         statements = components.statements
-        configuration = sources.forwarder.configuration
         self.number += 1
         sources.grants.record_status(self.number, now)
         return roster_lib.NodeStatus(
@@ -186,8 +185,6 @@
             fence=sources.holder_state.fence,
             newest_term=sources.holder_state.newest_term,
             grant=self._create_grant(),
-            configuration=configuration.version if configuration else 0,
-            inventory=components.inventory.revision,
             loads=components.balancer.list_own_loads(),
             wanted=tuple(
                 roster_lib.ModelDemand(service, model, share)
@@ -207,11 +204,11 @@
                 sources.links.reachability.list_statements(now),
                 statements.brittle.list_statements(now),
                 statements.leaving.list_statements(),
+                self.list_loads(),
             ),
             is_cut_off=sources.links.is_cut_off(),
             capabilities=status_schedule.CAPABILITIES,
             wants_grants=sources.holder_state.wants_grants(now),
-            loading=self.list_loads(),
         )
 
     def list_loads(self) -> tuple[expected_waits.LoadStatement, ...]:
@@ -246,7 +243,6 @@
         wanted=(),
         paces=(),
         crash_suspects=(),
-        loading=(),
         origins=(),
         upstreams=roster_lib.UpstreamNews(
             (), status.upstreams.brittle, status.upstreams.leaving
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -98,6 +98,7 @@
   links @0 :List(LinkStatement);
   brittle @1 :List(BrittleStatement);
   leaving @2 :List(LeavingStatement);
+  loading @3 :List(LoadStatement);
 }
 
 struct NodeStatus {
@@ -106,6 +107,7 @@
   isReady @2 :Bool;
   isHolder @3 :Bool;
   fence @4 :UInt64;
+  # No longer sent; nothing read them.
   configuration @5 :UInt64;
   inventory @6 :UInt64;
   loads @7 :List(InstanceLoad);
@@ -125,7 +127,6 @@
   isCutOff @20 :Bool;
   capabilities @21 :List(Text);
   wantsGrants @22 :Bool;
-  loading @23 :List(LoadStatement);
 }
 
 struct ProbeRequest {
--- a/tests/test_holder_and_roster.py
+++ b/tests/test_holder_and_roster.py
@@ -28,7 +28,7 @@
 def create_status(name: str, number: int) -> roster.NodeStatus:
     """Return a node's status with a number."""
     record = create_record(name)
-    return roster.NodeStatus(record, number, True, False, False, 0, 0, 1, 1)
+    return roster.NodeStatus(record, number, True, False, False, 0, 0)
 
 
 def create_holder_state(
--- a/tests/test_holder_stateful.py
+++ b/tests/test_holder_stateful.py
@@ -58,8 +58,6 @@
             self.has_left,
             self.holder_state.fence,
             self.holder_state.newest_term,
-            1,
-            1,
             grant,
         )
 
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -344,7 +344,7 @@
         return roster.NodeRecord(name, zone, "r", f"{name}:1", f"{name}:2", 1)
 
     def status(entry: roster.NodeRecord, is_ready: bool) -> roster.NodeStatus:
-        return roster.NodeStatus(entry, 1, is_ready, False, False, 0, 0, 1, 1)
+        return roster.NodeStatus(entry, 1, is_ready, False, False, 0, 0)
 
     known = roster.Roster(record("n1", "a"))
     now = clock_lib.EPOCH
@@ -367,8 +367,8 @@
     own = roster.NodeRecord("n1", "a", "r", "n1:1", "n1:2", 1)
     peer = roster.NodeRecord("n2", "a", "r", "n2:1", "n2:2", 1)
     known = roster.Roster(own)
-    newer = roster.NodeStatus(peer, 5, False, False, False, 0, 0, 1, 1)
-    older = roster.NodeStatus(peer, 4, True, False, False, 0, 0, 1, 1)
+    newer = roster.NodeStatus(peer, 5, False, False, False, 0, 0)
+    older = roster.NodeStatus(peer, 4, True, False, False, 0, 0)
     assert known.record_status(newer, clock_lib.EPOCH)
     assert not known.record_status(older, clock_lib.EPOCH)
     assert not known.list_addresses(
--- a/tests/test_node_waits.py
+++ b/tests/test_node_waits.py
@@ -84,8 +84,6 @@
                     has_left=self.has_left,
                     fence=self.fence,
                     newest_term=self.fence,
-                    configuration=1,
-                    inventory=1,
                 )
             )
             await asyncio.sleep(roster_lib.STATUS_PERIOD.total_seconds())
--- a/tests/test_statuses.py
+++ b/tests/test_statuses.py
@@ -42,8 +42,6 @@
         has_left=False,
         fence=0,
         newest_term=7,
-        configuration=3,
-        inventory=900,
         grant=grants.Grant("n2", 7, 12),
         loads=tuple(
             balancer.InstanceLoad(f"i-{each:08x}", each, 1.5, (f"m{each}/a1",))
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -114,8 +114,6 @@
                     False,
                     0,
                     0,
-                    1,
-                    1,
                     capabilities=capabilities,
                 ),
                 now,
