--- a/src/cicadahook/core/store_sources.py
+++ b/src/cicadahook/core/store_sources.py
@@ -41,8 +41,8 @@
         """Return the nodes to ask for changes, the preferred one first.
 
         Returns:
-            Nothing if this node is to watch the store by itself: because it
-            is one of the watchers of its zone, or these do not answer.
+            The watchers; none if this node is to watch the store by itself,
+            as one of the watchers of its zone or because these do not answer.
         """
         if self.roster.count_nodes(now) < MIN_NODES:
             return ()
--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -89,14 +89,15 @@
         """Replace all items by a listing."""
         del is_after_outage
         self.log.apply_listing(listing)
-        self._wake_followers()
+        self.wake_followers()
 
     def apply_changes(self, changes: store_api.Changes) -> None:
         """Add changes."""
         self.log.apply_changes(changes)
-        self._wake_followers()
+        self.wake_followers()
 
-    def _wake_followers(self) -> None:
+    def wake_followers(self) -> None:
+        """Let waiting followers look for changes."""
         self.news.set()
         self.news = asyncio.Event()
 
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -309,7 +309,7 @@
     waiting = asyncio.create_task(fleet.follower.watch("", 1, WAIT))
     await asyncio.sleep(0.2)
     fleet.store.put()
-    fleet.feed._wake_followers()  # pylint: disable=protected-access
+    fleet.feed.wake_followers()
     async with asyncio.timeout(0.2):
         assert list_revisions(await waiting) == [2]
 
