--- a/src/cicadahook/net/copy_requests.py
+++ b/src/cicadahook/net/copy_requests.py
@@ -136,10 +136,11 @@
         held = await self._request_copy(
             wanted.service, wanted.key, wanted.failed, wanted.software
         )
-        finished = None
-        if held is not None:
-            self.residency.record_held(held, self.clock.now())
-            finished = self.waits.finish(_name(wanted), self.clock.now())
+        if held is None or not self._can_use(held, wanted.software):
+            return held
+        now = self.clock.now()
+        self.residency.record_held(held, now)
+        finished = self.waits.finish(_name(wanted), now)
         if finished is not None:
             metrics.record_wait(finished.expected, finished.actual)
         return held
