Grant a holder that cannot send while it wants that

Cause: a holder that had lost its lease and its grants no longer says that it sends, and nodes looked for one that does: in fleets of more than 8 nodes it got a grant only with full statuses, which take longer round than grants last.

Change: nodes send grants to the newest holder that wants them.

Measured: the new test in test_statuses.py failed before and passes.

--- a/src/cicadahook/core/status_schedule.py
+++ b/src/cicadahook/core/status_schedule.py
@@ -82,13 +82,18 @@
     def _find_granted_holder(self, now: datetime.datetime) -> str:
         """Return the name of the holder that needs a grant now, if any.
 
-        A holder of an older build does not tell when it needs grants.
+        One without lease and grants cannot send, and needs them all the same. A
+        holder of an older build does not tell when it needs grants.
         """
-        holder = self.roster.find_holder(now)
-        if holder is None:
+        holders = [
+            status
+            for _, status in self.roster.list_recent(now)
+            if status.wants_grants
+            or (
+                status.is_holder
+                and GRANTS_ON_REQUEST not in status.capabilities
+            )
+        ]
+        if not holders:
             return ""
-        status = self.roster.find_recent(holder.name, now)
-        if status is None:
-            return ""
-        is_old = GRANTS_ON_REQUEST not in status.capabilities
-        return holder.name if is_old or status.wants_grants else ""
+        return max(holders, key=lambda status: status.fence).node.name
--- a/tests/test_statuses.py
+++ b/tests/test_statuses.py
@@ -237,6 +237,24 @@
     assert got == 5 if is_granted else got <= 1
 
 
+def test_a_holder_that_cannot_send_is_granted_if_it_wants_that() -> None:
+    roster = describe_holder(
+        capabilities=status_schedule.CAPABILITIES,
+        wants_grants=True,
+        is_holder=False,
+    )
+    schedule = status_schedule.StatusSchedule(roster)
+    schedule.choose(create_status("n000", 0, number=1), NOW)
+    schedule.urgent_until = None
+    for number in range(2, 7):
+        recipients = schedule.choose(
+            create_status("n000", 0, number=number), NOW
+        )
+        assert "n039" in {
+            each.name for each in (*recipients.full, *recipients.brief)
+        }
+
+
 @pytest.mark.parametrize(
     "change",
     [
