Take no items of a watcher that are older than what is known

Cause: while the store did not answer, a node listed the items of a watcher whatever their revision, so that its picture of nodes and holder could go back.

Change: such a listing must reach the newest revision that was read.

Measured: the new test in test_store_relay.py failed before and passes.

--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -157,6 +157,8 @@
         feed: tells other nodes of what this one learns.
         is_direct: whether the last answer came from the store itself.
         answered: when the store last answered; None if it did not.
+        revision: newest revision that was read; items of other nodes must not
+            be older.
     """
 
     def __init__(
@@ -173,6 +175,7 @@
         self.feed = ChangeFeed(self.is_current)
         self.is_direct = False
         self.answered: datetime.datetime | None = None
+        self.revision = 0
 
     def is_current(self) -> bool:
         """Whether this node watches the store itself and is answered."""
@@ -198,7 +201,7 @@
             self._set_direct(False)
             for peer in self.sources.list_watchers(self.clock.now()):
                 answer = await self._ask(peer, FollowRequest(-1))
-                if answer is not None:
+                if answer is not None and answer.revision >= self.revision:
                     return store_api.Listing(
                         tuple(
                             store_api.Item(each.key, each.value, each.revision)
@@ -210,6 +213,7 @@
                     )
             raise
         self.answered = self.clock.now()
+        self.revision = listing.revision
         return listing
 
     async def watch(
@@ -227,6 +231,7 @@
             answer = await self._ask(peer, question)
             if answer is not None and answer.revision >= revision:
                 metrics.count_watch_answer("node")
+                self.revision = answer.revision
                 return store_api.Changes(
                     tuple(
                         store_api.Change(each.key, each.value, each.revision)
@@ -242,6 +247,7 @@
             self.answered = None
             raise
         self.answered = self.clock.now()
+        self.revision = max(self.revision, changes.revision)
         metrics.count_watch_answer("store")
         return changes
 
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -352,6 +352,19 @@
         await fleet.follower.list_items("")
 
 
+async def test_items_older_than_what_is_known_are_not_taken(
+    fleet: Fleet,
+) -> None:
+    older = change_log.ChangeLog()
+    older.apply_listing(fleet.store.log.create_listing())
+    fleet.store.put()
+    await fleet.follower.list_items("")
+    fleet.store.is_down = True
+    fleet.feed.log = older
+    with pytest.raises(errors.KeyValueUnavailableError):
+        await fleet.follower.list_items("")
+
+
 async def test_a_watcher_without_changes_enough_is_no_source(
     fleet: Fleet,
 ) -> None:
