--- a/src/cicadahook/net/peer_relay_server.py
+++ b/src/cicadahook/net/peer_relay_server.py
@@ -85,14 +85,14 @@
             self.refuses_until = now + CATCH_UP_PERIOD
         self.ticked = now
 
-    def _has_stalled(self) -> bool:
+    def has_stalled(self) -> bool:
         """Whether what is read now may have been sent before a stall."""
         now = self.clock.now()
         return now - self.ticked > MAX_STALL or now < self.refuses_until
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Send one attempt and pass on its answer."""
-        has_stalled = self._has_stalled()
+        has_stalled = self.has_stalled()
         response = web.StreamResponse()
         response.enable_chunked_encoding()
         self.active += 1
--- a/tests/test_node_links.py
+++ b/tests/test_node_links.py
@@ -136,7 +136,11 @@
 
 
 async def cut_known(testbed: node_testbed.NodeTestbed, *numbers: int) -> None:
-    """Reset all links of some nodes, and wait until they know of it."""
+    """Reset all links of some nodes, and wait until they know of it.
+
+    The other nodes pass on requests then: one that stood still does not for a
+    while.
+    """
     for number in numbers:
         for link in testbed.links[number].values():
             link.cut(node_links.Cut.RESET)
@@ -147,6 +151,13 @@
                 entry, await node.components.upstreams.probe(entry)
             )
             assert node.links.reachability.is_cut(entry)
+    helpers = [
+        get_node(testbed, number).relay_server
+        for number in {IN_TOUCH, CUT_OFF} - set(numbers)
+    ]
+    await node_testbed.wait_until(
+        lambda: not any(server.has_stalled() for server in helpers)
+    )
 
 
 async def tell_reached(testbed: node_testbed.NodeTestbed) -> None:
