Keep connections as long as upstreams state, and prefer to use them

Cause: unused connections were closed after 4 s whatever their upstream states in Keep-Alive (10 s on all sites), and the choice among equal upstreams was drawn. At 78 nodes and 64 upstreams a node sends to a given one every 29 s, so most connections expired unused.

test_node_core.py: after a link is back the test expected a draw between two upstreams; it now has connections to both, among which is still drawn.

--- a/src/cicadahook/core/reachability.py
+++ b/src/cicadahook/core/reachability.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from cicadahook.core import inventory
+from cicadahook.core import kept_connections
 
 # A link on which nothing was heard for this time may be cut unseen.
 HEARD_EXPIRY: Final = datetime.timedelta(seconds=10)
@@ -85,10 +86,16 @@
         told: when each other node last told of its links.
         avoided_peers: until when another node is not asked to pass on requests.
         peer_expiry: how long statements of other nodes count.
+        kept: connections that this node keeps.
     """
 
-    def __init__(self, generator: random.Random) -> None:
+    def __init__(
+        self,
+        generator: random.Random,
+        kept: kept_connections.KeptConnections,
+    ) -> None:
         self.random = generator
+        self.kept = kept
         self.links: dict[str, Link] = {}
         self.registered: dict[str, int] = {}
         self.peers: dict[str, dict[str, Link]] = {}
@@ -108,6 +115,7 @@
             for name, link in self.links.items()
             if self.registered.get(name) == link.born
         }
+        self.kept.drop_unlisted(instances.values())
 
     def forget_peer(self, name: str) -> None:
         """Drop what another node has told, which passes on no requests."""
@@ -285,7 +293,7 @@
     ) -> float:
         """Return what the way to an upstream costs, in ms."""
         if not self.is_cut(instance):
-            return 0.0
+            return self.kept.get_cost_ms(instance, now)
         return DETOUR_MS if self.list_helpers(instance, now) else DOUBTFUL_MS
 
     def is_cut_off(
--- /dev/null
+++ b/src/cicadahook/net/connection_pools.py
@@ -0,0 +1,129 @@
+"""Sessions to upstreams that keep unused connections for different times."""
+
+import asyncio
+import datetime
+import re
+from typing import Any, Final
+
+import aiohttp
+from aiohttp import client_proto
+
+from cicadahook.core import clock as clock_lib
+from cicadahook.core import inventory
+from cicadahook.core import kept_connections
+from cicadahook.net import metrics
+from cicadahook.net import sockets
+
+# A lost opening packet is sent again only after a second.
+CONNECT_TIMEOUT: Final = datetime.timedelta(milliseconds=500)
+MAX_HEADER_BYTES: Final = 65_536
+READ_BUFFER_BYTES: Final = 65_536
+# More digits state a time that is longer than any that counts.
+TIMEOUT: Final = re.compile(r"(?:^|[,;\s])timeout\s*=\s*(\d{1,6})(?!\d)", re.I)
+
+
+class Response(aiohttp.ClientResponse):
+    """A response that knows its connection after it was released.
+
+    Attributes:
+        protocol: protocol of the connection.
+    """
+
+    protocol: asyncio.Protocol | None = None
+
+    async def start(self, connection: Any) -> "Response":
+        """Read the head from a connection."""
+        self.protocol = connection.protocol
+        await super().start(connection)
+        return self
+
+
+class ConnectionPools:
+    """Sessions by the lifetime of their unused connections.
+
+    Attributes:
+        clock: the time.
+        resets: whether closing a connection resets it.
+        kept: which connections are kept.
+        sessions: the sessions, a few dozen at most.
+    """
+
+    def __init__(self, clock: clock_lib.Clock, *, resets: bool) -> None:
+        self.clock = clock
+        self.resets = resets
+        self.kept = kept_connections.KeptConnections("")
+        self.sessions: dict[datetime.timedelta, aiohttp.ClientSession] = {}
+
+    def take(self, instance: inventory.Instance) -> aiohttp.ClientSession:
+        """Return the session for a request to an upstream."""
+        self.kept.take(instance, self.clock.now())
+        return self._get(self.kept.get_lifetime(instance))
+
+    def release(
+        self, instance: inventory.Instance, response: aiohttp.ClientResponse
+    ) -> None:
+        """Return the connection of an answer that was read."""
+        response.release()
+        protocol = getattr(response, "protocol", None)
+        if (
+            isinstance(protocol, client_proto.ResponseHandler)
+            and not protocol.should_close
+            and protocol.is_connected()
+        ):
+            self.kept.keep(instance, self.clock.now())
+        stated = parse_timeout(response.headers.get("Keep-Alive"))
+        if stated is not None:
+            self.kept.record_timeout(instance, stated)
+
+    def _get(self, lifetime: datetime.timedelta) -> aiohttp.ClientSession:
+        """Return the session whose unused connections live for `lifetime`."""
+        session = self.sessions.get(lifetime)
+        if session is None:
+            session = self.sessions[lifetime] = self._create(lifetime)
+        return session
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for session in self.sessions.values():
+            await session.close()
+
+    def _create(self, lifetime: datetime.timedelta) -> aiohttp.ClientSession:
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_create_end.append(self._count_connection)
+        session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                keepalive_timeout=lifetime.total_seconds(),
+                socket_factory=sockets.create_factory(resets=self.resets),
+            ),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT.total_seconds()
+            ),
+            auto_decompress=False,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            read_bufsize=READ_BUFFER_BYTES,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            response_class=Response,
+            trace_configs=[trace],
+        )
+        # Some GET requests may not be repeated, so aiohttp must not resend
+        # them on its own.
+        # pylint: disable-next=protected-access
+        session._retry_connection = False
+        return session
+
+    async def _count_connection(
+        self,
+        session: aiohttp.ClientSession,
+        context: object,
+        parameters: aiohttp.TraceConnectionCreateEndParams,
+    ) -> None:
+        del session, context, parameters
+        metrics.count_connection(self.kept.node)
+
+
+def parse_timeout(header: str | None) -> datetime.timedelta | None:
+    """Return the time limit that a Keep-Alive header states, if any."""
+    found = TIMEOUT.search(header) if header else None
+    return datetime.timedelta(seconds=int(found[1])) if found else None
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -110,6 +110,14 @@
     counter.add(1, {"state": state, "node": node})
 
 
+def count_connection(node: str) -> None:
+    """Count a connection that a node opened to an upstream."""
+    counter = create_counter(
+        "cicada_upstream_connections", "Connections opened to upstreams."
+    )
+    counter.add(1, {"node": node})
+
+
 def count_relay(role: str, node: str) -> None:
     """Count a request that passed through a second node, by role of `node`."""
     counter = create_counter(
--- a/src/cicadahook/net/upstream_links.py
+++ b/src/cicadahook/net/upstream_links.py
@@ -10,10 +10,12 @@
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
+from cicadahook.core import kept_connections
 from cicadahook.core import reachability as reachability_lib
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import upstream_statements
 from cicadahook.net import active_request
+from cicadahook.net import connection_pools
 from cicadahook.net import link_monitor
 from cicadahook.net import peer_probes
 from cicadahook.net import peer_relay_client
@@ -28,9 +30,11 @@
     Attributes:
         link_listener: called with the upstream of each call and what the call
             shows of the link to it.
+        pools: its connections to upstreams.
     """
 
     link_listener: link_monitor.LinkListener
+    pools: connection_pools.ConnectionPools
 
 
 class UpstreamLinks:
@@ -62,7 +66,10 @@
         self.roster = nodes
         self.clock = clock
         self.generator = generator
-        self.reachability = reachability_lib.Reachability(generator)
+        client.pools.kept = kept_connections.KeptConnections(nodes.own.name)
+        self.reachability = reachability_lib.Reachability(
+            generator, client.pools.kept
+        )
         self.monitor = link_monitor.LinkMonitor(
             self.reachability,
             instances,
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -18,23 +18,16 @@
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
 from cicadahook.core import upstream_statements
+from cicadahook.net import connection_pools
 from cicadahook.net import logs
-from cicadahook.net import sockets
 from cicadahook.platform import headers as header_names
 from cicadahook.platform import messages
 
-# A lost opening packet is sent again only after a second.
-CONNECT_TIMEOUT: Final = datetime.timedelta(milliseconds=500)
 # An engine answers an order at once, and a repeated order does no harm, so
 # the time limit can be short.
 ORDER_TIMEOUT: Final = datetime.timedelta(milliseconds=120)
 PROBE_TIMEOUT: Final = datetime.timedelta(milliseconds=500)
 REPORT_TIMEOUT: Final = datetime.timedelta(milliseconds=1000)
-# Upstreams also close idle connections, mostly after a longer time,
-# so this side mostly closes first.
-IDLE_TIMEOUT_SECONDS: Final = 4.0
-MAX_HEADER_BYTES: Final = 65_536
-READ_BUFFER_BYTES: Final = 65_536
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 # Answers that state no length may have no end.
 MAX_UNSTATED_BYTES: Final = 1024 * 1024
@@ -157,28 +150,12 @@
     size: int = 0
 
 
-class _Response(aiohttp.ClientResponse):
-    """A response that knows its connection after it was released.
-
-    Attributes:
-        protocol: protocol of the connection.
-    """
-
-    protocol: asyncio.Protocol | None = None
-
-    async def start(self, connection: Any) -> "_Response":
-        """Read the head from a connection."""
-        self.protocol = connection.protocol
-        await super().start(connection)
-        return self
-
-
 class UpstreamClient:
     """Keeps connections to upstreams open and sends requests on them.
 
     Attributes:
-        request_session: connections for callers' requests.
-        order_session: connections for orders and reports.
+        pools: connections for callers' requests.
+        order_pools: connections for orders and reports.
         buffer: bytes of all plain answers that are being read.
         statement_listener: called with each answer's upstream, what it says
             of itself and when the call was sent.
@@ -193,19 +170,13 @@
             lambda instance, statement, sent: None
         )
         self.buffer = AnswerBuffer()
-        self.request_session = _create_session(resets=False)
-        # Some GET requests may not be repeated, so aiohttp must not resend
-        # them on its own.
-        # pylint: disable-next=protected-access
-        self.request_session._retry_connection = False
-        self.order_session = _create_session(resets=True)
-        # pylint: disable-next=protected-access
-        self.order_session._retry_connection = False
+        self.pools = connection_pools.ConnectionPools(clock, resets=False)
+        self.order_pools = connection_pools.ConnectionPools(clock, resets=True)
 
     async def close(self) -> None:
         """Close all connections."""
-        await self.request_session.close()
-        await self.order_session.close()
+        await self.pools.close()
+        await self.order_pools.close()
 
     @contextlib.asynccontextmanager
     async def send(
@@ -222,7 +193,7 @@
         )
         sent = self.clock.now()
         with _translate_errors(), self._watch_link(attempt.instance):
-            response = await self.request_session.request(
+            response = await self.pools.take(attempt.instance).request(
                 request.method,
                 url,
                 headers=header_names.encode_request(attempt),
@@ -244,7 +215,7 @@
             is_reusable = True
         finally:
             if is_reusable:
-                response.release()
+                self.pools.release(attempt.instance, response)
             else:
                 response.close()
 
@@ -255,7 +226,7 @@
         sent = self.clock.now()
         try:
             with self._watch_link(instance):
-                response = await self.order_session.get(
+                response = await self.order_pools.take(instance).get(
                     f"http://{instance.address}/report",
                     timeout=_create_timeout(REPORT_TIMEOUT),
                 )
@@ -324,7 +295,7 @@
         sent = self.clock.now()
         try:
             with self._watch_link(instance):
-                response = await self.order_session.post(
+                response = await self.order_pools.take(instance).post(
                     f"http://{instance.address}/order",
                     json=body,
                     headers={header_names.EXPECTED_INSTANCE: instance.id},
@@ -386,25 +357,6 @@
         self.statement_listener(instance, statement, sent)
 
 
-def _create_session(*, resets: bool) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=0,
-            keepalive_timeout=IDLE_TIMEOUT_SECONDS,
-            socket_factory=sockets.create_factory(resets=resets),
-        ),
-        timeout=aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT.total_seconds()
-        ),
-        auto_decompress=False,
-        max_line_size=MAX_HEADER_BYTES,
-        max_field_size=MAX_HEADER_BYTES,
-        read_bufsize=READ_BUFFER_BYTES,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        response_class=_Response,
-    )
-
-
 def _create_timeout(duration: datetime.timedelta) -> aiohttp.ClientTimeout:
     return aiohttp.ClientTimeout(total=duration.total_seconds())
 
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -13,6 +13,7 @@
 from cicadahook.core import event_streams
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
+from cicadahook.core import kept_connections
 from cicadahook.core import load_planning
 from cicadahook.core import model_demand
 from cicadahook.core import model_paces
@@ -215,7 +216,9 @@
         clock,
         random.Random(1),
         upstream_statements.UpstreamStatements("n1", random.Random(1)),
-        reachability.Reachability(random.Random(1)),
+        reachability.Reachability(
+            random.Random(1), kept_connections.KeptConnections("n1")
+        ),
     )
 
 
@@ -267,6 +270,8 @@
         chosen = balancer.choose(entries, None)
         assert chosen is not None and chosen.id == "b"
     links.record_connected(entries[0], clock.now())
+    for entry in entries:
+        links.kept.keep(entry, clock.now())
     seen = [balancer.choose(entries, None) for _ in range(30)]
     assert entries[0] in seen
 
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -7,6 +7,7 @@
 
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import inventory
+from cicadahook.core import kept_connections
 from cicadahook.core import reachability
 
 SECOND = datetime.timedelta(seconds=1)
@@ -22,7 +23,9 @@
 @pytest.fixture(name="links")
 def create_links() -> reachability.Reachability:
     """Return the links of a node before any call, to upstreams a, b and c."""
-    links = reachability.Reachability(random.Random(1))
+    links = reachability.Reachability(
+        random.Random(1), kept_connections.KeptConnections("n1")
+    )
     links.update_registered(
         {entry.id: entry for entry in create_instances("abc")}
     )
