Watch the store from a few nodes of a region, not of each zone

Change: three watchers a region, one for each 32 nodes beyond, in different zones; the others ask two of them, their zone's first, before they watch by themselves. A zone that hears no other chooses its own.

--- a/src/cicadahook/core/store_sources.py
+++ b/src/cicadahook/core/store_sources.py
@@ -1,10 +1,12 @@
 """Decides from whom a node learns of changes in the store.
 
 Designed for fleets of dozens to hundreds of nodes, in which a watch by each
-node makes the store answer each change as often as there are nodes. Two nodes
-of each zone watch it; the others follow these.
+node makes the store answer each change as often as there are nodes. A few nodes
+watch it, in different zones; the others follow these.
 """
 
+import collections
+from collections.abc import Iterable
 import datetime
 from typing import Final
 
@@ -14,7 +16,12 @@
 
 # In smaller fleets each node watches the store.
 MIN_NODES: Final = 9
-WATCHERS_PER_ZONE: Final = 2
+# Watchers of a region, and how many nodes each of them serves at the most.
+MIN_WATCHERS: Final = 3
+NODES_PER_WATCHER: Final = 32
+# Watchers that a node asks before it watches the store by itself. Each may keep
+# it waiting, and changes must reach it in time.
+MAX_SOURCES: Final = 2
 # A watcher that did not answer, or watches no more, is left out for this time.
 AVOIDED_PERIOD: Final = datetime.timedelta(seconds=3)
 
@@ -42,7 +49,7 @@
 
         Returns:
             The watchers; none if this node is to watch the store by itself,
-            as one of the watchers of its zone or because these do not answer.
+            as one of the watchers or because these do not answer.
         """
         if self.roster.count_nodes(now) < MIN_NODES:
             return ()
@@ -50,24 +57,43 @@
         peers = [
             status.node
             for _, status in self.roster.list_recent(now)
-            if status.node.zone == own.zone
+            if status.node.region == own.region
+            and status.node.name != own.name
             and status_schedule.RELAYED_CHANGES in status.capabilities
             and status.is_ready
             and not status.has_left
         ]
-        ranked = sorted([*peers, own], key=_rank)[:WATCHERS_PER_ZONE]
-        if own in ranked:
+        watchers = _choose_watchers([*peers, own])
+        if own in watchers:
             return ()
-        # The followers of a zone are shared out among its watchers.
-        if hashing.hash64(own.name) % 2:
-            ranked.reverse()
+        sources = sorted(
+            watchers,
+            key=lambda record: (
+                record.zone != own.zone,
+                hashing.hash64(f"{own.name}/{record.name}"),
+            ),
+        )
         return tuple(
             record
-            for record in ranked
+            for record in sources[:MAX_SOURCES]
             if now >= self.avoided.get(record.name, now)
         )
 
 
+def _choose_watchers(
+    records: Iterable[roster_lib.NodeRecord],
+) -> list[roster_lib.NodeRecord]:
+    """Return the watchers, spread over the zones; the same at all nodes."""
+    ranked = sorted(records, key=_rank)
+    count = max(MIN_WATCHERS, -(-len(ranked) // NODES_PER_WATCHER))
+    chosen_in: collections.Counter[str] = collections.Counter()
+    turns: dict[str, int] = {}
+    for record in ranked:
+        turns[record.name] = chosen_in[record.zone]
+        chosen_in[record.zone] += 1
+    return sorted(ranked, key=lambda record: turns[record.name])[:count]
+
+
 def _rank(record: roster_lib.NodeRecord) -> tuple[int, str]:
     """Return a rank by which all nodes choose the same watchers."""
     return hashing.hash64(record.name, seed=1), record.name
--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -28,7 +28,7 @@
 CHANGES_PATH: Final = "/changes"
 # How long a watcher lets a follower wait for a change.
 MAX_WAIT: Final = datetime.timedelta(seconds=1)
-# Time for the way to a node of the same zone and back.
+# Time for the way to another node and back.
 ANSWER_SLACK: Final = datetime.timedelta(milliseconds=400)
 # A watcher whose own watch was not answered for this time may have lost it.
 CURRENT_PERIOD: Final = datetime.timedelta(milliseconds=3300)
