--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,13 +3,18 @@
 from collections.abc import AsyncIterator
 import contextlib
 import os
+import random
 import socket
 from typing import Final
 
 import pytest
 import pytest_asyncio
 
+from cicadahook.core import balancer as balancer_lib
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import kept_connections
+from cicadahook.core import reachability
+from cicadahook.core import upstream_statements
 from cicadahook.net import metrics
 from cicadahook.programs import daemon
 from cicadahook.programs import local
@@ -27,6 +32,20 @@
     return clock_lib.ManualClock()
 
 
+@pytest.fixture(name="balancer")
+def create_balancer(clock: clock_lib.ManualClock) -> balancer_lib.Balancer:
+    """Return a balancer whose draws repeat."""
+    return balancer_lib.Balancer(
+        "z",
+        clock,
+        random.Random(1),
+        upstream_statements.UpstreamStatements("n1", random.Random(1)),
+        reachability.Reachability(
+            random.Random(1), kept_connections.KeptConnections("n1")
+        ),
+    )
+
+
 @pytest.fixture(scope="session", autouse=True)
 def collect_metrics() -> None:
     """Set up metrics, which is allowed only once per process."""
@@ -37,11 +56,15 @@
     """Return the first port of a free block of ports.
 
     The blocks are below the range that the kernel uses for outgoing
-    connections.
+    connections. Test runs side by side mostly begin at different blocks, and
+    the workers of one run never use the same ones.
     """
-    start = os.getpid() % BLOCK_COUNT
-    for step in range(BLOCK_COUNT):
-        block = (start + step) % BLOCK_COUNT
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
+    workers = int(os.environ.get("PYTEST_XDIST_WORKER_COUNT", "1"))
+    own_blocks = range(worker, BLOCK_COUNT, workers)
+    start = os.getppid() if workers > 1 else os.getpid()
+    for step in range(len(own_blocks)):
+        block = own_blocks[(start + step) % len(own_blocks)]
         base = FIRST_PORT + block * BLOCK_SIZE
         if all(is_free(base + offset) for offset in range(BLOCK_SIZE)):
             return base
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -1,7 +1,6 @@
 """Decisions of a node: routing, load planning and tracking, without network."""
 
 import datetime
-import random
 
 import pytest
 
@@ -13,17 +12,14 @@
 from cicadahook.core import event_streams
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
-from cicadahook.core import kept_connections
 from cicadahook.core import load_planning
 from cicadahook.core import model_demand
 from cicadahook.core import model_paces
 from cicadahook.core import prefix_cache
-from cicadahook.core import reachability
 from cicadahook.core import residency
 from cicadahook.core import retry_budget
 from cicadahook.core import roster
 from cicadahook.core import routes
-from cicadahook.core import upstream_statements
 
 SECOND = datetime.timedelta(seconds=1)
 MS = datetime.timedelta(milliseconds=1)
@@ -208,20 +204,6 @@
     assert [key[2] for key in cache.tokens] == ["b", "c"]
 
 
-@pytest.fixture(name="balancer")
-def create_balancer(clock: clock_lib.ManualClock) -> balancer_lib.Balancer:
-    """Return a balancer whose draws repeat."""
-    return balancer_lib.Balancer(
-        "z",
-        clock,
-        random.Random(1),
-        upstream_statements.UpstreamStatements("n1", random.Random(1)),
-        reachability.Reachability(
-            random.Random(1), kept_connections.KeptConnections("n1")
-        ),
-    )
-
-
 def test_spreads_generations_by_work(balancer: balancer_lib.Balancer) -> None:
     entries = [create_instance(name, ("m",)) for name in "abc"]
     sent = []
--- a/tests/test_node_links.py
+++ b/tests/test_node_links.py
@@ -7,9 +7,9 @@
 import aiohttp
 import pytest
 
-from cicadahook.net import node as node_lib
 from cicadahook.net import peer_relay_messages
 from cicadahook.net import peer_relay_server
+import node_cuts
 import node_links
 import node_testbed
 
@@ -20,7 +20,6 @@
     ("/chat/item", CHAT),
     ("/review/item", CHAT),
 )
-CUT_OFF, IN_TOUCH = 1, 0
 # The users' rule: from `CONTACT_SECONDS` after a cut began, first tries at
 # machines that are cut off are served at least `SERVED_SHARE` times as often as
 # those at the others.
@@ -84,7 +83,7 @@
     async with asyncio.TaskGroup() as group:
         while loop.time() < end:
             number = next(numbers)
-            for node in (IN_TOUCH, CUT_OFF):
+            for node in (node_cuts.IN_TOUCH, node_cuts.CUT_OFF):
                 tasks.append(group.create_task(call(testbed, node, number)))
             await asyncio.sleep(1 / PER_SECOND)
     return [task.result() for task in tasks]
@@ -98,7 +97,7 @@
 
 def describe(outcomes: list[Outcome]) -> str:
     """Return the statuses of the node that is cut off, and the longest wait."""
-    own = [each for each in outcomes if each.node == CUT_OFF]
+    own = [each for each in outcomes if each.node == node_cuts.CUT_OFF]
     statuses = {
         status: sum(each.status == status for each in own)
         for status in {each.status for each in own}
@@ -111,7 +110,7 @@
     linked_testbed: node_testbed.NodeTestbed, kind: node_links.Cut
 ) -> None:
     assert all(each.status == 200 for each in await send(linked_testbed, 1))
-    links = linked_testbed.links[CUT_OFF].values()
+    links = linked_testbed.links[node_cuts.CUT_OFF].values()
     began = asyncio.get_running_loop().time()
     for link in links:
         link.cut(kind)
@@ -119,8 +118,8 @@
     for link in links:
         await link.open()
     bound = [each for each in outcomes if each.sent > began + CONTACT_SECONDS]
-    count, served = count_served(bound, CUT_OFF)
-    others, others_served = count_served(bound, IN_TOUCH)
+    count, served = count_served(bound, node_cuts.CUT_OFF)
+    others, others_served = count_served(bound, node_cuts.IN_TOUCH)
     assert served / count >= SERVED_SHARE * others_served / others, describe(
         bound
     )
@@ -128,42 +127,10 @@
     assert all(each.status == 200 for each in await send(linked_testbed, 1))
 
 
-def get_node(testbed: node_testbed.NodeTestbed, number: int) -> node_lib.Node:
-    """Return a running node."""
-    node = testbed.programs[number].node
-    assert node is not None, "not started"
-    return node
-
-
-async def cut_known(testbed: node_testbed.NodeTestbed, *numbers: int) -> None:
-    """Reset all links of some nodes, and wait until they know of it.
-
-    The other nodes pass on requests then: one that stood still does not for a
-    while.
-    """
-    for number in numbers:
-        for link in testbed.links[number].values():
-            link.cut(node_links.Cut.RESET)
-    for number in numbers:
-        node = get_node(testbed, number)
-        for entry in node.components.inventory.instances.values():
-            node.links.monitor.record(
-                entry, await node.components.upstreams.probe(entry)
-            )
-            assert node.links.reachability.is_cut(entry)
-    helpers = [
-        get_node(testbed, number).relay_server
-        for number in {IN_TOUCH, CUT_OFF} - set(numbers)
-    ]
-    await node_testbed.wait_until(
-        lambda: not any(server.has_stalled() for server in helpers)
-    )
-
-
 async def tell_reached(testbed: node_testbed.NodeTestbed) -> None:
     """Wait until the node that is cut off knows that the other one is not."""
     await send(testbed, 1)
-    links = get_node(testbed, CUT_OFF).links.reachability
+    links = node_cuts.get_node(testbed, node_cuts.CUT_OFF).links.reachability
     await node_testbed.wait_until(
         lambda: any(
             link.cut_since is None
@@ -177,13 +144,13 @@
     linked_testbed: node_testbed.NodeTestbed,
 ) -> None:
     await tell_reached(linked_testbed)
-    await cut_known(linked_testbed, CUT_OFF)
+    await node_cuts.cut_known(linked_testbed, node_cuts.CUT_OFF)
     body = bytes(range(256)) * 100
     for upstream in linked_testbed.plain:
         upstream.arrivals.clear()
     async with linked_testbed.call(
         "/write/it%20em?a=1",
-        node=CUT_OFF,
+        node=node_cuts.CUT_OFF,
         data=body,
         headers={"X-Request-Id": "relayed", "X-Other": "kept"},
     ) as response:
@@ -204,12 +171,14 @@
     linked_testbed: node_testbed.NodeTestbed,
 ) -> None:
     await tell_reached(linked_testbed)
-    await cut_known(linked_testbed, IN_TOUCH, CUT_OFF)
+    await node_cuts.cut_known(
+        linked_testbed, node_cuts.IN_TOUCH, node_cuts.CUT_OFF
+    )
     await node_testbed.wait_until(
         lambda: all(
             link.cut_since is not None
-            for links in get_node(
-                linked_testbed, CUT_OFF
+            for links in node_cuts.get_node(
+                linked_testbed, node_cuts.CUT_OFF
             ).links.reachability.peers.values()
             for link in links.values()
         )
@@ -218,7 +187,7 @@
     for path, headers in REQUESTS:
         began = asyncio.get_running_loop().time()
         async with linked_testbed.call(
-            path, node=CUT_OFF, headers=headers
+            path, node=node_cuts.CUT_OFF, headers=headers
         ) as response:
             assert response.status == 503
             pauses.add(response.headers["Retry-After"])
@@ -230,11 +199,11 @@
     linked_testbed: node_testbed.NodeTestbed,
 ) -> None:
     await tell_reached(linked_testbed)
-    await cut_known(linked_testbed, CUT_OFF)
+    await node_cuts.cut_known(linked_testbed, node_cuts.CUT_OFF)
     for engine in linked_testbed.engines:
         engine.events = 1000
     async with linked_testbed.call(
-        "/chat/item", node=CUT_OFF, headers=CHAT
+        "/chat/item", node=node_cuts.CUT_OFF, headers=CHAT
     ) as response:
         assert await response.content.readany()
         running = sum(engine.running for engine in linked_testbed.engines)
@@ -244,23 +213,27 @@
         lambda: not sum(engine.running for engine in linked_testbed.engines),
         seconds=0.5,
     )
-    assert not get_node(linked_testbed, IN_TOUCH).relay_server.active
+    assert not node_cuts.get_node(
+        linked_testbed, node_cuts.IN_TOUCH
+    ).relay_server.active
 
 
 async def test_a_stream_behind_a_node_that_stops_ends_whole(
     linked_testbed: node_testbed.NodeTestbed,
 ) -> None:
     await tell_reached(linked_testbed)
-    await cut_known(linked_testbed, CUT_OFF)
+    await node_cuts.cut_known(linked_testbed, node_cuts.CUT_OFF)
     for engine in linked_testbed.engines:
         engine.events, engine.event_seconds = 10, 0.08
     async with linked_testbed.call(
-        "/chat/item", node=CUT_OFF, headers=CHAT
+        "/chat/item", node=node_cuts.CUT_OFF, headers=CHAT
     ) as response:
         assert await response.content.readany()
-        linked_testbed.programs[IN_TOUCH].stopped.set()
+        linked_testbed.programs[node_cuts.IN_TOUCH].stopped.set()
         await response.read()
-    async with linked_testbed.call("/read/item", node=CUT_OFF) as response:
+    async with linked_testbed.call(
+        "/read/item", node=node_cuts.CUT_OFF
+    ) as response:
         assert response.status == 503
 
 
@@ -268,11 +241,13 @@
     linked_testbed: node_testbed.NodeTestbed, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     await tell_reached(linked_testbed)
-    await cut_known(linked_testbed, CUT_OFF)
+    await node_cuts.cut_known(linked_testbed, node_cuts.CUT_OFF)
     for upstream in linked_testbed.plain:
         upstream.arrivals.clear()
     monkeypatch.setattr(peer_relay_server, "MAX_STALL", -peer_relay_server.TICK)
-    async with linked_testbed.call("/write/item", node=CUT_OFF) as response:
+    async with linked_testbed.call(
+        "/write/item", node=node_cuts.CUT_OFF
+    ) as response:
         assert response.status == 503
     assert not any(upstream.arrivals for upstream in linked_testbed.plain)
 
@@ -281,17 +256,21 @@
     linked_testbed: node_testbed.NodeTestbed,
 ) -> None:
     await tell_reached(linked_testbed)
-    await cut_known(linked_testbed, CUT_OFF)
+    await node_cuts.cut_known(linked_testbed, node_cuts.CUT_OFF)
     for upstream in linked_testbed.plain:
         upstream.arrivals.clear()
-    server = get_node(linked_testbed, IN_TOUCH).relay_server
+    server = node_cuts.get_node(linked_testbed, node_cuts.IN_TOUCH).relay_server
     server.ticked -= 2 * peer_relay_server.MAX_STALL
     server.record_tick()
-    async with linked_testbed.call("/write/item", node=CUT_OFF) as response:
+    async with linked_testbed.call(
+        "/write/item", node=node_cuts.CUT_OFF
+    ) as response:
         assert response.status == 503
     assert not any(upstream.arrivals for upstream in linked_testbed.plain)
     await asyncio.sleep(1)
-    async with linked_testbed.call("/write/item", node=CUT_OFF) as response:
+    async with linked_testbed.call(
+        "/write/item", node=node_cuts.CUT_OFF
+    ) as response:
         assert response.status == 200
 
 
@@ -302,17 +281,17 @@
     for engine in linked_testbed.engines:
         engine.events, engine.event_seconds = 100, 0.02
     calls = [
-        asyncio.create_task(call(linked_testbed, CUT_OFF, number))
+        asyncio.create_task(call(linked_testbed, node_cuts.CUT_OFF, number))
         for number in (2, 3, 6, 7)
     ]
     await node_testbed.wait_until(
         lambda: sum(engine.running for engine in linked_testbed.engines) == 4
     )
-    await cut_known(linked_testbed, CUT_OFF)
+    await node_cuts.cut_known(linked_testbed, node_cuts.CUT_OFF)
     await asyncio.gather(*calls)
     await asyncio.sleep(1)
-    for number in (CUT_OFF, IN_TOUCH):
-        node = get_node(linked_testbed, number)
+    for number in (node_cuts.CUT_OFF, node_cuts.IN_TOUCH):
+        node = node_cuts.get_node(linked_testbed, number)
         assert not node.components.suspects.records
 
 
@@ -324,7 +303,7 @@
         engine.events, engine.event_seconds = 100, 0.02
     calls = [
         asyncio.create_task(call(linked_testbed, node, number))
-        for node in (IN_TOUCH, CUT_OFF)
+        for node in (node_cuts.IN_TOUCH, node_cuts.CUT_OFF)
         for number in (2, 3, 6, 7)
     ]
     await node_testbed.wait_until(
@@ -335,8 +314,8 @@
             link.cut(node_links.Cut.RESET)
     await asyncio.gather(*calls)
     await asyncio.sleep(1)
-    for number in (IN_TOUCH, CUT_OFF):
-        node = get_node(linked_testbed, number)
+    for number in (node_cuts.IN_TOUCH, node_cuts.CUT_OFF):
+        node = node_cuts.get_node(linked_testbed, number)
         assert not node.components.suspects.records
 
 
@@ -347,13 +326,13 @@
         (0, 1) if node_testbed.can_order(linked_testbed.programs[0]) else (1, 0)
     )
     await send(linked_testbed, 1)
-    fence = get_node(linked_testbed, holder).holder_state.fence
-    await cut_known(linked_testbed, holder)
+    fence = node_cuts.get_node(linked_testbed, holder).holder_state.fence
+    await node_cuts.cut_known(linked_testbed, holder)
     await node_testbed.wait_until(
         lambda: node_testbed.can_order(linked_testbed.programs[other]), 8
     )
     assert not node_testbed.can_order(linked_testbed.programs[holder])
-    assert get_node(linked_testbed, other).holder_state.fence > fence
+    assert node_cuts.get_node(linked_testbed, other).holder_state.fence > fence
     async with linked_testbed.call(
         "/chat/item",
         node=holder,
@@ -372,13 +351,13 @@
     linked_testbed: node_testbed.NodeTestbed,
 ) -> None:
     await tell_reached(linked_testbed)
-    own = linked_testbed.programs[CUT_OFF].settings.front_address
+    own = linked_testbed.programs[node_cuts.CUT_OFF].settings.front_address
     assert own in (await linked_testbed.get(2, "/resolve"))[1].decode()
-    await cut_known(linked_testbed, CUT_OFF)
+    await node_cuts.cut_known(linked_testbed, node_cuts.CUT_OFF)
     async with asyncio.timeout(2):
         while own in (await linked_testbed.get(2, "/resolve"))[1].decode():
             await asyncio.sleep(0.05)
-    for link in linked_testbed.links[CUT_OFF].values():
+    for link in linked_testbed.links[node_cuts.CUT_OFF].values():
         await link.open()
     async with asyncio.timeout(3):
         while own not in (await linked_testbed.get(2, "/resolve"))[1].decode():
@@ -389,11 +368,11 @@
     linked_testbed: node_testbed.NodeTestbed,
 ) -> None:
     await tell_reached(linked_testbed)
-    await cut_known(linked_testbed, CUT_OFF)
+    await node_cuts.cut_known(linked_testbed, node_cuts.CUT_OFF)
     for engine in linked_testbed.engines:
         engine.cut_after = 3
     async with linked_testbed.call(
-        "/chat/item", node=CUT_OFF, headers=CHAT
+        "/chat/item", node=node_cuts.CUT_OFF, headers=CHAT
     ) as response:
         assert response.status == 200
         with pytest.raises(aiohttp.ClientPayloadError):
@@ -407,13 +386,13 @@
         engine.models["big"] = set()
         linked_testbed.register(engine)
     await tell_reached(linked_testbed)
-    await cut_known(linked_testbed, CUT_OFF)
+    await node_cuts.cut_known(linked_testbed, node_cuts.CUT_OFF)
     linked_testbed.engines[0].cut_after = 3
     linked_testbed.engines[1].cut_after = 4
     for engine in linked_testbed.engines:
         engine.cuts_resumed = False
     async with linked_testbed.call(
-        "/review/item", node=CUT_OFF, headers=CHAT
+        "/review/item", node=node_cuts.CUT_OFF, headers=CHAT
     ) as response:
         content = await response.read()
     events = content.decode().split("\n\n")[:-1]
@@ -427,10 +406,12 @@
     linked_testbed: node_testbed.NodeTestbed, mode: str
 ) -> None:
     await tell_reached(linked_testbed)
-    await cut_known(linked_testbed, CUT_OFF)
+    await node_cuts.cut_known(linked_testbed, node_cuts.CUT_OFF)
     for upstream in linked_testbed.plain:
         upstream.mode = mode
-    async with linked_testbed.call("/write/item", node=CUT_OFF) as response:
+    async with linked_testbed.call(
+        "/write/item", node=node_cuts.CUT_OFF
+    ) as response:
         assert response.status == 502
 
 
@@ -440,7 +421,7 @@
 async def test_a_malformed_call_of_a_node_is_refused_and_does_no_harm(
     linked_testbed: node_testbed.NodeTestbed, data: bytes
 ) -> None:
-    peer = linked_testbed.programs[IN_TOUCH].settings.peer_address
+    peer = linked_testbed.programs[node_cuts.IN_TOUCH].settings.peer_address
     async with linked_testbed.session.post(
         f"http://{peer}{peer_relay_messages.RELAY_PATH}", data=data
     ) as response:
@@ -450,7 +431,9 @@
         content[peer_relay_messages.FRAME_LENGTH.size :]
     )
     assert head.is_refused and not head.status
-    assert not get_node(linked_testbed, IN_TOUCH).relay_server.active
+    assert not node_cuts.get_node(
+        linked_testbed, node_cuts.IN_TOUCH
+    ).relay_server.active
 
 
 async def test_a_helper_ends_a_stream_at_its_time_limit_by_itself(
@@ -458,7 +441,7 @@
 ) -> None:
     engine = linked_testbed.engines[0]
     engine.events = 1000
-    peer = linked_testbed.programs[IN_TOUCH].settings.peer_address
+    peer = linked_testbed.programs[node_cuts.IN_TOUCH].settings.peer_address
     message = peer_relay_messages.RelayedAttempt(
         "r1",
         engine.id,
