Run the test files side by side

make test took 17 minutes on 6 cores, of which the tests mostly wait. It now shares the files among four processes (pytest-xdist), prints the ten slowest tests and takes TEST_WORKERS=0 for one after the other.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 SOURCES := src tests benchmarks
 SECONDS ?= 60
 SEED ?= 1
+# Processes that share the test files among them; 0 for one after the other.
+TEST_WORKERS ?= 4
 TEST_OPTIONS ?=
 
 .PHONY: run test lint format fuzz soak node-soak lock clean
@@ -20,7 +22,7 @@
 	$(BIN)/cicada-local
 
 test: $(STAMP)
-	$(BIN)/python -m pytest $(TEST_OPTIONS)
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist loadfile --durations 10 $(TEST_OPTIONS)
 
 lint: $(STAMP)
 	$(BIN)/pyink --check -q $(SOURCES)
