Plan loads without a look at every engine for every model

Change: copies that are ready, free memory and what may be dropped are computed once a plan; models that fit nowhere and those with copies enough are left out before engines are tried. The plans are the same.

--- a/src/cicadahook/core/load_planning.py
+++ b/src/cicadahook/core/load_planning.py
@@ -175,9 +175,38 @@
         """Return how many copies of a model are being loaded."""
         return sum(ledger.planned == model for ledger in self.ledgers)
 
-    def count_ready(self, model: str) -> int:
-        """Return how many engines hold a model now."""
-        return sum(ledger.is_ready(model) for ledger in self.ledgers)
+    @functools.cached_property
+    def ready(self) -> "collections.Counter[str]":
+        """Number of engines that hold each model now."""
+        return collections.Counter(
+            name
+            for ledger in self.ledgers
+            for name in ledger.copies
+            if ledger.is_ready(name)
+        )
+
+    @functools.cached_property
+    def free_mb(self) -> dict[str, float]:
+        """Free memory of each engine, in MB, by id."""
+        return {
+            ledger.instance.id: ledger.count_free_mb(self.now)
+            for ledger in self.ledgers
+        }
+
+    @functools.cached_property
+    def evictable(self) -> dict[str, list[tuple[float, str]]]:
+        """Costs and names of the copies that each engine may drop, by id.
+
+        The cheapest copies of an engine come first.
+        """
+        return {
+            ledger.instance.id: sorted(
+                (_compute_eviction_cost(ledger, copy, self), name)
+                for name, copy in ledger.copies.items()
+                if copy.state is engine_ledger.CopyState.READY
+            )
+            for ledger in self.ledgers
+        }
 
     @functools.cached_property
     def shares(self) -> dict[str, float]:
@@ -269,8 +298,10 @@
     A copy on an engine that names a request limit is enough until a request
     finds no room there.
     """
+    most_free = max(state.free_mb.values(), default=0.0)
     for name, model in models.items():
-        if not state.copies[name] and name not in state.limited_models:
+        is_missing = not state.copies[name] and name not in state.limited_models
+        if is_missing and model.size_mb <= most_free:
             plan = plan_load(model, state)
             if plan is not None and not plan.evicted:
                 return plan
@@ -292,6 +323,8 @@
     for shortage, name in by_shortage:
         if shortage <= 0:
             break
+        if not _has_too_few(name, state):
+            continue
         plan = plan_load(models[name], state)
         if plan is not None and _is_worthwhile(plan, state):
             return plan
@@ -305,9 +338,8 @@
     return COPY_GAIN_SECONDS * load + waiting
 
 
-def _is_worthwhile(plan: LoadPlan, state: ServiceState) -> bool:
-    """Return whether a further copy saves more waiting than it costs."""
-    name = plan.model.name
+def _has_too_few(name: str, state: ServiceState) -> bool:
+    """Return whether the demand for a model may need a further copy."""
     wanted = math.ceil(state.demand.get(name, 0.0) / SHARE_PER_COPY)
     if state.starved.get(name, 0):
         wanted += 1
@@ -315,8 +347,12 @@
     ready = state.copies[name] - planned
     # One copy at a time, unless the demand fills more engines than hold it.
     most = max(1, math.ceil(state.demand.get(name, 0.0)) - ready)
-    if state.copies[name] >= wanted or planned >= most:
-        return False
+    return state.copies[name] < wanted and planned < most
+
+
+def _is_worthwhile(plan: LoadPlan, state: ServiceState) -> bool:
+    """Return whether a further copy saves more waiting than it costs."""
+    name = plan.model.name
     gain = STARVED_SECONDS * state.starved.get(name, 0)
     peak = state.peaks.get(name, 0.0)
     if peak > CALM_SHARE:
@@ -333,15 +369,10 @@
 ) -> LoadPlan | None:
     """Return the load of `model` onto one engine, or None if it can't fit."""
     duration, is_from_store = _find_source(ledger, model)
-    missing = model.size_mb - ledger.count_free_mb(state.now)
+    missing = model.size_mb - state.free_mb[ledger.instance.id]
     evicted: list[str] = []
     eviction_cost = 0.0
-    by_cost = sorted(
-        (_compute_eviction_cost(ledger, copy, state), name)
-        for name, copy in ledger.copies.items()
-        if copy.state is engine_ledger.CopyState.READY
-    )
-    for copy_cost, name in by_cost:
+    for copy_cost, name in state.evictable[ledger.instance.id]:
         if missing <= 0:
             break
         evicted.append(name)
@@ -385,7 +416,7 @@
     """Return the cost of evicting a copy, in seconds of waiting."""
     name = copy.model.name
     copy_cost = EVICTION_COST_SECONDS * state.demand.get(name, 0.0)
-    if state.count_ready(name) > 1:
+    if state.ready[name] > 1:
         copy_cost *= SPARE_EVICTION_SHARE
     else:
         copy_cost += LAST_COPY_SHARE * copy.model.store_load.total_seconds()
