--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -522,6 +522,8 @@
                 "code": refusal.code,
                 "status": refusal.status,
                 "outcome": str(refusal.outcome),
+                "retry_after": refusal.retry_after
+                and refusal.retry_after.total_seconds(),
                 "route": active.route.name if active else "",
                 "model": generation.model if generation else "",
                 "adapter": generation.adapter if generation else "",
