--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -26,8 +26,8 @@
 BLOCK_COUNT: Final = 400
 
 
-@pytest.fixture
-def clock() -> clock_lib.ManualClock:
+@pytest.fixture(name="clock")
+def create_clock() -> clock_lib.ManualClock:
     """Return a clock that the test advances."""
     return clock_lib.ManualClock()
 
--- a/tests/test_node_builds.py
+++ b/tests/test_node_builds.py
@@ -27,6 +27,7 @@
 OUTAGE_SECONDS = 2.0
 CALM_SECONDS = 0.5
 SEED = 7
+KINDS = {kind.name for kind in node_checker.REQUEST_KINDS}
 
 
 class Upgrade:
@@ -91,13 +92,16 @@
             await self.replace(number, None)
 
 
-@pytest.mark.parametrize("commit", COMMITS)
-@pytest.mark.timeout(180)
-async def test_builds_replace_each_other_under_load(
-    commit: str, tmp_path: pathlib.Path
-) -> None:
-    older = older_build.extract(commit, tmp_path / "older")
-    logs = tmp_path / "logs"
+async def roll(
+    commit: str, folder: pathlib.Path
+) -> tuple[results_lib.Results, list[str]]:
+    """Replace nodes of an earlier build under load.
+
+    Returns:
+        What callers got, and the messages in the nodes' logs.
+    """
+    older = older_build.extract(commit, folder / "older")
+    logs = folder / "logs"
     logs.mkdir()
     results = results_lib.Results(SEED)
     system = node_system.System(
@@ -123,14 +127,34 @@
         await asyncio.gather(*map(system.stop, system.nodes))
         await asyncio.sleep(1)
         system.checker.check_runs()
+    messages = [
+        line["message"] for node in system.nodes for line in node.read_log()
+    ]
+    return results, messages
+
+
+def compute_served(results: results_lib.Results) -> float:
+    """Return the share of the requests that were served."""
+    counts = {
+        name: count
+        for name, count in results.counts.items()
+        if name.split("_")[0] in KINDS
+    }
+    served = sum(
+        count for name, count in counts.items() if name.endswith("_200")
+    )
+    return served / sum(counts.values())
+
+
+@pytest.mark.parametrize("commit", COMMITS)
+@pytest.mark.timeout(180)
+async def test_builds_replace_each_other_under_load(
+    commit: str, tmp_path: pathlib.Path
+) -> None:
+    results, messages = await roll(commit, tmp_path)
     assert not results.violations
     assert results.counts["chat_200"] and results.counts["write_200"]
-    for node in system.nodes:
-        assert not [
-            line
-            for line in node.read_log()
-            if line["message"] == "Datagram dropped; it is not a status."
-        ]
+    assert "Datagram dropped; it is not a status." not in messages
 
 
 def test_a_missing_history_is_told(tmp_path: pathlib.Path) -> None:
