--- a/src/cicadahook/net/refusal_planner.py
+++ b/src/cicadahook/net/refusal_planner.py
@@ -58,7 +58,9 @@
         """Return the refusal of a request that cannot be retried."""
         if active.possible_runs:
             return active_request.create_refusal(reason, 502, outcome="unknown")
-        return active_request.create_refusal(reason, 503, RETRY_AFTER)
+        return active_request.create_refusal(
+            reason, 503, self.draw_delay(RETRY_AFTER)
+        )
 
     def plan_overloaded(self) -> errors.RefusalError:
         """Return the refusal of a request that would begin too late."""
@@ -116,4 +118,4 @@
                 "upstream_rest" if is_resting else "upstream_limit",
                 statements.plan_return(usable, now),
             )
-        return self.plan(active, "no_upstream", RETRY_AFTER)
+        return self.plan(active, "no_upstream", self.draw_delay(RETRY_AFTER))
