Trust no record of versions while a node of an older build is heard

Cause, found by reading: where such a node becomes the holder of orders nobody makes the record incomplete for up to 30 s, while it may begin streams of versions that the record does not name.

Change: a node that hears one names no version. Measured: the new case of the test, which failed before.

--- a/src/cicadahook/net/version_recorder.py
+++ b/src/cicadahook/net/version_recorder.py
@@ -199,6 +199,9 @@
             return None
         if stored.record.find_only(service) is None:
             return None
+        if self._observe(self.clock.now()).has_older_nodes:
+            # They use versions that the record may not name yet.
+            return None
         if self.reading is None:
             self.reading = asyncio.create_task(self._read())
         record = await asyncio.shield(self.reading)
--- a/tests/test_version_recorder.py
+++ b/tests/test_version_recorder.py
@@ -295,7 +295,8 @@
 
 
 @pytest.mark.parametrize(
-    "fault", ["no_record", "two", "registered", "down", "silent", "vanished"]
+    "fault",
+    ["no_record", "two", "registered", "older", "down", "silent", "vanished"],
 )
 async def test_no_version_is_named_where_none_is_certain(
     testbed: RecorderSetup, fault: str, monkeypatch: pytest.MonkeyPatch
@@ -306,12 +307,14 @@
     testbed.watch()
     if fault == "registered":
         testbed.register("v2")
+    if fault == "older":
+        testbed.hear(1, status_schedule.COMPACT_STATUS)
     if fault == "vanished":
         testbed.store.item = None
     testbed.store.is_down = fault == "down"
     testbed.store.is_silent = fault == "silent"
     assert await testbed.recorder.find_only("s") is None
-    if fault in ("no_record", "two"):
+    if fault in ("no_record", "two", "older"):
         assert not testbed.store.calls
 
 
