Log how old a node's picture of the store is

The record of the incident shows nodes that decide on an old picture, but not how old it was, nor from whom it came. Watchers now tell followers the age of their picture and how long they held the question; each node adds this up and logs it with every decision, refusal and source that it gives up. Refusals of upstreams are logged with the id that they bear. The histogram cicada_picture_age has the age at each answer. No decision depends on it yet.

--- a/src/cicadahook/core/inventory.py
+++ b/src/cicadahook/core/inventory.py
@@ -5,6 +5,7 @@
 import datetime
 
 from cicadahook.core import leaving_upstreams
+from cicadahook.core import picture_age
 
 # Time after the end of a store outage within which upstreams register again.
 REREGISTRATION_PERIOD = datetime.timedelta(seconds=2)
@@ -70,11 +71,16 @@
         lapsed: when registrations that lapsed during an outage are removed,
             by id.
         leaving: upstreams that have said themselves that they leave.
+        age: how old the picture of the store may be that it reflects; None if
+            this is not known.
     """
 
     def __init__(
-        self, leaving: leaving_upstreams.LeavingUpstreams | None = None
+        self,
+        leaving: leaving_upstreams.LeavingUpstreams | None = None,
+        age: picture_age.PictureAge | None = None,
     ) -> None:
+        self.age = age
         self.leaving = leaving or leaving_upstreams.LeavingUpstreams()
         self.instances: dict[str, Instance] = {}
         self.revision = 0
@@ -135,5 +141,12 @@
         entry = self.instances.get(name)
         return None if entry is None or self._is_leaving(entry) else entry
 
+    def describe_picture(self) -> dict[str, int | None]:
+        """Return fields for logs that tell what decisions rest on."""
+        return {
+            "inventory": self.revision,
+            "picture_age_ms": self.age.get_age_ms() if self.age else None,
+        }
+
     def _is_leaving(self, entry: Instance) -> bool:
         return entry.is_leaving or self.leaving.is_leaving(entry.id, entry.born)
--- a/src/cicadahook/core/model_demand.py
+++ b/src/cicadahook/core/model_demand.py
@@ -1,10 +1,13 @@
 """Tracks the recent demand for each model of the engine services."""
 
+from collections.abc import Iterable, Mapping
 import dataclasses
 import datetime
 import math
 from typing import Final
 
+from cicadahook.core import roster
+
 # Time constant of the exponential decay.
 DECAY_TIME: Final = datetime.timedelta(seconds=3)
 # Models with a smaller share are forgotten.
@@ -65,3 +68,28 @@
     def _decay(self, share: _Share, now: datetime.datetime) -> float:
         age = (now - share.updated) / DECAY_TIME
         return share.value * math.exp(-max(0.0, age))
+
+
+def sum_demand(
+    service: str,
+    own: Mapping[tuple[str, str], float],
+    statuses: Iterable[roster.NodeStatus],
+) -> dict[str, float]:
+    """Return the share of an engine that each model of a service keeps busy.
+
+    Args:
+        service: name of the service.
+        own: shares at this node, by service and model.
+        statuses: statuses of the other nodes.
+    """
+    demand: dict[str, float] = {}
+    for (name, model), share in own.items():
+        if name == service:
+            demand[model] = demand.get(model, 0.0) + share
+    for status in statuses:
+        for wanted in status.wanted:
+            if wanted.service == service:
+                demand[wanted.model] = (
+                    demand.get(wanted.model, 0.0) + wanted.share
+                )
+    return demand
--- /dev/null
+++ b/src/cicadahook/core/picture_age.py
@@ -0,0 +1,65 @@
+"""Tells how old a node's picture of the store may be.
+
+Changes reach a node over several hops, each of which may stand still. Every hop
+adds the age of what it was told to its own, so that the last one can tell when
+its picture is too old to be trusted.
+"""
+
+import datetime
+
+from cicadahook.core import clock as clock_lib
+
+
+class PictureAge:
+    """The age of one node's picture of the store.
+
+    Attributes:
+        clock: the time.
+        confirmed: when the picture was certainly complete; None before the
+            first answer.
+    """
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        self.clock = clock
+        self.confirmed: datetime.datetime | None = None
+
+    def confirm(self, as_of: datetime.datetime) -> None:
+        """Record that the picture holds all changes up to `as_of`."""
+        if self.confirmed is None or as_of > self.confirmed:
+            self.confirmed = as_of
+
+    def get_age(self) -> datetime.timedelta | None:
+        """Return the time since the picture was complete, if it ever was."""
+        if self.confirmed is None:
+            return None
+        return max(datetime.timedelta(), self.clock.now() - self.confirmed)
+
+    def get_age_ms(self) -> int | None:
+        """Return the age in ms, for logs."""
+        age = self.get_age()
+        return (
+            None if age is None else age // datetime.timedelta(milliseconds=1)
+        )
+
+    def is_within(self, limit: datetime.timedelta) -> bool:
+        """Whether the picture is at most as old as `limit`."""
+        age = self.get_age()
+        return age is not None and age <= limit
+
+
+def find_end_of_silence(
+    sent: datetime.datetime,
+    now: datetime.datetime,
+    wait: datetime.timedelta,
+    *,
+    is_empty: bool,
+) -> datetime.datetime:
+    """Return up to when the answer to a watch is certainly complete.
+
+    Args:
+        sent: when the watch was sent.
+        now: when its answer arrived.
+        wait: how long the store was to wait for a change.
+        is_empty: whether it tells of no change, and so came after the wait.
+    """
+    return min(now, sent + wait) if is_empty else sent
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -528,7 +528,7 @@
                 "model": generation.model if generation else "",
                 "adapter": generation.adapter if generation else "",
                 "configuration": self._get_version(),
-                "inventory": self.components.inventory.revision,
+                **self.components.inventory.describe_picture(),
                 "waited_ms": self._get_elapsed_ms(request),
                 "sends": active.send_count if active else 0,
                 "instance": active.instance if active else "",
@@ -552,7 +552,7 @@
                 "model": generation.model if generation else "",
                 "adapter": generation.adapter if generation else "",
                 "configuration": self._get_version(),
-                "inventory": self.components.inventory.revision,
+                **self.components.inventory.describe_picture(),
                 "sends": active.send_count,
                 "sent_ms": active.sent_at
                 and self._get_elapsed_ms(active.request, active.sent_at),
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -67,6 +67,15 @@
     counter.add(1, {"source": source})
 
 
+def record_picture_age(age: datetime.timedelta, source: str) -> None:
+    """Record how old the picture of the store was before an answer."""
+    histogram = create_histogram(
+        "cicada_picture_age",
+        "Age of a node's picture of the store at the next answer, by source.",
+    )
+    histogram.record(age.total_seconds(), {"source": source})
+
+
 def count_refusal(code: str, node: str) -> None:
     """Count a request refused for the reason `code` on `node`."""
     counter = create_counter(
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -22,6 +22,7 @@
 from cicadahook.core import model_demand
 from cicadahook.core import node_lifecycle
 from cicadahook.core import order_holder
+from cicadahook.core import picture_age
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import retry_budget
 from cicadahook.core import roster as roster_lib
@@ -108,6 +109,7 @@
     Attributes:
         is_stopping: whether new callers must use another node.
         roster: the known nodes and their newest statuses.
+        age: how old this node's picture of the store may be.
         relayed_store: the store, or nodes that watch it.
         grants: grants received from other nodes while this one is the holder.
         links: the links to the upstreams, and ways around them.
@@ -139,7 +141,8 @@
         statements = upstream_statements.UpstreamStatements(
             settings.name, generator
         )
-        inventory = inventory_lib.Inventory(statements.leaving)
+        self.age = picture_age.PictureAge(clock)
+        inventory = inventory_lib.Inventory(statements.leaving, self.age)
         residency = residency_lib.Residency()
         platform.upstreams.statement_listener = self.record_statement
         self.copy_client = node_peers.CopyClient()
@@ -265,7 +268,7 @@
             platform.store,
             store_sources.StoreSources(self.roster),
             self.copy_client.session,
-            clock,
+            self.age,
         )
         self.watcher = self._create_watcher(platform, generator)
         self.tasks: set[asyncio.Task[None]] = set()
@@ -433,28 +436,12 @@
             )
 
     def get_demand(self, service: str) -> dict[str, float]:
-        """Return the share of an engine that each model keeps busy.
-
-        Args:
-            service: name of the service.
-
-        Returns:
-            Shares by model, summed over all nodes.
-        """
+        """Return the demand for the models of a service, at all nodes."""
         now = self.clock.now()
-        demand: dict[str, float] = {}
-        for (name, model), share in self.components.demand_tracker.list_shares(
-            now
-        ).items():
-            if name == service:
-                demand[model] = demand.get(model, 0.0) + share
-        for _, status in self.roster.list_recent(now):
-            for wanted in status.wanted:
-                if wanted.service == service:
-                    demand[wanted.model] = (
-                        demand.get(wanted.model, 0.0) + wanted.share
-                    )
-        return demand
+        statuses = (status for _, status in self.roster.list_recent(now))
+        return model_demand.sum_demand(
+            service, self.components.demand_tracker.list_shares(now), statuses
+        )
 
     def create_peer_server(self) -> node_peers.PeerServer:
         """Return the server of calls of other nodes."""
--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -16,9 +16,9 @@
 import msgspec
 
 from cicadahook.core import change_log
-from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
 from cicadahook.core import node_lifecycle
+from cicadahook.core import picture_age
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import store_api
 from cicadahook.core import store_sources
@@ -64,10 +64,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FollowAnswer:
-    """Changes, or all items, up to a revision."""
+    """Changes, or all items, up to a revision.
+
+    Attributes:
+        revision: the revision.
+        changes: the changes or items.
+        age_ms: how old this picture of the store may be, at the answer;
+            negative if not known, as with nodes of older builds.
+        waited_ms: time from the question to the answer.
+    """
 
     revision: int
     changes: tuple[RelayedChange, ...] = ()
+    age_ms: int = -1
+    waited_ms: int = 0
 
 
 class ChangeFeed:
@@ -76,12 +86,16 @@
     Attributes:
         log: the items and changes that this node knows.
         is_current: returns whether it watches the store and is answered.
+        age: how old its picture of the store may be.
         news: set at the next change.
     """
 
-    def __init__(self, is_current: Callable[[], bool]) -> None:
+    def __init__(
+        self, is_current: Callable[[], bool], age: picture_age.PictureAge
+    ) -> None:
         self.log = change_log.ChangeLog()
         self.is_current = is_current
+        self.age = age
         self.news = asyncio.Event()
 
     def apply_listing(
@@ -126,10 +140,11 @@
             store_api.HistoryLostError: some changes are not known any more.
             errors.KeyValueUnavailableError: this node does not watch the store.
         """
+        began = self.age.clock.now()
         self._check_current()
         if asked.after < 0:
             listing = self.log.create_listing()
-            return _create_answer(listing.revision, listing.items)
+            return self._create_answer(listing.revision, listing.items, began)
         if self.log.revision <= asked.after:
             wait = min(MAX_WAIT, max(0, asked.wait_ms) * MILLISECOND)
             try:
@@ -138,7 +153,24 @@
             except TimeoutError:
                 self._check_current()
         changes = self.log.list_after(asked.after)
-        return _create_answer(changes.revision, changes.changes)
+        return self._create_answer(changes.revision, changes.changes, began)
+
+    def _create_answer(
+        self,
+        revision: int,
+        rows: Iterable[store_api.Item | store_api.Change],
+        began: datetime.datetime,
+    ) -> FollowAnswer:
+        """Return an answer with items or changes."""
+        age_ms = self.age.get_age_ms()
+        return FollowAnswer(
+            revision,
+            tuple(
+                RelayedChange(row.key, row.value, row.revision) for row in rows
+            ),
+            -1 if age_ms is None else age_ms,
+            (self.age.clock.now() - began) // MILLISECOND,
+        )
 
     def _check_current(self) -> None:
         if not self.is_current() or not self.log.revision:
@@ -155,7 +187,9 @@
         sources: chooses the nodes to follow.
         session: session for calls to them.
         clock: the time.
+        age: how old this node's picture of the store may be.
         feed: tells other nodes of what this one learns.
+        source: who gave the last answer: `store`, or the name of a node.
         is_direct: whether the last answer came from the store itself.
         answered: when the store last answered; None if it did not.
         revision: newest revision that was read; items of other nodes must not
@@ -167,13 +201,15 @@
         store: store_api.Store,
         sources: store_sources.StoreSources,
         session: aiohttp.ClientSession,
-        clock: clock_lib.Clock,
+        age: picture_age.PictureAge,
     ) -> None:
         self.store = store
         self.sources = sources
         self.session = session
-        self.clock = clock
-        self.feed = ChangeFeed(self.is_current)
+        self.clock = age.clock
+        self.age = age
+        self.feed = ChangeFeed(self.is_current, self.age)
+        self.source = ""
         self.is_direct = False
         self.answered: datetime.datetime | None = None
         self.revision = 0
@@ -196,6 +232,7 @@
     async def list_items(self, prefix: str) -> store_api.Listing:
         """Return all items; those of another node while the store is away."""
         self._set_direct(True)
+        sent = self.clock.now()
         try:
             listing = await self.store.list_items(prefix)
         except errors.KeyValueUnavailableError:
@@ -214,6 +251,7 @@
                     )
             raise
         self.answered = self.clock.now()
+        self._confirm(sent, "store")
         self.revision = listing.revision
         return listing
 
@@ -242,12 +280,19 @@
                     answer.revision,
                 )
         self._set_direct(True)
+        sent = self.clock.now()
         try:
             changes = await self.store.watch(prefix, revision, wait)
         except errors.KeyValueError:
             self.answered = None
             raise
         self.answered = self.clock.now()
+        self._confirm(
+            picture_age.find_end_of_silence(
+                sent, self.answered, wait, is_empty=not changes.changes
+            ),
+            "store",
+        )
         self.revision = max(self.revision, changes.revision)
         metrics.count_watch_answer("store")
         return changes
@@ -260,11 +305,22 @@
             )
         self.is_direct = is_direct
 
+    def _confirm(self, as_of: datetime.datetime, source: str) -> None:
+        """Record up to when the picture is complete, and by whose answer."""
+        age = self.age.get_age()
+        if age is not None:
+            metrics.record_picture_age(
+                age, "store" if self.is_direct else "node"
+            )
+        self.source = source
+        self.age.confirm(as_of)
+
     async def _ask(
         self, peer: roster_lib.NodeRecord, question: FollowRequest
     ) -> FollowAnswer | None:
         """Return a watcher's answer; avoid one that has none for a while."""
         wait = question.wait_ms * MILLISECOND + ANSWER_SLACK
+        sent = self.clock.now()
         try:
             async with self.session.post(
                 f"http://{peer.peer_address}{CHANGES_PATH}",
@@ -272,7 +328,11 @@
                 timeout=aiohttp.ClientTimeout(wait.total_seconds()),
             ) as response:
                 if response.status == 200:
-                    return _decode(await response.read())
+                    answer = _decode(await response.read())
+                    if answer.age_ms >= 0:
+                        waited = answer.waited_ms - answer.age_ms
+                        self._confirm(sent + waited * MILLISECOND, peer.name)
+                    return answer
                 reason = f"status {response.status}"
         except (
             aiohttp.ClientError,
@@ -285,21 +345,16 @@
         self.sources.avoid(peer.name, self.clock.now())
         logger.info(
             "Node could not be followed for changes in the store.",
-            extra={"peer": peer.name, "error": reason},
+            extra={
+                "peer": peer.name,
+                "error": reason,
+                "revision": question.after,
+                "picture_age_ms": self.age.get_age_ms(),
+            },
         )
         return None
 
 
-def _create_answer(
-    revision: int, rows: Iterable[store_api.Item | store_api.Change]
-) -> FollowAnswer:
-    """Return an answer with items or changes."""
-    return FollowAnswer(
-        revision,
-        tuple(RelayedChange(row.key, row.value, row.revision) for row in rows),
-    )
-
-
 def _decode(data: bytes) -> FollowAnswer:
     """Return the answer in `data`.
 
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -379,12 +379,13 @@
     if response.status == 421:
         raise forwarding.AttemptError(
             forwarding.FailureKind.MISSING,
-            f"421 of {response_headers.get(header_names.INSTANCE_ID)}",
+            f"421 of {response_headers.get(header_names.INSTANCE_ID)},"
+            f" id {answered_id}",
         )
     if header_names.NOT_EXECUTED in response_headers:
         raise forwarding.AttemptError(
             forwarding.FailureKind.REJECTED,
-            f"status {response.status}, Retry-After"
+            f"status {response.status}, id {answered_id}, Retry-After"
             f" {response_headers.get(header_names.RETRY_AFTER)}",
         )
     is_success = 200 <= response.status < 300
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -14,6 +14,7 @@
 from cicadahook.core import change_log
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
+from cicadahook.core import picture_age
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import status_schedule
 from cicadahook.core import store_api
@@ -281,9 +282,11 @@
         self.is_current = True
         self.is_frozen = False
         self.body: bytes | None = None
-        self.feed = store_relay.ChangeFeed(lambda: self.is_current)
-        self.feed.log = self.store.log
         clock = system_clock.SystemClock()
+        self.feed = store_relay.ChangeFeed(
+            lambda: self.is_current, picture_age.PictureAge(clock)
+        )
+        self.feed.log = self.store.log
         rosters = create_rosters(9 * ZONES, now=clock.now(), base_port=port)
         roster = next(
             each
@@ -292,7 +295,10 @@
         )
         self.sources = store_sources.StoreSources(roster)
         self.follower = store_relay.RelayedStore(
-            self.store, self.sources, session, clock  # type: ignore[arg-type]
+            self.store,  # type: ignore[arg-type]
+            self.sources,
+            session,
+            picture_age.PictureAge(clock),
         )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
