Reproduce decisions on an old picture of the store

A watcher at revision 100 tells one that asks after 140 that nothing came up to 140. A watch that is cut counts as an outage, so an entry that was removed meanwhile stays for 2 s.

--- /dev/null
+++ b/tests/store_fleet.py
@@ -0,0 +1,233 @@
+"""A fleet of nodes that learn of changes in the store, without the rest."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import datetime
+import random
+
+import aiohttp
+from aiohttp import web
+
+from cicadahook.core import change_log
+from cicadahook.core import errors
+from cicadahook.core import picture_age
+from cicadahook.core import roster as roster_lib
+from cicadahook.core import status_schedule
+from cicadahook.core import store_api
+from cicadahook.core import store_sources
+from cicadahook.net import clock as system_clock
+from cicadahook.net import store_relay
+from cicadahook.net import store_watcher
+from cicadahook.platform import caller_server
+from cicadahook.platform import metadata_store
+
+HOST = "127.0.0.1"
+ZONES = 3
+
+
+class Store:
+    """A store of items and changes, without leases.
+
+    Attributes:
+        log: its items and changes.
+        news: set at the next change.
+    """
+
+    def __init__(self) -> None:
+        self.log = change_log.ChangeLog()
+        self.log.apply_listing(store_api.Listing((), 1))
+        self.news = asyncio.Event()
+
+    def put(self, key: str, value: bytes | None = b"v") -> float:
+        """Write or delete a key; return when this was acknowledged."""
+        revision = self.log.revision + 1
+        change = store_api.Change(key, value, revision)
+        self.log.apply_changes(store_api.Changes((change,), revision))
+        self.news.set()
+        self.news = asyncio.Event()
+        return asyncio.get_running_loop().time()
+
+
+class StoreLink:
+    """A node's link to the store.
+
+    Attributes:
+        is_silent: whether nothing gets through, also of calls under way.
+        watches: number of watches.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.is_silent = False
+        self.watches = 0
+        self.cuts = asyncio.Event()
+
+    def cut_watch(self) -> None:
+        """Break off the connection of the watch that is waiting."""
+        self.cuts.set()
+        self.cuts = asyncio.Event()
+
+    async def list_items(self, prefix: str) -> store_api.Listing:
+        """Return all items."""
+        del prefix
+        await self._check(metadata_store.CALL_TIMEOUT)
+        return self.store.log.create_listing()
+
+    async def watch(
+        self, prefix: str, revision: int, wait: datetime.timedelta
+    ) -> store_api.Changes:
+        """Return the changes after a revision."""
+        del prefix
+        self.watches += 1
+        loop = asyncio.get_running_loop()
+        sent = loop.time()
+        limit = wait + metadata_store.WATCH_TIMEOUT_MARGIN
+        await self._check(limit)
+        if self.store.log.revision <= revision:
+            news = asyncio.ensure_future(self.store.news.wait())
+            cut = asyncio.ensure_future(self.cuts.wait())
+            await asyncio.wait(
+                (news, cut),
+                timeout=wait.total_seconds(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            is_cut = cut.done()
+            news.cancel()
+            cut.cancel()
+            if is_cut:
+                raise errors.KeyValueConnectionLostError("reset")
+        elapsed = datetime.timedelta(seconds=loop.time() - sent)
+        await self._check(limit - elapsed)
+        return self.store.log.list_after(revision)
+
+    async def _check(self, limit: datetime.timedelta) -> None:
+        if self.is_silent:
+            await asyncio.sleep(max(0.0, limit.total_seconds()))
+            raise errors.KeyValueUnavailableError("not answered")
+
+
+class Node:
+    """A node that learns of changes.
+
+    Attributes:
+        record: its record.
+        link: its link to the store.
+        relayed: the store, or nodes that watch it.
+        watcher: keeps it up to date.
+        heard: when it heard of the last change of each key.
+    """
+
+    def __init__(
+        self,
+        roster: roster_lib.Roster,
+        store: Store,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self.record = roster.own
+        self.link = StoreLink(store)
+        self.age = picture_age.PictureAge(system_clock.SystemClock())
+        self.relayed = store_relay.RelayedStore(
+            self.link,  # type: ignore[arg-type]
+            store_sources.StoreSources(roster),
+            session,
+            self.age,
+        )
+        self.heard: dict[str, float] = {}
+        self.watcher = store_watcher.Watcher(
+            self.relayed,
+            "",
+            store_watcher.PrefixFanout({"": self}),
+            random.Random(1),
+            self.relayed.get_pause,
+        )
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether it watches the store by itself, for others."""
+        return self.relayed.is_direct
+
+    def apply_listing(
+        self, listing: store_api.Listing, *, is_after_outage: bool
+    ) -> None:
+        """Record all items."""
+        self.relayed.feed.apply_listing(
+            listing, is_after_outage=is_after_outage
+        )
+        now = asyncio.get_running_loop().time()
+        for item in listing.items:
+            self.heard.setdefault(item.key, now)
+
+    def apply_changes(self, changes: store_api.Changes) -> None:
+        """Record changes."""
+        self.relayed.feed.apply_changes(changes)
+        now = asyncio.get_running_loop().time()
+        for change in changes.changes:
+            self.heard[change.key] = now
+
+
+def create_rosters(size: int, port: int) -> list[roster_lib.Roster]:
+    """Return the rosters of nodes that have heard each other."""
+    records = [
+        roster_lib.NodeRecord(
+            f"n{number}",
+            f"zone-{number % ZONES}",
+            "region",
+            f"{HOST}:1",
+            f"{HOST}:{port + number}",
+            1,
+        )
+        for number in range(size)
+    ]
+    return [roster_lib.Roster(record) for record in records]
+
+
+async def tell(rosters: list[roster_lib.Roster]) -> None:
+    """Let all nodes hear each other until cancelled."""
+    clock = system_clock.SystemClock()
+    number = 0
+    while True:
+        number += 1
+        for roster in rosters:
+            for other in rosters:
+                roster.record_status(
+                    roster_lib.NodeStatus(
+                        other.own,
+                        number,
+                        True,
+                        False,
+                        False,
+                        0,
+                        0,
+                        capabilities=status_schedule.CAPABILITIES,
+                    ),
+                    clock.now(),
+                )
+        await asyncio.sleep(0.2)
+
+
+@contextlib.asynccontextmanager
+async def run(size: int, port: int) -> AsyncIterator[tuple[Store, list[Node]]]:
+    """Run a fleet of nodes whose ports begin at `port`."""
+    store = Store()
+    rosters = create_rosters(size, port)
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        nodes = [Node(roster, store, session) for roster in rosters]
+        for node in nodes:
+            await stack.enter_async_context(
+                caller_server.listen(
+                    web.Server(node.relayed.feed.handle),
+                    HOST,
+                    int(node.record.peer_address.rsplit(":", 1)[1]),
+                )
+            )
+        tasks = [asyncio.create_task(tell(rosters))]
+        await asyncio.sleep(0.05)
+        tasks += [asyncio.create_task(node.watcher.run()) for node in nodes]
+        try:
+            yield store, nodes
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/tests/test_stale_pictures.py
@@ -0,0 +1,101 @@
+"""Tests that no node decides for long on an old picture of the store."""
+
+import asyncio
+
+import pytest
+
+from cicadahook.core import change_log
+from cicadahook.core import inventory
+from cicadahook.core import picture_age
+from cicadahook.core import store_api
+from cicadahook.net import clock as system_clock
+from cicadahook.net import store_listeners
+from cicadahook.net import store_relay
+import store_fleet
+
+NODES = 12
+# The users' rule for fleets of this size: a request comes no later than this
+# after the leaving of its upstream was acknowledged.
+DRAIN_SECONDS = 3.0
+
+
+def list_watchers(nodes: list[store_fleet.Node]) -> list[store_fleet.Node]:
+    """Return the nodes that watch the store for the others."""
+    return [node for node in nodes if node.is_watcher]
+
+
+async def wait_for_followers(nodes: list[store_fleet.Node]) -> None:
+    """Wait until most nodes follow others."""
+    async with asyncio.timeout(10):
+        while len(list_watchers(nodes)) != 3:
+            await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("has_traffic", [False, True])
+async def test_followers_leave_a_watcher_that_the_store_no_longer_answers(
+    unused_port: int, has_traffic: bool
+) -> None:
+    async with store_fleet.run(NODES, unused_port) as (store, nodes):
+        await wait_for_followers(nodes)
+        cut_off = list_watchers(nodes)[0]
+        if has_traffic:
+            for number in range(10):
+                store.put(f"busy-{number}")
+                await asyncio.sleep(0.1)
+        store.put("before")
+        async with asyncio.timeout(5):
+            while not all("before" in node.heard for node in nodes):
+                await asyncio.sleep(0.01)
+        cut_off.link.is_silent = True
+        acknowledged = store.put("leaving")
+        await asyncio.sleep(DRAIN_SECONDS + 1)
+        delays = {
+            node.record.name: node.heard.get("leaving", acknowledged + 99)
+            - acknowledged
+            for node in nodes
+            if node is not cut_off
+        }
+        assert max(delays.values()) < DRAIN_SECONDS, delays
+
+
+async def test_a_watcher_vouches_only_for_the_revision_that_it_knows() -> None:
+    feed = store_relay.ChangeFeed(
+        lambda: True, picture_age.PictureAge(system_clock.SystemClock())
+    )
+    feed.apply_listing(store_api.Listing((), 100), is_after_outage=False)
+    answer = await feed.answer(store_relay.FollowRequest(140, 1))
+    assert answer.revision == 100
+
+
+async def test_a_log_that_is_behind_says_so() -> None:
+    log = change_log.ChangeLog()
+    log.apply_listing(store_api.Listing((), 5))
+    assert log.list_after(9) == store_api.Changes((), 5)
+
+
+async def test_a_watch_that_is_cut_is_no_outage_of_the_store(
+    unused_port: int,
+) -> None:
+    async with store_fleet.run(1, unused_port) as (store, nodes):
+        (node,) = nodes
+        clock = system_clock.SystemClock()
+        upstreams = inventory.Inventory()
+        listener = store_listeners.InventoryListener(
+            "servers/",
+            lambda name, value: inventory.Instance(
+                name, "plain", value.decode(), "z", 1
+            ),
+            upstreams,
+            clock,
+            lambda: None,
+        )
+        node.watcher.listener = listener
+        store.put("servers/i1", b"10.0.0.1:80")
+        while not list(upstreams.list_usable("plain")):
+            await asyncio.sleep(0.01)
+        # The connection ends together with the change, so the watch that is
+        # waiting cannot tell of it.
+        node.link.cut_watch()
+        store.put("servers/i1", None)
+        await asyncio.sleep(1)
+        assert not list(upstreams.list_usable("plain"))
