Ask at each hop how old a picture of the store is

Callers saw requests of a new route refused by one node for seconds, and requests that reached an upstream later than 3 s after its leaving had been acknowledged. Cause: a watcher answered its followers for 3.3 s after the store had last answered it, and a follower added its wait, its time limit and a second watcher to that; no hop knew the age of what it passed on. Besides, a log that was behind vouched for the revision that it was asked about, and a watch that was cut counted as an outage, which keeps removed entries for 2 s.

Watchers plan their watches so that their picture is at most 1.2 s old while the store answers, and tell nothing from 1.5 s on. Followers leave a watcher, or the second one, as soon as their own picture, with all hops added, is older than 2 s, and ask the store. A log answers up to what it knows. A watcher at an older revision whose picture is newer contradicts what is known and is left out. After a watch that ended the next one goes on from the same revision; only if it fails too is the store lost.

Watchers make one call a second on a quiet store, 0.4 before.

--- a/src/cicadahook/core/change_log.py
+++ b/src/cicadahook/core/change_log.py
@@ -51,7 +51,7 @@
         return store_api.Listing(tuple(self.items.values()), self.revision)
 
     def list_after(self, revision: int) -> store_api.Changes:
-        """Return the changes after a revision.
+        """Return the changes after a revision, up to the one that is known.
 
         Raises:
             store_api.HistoryLostError: some of them are not known any more.
@@ -63,4 +63,4 @@
         later = tuple(
             change for change in self.changes if change.revision > revision
         )
-        return store_api.Changes(later, max(revision, self.revision))
+        return store_api.Changes(later, self.revision)
--- a/src/cicadahook/core/errors.py
+++ b/src/cicadahook/core/errors.py
@@ -95,10 +95,6 @@
     """The call was held back by the budget or breaker and had no effect."""
 
 
-class KeyValueConnectionLostError(KeyValueUnavailableError):
-    """An open connection ended before the answer; the service may be well."""
-
-
 class KeyValueConflictError(KeyValueError):
     """A compare-and-swap found another revision than the expected one."""
 
--- a/src/cicadahook/core/picture_age.py
+++ b/src/cicadahook/core/picture_age.py
@@ -6,9 +6,22 @@
 """
 
 import datetime
+from typing import Final
 
 from cicadahook.core import clock as clock_lib
 
+# Changes must be in force within 2 s in fleets in which all nodes watch the
+# store, and within 3 s in those in which some follow others.
+# An answer of the store plans the next one so that no watcher's picture gets
+# older than this while the store answers.
+TARGET_AGE: Final = datetime.timedelta(milliseconds=1200)
+# A watcher with an older picture tells others nothing.
+MAX_TOLD_AGE: Final = datetime.timedelta(milliseconds=1500)
+# A follower with an older picture asks the store itself. It has asked a second
+# watcher by then, and the store is to answer in the rest of the 3 s.
+MAX_FOLLOWED_AGE: Final = datetime.timedelta(seconds=2)
+MIN_WAIT: Final = datetime.timedelta(milliseconds=100)
+
 
 class PictureAge:
     """The age of one node's picture of the store.
@@ -41,10 +54,24 @@
             None if age is None else age // datetime.timedelta(milliseconds=1)
         )
 
-    def is_within(self, limit: datetime.timedelta) -> bool:
-        """Whether the picture is at most as old as `limit`."""
+    def get_rest(self, limit: datetime.timedelta) -> datetime.timedelta:
+        """Return how long the picture will be no older than `limit`."""
+        age = self.get_age()
+        return limit if age is None else max(datetime.timedelta(), limit - age)
+
+    def plan_watch(self, longest: datetime.timedelta) -> datetime.timedelta:
+        """Return how long the store may wait for a change to tell of."""
+        return min(longest, max(MIN_WAIT, self.get_rest(TARGET_AGE)))
+
+    def plan_pause(self, longest: datetime.timedelta) -> datetime.timedelta:
+        """Return how long to collect changes before the next watch."""
+        left = self.get_rest(TARGET_AGE) - MIN_WAIT
+        return min(longest, max(datetime.timedelta(), left))
+
+    def exceeds(self, limit: datetime.timedelta) -> bool:
+        """Whether the picture is known to be older than `limit`."""
         age = self.get_age()
-        return age is not None and age <= limit
+        return age is not None and age > limit
 
 
 def find_end_of_silence(
--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -31,8 +31,6 @@
 MAX_WAIT: Final = datetime.timedelta(milliseconds=500)
 # Time for the way to another node and back.
 ANSWER_SLACK: Final = datetime.timedelta(milliseconds=400)
-# A watcher whose own watch was not answered for this time may have lost it.
-CURRENT_PERIOD: Final = datetime.timedelta(milliseconds=3300)
 MILLISECOND: Final = datetime.timedelta(milliseconds=1)
 COMPRESSION_LEVEL: Final = 1
 MAX_DECOMPRESSED_BYTES: Final = 32 * 1024 * 1024
@@ -146,7 +144,11 @@
             listing = self.log.create_listing()
             return self._create_answer(listing.revision, listing.items, began)
         if self.log.revision <= asked.after:
-            wait = min(MAX_WAIT, max(0, asked.wait_ms) * MILLISECOND)
+            wait = min(
+                MAX_WAIT,
+                max(0, asked.wait_ms) * MILLISECOND,
+                self.age.get_rest(picture_age.MAX_TOLD_AGE),
+            )
             try:
                 async with asyncio.timeout(wait.total_seconds()):
                     await self.news.wait()
@@ -191,9 +193,9 @@
         feed: tells other nodes of what this one learns.
         source: who gave the last answer: `store`, or the name of a node.
         is_direct: whether the last answer came from the store itself.
-        answered: when the store last answered; None if it did not.
         revision: newest revision that was read; items of other nodes must not
             be older.
+        advanced: when that revision was read.
     """
 
     def __init__(
@@ -211,22 +213,22 @@
         self.feed = ChangeFeed(self.is_current, self.age)
         self.source = ""
         self.is_direct = False
-        self.answered: datetime.datetime | None = None
         self.revision = 0
+        self.advanced = self.clock.now()
 
     def is_current(self) -> bool:
         """Whether this node watches the store itself and is answered."""
-        if not self.is_direct or self.answered is None:
-            return False
-        return self.clock.now() - self.answered < CURRENT_PERIOD
+        return self.is_direct and not self.age.exceeds(picture_age.MAX_TOLD_AGE)
 
     def get_pause(self) -> datetime.timedelta:
         """Return the pause after changes; followers need none."""
         now = self.clock.now()
         if not self.is_direct and self.sources.list_watchers(now):
             return datetime.timedelta()
-        return node_lifecycle.plan_watch_pause(
-            self.sources.roster.count_nodes(now)
+        return self.age.plan_pause(
+            node_lifecycle.plan_watch_pause(
+                self.sources.roster.count_nodes(now)
+            )
         )
 
     async def list_items(self, prefix: str) -> store_api.Listing:
@@ -250,9 +252,8 @@
                         answer.revision,
                     )
             raise
-        self.answered = self.clock.now()
         self._confirm(sent, "store")
-        self.revision = listing.revision
+        self.revision, self.advanced = listing.revision, self.clock.now()
         return listing
 
     async def watch(
@@ -264,39 +265,72 @@
             store_api.HistoryLostError: changes are missing.
             errors.KeyValueUnavailableError: nobody answered.
         """
-        question = FollowRequest(revision, min(wait, MAX_WAIT) // MILLISECOND)
         for peer in self.sources.list_watchers(self.clock.now()):
+            if self.age.exceeds(picture_age.MAX_FOLLOWED_AGE):
+                break
             self._set_direct(False)
-            answer = await self._ask(peer, question)
-            if answer is not None and answer.revision >= revision:
+            changes = await self._follow(peer, revision, wait)
+            if changes is not None:
                 metrics.count_watch_answer("node")
-                self.revision = answer.revision
-                return store_api.Changes(
-                    tuple(
-                        store_api.Change(each.key, each.value, each.revision)
-                        for each in answer.changes
-                        if each.key.startswith(prefix)
-                    ),
-                    answer.revision,
-                )
+                self._advance(changes.revision)
+                return _select(changes, prefix)
         self._set_direct(True)
+        wait = self.age.plan_watch(wait)
         sent = self.clock.now()
-        try:
-            changes = await self.store.watch(prefix, revision, wait)
-        except errors.KeyValueError:
-            self.answered = None
-            raise
-        self.answered = self.clock.now()
+        changes = await self.store.watch(prefix, revision, wait)
         self._confirm(
             picture_age.find_end_of_silence(
-                sent, self.answered, wait, is_empty=not changes.changes
+                sent, self.clock.now(), wait, is_empty=not changes.changes
             ),
             "store",
         )
-        self.revision = max(self.revision, changes.revision)
+        self._advance(changes.revision)
         metrics.count_watch_answer("store")
         return changes
 
+    async def _follow(
+        self,
+        peer: roster_lib.NodeRecord,
+        revision: int,
+        wait: datetime.timedelta,
+    ) -> store_api.Changes | None:
+        """Return the changes of which a watcher tells.
+
+        Returns:
+            None if it gives no answer, or one that is too old.
+        """
+        wait = min(
+            wait, MAX_WAIT, self.age.get_rest(picture_age.MAX_FOLLOWED_AGE)
+        )
+        sent = self.clock.now()
+        answer = await self._ask(
+            peer, FollowRequest(revision, wait // MILLISECOND)
+        )
+        if answer is None:
+            return None
+        if answer.age_ms >= 0:
+            as_of = sent + (answer.waited_ms - answer.age_ms) * MILLISECOND
+            if answer.revision < revision and as_of > self.advanced:
+                self._avoid(peer, revision, f"revision {answer.revision}")
+                return None
+            self._confirm(as_of, peer.name)
+        if not answer.changes and self.age.exceeds(
+            picture_age.MAX_FOLLOWED_AGE
+        ):
+            self._avoid(peer, revision, "picture too old")
+            return None
+        return store_api.Changes(
+            tuple(
+                store_api.Change(each.key, each.value, each.revision)
+                for each in answer.changes
+            ),
+            answer.revision,
+        )
+
+    def _advance(self, revision: int) -> None:
+        if revision > self.revision:
+            self.revision, self.advanced = revision, self.clock.now()
+
     def _set_direct(self, is_direct: bool) -> None:
         if is_direct != self.is_direct:
             logger.info(
@@ -320,7 +354,6 @@
     ) -> FollowAnswer | None:
         """Return a watcher's answer; avoid one that has none for a while."""
         wait = question.wait_ms * MILLISECOND + ANSWER_SLACK
-        sent = self.clock.now()
         try:
             async with self.session.post(
                 f"http://{peer.peer_address}{CHANGES_PATH}",
@@ -328,11 +361,7 @@
                 timeout=aiohttp.ClientTimeout(wait.total_seconds()),
             ) as response:
                 if response.status == 200:
-                    answer = _decode(await response.read())
-                    if answer.age_ms >= 0:
-                        waited = answer.waited_ms - answer.age_ms
-                        self._confirm(sent + waited * MILLISECOND, peer.name)
-                    return answer
+                    return _decode(await response.read())
                 reason = f"status {response.status}"
         except (
             aiohttp.ClientError,
@@ -342,17 +371,31 @@
             ValueError,
         ) as error:
             reason = repr(error)
+        self._avoid(peer, question.after, reason)
+        return None
+
+    def _avoid(
+        self, peer: roster_lib.NodeRecord, revision: int, reason: str
+    ) -> None:
+        """Leave a watcher out for a while."""
         self.sources.avoid(peer.name, self.clock.now())
         logger.info(
             "Node could not be followed for changes in the store.",
             extra={
                 "peer": peer.name,
                 "error": reason,
-                "revision": question.after,
+                "revision": revision,
                 "picture_age_ms": self.age.get_age_ms(),
             },
         )
-        return None
+
+
+def _select(changes: store_api.Changes, prefix: str) -> store_api.Changes:
+    """Return the changes of keys that begin with `prefix`."""
+    return store_api.Changes(
+        tuple(each for each in changes.changes if each.key.startswith(prefix)),
+        changes.revision,
+    )
 
 
 def _decode(data: bytes) -> FollowAnswer:
--- a/src/cicadahook/net/store_watcher.py
+++ b/src/cicadahook/net/store_watcher.py
@@ -15,10 +15,11 @@
 from cicadahook.core import store_api
 from cicadahook.net import logs
 
-# The store may drop a watch silently. Configuration changes and drains must
-# take effect within two seconds after the three in which a dropped watch is
-# excused.
-WATCH_WAIT: Final = datetime.timedelta(milliseconds=2500)
+# The store may drop a watch silently, which shows when this wait and the time
+# limit of the call have passed.
+WATCH_WAIT: Final = datetime.timedelta(seconds=1)
+# The watch after one that ended tells whether the store is lost.
+RETRY_WAIT: Final = datetime.timedelta(milliseconds=100)
 NO_PAUSE: Final = datetime.timedelta()
 FIRST_PAUSE: Final = datetime.timedelta(milliseconds=200)
 LONGEST_PAUSE: Final = datetime.timedelta(milliseconds=800)
@@ -128,8 +129,7 @@
             try:
                 await self._list(is_after_outage)
                 is_after_outage = False
-                while True:
-                    await self._watch()
+                await self._follow()
             except store_api.HistoryLostError as error:
                 logger.info(
                     "Store no longer has the changes; all items are listed.",
@@ -145,17 +145,34 @@
         self.listener.apply_listing(listing, is_after_outage=is_after_outage)
         self.revision = listing.revision
 
-    async def _watch(self) -> None:
-        pause = self.get_pause()
-        changes = await self.store.watch(
-            self.prefix, self.revision, WATCH_WAIT - pause
-        )
+    async def _follow(self) -> None:
+        """Apply changes until the store is lost.
+
+        A watch may end while the store is well; what it missed then comes by
+        the next one.
+        """
+        while True:
+            try:
+                await self._watch(WATCH_WAIT)
+            except errors.KeyValueUnavailableError as error:
+                logger.info(
+                    "Watch of the store ended; it is begun again.",
+                    extra={
+                        "prefix": self.prefix,
+                        "error": str(error),
+                        "revision": self.revision,
+                    },
+                )
+                await self._watch(RETRY_WAIT)
+
+    async def _watch(self, wait: datetime.timedelta) -> None:
+        changes = await self.store.watch(self.prefix, self.revision, wait)
         self._record_answer(changes.revision)
         if changes.changes:
             self.listener.apply_changes(changes)
         self.revision = max(self.revision, changes.revision)
         if changes.changes:
-            await asyncio.sleep(pause.total_seconds())
+            await asyncio.sleep(self.get_pause().total_seconds())
 
     def _record_answer(self, revision: int) -> None:
         self.backoff.succeed()
