Take an answer for a request's own only by its id

Callers were told that their request had not run, or it was run by a second upstream, while the first one had run it. Cause: an answer without an id counted as the answer to the request at hand, so the bytes that a faulty upstream sends after a complete answer proved a refusal; a status 408, 429 or 503 was passed on as a promise even if the upstream did not state that it had not run the request; and a refusal that comes again could not be told from that of a second try.

An answer needs the id of its request, also behind another node. Statuses that promise count only where the upstream states it or says 421. A second try at an upstream that has refused the request, and a request without an id, get a connection of their own. cicada_unproven_refusals counts what was not believed.

The stand-in of an upstream echoes ids in its refusals, as those of the platform do.

--- a/src/cicadahook/core/forwarding.py
+++ b/src/cicadahook/core/forwarding.py
@@ -159,6 +159,7 @@
         time_left: until the upstream may work on it.
         priority: 0 is the most urgent.
         last_event_id: id of the last event that the caller has.
+        was_refused: whether the upstream has refused this request before.
     """
 
     request: CallerRequest
@@ -166,3 +167,13 @@
     time_left: datetime.timedelta
     priority: int
     last_event_id: str = ""
+    was_refused: bool = False
+
+    @property
+    def needs_new_connection(self) -> bool:
+        """Whether an earlier answer could be taken for the one to this attempt.
+
+        On a used connection the upstream may send a refusal of the same request
+        once more, or any answer where there is no id to tell it by.
+        """
+        return self.was_refused or not self.request.id
--- a/src/cicadahook/net/connection_pools.py
+++ b/src/cicadahook/net/connection_pools.py
@@ -16,6 +16,8 @@
 
 # A lost opening packet is sent again only after a second.
 CONNECT_TIMEOUT: Final = datetime.timedelta(milliseconds=500)
+# Lifetime of connections that are used for one request only.
+NOT_KEPT: Final = datetime.timedelta()
 MAX_HEADER_BYTES: Final = 65_536
 READ_BUFFER_BYTES: Final = 65_536
 # More digits state a time that is longer than any that counts.
@@ -54,8 +56,17 @@
         self.kept = kept_connections.KeptConnections("")
         self.sessions: dict[datetime.timedelta, aiohttp.ClientSession] = {}
 
-    def take(self, instance: inventory.Instance) -> aiohttp.ClientSession:
-        """Return the session for a request to an upstream."""
+    def take(
+        self, instance: inventory.Instance, *, is_new: bool = False
+    ) -> aiohttp.ClientSession:
+        """Return the session for a request to an upstream.
+
+        Args:
+            instance: the upstream.
+            is_new: whether the connection must not have been used before.
+        """
+        if is_new:
+            return self._get(NOT_KEPT)
         self.kept.take(instance, self.clock.now())
         return self._get(self.kept.get_lifetime(instance))
 
@@ -93,7 +104,8 @@
         session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=0,
-                keepalive_timeout=lifetime.total_seconds(),
+                force_close=not lifetime,
+                keepalive_timeout=lifetime.total_seconds() or None,
                 socket_factory=sockets.create_factory(resets=self.resets),
             ),
             timeout=aiohttp.ClientTimeout(
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -307,8 +307,10 @@
             left,
             active.route.priority,
             active.last_event_id,
+            was_refused=instance.id in active.lacked_copy,
         )
-        if self.components.statements.find_limit(instance) is not None:
+        limit = self.components.statements.find_limit(instance)
+        if limit is not None:
             metrics.count_limited_call("request", self.node)
         placement = self.components.balancer.start(
             instance, active.request.generation
@@ -332,22 +334,17 @@
             raise
         finally:
             self.components.balancer.end(placement, failure)
-        limit = self.components.statements.find_limit(instance)
         self._log(
             active,
             "answered",
             instance=instance.id,
             upstream_limit=limit.rate if limit else None,
         )
-        received = active.request.received
-        if active.first_chunk_at is not None:
-            metrics.record_latency(
-                "cicada_first_piece",
-                active.first_chunk_at - received,
-                active.service.name,
-            )
-        metrics.record_latency(
-            "cicada_answer", self.clock.now() - received, active.service.name
+        metrics.record_answer(
+            active.service.name,
+            active.request.received,
+            active.first_chunk_at,
+            self.clock.now(),
         )
 
     async def _relay_answer(
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -47,6 +47,18 @@
     histogram.record(span.total_seconds(), {"service": service})
 
 
+def record_answer(
+    service: str,
+    received: datetime.datetime,
+    first_piece: datetime.datetime | None,
+    end: datetime.datetime,
+) -> None:
+    """Record how long an answer and its first piece took."""
+    if first_piece is not None:
+        record_latency("cicada_first_piece", first_piece - received, service)
+    record_latency("cicada_answer", end - received, service)
+
+
 def record_wait(
     expected: datetime.timedelta, actual: datetime.timedelta
 ) -> None:
@@ -76,6 +88,15 @@
     histogram.record(age.total_seconds(), {"source": source})
 
 
+def count_unproven_refusal(reason: str, node: str) -> None:
+    """Count a refusal that does not prove that its request has not run."""
+    counter = create_counter(
+        "cicada_unproven_refusals",
+        "Answers that say `not run` without proof for their request.",
+    )
+    counter.add(1, {"reason": reason, "node": node})
+
+
 def count_refusal(code: str, node: str) -> None:
     """Count a request refused for the reason `code` on `node`."""
     counter = create_counter(
--- a/src/cicadahook/net/peer_relay_client.py
+++ b/src/cicadahook/net/peer_relay_client.py
@@ -292,6 +292,7 @@
         attempt.priority,
         attempt.last_event_id,
         request.generation is not None,
+        attempt.was_refused,
     )
     return (
         peer_relay_messages.frame(peer_relay_messages.ATTEMPTS.encode(message))
--- a/src/cicadahook/net/peer_relay_messages.py
+++ b/src/cicadahook/net/peer_relay_messages.py
@@ -42,6 +42,7 @@
         priority: 0 is the most urgent.
         last_event_id: id of the last event that the caller has.
         is_generation: whether the request asks a model engine.
+        was_refused: whether the upstream has refused this request before.
     """
 
     request_id: str
@@ -55,6 +56,7 @@
     priority: int
     last_event_id: str = ""
     is_generation: bool = False
+    was_refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadahook/net/peer_relay_server.py
+++ b/src/cicadahook/net/peer_relay_server.py
@@ -235,6 +235,7 @@
             ),
             message.priority,
             message.last_event_id,
+            message.was_refused,
         )
 
     def _find_obstacle(
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -20,6 +20,7 @@
 from cicadahook.core import upstream_statements
 from cicadahook.net import connection_pools
 from cicadahook.net import logs
+from cicadahook.platform import answer_heads
 from cicadahook.platform import headers as header_names
 from cicadahook.platform import messages
 
@@ -36,7 +37,6 @@
     {errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH}
 )
 RESET: Final = frozenset({errno.ECONNRESET, errno.EPIPE})
-EVENT_STREAM: Final = "text/event-stream"
 SKIPPED_AUTO_HEADERS: Final = (
     "User-Agent",
     "Accept",
@@ -193,7 +193,9 @@
         )
         sent = self.clock.now()
         with _translate_errors(), self._watch_link(attempt.instance):
-            response = await self.pools.take(attempt.instance).request(
+            response = await self.pools.take(
+                attempt.instance, is_new=attempt.needs_new_connection
+            ).request(
                 request.method,
                 url,
                 headers=header_names.encode_request(attempt),
@@ -206,7 +208,7 @@
             self._record_statement(attempt.instance, response, sent, request.id)
             protocol = getattr(response, "protocol", None)
             yield UpstreamAnswer(
-                _decode_head(response, request.id),
+                answer_heads.decode(response, request.id, self.pools.kept.node),
                 response,
                 protocol,
                 self.buffer,
@@ -361,47 +363,6 @@
     return aiohttp.ClientTimeout(total=duration.total_seconds())
 
 
-def _decode_head(
-    response: aiohttp.ClientResponse, request_id: str
-) -> forwarding.AnswerHead:
-    """Return the head of an answer that may be passed on.
-
-    Raises:
-        forwarding.AttemptError: the request was not executed, or the answer
-            does not belong to it.
-    """
-    response_headers = response.headers
-    answered_id = response_headers.get(header_names.REQUEST_ID)
-    if answered_id not in (None, request_id):
-        raise forwarding.AttemptError(
-            forwarding.FailureKind.CROSSED, f"answer of {answered_id}"
-        )
-    if response.status == 421:
-        raise forwarding.AttemptError(
-            forwarding.FailureKind.MISSING,
-            f"421 of {response_headers.get(header_names.INSTANCE_ID)},"
-            f" id {answered_id}",
-        )
-    if header_names.NOT_EXECUTED in response_headers:
-        raise forwarding.AttemptError(
-            forwarding.FailureKind.REJECTED,
-            f"status {response.status}, id {answered_id}, Retry-After"
-            f" {response_headers.get(header_names.RETRY_AFTER)}",
-        )
-    is_success = 200 <= response.status < 300
-    if is_success and (
-        answered_id is None or header_names.SIGNATURE not in response_headers
-    ):
-        raise forwarding.AttemptError(
-            forwarding.FailureKind.MALFORMED, "success without id or signature"
-        )
-    return forwarding.AnswerHead(
-        response.status,
-        header_names.strip_hop_by_hop_headers(response_headers.items()),
-        is_success and response.content_type == EVENT_STREAM,
-    )
-
-
 def _decode_report(fields: dict[str, Any]) -> engine_orders.EngineReport:
     incoming = [name.rsplit("@", 1)[0] for name in fields.get("incoming") or ()]
     return engine_orders.EngineReport(
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -155,6 +155,7 @@
   priority @8 :UInt32;
   lastEventId @9 :Text;
   isGeneration @10 :Bool;
+  wasRefused @11 :Bool;
 }
 
 struct RelayedHead {
--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -19,12 +19,21 @@
 
 @dataclasses.dataclass
 class Arrival:
-    """A request as an upstream received it, by the event loop's clock."""
+    """A request as an upstream received it, by the event loop's clock.
+
+    Attributes:
+        path: path and query.
+        headers: headers.
+        body: body.
+        time: when it came.
+        first_id: id of the first request on its connection.
+    """
 
     path: str
     headers: "multidict.CIMultiDictProxy[str]"
     body: bytes
     time: float = 0.0
+    first_id: str = ""
 
 
 def list_shared_parts(headers: Mapping[str, str]) -> list[str]:
@@ -134,12 +143,18 @@
         brittle: its room if it is brittle, else None.
         rest: value of `Retry-After` in its rejections; None for none.
         says_leaving: whether its answers say that it leaves.
+        stray: what it sends in front of its answer where its connection has
+            been used before, `{earlier}` being the id of the first request;
+            empty for nothing.
+        strays: ids of the requests before whose answers it did so.
+        first_ids: id of the first request of each connection.
     """
 
     cuts_resumed: bool = True
     rest: float | str | None = None
     says_leaving: bool = False
     software: str = "v1"
+    stray: str = ""
 
     def __init__(self, name: str, service: str) -> None:
         self.id = name
@@ -162,6 +177,8 @@
         self.calls: list[float] = []
         self.crash_state = CrashState()
         self.brittle: BrittleState | None = None
+        self.strays: list[str] = []
+        self.first_ids: dict[asyncio.Transport, str] = {}
 
     def describe(self) -> dict[str, Any]:
         """Return its registration in the store."""
@@ -229,8 +246,16 @@
             order = json.loads(await request.read())
             return self._name_limit(self._order(order))
         body = await request.read()
+        request_id = request.headers.get("X-Request-Id", "")
+        first_id = self.first_ids.setdefault(transport, request_id)
         self.arrivals.append(
-            Arrival(request.raw_path, request.headers, body, self.calls[-1])
+            Arrival(
+                request.raw_path,
+                request.headers,
+                body,
+                self.calls[-1],
+                first_id,
+            )
         )
         self.running += 1
         self.crash_state.transports.add(transport)
@@ -238,6 +263,9 @@
             rejection = self._reject(request)
             if rejection is not None:
                 return self._name_limit(rejection)
+            if self.stray and first_id != request_id:
+                self.strays.append(request_id)
+                transport.write(self.stray.format(earlier=first_id).encode())
             return await self._answer(request, body)
         except ConnectionError:
             if not self.crash_state.times:
@@ -261,8 +289,11 @@
             model not in self.models
             or (adapter and adapter not in self.models[model])
         )
+        echoed = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
         if expected != self.id or is_missing:
-            return web.Response(status=421, headers={"X-Instance-Id": self.id})
+            return web.Response(
+                status=421, headers={**echoed, "X-Instance-Id": self.id}
+            )
         is_full = self.mode == "full"
         brittle = self.brittle
         if brittle and brittle.is_full():
@@ -271,7 +302,7 @@
                 self.crash()
         if not is_full:
             return None
-        headers = {"X-Not-Executed": "1"}
+        headers = {**echoed, "X-Not-Executed": "1"}
         if brittle:
             headers[BRITTLE_HEADER] = str(brittle.bound)
         if self.rest is not None:
--- /dev/null
+++ b/tests/test_stray_answers.py
@@ -0,0 +1,130 @@
+"""Tests that bytes which are no answer to a request prove nothing about it."""
+
+import asyncio
+import collections
+
+import pytest
+
+import node_cuts
+import node_testbed
+import node_upstreams
+
+WRITE = "/write/item"
+CHAT = "/chat/item"
+# Statuses by which callers are told that their request has not run.
+NOT_RUN = {408, 421, 429, 503}
+REQUEST_COUNT = 12
+
+
+def create_stray(status: str, *headers: str) -> str:
+    """Return an answer without a body."""
+    lines = (f"HTTP/1.1 {status}", *headers, "Content-Length: 0", "", "")
+    return "\r\n".join(lines)
+
+
+STRAYS = (
+    create_stray("503 Service Unavailable", "X-Not-Executed: 1"),
+    create_stray(
+        "503 Service Unavailable",
+        "X-Not-Executed: 1",
+        "X-Request-Id: {earlier}",
+    ),
+    create_stray("503 Service Unavailable"),
+    create_stray("408 Request Timeout"),
+    create_stray("429 Too Many Requests", "X-Not-Executed: 1"),
+    create_stray("421 Misdirected Request", "X-Not-Executed: 1"),
+    create_stray("400 Bad Request", "X-Not-Executed: 1"),
+)
+
+
+def count_runs(
+    upstreams: list[node_upstreams.UpstreamStandin],
+) -> collections.Counter[str]:
+    """Return how often each request reached an upstream."""
+    return collections.Counter(
+        arrival.headers["X-Request-Id"]
+        for upstream in upstreams
+        for arrival in upstream.arrivals
+    )
+
+
+async def send(testbed: node_testbed.NodeTestbed, node: int) -> dict[str, int]:
+    """Send requests that may run once; return their statuses by id."""
+    statuses = {}
+    for number in range(REQUEST_COUNT):
+        name = f"r{number}"
+        async with testbed.call(
+            WRITE, node, headers={"X-Request-Id": name}
+        ) as response:
+            await response.read()
+            statuses[name] = response.status
+    return statuses
+
+
+def check(testbed: node_testbed.NodeTestbed, statuses: dict[str, int]) -> None:
+    """Check that each request ran once and none is said not to have run."""
+    strays = [name for each in testbed.plain for name in each.strays]
+    assert strays
+    assert set(count_runs(testbed.plain).values()) == {1}
+    assert not {statuses[name] for name in strays} & NOT_RUN
+
+
+@pytest.mark.parametrize("stray", STRAYS)
+async def test_an_answer_that_belongs_to_no_request_proves_no_refusal(
+    testbed: node_testbed.NodeTestbed, stray: str
+) -> None:
+    for upstream in testbed.plain:
+        upstream.stray = stray
+    check(testbed, await send(testbed, 0))
+
+
+@pytest.mark.parametrize("stray", STRAYS[:2])
+async def test_it_proves_no_refusal_behind_another_node_either(
+    linked_testbed: node_testbed.NodeTestbed, stray: str
+) -> None:
+    testbed = linked_testbed
+    await send(testbed, node_cuts.IN_TOUCH)
+    await node_cuts.cut_known(testbed, node_cuts.CUT_OFF)
+    cut_off = node_cuts.get_node(testbed, node_cuts.CUT_OFF)
+    await node_testbed.wait_until(
+        lambda: all(
+            cut_off.links.paths.relays.choose_peer(entry)
+            for entry in cut_off.components.inventory.list_usable("plain")
+        )
+    )
+    for upstream in testbed.plain:
+        upstream.arrivals.clear()
+        upstream.stray = stray
+    statuses = await send(testbed, node_cuts.CUT_OFF)
+    check(testbed, statuses)
+
+
+async def test_a_second_try_at_an_upstream_has_a_connection_of_its_own(
+    testbed: node_testbed.NodeTestbed,
+) -> None:
+    engine = testbed.engines[0]
+
+    async def chat(name: str) -> int:
+        async with testbed.call(
+            CHAT,
+            headers={
+                "X-Model": "big",
+                "X-Token-Counts": "10,10",
+                "X-Request-Id": name,
+            },
+        ) as response:
+            await response.read()
+            return response.status
+
+    await asyncio.gather(*(chat(f"before{number}") for number in range(3)))
+    # The node does not know yet that the engine lacks its copy.
+    del engine.models["big"]
+    assert await chat("again") == 200
+    tries = [
+        each.first_id
+        for each in engine.arrivals
+        if each.headers["X-Request-Id"] == "again"
+    ]
+    assert len(tries) == 2
+    assert tries[0] != "again"
+    assert tries[1] == "again"
