Check what others write in the store against a schema

One odd entry among the upstreams stopped all news of upstreams at all nodes: accepted requests went on to upstreams that left, and were broken off. Cause: the decoders picked fields by hand and listed the errors that this may raise; OverflowError (1e999 as a number) was missing, which ended the watch again and again. Ports out of range, empty hosts and ids that no header can hold passed as well, and failed where they were used.

Entries, reports, the configuration, answers of the store and registrations of nodes are decoded by msgspec schemas with bounds; addresses are checked. What passes can be used, the rest is one error. Deep nesting is refused by the readers of records and of messages between nodes too.

--- a/src/cicadahook/core/version_records.py
+++ b/src/cicadahook/core/version_records.py
@@ -81,7 +81,7 @@
     """Return the record in a value of the store; None if it is malformed."""
     try:
         return msgspec.json.decode(value, type=VersionRecord)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
 
 
--- a/src/cicadahook/net/status_codec.py
+++ b/src/cicadahook/net/status_codec.py
@@ -52,7 +52,7 @@
     try:
         content = _decompress(data[len(COMPACT_PREFIX) :])
         return _DECODER.decode(content)
-    except (zlib.error, msgspec.MsgspecError, ValueError) as error:
+    except (zlib.error, RecursionError, ValueError) as error:
         raise codec.DecodeError(f"bad compact status: {error}") from error
 
 
--- a/src/cicadahook/net/store_listeners.py
+++ b/src/cicadahook/net/store_listeners.py
@@ -6,11 +6,11 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-import dataclasses
-import json
 import time
 from typing import Final
 
+import msgspec
+
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
 from cicadahook.core import inventory as inventory_lib
@@ -23,6 +23,8 @@
 
 NODE_PREFIX: Final = "cicada/nodes/"
 
+RECORDS: Final = msgspec.json.Decoder(roster_lib.NodeRecord)
+
 logger: Final = logs.create_logger("node")
 
 
@@ -42,7 +44,7 @@
 
 def encode_record(record: roster_lib.NodeRecord) -> bytes:
     """Return the value of a node's registration in the store."""
-    return json.dumps(dataclasses.asdict(record)).encode()
+    return msgspec.json.encode(record)
 
 
 class ConfigurationListener:
@@ -219,8 +221,8 @@
             if not key.startswith(NODE_PREFIX):
                 continue
             try:
-                yield roster_lib.NodeRecord(**json.loads(item.value))
-            except (TypeError, ValueError) as error:
+                yield RECORDS.decode(item.value)
+            except (msgspec.MsgspecError, RecursionError) as error:
                 logger.warning(
                     "Registration could not be decoded; it is ignored.",
                     extra={"key": key, "error": repr(error)},
--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -120,7 +120,7 @@
             asked = msgspec.msgpack.decode(
                 await request.read(), type=FollowRequest
             )
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return web.Response(status=400, text=str(error))
         try:
             answer = await self.answer(asked)
@@ -366,7 +366,7 @@
         except (
             aiohttp.ClientError,
             OSError,
-            msgspec.MsgspecError,
+            RecursionError,
             zlib.error,
             ValueError,
         ) as error:
--- a/src/cicadahook/platform/messages.py
+++ b/src/cicadahook/platform/messages.py
@@ -1,24 +1,178 @@
-"""Decodes the operators' configuration and the registrations of upstreams."""
+"""Decodes the operators' configuration and the registrations of upstreams.
+
+Others write these, so each field is checked against the schema here. What passes
+can be used without a further check.
+"""
 
-from collections.abc import Iterable
 import datetime
-import json
-from typing import Any, Final
+import ipaddress
+import re
+from typing import Annotated, Final, Literal
+
+import msgspec
 
+from cicadahook.core import engine_orders
 from cicadahook.core import errors
 from cicadahook.core import inventory
 from cicadahook.core import routes
 
 CONFIGURATION_KEY: Final = "op/config"
 INSTANCE_PREFIX: Final = "servers/"
+MAX_PORT: Final = 65535
+# Ids are sent in headers.
+INSTANCE_ID: Final = re.compile(r"[!-~]{1,200}")
 
-Fields = dict[str, Any]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=1024)]
+Text = Annotated[str, msgspec.Meta(max_length=1024)]
+# Counters are sent on as 64-bit numbers.
+Counter = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Count = Annotated[int, msgspec.Meta(ge=0, lt=2**31)]
+PositiveCount = Annotated[int, msgspec.Meta(ge=1, lt=2**31)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
+# A century; a longer time has no end here.
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=3.2e12)]
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=3.2e9)]
 
 
 class MessageError(errors.CicadaError):
     """A message cannot be decoded or lacks a field."""
 
 
+class HoldingFields(msgspec.Struct, frozen=True):
+    """A model that an upstream holds."""
+
+    name: Name
+    version: Counter = 0
+    adapters: tuple[Name, ...] | None = None
+
+
+class CopyFields(msgspec.Struct, frozen=True):
+    """Models of which an upstream keeps copies."""
+
+    in_memory: tuple[Name, ...] | None = None
+    on_disk: tuple[Name, ...] | None = None
+
+
+class InstanceFields(msgspec.Struct, frozen=True):
+    """A registration of an upstream.
+
+    A draining entry also has `remaining_ms`, the time until its upstream ends;
+    it is not used.
+
+    Attributes:
+        version: version of the upstream's software; models have versions of
+            their own.
+        sequence_number: number of orders that the engine has accepted since its
+            start, not a version of this entry.
+    """
+
+    service_name: Name
+    address: Text
+    zone: Text
+    slots: PositiveCount
+    state: Literal["ready", "draining"]
+    models: tuple[HoldingFields, ...] | None = None
+    available: CopyFields | None = None
+    sequence_number: Counter = 0
+    born: Counter = 0
+    version: Text = ""
+
+
+class ReportFields(msgspec.Struct, frozen=True):
+    """A report of an engine.
+
+    Attributes:
+        sequence_number: number of orders accepted since the engine's start.
+        incoming: adapters that are being loaded, as MODEL/NAME@VERSION.
+    """
+
+    sequence_number: Counter
+    busy: bool
+    models: tuple[HoldingFields, ...]
+    incoming: tuple[Name, ...] | None = None
+    born: Counter = 0
+
+
+class SplitFields(msgspec.Struct, frozen=True):
+    """A service's part of a route."""
+
+    service_name: Name
+    weight: Amount
+
+
+class RouteFields(msgspec.Struct, frozen=True):
+    """A route of the configuration."""
+
+    hostname: Text
+    path_prefix: Text
+    route_kind: routes.RouteKind
+    timeout_ms: Milliseconds
+    name: Text = ""
+    target_latency_ms: Milliseconds | None = None
+    priority: Count = 5
+    service_name: Text = ""
+    traffic_split: tuple[SplitFields, ...] | None = None
+    max_attempts: Count = 1
+    resumable: bool | None = None
+    target_gap_ms: Milliseconds | None = None
+
+
+class ModelFields(msgspec.Struct, frozen=True):
+    """A model of an engine service.
+
+    Attributes:
+        adapters: number of its adapters, which are named a1, a2 and so on.
+    """
+
+    name: Name
+    weights_mb: Amount
+    load_time_s: Seconds
+    adapters: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 0
+    adapter_size_mb: Amount = 0
+    disk_load_s: Seconds | None = None
+    warm_s: Seconds | None = None
+
+
+class EngineFields(msgspec.Struct, frozen=True):
+    """The engines of a service."""
+
+    weights_mb: Amount
+    models: tuple[ModelFields, ...] = ()
+    adapter_slots: Count = 0
+    slots: Count = 1
+    loads_per_s: Amount = 0
+
+
+class ServiceFields(msgspec.Struct, frozen=True):
+    """A service of the configuration."""
+
+    name: Name
+    inference_engine: EngineFields | None = None
+
+
+class LimitFields(msgspec.Struct, frozen=True):
+    """What callers may send."""
+
+    max_header_bytes: Counter | None = None
+    max_body_bytes: Counter | None = None
+    header_timeout_ms: Milliseconds | None = None
+    idle_timeout_ms: Milliseconds | None = None
+
+
+class ConfigurationFields(msgspec.Struct, frozen=True):
+    """The operators' configuration."""
+
+    version: Counter
+    routes: tuple[RouteFields, ...]
+    services: tuple[ServiceFields, ...]
+    limits: LimitFields = LimitFields()
+
+
+CONFIGURATIONS: Final = msgspec.json.Decoder(ConfigurationFields, strict=False)
+INSTANCES: Final = msgspec.json.Decoder(InstanceFields)
+REPORTS: Final = msgspec.json.Decoder(ReportFields)
+
+
 def decode_configuration(value: bytes) -> routes.Configuration:
     """Return the configuration in `value`.
 
@@ -26,92 +180,101 @@
         MessageError: the value is not a valid configuration.
     """
     try:
-        fields = json.loads(value)
-        services = (_decode_service(entry) for entry in fields["services"])
-        limits = fields.get("limits", {})
+        fields = CONFIGURATIONS.decode(value)
+        services = (_create_service(entry) for entry in fields.services)
         return routes.Configuration(
-            version=int(fields["version"]),
-            routes=tuple(_decode_route(route) for route in fields["routes"]),
+            version=fields.version,
+            routes=tuple(_create_route(route) for route in fields.routes),
             services={service.name: service for service in services},
-            limits=_decode_limits(limits),
+            limits=_create_limits(fields.limits),
         )
-    except (KeyError, TypeError, ValueError, RecursionError) as error:
+    except (ValueError, RecursionError) as error:
         raise MessageError(f"bad configuration: {error!r}") from error
 
 
-def _decode_limits(fields: Fields) -> routes.CallerLimits:
+def _create_limits(fields: LimitFields) -> routes.CallerLimits:
     defaults = routes.CallerLimits()
+
+    def choose(count: int | None, default: int) -> int:
+        return default if count is None else count
+
+    def choose_time(
+        milliseconds: float | None, default: datetime.timedelta
+    ) -> datetime.timedelta:
+        if milliseconds is None:
+            return default
+        return decode_milliseconds(milliseconds)
+
     return routes.CallerLimits(
-        int(fields.get("max_header_bytes", defaults.max_header_bytes)),
-        int(fields.get("max_body_bytes", defaults.max_body_bytes)),
-        decode_milliseconds(fields["header_timeout_ms"])
-        if "header_timeout_ms" in fields
-        else defaults.header_timeout,
-        decode_milliseconds(fields["idle_timeout_ms"])
-        if "idle_timeout_ms" in fields
-        else defaults.idle_timeout,
+        choose(fields.max_header_bytes, defaults.max_header_bytes),
+        choose(fields.max_body_bytes, defaults.max_body_bytes),
+        choose_time(fields.header_timeout_ms, defaults.header_timeout),
+        choose_time(fields.idle_timeout_ms, defaults.idle_timeout),
     )
 
 
-def _decode_route(fields: Fields) -> routes.Route:
-    if "traffic_split" in fields and fields["traffic_split"]:
-        services = tuple(
-            routes.WeightedService(part["service_name"], float(part["weight"]))
-            for part in fields["traffic_split"]
-        )
-    else:
-        services = (routes.WeightedService(fields["service_name"], 1.0),)
-    timeout = decode_milliseconds(fields["timeout_ms"])
+def _create_route(fields: RouteFields) -> routes.Route:
+    """Return a route.
+
+    Raises:
+        ValueError: it names no service.
+    """
+    services = tuple(
+        routes.WeightedService(part.service_name, part.weight)
+        for part in fields.traffic_split or ()
+    )
+    if not services:
+        if not fields.service_name:
+            raise ValueError(f"route {fields.name!r} names no service")
+        services = (routes.WeightedService(fields.service_name, 1.0),)
+    timeout = decode_milliseconds(fields.timeout_ms)
     return routes.Route(
-        name=str(fields.get("name", "")),
-        host=fields["hostname"],
-        prefix=fields["path_prefix"],
-        kind=routes.RouteKind(fields["route_kind"]),
+        name=fields.name,
+        host=fields.hostname,
+        prefix=fields.path_prefix,
+        kind=fields.route_kind,
         timeout=timeout,
-        target_latency=decode_milliseconds(fields["target_latency_ms"])
-        if fields.get("target_latency_ms")
+        target_latency=decode_milliseconds(fields.target_latency_ms)
+        if fields.target_latency_ms
         else timeout,
-        priority=int(fields.get("priority", 5)),
+        priority=fields.priority,
         services=services,
-        max_attempts=int(fields.get("max_attempts", 1)),
-        is_resumable=bool(fields.get("resumable", False)),
-        target_pause=decode_milliseconds(fields.get("target_gap_ms") or 0),
+        max_attempts=fields.max_attempts,
+        is_resumable=bool(fields.resumable),
+        target_pause=decode_milliseconds(fields.target_gap_ms or 0),
     )
 
 
-def _decode_service(fields: Fields) -> routes.Service:
-    engine = fields.get("inference_engine")
+def _create_service(fields: ServiceFields) -> routes.Service:
+    engine = fields.inference_engine
     return routes.Service(
-        fields["name"], _decode_engines(engine) if engine else None
+        fields.name, _create_engines(engine) if engine else None
     )
 
 
-def _decode_engines(fields: Fields) -> routes.EnginePool:
-    models = (_decode_model(model) for model in fields.get("models", ()))
+def _create_engines(fields: EngineFields) -> routes.EnginePool:
+    models = (_create_model(model) for model in fields.models)
     return routes.EnginePool(
         models={model.name: model for model in models},
-        memory_mb=float(fields["weights_mb"]),
-        adapter_slots=int(fields.get("adapter_slots", 0)),
-        slots=int(fields.get("slots", 1)),
-        loads_per_second=float(fields.get("loads_per_s", 0)),
+        memory_mb=fields.weights_mb,
+        adapter_slots=fields.adapter_slots,
+        slots=fields.slots,
+        loads_per_second=fields.loads_per_s,
     )
 
 
-def _decode_model(fields: Fields) -> routes.Model:
-    # `adapters` is a count here; the adapters are named a1, a2 and so on.
-    count = int(fields.get("adapters", 0))
-    store_load = float(fields["load_time_s"])
-    disk_load = float(fields.get("disk_load_s") or store_load)
+def _create_model(fields: ModelFields) -> routes.Model:
+    disk_load = fields.disk_load_s or fields.load_time_s
     return routes.Model(
-        name=fields["name"],
-        size_mb=float(fields["weights_mb"]),
-        adapter_mb=float(fields.get("adapter_size_mb", 0)),
-        adapters=frozenset(f"a{number + 1}" for number in range(count)),
-        store_load=datetime.timedelta(seconds=store_load),
-        disk_load=datetime.timedelta(seconds=disk_load),
-        memory_load=datetime.timedelta(
-            seconds=float(fields.get("warm_s") or disk_load)
+        name=fields.name,
+        size_mb=fields.weights_mb,
+        adapter_mb=fields.adapter_size_mb,
+        adapters=frozenset(
+            f"a{number + 1}" for number in range(fields.adapters)
         ),
+        store_load=datetime.timedelta(seconds=fields.load_time_s),
+        disk_load=datetime.timedelta(seconds=disk_load),
+        memory_load=datetime.timedelta(seconds=fields.warm_s or disk_load),
     )
 
 
@@ -123,59 +286,71 @@
             or its state is unknown.
     """
     try:
-        fields = json.loads(value)
-        state = fields["state"]
-        if state not in ("ready", "draining"):
-            raise ValueError(f"state {state!r}")
-        available = fields.get("available") or {}
-        host, port = fields["address"].rsplit(":", 1)
+        if not INSTANCE_ID.fullmatch(name):
+            raise ValueError("id")
+        fields = INSTANCES.decode(value)
+        available = fields.available or CopyFields()
         return inventory.Instance(
             id=name,
-            service=_check_text(fields["service_name"]),
-            address=f"{host}:{int(port)}",
-            zone=_check_text(fields["zone"]),
-            slots=int(fields["slots"]),
-            # A draining entry also has `remaining_ms`, the time until its
-            # upstream ends; it is not used.
-            is_leaving=state == "draining",
-            holdings=decode_holdings(fields.get("models") or ()),
-            in_memory=frozenset(available.get("in_memory") or ()),
-            on_disk=frozenset(available.get("on_disk") or ()),
-            # Number of orders that the engine has accepted since its start,
-            # not a version of this entry.
-            sequence=int(fields.get("sequence_number", 0)),
-            born=int(fields.get("born", 0)),
-            # Of the upstream's software; models have versions of their own.
-            software=_check_text(fields.get("version", "")),
+            service=fields.service_name,
+            address=_check_address(fields.address),
+            zone=fields.zone,
+            slots=fields.slots,
+            is_leaving=fields.state == "draining",
+            holdings=_create_holdings(fields.models or ()),
+            in_memory=frozenset(available.in_memory or ()),
+            on_disk=frozenset(available.on_disk or ()),
+            sequence=fields.sequence_number,
+            born=fields.born,
+            software=fields.version,
         )
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        RecursionError,
-    ) as error:
+    except (ValueError, RecursionError) as error:
         raise MessageError(f"bad entry of {name}: {error!r}") from error
 
 
-def decode_holdings(
-    models: Iterable[Fields],
+def decode_report(value: bytes) -> engine_orders.EngineReport:
+    """Return the report of an engine.
+
+    Raises:
+        MessageError: it is malformed.
+    """
+    try:
+        fields = REPORTS.decode(value)
+    except (ValueError, RecursionError) as error:
+        raise MessageError(f"bad report: {error!r}") from error
+    return engine_orders.EngineReport(
+        sequence=fields.sequence_number,
+        is_busy=fields.busy,
+        holdings=_create_holdings(fields.models),
+        incoming=frozenset(
+            name.rsplit("@", 1)[0] for name in fields.incoming or ()
+        ),
+        born=fields.born,
+    )
+
+
+def _create_holdings(
+    models: tuple[HoldingFields, ...],
 ) -> dict[str, inventory.Holding]:
     """Return the models that an upstream reports as loaded, by name."""
     return {
-        model["name"]: inventory.Holding(
-            model["name"],
-            int(model.get("version", 0)),
-            frozenset(model.get("adapters") or ()),
+        model.name: inventory.Holding(
+            model.name, model.version, frozenset(model.adapters or ())
         )
         for model in models
     }
 
 
-def _check_text(value: object) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"no text: {value!r}")
-    return value
+def _check_address(address: str) -> str:
+    """Return an address of the form `host:port`.
+
+    Raises:
+        ValueError: the host is no IPv4 address, or the port is out of range.
+    """
+    host, _, port = address.rpartition(":")
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+        raise ValueError(f"port {port[:10]!r}")
+    return f"{ipaddress.IPv4Address(host)}:{int(port)}"
 
 
 def decode_milliseconds(value: float) -> datetime.timedelta:
--- a/src/cicadahook/platform/metadata_store.py
+++ b/src/cicadahook/platform/metadata_store.py
@@ -1,12 +1,11 @@
 """HTTP client of the platform's metadata store."""
 
 import base64
-import binascii
 import datetime
-import json
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import aiohttp
+import msgspec
 
 from cicadahook.core import errors
 from cicadahook.core import store_api
@@ -18,6 +17,47 @@
 MAX_PAGES: Final = 100
 
 Fields = dict[str, Any]
+AnswerT = TypeVar("AnswerT", bound=msgspec.Struct)
+
+
+class ItemFields(msgspec.Struct, frozen=True):
+    """A key that was written, or deleted."""
+
+    key: str
+    revision: int
+    value: str | None = None
+    deleted: bool = False
+
+
+class PageFields(msgspec.Struct, frozen=True):
+    """A page of items; `at` is the revision of the store."""
+
+    items: tuple[ItemFields, ...]
+    at: int
+    has_more: bool = False
+
+
+class WatchFields(msgspec.Struct, frozen=True):
+    """Changes up to the revision `at`."""
+
+    events: tuple[ItemFields, ...]
+    at: int
+
+
+class WriteFields(msgspec.Struct, frozen=True):
+    """The revision of a write."""
+
+    revision: int
+
+
+class LeaseFields(msgspec.Struct, frozen=True):
+    """The number of a new lease."""
+
+    lease: int
+
+
+class EmptyFields(msgspec.Struct, frozen=True):
+    """An answer whose content is not used."""
 
 
 class PlatformStore:
@@ -45,10 +85,14 @@
         revision = 0
         query = {"path_prefix": prefix}
         for _ in range(MAX_PAGES):
-            _, page = await self._call("GET", "/kv-range", query=query)
-            items.extend(_decode_item(fields) for fields in page["items"])
-            revision = revision or int(page["at"])
-            if not page.get("has_more") or not page["items"]:
+            _, page = await self._call(
+                "GET", "/kv-range", PageFields, query=query
+            )
+            if page is None:
+                raise errors.KeyValueUnavailableError("GET /kv-range: no page")
+            items.extend(_create_item(fields) for fields in page.items)
+            revision = revision or page.at
+            if not page.has_more or not page.items:
                 break
             query["after"] = items[-1].key
         return store_api.Listing(tuple(items), revision)
@@ -67,13 +111,17 @@
             "after": str(revision),
             "wait_ms": str(_to_ms(wait)),
         }
-        status, answer = await self._call(
-            "GET", "/kv-watch", query=query, timeout=wait + WATCH_TIMEOUT_MARGIN
+        _, answer = await self._call(
+            "GET",
+            "/kv-watch",
+            WatchFields,
+            query=query,
+            timeout=wait + WATCH_TIMEOUT_MARGIN,
         )
-        if status == 410:
+        if answer is None:
             raise store_api.HistoryLostError(f"no history after {revision}")
-        changes = tuple(_decode_change(event) for event in answer["events"])
-        return store_api.Changes(changes, int(answer["at"]))
+        changes = tuple(_create_change(event) for event in answer.events)
+        return store_api.Changes(changes, answer.at)
 
     async def write(self, change: store_api.Write) -> int:
         """Send a transaction and return the revision that it wrote.
@@ -97,19 +145,25 @@
             ],
             "delete_keys": list(change.deletes),
         }
-        status, answer = await self._call("POST", "/kv-txn", body=body)
+        status, answer = await self._call(
+            "POST", "/kv-txn", WriteFields, body=body
+        )
         if status == 412:
             raise errors.KeyValueConflictError(f"changed: {change.expected}")
-        if status == 404:
+        if answer is None:
             raise store_api.LeaseEndedError(f"a lease of {change.puts} ended")
-        return int(answer["revision"])
+        return answer.revision
 
     async def grant_lease(self, length: datetime.timedelta) -> int:
         """Create a lease of `length` and return its number."""
-        _, answer = await self._call(
-            "POST", "/kv-lease", body={"ttl_ms": _to_ms(length)}
+        status, answer = await self._call(
+            "POST", "/kv-lease", LeaseFields, body={"ttl_ms": _to_ms(length)}
         )
-        return int(answer["lease"])
+        if answer is None:
+            raise errors.KeyValueUnavailableError(
+                f"POST /kv-lease: status {status}"
+            )
+        return answer.lease
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease.
@@ -117,24 +171,25 @@
         Raises:
             store_api.LeaseEndedError: the lease has ended.
         """
-        status, _ = await self._call("POST", f"/kv-keep/{lease}")
+        status, _ = await self._call("POST", f"/kv-keep/{lease}", EmptyFields)
         if status == 404:
             raise store_api.LeaseEndedError(f"lease {lease} has ended")
 
     async def end_lease(self, lease: int) -> None:
         """End a lease; ending one that has already ended is no error."""
-        await self._call("DELETE", f"/kv-lease-end/{lease}")
+        await self._call("DELETE", f"/kv-lease-end/{lease}", EmptyFields)
 
     async def _call(
         self,
         method: str,
         path: str,
+        answer_type: type[AnswerT],
         *,
         query: dict[str, str] | None = None,
         body: Fields | None = None,
         timeout: datetime.timedelta = CALL_TIMEOUT,
-    ) -> tuple[int, Fields]:
-        """Return the status and the decoded body of one call.
+    ) -> tuple[int, AnswerT | None]:
+        """Return the status of one call, and its answer if it succeeded.
 
         Raises:
             errors.KeyValueUnavailableError: there was no answer, or one that
@@ -153,13 +208,17 @@
                     raise errors.KeyValueUnavailableError(
                         f"{method} {path}: status {response.status}"
                     )
-                answer = json.loads(content) if content.strip() else {}
-                if not isinstance(answer, dict):
-                    raise errors.KeyValueUnavailableError(
-                        f"{method} {path}: answer is no object"
-                    )
-                return response.status, answer
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+                if response.status != 200:
+                    return response.status, None
+                return response.status, msgspec.json.decode(
+                    content.strip() or b"{}", type=answer_type
+                )
+        except (
+            aiohttp.ClientError,
+            OSError,
+            ValueError,
+            RecursionError,
+        ) as error:
             raise errors.KeyValueUnavailableError(
                 f"{method} {path}: {error!r}"
             ) from error
@@ -169,21 +228,19 @@
     return int(duration.total_seconds() * 1000)
 
 
-def _decode_item(fields: Fields) -> store_api.Item:
-    return store_api.Item(
-        fields["key"], _decode_value(fields), int(fields["revision"])
-    )
+def _create_item(fields: ItemFields) -> store_api.Item:
+    return store_api.Item(fields.key, _decode_value(fields), fields.revision)
 
 
-def _decode_change(fields: Fields) -> store_api.Change:
-    value = None if fields.get("deleted") else _decode_value(fields)
-    return store_api.Change(fields["key"], value, int(fields["revision"]))
+def _create_change(fields: ItemFields) -> store_api.Change:
+    value = None if fields.deleted else _decode_value(fields)
+    return store_api.Change(fields.key, value, fields.revision)
 
 
-def _decode_value(fields: Fields) -> bytes:
+def _decode_value(fields: ItemFields) -> bytes:
     try:
-        return base64.b64decode(fields["value"], validate=True)
-    except (binascii.Error, TypeError):
+        return base64.b64decode(fields.value or "", validate=True)
+    except ValueError:
         # Another writer stored a malformed value. The decoder of the key
         # rejects the empty value.
         return b""
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -246,13 +246,11 @@
                         },
                     )
                     return None
-                return _decode_report(await response.json())
+                return messages.decode_report(await response.read())
         except (
             aiohttp.ClientError,
             OSError,
-            ValueError,
-            KeyError,
-            TypeError,
+            messages.MessageError,
         ) as error:
             logger.info(
                 "Engine report could not be read.",
@@ -363,18 +361,6 @@
     return aiohttp.ClientTimeout(total=duration.total_seconds())
 
 
-def _decode_report(fields: dict[str, Any]) -> engine_orders.EngineReport:
-    incoming = [name.rsplit("@", 1)[0] for name in fields.get("incoming") or ()]
-    return engine_orders.EngineReport(
-        # Number of orders accepted since the start of the engine.
-        sequence=int(fields["sequence_number"]),
-        is_busy=bool(fields["busy"]),
-        holdings=messages.decode_holdings(fields["models"]),
-        incoming=frozenset(incoming),
-        born=int(fields.get("born", 0)),
-    )
-
-
 def _describe_link_error(error: Exception) -> forwarding.LinkEvent | None:
     """Return what a failed call shows of the link; None if nothing."""
     is_unanswered = isinstance(error, OSError) and error.errno in UNANSWERED
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -270,6 +270,40 @@
         assert response.status == 200
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        (b'"slots": 4', b'"slots": 1e999'),
+        (b'"born": ', b'"born": 1e999, "was": '),
+        (b'"models": []', b'"models": [{"name": "m", "version": 1e999}]'),
+        (b'"models": []', b'"models": ' + b"[" * 50_000),
+        (b'"address": "', b'"address": "127.0.0.1:99999", "was": "'),
+        (b'"address": "', b'"address": "127.0.0.1:0", "was": "'),
+    ],
+)
+async def test_an_odd_entry_stops_no_news_of_the_others(
+    testbed: node_testbed.NodeTestbed, change: tuple[bytes, bytes]
+) -> None:
+    leaving, *_ = testbed.plain
+    entry = json.dumps(leaving.describe()).encode()
+    odd = entry.replace(*change)
+    assert odd != entry
+    testbed.store.put("servers/odd", odd)
+    leaving.state = "draining"
+    testbed.register(leaving)
+    for program in testbed.programs:
+        node = program.node
+        assert node is not None
+        inventory = node.components.inventory
+        await node_testbed.wait_until(
+            lambda inventory=inventory: (  # type: ignore[misc]
+                inventory.find_usable(leaving.id) is None
+            ),
+            seconds=2,
+        )
+        assert "odd" not in inventory.instances
+
+
 @pytest.mark.parametrize(
     ("headers", "data", "status"),
     [
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -4,12 +4,17 @@
 import json
 from typing import Any
 
+import hypothesis
+from hypothesis import strategies
 import multidict
 import pytest
 
 from cicadahook.core import errors
 from cicadahook.core import forwarding
 from cicadahook.core import routes
+from cicadahook.core import version_records
+from cicadahook.net import codec
+from cicadahook.net import status_codec
 from cicadahook.platform import headers
 from cicadahook.platform import messages
 from cicadahook.platform import settings
@@ -78,6 +83,101 @@
         messages.decode_instance("i-1", value)
 
 
+@pytest.mark.parametrize(
+    "address",
+    [
+        "10.0.0.1:99999",
+        "10.0.0.1:-1",
+        "10.0.0.1:0",
+        "10.0.0.1:",
+        "10.0.0.1",
+        ":80",
+        "10.0.0.1\n:80",
+        "10.0.0.1:8\u0660",
+        "host name:80",
+        "",
+    ],
+)
+def test_refuses_addresses_that_no_upstream_can_have(address: str) -> None:
+    value = json.dumps({**INSTANCE, "address": address}).encode()
+    with pytest.raises(messages.MessageError):
+        messages.decode_instance("i-1", value)
+
+
+@pytest.mark.parametrize("name", ["", "a\r\nb", "a b", "\xe9", "i" * 201])
+def test_refuses_ids_that_no_header_can_hold(name: str) -> None:
+    with pytest.raises(messages.MessageError):
+        messages.decode_instance(name, json.dumps(INSTANCE).encode())
+
+
+NUMBERS = ("slots", "sequence_number", "born")
+ODD_NUMBERS = ("1e999", "-1", "1.5", "9" * 400, "true", "null", '"4"', "NaN")
+
+
+@pytest.mark.parametrize("number", ODD_NUMBERS)
+@pytest.mark.parametrize("field", NUMBERS)
+def test_refuses_numbers_that_are_out_of_range(field: str, number: str) -> None:
+    text = json.dumps({**INSTANCE, field: "here"}).replace('"here"', number)
+    with pytest.raises(messages.MessageError):
+        messages.decode_instance("i-1", text.encode())
+
+
+CHARACTERS = "m1:/.-\n \xe9"
+PLAIN_VALUES = (
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(CHARACTERS, max_size=8)
+)
+VALUES = strategies.recursive(
+    PLAIN_VALUES,
+    lambda inner: strategies.lists(inner, max_size=3)
+    | strategies.dictionaries(
+        strategies.text(CHARACTERS, max_size=8), inner, max_size=3
+    ),
+    max_leaves=8,
+)
+DEEP = strategies.sampled_from(
+    [
+        b"[" * 50_000,
+        b'{"models":' * 50_000,
+        b'{"x":' * 5000 + b"1" + b"}" * 5000,
+    ]
+)
+
+
+@hypothesis.given(
+    strategies.dictionaries(strategies.sampled_from([*INSTANCE]), VALUES)
+)
+def test_an_entry_of_another_writer_is_an_upstream_or_refused(
+    change: dict[str, Any],
+) -> None:
+    value = json.dumps({**INSTANCE, **change}).encode()
+    try:
+        entry = messages.decode_instance("i-1", value)
+    except messages.MessageError:
+        return
+    host, port = entry.address.rsplit(":", 1)
+    assert host and 0 < int(port) < 65536
+    assert 0 < entry.slots < 2**31
+    assert 0 <= entry.born < 2**63 and 0 <= entry.sequence < 2**63
+
+
+@hypothesis.given(strategies.binary() | DEEP)
+def test_no_bytes_of_others_leave_as_another_error(value: bytes) -> None:
+    for decode in (
+        messages.decode_configuration,
+        messages.decode_report,
+        lambda data: messages.decode_instance("i-1", data),
+    ):
+        with pytest.raises(messages.MessageError):
+            decode(value)
+    assert version_records.decode_record(value) is None
+    with pytest.raises(codec.DecodeError):
+        status_codec.decode(value)
+
+
 @pytest.mark.parametrize("value", [b"\xff", b"[]", b"7", b"{}", b"[" * 9999])
 def test_refuses_unreadable_values(value: bytes) -> None:
     with pytest.raises(messages.MessageError):
