Name the only version of a service from no picture that is behind

During a release a node that was out of step for seconds took up streams that had begun at a new software version and joined them to the old one. Cause: where the origin of a stream was unknown, the node concluded from its own registrations that only one version had run, however old these were; other nodes got this guess as an answer too, and a version that came and went between two looks, or in a gap of the history, was not counted.

Nodes answer others only what they were told of a stream. A node concludes from registrations only after a read of the store that its picture has caught up with, and counts each registration that it was told of; after a listing it starts anew.

The new test of two nodes, one of which stands still while a version joins, fails on the sources before (the stream goes on at v1) and passes now.

--- a/src/cicadahook/core/inventory.py
+++ b/src/cicadahook/core/inventory.py
@@ -73,6 +73,9 @@
         leaving: upstreams that have said themselves that they leave.
         age: how old the picture of the store may be that it reflects; None if
             this is not known.
+        seen: registrations since the last call of `take_seen`, by id and
+            software.
+        has_gap: whether registrations may have come and gone unseen since then.
     """
 
     def __init__(
@@ -81,6 +84,8 @@
         age: picture_age.PictureAge | None = None,
     ) -> None:
         self.age = age
+        self.seen: dict[tuple[str, str], Instance] = {}
+        self.has_gap = False
         self.leaving = leaving or leaving_upstreams.LeavingUpstreams()
         self.instances: dict[str, Instance] = {}
         self.revision = 0
@@ -105,6 +110,7 @@
         if revision < self.revision:
             return
         self.revision = revision
+        self.has_gap = True
         fresh = {entry.id: entry for entry in entries}
         for name in self.instances.keys() - fresh.keys():
             if not is_after_outage:
@@ -118,6 +124,19 @@
         """Add or replace a registration."""
         self.lapsed.pop(entry.id, None)
         self.instances[entry.id] = entry
+        self.seen[(entry.id, entry.software)] = entry
+
+    def take_seen(self) -> tuple[tuple[Instance, ...], bool]:
+        """Return all registrations since the last call.
+
+        Returns:
+            The registrations, and whether none is missing among them.
+        """
+        seen = (*self.seen.values(), *self.instances.values())
+        is_gapless = not self.has_gap
+        self.seen.clear()
+        self.has_gap = False
+        return seen, is_gapless
 
     def remove(self, name: str) -> None:
         """Remove a registration that has ended."""
--- a/src/cicadahook/core/stream_origins.py
+++ b/src/cicadahook/core/stream_origins.py
@@ -3,7 +3,8 @@
 Streams of two software versions do not fit together, so a stream may go on only
 at upstreams of the version that began it. Nodes tell each other the versions of
 new streams. Where a stream is unknown but all upstreams of its service have run
-one version for as long as streams live, that version began it.
+one version for as long as streams live, that version began it. A node knows
+this only up to the revision of the store that its picture has reached.
 """
 
 import collections
@@ -110,6 +111,23 @@
                 return
             self.origins.popitem(last=False)
 
+    def observe(
+        self,
+        upstreams: inventory.Inventory,
+        now: datetime.datetime,
+        *,
+        is_current: bool,
+    ) -> None:
+        """Record the registered upstreams, and those that came and went.
+
+        Args:
+            upstreams: the inventory.
+            now: the time.
+            is_current: whether the store answers.
+        """
+        seen, is_gapless = upstreams.take_seen()
+        self.record_versions(seen, now, is_current=is_current and is_gapless)
+
     def record_versions(
         self,
         instances: Iterable[inventory.Instance],
@@ -144,20 +162,22 @@
             if not versions:
                 del self.versions[service]
 
-    def find(
-        self, service: str, request_id: str, now: datetime.datetime
-    ) -> str | None:
+    def find(self, service: str, request_id: str) -> str | None:
         """Return the version that began a stream; None if it is not known.
 
         Args:
             service: name of the service.
             request_id: id of the attempt that brought its first event; empty
                 if the caller did not state it.
-            now: the time.
         """
         origin = self.origins.get((service, request_id))
-        if origin is not None:
-            return origin.software
+        return None if origin is None else origin.software
+
+    def find_only(self, service: str, now: datetime.datetime) -> str | None:
+        """Return the only version of a service for a whole retention time.
+
+        None if there were several, or if this is not known.
+        """
         versions = self.versions.get(service, {})
         if self.is_gapless(now) and len(versions) == 1:
             return next(iter(versions))
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -225,6 +225,7 @@
                         self.roster,
                         lambda: bool(self.holder_state.fence),
                         self.is_store_current,
+                        lambda: self.relayed_store.revision,
                     ),
                     clock,
                 ),
@@ -446,7 +447,7 @@
     def create_peer_server(self) -> node_peers.PeerServer:
         """Return the server of calls of other nodes."""
         copies = node_peers.CopyServer(self.orderer.ensure)
-        answers = stream_resumption.OriginServer(self.origins, self.clock)
+        answers = stream_resumption.OriginServer(self.origins)
         return node_peers.PeerServer(
             {
                 node_peers.COPIES_PATH: copies.handle,
@@ -503,8 +504,8 @@
                 balancer_lib.PEER_EXPIRY, self.roster.get_silence_limit()
             )
             self.components.inventory.drop_expired(now)
-            self.origins.record_versions(
-                self.components.inventory.instances.values(),
+            self.origins.observe(
+                self.components.inventory,
                 now,
                 is_current=self.is_store_current(),
             )
--- a/src/cicadahook/net/stream_resumption.py
+++ b/src/cicadahook/net/stream_resumption.py
@@ -92,9 +92,7 @@
         if not request.last_event_id:
             return
         service = active.service.name
-        software = self.origins.find(
-            service, request.resumed_id, self.clock.now()
-        )
+        software = self.origins.find(service, request.resumed_id)
         source = "own"
         if software is None:
             source = "peers"
@@ -157,11 +155,8 @@
 class OriginServer:
     """Answers other nodes' questions which version began a stream."""
 
-    def __init__(
-        self, origins: stream_origins.StreamOrigins, clock: clock_lib.Clock
-    ) -> None:
+    def __init__(self, origins: stream_origins.StreamOrigins) -> None:
         self.origins = origins
-        self.clock = clock
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one question."""
@@ -169,9 +164,7 @@
             asked = ORIGIN_REQUESTS.decode(await request.read())
         except codec.DecodeError as error:
             return web.Response(status=400, text=str(error))
-        software = self.origins.find(
-            asked.service, asked.request_id, self.clock.now()
-        )
+        software = self.origins.find(asked.service, asked.request_id)
         answer = OriginAnswer(software is not None, software or "")
         return web.Response(body=ORIGIN_ANSWERS.encode(answer))
 
--- a/src/cicadahook/net/version_recorder.py
+++ b/src/cicadahook/net/version_recorder.py
@@ -28,6 +28,9 @@
 # Callers that resume streams at about the same time share one read.
 READ_DELAY: Final = datetime.timedelta(milliseconds=20)
 READ_TIMEOUT: Final = datetime.timedelta(milliseconds=500)
+# Changes that precede a read arrive by the watch within this time.
+CATCH_UP_TIMEOUT: Final = datetime.timedelta(milliseconds=400)
+CATCH_UP_POLL: Final = datetime.timedelta(milliseconds=10)
 
 logger: Final = logs.create_logger("versions")
 
@@ -42,6 +45,7 @@
         roster: the other nodes.
         is_holder: whether this node is the holder of orders.
         is_current: whether the store answers this node.
+        get_revision: returns the revision that this node's picture has reached.
     """
 
     origins: stream_origins.StreamOrigins
@@ -49,6 +53,20 @@
     roster: roster_lib.Roster
     is_holder: Callable[[], bool]
     is_current: Callable[[], bool]
+    get_revision: Callable[[], int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """The record as the store holds it.
+
+    Attributes:
+        record: the record; None if there is none.
+        revision: revision of the store at the read.
+    """
+
+    record: version_records.VersionRecord | None
+    revision: int
 
 
 class VersionRecorder:
@@ -82,9 +100,7 @@
         self.renewed = clock.now()
         self.missing_since: datetime.datetime | None = None
         self.resting_until = clock.now()
-        self.reading: (
-            asyncio.Task[version_records.VersionRecord | None] | None
-        ) = None
+        self.reading: asyncio.Task[Reading | None] | None = None
 
     def apply_listing(
         self, listing: store_api.Listing, *, is_after_outage: bool
@@ -194,18 +210,59 @@
         The store is asked after the call, so a version that began a stream
         before it is in the answer.
         """
+        now = self.clock.now()
         stored = self.records.stored
-        if stored is None or stored.record is None:
-            return None
-        if stored.record.find_only(service) is None:
-            return None
-        if self._observe(self.clock.now()).has_older_nodes:
+        is_recorded = (
+            stored is not None
+            and stored.record is not None
+            and stored.record.find_only(service) is not None
             # They use versions that the record may not name yet.
+            and not self._observe(now).has_older_nodes
+        )
+        if not is_recorded and not self.inputs.origins.find_only(service, now):
             return None
         if self.reading is None:
             self.reading = asyncio.create_task(self._read())
-        record = await asyncio.shield(self.reading)
+        reading = await asyncio.shield(self.reading)
+        if reading is None:
+            return None
+        if not is_recorded:
+            return await self._find_registered(service, reading.revision)
+        record = reading.record
         software = record.find_only(service) if record else None
+        return self._confirm(service, software)
+
+    async def _find_registered(self, service: str, revision: int) -> str | None:
+        """Return the only version that was registered lately, if there is one.
+
+        Args:
+            service: name of the service.
+            revision: revision that the picture of the registrations must reach.
+        """
+        try:
+            async with asyncio.timeout(CATCH_UP_TIMEOUT.total_seconds()):
+                while self.inputs.get_revision() < revision:
+                    await asyncio.sleep(CATCH_UP_POLL.total_seconds())
+        except TimeoutError:
+            logger.info(
+                "Version not named; the picture of the store is behind.",
+                extra={
+                    "service": service,
+                    "revision": revision,
+                    "own_revision": self.inputs.get_revision(),
+                },
+            )
+            return None
+        now = self.clock.now()
+        self.inputs.origins.observe(
+            self.inputs.inventory, now, is_current=self.inputs.is_current()
+        )
+        return self._confirm(
+            service, self.inputs.origins.find_only(service, now)
+        )
+
+    def _confirm(self, service: str, software: str | None) -> str | None:
+        """Return a version unless another one is registered."""
         registered = {
             entry.software
             for entry in self.inputs.inventory.instances.values()
@@ -213,7 +270,7 @@
         }
         return software if registered <= {software} else None
 
-    async def _read(self) -> version_records.VersionRecord | None:
+    async def _read(self) -> Reading | None:
         await asyncio.sleep(READ_DELAY.total_seconds())
         self.reading = None
         try:
@@ -228,5 +285,7 @@
             return None
         for item in listing.items:
             if item.key == version_records.RECORD_KEY:
-                return version_records.decode_record(item.value)
-        return None
+                return Reading(
+                    version_records.decode_record(item.value), listing.revision
+                )
+        return Reading(None, listing.revision)
--- a/tests/test_node_resumption.py
+++ b/tests/test_node_resumption.py
@@ -202,3 +202,51 @@
     assert result.status == 503
     assert loop.time() - asked < 0.5
     assert "b" not in list_versions(large_testbed)
+
+
+async def test_a_node_out_of_step_joins_no_stream_to_another_version(
+    large_testbed: node_testbed.NodeTestbed, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(
+        stream_origins, "RETENTION", datetime.timedelta(seconds=0.5)
+    )
+    old, new = large_testbed.engines[0], large_testbed.engines[2]
+    for engine in large_testbed.engines:
+        engine.events = EVENT_COUNT
+        if engine is not old:
+            large_testbed.store.delete(f"servers/{engine.id}")
+    await asyncio.sleep(1)
+    behind = large_testbed.programs[1].node
+    assert behind is not None
+
+    async def stand_still(*arguments: object) -> None:
+        del arguments
+        await asyncio.Event().wait()
+
+    async def know_nothing(question: object) -> None:
+        del question
+
+    monkeypatch.setattr(behind.relayed_store, "watch", stand_still)
+    monkeypatch.setattr(behind.forwarder.resumption, "ask_peers", know_nothing)
+    monkeypatch.setattr(
+        behind.reporter.endpoint, "receive", lambda status: None
+    )
+    # The watch that waits still brings this change.
+    large_testbed.store.put("other/key", {})
+    await asyncio.sleep(0.3)
+    new.software = "v2"
+    large_testbed.register(new)
+    first = large_testbed.programs[0].node
+    assert first is not None
+    inventory = first.components.inventory
+    records = first.forwarder.resumption.recorder.records
+    await node_testbed.wait_until(
+        lambda: new.id in inventory.instances
+        and records.may_begin(inventory.instances[new.id])
+    )
+    old.mode = "full"
+    await send(large_testbed, "a", 0, leave_after=1)
+    old.mode = "ok"
+    assert list_versions(large_testbed)["a"][-1] == "v2"
+    await send(large_testbed, "b", 1, "a", 1)
+    assert set(list_versions(large_testbed)["b"]) <= {"v2"}
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -31,10 +31,10 @@
     origins.record_begin(create_instance("b", "v2"), "r2", NOW)
     other.merge(origins.list_statements(NOW + SECOND), NOW + SECOND)
     for each in (origins, other):
-        assert each.find("s", "r1", NOW) == "v1"
-        assert each.find("s", "r2", NOW) == "v2"
-        assert each.find("s", "r3", NOW) is None
-        assert each.find("other", "r1", NOW) is None
+        assert each.find("s", "r1") == "v1"
+        assert each.find("s", "r2") == "v2"
+        assert each.find("s", "r3") is None
+        assert each.find("other", "r1") is None
 
 
 def test_streams_are_told_for_a_while_and_forgotten_later(
@@ -54,7 +54,7 @@
     origins.record_begin(create_instance("a", "v1"), "r1", NOW)
     late = stream_origins.OriginStatement("s", "v2", ("r1",))
     origins.merge((late,), NOW + SECOND)
-    assert origins.find("s", "r1", NOW + SECOND) == "v1"
+    assert origins.find("s", "r1") == "v1"
 
 
 def test_an_unknown_stream_began_at_the_only_version_of_a_whole_lifetime(
@@ -63,17 +63,17 @@
     old, new = create_instance("a", "v1"), create_instance("b", "v2")
     origins.record_versions((old,), NOW, is_current=True)
     begin = NOW + stream_origins.RETENTION
-    assert origins.find("s", "r", begin - SECOND) is None
+    assert origins.find_only("s", begin - SECOND) is None
     origins.record_versions((old,), begin, is_current=True)
-    assert origins.find("s", "r", begin) == "v1"
+    assert origins.find_only("s", begin) == "v1"
     origins.record_versions((old, new), begin, is_current=True)
-    assert origins.find("s", "r", begin) is None
+    assert origins.find_only("s", begin) is None
     # The old version is gone, yet its streams may come.
     gone = begin + stream_origins.RETENTION - SECOND
     origins.record_versions((new,), gone, is_current=True)
-    assert origins.find("s", "r", gone) is None
+    assert origins.find_only("s", gone) is None
     origins.record_versions((new,), gone + SECOND, is_current=True)
-    assert origins.find("s", "r", gone + SECOND) == "v2"
+    assert origins.find_only("s", gone + SECOND) == "v2"
 
 
 def test_a_node_without_the_store_does_not_guess(
@@ -83,9 +83,9 @@
     origins.record_versions((entry,), NOW, is_current=True)
     later = NOW + stream_origins.RETENTION
     origins.record_versions((entry,), later, is_current=False)
-    assert origins.find("s", "r", later) is None
+    assert origins.find_only("s", later) is None
     origins.record_versions((entry,), later, is_current=True)
-    assert origins.find("s", "r", later + SECOND) is None
+    assert origins.find_only("s", later + SECOND) is None
 
 
 def test_memory_is_bounded(
@@ -104,7 +104,7 @@
     origins = stream_origins.StreamOrigins(is_first_start=True)
     entry = create_instance("a", "v1")
     origins.record_versions((entry,), NOW, is_current=True)
-    assert origins.find("s", "r", NOW) == "v1"
+    assert origins.find_only("s", NOW) == "v1"
     origins.record_versions((entry,), NOW + SECOND, is_current=False)
     origins.record_versions((entry,), NOW + 2 * SECOND, is_current=True)
-    assert origins.find("s", "r", NOW + 2 * SECOND) is None
+    assert origins.find_only("s", NOW + 2 * SECOND) is None
--- a/tests/test_version_recorder.py
+++ b/tests/test_version_recorder.py
@@ -94,6 +94,9 @@
         clock: the time.
         is_holder: whether the node is the holder of orders.
         is_current: whether the node's watch is answered.
+        revision: revision that the node's picture has reached; the store is at
+            99.
+        origins: versions that were registered.
         recorder: the recorder.
     """
 
@@ -102,6 +105,8 @@
         self.clock = clock
         self.is_holder = True
         self.is_current = True
+        self.revision = 99
+        self.origins = stream_origins.StreamOrigins(is_first_start=True)
         self.roster = roster_lib.Roster(
             roster_lib.NodeRecord("n1", "z", "r", "h:1", "h:2", 1)
         )
@@ -111,11 +116,12 @@
         self.recorder = version_recorder.VersionRecorder(
             self.store,  # type: ignore[arg-type]
             version_recorder.RecorderInputs(
-                stream_origins.StreamOrigins(is_first_start=True),
+                self.origins,
                 self.inventory,
                 self.roster,
                 lambda: self.is_holder,
                 lambda: self.is_current,
+                lambda: self.revision,
             ),
             clock,
         )
@@ -328,3 +334,61 @@
     await asyncio.sleep(0)
     leaving.cancel()
     assert await staying == "v1"
+
+
+def register_for_long(testbed: RecorderSetup, software: str) -> None:
+    """Register an upstream whose version was the only one for a while."""
+    testbed.register(software)
+    for _ in range(2):
+        testbed.origins.observe(
+            testbed.inventory, testbed.clock.now(), is_current=True
+        )
+        testbed.clock.advance(stream_origins.RETENTION)
+
+
+async def test_a_node_out_of_step_does_not_name_the_version_that_it_knows(
+    testbed: RecorderSetup, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(version_recorder, "CATCH_UP_TIMEOUT", 0.05 * SECOND)
+    register_for_long(testbed, "v1")
+    testbed.revision = 98
+    assert await testbed.recorder.find_only("s") is None
+    testbed.revision = 99
+    assert await testbed.recorder.find_only("s") == "v1"
+
+
+async def test_a_version_that_came_while_the_node_stood_still_is_counted(
+    testbed: RecorderSetup,
+) -> None:
+    register_for_long(testbed, "v1")
+    testbed.revision = 98
+    waiting = asyncio.create_task(testbed.recorder.find_only("s"))
+    await asyncio.sleep(0.1)
+    # It has left again when the node looks next.
+    testbed.inventory.put(
+        inventory_lib.Instance("n", "s", "n:1", "z", 4, software="v2")
+    )
+    testbed.inventory.remove("n")
+    testbed.revision = 99
+    assert await waiting is None
+
+
+async def test_after_a_gap_in_the_registrations_no_version_is_named(
+    testbed: RecorderSetup,
+) -> None:
+    register_for_long(testbed, "v1")
+    testbed.inventory.apply_snapshot(
+        testbed.inventory.instances.values(),
+        99,
+        testbed.clock.now(),
+        is_after_outage=False,
+    )
+    assert await testbed.recorder.find_only("s") is None
+
+
+async def test_other_nodes_are_told_no_version_that_is_only_guessed(
+    testbed: RecorderSetup,
+) -> None:
+    register_for_long(testbed, "v1")
+    assert testbed.origins.find_only("s", testbed.clock.now()) == "v1"
+    assert testbed.origins.find("s", "unknown") is None
