--- /dev/null
+++ b/src/cicadahook/net/upstream_answers.py
@@ -0,0 +1,145 @@
+"""Answers of upstreams as they are read, and what failed calls show."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Iterator
+import contextlib
+import dataclasses
+import errno
+from typing import Final
+
+import aiohttp
+from aiohttp import client_proto
+
+from cicadahook.core import forwarding
+
+MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
+# Answers that state no length may have no end.
+MAX_UNSTATED_BYTES: Final = 1024 * 1024
+MAX_UNSTATED_BYTES_IN_ALL: Final = 64 * 1024 * 1024
+UNANSWERED: Final = frozenset(
+    {errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH}
+)
+RESET: Final = frozenset({errno.ECONNRESET, errno.EPIPE})
+
+
+@dataclasses.dataclass
+class UpstreamAnswer:
+    """An answer whose head has been received.
+
+    Attributes:
+        head: status and headers.
+        response: the response from which the body is read.
+        protocol: protocol of its connection.
+        buffer: bytes of all plain answers that are being read.
+        watch_link: passes on what an error shows of the link.
+    """
+
+    head: forwarding.AnswerHead
+    response: aiohttp.ClientResponse
+    protocol: asyncio.Protocol | None
+    buffer: "AnswerBuffer"
+    watch_link: Callable[[], contextlib.AbstractContextManager[None]]
+
+    async def read(self) -> bytes:
+        """Return the complete body.
+
+        Raises:
+            forwarding.AttemptError: the body is not complete, or too long.
+        """
+        is_stated = self.response.content_length is not None
+        limit = MAX_ANSWER_BYTES if is_stated else MAX_UNSTATED_BYTES
+        chunks: list[bytes] = []
+        size = 0
+        try:
+            with translate_errors(), self.watch_link():
+                async for chunk in self.response.content.iter_any():
+                    chunks.append(chunk)
+                    size += len(chunk)
+                    self.buffer.size += len(chunk)
+                    is_full = self.buffer.size > MAX_UNSTATED_BYTES_IN_ALL
+                    if size > limit or (is_full and not is_stated):
+                        raise forwarding.AttemptError(
+                            forwarding.FailureKind.MALFORMED,
+                            f"an answer of over {size} bytes",
+                        )
+        finally:
+            self.buffer.size -= size
+        self._check_end()
+        return b"".join(chunks)
+
+    async def iterate(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        Raises:
+            forwarding.AttemptError: the body is not complete.
+        """
+        with translate_errors(), self.watch_link():
+            async for chunk in self.response.content.iter_any():
+                yield chunk
+        self._check_end()
+
+    def _check_end(self) -> None:
+        """Raise an error if a body without a length ended by a reset.
+
+        aiohttp treats any end of the connection as the end of such a body.
+
+        Raises:
+            forwarding.AttemptError: the connection was reset, or was released
+                before a reset could be detected.
+        """
+        headers = self.response.headers
+        lengths = (
+            headers.get("Content-Length"),
+            headers.get("Transfer-Encoding"),
+        )
+        if any(length is not None for length in lengths):
+            return
+        if isinstance(self.protocol, client_proto.ResponseHandler):
+            error = self.protocol.exception()
+            if not isinstance(error, aiohttp.ClientOSError):
+                return
+        raise forwarding.AttemptError(
+            forwarding.FailureKind.CUT, "a body without length ended by a reset"
+        )
+
+
+@dataclasses.dataclass
+class AnswerBuffer:
+    """The bytes of all plain answers that are being read."""
+
+    size: int = 0
+
+
+def describe_link_error(error: Exception) -> forwarding.LinkEvent | None:
+    """Return what a failed call shows of the link; None if nothing."""
+    is_unanswered = isinstance(error, OSError) and error.errno in UNANSWERED
+    if isinstance(error, aiohttp.ConnectionTimeoutError):
+        return forwarding.LinkEvent.SILENT
+    if isinstance(error, aiohttp.ClientConnectorError):
+        if is_unanswered:
+            return forwarding.LinkEvent.SILENT
+        return forwarding.LinkEvent.REFUSED
+    is_reset = isinstance(error, OSError) and error.errno in RESET
+    has_ended_early = isinstance(error, aiohttp.ClientPayloadError)
+    if is_unanswered or is_reset or has_ended_early:
+        return forwarding.LinkEvent.BROKEN
+    return None
+
+
+@contextlib.contextmanager
+def translate_errors() -> Iterator[None]:
+    """Raise the errors of aiohttp as `forwarding.AttemptError`."""
+    kinds = forwarding.FailureKind
+    try:
+        yield
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as error:
+        raise forwarding.AttemptError(kinds.UNREACHABLE, repr(error)) from error
+    except aiohttp.ClientPayloadError as error:
+        raise forwarding.AttemptError(kinds.CUT, repr(error)) from error
+    except aiohttp.ClientResponseError as error:
+        raise forwarding.AttemptError(kinds.MALFORMED, repr(error)) from error
+    except (aiohttp.ClientError, ConnectionError) as error:
+        raise forwarding.AttemptError(kinds.CUT, repr(error)) from error
--- a/src/cicadahook/platform/messages.py
+++ b/src/cicadahook/platform/messages.py
@@ -1,7 +1,7 @@
 """Decodes the operators' configuration and the registrations of upstreams.
 
-Others write these, so each field is checked against the schema here. What passes
-can be used without a further check.
+Others write these, so each field is checked against the schema here. What
+passes can be used without a further check.
 """
 
 import datetime
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -3,14 +3,11 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable, Iterator
 import contextlib
-import dataclasses
 import datetime
-import errno
 import functools
 from typing import Any, Final
 
 import aiohttp
-from aiohttp import client_proto
 import yarl
 
 from cicadahook.core import clock as clock_lib
@@ -20,6 +17,7 @@
 from cicadahook.core import upstream_statements
 from cicadahook.net import connection_pools
 from cicadahook.net import logs
+from cicadahook.net import upstream_answers
 from cicadahook.platform import answer_heads
 from cicadahook.platform import headers as header_names
 from cicadahook.platform import messages
@@ -29,14 +27,6 @@
 ORDER_TIMEOUT: Final = datetime.timedelta(milliseconds=120)
 PROBE_TIMEOUT: Final = datetime.timedelta(milliseconds=500)
 REPORT_TIMEOUT: Final = datetime.timedelta(milliseconds=1000)
-MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
-# Answers that state no length may have no end.
-MAX_UNSTATED_BYTES: Final = 1024 * 1024
-MAX_UNSTATED_BYTES_IN_ALL: Final = 64 * 1024 * 1024
-UNANSWERED: Final = frozenset(
-    {errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH}
-)
-RESET: Final = frozenset({errno.ECONNRESET, errno.EPIPE})
 SKIPPED_AUTO_HEADERS: Final = (
     "User-Agent",
     "Accept",
@@ -62,94 +52,6 @@
 }
 
 
-@dataclasses.dataclass
-class UpstreamAnswer:
-    """An answer whose head has been received.
-
-    Attributes:
-        head: status and headers.
-        response: the response from which the body is read.
-        protocol: protocol of its connection.
-        buffer: bytes of all plain answers that are being read.
-        watch_link: passes on what an error shows of the link.
-    """
-
-    head: forwarding.AnswerHead
-    response: aiohttp.ClientResponse
-    protocol: asyncio.Protocol | None
-    buffer: "AnswerBuffer"
-    watch_link: Callable[[], contextlib.AbstractContextManager[None]]
-
-    async def read(self) -> bytes:
-        """Return the complete body.
-
-        Raises:
-            forwarding.AttemptError: the body is not complete, or too long.
-        """
-        is_stated = self.response.content_length is not None
-        limit = MAX_ANSWER_BYTES if is_stated else MAX_UNSTATED_BYTES
-        chunks: list[bytes] = []
-        size = 0
-        try:
-            with _translate_errors(), self.watch_link():
-                async for chunk in self.response.content.iter_any():
-                    chunks.append(chunk)
-                    size += len(chunk)
-                    self.buffer.size += len(chunk)
-                    is_full = self.buffer.size > MAX_UNSTATED_BYTES_IN_ALL
-                    if size > limit or (is_full and not is_stated):
-                        raise forwarding.AttemptError(
-                            forwarding.FailureKind.MALFORMED,
-                            f"an answer of over {size} bytes",
-                        )
-        finally:
-            self.buffer.size -= size
-        self._check_end()
-        return b"".join(chunks)
-
-    async def iterate(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives.
-
-        Raises:
-            forwarding.AttemptError: the body is not complete.
-        """
-        with _translate_errors(), self.watch_link():
-            async for chunk in self.response.content.iter_any():
-                yield chunk
-        self._check_end()
-
-    def _check_end(self) -> None:
-        """Raise an error if a body without a length ended by a reset.
-
-        aiohttp treats any end of the connection as the end of such a body.
-
-        Raises:
-            forwarding.AttemptError: the connection was reset, or was released
-                before a reset could be detected.
-        """
-        headers = self.response.headers
-        lengths = (
-            headers.get("Content-Length"),
-            headers.get("Transfer-Encoding"),
-        )
-        if any(length is not None for length in lengths):
-            return
-        if isinstance(self.protocol, client_proto.ResponseHandler):
-            error = self.protocol.exception()
-            if not isinstance(error, aiohttp.ClientOSError):
-                return
-        raise forwarding.AttemptError(
-            forwarding.FailureKind.CUT, "a body without length ended by a reset"
-        )
-
-
-@dataclasses.dataclass
-class AnswerBuffer:
-    """The bytes of all plain answers that are being read."""
-
-    size: int = 0
-
-
 class UpstreamClient:
     """Keeps connections to upstreams open and sends requests on them.
 
@@ -169,7 +71,7 @@
         self.statement_listener: StatementListener = (
             lambda instance, statement, sent: None
         )
-        self.buffer = AnswerBuffer()
+        self.buffer = upstream_answers.AnswerBuffer()
         self.pools = connection_pools.ConnectionPools(clock, resets=False)
         self.order_pools = connection_pools.ConnectionPools(clock, resets=True)
 
@@ -181,7 +83,7 @@
     @contextlib.asynccontextmanager
     async def send(
         self, attempt: forwarding.Attempt
-    ) -> AsyncIterator[UpstreamAnswer]:
+    ) -> AsyncIterator[upstream_answers.UpstreamAnswer]:
         """Send a request and yield its answer; an early exit cancels it.
 
         Raises:
@@ -192,7 +94,10 @@
             f"http://{attempt.instance.address}{request.path}", encoded=True
         )
         sent = self.clock.now()
-        with _translate_errors(), self._watch_link(attempt.instance):
+        with (
+            upstream_answers.translate_errors(),
+            self._watch_link(attempt.instance),
+        ):
             response = await self.pools.take(
                 attempt.instance, is_new=attempt.needs_new_connection
             ).request(
@@ -207,7 +112,7 @@
         try:
             self._record_statement(attempt.instance, response, sent, request.id)
             protocol = getattr(response, "protocol", None)
-            yield UpstreamAnswer(
+            yield upstream_answers.UpstreamAnswer(
                 answer_heads.decode(response, request.id, self.pools.kept.node),
                 response,
                 protocol,
@@ -269,7 +174,10 @@
                 "Probe of an upstream not answered.",
                 extra={"instance": instance.id, "error": repr(error)},
             )
-            if isinstance(error, TimeoutError) or error.errno in UNANSWERED:
+            if (
+                isinstance(error, TimeoutError)
+                or error.errno in upstream_answers.UNANSWERED
+            ):
                 return forwarding.LinkEvent.SILENT
             return forwarding.LinkEvent.REFUSED
         writer.close()
@@ -318,7 +226,7 @@
         try:
             yield
         except (aiohttp.ClientError, OSError) as error:
-            event = _describe_link_error(error)
+            event = upstream_answers.describe_link_error(error)
             if event is not None:
                 self.link_listener(instance, event)
             raise
@@ -359,38 +267,3 @@
 
 def _create_timeout(duration: datetime.timedelta) -> aiohttp.ClientTimeout:
     return aiohttp.ClientTimeout(total=duration.total_seconds())
-
-
-def _describe_link_error(error: Exception) -> forwarding.LinkEvent | None:
-    """Return what a failed call shows of the link; None if nothing."""
-    is_unanswered = isinstance(error, OSError) and error.errno in UNANSWERED
-    if isinstance(error, aiohttp.ConnectionTimeoutError):
-        return forwarding.LinkEvent.SILENT
-    if isinstance(error, aiohttp.ClientConnectorError):
-        if is_unanswered:
-            return forwarding.LinkEvent.SILENT
-        return forwarding.LinkEvent.REFUSED
-    is_reset = isinstance(error, OSError) and error.errno in RESET
-    has_ended_early = isinstance(error, aiohttp.ClientPayloadError)
-    if is_unanswered or is_reset or has_ended_early:
-        return forwarding.LinkEvent.BROKEN
-    return None
-
-
-@contextlib.contextmanager
-def _translate_errors() -> Iterator[None]:
-    """Raise the errors of aiohttp as `forwarding.AttemptError`."""
-    kinds = forwarding.FailureKind
-    try:
-        yield
-    except (
-        aiohttp.ClientConnectorError,
-        aiohttp.ConnectionTimeoutError,
-    ) as error:
-        raise forwarding.AttemptError(kinds.UNREACHABLE, repr(error)) from error
-    except aiohttp.ClientPayloadError as error:
-        raise forwarding.AttemptError(kinds.CUT, repr(error)) from error
-    except aiohttp.ClientResponseError as error:
-        raise forwarding.AttemptError(kinds.MALFORMED, repr(error)) from error
-    except (aiohttp.ClientError, ConnectionError) as error:
-        raise forwarding.AttemptError(kinds.CUT, repr(error)) from error
