Count crashes of one moment once against what ran on them

Cause: each upstream that ended counted as one crash against every prompt part that ran on it, so a part that most requests share had four at once, and no engine was there to clear it.

Crashes of upstreams that ran a trait at the same time and broke off within a second count once; one whose request was sent after the one before counts by itself, so a crashing request and a crashing part are found as before. Nodes tell each other when each crash happened and how long its request had run; older builds ignore it.

--- a/src/cicadahook/core/crash_suspects.py
+++ b/src/cicadahook/core/crash_suspects.py
@@ -2,7 +2,8 @@
 
 A request has several traits: a digest of the whole request, and each part of
 its prompt that other requests may hold too. A crash counts against the traits
-of all requests that may have caused it. An answer that proves sound clears its
+of all requests that may have caused it; crashes at one moment, as of all
+upstreams by another cause, count once. An answer that proves sound clears its
 traits of all crashes known when it began. A trait that keeps two crashes is a
 suspect, unless other traits explain these crashes better: then one request with
 it runs at a time over all nodes, as a trial. A trial that crashes its upstream
@@ -11,13 +12,13 @@
 
 import collections
 from collections.abc import Iterable, Iterator
-import dataclasses
 import datetime
 import enum
 import random
 from typing import Final
 
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import crash_records
 
 SUSPECT_DEATHS: Final = 2
 FINAL_DEATHS: Final = 4
@@ -45,7 +46,6 @@
 MAX_RECENT: Final = 48
 MAX_OLDER: Final = 8
 MILLISECOND: Final = datetime.timedelta(milliseconds=1)
-NEVER: Final = datetime.datetime.min.replace(tzinfo=datetime.UTC)
 
 
 class Verdict(enum.StrEnum):
@@ -57,54 +57,6 @@
     QUARANTINED = "quarantined"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SuspectStatement:
-    """What a node knows of a trait, as nodes tell each other.
-
-    Attributes:
-        trait: the trait.
-        deaths: upstream incarnations that crashed on requests with it.
-        cleared: those of `deaths` that an answer has cleared it of.
-        age_ms: time since the newest crash.
-        is_sound: whether answers with it have proved sound at some time.
-        is_on_trial: whether a trial runs at the telling node, or has broken
-            off there and may have crashed its upstream.
-    """
-
-    trait: str
-    deaths: tuple[str, ...]
-    cleared: tuple[str, ...] = ()
-    age_ms: int = 0
-    is_sound: bool = False
-    is_on_trial: bool = False
-
-
-@dataclasses.dataclass
-class SuspectRecord:
-    """The crashes of one trait.
-
-    Attributes:
-        deaths: when each crash became known here, by upstream incarnation.
-        cleared: crashes that an answer has cleared the trait of.
-        newest: when the newest crash happened.
-        changed: when this record last changed.
-    """
-
-    deaths: dict[str, datetime.datetime] = dataclasses.field(
-        default_factory=dict
-    )
-    cleared: set[str] = dataclasses.field(default_factory=set)
-    newest: datetime.datetime = NEVER
-    changed: datetime.datetime = NEVER
-
-    @property
-    def open_deaths(self) -> tuple[str, ...]:
-        """Crashes that the trait has not been cleared of."""
-        return tuple(
-            death for death in self.deaths if death not in self.cleared
-        )
-
-
 class CrashSuspects:
     """The traits that one node suspects, and its trials.
 
@@ -120,7 +72,7 @@
 
     def __init__(self, clock: clock_lib.Clock) -> None:
         self.clock = clock
-        self.records: dict[str, SuspectRecord] = {}
+        self.records: dict[str, crash_records.SuspectRecord] = {}
         self.traits_by_death: dict[str, set[str]] = {}
         self.repeated: set[str] = set()
         self.sound: collections.OrderedDict[str, int] = (
@@ -131,7 +83,11 @@
         self.peer_trials: dict[str, datetime.datetime] = {}
 
     def record_death(
-        self, traits: Iterable[str], death: str, began: datetime.datetime
+        self,
+        traits: Iterable[str],
+        death: str,
+        began: datetime.datetime,
+        ended: datetime.datetime | None = None,
     ) -> bool:
         """Record that an upstream incarnation crashed running a request.
 
@@ -139,6 +95,7 @@
             traits: traits of the request.
             death: the upstream incarnation.
             began: when the request was sent there.
+            ended: when it broke off; None for now.
 
         Returns:
             Whether the request may have caused it. One that was sent when the
@@ -148,8 +105,9 @@
         known = self.dead.setdefault(death, now)
         if known < began:
             return False
+        happened = crash_records.Death(now, began, ended or now)
         for trait in traits:
-            self._add_death(trait, death, now, now)
+            self._add_death(trait, death, happened, now)
         self._drop_excess(now)
         return True
 
@@ -172,7 +130,7 @@
             if record is None:
                 continue
             for death in record.open_deaths:
-                if record.deaths[death] <= began:
+                if record.deaths[death].known <= began:
                     self._clear_death(trait, death, now)
                     cleared.append(trait)
         while len(self.sound) > MAX_SOUND_TRAITS:
@@ -206,7 +164,7 @@
         now = self.clock.now()
         if not self._is_told_apart_by(trait, traits):
             record = self.records[trait]
-            count = len(record.open_deaths)
+            count = len(record.moments)
             pause = TRIAL_PAUSES.get(count, FINAL_TRIAL_PAUSE)
             if now < record.newest + pause:
                 if count >= FINAL_DEATHS:
@@ -244,9 +202,7 @@
             return False
         record = self.records[trait]
         if trait in self.sound:
-            second = sorted(record.deaths[name] for name in record.open_deaths)[
-                SUSPECT_DEATHS - 1
-            ]
+            second = record.moments[SUSPECT_DEATHS - 1]
             if self.clock.now() < second + GRACE_PERIOD:
                 return False
         for death in record.open_deaths:
@@ -267,7 +223,7 @@
         """
         if trait not in self.repeated:
             return None
-        count = len(self.records[trait].open_deaths)
+        count = len(self.records[trait].moments)
         sound = self.sound.get(trait, 0)
         return (not sound, count, -sound)
 
@@ -300,7 +256,7 @@
 
     def list_statements(
         self, generator: random.Random
-    ) -> tuple[SuspectStatement, ...]:
+    ) -> tuple[crash_records.SuspectStatement, ...]:
         """Return what to tell other nodes in the next message.
 
         Statements that changed lately are told each time; of too many, half are
@@ -334,18 +290,17 @@
 
     def _create_statement(
         self, trait: str, now: datetime.datetime
-    ) -> SuspectStatement:
-        record = self.records[trait]
-        return SuspectStatement(
+    ) -> crash_records.SuspectStatement:
+        return self.records[trait].describe(
             trait,
-            tuple(record.deaths),
-            tuple(record.cleared),
-            max(0, int((now - record.newest) / MILLISECOND)),
-            trait in self.sound,
-            trait in self.trials,
+            now,
+            is_sound=trait in self.sound,
+            is_on_trial=trait in self.trials,
         )
 
-    def describe(self, traits: Iterable[str]) -> tuple[SuspectStatement, ...]:
+    def describe(
+        self, traits: Iterable[str]
+    ) -> tuple[crash_records.SuspectStatement, ...]:
         """Return what is known of these traits."""
         now = self.clock.now()
         return tuple(
@@ -363,7 +318,9 @@
             if deaths:
                 yield trait, deaths, record.newest
 
-    def merge(self, statements: Iterable[SuspectStatement]) -> tuple[str, ...]:
+    def merge(
+        self, statements: Iterable[crash_records.SuspectStatement]
+    ) -> tuple[str, ...]:
         """Add what another node tells; return the crashes heard first."""
         now = self.clock.now()
         heard: list[str] = []
@@ -371,11 +328,11 @@
             if statement.age_ms >= EXPIRY / MILLISECOND:
                 continue
             newest = now - statement.age_ms * MILLISECOND
-            for death in statement.deaths[:MAX_DEATHS]:
+            for death, told in statement.list_deaths(now)[:MAX_DEATHS]:
                 if death not in self.dead:
                     self.dead[death] = now
                     heard.append(death)
-                self._add_death(statement.trait, death, now, newest)
+                self._add_death(statement.trait, death, told, newest)
             record = self.records.get(statement.trait)
             if record is None:
                 continue
@@ -392,27 +349,32 @@
     def _add_death(
         self,
         trait: str,
-        death: str,
-        now: datetime.datetime,
-        happened: datetime.datetime,
+        name: str,
+        death: crash_records.Death,
+        newest: datetime.datetime,
     ) -> None:
-        record = self.records.setdefault(trait, SuspectRecord())
-        if death in record.deaths:
+        now = self.clock.now()
+        record = self.records.setdefault(trait, crash_records.SuspectRecord())
+        if name in record.deaths:
+            record.deaths[name] = record.deaths[name].join(death)
+            self._update_repeated(trait)
             return
         if len(record.deaths) >= MAX_DEATHS:
             # Other nodes also tell of crashes that were dropped here.
-            is_new = now - self.dead[death] < RECENT_PERIOD
+            is_new = now - self.dead[name] < RECENT_PERIOD
             if not record.cleared or not is_new:
                 return
             self._forget_death(trait, next(iter(record.cleared)))
-        record.deaths[death] = now
-        record.newest = max(record.newest, happened)
+        record.deaths[name] = death
+        record.newest = max(record.newest, newest)
         record.changed = now
-        self.traits_by_death.setdefault(death, set()).add(trait)
+        self.traits_by_death.setdefault(name, set()).add(trait)
         self._update_repeated(trait)
 
     def _update_repeated(self, trait: str) -> None:
-        if len(self.records[trait].open_deaths) >= SUSPECT_DEATHS:
+        record = self.records[trait]
+        record.moments = record.list_moments()
+        if len(record.moments) >= SUSPECT_DEATHS:
             self.repeated.add(trait)
         else:
             self.repeated.discard(trait)
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -8,7 +8,7 @@
 
 from cicadahook.core import balancer
 from cicadahook.core import brittle_upstreams
-from cicadahook.core import crash_suspects as crash_suspects_lib
+from cicadahook.core import crash_records
 from cicadahook.core import expected_waits
 from cicadahook.core import grants
 from cicadahook.core import leaving_upstreams
@@ -116,7 +116,7 @@
     wanted: tuple["ModelDemand", ...] = ()
     paces: tuple[model_paces.PaceEstimate, ...] = ()
     withdrawn: tuple["WithdrawnCopy", ...] = ()
-    crash_suspects: tuple[crash_suspects_lib.SuspectStatement, ...] = ()
+    crash_suspects: tuple[crash_records.SuspectStatement, ...] = ()
     limits: tuple[request_limits.LimitStatement, ...] = ()
     origins: tuple[stream_origins.OriginStatement, ...] = ()
     upstreams: UpstreamNews = UpstreamNews()
--- a/src/cicadahook/net/crash_guard.py
+++ b/src/cicadahook/net/crash_guard.py
@@ -6,6 +6,7 @@
 import datetime
 from typing import Final
 
+from cicadahook.core import crash_records
 from cicadahook.core import crash_suspects
 from cicadahook.core import crash_tracker
 from cicadahook.core import errors
@@ -198,7 +199,7 @@
         )
 
     def merge(
-        self, statements: Iterable[crash_suspects.SuspectStatement]
+        self, statements: Iterable[crash_records.SuspectStatement]
     ) -> None:
         """Apply what another node tells of crashes and their suspects."""
         heard = self.suspects.merge(statements)
@@ -210,7 +211,7 @@
         """Record the requests that were running on upstreams that crashed."""
         for request in broken_requests:
             may_have_caused = self.suspects.record_death(
-                request.traits, request.death, request.began
+                request.traits, request.death, request.began, request.ended
             )
             logger.info(
                 "Request suspected of a crash.",
--- a/src/cicadahook/net/suspect_trials.py
+++ b/src/cicadahook/net/suspect_trials.py
@@ -17,6 +17,7 @@
 import pydantic
 
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import crash_records
 from cicadahook.core import crash_suspects
 from cicadahook.core import errors
 from cicadahook.core import quarantine as quarantine_lib
@@ -60,7 +61,7 @@
     upstream: str = ""
     hold_seconds: float = 0.0
     is_cleared: bool = False
-    statements: tuple[crash_suspects.SuspectStatement, ...] = ()
+    statements: tuple[crash_records.SuspectStatement, ...] = ()
 
     @property
     def trial(self) -> quarantine_lib.Trial:
@@ -328,7 +329,7 @@
         )
         now = self.clock.now()
         self.traits.merge(
-            crash_suspects.SuspectStatement(
+            crash_records.SuspectStatement(
                 suspect.fingerprint,
                 suspect.deaths,
                 age_ms=max(
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -72,6 +72,8 @@
   ageMs @3 :UInt64;
   isSound @4 :Bool;
   isOnTrial @5 :Bool;
+  endedMs @6 :List(UInt64);
+  ranMs @7 :List(UInt64);
 }
 
 struct OriginStatement {
