Refuse token counts that no engine could hold as malformed

A count of 400 digits was answered 500, since it fits no float later on; now it is 400, as a negative one. Both new cases of test_refuses_bad_requests fail before.

--- a/src/cicadahook/platform/headers.py
+++ b/src/cicadahook/platform/headers.py
@@ -36,6 +36,7 @@
 RETRY_AFTER: Final = "Retry-After"
 
 LOWEST_PRIORITY: Final = 9
+MAX_TOKENS: Final = 2**31 - 1
 
 Decoder = Callable[[str], Any]
 # Header and decoder of each field of a statement.
@@ -138,8 +139,8 @@
     return forwarding.Generation(
         model,
         adapter,
-        int(prompt),
-        int(output or 0),
+        _decode_count(prompt),
+        _decode_count(output or "0"),
         tuple(_decode_parts(headers.get(PROMPT_PARTS, ""))),
     )
 
@@ -243,7 +244,19 @@
 def _decode_parts(value: str) -> Iterable[forwarding.PromptPart]:
     for part in filter(None, value.split(",")):
         name, _, tokens = part.strip().partition(":")
-        yield forwarding.PromptPart(name, int(tokens))
+        yield forwarding.PromptPart(name, _decode_count(tokens))
+
+
+def _decode_count(value: str) -> int:
+    """Return a number of tokens.
+
+    Raises:
+        ValueError: it is no number, or one that no engine could hold.
+    """
+    count = int(value)
+    if not 0 <= count <= MAX_TOKENS:
+        raise ValueError(f"{value[:20]} tokens")
+    return count
 
 
 def _to_ms(duration: datetime.timedelta) -> int:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -310,6 +310,8 @@
         ({"X-Deadline-Ms": "soon"}, b"", 400),
         ({"X-Deadline-Ms": "inf"}, b"", 400),
         ({"X-Model": "big", "X-Token-Counts": "many"}, b"", 400),
+        ({"X-Model": "big", "X-Token-Counts": "9" * 400 + ",1"}, b"", 400),
+        ({"X-Model": "big", "X-Token-Counts": "-1,1"}, b"", 400),
         ({}, b"x" * 100_001, 413),
         ({"X-Padding": "x" * 20_000}, b"", 431),
     ],
