Handle signals before the imports of a node

A process that got SIGHUP or SIGTERM within some 0.75 s of its start ended by the signal: the handlers came after the imports. cicadahook.programs.node now only takes signals and then loads node_daemon, which has all that it had. A reload signal is passed over; a stop signal ends the process with code 0 before anything is begun.

--- a/src/cicadahook/programs/node.py
+++ b/src/cicadahook/programs/node.py
@@ -1,180 +1,22 @@
 """Entry point of cicada-node: one node of the cooperative platform.
 
-It opens the ports, runs the node and drains it at a stop signal.
+Signals are handled before the program is imported, which takes a second on a
+slow VM.
 """
 
-import asyncio
-import contextlib
-import datetime
-import gc
-import signal
-import sys
+import importlib
 from typing import Final
 
-from aiohttp import web
+from cicadahook.programs import early_signals
 
-from cicadahook.core import errors
-from cicadahook.core import node_lifecycle
-from cicadahook.net import clock as clock_lib
-from cicadahook.net import logs
-from cicadahook.net import metrics
-from cicadahook.net import node as node_lib
-from cicadahook.platform import caller_server
-from cicadahook.platform import messages
-from cicadahook.platform import metadata_store
-from cicadahook.platform import settings as settings_lib
-from cicadahook.platform import upstream_client
-
-# The metrics port that deploy/system.toml names.
-METRICS_PORT: Final = 9464
-DRAIN_POLL_SECONDS: Final = 0.05
-STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
-
-logger: Final = logs.create_logger("daemon")
-
-
-class NodeProgram:
-    """Runs a node from the opening of its ports to the end of its drain.
-
-    Attributes:
-        settings: settings of the node.
-        clock: clock that also advances while the VM is suspended.
-        stopped: set at a stop signal.
-        node: the node, once it has been created.
-    """
-
-    def __init__(self, settings: node_lifecycle.NodeSettings) -> None:
-        self.settings = settings
-        self.clock = clock_lib.BootClock()
-        self.stopped = asyncio.Event()
-        self.node: node_lib.Node | None = None
-
-    async def run(self) -> None:
-        """Serve until a stop signal, then drain and close."""
-        loop = asyncio.get_running_loop()
-        for signal_number in STOP_SIGNALS:
-            loop.add_signal_handler(signal_number, self.stopped.set)
-        loop.add_signal_handler(signal.SIGHUP, self._log_reload_request)
-        store = metadata_store.PlatformStore(self.settings.store_address)
-        client = upstream_client.UpstreamClient(self.clock)
-        platform = node_lib.Platform(
-            store,
-            client,
-            messages.CONFIGURATION_KEY,
-            messages.INSTANCE_PREFIX,
-            messages.decode_configuration,
-            messages.decode_instance,
-        )
-        node = node_lib.Node(self.settings, platform, self.clock)
-        self.node = node
-        callers = caller_server.CallerServer(node.forwarder, self.clock)
-        try:
-            async with contextlib.AsyncExitStack() as stack:
-                await self._listen(stack, node, callers)
-                await node.start()
-                logger.info(
-                    "Started.",
-                    extra={
-                        "node": self.settings.name,
-                        "front": self.settings.front_address,
-                        "peers": self.settings.peer_address,
-                    },
-                )
-                await self.stopped.wait()
-                await self._drain(node, callers)
-        finally:
-            await node.stop()
-            await client.close()
-            await store.close()
-            logger.info("Stopped.", extra={"node": self.settings.name})
-
-    async def _listen(
-        self,
-        stack: contextlib.AsyncExitStack,
-        node: node_lib.Node,
-        callers: caller_server.CallerServer,
-    ) -> None:
-        """Open all ports, to be closed by `stack`."""
-        endpoints = caller_server.AddressEndpoints(node.directory)
-        ports = (
-            (callers.create_server(), self.settings.front_port),
-            (web.Server(endpoints.handle_ready), self.settings.ready_port),
-            (
-                web.Server(endpoints.handle_resolve),
-                self.settings.directory_port,
-            ),
-            (
-                web.Server(
-                    node.create_peer_server().handle, handler_cancellation=True
-                ),
-                self.settings.peer_port,
-            ),
-            (web.Server(metrics.serve), METRICS_PORT),
-        )
-        for server, port in ports:
-            await stack.enter_async_context(
-                caller_server.listen(server, self.settings.host, port)
-            )
-
-    async def _drain(
-        self, node: node_lib.Node, callers: caller_server.CallerServer
-    ) -> None:
-        """Send callers to other nodes and finish the requests in progress."""
-        logger.info(
-            "Stop signal received; draining.", extra={"active": callers.active}
-        )
-        plan = node_lifecycle.plan_drain(
-            self.clock.now(), self.settings.grace_period
-        )
-        node.is_stopping = True
-        node.forwarder.drain.start(plan)
-        node.leadership.stop_proposing()
-        await self._sleep_until(plan.accepts_until)
-        while (
-            callers.active + node.relay_server.active
-            and self.clock.now() < plan.ends_at
-        ):
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
-        logger.info("Drained.", extra={"cut_off": callers.active})
-        await node.leadership.leave()
-
-    async def _sleep_until(self, end: datetime.datetime) -> None:
-        time_left = end - self.clock.now()
-        await asyncio.sleep(max(0.0, time_left.total_seconds()))
-
-    def _log_reload_request(self) -> None:
-        logger.info("Settings file changed; it is read at the next start only.")
-
-
-async def _run(settings: node_lifecycle.NodeSettings) -> None:
-    """Run the node; further stop signals do not change how it exits."""
-    try:
-        await NodeProgram(settings).run()
-    finally:
-        # The event loop would otherwise restore the default actions, which
-        # kill the process, some time before it has ended.
-        loop = asyncio.get_running_loop()
-        for signal_number in (*STOP_SIGNALS, signal.SIGHUP):
-            loop.remove_signal_handler(signal_number)
-            signal.signal(signal_number, signal.SIG_IGN)
+PROGRAM: Final = "cicadahook.programs.node_daemon"
 
 
 def main() -> None:
-    """Run the node; log an expected error and exit with code 1."""
-    listener = logs.setup_stream()
-    try:
-        settings = settings_lib.read()
-        metrics.setup("")
-        asyncio.run(_run(settings))
-    except (errors.CicadaError, OSError) as error:
-        logger.error("Node ended by an error.", extra={"error": str(error)})
-        sys.exit(1)
-    finally:
-        listener.stop()
-        # Everything is closed. Without this the final garbage collection of
-        # the interpreter takes 0.2 s, and the platform may kill the process
-        # before it exits with its own code.
-        gc.freeze()
+    """Run the node until a stop signal."""
+    signals = early_signals.EarlySignals()
+    signals.install()
+    importlib.import_module(PROGRAM).main(signals)
 
 
 if __name__ == "__main__":
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,7 +18,7 @@
 from cicadahook.net import metrics
 from cicadahook.programs import daemon
 from cicadahook.programs import local
-from cicadahook.programs import node as node_program
+from cicadahook.programs import node_daemon as node_program
 import node_testbed
 
 FIRST_PORT: Final = 12000
--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 from cicadahook.core import node_lifecycle
 from cicadahook.platform import caller_server
-from cicadahook.programs import node as node_program
+from cicadahook.programs import node_daemon as node_program
 import node_links
 import node_store
 import node_upstreams
--- a/tests/test_deploy_lock.py
+++ b/tests/test_deploy_lock.py
@@ -9,7 +9,7 @@
 LIST_PACKAGES: Final = """
 import importlib.metadata
 import sys
-import cicadahook.programs.node
+import cicadahook.programs.node_daemon
 files = {module.__file__ for module in sys.modules.values()
          if getattr(module, "__file__", None)}
 for package in importlib.metadata.distributions():
--- a/tests/test_node_limits.py
+++ b/tests/test_node_limits.py
@@ -10,7 +10,7 @@
 from cicadahook.core import inventory
 from cicadahook.core import upstream_statements
 from cicadahook.net import node as node_lib
-from cicadahook.programs import node as node_program
+from cicadahook.programs import node_daemon as node_program
 import node_testbed
 import node_upstreams
 
--- a/tests/test_node_waits.py
+++ b/tests/test_node_waits.py
@@ -14,7 +14,7 @@
 from cicadahook.net import node as node_lib
 from cicadahook.net import node_peers
 from cicadahook.platform import caller_server
-from cicadahook.programs import node as node_program
+from cicadahook.programs import node_daemon as node_program
 import node_testbed
 
 # Callers stay for this time, so that a request may wait for a copy.
