Take the age of items from the node that lists them

A node that lists from another one while the store does not answer kept the age of its picture from before, so it did not go on following but listed everything again at each turn. The listing now brings its age along, as changes do. The new test fails before (no age).

--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -240,8 +240,10 @@
         except errors.KeyValueUnavailableError:
             self._set_direct(False)
             for peer in self.sources.list_watchers(self.clock.now()):
+                sent = self.clock.now()
                 answer = await self._ask(peer, FollowRequest(-1))
                 if answer is not None and answer.revision >= self.revision:
+                    self._confirm_told(answer, sent, peer)
                     return store_api.Listing(
                         tuple(
                             store_api.Item(each.key, each.value, each.revision)
@@ -308,12 +310,12 @@
         )
         if answer is None:
             return None
-        if answer.age_ms >= 0:
-            as_of = sent + (answer.waited_ms - answer.age_ms) * MILLISECOND
-            if answer.revision < revision and as_of > self.advanced:
-                self._avoid(peer, revision, f"revision {answer.revision}")
-                return None
-            self._confirm(as_of, peer.name)
+        as_of = _find_completeness(answer, sent)
+        is_behind = answer.revision < revision
+        if is_behind and as_of is not None and as_of > self.advanced:
+            self._avoid(peer, revision, f"revision {answer.revision}")
+            return None
+        self._confirm_told(answer, sent, peer)
         if not answer.changes and self.age.exceeds(
             picture_age.MAX_FOLLOWED_AGE
         ):
@@ -349,6 +351,17 @@
         self.source = source
         self.age.confirm(as_of)
 
+    def _confirm_told(
+        self,
+        answer: FollowAnswer,
+        sent: datetime.datetime,
+        peer: roster_lib.NodeRecord,
+    ) -> None:
+        """Record up to when a watcher's answer makes the picture complete."""
+        as_of = _find_completeness(answer, sent)
+        if as_of is not None:
+            self._confirm(as_of, peer.name)
+
     async def _ask(
         self, peer: roster_lib.NodeRecord, question: FollowRequest
     ) -> FollowAnswer | None:
@@ -390,6 +403,20 @@
         )
 
 
+def _find_completeness(
+    answer: FollowAnswer, sent: datetime.datetime
+) -> datetime.datetime | None:
+    """Return up to when an answer is certainly complete, if it tells.
+
+    Args:
+        answer: the answer of a watcher.
+        sent: when the question was sent.
+    """
+    if answer.age_ms < 0:
+        return None
+    return sent + (answer.waited_ms - answer.age_ms) * MILLISECOND
+
+
 def _select(changes: store_api.Changes, prefix: str) -> store_api.Changes:
     """Return the changes of keys that begin with `prefix`."""
     return store_api.Changes(
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -392,6 +392,18 @@
         await fleet.follower.list_items("")
 
 
+async def test_items_of_another_node_are_as_old_as_it_says(
+    fleet: Fleet,
+) -> None:
+    clock = fleet.follower.clock
+    age = datetime.timedelta(seconds=1)
+    fleet.feed.age.confirm(clock.now() - age)
+    fleet.store.is_down = True
+    await fleet.follower.list_items("")
+    told = fleet.follower.age.get_age()
+    assert told is not None and age <= told < 2 * age
+
+
 async def test_items_older_than_what_is_known_are_not_taken(
     fleet: Fleet,
 ) -> None:
