Count an answer without changes as complete only after its wait

An answer that came before the end of the wait was taken as complete up to its arrival. The unit test of the three cases fails before for the early one. The unused name of the last source goes.

--- a/src/cicadahook/core/picture_age.py
+++ b/src/cicadahook/core/picture_age.py
@@ -87,6 +87,6 @@
         sent: when the watch was sent.
         now: when its answer arrived.
         wait: how long the store was to wait for a change.
-        is_empty: whether it tells of no change, and so came after the wait.
+        is_empty: whether it tells of no change.
     """
-    return min(now, sent + wait) if is_empty else sent
+    return sent + wait if is_empty and now - sent >= wait else sent
--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -191,7 +191,6 @@
         clock: the time.
         age: how old this node's picture of the store may be.
         feed: tells other nodes of what this one learns.
-        source: who gave the last answer: `store`, or the name of a node.
         is_direct: whether the last answer came from the store itself.
         revision: newest revision that was read; items of other nodes must not
             be older.
@@ -211,7 +210,6 @@
         self.clock = age.clock
         self.age = age
         self.feed = ChangeFeed(self.is_current, self.age)
-        self.source = ""
         self.is_direct = False
         self.revision = 0
         self.advanced = self.clock.now()
@@ -243,7 +241,7 @@
                 sent = self.clock.now()
                 answer = await self._ask(peer, FollowRequest(-1))
                 if answer is not None and answer.revision >= self.revision:
-                    self._confirm_told(answer, sent, peer)
+                    self._confirm_told(answer, sent)
                     return store_api.Listing(
                         tuple(
                             store_api.Item(each.key, each.value, each.revision)
@@ -254,7 +252,7 @@
                         answer.revision,
                     )
             raise
-        self._confirm(sent, "store")
+        self._confirm(sent)
         self.revision, self.advanced = listing.revision, self.clock.now()
         return listing
 
@@ -283,8 +281,7 @@
         self._confirm(
             picture_age.find_end_of_silence(
                 sent, self.clock.now(), wait, is_empty=not changes.changes
-            ),
-            "store",
+            )
         )
         self._advance(changes.revision)
         metrics.count_watch_answer("store")
@@ -315,7 +312,7 @@
         if is_behind and as_of is not None and as_of > self.advanced:
             self._avoid(peer, revision, f"revision {answer.revision}")
             return None
-        self._confirm_told(answer, sent, peer)
+        self._confirm_told(answer, sent)
         if not answer.changes and self.age.exceeds(
             picture_age.MAX_FOLLOWED_AGE
         ):
@@ -341,26 +338,22 @@
             )
         self.is_direct = is_direct
 
-    def _confirm(self, as_of: datetime.datetime, source: str) -> None:
-        """Record up to when the picture is complete, and by whose answer."""
+    def _confirm(self, as_of: datetime.datetime) -> None:
+        """Record up to when the picture is complete."""
         age = self.age.get_age()
         if age is not None:
             metrics.record_picture_age(
                 age, "store" if self.is_direct else "node"
             )
-        self.source = source
         self.age.confirm(as_of)
 
     def _confirm_told(
-        self,
-        answer: FollowAnswer,
-        sent: datetime.datetime,
-        peer: roster_lib.NodeRecord,
+        self, answer: FollowAnswer, sent: datetime.datetime
     ) -> None:
         """Record up to when a watcher's answer makes the picture complete."""
         as_of = _find_completeness(answer, sent)
         if as_of is not None:
-            self._confirm(as_of, peer.name)
+            self._confirm(as_of)
 
     async def _ask(
         self, peer: roster_lib.NodeRecord, question: FollowRequest
--- a/tests/test_stale_pictures.py
+++ b/tests/test_stale_pictures.py
@@ -1,10 +1,12 @@
 """Tests that no node decides for long on an old picture of the store."""
 
 import asyncio
+import datetime
 
 import pytest
 
 from cicadahook.core import change_log
+from cicadahook.core import clock as clock_lib
 from cicadahook.core import inventory
 from cicadahook.core import picture_age
 from cicadahook.core import store_api
@@ -58,6 +60,21 @@
         assert max(delays.values()) < DRAIN_SECONDS, delays
 
 
+@pytest.mark.parametrize(
+    ("took", "is_empty", "complete"),
+    [(1.1, True, 1.0), (1.1, False, 0.0), (0.4, True, 0.0)],
+)
+def test_an_answer_is_complete_up_to_what_the_store_has_waited(
+    took: float, is_empty: bool, complete: float
+) -> None:
+    second = datetime.timedelta(seconds=1)
+    sent = clock_lib.EPOCH
+    end = picture_age.find_end_of_silence(
+        sent, sent + took * second, second, is_empty=is_empty
+    )
+    assert end == sent + complete * second
+
+
 async def test_a_watcher_vouches_only_for_the_revision_that_it_knows() -> None:
     feed = store_relay.ChangeFeed(
         lambda: True, picture_age.PictureAge(system_clock.SystemClock())
