--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -17,6 +17,8 @@
 CHAT = "/chat/item"
 MODEL = {"X-Model": "big", "X-Token-Counts": "10,10"}
 EVENTS = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
+SMALL_EVENT = b"data:\n\n"
+SMALL_EVENTS = 5000
 BLOCK = b"x" * 65_536
 ENDLESS_COUNT = 100
 # The bytes end a request, not its time limit.
@@ -132,6 +134,27 @@
         await writer.drain()
 
 
+async def send_endless_single_bytes(
+    writer: asyncio.StreamWriter, head: bytes
+) -> None:
+    """Answer with a body without end in chunks of one byte."""
+    writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n")
+    while not writer.transport.is_closing():
+        writer.write(b"1\r\nx\r\n" * 1000)
+        await writer.drain()
+
+
+async def end_after_many_small_events(
+    writer: asyncio.StreamWriter, head: bytes
+) -> None:
+    """Answer with smallest events, a chunk each."""
+    writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n")
+    for _ in range(SMALL_EVENTS):
+        writer.write(b"7\r\n" + SMALL_EVENT + b"\r\n")
+    writer.write(b"0\r\n\r\n")
+    await writer.drain()
+
+
 async def end_after_interim_heads(
     writer: asyncio.StreamWriter, head: bytes
 ) -> None:
@@ -150,6 +173,7 @@
     "answer",
     (
         send_endless_interim_heads,
+        send_endless_single_bytes,
         send_endless_body,
         send_endless_line,
         send_endless_headers,
@@ -237,6 +261,17 @@
                     assert await response.read() == EVENTS
 
 
+async def test_a_stream_of_many_small_events_is_passed_on_whole(
+    testbed: node_testbed.NodeTestbed,
+) -> None:
+    async with replace_upstreams(
+        testbed, testbed.engines, end_after_many_small_events
+    ):
+        async with testbed.call(CHAT, headers=MODEL) as response:
+            assert response.status == 200
+            assert await response.read() == SMALL_EVENT * SMALL_EVENTS
+
+
 @pytest.mark.parametrize("answer", (end_within, end_in_head, end_by_reset))
 async def test_a_stream_that_breaks_off_does_not_look_complete(
     testbed: node_testbed.NodeTestbed, answer: Answer
