--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -10,7 +10,6 @@
 import node_process
 import node_testbed
 
-HOST = "127.0.0.1"
 STOP_SECONDS = 8.0
 # Modules that take most of the time until a node has started.
 LATE_MODULES = ("capnp", "aiohttp")
@@ -57,7 +56,11 @@
     """Return a node that has not been started."""
     base = int(platform.store_address.rsplit(":", 1)[1]) + 30
     return node_process.NodeProcess(
-        "n1", HOST, base, platform.store_address, tmp_path
+        "n1",
+        node_process.create_host(base, 1),
+        base,
+        platform.store_address,
+        tmp_path,
     )
 
 
