--- a/src/cicadahook/core/picture_age.py
+++ b/src/cicadahook/core/picture_age.py
@@ -10,16 +10,15 @@
 
 from cicadahook.core import clock as clock_lib
 
-# Changes must be in force within 2 s in fleets in which all nodes watch the
-# store, and within 3 s in those in which some follow others.
-# An answer of the store plans the next one so that no watcher's picture gets
-# older than this while the store answers.
+# Where nodes follow others, a change must be in force within 3 s. These limits
+# leave the last second for a watcher that does not answer and for the store.
+# While the store answers, watches end so early that no picture gets older.
 TARGET_AGE: Final = datetime.timedelta(milliseconds=1200)
 # A watcher with an older picture tells others nothing.
 MAX_TOLD_AGE: Final = datetime.timedelta(milliseconds=1500)
-# A follower with an older picture asks the store itself. It has asked a second
-# watcher by then, and the store is to answer in the rest of the 3 s.
+# A follower with an older picture asks the store itself.
 MAX_FOLLOWED_AGE: Final = datetime.timedelta(seconds=2)
+# Shortest time that the store waits for a change.
 MIN_WAIT: Final = datetime.timedelta(milliseconds=100)
 
 
--- a/src/cicadahook/net/version_recorder.py
+++ b/src/cicadahook/net/version_recorder.py
@@ -216,7 +216,7 @@
             stored is not None
             and stored.record is not None
             and stored.record.find_only(service) is not None
-            # They use versions that the record may not name yet.
+            # Older builds use versions that the record may not name yet.
             and not self._observe(now).has_older_nodes
         )
         if not is_recorded and not self.inputs.origins.find_only(service, now):
