Keep within the linter's limits of attributes

The stand-in of an upstream records strays and connections with each arrival; the node keeps no reference to the age of its picture. No change of behaviour.

--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -109,7 +109,6 @@
     Attributes:
         is_stopping: whether new callers must use another node.
         roster: the known nodes and their newest statuses.
-        age: how old this node's picture of the store may be.
         relayed_store: the store, or nodes that watch it.
         grants: grants received from other nodes while this one is the holder.
         links: the links to the upstreams, and ways around them.
@@ -141,8 +140,8 @@
         statements = upstream_statements.UpstreamStatements(
             settings.name, generator
         )
-        self.age = picture_age.PictureAge(clock)
-        inventory = inventory_lib.Inventory(statements.leaving, self.age)
+        age = picture_age.PictureAge(clock)
+        inventory = inventory_lib.Inventory(statements.leaving, age)
         residency = residency_lib.Residency()
         platform.upstreams.statement_listener = self.record_statement
         self.copy_client = node_peers.CopyClient()
@@ -269,7 +268,7 @@
             platform.store,
             store_sources.StoreSources(self.roster),
             self.copy_client.session,
-            self.age,
+            age,
         )
         self.watcher = self._create_watcher(platform, generator)
         self.tasks: set[asyncio.Task[None]] = set()
--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -26,14 +26,23 @@
         headers: headers.
         body: body.
         time: when it came.
-        first_id: id of the first request on its connection.
+        connection: its connection.
+        first_id: id of the first request that came on it.
+        is_answered_twice: whether stray bytes were sent before its answer.
     """
 
     path: str
     headers: "multidict.CIMultiDictProxy[str]"
     body: bytes
     time: float = 0.0
+    connection: asyncio.Transport | None = None
     first_id: str = ""
+    is_answered_twice: bool = False
+
+    @property
+    def id(self) -> str:
+        """Id of the request; empty if it has none."""
+        return self.headers.get("X-Request-Id", "")
 
 
 def list_shared_parts(headers: Mapping[str, str]) -> list[str]:
@@ -146,8 +155,6 @@
         stray: what it sends in front of its answer where its connection has
             been used before, `{earlier}` being the id of the first request;
             empty for nothing.
-        strays: ids of the requests before whose answers it did so.
-        first_ids: id of the first request of each connection.
     """
 
     cuts_resumed: bool = True
@@ -177,8 +184,6 @@
         self.calls: list[float] = []
         self.crash_state = CrashState()
         self.brittle: BrittleState | None = None
-        self.strays: list[str] = []
-        self.first_ids: dict[asyncio.Transport, str] = {}
 
     def describe(self) -> dict[str, Any]:
         """Return its registration in the store."""
@@ -246,26 +251,17 @@
             order = json.loads(await request.read())
             return self._name_limit(self._order(order))
         body = await request.read()
-        request_id = request.headers.get("X-Request-Id", "")
-        first_id = self.first_ids.setdefault(transport, request_id)
-        self.arrivals.append(
-            Arrival(
-                request.raw_path,
-                request.headers,
-                body,
-                self.calls[-1],
-                first_id,
-            )
-        )
+        arrival = self._record(request, body, transport)
         self.running += 1
         self.crash_state.transports.add(transport)
         try:
             rejection = self._reject(request)
             if rejection is not None:
                 return self._name_limit(rejection)
-            if self.stray and first_id != request_id:
-                self.strays.append(request_id)
-                transport.write(self.stray.format(earlier=first_id).encode())
+            if self.stray and arrival.first_id != arrival.id:
+                arrival.is_answered_twice = True
+                stray = self.stray.format(earlier=arrival.first_id)
+                transport.write(stray.encode())
             return await self._answer(request, body)
         except ConnectionError:
             if not self.crash_state.times:
@@ -275,6 +271,23 @@
             self.running -= 1
             self.crash_state.transports.discard(transport)
 
+    def _record(
+        self,
+        request: web.BaseRequest,
+        body: bytes,
+        connection: asyncio.Transport,
+    ) -> Arrival:
+        """Record a request and return its record."""
+        arrival = Arrival(
+            request.raw_path, request.headers, body, self.calls[-1], connection
+        )
+        before = [
+            each for each in self.arrivals if each.connection is connection
+        ]
+        arrival.first_id = before[0].first_id if before else arrival.id
+        self.arrivals.append(arrival)
+        return arrival
+
     def _name_limit(self, response: web.Response) -> web.Response:
         """Add the limit in force to an answer."""
         if self.limit is not None:
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -63,7 +63,12 @@
 
 def check(testbed: node_testbed.NodeTestbed, statuses: dict[str, int]) -> None:
     """Check that each request ran once and none is said not to have run."""
-    strays = [name for each in testbed.plain for name in each.strays]
+    strays = [
+        arrival.id
+        for upstream in testbed.plain
+        for arrival in upstream.arrivals
+        if arrival.is_answered_twice
+    ]
     assert strays
     assert set(count_runs(testbed.plain).values()) == {1}
     assert not {statuses[name] for name in strays} & NOT_RUN
