Let one malformed value of the store hide no other item

The schema of the store's answers took a value that is no text for a malformed page, so one odd item would have stopped the listing of all; before, its own decoder refused it alone. Values are checked one by one again. Of five cases of the new test those with a number, a list and an object fail before.

--- a/src/cicadahook/platform/metadata_store.py
+++ b/src/cicadahook/platform/metadata_store.py
@@ -21,11 +21,11 @@
 
 
 class ItemFields(msgspec.Struct, frozen=True):
-    """A key that was written, or deleted."""
+    """A key that was written, or deleted; its value is checked by itself."""
 
     key: str
     revision: int
-    value: str | None = None
+    value: Any = None
     deleted: bool = False
 
 
@@ -239,8 +239,8 @@
 
 def _decode_value(fields: ItemFields) -> bytes:
     try:
-        return base64.b64decode(fields.value or "", validate=True)
-    except ValueError:
+        return base64.b64decode(fields.value, validate=True)
+    except (TypeError, ValueError):
         # Another writer stored a malformed value. The decoder of the key
         # rejects the empty value.
         return b""
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -4,6 +4,7 @@
 import json
 from typing import Any
 
+from aiohttp import web
 import hypothesis
 from hypothesis import strategies
 import multidict
@@ -15,8 +16,10 @@
 from cicadahook.core import version_records
 from cicadahook.net import codec
 from cicadahook.net import status_codec
+from cicadahook.platform import caller_server
 from cicadahook.platform import headers
 from cicadahook.platform import messages
+from cicadahook.platform import metadata_store
 from cicadahook.platform import settings
 
 INSTANCE: dict[str, Any] = {
@@ -257,3 +260,28 @@
 def test_strips_headers_named_by_connection() -> None:
     given = [("Connection", "close, X-One"), ("X-One", "1"), ("X-Two", "2")]
     assert headers.strip_hop_by_hop_headers(given) == (("X-Two", "2"),)
+
+
+@pytest.mark.parametrize("value", [None, 7, ["x"], {"x": 1}, "not base64"])
+async def test_a_malformed_value_does_not_hide_the_other_items(
+    unused_port: int, value: Any
+) -> None:
+    async def list_items(request: web.BaseRequest) -> web.Response:
+        del request
+        return web.json_response(
+            {
+                "items": [
+                    {"key": "a", "revision": 1, "value": value},
+                    {"key": "b", "revision": 2, "value": "Yg=="},
+                ],
+                "at": 2,
+            }
+        )
+
+    async with caller_server.listen(
+        web.Server(list_items), "127.0.0.1", unused_port
+    ):
+        store = metadata_store.PlatformStore(f"127.0.0.1:{unused_port}")
+        listing = await store.list_items("")
+        await store.close()
+    assert [item.value for item in listing.items] == [b"", b"b"]
