--- a/src/cicadahook/core/change_log.py
+++ b/src/cicadahook/core/change_log.py
@@ -14,23 +14,22 @@
 
     Attributes:
         items: the items by key.
-        changes: the newest changes in the order of their revisions.
-        begins: revision after which all changes are known.
-        revision: revision up to which all changes are known; 0 before the
-            first listing.
+        changes: the newest changes in the order of their positions.
+        begins: position after which all changes are known.
+        position: position up to which all changes are known.
     """
 
     def __init__(self) -> None:
         self.items: dict[str, store_api.Item] = {}
         self.changes: collections.deque[store_api.Change] = collections.deque()
-        self.begins = 0
-        self.revision = 0
+        self.begins = store_api.ORIGIN
+        self.position = store_api.ORIGIN
 
     def apply_listing(self, listing: store_api.Listing) -> None:
         """Replace everything by a listing."""
         self.items = {item.key: item for item in listing.items}
         self.changes.clear()
-        self.begins = self.revision = listing.revision
+        self.begins = self.position = listing.position
 
     def apply_changes(self, changes: store_api.Changes) -> None:
         """Add changes that follow what is known."""
@@ -40,27 +39,27 @@
                 self.items.pop(change.key, None)
             else:
                 self.items[change.key] = store_api.Item(
-                    change.key, change.value, change.revision
+                    change.key, change.value, change.position
                 )
-        self.revision = max(self.revision, changes.revision)
+        self.position = max(self.position, changes.position)
         while len(self.changes) > MAX_CHANGES:
-            self.begins = self.changes.popleft().revision
+            self.begins = self.changes.popleft().position
 
     def create_listing(self) -> store_api.Listing:
         """Return all items."""
-        return store_api.Listing(tuple(self.items.values()), self.revision)
+        return store_api.Listing(tuple(self.items.values()), self.position)
 
-    def list_after(self, revision: int) -> store_api.Changes:
-        """Return the changes after a revision, up to the one that is known.
+    def list_after(self, position: store_api.Position) -> store_api.Changes:
+        """Return the changes after a position, up to the one that is known.
 
         Raises:
             store_api.HistoryLostError: some of them are not known any more.
         """
-        if revision < self.begins:
+        if position < self.begins:
             raise store_api.HistoryLostError(
-                f"changes are known after {self.begins}, not {revision}"
+                f"changes are known after {self.begins}, not {position}"
             )
         later = tuple(
-            change for change in self.changes if change.revision > revision
+            change for change in self.changes if change.position > position
         )
-        return store_api.Changes(later, self.revision)
+        return store_api.Changes(later, self.position)
--- a/src/cicadahook/core/inventory.py
+++ b/src/cicadahook/core/inventory.py
@@ -6,9 +6,14 @@
 
 from cicadahook.core import leaving_upstreams
 from cicadahook.core import picture_age
+from cicadahook.core import store_api
 
 # Time after the end of a store outage within which upstreams register again.
 REREGISTRATION_PERIOD = datetime.timedelta(seconds=2)
+# An upstream that has ended vanishes from the store within this time: its entry
+# lapses after three heartbeats.
+DOUBT_PERIOD = datetime.timedelta(seconds=10)
+MAX_REMOVED = 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,7 +72,7 @@
     Attributes:
         instances: instances by id, including those that lapsed during an
             outage.
-        revision: revision of the store that the inventory reflects.
+        position: position of the store that the inventory reflects.
         lapsed: when registrations that lapsed during an outage are removed,
             by id.
         leaving: upstreams that have said themselves that they leave.
@@ -76,6 +81,9 @@
         seen: registrations since the last call of `take_seen`, by id and
             software.
         has_gap: whether registrations may have come and gone unseen since then.
+        removed: start of the incarnations that were removed last, by id.
+        doubted: until when incarnations are not used that an older copy of the
+            store lists although they were removed, by id.
     """
 
     def __init__(
@@ -88,28 +96,31 @@
         self.has_gap = False
         self.leaving = leaving or leaving_upstreams.LeavingUpstreams()
         self.instances: dict[str, Instance] = {}
-        self.revision = 0
+        self.position = store_api.ORIGIN
+        self.removed: dict[str, int] = {}
+        self.doubted: dict[str, datetime.datetime] = {}
         self.lapsed: dict[str, datetime.datetime] = {}
 
     def apply_snapshot(
         self,
         entries: Iterable[Instance],
-        revision: int,
+        position: store_api.Position,
         now: datetime.datetime,
         is_after_outage: bool,
     ) -> None:
-        """Replace all registrations by those read at `revision`.
+        """Replace all registrations by those read at `position`.
 
         Args:
             entries: the registrations.
-            revision: revision of the store; an older one is ignored.
+            position: position of the store; an older one is ignored.
             now: the time.
             is_after_outage: whether the store was unavailable before, so that
                 missing registrations may come back.
         """
-        if revision < self.revision:
+        if position < self.position:
             return
-        self.revision = revision
+        is_older_copy = position.era > self.position.era
+        self.position = position
         self.has_gap = True
         fresh = {entry.id: entry for entry in entries}
         for name in self.instances.keys() - fresh.keys():
@@ -119,10 +130,15 @@
                 self.lapsed[name] = now + REREGISTRATION_PERIOD
         for entry in fresh.values():
             self.put(entry)
+            if is_older_copy and self.removed.get(entry.id) == entry.born:
+                self.doubted[entry.id] = now + DOUBT_PERIOD
 
     def put(self, entry: Instance) -> None:
         """Add or replace a registration."""
         self.lapsed.pop(entry.id, None)
+        self.doubted.pop(entry.id, None)
+        if entry.is_leaving:
+            self.leaving.record(entry.id, entry.born)
         self.instances[entry.id] = entry
         self.seen[(entry.id, entry.software)] = entry
 
@@ -140,14 +156,23 @@
 
     def remove(self, name: str) -> None:
         """Remove a registration that has ended."""
-        self.instances.pop(name, None)
+        entry = self.instances.pop(name, None)
         self.lapsed.pop(name, None)
+        self.doubted.pop(name, None)
+        if entry is not None:
+            self.removed.pop(name, None)
+            self.removed[name] = entry.born
+            while len(self.removed) > MAX_REMOVED:
+                self.removed.pop(next(iter(self.removed)))
 
     def drop_expired(self, now: datetime.datetime) -> None:
         """Remove registrations that were not renewed after an outage."""
         for name, end in list(self.lapsed.items()):
             if end <= now:
                 self.remove(name)
+        for name, end in list(self.doubted.items()):
+            if end <= now:
+                del self.doubted[name]
 
     def list_usable(self, service: str) -> Iterator[Instance]:
         """Yield the upstreams of `service` that accept new requests."""
@@ -160,12 +185,16 @@
         entry = self.instances.get(name)
         return None if entry is None or self._is_leaving(entry) else entry
 
-    def describe_picture(self) -> dict[str, int | None]:
+    def describe_picture(self) -> dict[str, str | int | None]:
         """Return fields for logs that tell what decisions rest on."""
         return {
-            "inventory": self.revision,
+            "inventory": str(self.position),
             "picture_age_ms": self.age.get_age_ms() if self.age else None,
         }
 
     def _is_leaving(self, entry: Instance) -> bool:
-        return entry.is_leaving or self.leaving.is_leaving(entry.id, entry.born)
+        return (
+            entry.is_leaving
+            or entry.id in self.doubted
+            or self.leaving.is_leaving(entry.id, entry.born)
+        )
--- a/src/cicadahook/core/routes.py
+++ b/src/cicadahook/core/routes.py
@@ -176,6 +176,14 @@
                 return route
         return None
 
+    def get_read_limit(self, host: str, path: str) -> datetime.timedelta:
+        """Return the time within which a request must have been read.
+
+        It is the time limit of the route, so that a refusal reaches the caller.
+        """
+        route = self.find_route(host, path)
+        return route.timeout if route else self.limits.idle_timeout
+
     def list_engine_services(self) -> Iterator[Service]:
         """Yield the services whose upstreams are model engines."""
         for service in self.services.values():
--- a/src/cicadahook/core/store_api.py
+++ b/src/cicadahook/core/store_api.py
@@ -1,14 +1,22 @@
 """Interface of the platform's key-value store: items, changes, leases.
 
+The store may return from an older copy of itself. What was written since is
+lost, and revisions are assigned again; a higher era tells of that. So a
+revision means something only together with its era: both are one `Position`.
+
 The HTTP client that implements it is `platform.metadata_store`.
 """
 
+from collections.abc import Callable
 import dataclasses
 import datetime
-from typing import Protocol
+from typing import Final, Protocol
 
 from cicadahook.core import errors
 
+# Era of a store that names none, and of one that never lost a write.
+FIRST_ERA: Final = 1
+
 
 class HistoryLostError(errors.KeyValueError):
     """The store no longer holds the changes after the requested revision."""
@@ -18,6 +26,51 @@
     """The lease has expired or was never granted."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Position:
+    """A point in the history of the store.
+
+    Positions are ordered by era first: whatever a later era holds is newer.
+
+    Attributes:
+        era: number of times that the store returned from an older copy, counted
+            from `FIRST_ERA`.
+        revision: number of changes up to this point, as that era counts them.
+    """
+
+    era: int
+    revision: int
+
+    def __str__(self) -> str:
+        """Return both numbers, for logs."""
+        return f"{self.era}/{self.revision}"
+
+
+# Precedes all positions of a store.
+ORIGIN: Final = Position(0, 0)
+
+
+class EraTracker:
+    """The newest era of the store that a node knows of.
+
+    Attributes:
+        current: the era; 0 before the first answer of the store.
+        listeners: called with each newer era.
+    """
+
+    def __init__(self) -> None:
+        self.current = 0
+        self.listeners: list[Callable[[int], None]] = []
+
+    def observe(self, era: int) -> bool:
+        """Record an era; return whether it is not older than the newest."""
+        if era > self.current:
+            self.current = era
+            for listener in self.listeners:
+                listener(era)
+        return era == self.current
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Item:
     """A key with its value.
@@ -25,12 +78,13 @@
     Attributes:
         key: name of the item.
         value: content.
-        revision: revision of its last change.
+        position: where it was read, at the revision of its last change. The
+            change itself may have been made in an earlier era.
     """
 
     key: str
     value: bytes
-    revision: int
+    position: Position
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,23 +93,23 @@
 
     key: str
     value: bytes | None
-    revision: int
+    position: Position
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
-    """All items below a prefix; changes after `revision` may be missing."""
+    """All items below a prefix; changes after `position` may be missing."""
 
     items: tuple[Item, ...]
-    revision: int
+    position: Position
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
-    """Changes below a prefix up to `revision`."""
+    """Changes below a prefix up to `position`."""
 
     changes: tuple[Change, ...]
-    revision: int
+    position: Position
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,41 +129,64 @@
     """Several changes that take effect atomically.
 
     Attributes:
-        expected: keys with the revision that each must have; 0 means that the
-            key must not exist.
+        expected: keys with the position that each must have; None means that
+            the key must not exist.
         puts: values to write.
         deletes: keys to delete.
     """
 
-    expected: tuple[tuple[str, int], ...] = ()
+    expected: tuple[tuple[str, Position | None], ...] = ()
     puts: tuple[Put, ...] = ()
     deletes: tuple[str, ...] = ()
 
+    def check_era(self, era: int) -> None:
+        """Reject a change that expects positions of an earlier era.
+
+        The same revision is another change there.
+
+        Raises:
+            errors.KeyValueConflictError: it does.
+        """
+        for key, position in self.expected:
+            if position is not None and position.era != era:
+                raise errors.KeyValueConflictError(
+                    f"{key} was read at {position}, before era {era}"
+                )
+
 
 class Store(Protocol):
     """Client of the platform's store.
 
-    Every call raises `errors.KeyValueUnavailableError` if no answer arrived; a
-    write may then have taken effect or may still do so.
+    Every call raises `errors.KeyValueUnavailableError` if no answer arrived, or
+    one of an earlier era than is known; a write may then have taken effect or
+    may still do so.
+
+    Attributes:
+        eras: the newest era that the store or another node has named.
     """
 
+    eras: EraTracker
+
     async def list_items(self, prefix: str) -> Listing:
         """Return all items whose key begins with `prefix`."""
 
     async def watch(
-        self, prefix: str, revision: int, wait: datetime.timedelta
+        self, prefix: str, position: Position, wait: datetime.timedelta
     ) -> Changes:
-        """Return the changes after `revision`, waiting up to `wait` for one.
+        """Return the changes after `position`, waiting up to `wait` for one.
 
         Raises:
-            HistoryLostError: changes are missing; list the items again.
+            HistoryLostError: changes are missing, or the store is in another
+                era; list the items again.
         """
 
-    async def write(self, change: Write) -> int:
-        """Apply a change atomically; return its revision.
+    async def write(self, change: Write) -> Position:
+        """Apply a change atomically; return its position.
+
+        The era of the position may be newer than those of the expected ones.
 
         Raises:
-            errors.KeyValueConflictError: a key has not the expected revision.
+            errors.KeyValueConflictError: a key has not the expected position.
             LeaseEndedError: the lease has ended.
         """
 
--- /dev/null
+++ b/src/cicadahook/core/terms.py
@@ -0,0 +1,49 @@
+"""Fences of the terms of order holders, and the eras that their keys name.
+
+A fence is made of the era of the store and the revision at which the term
+began, so that it rises over all eras. The value of a key names the holder, its
+process and the era in which it was written.
+"""
+
+from typing import Final
+
+from cicadahook.core import store_api
+
+# Bits of a fence that hold the revision, below those of the era.
+FENCE_REVISION_BITS: Final = 32
+
+
+def compute_fence(position: store_api.Position) -> int:
+    """Return the fence of a term that began at a position.
+
+    In the first era it is the revision, as with nodes of older builds.
+    """
+    elapsed = position.era - store_api.FIRST_ERA
+    return (elapsed << FENCE_REVISION_BITS) + position.revision
+
+
+def find_era(fence: int) -> int:
+    """Return the era of a fence."""
+    return (fence >> FENCE_REVISION_BITS) + store_api.FIRST_ERA
+
+
+def names_era(item: store_api.Item) -> bool:
+    """Whether the value of a key names its era; older builds name none."""
+    return item.value.count(b" ") >= 2
+
+
+def find_key_era(item: store_api.Item) -> int:
+    """Return the era in which the value of a key was written."""
+    if not names_era(item):
+        return store_api.FIRST_ERA
+    try:
+        return int(item.value.split(b" ")[2])
+    except ValueError:
+        return store_api.FIRST_ERA
+
+
+def find_key_fence(term: store_api.Item) -> int:
+    """Return the fence of a term, whose key may have outlived its era."""
+    return compute_fence(
+        store_api.Position(find_key_era(term), term.position.revision)
+    )
--- a/src/cicadahook/core/version_records.py
+++ b/src/cicadahook/core/version_records.py
@@ -35,11 +35,14 @@
         lease: id of the lease of the key in the store.
         versions: the versions of each service, sorted.
         is_complete: whether no stream of another version can be resumed.
+        era: era of the store in which it was written. In a later one, versions
+            may be missing.
     """
 
     lease: int
     versions: dict[str, tuple[str, ...]]
     is_complete: bool
+    era: int = store_api.FIRST_ERA
 
     def find_only(self, service: str) -> str | None:
         """Return the version of all streams of a service, if there is one."""
@@ -53,11 +56,11 @@
 
     Attributes:
         record: its content; None if it cannot be read.
-        revision: revision of its last change.
+        position: where it was read, at its last change.
     """
 
     record: VersionRecord | None
-    revision: int
+    position: store_api.Position
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,12 +80,18 @@
     has_older_nodes: bool
 
 
-def decode_record(value: bytes) -> VersionRecord | None:
-    """Return the record in a value of the store; None if it is malformed."""
+def decode_record(value: bytes, era: int) -> VersionRecord | None:
+    """Return the record in a value of the store; None if it is malformed.
+
+    One that was written in an earlier era than the one given is not complete.
+    """
     try:
-        return msgspec.json.decode(value, type=VersionRecord)
+        record = msgspec.json.decode(value, type=VersionRecord)
     except (msgspec.MsgspecError, RecursionError):
         return None
+    if record.era < era:
+        return dataclasses.replace(record, is_complete=False)
+    return record
 
 
 def encode_record(record: VersionRecord) -> bytes:
@@ -100,23 +109,34 @@
         bound_since: since when this node has seen a record without a gap and no
             node of an older build; all nodes name versions in the record before
             they use them.
+        era: newest era of the store in which the record was seen; 0 before.
     """
 
     def __init__(self, *, is_first_start: bool = False) -> None:
         self.is_first_start = is_first_start
         self.stored: StoredRecord | None = None
         self.bound_since: datetime.datetime | None = None
+        self.era = 0
 
     def replace(
         self, item: store_api.Item | None, now: datetime.datetime
     ) -> None:
         """Replace the record by what the store holds now."""
-        record = decode_record(item.value) if item is not None else None
+        record = None
+        if item is not None:
+            record = decode_record(item.value, item.position.era)
+            self._record_era(item.position.era)
         if self.bound_since is not None and record is None:
             self.bound_since, self.is_first_start = None, False
         if record is not None and self.bound_since is None:
             self.bound_since = now
-        self.stored = StoredRecord(record, item.revision) if item else None
+        self.stored = StoredRecord(record, item.position) if item else None
+
+    def _record_era(self, era: int) -> None:
+        """Forget what held in an earlier era: the store may have lost it."""
+        if 0 < self.era < era:
+            self.bound_since, self.is_first_start = None, False
+        self.era = max(self.era, era)
 
     def may_begin(self, instance: inventory.Instance) -> bool:
         """Whether a stream that may be resumed may begin at an upstream."""
@@ -153,7 +173,10 @@
         for service, recent in observed.versions.items():
             versions.setdefault(service, set()).update(recent)
         planned = VersionRecord(
-            lease, _sort(versions), self._is_complete(observed, now)
+            lease,
+            _sort(versions),
+            self._is_complete(observed, now),
+            max(self.era, store_api.FIRST_ERA),
         )
         return self._write(planned) if planned != current else None
 
@@ -190,9 +213,9 @@
         return observed.are_nodes_able and (is_settled or self.is_first_start)
 
     def _write(self, record: VersionRecord) -> store_api.Write:
-        revision = self.stored.revision if self.stored else 0
+        position = self.stored.position if self.stored else None
         return store_api.Write(
-            expected=((RECORD_KEY, revision),),
+            expected=((RECORD_KEY, position),),
             puts=(
                 store_api.Put(RECORD_KEY, encode_record(record), record.lease),
             ),
--- a/src/cicadahook/net/holder_lease.py
+++ b/src/cicadahook/net/holder_lease.py
@@ -14,6 +14,7 @@
 from cicadahook.core import order_holder
 from cicadahook.core import store_api
 from cicadahook.net import logs
+from cicadahook.net import metrics
 
 # A shorter lease hands over sooner; a longer one survives longer outages.
 LEASE_TTL: Final = datetime.timedelta(seconds=3)
@@ -44,6 +45,9 @@
         lease: id of the lease; 0 without one.
         is_registered: whether the registration was written with this lease.
         is_stopping: whether proposals have ended.
+        is_granted: returns whether all other nodes grant this one to go on as
+            holder.
+        era_began: set when a new era of the store has ended the own term.
     """
 
     def __init__(
@@ -54,7 +58,11 @@
         clock: clock_lib.Clock,
         has_active_holder: Callable[[], bool],
         is_cut_off: Callable[[], bool],
+        *,
+        is_granted: Callable[[], bool] = lambda: False,
     ) -> None:
+        self.is_granted = is_granted
+        self.era_began = asyncio.Event()
         self.has_active_holder = has_active_holder
         self.is_cut_off = is_cut_off
         self.cut_off_since: datetime.datetime | None = None
@@ -76,14 +84,55 @@
                     "Lease expired before its renewal; a new one is requested.",
                     extra={"error": str(error)},
                 )
-                self.lease = 0
-                self.is_registered = False
+                self._drop_lease()
                 self.holder_state.record_lease_end()
                 continue
             except errors.KeyValueUnavailableError as error:
                 logger.info("Lease not renewed.", extra={"error": str(error)})
             await self._resign_if_cut_off()
-            await asyncio.sleep(RENEWAL_PERIOD.total_seconds())
+            await self._wait()
+
+    def apply_era(self, era: int) -> None:
+        """Give up what rests on an earlier era of the store.
+
+        The lease may be lost, and its number that of another node's by now. The
+        others get theirs at their next renewal, so that they do not all write
+        at once.
+        """
+        state = self.holder_state
+        previous, newest_term = state.era, state.newest_term
+        if not state.record_era(
+            era, self.clock.now(), is_granted=self.is_granted()
+        ):
+            return
+        if not previous:
+            return
+        self._drop_lease()
+        if state.is_continuing:
+            self.era_began.set()
+        metrics.count_store_era(state.name)
+        logger.warning(
+            "Store returned from an older copy; its leases are given up.",
+            extra={
+                "era": era,
+                "previous_era": previous,
+                "newest_term": newest_term,
+                "was_holder": state.is_continuing,
+            },
+        )
+
+    def _drop_lease(self) -> None:
+        self.lease = 0
+        self.is_registered = False
+
+    async def _wait(self) -> None:
+        """Wait for the next renewal, or for an era that ends the own term."""
+        try:
+            async with asyncio.timeout(RENEWAL_PERIOD.total_seconds()):
+                await self.era_began.wait()
+        except TimeoutError:
+            return
+        self.era_began.clear()
 
     async def _resign_if_cut_off(self) -> None:
         """Leave the term to another node if this one reaches few engines."""
@@ -129,17 +178,21 @@
 
     async def _renew(self) -> None:
         sent = self.clock.now()
-        if self.lease:
-            await self.store.renew_lease(self.lease)
+        lease = self.lease
+        if lease:
+            await self.store.renew_lease(lease)
         else:
-            self.lease = await self.store.grant_lease(LEASE_TTL)
+            lease = self.lease = await self.store.grant_lease(LEASE_TTL)
+        if self.lease != lease:
+            # An era began meanwhile; the next renewal gets another lease.
+            return
         self.holder_state.record_renewal(sent)
         if not self.is_registered and not self.is_stopping:
             put = store_api.Put(
-                self.registration.key, self.registration.value, self.lease
+                self.registration.key, self.registration.value, lease
             )
             await self.store.write(store_api.Write(puts=(put,)))
-            self.is_registered = True
+            self.is_registered = self.lease == lease
         await self.propose()
         await self._report_settled()
 
@@ -158,18 +211,33 @@
 
     async def propose(self) -> None:
         """Propose this node as holder if there is none."""
+        if not self.lease or self.is_stopping or self.has_active_holder():
+            return
         write = self.holder_state.propose(self.lease, self.clock.now())
-        if write is None or self.is_stopping or self.has_active_holder():
+        if write is None:
             return
         if self.cut_off_since is not None and self.is_cut_off():
             return
         try:
-            revision = await self.store.write(write)
+            position = await self.store.write(write)
         except errors.KeyValueConflictError as error:
             logger.info(
                 "Proposal as holder lost; another node may have won.",
                 extra={"error": str(error)},
             )
             return
-        self.holder_state.record_won_term(revision, self.clock.now())
-        logger.info("Became holder of orders.", extra={"fence": revision})
+        now = self.clock.now()
+        if not self.holder_state.record_won_term(write, position, now):
+            logger.info(
+                "Proposal as holder outlived its era; it is made again.",
+                extra={"position": str(position)},
+            )
+            return
+        logger.info(
+            "Became holder of orders.",
+            extra={
+                "fence": self.holder_state.fence,
+                "position": str(position),
+                "is_continuing": self.holder_state.is_continuing,
+            },
+        )
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -88,6 +88,15 @@
     histogram.record(age.total_seconds(), {"source": source})
 
 
+def count_store_era(node: str) -> None:
+    """Count an era of the store that began while this node ran."""
+    counter = create_counter(
+        "cicada_store_eras",
+        "Returns of the store from an older copy of itself.",
+    )
+    counter.add(1, {"node": node})
+
+
 def count_unproven_refusal(reason: str, node: str) -> None:
     """Count a refusal that does not prove that its request has not run."""
     counter = create_counter(
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -6,12 +6,11 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable
-import dataclasses
 import datetime
 import functools
 import random
 import time
-from typing import Any, Final, Protocol
+from typing import Any, Final
 
 from cicadahook.core import balancer as balancer_lib
 from cicadahook.core import clock as clock_lib
@@ -30,6 +29,7 @@
 from cicadahook.core import store_api
 from cicadahook.core import store_sources
 from cicadahook.core import stream_origins
+from cicadahook.core import terms
 from cicadahook.core import upstream_statements
 from cicadahook.core import version_records
 from cicadahook.net import active_request
@@ -40,6 +40,7 @@
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import node_peers
+from cicadahook.net import node_platform
 from cicadahook.net import order_sender
 from cicadahook.net import orderer
 from cicadahook.net import peer_probes
@@ -61,48 +62,6 @@
 logger: Final = logs.create_logger("node")
 
 
-class UpstreamClient(
-    upstream_links.LinkClient, order_sender.EngineApi, Protocol
-):
-    """Client of the upstreams for requests, orders and reports.
-
-    Attributes:
-        statement_listener: called with each answer's upstream, what it says
-            of itself and when the call was sent.
-    """
-
-    statement_listener: Callable[
-        [
-            inventory_lib.Instance,
-            upstream_statements.Statement,
-            datetime.datetime,
-        ],
-        None,
-    ]
-
-
-@dataclasses.dataclass(frozen=True)
-class Platform:
-    """Interfaces and key names of the platform that a node runs on.
-
-    Attributes:
-        store: the platform's store.
-        upstreams: client of the upstreams.
-        configuration_key: key of the operators' configuration.
-        instance_prefix: key prefix below which upstreams register themselves.
-        decode_configuration: decodes the value of `configuration_key`.
-        decode_instance: decodes an item below `instance_prefix`, given the
-            instance id.
-    """
-
-    store: store_api.Store
-    upstreams: UpstreamClient
-    configuration_key: str
-    instance_prefix: str
-    decode_configuration: Callable[[bytes], routes.Configuration]
-    decode_instance: Callable[[str, bytes], inventory_lib.Instance]
-
-
 class Node:
     """Creates and connects the components of one node, and runs its tasks.
 
@@ -122,7 +81,7 @@
     def __init__(
         self,
         settings: node_lifecycle.NodeSettings,
-        platform: Platform,
+        platform: node_platform.Platform,
         clock: clock_lib.Clock,
     ) -> None:
         self.settings = settings
@@ -224,7 +183,7 @@
                         self.roster,
                         lambda: bool(self.holder_state.fence),
                         self.is_store_current,
-                        lambda: self.relayed_store.revision,
+                        lambda: self.relayed_store.position,
                     ),
                     clock,
                 ),
@@ -246,7 +205,9 @@
             clock,
             self.has_active_holder,
             self.is_cut_off_from_engines,
+            is_granted=self.is_granted,
         )
+        platform.store.eras.listeners.append(self.apply_era)
         self.own_keys = store_listeners.OwnKeysListener(
             self.roster, self.holder_state, clock
         )
@@ -274,7 +235,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
 
     def _create_watcher(
-        self, platform: Platform, generator: random.Random
+        self, platform: node_platform.Platform, generator: random.Random
     ) -> store_watcher.Watcher:
         """Return the watcher that passes store changes to the components."""
         listeners: dict[str, store_watcher.StoreListener] = {
@@ -312,7 +273,7 @@
 
     def is_store_current(self) -> bool:
         """Whether the store answers and all registrations are known."""
-        is_listed = self.components.inventory.revision > 0
+        is_listed = self.components.inventory.position > store_api.ORIGIN
         return is_listed and self.watcher.is_connected
 
     def is_ready(self) -> bool:
@@ -351,6 +312,11 @@
         services = {each.name for each in configuration.list_engine_services()}
         return self.links.is_cut_off(services)
 
+    def apply_era(self, era: int) -> None:
+        """Give up what rests on an earlier era of the store."""
+        self.leadership.apply_era(era)
+        self.forwarder.resumption.recorder.apply_era()
+
     def apply_configuration(self, configuration: routes.Configuration) -> None:
         """Replace the configuration by a newer one."""
         self.forwarder.configuration = configuration
@@ -394,6 +360,9 @@
     def receive_status(self, status: roster_lib.NodeStatus) -> None:
         """Apply a status received from another node."""
         if self.roster.record_status(status, self.clock.now()):
+            self.relayed_store.store.eras.observe(
+                terms.find_era(status.newest_term)
+            )
             self.holder_state.record_term(status.newest_term)
             if status.grant.holder == self.settings.name:
                 self.grants.receive(
--- a/src/cicadahook/net/store_listeners.py
+++ b/src/cicadahook/net/store_listeners.py
@@ -71,21 +71,21 @@
         """Apply the configuration in the store, if it is newer."""
         del is_after_outage
         for item in listing.items:
-            self._apply_value(item.value, item.revision)
+            self._apply_value(item.value, item.position)
 
     def apply_changes(self, changes: store_api.Changes) -> None:
         """Apply each newer configuration among the changes."""
         for change in changes.changes:
             if change.value is not None:
-                self._apply_value(change.value, change.revision)
+                self._apply_value(change.value, change.position)
 
-    def _apply_value(self, value: bytes, revision: int) -> None:
+    def _apply_value(self, value: bytes, position: store_api.Position) -> None:
         try:
             configuration = self.decode(value)
         except errors.CicadaError as error:
             logger.warning(
                 "Configuration could not be decoded; it is ignored.",
-                extra={"error": str(error), "revision": revision},
+                extra={"error": str(error), "position": str(position)},
             )
             return
         if configuration.version <= self.version:
@@ -93,7 +93,10 @@
         self.version = configuration.version
         logger.info(
             "Configuration applied.",
-            extra={"version": configuration.version, "revision": revision},
+            extra={
+                "version": configuration.version,
+                "position": str(position),
+            },
         )
         self.apply(configuration)
 
@@ -125,11 +128,14 @@
             if (instance := self._decode(item.key, item.value)) is not None
         ]
         self.inventory.apply_snapshot(
-            instances, listing.revision, self.clock.now(), is_after_outage
+            instances, listing.position, self.clock.now(), is_after_outage
         )
         logger.info(
             "Upstreams listed.",
-            extra={"count": len(instances), "revision": listing.revision},
+            extra={
+                "count": len(instances),
+                "position": str(listing.position),
+            },
         )
         self.on_change()
 
@@ -148,13 +154,13 @@
                 "Upstream changed.",
                 extra={
                     "instance": name,
-                    "revision": change.revision,
+                    "position": str(change.position),
                     "is_leaving": instance.is_leaving if instance else None,
                     "software": instance.software if instance else None,
                     "models": sorted(instance.holdings) if instance else None,
                 },
             )
-        self.inventory.revision = changes.revision
+        self.inventory.position = changes.position
         self.on_change()
 
     def _decode(self, key: str, value: bytes) -> inventory_lib.Instance | None:
@@ -189,7 +195,7 @@
         """Replace all keys by those listed."""
         del is_after_outage
         self.items = {item.key: item for item in listing.items}
-        self._apply(listing.revision)
+        self._apply(listing.position)
 
     def apply_changes(self, changes: store_api.Changes) -> None:
         """Apply changes of single keys."""
@@ -198,17 +204,17 @@
                 self.items.pop(change.key, None)
             else:
                 self.items[change.key] = store_api.Item(
-                    change.key, change.value, change.revision
+                    change.key, change.value, change.position
                 )
-        self._apply(changes.revision)
+        self._apply(changes.position)
 
-    def _apply(self, revision: int) -> None:
+    def _apply(self, position: store_api.Position) -> None:
         self.roster.replace_registrations(self._decode_records())
         self.holder_state.observe_keys(
             self.items.get(order_holder.HOLDER_KEY),
             self.items.get(order_holder.TERM_KEY),
             self.items.get(order_holder.PAUSE_END_KEY),
-            revision,
+            position,
             self.clock.now(),
         )
         if self.holder_state.is_vacant():
--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-import dataclasses
 import datetime
 from typing import Final
 import zlib
@@ -24,6 +23,7 @@
 from cicadahook.core import store_sources
 from cicadahook.net import logs
 from cicadahook.net import metrics
+from cicadahook.net import store_relay_messages as messages
 
 CHANGES_PATH: Final = "/changes"
 # How long a watcher lets a follower wait for a change. Two that are frozen must
@@ -31,53 +31,10 @@
 MAX_WAIT: Final = datetime.timedelta(milliseconds=500)
 # Time for the way to another node and back.
 ANSWER_SLACK: Final = datetime.timedelta(milliseconds=400)
-MILLISECOND: Final = datetime.timedelta(milliseconds=1)
-COMPRESSION_LEVEL: Final = 1
-MAX_DECOMPRESSED_BYTES: Final = 32 * 1024 * 1024
 
 logger: Final = logs.create_logger("watch")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FollowRequest:
-    """A node's question for changes.
-
-    Attributes:
-        after: revision after which changes are wanted; -1 for all items.
-        wait_ms: how long to wait for a change.
-    """
-
-    after: int
-    wait_ms: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayedChange:
-    """A key that was written, or deleted if `value` is None."""
-
-    key: str
-    value: bytes | None
-    revision: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class FollowAnswer:
-    """Changes, or all items, up to a revision.
-
-    Attributes:
-        revision: the revision.
-        changes: the changes or items.
-        age_ms: how old this picture of the store may be, at the answer;
-            negative if not known, as with nodes of older builds.
-        waited_ms: time from the question to the answer.
-    """
-
-    revision: int
-    changes: tuple[RelayedChange, ...] = ()
-    age_ms: int = -1
-    waited_ms: int = 0
-
-
 class ChangeFeed:
     """Tells other nodes of changes that this one has watched itself.
 
@@ -118,7 +75,7 @@
         """Answer one question."""
         try:
             asked = msgspec.msgpack.decode(
-                await request.read(), type=FollowRequest
+                await request.read(), type=messages.FollowRequest
             )
         except (msgspec.MsgspecError, RecursionError) as error:
             return web.Response(status=400, text=str(error))
@@ -128,10 +85,11 @@
             return web.Response(status=410)
         except errors.KeyValueUnavailableError:
             return web.Response(status=503)
-        content = msgspec.msgpack.encode(answer)
-        return web.Response(body=zlib.compress(content, COMPRESSION_LEVEL))
+        return web.Response(body=messages.encode(answer))
 
-    async def answer(self, asked: FollowRequest) -> FollowAnswer:
+    async def answer(
+        self, asked: messages.FollowRequest
+    ) -> messages.FollowAnswer:
         """Return items or changes, waiting for a change if there is none.
 
         Raises:
@@ -142,11 +100,14 @@
         self._check_current()
         if asked.after < 0:
             listing = self.log.create_listing()
-            return self._create_answer(listing.revision, listing.items, began)
-        if self.log.revision <= asked.after:
+            return self._create_answer(listing.position, listing.items, began)
+        after = store_api.Position(asked.era, asked.after)
+        if asked.era > self.log.position.era:
+            raise errors.KeyValueUnavailableError("the store's era is newer")
+        if self.log.position <= after:
             wait = min(
                 MAX_WAIT,
-                max(0, asked.wait_ms) * MILLISECOND,
+                max(0, asked.wait_ms) * messages.MILLISECOND,
                 self.age.get_rest(picture_age.MAX_TOLD_AGE),
             )
             try:
@@ -154,28 +115,32 @@
                     await self.news.wait()
             except TimeoutError:
                 self._check_current()
-        changes = self.log.list_after(asked.after)
-        return self._create_answer(changes.revision, changes.changes, began)
+        changes = self.log.list_after(after)
+        return self._create_answer(changes.position, changes.changes, began)
 
     def _create_answer(
         self,
-        revision: int,
+        position: store_api.Position,
         rows: Iterable[store_api.Item | store_api.Change],
         began: datetime.datetime,
-    ) -> FollowAnswer:
+    ) -> messages.FollowAnswer:
         """Return an answer with items or changes."""
         age_ms = self.age.get_age_ms()
-        return FollowAnswer(
-            revision,
+        return messages.FollowAnswer(
+            position.revision,
             tuple(
-                RelayedChange(row.key, row.value, row.revision) for row in rows
+                messages.RelayedChange(
+                    row.key, row.value, row.position.revision
+                )
+                for row in rows
             ),
             -1 if age_ms is None else age_ms,
-            (self.age.clock.now() - began) // MILLISECOND,
+            (self.age.clock.now() - began) // messages.MILLISECOND,
+            position.era,
         )
 
     def _check_current(self) -> None:
-        if not self.is_current() or not self.log.revision:
+        if not self.is_current() or self.log.position == store_api.ORIGIN:
             raise errors.KeyValueUnavailableError("the store is not watched")
 
 
@@ -192,9 +157,9 @@
         age: how old this node's picture of the store may be.
         feed: tells other nodes of what this one learns.
         is_direct: whether the last answer came from the store itself.
-        revision: newest revision that was read; items of other nodes must not
+        position: newest position that was read; items of other nodes must not
             be older.
-        advanced: when that revision was read.
+        advanced: when that position was read.
     """
 
     def __init__(
@@ -211,7 +176,7 @@
         self.age = age
         self.feed = ChangeFeed(self.is_current, self.age)
         self.is_direct = False
-        self.revision = 0
+        self.position = store_api.ORIGIN
         self.advanced = self.clock.now()
 
     def is_current(self) -> bool:
@@ -239,58 +204,56 @@
             self._set_direct(False)
             for peer in self.sources.list_watchers(self.clock.now()):
                 sent = self.clock.now()
-                answer = await self._ask(peer, FollowRequest(-1))
-                if answer is not None and answer.revision >= self.revision:
+                answer = await self._ask(peer, messages.FollowRequest(-1))
+                if answer is not None and self._is_usable(answer):
                     self._confirm_told(answer, sent)
-                    return store_api.Listing(
-                        tuple(
-                            store_api.Item(each.key, each.value, each.revision)
-                            for each in answer.changes
-                            if each.value is not None
-                            and each.key.startswith(prefix)
-                        ),
-                        answer.revision,
-                    )
+                    return messages.create_listing(answer, prefix)
             raise
         self._confirm(sent)
-        self.revision, self.advanced = listing.revision, self.clock.now()
+        self.position, self.advanced = listing.position, self.clock.now()
         return listing
 
     async def watch(
-        self, prefix: str, revision: int, wait: datetime.timedelta
+        self,
+        prefix: str,
+        position: store_api.Position,
+        wait: datetime.timedelta,
     ) -> store_api.Changes:
-        """Return the changes after `revision`, waiting up to `wait` for one.
+        """Return the changes after `position`, waiting up to `wait` for one.
 
         Raises:
-            store_api.HistoryLostError: changes are missing.
+            store_api.HistoryLostError: changes are missing, or the store is in
+                a newer era.
             errors.KeyValueUnavailableError: nobody answered.
         """
+        if position.era < self.store.eras.current:
+            raise store_api.HistoryLostError(f"{position} is of an earlier era")
         for peer in self.sources.list_watchers(self.clock.now()):
             if self.age.exceeds(picture_age.MAX_FOLLOWED_AGE):
                 break
             self._set_direct(False)
-            changes = await self._follow(peer, revision, wait)
+            changes = await self._follow(peer, position, wait)
             if changes is not None:
                 metrics.count_watch_answer("node")
-                self._advance(changes.revision)
+                self._advance(changes.position)
                 return _select(changes, prefix)
         self._set_direct(True)
         wait = self.age.plan_watch(wait)
         sent = self.clock.now()
-        changes = await self.store.watch(prefix, revision, wait)
+        changes = await self.store.watch(prefix, position, wait)
         self._confirm(
             picture_age.find_end_of_silence(
                 sent, self.clock.now(), wait, is_empty=not changes.changes
             )
         )
-        self._advance(changes.revision)
+        self._advance(changes.position)
         metrics.count_watch_answer("store")
         return changes
 
     async def _follow(
         self,
         peer: roster_lib.NodeRecord,
-        revision: int,
+        position: store_api.Position,
         wait: datetime.timedelta,
     ) -> store_api.Changes | None:
         """Return the changes of which a watcher tells.
@@ -303,32 +266,37 @@
         )
         sent = self.clock.now()
         answer = await self._ask(
-            peer, FollowRequest(revision, wait // MILLISECOND)
+            peer,
+            messages.FollowRequest(
+                position.revision, wait // messages.MILLISECOND, position.era
+            ),
         )
         if answer is None:
             return None
-        as_of = _find_completeness(answer, sent)
-        is_behind = answer.revision < revision
+        if answer.era != position.era:
+            self._avoid(peer, position, f"era {answer.era}")
+            return None
+        as_of = messages.find_completeness(answer, sent)
+        is_behind = answer.position < position
         if is_behind and as_of is not None and as_of > self.advanced:
-            self._avoid(peer, revision, f"revision {answer.revision}")
+            self._avoid(peer, position, f"position {answer.position}")
             return None
         self._confirm_told(answer, sent)
         if not answer.changes and self.age.exceeds(
             picture_age.MAX_FOLLOWED_AGE
         ):
-            self._avoid(peer, revision, "picture too old")
+            self._avoid(peer, position, "picture too old")
             return None
-        return store_api.Changes(
-            tuple(
-                store_api.Change(each.key, each.value, each.revision)
-                for each in answer.changes
-            ),
-            answer.revision,
-        )
+        return messages.create_changes(answer)
+
+    def _is_usable(self, answer: messages.FollowAnswer) -> bool:
+        """Whether a watcher's items are no older than what is known."""
+        is_of_newest_era = answer.era >= self.store.eras.current
+        return is_of_newest_era and answer.position >= self.position
 
-    def _advance(self, revision: int) -> None:
-        if revision > self.revision:
-            self.revision, self.advanced = revision, self.clock.now()
+    def _advance(self, position: store_api.Position) -> None:
+        if position > self.position:
+            self.position, self.advanced = position, self.clock.now()
 
     def _set_direct(self, is_direct: bool) -> None:
         if is_direct != self.is_direct:
@@ -348,18 +316,18 @@
         self.age.confirm(as_of)
 
     def _confirm_told(
-        self, answer: FollowAnswer, sent: datetime.datetime
+        self, answer: messages.FollowAnswer, sent: datetime.datetime
     ) -> None:
         """Record up to when a watcher's answer makes the picture complete."""
-        as_of = _find_completeness(answer, sent)
+        as_of = messages.find_completeness(answer, sent)
         if as_of is not None:
             self._confirm(as_of)
 
     async def _ask(
-        self, peer: roster_lib.NodeRecord, question: FollowRequest
-    ) -> FollowAnswer | None:
+        self, peer: roster_lib.NodeRecord, question: messages.FollowRequest
+    ) -> messages.FollowAnswer | None:
         """Return a watcher's answer; avoid one that has none for a while."""
-        wait = question.wait_ms * MILLISECOND + ANSWER_SLACK
+        wait = question.wait_ms * messages.MILLISECOND + ANSWER_SLACK
         try:
             async with self.session.post(
                 f"http://{peer.peer_address}{CHANGES_PATH}",
@@ -367,7 +335,7 @@
                 timeout=aiohttp.ClientTimeout(wait.total_seconds()),
             ) as response:
                 if response.status == 200:
-                    return _decode(await response.read())
+                    return messages.decode(await response.read())
                 reason = f"status {response.status}"
         except (
             aiohttp.ClientError,
@@ -377,11 +345,16 @@
             ValueError,
         ) as error:
             reason = repr(error)
-        self._avoid(peer, question.after, reason)
+        self._avoid(
+            peer, store_api.Position(question.era, question.after), reason
+        )
         return None
 
     def _avoid(
-        self, peer: roster_lib.NodeRecord, revision: int, reason: str
+        self,
+        peer: roster_lib.NodeRecord,
+        position: store_api.Position,
+        reason: str,
     ) -> None:
         """Leave a watcher out for a while."""
         self.sources.avoid(peer.name, self.clock.now())
@@ -390,43 +363,15 @@
             extra={
                 "peer": peer.name,
                 "error": reason,
-                "revision": revision,
+                "position": str(position),
                 "picture_age_ms": self.age.get_age_ms(),
             },
         )
 
 
-def _find_completeness(
-    answer: FollowAnswer, sent: datetime.datetime
-) -> datetime.datetime | None:
-    """Return up to when an answer is certainly complete, if it tells.
-
-    Args:
-        answer: the answer of a watcher.
-        sent: when the question was sent.
-    """
-    if answer.age_ms < 0:
-        return None
-    return sent + (answer.waited_ms - answer.age_ms) * MILLISECOND
-
-
 def _select(changes: store_api.Changes, prefix: str) -> store_api.Changes:
     """Return the changes of keys that begin with `prefix`."""
     return store_api.Changes(
         tuple(each for each in changes.changes if each.key.startswith(prefix)),
-        changes.revision,
+        changes.position,
     )
-
-
-def _decode(data: bytes) -> FollowAnswer:
-    """Return the answer in `data`.
-
-    Raises:
-        ValueError: it is too long, or malformed; see also `zlib.error` and
-            `msgspec.MsgspecError`.
-    """
-    decompressor = zlib.decompressobj()
-    content = decompressor.decompress(data, MAX_DECOMPRESSED_BYTES)
-    if not decompressor.eof:
-        raise ValueError("cut off or too long")
-    return msgspec.msgpack.decode(content, type=FollowAnswer)
--- a/src/cicadahook/net/store_watcher.py
+++ b/src/cicadahook/net/store_watcher.py
@@ -46,9 +46,12 @@
         """Return all items whose key begins with `prefix`."""
 
     async def watch(
-        self, prefix: str, revision: int, wait: datetime.timedelta
+        self,
+        prefix: str,
+        position: store_api.Position,
+        wait: datetime.timedelta,
     ) -> store_api.Changes:
-        """Return the changes after `revision`, waiting up to `wait` for one."""
+        """Return the changes after `position`, waiting up to `wait` for one."""
 
 
 class PrefixFanout:
@@ -72,7 +75,7 @@
                 item for item in listing.items if item.key.startswith(prefix)
             )
             listener.apply_listing(
-                store_api.Listing(items, listing.revision),
+                store_api.Listing(items, listing.position),
                 is_after_outage=is_after_outage,
             )
 
@@ -85,7 +88,7 @@
                 if change.key.startswith(prefix)
             )
             if own:
-                listener.apply_changes(store_api.Changes(own, changes.revision))
+                listener.apply_changes(store_api.Changes(own, changes.position))
 
 
 class Watcher:
@@ -95,7 +98,7 @@
         store: the store to watch, or what stands for it.
         prefix: key prefix that is watched.
         listener: receives listings and changes.
-        revision: revision up to which the listener has all changes.
+        position: position up to which the listener has all changes.
         is_connected: whether the last call was answered.
         get_pause: returns the pause after changes, so that more are read by
             the next call.
@@ -116,7 +119,7 @@
         self.backoff = keyvalue_limits.Backoff(
             FIRST_PAUSE, LONGEST_PAUSE, generator
         )
-        self.revision = 0
+        self.position = store_api.ORIGIN
         self.is_connected = True
 
     async def run(self) -> None:
@@ -141,9 +144,15 @@
 
     async def _list(self, is_after_outage: bool) -> None:
         listing = await self.store.list_items(self.prefix)
-        self._record_answer(listing.revision)
-        self.listener.apply_listing(listing, is_after_outage=is_after_outage)
-        self.revision = listing.revision
+        self._record_answer(listing.position)
+        # What was written since the copy is written again, as after an outage.
+        is_after_loss = (
+            store_api.ORIGIN.era < self.position.era < (listing.position.era)
+        )
+        self.listener.apply_listing(
+            listing, is_after_outage=is_after_outage or is_after_loss
+        )
+        self.position = listing.position
 
     async def _follow(self) -> None:
         """Apply changes until the store is lost.
@@ -160,26 +169,26 @@
                     extra={
                         "prefix": self.prefix,
                         "error": str(error),
-                        "revision": self.revision,
+                        "position": str(self.position),
                     },
                 )
                 await self._watch(RETRY_WAIT)
 
     async def _watch(self, wait: datetime.timedelta) -> None:
-        changes = await self.store.watch(self.prefix, self.revision, wait)
-        self._record_answer(changes.revision)
+        changes = await self.store.watch(self.prefix, self.position, wait)
+        self._record_answer(changes.position)
         if changes.changes:
             self.listener.apply_changes(changes)
-        self.revision = max(self.revision, changes.revision)
+        self.position = max(self.position, changes.position)
         if changes.changes:
             await asyncio.sleep(self.get_pause().total_seconds())
 
-    def _record_answer(self, revision: int) -> None:
+    def _record_answer(self, position: store_api.Position) -> None:
         self.backoff.succeed()
         if not self.is_connected:
             logger.info(
                 "Store answers again.",
-                extra={"prefix": self.prefix, "revision": revision},
+                extra={"prefix": self.prefix, "position": str(position)},
             )
         self.is_connected = True
 
@@ -190,7 +199,7 @@
                 extra={
                     "prefix": self.prefix,
                     "error": str(error),
-                    "revision": self.revision,
+                    "position": str(self.position),
                 },
             )
         self.is_connected = False
--- a/src/cicadahook/net/version_recorder.py
+++ b/src/cicadahook/net/version_recorder.py
@@ -45,7 +45,7 @@
         roster: the other nodes.
         is_holder: whether this node is the holder of orders.
         is_current: whether the store answers this node.
-        get_revision: returns the revision that this node's picture has reached.
+        get_position: returns the position that this node's picture has reached.
     """
 
     origins: stream_origins.StreamOrigins
@@ -53,7 +53,7 @@
     roster: roster_lib.Roster
     is_holder: Callable[[], bool]
     is_current: Callable[[], bool]
-    get_revision: Callable[[], int]
+    get_position: Callable[[], store_api.Position]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,11 +62,11 @@
 
     Attributes:
         record: the record; None if there is none.
-        revision: revision of the store at the read.
+        position: position of the store at the read.
     """
 
     record: version_records.VersionRecord | None
-    revision: int
+    position: store_api.Position
 
 
 class VersionRecorder:
@@ -119,9 +119,13 @@
                 continue
             item = None
             if change.value is not None:
-                item = store_api.Item(change.key, change.value, change.revision)
+                item = store_api.Item(change.key, change.value, change.position)
             self.records.replace(item, self.clock.now())
 
+    def apply_era(self) -> None:
+        """Forget the lease for a new record; an older copy may lack it."""
+        self.lease = 0
+
     async def run(self) -> None:
         """Keep the record up to date until cancelled.
 
@@ -227,29 +231,31 @@
         if reading is None:
             return None
         if not is_recorded:
-            return await self._find_registered(service, reading.revision)
+            return await self._find_registered(service, reading.position)
         record = reading.record
         software = record.find_only(service) if record else None
         return self._confirm(service, software)
 
-    async def _find_registered(self, service: str, revision: int) -> str | None:
+    async def _find_registered(
+        self, service: str, position: store_api.Position
+    ) -> str | None:
         """Return the only version that was registered lately, if there is one.
 
         Args:
             service: name of the service.
-            revision: revision that the picture of the registrations must reach.
+            position: position that the picture of the registrations must reach.
         """
         try:
             async with asyncio.timeout(CATCH_UP_TIMEOUT.total_seconds()):
-                while self.inputs.get_revision() < revision:
+                while self.inputs.get_position() < position:
                     await asyncio.sleep(CATCH_UP_POLL.total_seconds())
         except TimeoutError:
             logger.info(
                 "Version not named; the picture of the store is behind.",
                 extra={
                     "service": service,
-                    "revision": revision,
-                    "own_revision": self.inputs.get_revision(),
+                    "position": str(position),
+                    "own_position": str(self.inputs.get_position()),
                 },
             )
             return None
@@ -286,6 +292,9 @@
         for item in listing.items:
             if item.key == version_records.RECORD_KEY:
                 return Reading(
-                    version_records.decode_record(item.value), listing.revision
+                    version_records.decode_record(
+                        item.value, listing.position.era
+                    ),
+                    listing.position,
                 )
-        return Reading(None, listing.revision)
+        return Reading(None, listing.position)
--- a/src/cicadahook/platform/caller_server.py
+++ b/src/cicadahook/platform/caller_server.py
@@ -115,9 +115,15 @@
             raise errors.RefusalError(
                 "malformed_header", str(error), 400
             ) from error
-        limit = self._get_read_limit(request, time_limit)
+        limit = self.limits.idle_timeout
+        if configuration := self.request_forwarder.configuration:
+            limit = configuration.get_read_limit(
+                headers.get("Host", ""), request.raw_path
+            )
+        if time_limit is not None:
+            limit = min(limit, time_limit)
         async with self.request_forwarder.drain.limit_body_read(
-            received + limit
+            received + limit - forwarder.ANSWER_MARGIN
         ):
             body = await self._read_body(request)
         end_to_end_headers = header_names.strip_reserved_headers(
@@ -137,24 +143,6 @@
             headers.get(header_names.RESUMED_REQUEST_ID, ""),
         )
 
-    def _get_read_limit(
-        self, request: web.BaseRequest, time_limit: datetime.timedelta | None
-    ) -> datetime.timedelta:
-        """Return the time within which a request must have been read.
-
-        It ends before the time limit of the route or the caller, so that a
-        refusal still reaches the caller in time.
-        """
-        configuration = self.request_forwarder.configuration
-        route = None
-        if configuration is not None:
-            host = request.headers.get("Host", "")
-            route = configuration.find_route(host, request.raw_path)
-        limit = route.timeout if route else self.limits.idle_timeout
-        if time_limit is not None:
-            limit = min(limit, time_limit)
-        return limit - forwarder.ANSWER_MARGIN
-
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         chunks: list[bytes] = []
         size = 0
--- a/src/cicadahook/platform/metadata_store.py
+++ b/src/cicadahook/platform/metadata_store.py
@@ -15,6 +15,9 @@
 CALL_TIMEOUT: Final = datetime.timedelta(seconds=1.5)
 WATCH_TIMEOUT_MARGIN: Final = datetime.timedelta(seconds=1.5)
 MAX_PAGES: Final = 100
+ERA_HEADER: Final = "Store-Era"
+# Fences, which carry the era, stay exact as JSON numbers of other programs.
+MAX_ERA: Final = 1 << 20
 
 Fields = dict[str, Any]
 AnswerT = TypeVar("AnswerT", bound=msgspec.Struct)
@@ -61,10 +64,15 @@
 
 
 class PlatformStore:
-    """Implements `store_api.Store` by the metadata store's HTTP calls."""
+    """Implements `store_api.Store` by the metadata store's HTTP calls.
+
+    Attributes:
+        eras: the newest era that the store or another node has named.
+    """
 
     def __init__(self, address: str) -> None:
         self.base_url = f"http://{address}"
+        self.eras = store_api.EraTracker()
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=0, socket_factory=sockets.create_factory()
@@ -78,62 +86,69 @@
     async def list_items(self, prefix: str) -> store_api.Listing:
         """Return all items below `prefix`, page by page.
 
-        The pages are not one snapshot. `revision` is that of the first page,
+        The pages are not one snapshot. The position is that of the first page,
         so that a watch from there returns what changed while they were read.
         """
         items: list[store_api.Item] = []
-        revision = 0
+        position: store_api.Position | None = None
         query = {"path_prefix": prefix}
         for _ in range(MAX_PAGES):
-            _, page = await self._call(
+            _, era, page = await self._call(
                 "GET", "/kv-range", PageFields, query=query
             )
             if page is None:
                 raise errors.KeyValueUnavailableError("GET /kv-range: no page")
-            items.extend(_create_item(fields) for fields in page.items)
-            revision = revision or page.at
+            position = position or store_api.Position(era, page.at)
+            if position.era != era:
+                raise errors.KeyValueUnavailableError("GET /kv-range: new era")
+            items.extend(_create_item(fields, era) for fields in page.items)
             if not page.has_more or not page.items:
                 break
             query["after"] = items[-1].key
-        return store_api.Listing(tuple(items), revision)
+        assert position is not None, "there is a first page"
+        return store_api.Listing(tuple(items), position)
 
     async def watch(
-        self, prefix: str, revision: int, wait: datetime.timedelta
+        self,
+        prefix: str,
+        position: store_api.Position,
+        wait: datetime.timedelta,
     ) -> store_api.Changes:
-        """Wait up to `wait` for changes below `prefix` after `revision`.
+        """Wait up to `wait` for changes below `prefix` after `position`.
 
         Raises:
             store_api.HistoryLostError: the store no longer has the changes
-                after `revision`.
+                after `position`, or is in another era.
         """
         query = {
             "path_prefix": prefix,
-            "after": str(revision),
+            "after": str(position.revision),
             "wait_ms": str(_to_ms(wait)),
         }
-        _, answer = await self._call(
+        _, era, answer = await self._call(
             "GET",
             "/kv-watch",
             WatchFields,
             query=query,
             timeout=wait + WATCH_TIMEOUT_MARGIN,
         )
-        if answer is None:
-            raise store_api.HistoryLostError(f"no history after {revision}")
-        changes = tuple(_create_change(event) for event in answer.events)
-        return store_api.Changes(changes, answer.at)
+        if answer is None or era != position.era:
+            raise store_api.HistoryLostError(f"era {era}, after {position}")
+        changes = tuple(_create_change(event, era) for event in answer.events)
+        return store_api.Changes(changes, store_api.Position(era, answer.at))
 
-    async def write(self, change: store_api.Write) -> int:
-        """Send a transaction and return the revision that it wrote.
+    async def write(self, change: store_api.Write) -> store_api.Position:
+        """Send a transaction and return the position that it wrote.
 
         Raises:
-            errors.KeyValueConflictError: an expected revision has changed.
+            errors.KeyValueConflictError: an expected position has changed.
             store_api.LeaseEndedError: a lease of the transaction has ended.
         """
+        change.check_era(self.eras.current)
         body = {
             "expected": [
-                {"key": key, "revision": revision}
-                for key, revision in change.expected
+                {"key": key, "revision": position.revision if position else 0}
+                for key, position in change.expected
             ],
             "set_keys": [
                 {
@@ -145,18 +160,18 @@
             ],
             "delete_keys": list(change.deletes),
         }
-        status, answer = await self._call(
+        status, era, answer = await self._call(
             "POST", "/kv-txn", WriteFields, body=body
         )
         if status == 412:
             raise errors.KeyValueConflictError(f"changed: {change.expected}")
         if answer is None:
             raise store_api.LeaseEndedError(f"a lease of {change.puts} ended")
-        return answer.revision
+        return store_api.Position(era, answer.revision)
 
     async def grant_lease(self, length: datetime.timedelta) -> int:
         """Create a lease of `length` and return its number."""
-        status, answer = await self._call(
+        status, _, answer = await self._call(
             "POST", "/kv-lease", LeaseFields, body={"ttl_ms": _to_ms(length)}
         )
         if answer is None:
@@ -171,7 +186,9 @@
         Raises:
             store_api.LeaseEndedError: the lease has ended.
         """
-        status, _ = await self._call("POST", f"/kv-keep/{lease}", EmptyFields)
+        status, _, _ = await self._call(
+            "POST", f"/kv-keep/{lease}", EmptyFields
+        )
         if status == 404:
             raise store_api.LeaseEndedError(f"lease {lease} has ended")
 
@@ -188,12 +205,12 @@
         query: dict[str, str] | None = None,
         body: Fields | None = None,
         timeout: datetime.timedelta = CALL_TIMEOUT,
-    ) -> tuple[int, AnswerT | None]:
-        """Return the status of one call, and its answer if it succeeded.
+    ) -> tuple[int, int, AnswerT | None]:
+        """Return status and era of one call, and its answer if it succeeded.
 
         Raises:
-            errors.KeyValueUnavailableError: there was no answer, or one that
-                leaves the outcome unknown.
+            errors.KeyValueUnavailableError: there was no answer, one that
+                leaves the outcome unknown, or one of an earlier era.
         """
         try:
             async with self.session.request(
@@ -208,11 +225,17 @@
                     raise errors.KeyValueUnavailableError(
                         f"{method} {path}: status {response.status}"
                     )
-                if response.status != 200:
-                    return response.status, None
-                return response.status, msgspec.json.decode(
-                    content.strip() or b"{}", type=answer_type
-                )
+                fields = None
+                if response.status == 200:
+                    fields = msgspec.json.decode(
+                        content.strip() or b"{}", type=answer_type
+                    )
+                era = _decode_era(response.headers.get(ERA_HEADER))
+                if not self.eras.observe(era):
+                    raise errors.KeyValueUnavailableError(
+                        f"{method} {path}: answer of the earlier era {era}"
+                    )
+                return response.status, era, fields
         except (
             aiohttp.ClientError,
             OSError,
@@ -228,13 +251,29 @@
     return int(duration.total_seconds() * 1000)
 
 
-def _create_item(fields: ItemFields) -> store_api.Item:
-    return store_api.Item(fields.key, _decode_value(fields), fields.revision)
+def _decode_era(header: str | None) -> int:
+    """Return the era that an answer names.
+
+    Raises:
+        ValueError: the header is malformed or out of range.
+    """
+    if header is None:
+        return store_api.FIRST_ERA
+    era = int(header)
+    if not 0 <= era <= MAX_ERA:
+        raise ValueError(f"era out of range: {header}")
+    return max(era, store_api.FIRST_ERA)
+
+
+def _create_item(fields: ItemFields, era: int) -> store_api.Item:
+    position = store_api.Position(era, fields.revision)
+    return store_api.Item(fields.key, _decode_value(fields), position)
 
 
-def _create_change(fields: ItemFields) -> store_api.Change:
+def _create_change(fields: ItemFields, era: int) -> store_api.Change:
     value = None if fields.deleted else _decode_value(fields)
-    return store_api.Change(fields.key, value, fields.revision)
+    position = store_api.Position(era, fields.revision)
+    return store_api.Change(fields.key, value, position)
 
 
 def _decode_value(fields: ItemFields) -> bytes:
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -1,6 +1,5 @@
 """Client of upstreams: callers' requests, orders and engine reports."""
 
-import asyncio
 from collections.abc import AsyncIterator, Callable, Iterator
 import contextlib
 import datetime
@@ -16,6 +15,7 @@
 from cicadahook.core import inventory
 from cicadahook.core import upstream_statements
 from cicadahook.net import connection_pools
+from cicadahook.net import link_probe
 from cicadahook.net import logs
 from cicadahook.net import upstream_answers
 from cicadahook.platform import answer_heads
@@ -25,7 +25,6 @@
 # An engine answers an order at once, and a repeated order does no harm, so
 # the time limit can be short.
 ORDER_TIMEOUT: Final = datetime.timedelta(milliseconds=120)
-PROBE_TIMEOUT: Final = datetime.timedelta(milliseconds=500)
 REPORT_TIMEOUT: Final = datetime.timedelta(milliseconds=1000)
 SKIPPED_AUTO_HEADERS: Final = (
     "User-Agent",
@@ -165,23 +164,7 @@
 
     async def probe(self, instance: inventory.Instance) -> forwarding.LinkEvent:
         """Return what a new connection shows of the link to an upstream."""
-        host, port = instance.address.rsplit(":", 1)
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT.total_seconds()):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except OSError as error:
-            logger.info(
-                "Probe of an upstream not answered.",
-                extra={"instance": instance.id, "error": repr(error)},
-            )
-            if (
-                isinstance(error, TimeoutError)
-                or error.errno in upstream_answers.UNANSWERED
-            ):
-                return forwarding.LinkEvent.SILENT
-            return forwarding.LinkEvent.REFUSED
-        writer.close()
-        return forwarding.LinkEvent.CONNECTED
+        return await link_probe.probe(instance)
 
     async def send_order(
         self, instance: inventory.Instance, order: engine_orders.Order
--- a/src/cicadahook/programs/node_daemon.py
+++ b/src/cicadahook/programs/node_daemon.py
@@ -19,6 +19,7 @@
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import node as node_lib
+from cicadahook.net import node_platform
 from cicadahook.platform import caller_server
 from cicadahook.platform import messages
 from cicadahook.platform import metadata_store
@@ -57,7 +58,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._log_reload_request)
         store = metadata_store.PlatformStore(self.settings.store_address)
         client = upstream_client.UpstreamClient(self.clock)
-        platform = node_lib.Platform(
+        platform = node_platform.Platform(
             store,
             client,
             messages.CONFIGURATION_KEY,
--- a/tests/node_links.py
+++ b/tests/node_links.py
@@ -240,7 +240,11 @@
             content[field] = [
                 self._translate(row) for row in content.get(field, ())
             ]
-        return web.json_response(content, status=response.status)
+        return web.json_response(
+            content,
+            status=response.status,
+            headers=node_store.create_headers(self.store.era),
+        )
 
     def _translate(self, row: dict[str, Any]) -> dict[str, Any]:
         if not row["key"].startswith("servers/") or "value" not in row:
--- a/tests/node_process.py
+++ b/tests/node_process.py
@@ -29,7 +29,7 @@
 [bounds]
 ttl_max_s = 5
 grace_period_s = {grace_seconds}
-lease_ms = 300
+lease_ms = {lease_ms}
 retry_budget_ratio = 0.2
 retry_budget_slack = 50
 budget_window_s = 10
@@ -59,6 +59,7 @@
         store: `host:port` of the platform's store.
         folder: directory of its settings and its log.
         grace_seconds: time from a stop signal to the kill.
+        lease_ms: minimum time between orders of two holders.
         source: import path of the build that it runs; None for this one.
         child: the process, once started.
         killed_at: when it is killed unless it has ended, on the event loop's
@@ -72,6 +73,7 @@
     store: str
     folder: pathlib.Path
     grace_seconds: float = 2.0
+    lease_ms: int = 300
     source: pathlib.Path | None = None
     child: asyncio.subprocess.Process | None = None
     killed_at: float | None = None
@@ -116,6 +118,7 @@
                 peer_port=self.base + 3,
                 store=self.store,
                 grace_seconds=self.grace_seconds,
+                lease_ms=self.lease_ms,
                 is_first_start=str(self.child is None).lower(),
             ),
             encoding="utf-8",
--- a/tests/node_store.py
+++ b/tests/node_store.py
@@ -2,13 +2,37 @@
 
 import asyncio
 import base64
+import copy
 import dataclasses
 import json
-from typing import Any
+from typing import Any, Final
 
 from aiohttp import web
 
 Fields = dict[str, Any]
+ERA_HEADER: Final = "Store-Era"
+
+
+def create_headers(era: int) -> dict[str, str]:
+    """Return the headers of an answer."""
+    return {ERA_HEADER: str(era)}
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """A copy from which the store may return.
+
+    Attributes:
+        items: fields of each key.
+        log: the changes that it still knows.
+        revision: its revision.
+        lengths: length in seconds of each lease that has not ended.
+    """
+
+    items: dict[str, Fields]
+    log: list[Fields]
+    revision: int
+    lengths: dict[int, float]
 
 
 @dataclasses.dataclass
@@ -37,6 +61,7 @@
         leases: timers of the expiry of each lease.
         lengths: length of each lease in seconds.
         changed: notified of each change.
+        era: rises each time that it returns from a copy.
     """
 
     def __init__(self) -> None:
@@ -48,6 +73,7 @@
         self.lengths: dict[int, float] = {}
         self.next_lease = 70
         self.changed = asyncio.Condition()
+        self.era = 1
         self.faults = StoreFaults()
 
     def put(self, key: str, value: Any, lease: int = 0) -> int:
@@ -76,13 +102,58 @@
             )
             self._wake()
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of all that it holds now."""
+        lengths = {lease: self.lengths[lease] for lease in self.leases}
+        return StoreCopy(
+            copy.deepcopy(self.items), list(self.log), self.revision, lengths
+        )
+
+    def come_back(self, earlier: StoreCopy) -> None:
+        """Return from a copy: what was written since, and leases, are lost.
+
+        The operator and the upstreams write again what they wrote.
+        """
+        written = {
+            key: item
+            for key, item in self.items.items()
+            if not key.startswith("cicada/")
+        }
+        for handle in self.leases.values():
+            handle.cancel()
+        self.leases.clear()
+        self.items = copy.deepcopy(earlier.items)
+        self.log = list(earlier.log)
+        self.oldest = min(self.oldest, earlier.revision)
+        self.revision = earlier.revision
+        self.lengths = dict(earlier.lengths)
+        self.next_lease = max(earlier.lengths, default=70)
+        self.era += 1
+        for lease in earlier.lengths:
+            self._start(lease)
+        for key, item in written.items():
+            self.put(key, base64.b64decode(item["value"]))
+        self._wake()
+
+    async def run_drill(self, earlier: StoreCopy, away_seconds: float) -> None:
+        """Be away for a moment and return from a copy."""
+        self.faults.is_down = True
+        await asyncio.sleep(away_seconds)
+        self.come_back(earlier)
+        self.faults.is_down = False
+
     def compact(self) -> None:
         """Remove the history of changes."""
         self.oldest = self.revision
         self.log.clear()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer one call."""
+        """Answer one call; each answer names the era in which it was made."""
+        response = await self._answer(request)
+        response.headers[ERA_HEADER] = str(self.era)
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.Response:
         if self.faults.is_down:
             return web.Response(status=503)
         if request.path == "/kv-range":
@@ -118,7 +189,7 @@
     async def _watch(self, request: web.BaseRequest) -> web.Response:
         prefix = request.query["path_prefix"]
         after = int(request.query["after"])
-        if after < self.oldest:
+        if not self.oldest <= after <= self.revision:
             return web.Response(status=410)
 
         def find() -> list[Fields]:
@@ -136,7 +207,7 @@
                     )
         except TimeoutError:
             pass
-        if after < self.oldest:
+        if not self.oldest <= after <= self.revision:
             return web.Response(status=410)
         return web.json_response({"events": find(), "at": self.revision})
 
--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -137,6 +137,7 @@
         models: adapters that it holds, by model.
         sequence: number of accepted orders.
         orders: bodies of received orders.
+        order_times: when they came, by the event loop's clock.
         running: number of requests in progress.
         events: number of events in a stream.
         event_seconds: time between events.
@@ -161,6 +162,7 @@
     rest: float | str | None = None
     says_leaving: bool = False
     software: str = "v1"
+    is_busy: bool = False
     stray: str = ""
 
     def __init__(self, name: str, service: str) -> None:
@@ -171,6 +173,7 @@
         self.models: dict[str, set[str]] = {}
         self.sequence = 0
         self.orders: list[dict[str, Any]] = []
+        self.order_times: list[float] = []
         self.running = 0
         self.events = 5
         self.event_seconds = 0.01
@@ -179,7 +182,6 @@
         self.state = "ready"
         self.born = 1_700_000_000_000
         self.is_silent = False
-        self.is_busy = False
         self.limit: float | str | None = None
         self.calls: list[float] = []
         self.crash_state = CrashState()
@@ -414,6 +416,7 @@
 
     def _order(self, order: dict[str, Any]) -> web.Response:
         self.orders.append(order)
+        self.order_times.append(asyncio.get_running_loop().time())
         if order.get("expected", self.sequence) != self.sequence:
             return web.Response(status=409)
         model, adapter = order["model"], order.get("adapter")
--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -21,6 +21,7 @@
 from cicadahook.net import store_watcher
 from cicadahook.platform import caller_server
 from cicadahook.platform import metadata_store
+import store_positions
 
 HOST = "127.0.0.1"
 ZONES = 3
@@ -36,14 +37,15 @@
 
     def __init__(self) -> None:
         self.log = change_log.ChangeLog()
-        self.log.apply_listing(store_api.Listing((), 1))
+        self.log.apply_listing(store_api.Listing((), store_positions.at(1)))
         self.news = asyncio.Event()
 
     def put(self, key: str, value: bytes | None = b"v") -> float:
         """Write or delete a key; return when this was acknowledged."""
-        revision = self.log.revision + 1
-        change = store_api.Change(key, value, revision)
-        self.log.apply_changes(store_api.Changes((change,), revision))
+        now = self.log.position
+        position = store_positions.at(now.revision + 1, now.era)
+        change = store_api.Change(key, value, position)
+        self.log.apply_changes(store_api.Changes((change,), position))
         self.news.set()
         self.news = asyncio.Event()
         return asyncio.get_running_loop().time()
@@ -59,6 +61,7 @@
 
     def __init__(self, store: Store) -> None:
         self.store = store
+        self.eras = store_api.EraTracker()
         self.is_silent = False
         self.watches = 0
         self.cuts = asyncio.Event()
@@ -75,7 +78,10 @@
         return self.store.log.create_listing()
 
     async def watch(
-        self, prefix: str, revision: int, wait: datetime.timedelta
+        self,
+        prefix: str,
+        position: store_api.Position,
+        wait: datetime.timedelta,
     ) -> store_api.Changes:
         """Return the changes after a revision."""
         del prefix
@@ -84,9 +90,9 @@
         sent = loop.time()
         limit = wait + metadata_store.WATCH_TIMEOUT_MARGIN
         await self._check(limit)
-        if revision > self.store.log.revision:
+        if position > self.store.log.position:
             raise store_api.HistoryLostError("no such revision")
-        if self.store.log.revision <= revision:
+        if self.store.log.position <= position:
             news = asyncio.ensure_future(self.store.news.wait())
             cut = asyncio.ensure_future(self.cuts.wait())
             await asyncio.wait(
@@ -102,7 +108,7 @@
                 raise errors.KeyValueUnavailableError("reset")
         elapsed = datetime.timedelta(seconds=loop.time() - sent)
         await self._check(limit - elapsed)
-        return self.store.log.list_after(revision)
+        return self.store.log.list_after(position)
 
     async def _check(self, limit: datetime.timedelta) -> None:
         if self.is_silent:
--- a/tests/test_holder_and_roster.py
+++ b/tests/test_holder_and_roster.py
@@ -15,6 +15,7 @@
 from cicadahook.core import route_durations
 from cicadahook.core import store_api
 from cicadahook.net import holder_lease
+import store_positions
 
 NOW = clock_lib.EPOCH
 PAUSE = LEASE = datetime.timedelta(seconds=3)
@@ -62,25 +63,27 @@
 ) -> None:
     """The node sends at once if its last process was allowed to send."""
     holder_state = create_holder_state("n1")
-    left = store_api.Item(order_holder.HOLDER_KEY, b"n1 1", 5)
-    term = store_api.Item(order_holder.TERM_KEY, b"n1 1", 5)
-    pause_end = store_api.Item(order_holder.PAUSE_END_KEY, b"n1 1", 6)
+    at = store_positions.at
+    left = store_api.Item(order_holder.HOLDER_KEY, b"n1 1", at(5))
+    term = store_api.Item(order_holder.TERM_KEY, b"n1 1", at(5))
+    pause_end = store_api.Item(order_holder.PAUSE_END_KEY, b"n1 1", at(6))
     holder_state.observe_keys(
-        left, term, pause_end if is_pause_over else None, 7, NOW
+        left, term, pause_end if is_pause_over else None, at(7), NOW
     )
     holder_state.record_renewal(NOW)
     write = holder_state.propose(1, NOW)
     assert write is not None, "the key of the last process must not block it"
-    assert write.expected[0] == (order_holder.HOLDER_KEY, 5)
-    holder_state.record_won_term(8, NOW)
+    assert write.expected[0] == (order_holder.HOLDER_KEY, at(5))
+    holder_state.record_won_term(write, at(8), NOW)
     assert holder_state.can_send(NOW, is_granted=False) is expected
 
 
 def test_last_holder_has_priority_when_all_nodes_start() -> None:
     """Another node becomes holder only after `LAST_HOLDER_HEAD_START`."""
     holder_state = create_holder_state("n2")
-    term = store_api.Item(order_holder.TERM_KEY, b"n1 1", 5)
-    holder_state.observe_keys(None, term, None, 7, NOW)
+    at = store_positions.at
+    term = store_api.Item(order_holder.TERM_KEY, b"n1 1", at(5))
+    holder_state.observe_keys(None, term, None, at(7), NOW)
     later = NOW + order_holder.LAST_HOLDER_HEAD_START
     holder_state.record_renewal(later)
     assert holder_state.propose(1, NOW) is None
@@ -98,15 +101,18 @@
 def test_handover_pause_is_not_skipped_on_reelection() -> None:
     """A process that becomes holder again completes the pause it began."""
     holder_state = create_holder_state("n1")
-    term = store_api.Item(order_holder.TERM_KEY, b"n2 1", 5)
-    holder_state.observe_keys(None, term, None, 5, NOW)
+    at = store_positions.at
+    term = store_api.Item(order_holder.TERM_KEY, b"n2 1", at(5))
+    holder_state.observe_keys(None, term, None, at(5), NOW)
     holder_state.record_renewal(NOW)
-    holder_state.record_won_term(6, NOW)
+    write = holder_state.propose(1, NOW + order_holder.LAST_HOLDER_HEAD_START)
+    assert write is not None, "there is no holder"
+    holder_state.record_won_term(write, at(6), NOW)
     due = holder_state.may_send_from
-    own = store_api.Item(order_holder.TERM_KEY, holder_state.value, 6)
+    own = store_api.Item(order_holder.TERM_KEY, holder_state.value, at(6))
     again = NOW + datetime.timedelta(seconds=1)
-    holder_state.observe_keys(None, own, None, 7, again)
-    holder_state.record_won_term(8, again)
+    holder_state.observe_keys(None, own, None, at(7), again)
+    holder_state.record_won_term(write, at(8), again)
     assert holder_state.may_send_from == due
 
 
--- a/tests/test_holder_stateful.py
+++ b/tests/test_holder_stateful.py
@@ -1,8 +1,8 @@
 """Stateful test of the order holder over three nodes and the store.
 
 All sends are recorded: sends of two nodes must lie at least the handover pause
-apart and fences must never decrease, whichever nodes are paused, leases lapse
-or statuses arrive late.
+apart and fences must never decrease, whichever nodes are paused, leases lapse,
+statuses arrive late or writes are lost as the store returns from an older copy.
 """
 
 from collections.abc import Callable
@@ -19,11 +19,30 @@
 from cicadahook.core import order_holder
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import store_api
+from cicadahook.core import terms
 
 PAUSE = datetime.timedelta(seconds=3)
 LEASE = datetime.timedelta(seconds=3)
 NAMES = ("n1", "n2", "n3")
-FAULTS = ("", "", "", "no_renewal", "no_view", "lost_answer")
+FAULTS = ("", "", "", "no_renewal", "no_view", "lost_answer", "late_write")
+MAX_COPIES = 40
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreState:
+    """What the store holds.
+
+    Attributes:
+        revision: revision of the last change.
+        items: items by key.
+        lease_ends: when each lease ends, by its number.
+        holder_lease: lease of the holder's key.
+    """
+
+    revision: int
+    items: dict[str, store_api.Item]
+    lease_ends: dict[int, datetime.datetime]
+    holder_lease: int
 
 
 @dataclasses.dataclass
@@ -35,6 +54,14 @@
     grants: grants.ReceivedGrants
     number: int = 0
     has_left: bool = False
+    lease: int = 0
+
+    def hear_era(self, era: int, now: datetime.datetime) -> None:
+        """Process the era that an answer or another node's status names."""
+        needed = self.roster.list_required_granters(now)
+        is_granted = self.grants.is_complete(needed, now)
+        if self.holder_state.record_era(era, now, is_granted=is_granted):
+            self.lease = 0
 
     def can_send(self, now: datetime.datetime) -> bool:
         """Return whether the node may send an order by its own knowledge."""
@@ -66,6 +93,7 @@
     ) -> None:
         """Process another node's status."""
         if self.roster.record_status(status, now):
+            self.hear_era(terms.find_era(status.newest_term), now)
             self.holder_state.record_term(status.newest_term)
             if status.grant.holder == self.holder_state.name:
                 self.grants.receive(
@@ -81,8 +109,12 @@
         self.now = clock_lib.EPOCH
         self.revision = 1
         self.items: dict[str, store_api.Item] = {}
-        self.owner = ""
-        self.lease_ends: dict[str, datetime.datetime] = {}
+        self.era = store_api.FIRST_ERA
+        self.holder_lease = 0
+        self.lease_ends: dict[int, datetime.datetime] = {}
+        self.next_lease = 0
+        self.copies: list[StoreState] = []
+        self.late_writes: list[tuple[store_api.Write, int]] = []
         self.nodes = {name: self._create(name) for name in NAMES}
         self.sends: list[tuple[datetime.datetime, str, int]] = []
         self.is_store_up = True
@@ -103,13 +135,77 @@
         )
         return SimulatedNode(holder_state, known, grants.ReceivedGrants())
 
+    @property
+    def owner(self) -> str:
+        """Name of the node that the holder's key names; empty if none."""
+        item = self.items.get(order_holder.HOLDER_KEY)
+        return "" if item is None else item.value.split()[0].decode()
+
     def _expire(self) -> None:
-        end = self.lease_ends.get(self.owner)
+        end = self.lease_ends.get(self.holder_lease)
         if self.owner and (end is None or end <= self.now):
             self.items.pop(order_holder.HOLDER_KEY, None)
-            self.owner = ""
             self.revision += 1
 
+    def _copy(self) -> StoreState:
+        return StoreState(
+            self.revision,
+            dict(self.items),
+            dict(self.lease_ends),
+            self.holder_lease,
+        )
+
+    @stateful.rule(back=st.integers(0, MAX_COPIES), is_expired=st.booleans())
+    def restore(self, back: int, is_expired: bool) -> None:
+        """Let the store return from a copy, with or without its leases."""
+        if not self.copies:
+            return
+        copy = self.copies[-min(back + 1, len(self.copies))]
+        self.era += 1
+        self.revision = copy.revision
+        self.items = {
+            key: store_api.Item(
+                key,
+                item.value,
+                store_api.Position(self.era, item.position.revision),
+            )
+            for key, item in copy.items.items()
+        }
+        self.holder_lease = copy.holder_lease
+        self.lease_ends = {
+            lease: end if is_expired else self.now + LEASE
+            for lease, end in copy.lease_ends.items()
+        }
+        self.next_lease = max(copy.lease_ends, default=0)
+        self.is_store_up = True
+
+    @stateful.rule(
+        back=st.integers(0, MAX_COPIES),
+        is_expired=st.booleans(),
+        rounds=st.integers(1, 40),
+    )
+    def restore_unseen(self, back: int, is_expired: bool, rounds: int) -> None:
+        """Let the store return while its holder hears of nothing."""
+        self.is_store_up = True
+        self.run_undisturbed(3)
+        holder = self.owner
+        self.restore(back, is_expired)
+        for _ in range(rounds):
+            self.run_nodes([n for n in NAMES if n != holder], 200, "", True)
+            if holder:
+                self._send(holder)
+            self.sends_keep_the_pause()
+
+    @stateful.rule()
+    def execute_late_writes(self) -> None:
+        """Carry out calls that got no answer, where their condition holds."""
+        for write, lease in self.late_writes:
+            end = self.lease_ends.get(lease)
+            if self._is_possible(write) and end is not None and end > self.now:
+                self._write(write)
+                self.holder_lease = lease
+        self.late_writes.clear()
+
     @stateful.rule(
         running=st.lists(st.sampled_from(NAMES), max_size=3, unique=True),
         ms=st.integers(50, 900),
@@ -122,6 +218,7 @@
         """Advance the time, then let the running nodes do their work."""
         self.now += datetime.timedelta(milliseconds=ms)
         self._expire()
+        self.copies = [*self.copies[-MAX_COPIES:], self._copy()]
         if not is_cut:
             self._exchange_statuses(running)
             self._exchange_statuses(running)
@@ -133,7 +230,7 @@
                 self._renew(name)
             if fault != "no_view":
                 self._observe_keys(name)
-            self._propose(name, fault != "lost_answer")
+            self._propose(name, fault)
             self._end_pause(name)
             self._end_term(name)
             self._send(name)
@@ -215,50 +312,65 @@
             self.run_nodes(others, 200, "", True)
 
     def _renew(self, name: str) -> None:
-        node = self.nodes[name].holder_state
+        node = self.nodes[name]
+        node.hear_era(self.era, self.now)
         sent = self.now
-        end = self.lease_ends.get(name)
-        if end is not None and end <= self.now:
-            node.record_lease_end()
-        self.lease_ends[name] = self.now + LEASE
+        end = self.lease_ends.get(node.lease)
+        if end is None or end <= self.now:
+            node.holder_state.record_lease_end()
+            self.next_lease += 1
+            node.lease = self.next_lease
+        self.lease_ends[node.lease] = self.now + LEASE
         self.now += datetime.timedelta(milliseconds=20)
-        node.record_renewal(sent)
+        node.holder_state.record_renewal(sent)
 
     def _observe_keys(self, name: str) -> None:
+        self.nodes[name].hear_era(self.era, self.now)
         self.nodes[name].holder_state.observe_keys(
             self.items.get(order_holder.HOLDER_KEY),
             self.items.get(order_holder.TERM_KEY),
             self.items.get(order_holder.PAUSE_END_KEY),
-            self.revision,
+            store_api.Position(self.era, self.revision),
             self.now,
         )
 
-    def _propose(self, name: str, is_answered: bool) -> None:
-        node = self.nodes[name].holder_state
-        write = node.propose(1, self.now)
-        if self.nodes[name].roster.find_holder(self.now) is not None:
+    def _propose(self, name: str, fault: str) -> None:
+        node = self.nodes[name]
+        if node.roster.find_holder(self.now) is not None or not node.lease:
             return
-        end = self.lease_ends.get(name)
-        if write is None or end is None or end <= self.now:
+        write = node.holder_state.propose(node.lease, self.now)
+        if write is None:
             return
-        if not self._is_possible(write):
+        if fault == "late_write":
+            self.late_writes.append((write, node.lease))
+            return
+        end = self.lease_ends.get(node.lease)
+        if end is None or end <= self.now or not self._is_possible(write):
             return
         self._write(write)
-        self.owner = name
-        if is_answered:
-            node.record_won_term(self.revision, self.now)
+        self.holder_lease = node.lease
+        if fault != "lost_answer":
+            node.hear_era(self.era, self.now)
+            node.holder_state.record_won_term(
+                write, store_api.Position(self.era, self.revision), self.now
+            )
 
     def _is_possible(self, write: store_api.Write) -> bool:
-        return all(
-            (item.revision if (item := self.items.get(key)) else 0) == revision
-            for key, revision in write.expected
-        )
+        """Compare revisions, as the store does: it knows no positions."""
+        for key, position in write.expected:
+            item = self.items.get(key)
+            revision = item.position.revision if item else 0
+            if revision != (position.revision if position else 0):
+                return False
+        return True
 
     def _write(self, write: store_api.Write) -> None:
         self.revision += 1
         for put in write.puts:
             self.items[put.key] = store_api.Item(
-                put.key, put.value, self.revision
+                put.key,
+                put.value,
+                store_api.Position(self.era, self.revision),
             )
         for key in write.deletes:
             self.items.pop(key, None)
@@ -272,7 +384,6 @@
         write = self.nodes[name].holder_state.propose_end_of_term()
         if write is not None and self._is_possible(write):
             self._write(write)
-            self.owner = ""
 
     def _send(self, name: str) -> None:
         node = self.nodes[name]
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -20,6 +20,7 @@
 from cicadahook.core import retry_budget
 from cicadahook.core import roster
 from cicadahook.core import routes
+import store_positions
 
 SECOND = datetime.timedelta(seconds=1)
 MS = datetime.timedelta(milliseconds=1)
@@ -134,8 +135,12 @@
     registrations = inventory.Inventory()
     now = clock_lib.EPOCH
     both = [create_instance("a"), create_instance("b")]
-    registrations.apply_snapshot(both, 5, now, is_after_outage=False)
-    registrations.apply_snapshot(both[:1], 9, now, is_after_outage=True)
+    registrations.apply_snapshot(
+        both, store_positions.at(5), now, is_after_outage=False
+    )
+    registrations.apply_snapshot(
+        both[:1], store_positions.at(9), now, is_after_outage=True
+    )
     assert registrations.find_usable("b") is not None
     registrations.drop_expired(now + 1.9 * SECOND)
     assert registrations.find_usable("b") is not None
@@ -147,10 +152,10 @@
     registrations = inventory.Inventory()
     both = [create_instance("a"), create_instance("b")]
     registrations.apply_snapshot(
-        both, 5, clock_lib.EPOCH, is_after_outage=False
+        both, store_positions.at(5), clock_lib.EPOCH, is_after_outage=False
     )
     registrations.apply_snapshot(
-        both[:1], 9, clock_lib.EPOCH, is_after_outage=False
+        both[:1], store_positions.at(9), clock_lib.EPOCH, is_after_outage=False
     )
     assert [entry.id for entry in registrations.list_usable("s")] == ["a"]
 
@@ -158,9 +163,11 @@
 def test_ignores_an_older_listing() -> None:
     registrations = inventory.Inventory()
     registrations.apply_snapshot(
-        [create_instance("a")], 9, clock_lib.EPOCH, False
+        [create_instance("a")], store_positions.at(9), clock_lib.EPOCH, False
+    )
+    registrations.apply_snapshot(
+        [], store_positions.at(5), clock_lib.EPOCH, False
     )
-    registrations.apply_snapshot([], 5, clock_lib.EPOCH, False)
     assert registrations.find_usable("a") is not None
 
 
--- a/tests/test_orderer.py
+++ b/tests/test_orderer.py
@@ -25,6 +25,7 @@
 from cicadahook.net import clock as clock_lib
 from cicadahook.net import order_sender
 from cicadahook.net import orderer as orderer_lib
+import store_positions
 
 MS = datetime.timedelta(milliseconds=1)
 SIZES = {"a": 30.0, "b": 40.0, "c": 50.0, "d": 35.0, "e": 45.0}
@@ -242,13 +243,16 @@
     holder_state = order_holder.HolderStateMachine(
         "n1", "1", MS, datetime.timedelta(minutes=10)
     )
-    holder_state.observe_keys(None, None, None, 1, clock.now())
+    holder_state.observe_keys(
+        None, None, None, store_positions.at(1), clock.now()
+    )
     holder_state.record_renewal(clock.now())
+    won = store_positions.at(2)
     holder_state.observe_keys(
-        store_api.Item(order_holder.HOLDER_KEY, holder_state.value, 2),
-        store_api.Item(order_holder.TERM_KEY, holder_state.value, 2),
+        store_api.Item(order_holder.HOLDER_KEY, holder_state.value, won),
+        store_api.Item(order_holder.TERM_KEY, holder_state.value, won),
         None,
-        2,
+        won,
         clock.now(),
     )
     orderer = orderer_lib.Orderer(
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -176,7 +176,7 @@
     ):
         with pytest.raises(messages.MessageError):
             decode(value)
-    assert version_records.decode_record(value) is None
+    assert version_records.decode_record(value, 1) is None
     with pytest.raises(codec.DecodeError):
         status_codec.decode(value)
 
--- a/tests/test_stale_pictures.py
+++ b/tests/test_stale_pictures.py
@@ -13,7 +13,9 @@
 from cicadahook.net import clock as system_clock
 from cicadahook.net import store_listeners
 from cicadahook.net import store_relay
+from cicadahook.net import store_relay_messages
 import store_fleet
+import store_positions
 
 NODES = 12
 # The users' rule for fleets of this size: a request comes no later than this
@@ -79,8 +81,10 @@
     feed = store_relay.ChangeFeed(
         lambda: True, picture_age.PictureAge(system_clock.SystemClock())
     )
-    feed.apply_listing(store_api.Listing((), 100), is_after_outage=False)
-    answer = await feed.answer(store_relay.FollowRequest(140, 1))
+    feed.apply_listing(
+        store_api.Listing((), store_positions.at(100)), is_after_outage=False
+    )
+    answer = await feed.answer(store_relay_messages.FollowRequest(140, 1))
     assert answer.revision == 100
 
 
@@ -97,16 +101,18 @@
             store.put(f"news-{number}")
             await asyncio.sleep(0.3)
         others = [node for node in nodes if node is not behind]
-        assert {node.watcher.revision for node in others} == {
-            store.log.revision
+        assert {node.watcher.position for node in others} == {
+            store.log.position
         }
         assert all("news-4" in node.heard for node in others)
 
 
 def test_a_log_that_is_behind_says_so() -> None:
     log = change_log.ChangeLog()
-    log.apply_listing(store_api.Listing((), 5))
-    assert log.list_after(9) == store_api.Changes((), 5)
+    known = store_positions.at(5)
+    log.apply_listing(store_api.Listing((), known))
+    behind = log.list_after(store_positions.at(9))
+    assert behind == store_api.Changes((), known)
 
 
 async def test_a_watch_that_is_cut_is_no_outage_of_the_store(
--- a/tests/test_statuses.py
+++ b/tests/test_statuses.py
@@ -16,6 +16,7 @@
 from cicadahook.core import status_schedule
 from cicadahook.net import codec
 from cicadahook.net import status_codec
+import store_positions
 
 NOW = clock_lib.EPOCH
 OLDER_CODEC = codec.Codec(roster_lib.NodeStatus, "peer")
@@ -286,9 +287,12 @@
         datetime.timedelta(seconds=3),
         datetime.timedelta(seconds=3),
     )
+    holder.observe_keys(None, None, None, store_positions.at(1), NOW)
     holder.record_renewal(NOW)
     assert not holder.wants_grants(NOW)
-    holder.record_won_term(5, NOW)
+    write = holder.propose(1, NOW)
+    assert write is not None, "there is no holder"
+    holder.record_won_term(write, store_positions.at(5), NOW)
     assert not holder.wants_grants(NOW)
     late = NOW + datetime.timedelta(seconds=1.2)
     assert holder.wants_grants(late)
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -22,6 +22,7 @@
 from cicadahook.net import clock as system_clock
 from cicadahook.net import store_relay
 from cicadahook.platform import caller_server
+import store_positions
 
 NOW = clock_lib.EPOCH
 HOST = "127.0.0.1"
@@ -31,17 +32,21 @@
 
 def create_item(number: int) -> store_api.Item:
     """Return an item that was last changed at a revision."""
-    return store_api.Item(f"k{number}", b"v%d" % number, number)
+    return store_api.Item(
+        f"k{number}", b"v%d" % number, store_positions.at(number)
+    )
 
 
 def create_change(number: int, key: str = "") -> store_api.Change:
     """Return a write at a revision."""
-    return store_api.Change(key or f"k{number}", b"v%d" % number, number)
+    return store_api.Change(
+        key or f"k{number}", b"v%d" % number, store_positions.at(number)
+    )
 
 
 def list_revisions(changes: store_api.Changes) -> list[int]:
     """Return the revisions of the single changes."""
-    return [change.revision for change in changes.changes]
+    return [change.position.revision for change in changes.changes]
 
 
 # Logs of changes.
@@ -49,17 +54,21 @@
 
 def test_a_log_holds_items_and_the_changes_since_its_listing() -> None:
     log = change_log.ChangeLog()
-    log.apply_listing(store_api.Listing((create_item(1), create_item(2)), 5))
+    at = store_positions.at
+    log.apply_listing(
+        store_api.Listing((create_item(1), create_item(2)), at(5))
+    )
     log.apply_changes(
         store_api.Changes(
-            (create_change(6, "k1"), store_api.Change("k2", None, 7)), 8
+            (create_change(6, "k1"), store_api.Change("k2", None, at(7))),
+            at(8),
         )
     )
-    assert list_revisions(log.list_after(5)) == [6, 7]
-    assert list_revisions(log.list_after(6)) == [7]
-    assert log.list_after(8) == store_api.Changes((), 8)
+    assert list_revisions(log.list_after(at(5))) == [6, 7]
+    assert list_revisions(log.list_after(at(6))) == [7]
+    assert log.list_after(at(8)) == store_api.Changes((), at(8))
     assert log.create_listing() == store_api.Listing(
-        (store_api.Item("k1", b"v6", 6),), 8
+        (store_api.Item("k1", b"v6", at(6)),), at(8)
     )
 
 
@@ -68,12 +77,15 @@
 ) -> None:
     monkeypatch.setattr(change_log, "MAX_CHANGES", 3)
     log = change_log.ChangeLog()
-    log.apply_listing(store_api.Listing((), 5))
+    at = store_positions.at
+    log.apply_listing(store_api.Listing((), at(5)))
     for number in range(6, 12):
-        log.apply_changes(store_api.Changes((create_change(number),), number))
+        log.apply_changes(
+            store_api.Changes((create_change(number),), at(number))
+        )
     with pytest.raises(store_api.HistoryLostError):
-        log.list_after(5)
-    assert list_revisions(log.list_after(8)) == [9, 10, 11]
+        log.list_after(at(5))
+    assert list_revisions(log.list_after(at(8))) == [9, 10, 11]
 
 
 # Who watches.
@@ -219,7 +231,10 @@
 
     def __init__(self) -> None:
         self.log = change_log.ChangeLog()
-        self.log.apply_listing(store_api.Listing((create_item(1),), 1))
+        self.log.apply_listing(
+            store_api.Listing((create_item(1),), store_positions.at(1))
+        )
+        self.eras = store_api.EraTracker()
         self.news = asyncio.Event()
         self.is_down = False
         self.watches = 0
@@ -227,9 +242,11 @@
 
     def put(self) -> int:
         """Change one item; return the revision."""
-        number = self.log.revision + 1
+        number = self.log.position.revision + 1
         change = create_change(number, f"k{number % 50}")
-        self.log.apply_changes(store_api.Changes((change,), number))
+        self.log.apply_changes(
+            store_api.Changes((change,), store_positions.at(number))
+        )
         self.news.set()
         self.news = asyncio.Event()
         return number
@@ -246,17 +263,20 @@
         return self.log.create_listing()
 
     async def watch(
-        self, prefix: str, revision: int, wait: datetime.timedelta
+        self,
+        prefix: str,
+        position: store_api.Position,
+        wait: datetime.timedelta,
     ) -> store_api.Changes:
-        """Return the changes after a revision."""
+        """Return the changes after a position."""
         del prefix
         self.watches += 1
         self._check()
-        if self.log.revision <= revision:
+        if self.log.position <= position:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait.total_seconds()):
                     await self.news.wait()
-        return self.log.list_after(revision)
+        return self.log.list_after(position)
 
 
 class Fleet:
@@ -316,18 +336,20 @@
 
 
 async def test_a_follower_gets_changes_without_the_store(fleet: Fleet) -> None:
-    revision = 1
+    position = store_positions.at(1)
     for _ in range(5):
         fleet.store.put()
-        changes = await fleet.follower.watch("", revision, WAIT)
-        assert list_revisions(changes) == [revision + 1]
-        revision = changes.revision
+        changes = await fleet.follower.watch("", position, WAIT)
+        assert list_revisions(changes) == [position.revision + 1]
+        position = changes.position
     assert fleet.store.watches == 0
     assert not fleet.follower.is_current()
 
 
 async def test_a_follower_hears_of_a_change_at_once(fleet: Fleet) -> None:
-    waiting = asyncio.create_task(fleet.follower.watch("", 1, WAIT))
+    waiting = asyncio.create_task(
+        fleet.follower.watch("", store_positions.at(1), WAIT)
+    )
     await asyncio.sleep(0.2)
     fleet.store.put()
     fleet.feed.wake_followers()
@@ -350,13 +372,13 @@
     fleet.store.put()
     loop = asyncio.get_running_loop()
     began = loop.time()
-    changes = await fleet.follower.watch("", 1, WAIT)
+    changes = await fleet.follower.watch("", store_positions.at(1), WAIT)
     assert list_revisions(changes) == [2]
     assert fleet.store.watches == 1
     # Within the time in which a change must be in force, 3 s at such fleets.
     assert loop.time() - began < 1.8
     fleet.store.put()
-    await fleet.follower.watch("", 2, WAIT)
+    await fleet.follower.watch("", store_positions.at(2), WAIT)
     assert loop.time() - began < 2.0
     assert fleet.follower.is_current()
 
@@ -373,7 +395,7 @@
     async with caller_server.listen(web.Server(fleet.handle), HOST, port):
         fleet.store.put()
         began = loop.time()
-        changes = await fleet.follower.watch("", 1, WAIT)
+        changes = await fleet.follower.watch("", store_positions.at(1), WAIT)
     assert list_revisions(changes) == [2]
     # A change must be in force within 3 s at such fleets, of which a watcher
     # may have paused for 0.8 s.
@@ -422,9 +444,9 @@
 ) -> None:
     fleet.store.put()
     behind = change_log.ChangeLog()
-    behind.apply_listing(store_api.Listing((), 9))
+    behind.apply_listing(store_api.Listing((), store_positions.at(9)))
     fleet.feed.log = behind
-    changes = await fleet.follower.watch("", 1, WAIT)
+    changes = await fleet.follower.watch("", store_positions.at(1), WAIT)
     assert list_revisions(changes) == [2]
     assert fleet.store.watches == 1
 
--- a/tests/test_version_recorder.py
+++ b/tests/test_version_recorder.py
@@ -15,6 +15,7 @@
 from cicadahook.core import stream_origins
 from cicadahook.core import version_records
 from cicadahook.net import version_recorder
+import store_positions
 
 SECOND = datetime.timedelta(seconds=1)
 
@@ -49,19 +50,24 @@
         assert prefix == version_records.RECORD_KEY
         await self._call("list")
         items = (self.item,) if self.item else ()
-        return store_api.Listing(items, 99)
+        return store_api.Listing(items, store_positions.at(99))
 
-    async def write(self, change: store_api.Write) -> int:
+    async def write(self, change: store_api.Write) -> store_api.Position:
         """Replace the record, unless it has changed."""
         await self._call("write")
         ((key, expected),) = change.expected
         if change.puts[0].lease not in self.leases:
             raise store_api.LeaseEndedError("ended")
-        if expected != (self.item.revision if self.item else 0):
+        if expected != (self.item.position if self.item else None):
             raise errors.KeyValueConflictError("changed")
-        revision = expected + 1
-        self.item = store_api.Item(key, change.puts[0].value, revision)
-        return revision
+        self.item = store_api.Item(key, change.puts[0].value, self.advance())
+        return self.item.position
+
+    def advance(self) -> store_api.Position:
+        """Return the position of the next change of the record."""
+        return store_positions.at(
+            self.item.position.revision + 1 if self.item else 1
+        )
 
     async def grant_lease(self, length: datetime.timedelta) -> int:
         """Return a lease."""
@@ -79,11 +85,12 @@
 
     def put(self, versions: dict[str, tuple[str, ...]]) -> None:
         """Write a complete record as another node."""
-        revision = self.item.revision + 1 if self.item else 1
         value = version_records.encode_record(
             version_records.VersionRecord(5, versions, True)
         )
-        self.item = store_api.Item(version_records.RECORD_KEY, value, revision)
+        self.item = store_api.Item(
+            version_records.RECORD_KEY, value, self.advance()
+        )
 
 
 class RecorderSetup:
@@ -121,7 +128,7 @@
                 self.roster,
                 lambda: self.is_holder,
                 lambda: self.is_current,
-                lambda: self.revision,
+                lambda: store_positions.at(self.revision),
             ),
             clock,
         )
@@ -153,7 +160,8 @@
         """See the record as it is in the store."""
         items = (self.store.item,) if self.store.item else ()
         self.recorder.apply_listing(
-            store_api.Listing(items, 99), is_after_outage=False
+            store_api.Listing(items, store_positions.at(99)),
+            is_after_outage=False,
         )
 
     async def run(self, seconds: float) -> None:
@@ -168,7 +176,11 @@
     def read(self) -> version_records.VersionRecord | None:
         """Return the record in the store."""
         item = self.store.item
-        return version_records.decode_record(item.value) if item else None
+        return (
+            version_records.decode_record(item.value, item.position.era)
+            if item
+            else None
+        )
 
 
 @pytest.fixture(name="testbed")
@@ -379,7 +391,7 @@
     register_for_long(testbed, "v1")
     testbed.inventory.apply_snapshot(
         testbed.inventory.instances.values(),
-        99,
+        store_positions.at(99),
         testbed.clock.now(),
         is_after_outage=False,
     )
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -9,6 +9,7 @@
 from cicadahook.core import inventory
 from cicadahook.core import store_api
 from cicadahook.core import version_records
+import store_positions
 
 SECOND = datetime.timedelta(seconds=1)
 LEASE = 7
@@ -56,18 +57,22 @@
         assert change is not None, "nothing planned"
         ((key, expected),) = change.expected
         assert key == version_records.RECORD_KEY
-        if expected != (self.item.revision if self.item else 0):
+        if expected != (self.item.position if self.item else None):
             return False
         self.revision += 1
         (put,) = change.puts
         assert put.lease == LEASE
-        self.item = store_api.Item(key, put.value, self.revision)
+        self.item = store_api.Item(
+            key, put.value, store_positions.at(self.revision)
+        )
         return True
 
     def read(self) -> version_records.VersionRecord | None:
         """Return the record."""
         return (
-            version_records.decode_record(self.item.value)
+            version_records.decode_record(
+                self.item.value, self.item.position.era
+            )
             if self.item
             else None
         )
@@ -216,12 +221,13 @@
     clock: clock_lib.ManualClock, value: bytes
 ) -> None:
     records = version_records.VersionRecords(is_first_start=True)
-    item = store_api.Item(version_records.RECORD_KEY, value, 12)
+    position = store_positions.at(12)
+    item = store_api.Item(version_records.RECORD_KEY, value, position)
     records.replace(item, clock.now())
     assert records.may_begin(create_instance("v1"))
     change = records.plan(observe("v1"), LEASE, clock.now())
     assert change is not None
-    assert change.expected == ((version_records.RECORD_KEY, 12),)
+    assert change.expected == ((version_records.RECORD_KEY, position),)
 
 
 class _Node:
