Relay only the events that come next in a stream

What callers saw: after a stream had broken off, the next upstream's answer was joined whatever it held. One that began anew, repeated event 2, skipped event 3, ended at once or held an error's text or a head was passed on, and the stream ended as whole. A head in the middle of a body without a length came as an event.

Cause: nothing asked what may follow in a stream.

Change: `EventSequence` knows the events relayed over all answers of a request. An event has to be well-formed and to come next by its id; anything else fails the attempt after the events before it. Ids count one by one. Where the first two ids of an answer show another numbering, ids only have to grow; such a stream, one without ids and one whose ids are no numbers is not joined to another answer, since nothing tells what would be missing. An answer does not end where an event had begun before. The relay of events has a module of its own.

--- a/src/cicadahook/core/event_streams.py
+++ b/src/cicadahook/core/event_streams.py
@@ -8,7 +8,8 @@
 from cicadahook.core import forwarding
 
 SEPARATOR: Final = re.compile(rb"\r\n\r\n|\n\n|\r\r")
-ID_LINE: Final = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
+# The first line may begin with a byte order mark.
+ID_LINE: Final = re.compile(rb"(?:^(?:\xef\xbb\xbf)?|[\r\n])id: ?([^\r\n]*)")
 MAX_EVENT_BYTES: Final = 1_048_576
 
 
--- a/src/cicadahook/net/active_request.py
+++ b/src/cicadahook/net/active_request.py
@@ -16,6 +16,7 @@
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import crash_suspects
 from cicadahook.core import errors
+from cicadahook.core import event_sequence
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
 from cicadahook.core import model_demand
@@ -133,6 +134,7 @@
         send_count: number of attempts that were sent.
         possible_runs: number of attempts that an upstream may have run.
         last_event_id: id of the last event relayed.
+        sequence: the events relayed, and what may follow.
         has_begun: whether a part of a stream has been relayed.
         timeout: cancels the request at its time limit.
         instance: id of the upstream of the last attempt.
@@ -157,6 +159,9 @@
     send_count: int = 0
     possible_runs: int = 0
     last_event_id: str = ""
+    sequence: event_sequence.EventSequence = dataclasses.field(
+        default_factory=event_sequence.EventSequence
+    )
     has_begun: bool = False
     timeout: asyncio.Timeout | None = None
     instance: str = ""
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -10,7 +10,7 @@
 
 from cicadahook.core import balancer
 from cicadahook.core import errors
-from cicadahook.core import event_streams
+from cicadahook.core import event_sequence
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
 from cicadahook.core import residency
@@ -23,6 +23,7 @@
 from cicadahook.net import metrics
 from cicadahook.net import refusal_planner
 from cicadahook.net import request_drain
+from cicadahook.net import stream_relay
 from cicadahook.net import stream_resumption
 
 # The final answer is sent this long before the request's deadline, so that it
@@ -51,6 +52,7 @@
         budgets: retry budget of each service, by its name.
         resumption: binds streams to the software version that began them.
         crash_guard: keeps requests that crash upstreams from them.
+        streams: relays the events of streams.
         drain: limits the time of requests once the node is asked to stop.
         refusals: decides how requests without an upstream are refused.
         waits: lets requests wait for engines.
@@ -70,6 +72,9 @@
         self.node_count = 1
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.crash_guard = crash_guard.CrashGuard(components)
+        self.streams = stream_relay.StreamRelay(
+            components, self.crash_guard, resumption
+        )
         self.drain = request_drain.RequestDrain(components.clock)
         self.refusals = refusal_planner.RefusalPlanner(components, self.drain)
         self.waits = engine_waits.EngineWaits(
@@ -149,6 +154,9 @@
             deadline,
             traits,
             last_event_id=request.last_event_id,
+            sequence=event_sequence.EventSequence.create_after(
+                request.last_event_id
+            ),
         )
 
     def _validate_generation(
@@ -361,7 +369,7 @@
         """
         head = answer.head
         if head.is_event_stream:
-            await self._relay_events(active, answer, placement)
+            await self.streams.relay(active, answer, placement)
             return
         body = await answer.read()
         self.components.balancer.record_first_piece(placement)
@@ -376,43 +384,6 @@
         self.crash_guard.record_progress(active, is_complete=True)
         await active.sink.answer(head, body)
 
-    async def _relay_events(
-        self,
-        active: active_request.ActiveRequest,
-        answer: active_request.Answer,
-        placement: balancer.Placement,
-    ) -> None:
-        """Relay complete events as they arrive.
-
-        Raises:
-            forwarding.AttemptError: the stream ended within an event.
-        """
-        splitter = event_streams.EventSplitter()
-        async for chunk in answer.iterate():
-            complete_events = event_streams.split_answer(splitter, chunk)
-            if not complete_events:
-                continue
-            self.components.balancer.record_first_piece(placement)
-            self.crash_guard.record_progress(active)
-            if not active.has_begun:
-                active.has_begun = True
-                self.resumption.record_begin(active, placement.instance)
-                active.first_chunk_at = self.clock.now()
-                await active.sink.begin(answer.head)
-            await active.sink.send(
-                b"".join(event.data for event in complete_events)
-            )
-            for event in complete_events:
-                active.last_event_id = event.id or active.last_event_id
-        if splitter.pending:
-            raise forwarding.AttemptError(
-                forwarding.FailureKind.CUT, "stream ends within an event"
-            )
-        self.crash_guard.record_progress(active, is_complete=True)
-        if not active.has_begun:
-            await active.sink.begin(answer.head)
-        await active.sink.finish()
-
     async def _prepare_retry(
         self,
         active: active_request.ActiveRequest,
@@ -449,6 +420,8 @@
         if not error.is_not_run:
             if not active.route.is_repeatable:
                 return "not_repeatable"
+            if active.has_begun and not active.sequence.can_join:
+                return "events_not_numbered"
             if active.possible_runs >= active.route.max_attempts:
                 return "attempts_exhausted"
         if active.send_count >= MAX_SENDS:
--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -149,6 +149,8 @@
         calls: times of all calls that it received, by the event loop's clock.
         cuts_resumed: whether `cut_after` applies to resumed streams too.
         software: version of its software.
+        continuation: bytes of a stream that goes on, and then its end; None
+            for the events that come next.
         crash_state: its crashes.
         brittle: its room if it is brittle, else None.
         rest: value of `Retry-After` in its rejections; None for none.
@@ -164,6 +166,7 @@
     software: str = "v1"
     is_busy: bool = False
     stray: str = ""
+    continuation: bytes | None = None
 
     def __init__(self, name: str, service: str) -> None:
         self.id = name
@@ -401,6 +404,10 @@
             self.crash()
             return response
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        if self.continuation is not None and first > 1:
+            await response.write(self.continuation)
+            await response.write_eof()
+            return response
         count, seconds = self._plan_stream(request)
         for number in range(first, count + 1):
             await asyncio.sleep(seconds)
--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -247,6 +247,28 @@
     writer.transport.abort()
 
 
+async def end_after_another_head(
+    writer: asyncio.StreamWriter, head: bytes
+) -> None:
+    """Send a whole stream, and one more, on one connection."""
+    writer.write(head + b"\r\n" + EVENTS + head + b"\r\n" + EVENTS)
+    await writer.drain()
+
+
+async def test_a_head_within_a_stream_is_no_event(
+    testbed: node_testbed.NodeTestbed,
+) -> None:
+    content = bytearray()
+    async with replace_upstreams(
+        testbed, testbed.engines, end_after_another_head
+    ):
+        with pytest.raises(aiohttp.ClientPayloadError):
+            async with testbed.call(CHAT, headers=MODEL) as response:
+                async for part in response.content.iter_any():
+                    content += part
+    assert content == EVENTS
+
+
 async def test_an_answer_that_ends_with_its_connection_is_whole(
     testbed: node_testbed.NodeTestbed,
 ) -> None:
