--- a/src/cicadahook/core/event_sequence.py
+++ b/src/cicadahook/core/event_sequence.py
@@ -42,13 +42,15 @@
     """The events of one stream over all answers that are joined in it.
 
     Attributes:
-        last: number of the last event; None if there is none.
+        last_id: id of the last event; empty if there is none with an id.
+        last: its number; None if there is none.
         numbering: how the events are numbered.
         is_joining: whether the next event is the first one of an answer that
             is joined to earlier ones.
         is_cut_short: whether an event had begun when the last answer broke off.
     """
 
+    last_id: str = ""
     last: int | None = None
     numbering: Numbering = Numbering.UNKNOWN
     is_joining: bool = False
@@ -64,8 +66,8 @@
         if not last_event_id:
             return cls()
         if not NUMBER.fullmatch(last_event_id):
-            return cls(numbering=Numbering.NONE)
-        return cls(int(last_event_id), is_joining=True)
+            return cls(last_event_id, numbering=Numbering.NONE)
+        return cls(last_event_id, int(last_event_id), is_joining=True)
 
     @property
     def can_join(self) -> bool:
@@ -92,8 +94,10 @@
             if self.last is not None or self.is_joining:
                 raise SequenceError(f"id {event.id!r} after {self.last}")
             self.numbering = Numbering.NONE
+            self.last_id = event.id or self.last_id
             return
         self._accept_number(int(event.id))
+        self.last_id = event.id
         self.is_joining = self.is_cut_short = False
 
     def _accept_number(self, number: int) -> None:
--- a/src/cicadahook/net/active_request.py
+++ b/src/cicadahook/net/active_request.py
@@ -133,7 +133,6 @@
         lacked_copy: ids of upstreams that lacked the copy once.
         send_count: number of attempts that were sent.
         possible_runs: number of attempts that an upstream may have run.
-        last_event_id: id of the last event relayed.
         sequence: the events relayed, and what may follow.
         has_begun: whether a part of a stream has been relayed.
         timeout: cancels the request at its time limit.
@@ -158,7 +157,6 @@
     lacked_copy: frozenset[str] = frozenset()
     send_count: int = 0
     possible_runs: int = 0
-    last_event_id: str = ""
     sequence: event_sequence.EventSequence = dataclasses.field(
         default_factory=event_sequence.EventSequence
     )
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -153,7 +153,6 @@
             service,
             deadline,
             traits,
-            last_event_id=request.last_event_id,
             sequence=event_sequence.EventSequence.create_after(
                 request.last_event_id
             ),
@@ -314,7 +313,7 @@
             instance,
             left,
             active.route.priority,
-            active.last_event_id,
+            active.sequence.last_id,
             was_refused=instance.id in active.lacked_copy,
         )
         limit = self.components.statements.find_limit(instance)
@@ -530,7 +529,7 @@
                 and self._get_elapsed_ms(active.request, active.first_chunk_at),
                 "took_ms": self._get_elapsed_ms(active.request),
                 "resumed_id": active.request.resumed_id,
-                "last_event_id": active.last_event_id,
+                "last_event_id": active.sequence.last_id,
                 "software": active.software,
                 **fields,
             },
--- a/src/cicadahook/net/stream_relay.py
+++ b/src/cicadahook/net/stream_relay.py
@@ -94,8 +94,6 @@
                 active.first_chunk_at = self.components.clock.now()
                 await active.sink.begin(answer.head)
             await active.sink.send(b"".join(each.data for each in accepted))
-            for event in accepted:
-                active.last_event_id = event.id or active.last_event_id
         if error is not None:
             raise _create_error(error) from error
 
