Begin nothing that a stopping node may have to cut

What callers saw: in a planned stop, a request that may not be repeated was taken late in the grace period and cut at its end, so its outcome is unknown.

Cause: the duration of a request was predicted by a mean, and as zero on a route of which none had been observed. A route with a long tail, a node that has just started and upstreams that have turned slow made the prediction too short.

Change: for requests that may not be repeated, the prediction is the time within which 99 of 100 of the last 512 ended, and no less than what requests in progress have taken already; without any observation it is the time limit of the route. A request that is not begun is refused as not run, and another node takes it at once. Repeatable requests are predicted by the mean, as before.

Four older tests of a stopping node had no observation of their route and would now be refused for that reason alone; they observe one first, and check what they checked. One expected 502 or 504 of a node that had never served the route.

--- a/src/cicadahook/net/request_drain.py
+++ b/src/cicadahook/net/request_drain.py
@@ -9,6 +9,7 @@
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import node_lifecycle
 from cicadahook.core import route_durations
+from cicadahook.core import routes
 from cicadahook.net import active_request
 
 # Other nodes accept the request at once.
@@ -65,7 +66,7 @@
         """
         if self.plan is None or active.has_begun:
             return
-        duration = self.durations.predict(active.route.name)
+        duration = self._predict(active.route)
         if self.clock.now() < self.plan.get_latest_start(
             duration, is_retry=active.possible_runs > 0
         ):
@@ -136,6 +137,27 @@
                 active.route.name, self.clock.now() - active.sent_at
             )
 
+    def _predict(self, route: routes.Route) -> datetime.timedelta:
+        """Return how long a request of a route takes from its sending on.
+
+        One that may be repeated is expected to take the mean time: cut off, it
+        runs again at another node. For any other one it is the time within
+        which nearly all end, and no less than requests in progress have taken
+        already. Where none has ended, only the time limit of the route is sure.
+        """
+        if route.is_repeatable:
+            return self.durations.predict(route.name)
+        longest = self.durations.predict_longest(route.name)
+        if longest is None:
+            return route.timeout
+        now = self.clock.now()
+        ages = [
+            now - active.sent_at
+            for active in self.active_requests
+            if active.sent_at is not None and active.route.name == route.name
+        ]
+        return min(route.timeout, max([longest, *ages]))
+
     def _reschedule(self, active: active_request.ActiveRequest) -> None:
         if active.timeout is None or active.timeout.expired():
             return
@@ -162,5 +184,5 @@
             return active.deadline
         if active.possible_runs:
             return self.plan.finishes_until
-        duration = self.durations.predict(active.route.name)
+        duration = self._predict(active.route)
         return self.plan.get_latest_start(duration, is_retry=False)
--- a/tests/test_holder_and_roster.py
+++ b/tests/test_holder_and_roster.py
@@ -209,6 +209,16 @@
     assert latest - NOW == datetime.timedelta(milliseconds=expected_ms)
 
 
+def test_predicts_the_time_within_which_nearly_all_end() -> None:
+    durations = route_durations.RouteDurations()
+    assert durations.predict_longest("r") is None
+    for number in range(200):
+        seconds = 4.0 if number % 50 == 0 else 0.1
+        durations.record("r", datetime.timedelta(seconds=seconds))
+    assert durations.predict_longest("r") == datetime.timedelta(seconds=4)
+    assert durations.predict("r") < datetime.timedelta(seconds=1)
+
+
 def test_predicts_the_mean_duration_of_a_route() -> None:
     """A route without any request has no predicted duration."""
     generator = random.Random(1)
--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -75,6 +75,16 @@
     return node
 
 
+def observe(
+    testbed: node_testbed.NodeTestbed, route: str, seconds: float = 0.05
+) -> None:
+    """Let the first node have seen how long requests of a route take."""
+    node = testbed.programs[0].node
+    assert node is not None
+    took = datetime.timedelta(seconds=seconds)
+    node.forwarder.drain.durations.record(route, took)
+
+
 class DiscardingSink:
     """Sink of a caller that discards its answer."""
 
@@ -140,6 +150,7 @@
 ) -> None:
     """The copy is loaded after the node stops accepting requests."""
     await use_slow_loads(testbed, 1.2)
+    observe(testbed, "chat")
     for engine in testbed.engines:
         engine.events, engine.event_seconds = 10, 0.2
     testbed.programs[0].stopped.set()
@@ -155,6 +166,10 @@
     """The wait ends with the drain, whatever the grace period is."""
     platform.store.put("op/config", create_slow_loads(5.0))
     async with run_process(platform, tmp_path) as process:
+        async with platform.session.post(
+            f"http://{process.front_address}/chat/x", headers={**CALL, **LOADED}
+        ) as response:
+            assert response.status == 200
         process.terminate()
         async with platform.session.post(
             f"http://{process.front_address}/chat/x",
@@ -168,6 +183,7 @@
 ) -> None:
     """Another node may serve it; this one accepts requests for 0.9 s."""
     await use_slow_loads(testbed, 5.0)
+    observe(testbed, "chat")
     testbed.programs[0].stopped.set()
     async with asyncio.timeout(0.6):
         async with testbed.call("/chat/x", headers=NOT_LOADED) as response:
@@ -178,14 +194,15 @@
 async def test_a_stopping_process_answers_what_an_upstream_holds(
     platform: node_testbed.NodeTestbed, tmp_path: pathlib.Path
 ) -> None:
-    for upstream in platform.plain:
-        upstream.mode = "hang"
     async with run_process(platform, tmp_path) as process:
+        url = f"http://{process.front_address}/write/item"
+        async with platform.session.post(url, headers=CALL) as response:
+            assert response.status == 200
+        for upstream in platform.plain:
+            upstream.mode = "hang"
         process.terminate()
         await asyncio.sleep(0.5)
-        async with platform.session.post(
-            f"http://{process.front_address}/write/item", headers=CALL
-        ) as response:
+        async with platform.session.post(url, headers=CALL) as response:
             assert response.status in (502, 504)
 
 
@@ -228,6 +245,7 @@
         await asyncio.sleep(1.1)
         yield b"end"
 
+    observe(testbed, "write")
     testbed.programs[0].stopped.set()
     async with testbed.call("/write/item", data=send_slowly()) as response:
         assert response.status == 503
@@ -250,6 +268,51 @@
     assert len(engine.arrivals) == 1
 
 
+@pytest.mark.parametrize(
+    ("route", "durations", "expected"),
+    [
+        pytest.param("write", [0.05] * 50, 200, id="all short"),
+        pytest.param("write", [0.05] * 97 + [1.7] * 3, 503, id="long tail"),
+        pytest.param("write", [], 503, id="none observed"),
+        pytest.param("read", [0.05] * 97 + [1.7] * 3, 200, id="repeatable"),
+        pytest.param("read", [], 200, id="repeatable, none observed"),
+    ],
+)
+async def test_a_stopping_node_begins_nothing_that_it_may_have_to_cut(
+    testbed: node_testbed.NodeTestbed,
+    route: str,
+    durations: list[float],
+    expected: int,
+) -> None:
+    """The node ends in 1.8 s; requests may take 2 s."""
+    for seconds in durations:
+        observe(testbed, route, seconds)
+    testbed.programs[0].stopped.set()
+    await asyncio.sleep(0.2)
+    async with testbed.call(f"/{route}/item") as response:
+        assert response.status == expected
+    arrivals = [each for up in testbed.plain for each in up.arrivals]
+    assert len(arrivals) == (expected == 200)
+
+
+async def test_a_stopping_node_expects_what_requests_in_progress_take(
+    testbed: node_testbed.NodeTestbed,
+) -> None:
+    """Upstreams have turned slow: none of the long requests has ended yet."""
+    observe(testbed, "write")
+    for upstream in testbed.plain:
+        upstream.mode = "hang"
+    hanging = asyncio.create_task(_fetch_status(testbed, "/write/item"))
+    await asyncio.sleep(1.0)
+    testbed.programs[0].stopped.set()
+    await asyncio.sleep(0.6)
+    async with testbed.call(
+        "/write/item", headers={"X-Request-Id": "r2"}
+    ) as response:
+        assert response.status == 503
+    assert await hanging == 504
+
+
 async def test_a_stopping_node_still_serves_streams_that_end_in_time(
     testbed: node_testbed.NodeTestbed,
 ) -> None:
@@ -270,6 +333,7 @@
 ) -> None:
     """The other copy is loaded after the node stops accepting requests."""
     await use_slow_loads(testbed, 1.2)
+    observe(testbed, "chat")
     testbed.engines[0].mode = "full"
     testbed.engines[1].events, testbed.engines[1].event_seconds = 10, 0.2
     testbed.programs[0].stopped.set()
