Predict the end of a request from what its upstream takes

A stopping node predicted a request that may not be repeated from all upstreams of the route. Where some were slow, it refused requests that fast ones would have ended in time. Waiting requests are limited by the mean; the attempt is checked before it is sent.

--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -307,7 +307,7 @@
         left = active.deadline - self.clock.now()
         if left < MIN_ATTEMPT_TIME:
             raise TimeoutError
-        self.drain.check_attempt(active)
+        self.drain.check_attempt(active, instance.id)
         attempt = forwarding.Attempt(
             active.request,
             instance,
--- a/src/cicadahook/net/request_drain.py
+++ b/src/cicadahook/net/request_drain.py
@@ -9,7 +9,6 @@
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import node_lifecycle
 from cicadahook.core import route_durations
-from cicadahook.core import routes
 from cicadahook.net import active_request
 
 # Other nodes accept the request at once.
@@ -58,15 +57,22 @@
         if self.plan and self.clock.now() >= self.plan.accepts_until:
             raise active_request.create_refusal("stopping", 503, RETRY_AFTER)
 
-    def check_attempt(self, active: active_request.ActiveRequest) -> None:
+    def check_attempt(
+        self, active: active_request.ActiveRequest, upstream: str = ""
+    ) -> None:
         """Refuse an attempt that would probably be cut off.
 
+        Args:
+            active: the request.
+            upstream: id of the upstream to which it would be sent; empty if
+                it has not been chosen.
+
         Raises:
             errors.RefusalError: the answer would not end before the node does.
         """
         if self.plan is None or active.has_begun:
             return
-        duration = self._predict(active.route)
+        duration = self._predict(active, upstream)
         if self.clock.now() < self.plan.get_latest_start(
             duration, is_retry=active.possible_runs > 0
         ):
@@ -134,27 +140,35 @@
         """Record how long an upstream took for a complete answer."""
         if active.sent_at is not None:
             self.durations.record(
-                active.route.name, self.clock.now() - active.sent_at
+                active.route.name,
+                self.clock.now() - active.sent_at,
+                active.instance,
             )
 
-    def _predict(self, route: routes.Route) -> datetime.timedelta:
-        """Return how long a request of a route takes from its sending on.
+    def _predict(
+        self, active: active_request.ActiveRequest, upstream: str
+    ) -> datetime.timedelta:
+        """Return how long a request takes once it is sent to an upstream.
 
         One that may be repeated is expected to take the mean time: cut off, it
         runs again at another node. For any other one it is the time within
-        which nearly all end, and no less than requests in progress have taken
-        already. Where none has ended, only the time limit of the route is sure.
+        which nearly all end there, and no less than requests in progress have
+        taken already. Where none has ended, only the time limit is sure.
         """
-        if route.is_repeatable:
+        route = active.route
+        if route.is_repeatable or not upstream:
             return self.durations.predict(route.name)
-        longest = self.durations.predict_longest(route.name)
+        longest = self.durations.predict_longest(route.name, upstream)
         if longest is None:
             return route.timeout
         now = self.clock.now()
+        is_known = self.durations.has_observed(route.name, upstream)
         ages = [
-            now - active.sent_at
-            for active in self.active_requests
-            if active.sent_at is not None and active.route.name == route.name
+            now - other.sent_at
+            for other in self.active_requests
+            if other.sent_at is not None
+            and other.route.name == route.name
+            and (other.instance == upstream or not is_known)
         ]
         return min(route.timeout, max([longest, *ages]))
 
@@ -184,5 +198,5 @@
             return active.deadline
         if active.possible_runs:
             return self.plan.finishes_until
-        duration = self._predict(active.route)
+        duration = self.durations.predict(active.route.name)
         return self.plan.get_latest_start(duration, is_retry=False)
--- a/tests/test_holder_and_roster.py
+++ b/tests/test_holder_and_roster.py
@@ -211,11 +211,17 @@
 
 def test_predicts_the_time_within_which_nearly_all_end() -> None:
     durations = route_durations.RouteDurations()
-    assert durations.predict_longest("r") is None
+    assert durations.predict_longest("r", "u") is None
     for number in range(200):
         seconds = 4.0 if number % 50 == 0 else 0.1
         durations.record("r", datetime.timedelta(seconds=seconds))
-    assert durations.predict_longest("r") == datetime.timedelta(seconds=4)
+    tail = datetime.timedelta(seconds=4)
+    assert durations.predict_longest("r", "u") == tail
+    fast = datetime.timedelta(seconds=0.1)
+    for number in range(route_durations.MIN_OBSERVATIONS):
+        assert durations.predict_longest("r", "u") == tail, number
+        durations.record("r", fast, "u")
+    assert durations.predict_longest("r", "u") == fast
     assert durations.predict("r") < datetime.timedelta(seconds=1)
 
 
