Test what a new era of the store undoes, and soak with it

Followers of twelve nodes miss no change after the store lost some; an upstream that left stays out though a copy lists it; a record of versions names none in a later era; a watch, a change, a late answer and a lease number of an earlier era are not believed.

--- a/tests/node_store.py
+++ b/tests/node_store.py
@@ -11,6 +11,8 @@
 
 Fields = dict[str, Any]
 ERA_HEADER: Final = "Store-Era"
+# An upstream's entry lapses after three heartbeats.
+LAPSE_SECONDS: Final = 3.0
 
 
 def create_headers(era: int) -> dict[str, str]:
@@ -133,8 +135,17 @@
             self._start(lease)
         for key, item in written.items():
             self.put(key, base64.b64decode(item["value"]))
+        loop = asyncio.get_running_loop()
+        for key, item in self.items.items():
+            if not key.startswith("cicada/") and key not in written:
+                loop.call_later(LAPSE_SECONDS, self._lapse, key, item)
         self._wake()
 
+    def _lapse(self, key: str, item: Fields) -> None:
+        """Remove an entry that nobody has written again."""
+        if self.items.get(key) is item:
+            self.delete(key)
+
     async def run_drill(self, earlier: StoreCopy, away_seconds: float) -> None:
         """Be away for a moment and return from a copy."""
         self.faults.is_down = True
--- a/tests/soak/node_run.py
+++ b/tests/soak/node_run.py
@@ -35,7 +35,9 @@
 from soak import node_checker
 from soak import node_faults
 from soak import node_system
+from soak import order_checker
 from soak import results as results_lib
+from soak import store_faults as _  # Registers its kinds of faults.
 
 BROKEN_EXIT_CODE: Final = 1
 FAILED_EXIT_CODE: Final = 3
@@ -87,6 +89,7 @@
         await asyncio.gather(*map(system.stop, system.nodes))
         await asyncio.sleep(SETTLE_SECONDS)
         system.checker.check_runs()
+        order_checker.check(system)
     results.counts["grace_seconds"] = int(grace_seconds)
     results.counts["calls"] = len(system.checker.calls)
     return results
--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -50,6 +50,25 @@
         self.news = asyncio.Event()
         return asyncio.get_running_loop().time()
 
+    def restore(self, items: tuple[store_api.Item, ...], revision: int) -> None:
+        """Return, in a new era, from a copy with these items."""
+        era = self.log.position.era + 1
+        self.log.apply_listing(
+            store_api.Listing(
+                tuple(
+                    store_api.Item(
+                        item.key,
+                        item.value,
+                        store_positions.at(item.position.revision, era),
+                    )
+                    for item in items
+                ),
+                store_positions.at(revision, era),
+            )
+        )
+        self.news.set()
+        self.news = asyncio.Event()
+
 
 class StoreLink:
     """A node's link to the store.
@@ -75,6 +94,7 @@
         """Return all items."""
         del prefix
         await self._check(metadata_store.CALL_TIMEOUT)
+        self.eras.observe(self.store.log.position.era)
         return self.store.log.create_listing()
 
     async def watch(
@@ -108,6 +128,10 @@
                 raise errors.KeyValueUnavailableError("reset")
         elapsed = datetime.timedelta(seconds=loop.time() - sent)
         await self._check(limit - elapsed)
+        era = self.store.log.position.era
+        self.eras.observe(era)
+        if position.era != era:
+            raise store_api.HistoryLostError(f"era {era}")
         return self.store.log.list_after(position)
 
     async def _check(self, limit: datetime.timedelta) -> None:
--- a/tests/test_stale_pictures.py
+++ b/tests/test_stale_pictures.py
@@ -107,6 +107,26 @@
         assert all("news-4" in node.heard for node in others)
 
 
+async def test_followers_miss_no_change_after_the_store_lost_some(
+    unused_port: int,
+) -> None:
+    async with store_fleet.run(NODES, unused_port) as (store, nodes):
+        await wait_for_followers(nodes)
+        copied = store.log.create_listing()
+        for number in range(20):
+            store.put(f"lost-{number}")
+        await asyncio.sleep(2)
+        store.restore(copied.items, copied.position.revision)
+        acknowledged = store.put("leaving")
+        await asyncio.sleep(2 * DRAIN_SECONDS)
+        late = {node.record.name: node.heard.get("leaving") for node in nodes}
+        assert all(
+            heard is not None and heard < acknowledged + DRAIN_SECONDS
+            for heard in late.values()
+        ), late
+        assert {node.watcher.position for node in nodes} == {store.log.position}
+
+
 def test_a_log_that_is_behind_says_so() -> None:
     log = change_log.ChangeLog()
     known = store_positions.at(5)
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -1,14 +1,24 @@
 """Tests of what holds when the store returns from an older copy of itself."""
 
+import asyncio
+from collections.abc import AsyncIterator
 import datetime
 
+from aiohttp import web
 import pytest
 
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import errors
+from cicadahook.core import inventory as inventory_lib
 from cicadahook.core import order_holder
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import store_api
 from cicadahook.core import terms
+from cicadahook.core import version_records
+from cicadahook.net import holder_lease
+from cicadahook.platform import caller_server
+from cicadahook.platform import metadata_store
+import node_store
 import store_positions
 
 NOW = clock_lib.EPOCH
@@ -231,3 +241,173 @@
     # Its status ends the term, also at a node of an older build.
     holder.record_term(peer.newest_term)
     assert not holder.can_send(NOW, is_granted=True)
+
+
+# Upstreams and versions.
+
+
+def create_instance(name: str, *, is_leaving: bool) -> inventory_lib.Instance:
+    """Return the entry of an upstream."""
+    return inventory_lib.Instance(
+        name, "s", f"{name}:80", "z", 4, is_leaving=is_leaving, born=7
+    )
+
+
+@pytest.fixture(name="registrations")
+def create_registrations() -> inventory_lib.Inventory:
+    """Return what a node knows when a copy takes two leavings back."""
+    registrations = inventory_lib.Inventory()
+    ready = [create_instance(name, is_leaving=False) for name in "abc"]
+    registrations.apply_snapshot(ready, at(5), NOW, is_after_outage=False)
+    registrations.put(create_instance("a", is_leaving=True))
+    registrations.remove("b")
+    registrations.apply_snapshot(ready, at(5, 2), NOW, is_after_outage=True)
+    return registrations
+
+
+def test_an_upstream_that_left_stays_out_though_a_copy_lists_it(
+    registrations: inventory_lib.Inventory,
+) -> None:
+    assert [each.id for each in registrations.list_usable("s")] == ["c"]
+
+
+def test_an_upstream_that_registers_again_is_used_again(
+    registrations: inventory_lib.Inventory,
+) -> None:
+    registrations.put(create_instance("a", is_leaving=False))
+    registrations.put(create_instance("b", is_leaving=False))
+    assert registrations.find_usable("a") is None, "leaving is final"
+    assert registrations.find_usable("b") is not None
+
+
+def test_an_upstream_that_is_still_listed_after_a_while_lives(
+    registrations: inventory_lib.Inventory,
+) -> None:
+    registrations.drop_expired(NOW + inventory_lib.DOUBT_PERIOD)
+    assert registrations.find_usable("b") is not None
+
+
+def test_entries_that_the_copy_lacks_come_back_in_time() -> None:
+    registrations = inventory_lib.Inventory()
+    both = [create_instance(name, is_leaving=False) for name in "ab"]
+    registrations.apply_snapshot(both, at(50), NOW, is_after_outage=False)
+    registrations.apply_snapshot(both[:1], at(9, 2), NOW, is_after_outage=True)
+    assert registrations.find_usable("b") is not None
+    registrations.drop_expired(NOW + inventory_lib.REREGISTRATION_PERIOD)
+    assert registrations.find_usable("b") is None
+
+
+def test_a_record_of_versions_of_an_earlier_era_names_no_version() -> None:
+    value = version_records.encode_record(
+        version_records.VersionRecord(7, {"s": ("v1",)}, True)
+    )
+    records = version_records.VersionRecords(is_first_start=True)
+    for era, expected in ((1, "v1"), (2, None)):
+        item = store_api.Item(version_records.RECORD_KEY, value, at(4, era))
+        records.replace(item, NOW)
+        assert records.stored is not None and records.stored.record is not None
+        assert records.stored.record.find_only("s") == expected
+    observed = version_records.Observation({"s": {"v1"}}, True, True, False)
+    change = records.plan(observed, 7, NOW)
+    assert change is not None, "the record is written again in this era"
+    written = version_records.decode_record(change.puts[0].value, 2)
+    assert written is not None and written.era == 2
+    assert written.find_only("s") is None, "streams of others may go on"
+
+
+# Answers of the store.
+
+
+@pytest.fixture(name="standin")
+async def run_standin(
+    unused_port: int,
+) -> AsyncIterator[
+    tuple[node_store.StoreStandin, metadata_store.PlatformStore]
+]:
+    """Run a store, and a client of it."""
+    standin = node_store.StoreStandin()
+    store = metadata_store.PlatformStore(f"127.0.0.1:{unused_port}")
+    async with caller_server.listen(
+        web.Server(standin.handle), "127.0.0.1", unused_port
+    ):
+        yield standin, store
+        await store.close()
+
+
+async def test_a_watch_does_not_go_on_in_another_era(
+    standin: tuple[node_store.StoreStandin, metadata_store.PlatformStore],
+) -> None:
+    server, store = standin
+    listing = await store.list_items("")
+    server.come_back(server.take_copy())
+    # The store has given the revision out again, so it answers.
+    server.put("servers/x", {})
+    with pytest.raises(store_api.HistoryLostError):
+        await store.watch("", listing.position, SECOND)
+    assert (await store.list_items("")).position.era == 2
+
+
+async def test_a_late_answer_of_an_earlier_era_is_dropped(
+    standin: tuple[node_store.StoreStandin, metadata_store.PlatformStore],
+) -> None:
+    _, store = standin
+    store.eras.observe(2)
+    with pytest.raises(errors.KeyValueUnavailableError):
+        await store.list_items("")
+
+
+async def test_a_change_expects_nothing_of_an_earlier_era(
+    standin: tuple[node_store.StoreStandin, metadata_store.PlatformStore],
+) -> None:
+    server, store = standin
+    first = await store.write(
+        store_api.Write(puts=(store_api.Put("cicada/a", b"1"),))
+    )
+    server.come_back(server.take_copy())
+    await store.list_items("")
+    change = store_api.Write(
+        expected=(("cicada/a", first),),
+        puts=(store_api.Put("cicada/a", b"2"),),
+    )
+    # The revision is the same one.
+    assert server.items["cicada/a"]["revision"] == first.revision
+    with pytest.raises(errors.KeyValueConflictError):
+        await store.write(change)
+
+
+@pytest.mark.parametrize("era", ["x", "-1", "1e3", str(1 << 40), ""])
+async def test_an_answer_with_a_malformed_era_is_no_answer(
+    standin: tuple[node_store.StoreStandin, metadata_store.PlatformStore],
+    era: str,
+) -> None:
+    server, store = standin
+    server.era = era  # type: ignore[assignment]
+    with pytest.raises(errors.KeyValueUnavailableError):
+        await store.list_items("")
+
+
+async def test_a_lease_number_of_an_earlier_era_is_not_renewed(
+    standin: tuple[node_store.StoreStandin, metadata_store.PlatformStore],
+) -> None:
+    server, store = standin
+    leading = holder_lease.Leadership(
+        store,
+        create_holder_state("n1"),
+        store_api.Put("cicada/nodes/n1", b"n1"),
+        clock_lib.ManualClock(),
+        lambda: False,
+        lambda: False,
+    )
+    store.eras.listeners.append(leading.apply_era)
+    copy = server.take_copy()
+    running = asyncio.create_task(leading.run())
+    await asyncio.sleep(0.3)
+    earlier = leading.lease
+    server.come_back(copy)
+    # Another node has got the same number meanwhile.
+    other = await store.grant_lease(3 * SECOND)
+    assert other == earlier
+    await asyncio.sleep(holder_lease.RENEWAL_PERIOD.total_seconds() + 0.3)
+    running.cancel()
+    assert leading.lease not in (0, earlier)
+    assert server.items["cicada/nodes/n1"]["lease"] == leading.lease
