--- a/tests/test_node_links.py
+++ b/tests/test_node_links.py
@@ -194,7 +194,7 @@
             assert response.status == 503
             pauses.add(response.headers["Retry-After"])
         assert asyncio.get_running_loop().time() - began < 0.2
-    # Each is one of 300 values, in milliseconds; five of 12 alike are no chance.
+    # Each is one of 300 values in ms; five of 12 alike are no chance.
     assert len(pauses) >= DRAWS * len(REQUESTS) - 4
 
 
