--- a/src/cicadahook/net/answer_protocol.py
+++ b/src/cicadahook/net/answer_protocol.py
@@ -88,13 +88,16 @@
 
     Attributes:
         cost: of the answer that is due.
+        answers: number of answers that have been due on this connection.
     """
 
     cost: AnswerCost | None = None
+    answers: int = 0
 
     def set_response_params(self, **options: Any) -> None:
         """Expect the answer to the next request."""
         self.cost = AnswerCost()
+        self.answers += 1
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
--- a/tests/test_joined_answers.py
+++ b/tests/test_joined_answers.py
@@ -157,7 +157,7 @@
 
 async def gather(cases: dict[str, Coroutine[Any, Any, Any]]) -> dict[str, Any]:
     """Return the results of cases, some of which run at the same time."""
-    results = {}
+    results: dict[str, Any] = {}
     while cases:
         names = list(itertools.islice(cases, CASES_AT_ONCE))
         done = await asyncio.gather(*(cases.pop(name) for name in names))
