--- /dev/null
+++ b/src/cicadahook/net/answer_framing.py
@@ -0,0 +1,197 @@
+"""Follows the bytes of an answer to its end, and bounds what they may cost.
+
+aiohttp parses whatever comes on a connection and does not tell where an answer
+ended. It reads on over any number of interim heads and tiny chunks.
+"""
+
+from collections.abc import Callable
+import enum
+import re
+from typing import Final
+
+from aiohttp import http_exceptions
+
+# An upstream may announce that it works on a request a few times.
+MAX_INTERIM_HEADS: Final = 16
+# All heads of an answer together.
+MAX_HEAD_BYTES: Final = 131_072
+# Each chunk of a body costs about as much as a kilobyte. Chunks of one or two
+# bytes have a line end in less than four bytes; smallest events have fewer.
+MIN_BYTES_PER_LINE: Final = 4
+MAX_SHORT_LINES: Final = 4096
+MAX_CHUNK_LINE_BYTES: Final = 1024
+LINE_END: Final = b"\r\n"
+HEAD_END: Final = b"\r\n\r\n"
+STATUS_LINE: Final = re.compile(rb"HTTP/1\.[01] (\d{3})(?: |$)")
+LENGTH: Final = re.compile(rb"\d{1,18}")
+CHUNK_SIZE: Final = re.compile(rb"([0-9a-fA-F]{1,15})[ \t]*(?:;|$)")
+SWITCHING: Final = 101
+STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
+
+
+class State(enum.Enum):
+    """What is due next of an answer."""
+
+    HEAD = enum.auto()
+    CHUNK_LINE = enum.auto()
+    CHUNK = enum.auto()
+    TRAILER = enum.auto()
+    BODY = enum.auto()  # of a stated length
+    BODY_TO_CLOSE = enum.auto()
+    NOTHING = enum.auto()
+
+
+class AnswerFraming:
+    """Follows the bytes of one answer.
+
+    Attributes:
+        has_body: whether an answer to the request may have a body.
+        state: what is due next.
+        interim_heads: number of interim heads.
+        size: bytes of all heads.
+        pending: what has arrived of a head or line.
+        remaining: bytes that are due of a chunk or body.
+        lines: line ends in a body that comes in chunks.
+        body_size: bytes of such a body.
+    """
+
+    def __init__(self, *, has_body: bool = True) -> None:
+        self.has_body = has_body
+        self.state = State.HEAD
+        self.interim_heads = 0
+        self.size = 0
+        self.pending = bytearray()
+        self.remaining = 0
+        self.lines = 0
+        self.body_size = 0
+        self.readers: dict[State, Callable[[bytes, int], int]] = {
+            State.HEAD: self._read_head,
+            State.CHUNK_LINE: self._read_chunk_line,
+            State.CHUNK: self._read_sized,
+            State.TRAILER: self._read_trailer,
+            State.BODY: self._read_sized,
+            State.BODY_TO_CLOSE: lambda data, position: len(data),
+        }
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the answer is complete and nothing more is due."""
+        return self.state is State.NOTHING
+
+    def add(self, data: bytes) -> int:
+        """Follow further bytes; return how many of them belong to the answer.
+
+        Raises:
+            http_exceptions.BadHttpMessage: they are no answer, or one beyond
+                its bounds.
+        """
+        position = 0
+        while position < len(data) and not self.has_ended:
+            position = self.readers[self.state](data, position)
+        return position
+
+    def _read_head(self, data: bytes, position: int) -> int:
+        known = len(self.pending)
+        self.pending += data[position:]
+        end = self.pending.find(HEAD_END, max(0, known - len(HEAD_END) + 1))
+        if end < 0:
+            _check(
+                self.size + len(self.pending) <= MAX_HEAD_BYTES, "long heads"
+            )
+            return len(data)
+        head = bytes(self.pending[:end])
+        self.pending.clear()
+        self.size += end + len(HEAD_END)
+        _check(self.size <= MAX_HEAD_BYTES, "long heads")
+        self._apply_head(head)
+        return position + end + len(HEAD_END) - known
+
+    def _apply_head(self, head: bytes) -> None:
+        """Find out how the body that follows a head ends."""
+        found = STATUS_LINE.match(head.partition(LINE_END)[0])
+        _check(found is not None, "no status line")
+        assert found is not None, "checked above"
+        status = int(found[1])
+        if 100 <= status < 200 and status != SWITCHING:
+            self.interim_heads += 1
+            _check(self.interim_heads <= MAX_INTERIM_HEADS, "interim heads")
+            return
+        fields = [
+            (name.strip().lower(), value.strip())
+            for line in head.split(LINE_END)[1:]
+            for name, _, value in [line.partition(b":")]
+        ]
+        lengths = [value for name, value in fields if name == b"content-length"]
+        codings = [
+            value for name, value in fields if name == b"transfer-encoding"
+        ]
+        _check(len(lengths) + len(codings) <= 1, "several lengths")
+        if not self.has_body or status in STATUSES_WITHOUT_BODY:
+            self.state = State.NOTHING
+        elif codings:
+            _check(codings[0].lower() == b"chunked", "a transfer coding")
+            self.state = State.CHUNK_LINE
+        elif lengths:
+            _check(LENGTH.fullmatch(lengths[0]) is not None, "no length")
+            self.remaining = int(lengths[0])
+            self.state = State.BODY if self.remaining else State.NOTHING
+        else:
+            self.state = State.BODY_TO_CLOSE
+
+    def _read_chunk_line(self, data: bytes, position: int) -> int:
+        line, position = self._read_line(data, position)
+        if line is None:
+            return position
+        found = CHUNK_SIZE.match(line)
+        _check(found is not None, "no size of a chunk")
+        assert found is not None, "checked above"
+        size = int(found[1], 16)
+        # The chunk ends with a line end.
+        self.remaining = size + len(LINE_END)
+        self.state = State.CHUNK if size else State.TRAILER
+        self.body_size += len(line) + len(LINE_END) + self.remaining
+        self.lines += 2
+        _check(
+            self.lines <= MAX_SHORT_LINES
+            or self.body_size >= MIN_BYTES_PER_LINE * self.lines,
+            "tiny chunks",
+        )
+        return position
+
+    def _read_trailer(self, data: bytes, position: int) -> int:
+        line, position = self._read_line(data, position)
+        if line == b"":
+            self.state = State.NOTHING
+        return position
+
+    def _read_sized(self, data: bytes, position: int) -> int:
+        taken = min(self.remaining, len(data) - position)
+        self.remaining -= taken
+        if not self.remaining:
+            is_chunk = self.state is State.CHUNK
+            self.state = State.CHUNK_LINE if is_chunk else State.NOTHING
+        return position + taken
+
+    def _read_line(
+        self, data: bytes, position: int
+    ) -> tuple[bytes | None, int]:
+        """Return a whole line, or None, and the position behind it."""
+        known = len(self.pending)
+        self.pending += data[position : position + MAX_CHUNK_LINE_BYTES]
+        end = self.pending.find(LINE_END, max(0, known - 1))
+        if end < 0:
+            _check(len(self.pending) < MAX_CHUNK_LINE_BYTES, "a long line")
+            return None, len(data)
+        line = bytes(self.pending[:end])
+        self.pending.clear()
+        return line, position + end + len(LINE_END) - known
+
+
+def _check(condition: bool, fault: str) -> None:
+    """Raise an error that names a fault unless a condition holds.
+
+    Raises:
+        http_exceptions.BadHttpMessage: it does not hold.
+    """
+    if not condition:
+        raise http_exceptions.BadHttpMessage(f"an answer with {fault}")
--- a/src/cicadahook/net/answer_protocol.py
+++ b/src/cicadahook/net/answer_protocol.py
@@ -1,112 +1,171 @@
-"""Bounds what an upstream's answer may cost to parse.
+"""Connections on which an answer counts only between its request and its end.
 
-aiohttp reads on over any number of interim heads and tiny chunks, and parses
-them in the event loop, so one upstream could keep a node from all its other
-work.
+Most answers do not name their request, and those that do may be joined with
+bytes of another one, so an answer is told by where it stands.
 """
 
+import asyncio
+import functools
+import select
+import socket
 from typing import Any, Final
 
+import aiohttp
 from aiohttp import client_proto
 from aiohttp import http_exceptions
 
-# An upstream may announce that it works on a request a few times.
-MAX_INTERIM_HEADS: Final = 16
-# All heads of an answer together.
-MAX_HEAD_BYTES: Final = 131_072
-# Each chunk of a body costs about as much as a kilobyte. Chunks of one or two
-# bytes have a line end in less than four bytes; smallest events have fewer.
-MIN_BYTES_PER_LINE: Final = 4
-MAX_SHORT_LINES: Final = 4096
-LINE_END: Final = b"\r\n"
-HEAD_END: Final = b"\r\n\r\n"
-INTERIM_PREFIXES: Final = (b"HTTP/1.1 1", b"HTTP/1.0 1")
-SWITCHING: Final = b"01"
+from cicadahook.net import answer_framing
+from cicadahook.net import logs
+from cicadahook.net import metrics
+from cicadahook.net import sockets
 
+logger: Final = logs.create_logger("connections")
 
-class AnswerCost:
-    """Follows the bytes of one answer.
+
+class AnswerHandler(client_proto.ResponseHandler):
+    """A connection that gives the answers that are due and nothing else.
 
     Attributes:
-        is_final: whether the final head has arrived.
-        is_chunked: whether the body comes in chunks.
-        interim_heads: number of interim heads.
-        size: bytes of all heads.
-        pending: what has arrived of the next head.
-        lines: line ends in a body that comes in chunks.
-        body_size: bytes of such a body.
+        framing: follows the answer that is due; None before the first one.
+        answers: number of answers that have been due on this connection.
+        has_surplus: whether other bytes have come.
     """
 
-    def __init__(self) -> None:
-        self.is_final = False
-        self.is_chunked = False
-        self.interim_heads = 0
-        self.size = 0
-        self.pending = b""
-        self.lines = 0
-        self.body_size = 0
-
-    def add(self, data: bytes) -> bool:
-        """Follow further bytes; return whether the answer is within bounds."""
-        if self.is_final:
-            return self._add_body(data)
-        content = self.pending + data
-        begin = 0
-        while (end := content.find(HEAD_END, begin)) >= 0:
-            self.size += end + len(HEAD_END) - begin
-            head = content[begin:end]
-            if not _is_interim(head):
-                self.is_final, self.pending = True, b""
-                self.is_chunked = b"chunked" in head.lower()
-                is_bounded = self._add_body(content[end + len(HEAD_END) :])
-                return is_bounded and self.size <= MAX_HEAD_BYTES
-            self.interim_heads += 1
-            if self.interim_heads > MAX_INTERIM_HEADS:
-                return False
-            begin = end + len(HEAD_END)
-        self.pending = content[begin:]
-        return self.size + len(self.pending) <= MAX_HEAD_BYTES
-
-    def _add_body(self, data: bytes) -> bool:
-        if not self.is_chunked:
-            return True
-        self.lines += data.count(LINE_END)
-        self.body_size += len(data)
-        return (
-            self.lines <= MAX_SHORT_LINES
-            or self.body_size >= MIN_BYTES_PER_LINE * self.lines
-        )
+    framing: answer_framing.AnswerFraming | None = None
+    answers: int = 0
+    has_surplus: bool = False
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no answer is due."""
+        return self.framing is None or self.framing.has_ended
 
-def _is_interim(head: bytes) -> bool:
-    """Whether another head follows this one."""
-    return head.startswith(INTERIM_PREFIXES) and head[10:12] != SWITCHING
+    @property
+    def should_close(self) -> bool:
+        """Whether the connection may not be used for another request."""
+        return super().should_close or not self.is_idle or self.has_surplus
 
+    def is_connected(self) -> bool:
+        """Whether the connection is open and, while idle, has nothing to read.
 
-class BoundedHandler(client_proto.ResponseHandler):
-    """A connection that closes once an answer exceeds its bounds.
-
-    Attributes:
-        cost: of the answer that is due.
-        answers: number of answers that have been due on this connection.
-    """
-
-    cost: AnswerCost | None = None
-    answers: int = 0
+        The event loop may not have read yet what has arrived.
+        """
+        if not super().is_connected() or self.has_surplus:
+            return False
+        return not (self.is_idle and _is_readable(self.transport))
 
     def set_response_params(self, **options: Any) -> None:
         """Expect the answer to the next request."""
-        self.cost = AnswerCost()
+        self.framing = answer_framing.AnswerFraming(
+            has_body=not options.get("skip_payload")
+        )
         self.answers += 1
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
-        """Receive bytes of an answer."""
-        if self.cost is not None and not self.cost.add(data):
-            self.set_exception(
-                http_exceptions.BadHttpMessage("an answer beyond its bounds")
-            )
-            if self.transport is not None:
-                self.transport.abort()
+        """Receive bytes, and pass on those of the answer that is due."""
+        if not data:
+            # aiohttp goes on with what it has read before.
+            super().data_received(data)
+            return
+        if self.framing is None or self.framing.has_ended:
+            self._record_surplus("idle", len(data))
+            self._abort()
+            return
+        try:
+            size = self.framing.add(data)
+        except http_exceptions.BadHttpMessage as error:
+            self.set_exception(error)
+            self._abort()
             return
-        super().data_received(data)
+        super().data_received(data[:size])
+        if size < len(data):
+            self._record_surplus("behind_an_answer", len(data) - size)
+
+    def _record_surplus(self, place: str, size: int) -> None:
+        """Record bytes that belong to no answer."""
+        if self.has_surplus:
+            return
+        self.has_surplus = True
+        peer = self.transport and self.transport.get_extra_info("peername")
+        metrics.count_surplus(place)
+        logger.info(
+            "Connection not used any more; bytes came that were not due.",
+            extra={
+                "peer": peer,
+                "place": place,
+                "bytes": size,
+                "answers": self.answers,
+            },
+        )
+
+    def _abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Response(aiohttp.ClientResponse):
+    """A response that keeps its connection until it is released or closed.
+
+    aiohttp returns the connection to the pool at the end of the body, when it
+    is not known yet whether this was the answer due.
+
+    Attributes:
+        protocol: protocol of the connection, known after its release too.
+        number: how many answers have been due on the connection.
+    """
+
+    protocol: asyncio.Protocol | None = None
+    number: int = 0
+
+    async def start(self, connection: Any) -> "Response":
+        """Read the head from a connection."""
+        self.protocol = connection.protocol
+        self.number = connection.protocol.answers
+        await super().start(connection)
+        return self
+
+    def _response_eof(self) -> None:
+        """Do nothing at the end of the body."""
+
+
+def open_session(
+    *,
+    resets: bool = False,
+    keepalive: float | None = 15.0,
+    **options: Any,
+) -> aiohttp.ClientSession:
+    """Return a session whose connections are `AnswerHandler`s.
+
+    Args:
+        resets: whether closing a connection resets it.
+        keepalive: seconds for which an unused connection is kept; 0 for
+            connections that are used once.
+        **options: arguments of `aiohttp.ClientSession`.
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        force_close=not keepalive,
+        keepalive_timeout=keepalive or None,
+        socket_factory=sockets.create_factory(resets=resets),
+    )
+    # aiohttp offers no other way to replace the protocol of its connections.
+    # pylint: disable-next=protected-access
+    connector._factory = functools.partial(  # type: ignore[assignment]
+        AnswerHandler, loop=asyncio.get_running_loop()
+    )
+    return aiohttp.ClientSession(
+        connector=connector, response_class=Response, **options
+    )
+
+
+def _is_readable(transport: asyncio.BaseTransport | None) -> bool:
+    """Whether bytes, or the end of the connection, can be read now."""
+    sock: socket.socket | None = (
+        transport.get_extra_info("socket") if transport else None
+    )
+    if sock is None or sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- a/src/cicadahook/net/connection_pools.py
+++ b/src/cicadahook/net/connection_pools.py
@@ -1,20 +1,20 @@
 """Sessions to upstreams that keep unused connections for different times."""
 
-import asyncio
+from collections.abc import Iterator
+import contextlib
 import datetime
-import functools
 import re
-from typing import Any, Final
+from typing import Final
 
 import aiohttp
 from aiohttp import client_proto
 
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import forwarding
 from cicadahook.core import inventory
 from cicadahook.core import kept_connections
 from cicadahook.net import answer_protocol
 from cicadahook.net import metrics
-from cicadahook.net import sockets
 
 # A lost opening packet is sent again only after a second.
 CONNECT_TIMEOUT: Final = datetime.timedelta(milliseconds=500)
@@ -22,26 +22,14 @@
 NOT_KEPT: Final = datetime.timedelta()
 MAX_HEADER_BYTES: Final = 65_536
 READ_BUFFER_BYTES: Final = 65_536
+# What came was not the answer due, so more of that kind may follow.
+DISBELIEVED_KINDS: Final = frozenset(
+    {forwarding.FailureKind.CROSSED, forwarding.FailureKind.MALFORMED}
+)
 # More digits state a time that is longer than any that counts.
 TIMEOUT: Final = re.compile(r"(?:^|[,;\s])timeout\s*=\s*(\d{1,6})(?!\d)", re.I)
 
 
-class Response(aiohttp.ClientResponse):
-    """A response that knows its connection after it was released.
-
-    Attributes:
-        protocol: protocol of the connection.
-    """
-
-    protocol: asyncio.Protocol | None = None
-
-    async def start(self, connection: Any) -> "Response":
-        """Read the head from a connection."""
-        self.protocol = connection.protocol
-        await super().start(connection)
-        return self
-
-
 class ConnectionPools:
     """Sessions by the lifetime of their unused connections.
 
@@ -72,6 +60,26 @@
         self.kept.take(instance, self.clock.now())
         return self._get(self.kept.get_lifetime(instance))
 
+    @contextlib.contextmanager
+    def settle(
+        self, instance: inventory.Instance, response: aiohttp.ClientResponse
+    ) -> Iterator[None]:
+        """Keep a connection if the whole answer due came on it, else close it.
+
+        The connection itself knows whether the answer has ended.
+        """
+        is_own = True
+        try:
+            yield
+        except forwarding.AttemptError as error:
+            is_own = error.kind not in DISBELIEVED_KINDS
+            raise
+        finally:
+            if is_own:
+                self.release(instance, response)
+            else:
+                response.close()
+
     def release(
         self, instance: inventory.Instance, response: aiohttp.ClientResponse
     ) -> None:
@@ -103,19 +111,9 @@
     def _create(self, lifetime: datetime.timedelta) -> aiohttp.ClientSession:
         trace = aiohttp.TraceConfig()
         trace.on_connection_create_end.append(self._count_connection)
-        connector = aiohttp.TCPConnector(
-            limit=0,
-            force_close=not lifetime,
-            keepalive_timeout=lifetime.total_seconds() or None,
-            socket_factory=sockets.create_factory(resets=self.resets),
-        )
-        # aiohttp offers no other way to bound the heads of an answer.
-        # pylint: disable-next=protected-access
-        connector._factory = functools.partial(  # type: ignore[assignment]
-            answer_protocol.BoundedHandler, loop=asyncio.get_running_loop()
-        )
-        session = aiohttp.ClientSession(
-            connector=connector,
+        session = answer_protocol.open_session(
+            resets=self.resets,
+            keepalive=lifetime.total_seconds(),
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT.total_seconds()
             ),
@@ -124,7 +122,6 @@
             max_field_size=MAX_HEADER_BYTES,
             read_bufsize=READ_BUFFER_BYTES,
             cookie_jar=aiohttp.DummyCookieJar(),
-            response_class=Response,
             trace_configs=[trace],
         )
         # Some GET requests may not be repeated, so aiohttp must not resend
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -97,6 +97,15 @@
     counter.add(1, {"node": node})
 
 
+def count_surplus(place: str) -> None:
+    """Count a connection that ended because of bytes that were not due."""
+    counter = create_counter(
+        "cicada_surplus_bytes",
+        "Connections on which bytes came that belong to no answer.",
+    )
+    counter.add(1, {"place": place})
+
+
 def count_unproven_refusal(reason: str, node: str) -> None:
     """Count a refusal that does not prove that its request has not run."""
     counter = create_counter(
--- a/src/cicadahook/net/node_peers.py
+++ b/src/cicadahook/net/node_peers.py
@@ -10,9 +10,9 @@
 
 from cicadahook.core import residency
 from cicadahook.core import roster
+from cicadahook.net import answer_protocol
 from cicadahook.net import codec
 from cicadahook.net import logs
-from cicadahook.net import sockets
 
 CONNECT_TIMEOUT: Final = datetime.timedelta(milliseconds=500)
 COPY_TIMEOUT: Final = datetime.timedelta(seconds=12)
@@ -108,10 +108,7 @@
     """Requests copies from the holder of orders."""
 
     def __init__(self) -> None:
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, socket_factory=sockets.create_factory()
-            ),
+        self.session = answer_protocol.open_session(
             timeout=aiohttp.ClientTimeout(
                 total=COPY_TIMEOUT.total_seconds(),
                 sock_connect=CONNECT_TIMEOUT.total_seconds(),
--- a/src/cicadahook/net/peer_relay_client.py
+++ b/src/cicadahook/net/peer_relay_client.py
@@ -21,11 +21,11 @@
 from cicadahook.core import reachability as reachability_lib
 from cicadahook.core import roster
 from cicadahook.net import active_request
+from cicadahook.net import answer_protocol
 from cicadahook.net import codec
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import peer_relay_messages
-from cicadahook.net import sockets
 
 CONNECT_TIMEOUT: Final = datetime.timedelta(milliseconds=300)
 # A node accepts a request before it sends it.
@@ -115,10 +115,7 @@
         self.clock = clock
         self.node = nodes.own.name
         self.in_flight: collections.Counter[str] = collections.Counter()
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, socket_factory=sockets.create_factory()
-            ),
+        self.session = answer_protocol.open_session(
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT.total_seconds()
             ),
--- a/src/cicadahook/net/upstream_connections.py
+++ b/src/cicadahook/net/upstream_connections.py
@@ -14,6 +14,7 @@
 
 from cicadahook.core import errors
 from cicadahook.core import view
+from cicadahook.net import answer_protocol
 from cicadahook.net import engine_client
 from cicadahook.net import logs
 
@@ -75,9 +76,8 @@
         pool = self.pools.get(address)
         if pool is None:
             pool = Pool(
-                aiohttp.ClientSession(
-                    connector=aiohttp.TCPConnector(limit=0),
-                    timeout=aiohttp.ClientTimeout(total=None),
+                answer_protocol.open_session(
+                    timeout=aiohttp.ClientTimeout(total=None)
                 )
             )
             self.pools[address] = pool
--- a/src/cicadahook/platform/answer_heads.py
+++ b/src/cicadahook/platform/answer_heads.py
@@ -40,11 +40,12 @@
     is_refusal = (
         header_names.NOT_EXECUTED in headers or status in NOT_RUN_STATUSES
     )
+    number = getattr(response, "number", 0)
     detail = (
         f"status {status}, id {answered_id},"
         f" instance {headers.get(header_names.INSTANCE_ID)},"
         f" Retry-After {headers.get(header_names.RETRY_AFTER)},"
-        f" answer {get_number(response)} of its connection"
+        f" answer {number} of its connection"
     )
     if not is_own:
         if is_refusal:
@@ -67,8 +68,3 @@
         header_names.strip_hop_by_hop_headers(headers.items()),
         is_success and response.content_type == EVENT_STREAM,
     )
-
-
-def get_number(response: aiohttp.ClientResponse) -> int:
-    """Return how many answers have been due on a response's connection."""
-    return getattr(getattr(response, "protocol", None), "answers", 0)
--- a/src/cicadahook/platform/metadata_store.py
+++ b/src/cicadahook/platform/metadata_store.py
@@ -9,7 +9,7 @@
 
 from cicadahook.core import errors
 from cicadahook.core import store_api
-from cicadahook.net import sockets
+from cicadahook.net import answer_protocol
 
 # The store is specified to answer within 4 ms; a slow one may take far longer.
 CALL_TIMEOUT: Final = datetime.timedelta(seconds=1.5)
@@ -73,11 +73,7 @@
     def __init__(self, address: str) -> None:
         self.base_url = f"http://{address}"
         self.eras = store_api.EraTracker()
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, socket_factory=sockets.create_factory()
-            )
-        )
+        self.session = answer_protocol.open_session()
 
     async def close(self) -> None:
         """Close all connections."""
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -107,8 +107,7 @@
                 skip_auto_headers=SKIPPED_AUTO_HEADERS,
                 allow_redirects=False,
             )
-        is_reusable = False
-        try:
+        with self.pools.settle(attempt.instance, response):
             self._record_statement(attempt.instance, response, sent, request.id)
             protocol = getattr(response, "protocol", None)
             yield upstream_answers.UpstreamAnswer(
@@ -118,12 +117,6 @@
                 self.buffer,
                 functools.partial(self._watch_link, attempt.instance),
             )
-            is_reusable = True
-        finally:
-            if is_reusable:
-                self.pools.release(attempt.instance, response)
-            else:
-                response.close()
 
     async def fetch_report(
         self, instance: inventory.Instance
--- a/tests/test_joined_answers.py
+++ b/tests/test_joined_answers.py
@@ -25,6 +25,8 @@
 # Time in which bytes that were sent are read.
 READ_SECONDS = 0.01
 CASES_AT_ONCE = 64
+# An order waits only some milliseconds for its answer.
+ORDERS_AT_ONCE = 4
 # True answers are complete at once.
 ANSWER_SECONDS = 2.0
 RESULTS = engine_orders.OrderResult
@@ -155,11 +157,13 @@
         return first, second, third
 
 
-async def gather(cases: dict[str, Coroutine[Any, Any, Any]]) -> dict[str, Any]:
+async def gather(
+    cases: dict[str, Coroutine[Any, Any, Any]], at_once: int = CASES_AT_ONCE
+) -> dict[str, Any]:
     """Return the results of cases, some of which run at the same time."""
     results: dict[str, Any] = {}
     while cases:
-        names = list(itertools.islice(cases, CASES_AT_ONCE))
+        names = list(itertools.islice(cases, at_once))
         done = await asyncio.gather(*(cases.pop(name) for name in names))
         results |= dict(zip(names, done, strict=True))
     return results
@@ -243,7 +247,8 @@
                 )
             )
             for name, cut in list_cuts(ORDER_STRAYS[kind]).items()
-        }
+        },
+        ORDERS_AT_ONCE,
     )
     assert {
         name: ends
--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -9,7 +9,7 @@
 import aiohttp
 import pytest
 
-from cicadahook.net import answer_protocol
+from cicadahook.net import answer_framing
 import node_testbed
 import node_upstreams
 
@@ -159,7 +159,7 @@
     writer: asyncio.StreamWriter, head: bytes
 ) -> None:
     """Announce an answer a few times, in pieces, before it comes."""
-    for _ in range(answer_protocol.MAX_INTERIM_HEADS):
+    for _ in range(answer_framing.MAX_INTERIM_HEADS):
         for piece in (b"HTTP/1.1 10", b"3 Early Hints\r\nLink: x\r\n\r", b"\n"):
             writer.write(piece)
             await writer.drain()
