--- a/src/cicadahook/net/link_monitor.py
+++ b/src/cicadahook/net/link_monitor.py
@@ -29,7 +29,6 @@
 PROBE_SPREAD: Final = datetime.timedelta(milliseconds=200)
 MAX_PROBED_LINKS: Final = 64
 
-LinkListener = Callable[[inventory.Instance, forwarding.LinkEvent], None]
 Probe = Callable[[inventory.Instance], Awaitable[forwarding.LinkEvent]]
 
 logger: Final = logs.create_logger("links")
--- a/src/cicadahook/net/upstream_answers.py
+++ b/src/cicadahook/net/upstream_answers.py
@@ -11,6 +11,7 @@
 from aiohttp import client_proto
 
 from cicadahook.core import forwarding
+from cicadahook.core import inventory
 
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 # Answers that state no length may have no end.
@@ -21,6 +22,8 @@
 )
 RESET: Final = frozenset({errno.ECONNRESET, errno.EPIPE})
 
+LinkListener = Callable[[inventory.Instance, forwarding.LinkEvent], None]
+
 
 @dataclasses.dataclass
 class UpstreamAnswer:
@@ -126,6 +129,29 @@
     return None
 
 
+@dataclasses.dataclass
+class LinkWatch:
+    """Passes on what calls show of the links to their upstreams.
+
+    Attributes:
+        listener: called with the upstream of each call and what it shows.
+    """
+
+    listener: LinkListener = lambda instance, event: None
+
+    @contextlib.contextmanager
+    def watch(self, instance: inventory.Instance) -> Iterator[None]:
+        """Pass on what a part of a call shows of the link to its upstream."""
+        try:
+            yield
+        except (aiohttp.ClientError, OSError) as error:
+            event = describe_link_error(error)
+            if event is not None:
+                self.listener(instance, event)
+            raise
+        self.listener(instance, forwarding.LinkEvent.HEARD)
+
+
 @contextlib.contextmanager
 def translate_errors() -> Iterator[None]:
     """Raise the errors of aiohttp as `forwarding.AttemptError`."""
--- a/src/cicadahook/net/upstream_links.py
+++ b/src/cicadahook/net/upstream_links.py
@@ -19,6 +19,7 @@
 from cicadahook.net import link_monitor
 from cicadahook.net import peer_probes
 from cicadahook.net import peer_relay_client
+from cicadahook.net import upstream_answers
 
 # Upstreams that are probed to find out whether this node has any link.
 MAX_WITNESSES: Final = 3
@@ -28,12 +29,11 @@
     """Client of the upstreams that tells what its calls show of the links.
 
     Attributes:
-        link_listener: called with the upstream of each call and what the call
-            shows of the link to it.
+        links: passes on what its calls show of the links.
         pools: its connections to upstreams.
     """
 
-    link_listener: link_monitor.LinkListener
+    links: upstream_answers.LinkWatch
     pools: connection_pools.ConnectionPools
 
 
@@ -79,7 +79,7 @@
             generator=generator,
             node=nodes.own.name,
         )
-        client.link_listener = self.monitor.record
+        client.links.listener = self.monitor.record
         self.relays = peer_relay_client.RelayClient(
             self.reachability, nodes, clock
         )
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -1,6 +1,6 @@
 """Client of upstreams: callers' requests, orders and engine reports."""
 
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Callable
 import contextlib
 import datetime
 import functools
@@ -37,8 +37,6 @@
     [inventory.Instance, upstream_statements.Statement, datetime.datetime], None
 ]
 
-LinkListener = Callable[[inventory.Instance, forwarding.LinkEvent], None]
-
 logger: Final = logs.create_logger("upstreams")
 
 ORDER_RESULTS_BY_STATUS: Final = {
@@ -60,13 +58,12 @@
         buffer: bytes of all plain answers that are being read.
         statement_listener: called with each answer's upstream, what it says
             of itself and when the call was sent.
-        link_listener: called with the upstream of each call and what the call
-            shows of the link to it.
+        links: passes on what calls show of the links.
     """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
         self.clock = clock
-        self.link_listener: LinkListener = lambda instance, event: None
+        self.links = upstream_answers.LinkWatch()
         self.statement_listener: StatementListener = (
             lambda instance, statement, sent: None
         )
@@ -95,7 +92,7 @@
         sent = self.clock.now()
         with (
             upstream_answers.translate_errors(),
-            self._watch_link(attempt.instance),
+            self.links.watch(attempt.instance),
         ):
             response = await self.pools.take(
                 attempt.instance, is_new=attempt.needs_new_connection
@@ -115,7 +112,7 @@
                 response,
                 protocol,
                 self.buffer,
-                functools.partial(self._watch_link, attempt.instance),
+                functools.partial(self.links.watch, attempt.instance),
             )
 
     async def fetch_report(
@@ -124,7 +121,7 @@
         """Return the report of an engine, or None if it could not be read."""
         sent = self.clock.now()
         try:
-            with self._watch_link(instance):
+            with self.links.watch(instance):
                 response = await self.order_pools.take(instance).get(
                     f"http://{instance.address}/report",
                     timeout=_create_timeout(REPORT_TIMEOUT),
@@ -178,7 +175,7 @@
             body["adapter"] = order.adapter
         sent = self.clock.now()
         try:
-            with self._watch_link(instance):
+            with self.links.watch(instance):
                 response = await self.order_pools.take(instance).post(
                     f"http://{instance.address}/order",
                     json=body,
@@ -196,18 +193,6 @@
         except (aiohttp.ClientError, OSError):
             return engine_orders.OrderResult.UNKNOWN
 
-    @contextlib.contextmanager
-    def _watch_link(self, instance: inventory.Instance) -> Iterator[None]:
-        """Pass on what a part of a call shows of the link to its upstream."""
-        try:
-            yield
-        except (aiohttp.ClientError, OSError) as error:
-            event = upstream_answers.describe_link_error(error)
-            if event is not None:
-                self.link_listener(instance, event)
-            raise
-        self.link_listener(instance, forwarding.LinkEvent.HEARD)
-
     def _record_statement(
         self,
         instance: inventory.Instance,
