--- a/src/cicadahook/net/answer_framing.py
+++ b/src/cicadahook/net/answer_framing.py
@@ -1,7 +1,8 @@
 """Follows the bytes of an answer to its end, and bounds what they may cost.
 
 aiohttp parses whatever comes on a connection and does not tell where an answer
-ended. It reads on over any number of interim heads and tiny chunks.
+ended. It reads on over any number of interim heads and tiny chunks, and joins a
+head that was cut within a value with the head behind it.
 """
 
 from collections.abc import Callable
@@ -23,6 +24,9 @@
 LINE_END: Final = b"\r\n"
 HEAD_END: Final = b"\r\n\r\n"
 STATUS_LINE: Final = re.compile(rb"HTTP/1\.[01] (\d{3})(?: |$)")
+# A status line within a line is that of another answer.
+ANY_STATUS: Final = re.compile(rb"HTTP/\d\.\d \d")
+BARE_LINE_END: Final = re.compile(rb"\r(?!\n)|(?<!\r)\n")
 LENGTH: Final = re.compile(rb"\d{1,18}")
 CHUNK_SIZE: Final = re.compile(rb"([0-9a-fA-F]{1,15})[ \t]*(?:;|$)")
 SWITCHING: Final = 101
@@ -111,6 +115,8 @@
         found = STATUS_LINE.match(head.partition(LINE_END)[0])
         _check(found is not None, "no status line")
         assert found is not None, "checked above"
+        _check(ANY_STATUS.search(head, 1) is None, "two status lines")
+        _check(BARE_LINE_END.search(head) is None, "a bare line end")
         status = int(found[1])
         if 100 <= status < 200 and status != SWITCHING:
             self.interim_heads += 1
--- a/src/cicadahook/platform/answer_heads.py
+++ b/src/cicadahook/platform/answer_heads.py
@@ -47,6 +47,10 @@
         f" Retry-After {headers.get(header_names.RETRY_AFTER)},"
         f" answer {number} of its connection"
     )
+    if repeated := header_names.find_repeated(headers):
+        raise forwarding.AttemptError(
+            forwarding.FailureKind.MALFORMED, f"{repeated} twice, {detail}"
+        )
     if not is_own:
         if is_refusal:
             metrics.count_unproven_refusal("other_id", node)
--- a/src/cicadahook/platform/headers.py
+++ b/src/cicadahook/platform/headers.py
@@ -81,6 +81,23 @@
     }
 )
 
+# An answer has each of these once; twice, it is joined from two answers.
+SINGLE_HEADERS: Final = (
+    REQUEST_ID,
+    INSTANCE_ID,
+    NOT_EXECUTED,
+    SIGNATURE,
+    RETRY_AFTER,
+)
+
+
+def find_repeated(headers: "multidict.CIMultiDictProxy[str]") -> str:
+    """Return a header that stands in an answer twice; empty if none does."""
+    for name in SINGLE_HEADERS:
+        if len(headers.getall(name, ())) > 1:
+            return name
+    return ""
+
 
 def strip_hop_by_hop_headers(
     pairs: Iterable[tuple[str, str]],
