--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -205,18 +205,17 @@
     ) -> None:
         """Pass on what an answer says of its upstream.
 
-        What it does not state has ended only if it is a signed answer to the
-        request sent: refusals and late answers may lack it, and a 421 may come
-        from another upstream at this address.
+        A late answer, and a 421 of another upstream at this address, say
+        nothing now. What is not stated has ended only if the answer is signed:
+        refusals may lack it.
         """
-        if response.status == 421:
+        answered_id = response.headers.get(header_names.REQUEST_ID, "")
+        if response.status == 421 or answered_id != request_id:
             return
-        is_signed = header_names.SIGNATURE in response.headers
-        answered_id = response.headers.get(header_names.REQUEST_ID)
         statement = header_names.decode_statement(
             response.headers,
             response.status,
-            is_complete=is_signed and answered_id == request_id,
+            is_complete=header_names.SIGNATURE in response.headers,
         )
         if statement.unreadable:
             logger.warning(
--- a/tests/test_joined_answers.py
+++ b/tests/test_joined_answers.py
@@ -170,6 +170,32 @@
     } == {}
 
 
+@pytest.mark.parametrize("kind", stray_upstream.STRAYS)
+@pytest.mark.parametrize("place", Place)
+async def test_no_upstream_is_held_to_what_a_stray_answer_says(
+    kind: str, place: Place
+) -> None:
+    async def list_statements(cut: bytes) -> set[bool | None]:
+        upstream = StrayUpstream(place, cut)
+        async with upstream.run() as instance, open_client() as client:
+            found = set()
+            client.statement_listener = lambda instance, statement, sent: (
+                found.add(statement.is_leaving or statement.rest)
+            )
+            await send(client, instance, "first")
+            await pass_stray(upstream)
+            await send(client, instance, "second")
+            return found
+
+    results = await gather(
+        {
+            name: list_statements(cut)
+            for name, cut in list_cuts(stray_upstream.STRAYS[kind]).items()
+        }
+    )
+    assert set().union(*results.values()) == {None}
+
+
 async def play_orders(upstream: StrayUpstream) -> tuple[RESULTS, ...]:
     """Return the results of three orders, of which one meets stray bytes."""
     async with upstream.run() as instance, open_client() as client:
