--- a/src/cicadahook/net/connection_pools.py
+++ b/src/cicadahook/net/connection_pools.py
@@ -1,5 +1,6 @@
 """Sessions to upstreams that keep unused connections for different times."""
 
+import collections
 from collections.abc import Iterator
 import contextlib
 import datetime
@@ -22,6 +23,8 @@
 NOT_KEPT: Final = datetime.timedelta()
 MAX_HEADER_BYTES: Final = 65_536
 READ_BUFFER_BYTES: Final = 65_536
+# Attempts that are remembered: those of some seconds at a busy node.
+MAX_SENT: Final = 4096
 # What came was not the answer due, so more of that kind may follow.
 DISBELIEVED_KINDS: Final = frozenset(
     {forwarding.FailureKind.CROSSED, forwarding.FailureKind.MALFORMED}
@@ -38,6 +41,7 @@
         resets: whether closing a connection resets it.
         kept: which connections are kept.
         sessions: the sessions, a few dozen at most.
+        sent: address and request id of the latest attempts, in order.
     """
 
     def __init__(self, clock: clock_lib.Clock, *, resets: bool) -> None:
@@ -45,6 +49,9 @@
         self.resets = resets
         self.kept = kept_connections.KeptConnections("")
         self.sessions: dict[datetime.timedelta, aiohttp.ClientSession] = {}
+        self.sent: collections.OrderedDict[tuple[str, str], None] = (
+            collections.OrderedDict()
+        )
 
     def take(
         self, instance: inventory.Instance, *, is_new: bool = False
@@ -60,6 +67,22 @@
         self.kept.take(instance, self.clock.now())
         return self._get(self.kept.get_lifetime(instance))
 
+    def take_for(self, attempt: forwarding.Attempt) -> aiohttp.ClientSession:
+        """Return the session for an attempt.
+
+        An answer names its request, not the try: where an upstream has got the
+        request before, maybe by way of another node, an earlier answer to it
+        must not be on the connection.
+        """
+        key = (attempt.instance.address, attempt.request.id)
+        was_sent = key in self.sent
+        self.sent[key] = None
+        if len(self.sent) > MAX_SENT:
+            self.sent.popitem(last=False)
+        return self.take(
+            attempt.instance, is_new=was_sent or attempt.needs_new_connection
+        )
+
     @contextlib.contextmanager
     def settle(
         self, instance: inventory.Instance, response: aiohttp.ClientResponse
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -94,9 +94,7 @@
             upstream_answers.translate_errors(),
             self.links.watch(attempt.instance),
         ):
-            response = await self.pools.take(
-                attempt.instance, is_new=attempt.needs_new_connection
-            ).request(
+            response = await self.pools.take_for(attempt).request(
                 request.method,
                 url,
                 headers=header_names.encode_request(attempt),
--- a/tests/test_joined_answers.py
+++ b/tests/test_joined_answers.py
@@ -170,6 +170,17 @@
     } == {}
 
 
+async def test_a_request_that_is_sent_again_meets_no_earlier_answer_to_it() -> (
+    None
+):
+    refusal = stray_upstream.STRAYS["refusal"]
+    upstream = StrayUpstream(Place.BEFORE, refusal)
+    async with upstream.run() as instance, open_client() as client:
+        assert await send(client, instance, "first") == "true"
+        assert await send(client, instance, "first") == "true"
+    assert not upstream.strayed.is_set()
+
+
 @pytest.mark.parametrize("kind", stray_upstream.STRAYS)
 @pytest.mark.parametrize("place", Place)
 async def test_no_upstream_is_held_to_what_a_stray_answer_says(
