--- a/src/cicadahook/platform/answer_heads.py
+++ b/src/cicadahook/platform/answer_heads.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from cicadahook.core import forwarding
+from cicadahook.net import header_fields
 from cicadahook.net import metrics
 from cicadahook.platform import headers as header_names
 
@@ -47,7 +48,9 @@
         f" Retry-After {headers.get(header_names.RETRY_AFTER)},"
         f" answer {number} of its connection"
     )
-    if repeated := header_names.find_repeated(headers):
+    if repeated := header_fields.find_repeated(
+        headers, header_names.SINGLE_HEADERS
+    ):
         raise forwarding.AttemptError(
             forwarding.FailureKind.MALFORMED, f"{repeated} twice, {detail}"
         )
--- a/src/cicadahook/platform/caller_server.py
+++ b/src/cicadahook/platform/caller_server.py
@@ -14,6 +14,7 @@
 from cicadahook.net import address_directory
 from cicadahook.net import caller_answers
 from cicadahook.net import forwarder
+from cicadahook.net import header_fields
 from cicadahook.net import logs
 from cicadahook.platform import headers as header_names
 
@@ -109,6 +110,10 @@
         if size > self.limits.max_header_bytes:
             raise errors.RefusalError("headers_too_large", "headers", 431)
         try:
+            if repeated := header_fields.find_repeated(
+                headers, header_names.SINGLE_HEADERS
+            ):
+                raise ValueError(f"{repeated} twice")
             time_limit = header_names.decode_time_limit(headers)
             generation = header_names.decode_generation(headers)
         except ValueError as error:
--- a/src/cicadahook/platform/headers.py
+++ b/src/cicadahook/platform/headers.py
@@ -81,24 +81,13 @@
     }
 )
 
-# An answer has each of these once; twice, it is joined from two answers.
-SINGLE_HEADERS: Final = (
-    REQUEST_ID,
-    INSTANCE_ID,
-    NOT_EXECUTED,
-    SIGNATURE,
-    RETRY_AFTER,
+# A message has each of these once; twice, it is joined from two messages.
+SINGLE_HEADERS: Final = frozenset(
+    {"Host", REQUEST_ID, DEADLINE, MODEL, TOKEN_COUNTS, PROMPT_PARTS}
+    | {LAST_EVENT_ID, NOT_EXECUTED, SIGNATURE}
 )
 
 
-def find_repeated(headers: "multidict.CIMultiDictProxy[str]") -> str:
-    """Return a header that stands in an answer twice; empty if none does."""
-    for name in SINGLE_HEADERS:
-        if len(headers.getall(name, ())) > 1:
-            return name
-    return ""
-
-
 def strip_hop_by_hop_headers(
     pairs: Iterable[tuple[str, str]],
 ) -> forwarding.Headers:
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -134,6 +134,22 @@
     check(testbed, statuses)
 
 
+@pytest.mark.parametrize("name", ["X-Request-Id", "Host", "X-Deadline-Ms"])
+async def test_a_request_joined_from_two_is_refused(
+    testbed: node_testbed.NodeTestbed, name: str
+) -> None:
+    address = testbed.programs[0].settings.front_address
+    reader, writer = await asyncio.open_connection(*address.split(":"))
+    headers = {"Host": "api.example", "X-Request-Id": "1", "X-Deadline-Ms": "9"}
+    lines = [f"{each}: {value}" for each, value in headers.items()]
+    lines.append(f"{name}: {headers[name]}")
+    head = "\r\n".join([f"POST {WRITE} HTTP/1.1", *lines])
+    writer.write(f"{head}\r\nContent-Length: 0\r\n\r\n".encode())
+    assert b" 400 " in await reader.readline()
+    writer.close()
+    assert not count_runs(testbed.plain)
+
+
 async def test_a_second_try_at_an_upstream_has_a_connection_of_its_own(
     testbed: node_testbed.NodeTestbed,
 ) -> None:
