--- a/tests/soak/node_run.py
+++ b/tests/soak/node_run.py
@@ -31,6 +31,7 @@
 
 # pylint: disable=wrong-import-position
 import conftest
+import older_build
 from soak import node_callers
 from soak import node_checker
 from soak import node_faults
@@ -38,10 +39,12 @@
 from soak import order_checker
 from soak import results as results_lib
 from soak import store_faults as _  # Registers its kinds of faults.
+from soak import stray_faults as __  # Registers its kinds of faults.
 
 BROKEN_EXIT_CODE: Final = 1
 FAILED_EXIT_CODE: Final = 3
 GRACE_SECONDS: Final = (3.0, 8.0)
+RETRY_SLACK: Final = 50
 SETTLE_SECONDS: Final = 1.0
 LAG_POLL_SECONDS: Final = 0.02
 LAG_LIMIT_SECONDS: Final = 0.1
@@ -53,6 +56,8 @@
     logs: pathlib.Path,
     grace_seconds: float | None = None,
     kinds: tuple[str, ...] = tuple(node_faults.FAULT_KINDS),
+    build: str = "",
+    retry_slack: int = RETRY_SLACK,
 ) -> results_lib.Results:
     """Run one soak; return its counts and violations.
 
@@ -62,6 +67,8 @@
         logs: directory for the logs of the nodes.
         grace_seconds: grace period of the nodes; drawn if None.
         kinds: kinds of faults.
+        build: commit whose nodes run; empty for those of this checkout.
+        retry_slack: retries that the nodes may spend in a window.
     """
     rng = random.Random(seed)
     grace_seconds = grace_seconds or rng.choice(GRACE_SECONDS)
@@ -70,6 +77,9 @@
     system = node_system.System(
         conftest.find_base_port(), grace_seconds, logs, results
     )
+    for node in system.nodes:
+        node.retry_slack = retry_slack
+        node.source = older_build.extract(build, logs) if build else None
     async with aiohttp.ClientSession() as session, system.run(session):
         callers = [
             node_callers.Caller(
@@ -126,6 +136,8 @@
     parser.add_argument(
         "--kinds", nargs="+", default=list(node_faults.FAULT_KINDS)
     )
+    parser.add_argument("--build", default="")
+    parser.add_argument("--retry-slack", type=int, default=RETRY_SLACK)
     parser.add_argument("--logs", type=pathlib.Path)
     flags = parser.parse_args()
     logs = pathlib.Path(
@@ -144,6 +156,8 @@
             logs,
             flags.grace_seconds,
             tuple(flags.kinds),
+            flags.build,
+            flags.retry_slack,
         )
 
     try:
--- a/tests/soak/node_system.py
+++ b/tests/soak/node_system.py
@@ -22,6 +22,7 @@
 import node_upstreams
 from soak import node_checker
 from soak import results as results_lib
+from soak import stray_bytes
 
 NODE_COUNT: Final = 4
 PORT_OFFSET: Final = 10
@@ -47,8 +48,11 @@
         address: `host:port` of the link.
         leaving_since: monotonic time since which its entry is marked as
             leaving or removed; None while it is ready.
+        strays: what it sends beside its answers; None for nothing.
     """
 
+    strays: stray_bytes.StrayBytes | None = None
+
     def __init__(
         self,
         name: str,
@@ -71,6 +75,23 @@
         self.says_leaving = False
         self.leaving_since = None
 
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call, maybe with stray bytes beside the answer."""
+        strays = self.strays
+        if strays is None:
+            return await super().handle(request)
+        place, stray = strays.draw(request)
+        if place == stray_bytes.BEFORE:
+            strays.send_before(request, stray)
+        elif place == stray_bytes.BETWEEN:
+            strays.due[request.transport] = stray
+        response = await super().handle(request)
+        if place in (stray_bytes.AFTER, stray_bytes.IDLE):
+            await strays.send_after(
+                request, response, stray, is_idle=place == stray_bytes.IDLE
+            )
+        return response
+
     def list_arrivals(self, begin: float) -> list[tuple[float, str]]:
         """Return time and request id of the arrivals since a time."""
         return [
@@ -117,6 +138,8 @@
         return node_checker.parse_work(request.path)
 
     def _create_event(self, request: web.BaseRequest, number: int) -> bytes:
+        if self.strays is not None and number > 1:
+            self.strays.send_between(request)
         return node_checker.create_event(
             request.headers["X-Request-Id"], number
         )
--- a/tests/stray_upstream.py
+++ b/tests/stray_upstream.py
@@ -56,6 +56,9 @@
     "garbage": b"\x00\xffno answer at all\n\n",
 }
 
+# Those that say that their request has not run.
+REFUSALS = ("refusal", "misdirected", "limited", "bad")
+
 
 class Place(enum.StrEnum):
     """Where the stray bytes stand on the connection."""
