--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -60,7 +60,7 @@
     """Send requests that may run once; return their statuses by id."""
     statuses = {}
     for number in range(REQUEST_COUNT):
-        name = f"r{number}"
+        name = f"n{node}-{number}"
         async with testbed.call(
             WRITE, node, headers={"X-Request-Id": name}
         ) as response:
