--- a/src/cicadahook/net/attempts.py
+++ b/src/cicadahook/net/attempts.py
@@ -261,7 +261,10 @@
             errors.Outcome.UNKNOWN,
         )
     reason = retry.Reason.REFUSED
-    if response.status == LEAVING_STATUS and LEAVING_STATE in body:
+    # The refusal names no attempt, so an earlier one must not come before it.
+    is_first = getattr(response, "number", 1) == 1
+    is_leaving = response.status == LEAVING_STATUS and LEAVING_STATE in body
+    if is_leaving and is_first:
         reason = retry.Reason.LEAVING
     raise AttemptError(
         reason, f"{attempt.upstream.address}: status {response.status}"
--- a/tests/test_joined_answers.py
+++ b/tests/test_joined_answers.py
@@ -7,15 +7,20 @@
 import itertools
 from typing import Any
 
+import aiohttp
 import pytest
 
 from cicadahook.core import engine_orders
 from cicadahook.core import errors
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
+from cicadahook.core import retry
 from cicadahook.core import store_api
+from cicadahook.core import view
+from cicadahook.net import attempts
 from cicadahook.net import clock as clock_lib
 from cicadahook.net import connection_pools
+from cicadahook.net import upstream_connections
 from cicadahook.platform import metadata_store
 from cicadahook.platform import upstream_client
 from stray_upstream import Place
@@ -262,6 +267,27 @@
     } == {}
 
 
+async def test_no_engine_refuses_an_attempt_by_an_earlier_answer() -> None:
+    leaving = stray_upstream.create_stray(
+        "503 Service Unavailable", body='{"state": "leaving"}'
+    )
+    stream = b'data: {"id": 1}\n\ndata: [DONE]\n\n'
+    answer = stray_upstream.create_stray("200 OK", body=stream.decode())
+    upstream = StrayUpstream(Place.BEFORE, leaving, lambda name: answer)
+    async with upstream.run() as instance, aiohttp.ClientSession() as session:
+        connections = upstream_connections.UpstreamConnections(session)
+        caller = attempts.UpstreamCaller(connections, attempts.ProgressMode())
+        engine = view.Upstream(instance.address, "z", view.UpstreamKind.ENGINE)
+        attempt = attempts.Attempt("a1", engine, "/x", {}, SECOND)
+        assert [chunk async for chunk in caller.stream(attempt)] == [{"id": 1}]
+        with pytest.raises(attempts.AttemptError) as raised:
+            await anext(caller.stream(attempt))
+        assert raised.value.reason not in retry.NOT_RUN_REASONS
+        connections.retire_unlisted(())
+        await asyncio.gather(*connections.closing_tasks)
+    assert upstream.strayed.is_set()
+
+
 async def write(store: metadata_store.PlatformStore) -> int | None:
     """Return the revision that a write got; None if that is unknown."""
     try:
