--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from cicadahook.core import forwarding
+from cicadahook.net import peer_relay_server
 import node_cuts
 import node_testbed
 import node_upstreams
@@ -114,10 +116,30 @@
     await check_behind_another_node(linked_testbed, stray)
 
 
+async def test_an_error_of_another_node_proves_no_refusal(
+    linked_testbed: node_testbed.NodeTestbed, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(head: forwarding.AnswerHead) -> bytes:
+        raise ValueError(head.status)
+
+    monkeypatch.setattr(peer_relay_server, "_encode_head", fail)
+    statuses = await send_behind_another_node(linked_testbed, "")
+    runs = count_runs(linked_testbed.plain)
+    assert runs and set(runs.values()) == {1}
+    assert not {statuses[name] for name in runs} & NOT_RUN
+
+
 async def check_behind_another_node(
     testbed: node_testbed.NodeTestbed, stray: str
 ) -> None:
     """Check requests that another node passes on to upstreams with strays."""
+    check(testbed, await send_behind_another_node(testbed, stray))
+
+
+async def send_behind_another_node(
+    testbed: node_testbed.NodeTestbed, stray: str
+) -> dict[str, int]:
+    """Send requests through another node; return their statuses by id."""
     await send(testbed, node_cuts.IN_TOUCH)
     await node_cuts.cut_known(testbed, node_cuts.CUT_OFF)
     cut_off = node_cuts.get_node(testbed, node_cuts.CUT_OFF)
@@ -130,8 +152,7 @@
     for upstream in testbed.plain:
         upstream.arrivals.clear()
         upstream.stray = stray
-    statuses = await send(testbed, node_cuts.CUT_OFF)
-    check(testbed, statuses)
+    return await send(testbed, node_cuts.CUT_OFF)
 
 
 @pytest.mark.parametrize("name", ["X-Request-Id", "Host", "X-Deadline-Ms"])
