--- a/src/cicadahook/net/answer_protocol.py
+++ b/src/cicadahook/net/answer_protocol.py
@@ -19,6 +19,9 @@
 from cicadahook.net import metrics
 from cicadahook.net import sockets
 
+# How long an unused connection is kept where its server states no time.
+KEEPALIVE_SECONDS: Final = 15.0
+
 logger: Final = logs.create_logger("connections")
 
 
@@ -132,7 +135,7 @@
 def open_session(
     *,
     resets: bool = False,
-    keepalive: float | None = 15.0,
+    keepalive: float = KEEPALIVE_SECONDS,
     **options: Any,
 ) -> aiohttp.ClientSession:
     """Return a session whose connections are `AnswerHandler`s.
