--- a/tests/soak/node_run.py
+++ b/tests/soak/node_run.py
@@ -56,6 +56,7 @@
     logs: pathlib.Path,
     grace_seconds: float | None = None,
     kinds: tuple[str, ...] = tuple(node_faults.FAULT_KINDS),
+    *,
     build: str = "",
     retry_slack: int = RETRY_SLACK,
 ) -> results_lib.Results:
@@ -156,8 +157,8 @@
             logs,
             flags.grace_seconds,
             tuple(flags.kinds),
-            flags.build,
-            flags.retry_slack,
+            build=flags.build,
+            retry_slack=flags.retry_slack,
         )
 
     try:
