--- a/src/cicadahook/net/order_sender.py
+++ b/src/cicadahook/net/order_sender.py
@@ -186,7 +186,10 @@
         """Send an order; `engine.lock` must be held.
 
         Sending an unanswered order again is safe: each expects the same
-        sequence number, so the engine accepts at most one of them.
+        sequence number, so the engine accepts at most one of them. So is a
+        false result of a load: after any but `ACCEPTED` the engine is asked
+        before the next order, and after that the next one expects a number
+        that the engine does not have.
         """
         sequence = engine.ledger.sequence
         assert sequence is not None, "an order needs the engine's sequence"
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -174,16 +174,18 @@
         sent = self.clock.now()
         try:
             with self.links.watch(instance):
-                # The answer names no order, so none may have come before it.
+                # The answer names no order. One to an unload frees memory, so
+                # none may have come before it; see `OrderSender.send`.
+                is_unload = order.operation is engine_orders.Operation.UNLOAD
                 response = await self.order_pools.take(
-                    instance, is_new=True
+                    instance, is_new=is_unload
                 ).post(
                     f"http://{instance.address}/order",
                     json=body,
                     headers={header_names.EXPECTED_INSTANCE: instance.id},
                     timeout=_create_timeout(ORDER_TIMEOUT),
                 )
-            async with response:
+            with self.order_pools.settle(instance, response):
                 self._record_statement(instance, response, sent)
                 await response.read()
                 return ORDER_RESULTS_BY_STATUS.get(
