--- a/review/standins-2/bed.py
+++ b/review/standins-2/bed.py
@@ -269,6 +269,7 @@
         self.events = 5
         self.gap_s = 0.02
         self.running = 0
+        self.busy = False
         self.answer = self.answer_soundly
         self.server = None
         self.writers: set = set()
@@ -326,7 +327,7 @@
             writer.write(encode(200, b"", echo))
         elif path == "/report" and self.models is not None:
             writer.write(encode(200, json.dumps({
-                "stage": "both", "models": self._list_models(), "busy": False,
+                "stage": "both", "models": self._list_models(), "busy": self.busy,
                 "sequence_number": self.sequence, "queued_requests": 0,
                 "active_requests": self.running, "kv_used": 0,
                 "kv_total": 100000, "handles": 0, "incoming": [],
@@ -660,12 +661,14 @@
                 continue
 
     async def open(self, nodes=2, portal=2, engines=2, memory_mb=560,
-                   config=None) -> None:
+                   config=None, held=("big", "small")) -> None:
+        """Start everything; all engines but the first hold what `held` says."""
         await self.store.start()
         for number in range(1, portal + 1):
             self.workers.append(Worker(self, f"p{number}", "portal"))
         for number in range(1, engines + 1):
-            models = {"big": set(), "small": set()}
+            names = ("big", "small") if number == 1 else held
+            models = {name: set() for name in names}
             self.workers.append(
                 Worker(self, f"e{number}", "models", 96, models))
         for worker in self.workers:
@@ -708,11 +711,14 @@
 
     async def run() -> int:
         bed = Bed(folder)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(110):
                 await bed.open(**options)
                 broken = await play(bed)
-        except Exception as error:  # the case couldn't run
+        except (Exception, asyncio.CancelledError) as error:
             bed.record.add(f"couldn't run: {error!r}")
             print(f"couldn't run: {error!r}", file=sys.stderr)
             return 2
