--- a/src/cicadahook/core/event_sequence.py
+++ b/src/cicadahook/core/event_sequence.py
@@ -55,6 +55,7 @@
             is joined to earlier ones.
         is_cut_short: whether an event had begun when the last answer broke off.
         empty_answers: joined answers that ended without an event.
+        count: events so far, without those that clients don't get.
     """
 
     last_id: str = ""
@@ -63,6 +64,7 @@
     is_joining: bool = False
     is_cut_short: bool = False
     empty_answers: int = 0
+    count: int = 0
 
     @classmethod
     def create_after(cls, last_event_id: str) -> "EventSequence":
@@ -104,11 +106,13 @@
                 raise SequenceError(f"id {event.id!r} after {self.last}")
             self.numbering = Numbering.NONE
             self.last_id = event.id or self.last_id
+            self.count += 1
             return
         self._accept_number(int(event.id))
         self.last_id = event.id
         self.is_joining = self.is_cut_short = False
         self.empty_answers = 0
+        self.count += 1
 
     def _accept_number(self, number: int) -> None:
         last, self.last = self.last, number
--- a/src/cicadahook/core/forwarding.py
+++ b/src/cicadahook/core/forwarding.py
@@ -96,13 +96,30 @@
         return digest.hexdigest()
 
 
+class BodyEnd(enum.StrEnum):
+    """What tells where the body of an answer ends."""
+
+    LENGTH = "length"  # or a head behind which there is no body
+    LAST_CHUNK = "last_chunk"
+    CLOSE = "close"  # of the connection; see RFC 9112, section 6.3
+    UNKNOWN = ""  # a node of an older build passed the answer on
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """Status and end-to-end headers of an upstream's answer."""
+    """Status and end-to-end headers of an upstream's answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: end-to-end headers, in order.
+        is_event_stream: whether it is a stream of events.
+        body_end: what tells where its body ends.
+    """
 
     status: int
     headers: Headers
     is_event_stream: bool = False
+    body_end: BodyEnd = BodyEnd.UNKNOWN
 
 
 class FailureKind(enum.StrEnum):
--- a/src/cicadahook/net/active_request.py
+++ b/src/cicadahook/net/active_request.py
@@ -164,6 +164,7 @@
         sent_at: when the last attempt was sent.
         first_chunk_at: when the first part of a stream was relayed.
         answer_began: when the upstream of the last attempt began to answer.
+        body_end: what tells where the body of that answer ends.
         is_proven_sound: whether that answer shows that the request does not
             crash upstreams.
         account: on whose account it runs.
@@ -189,6 +190,7 @@
     sent_at: datetime.datetime | None = None
     first_chunk_at: datetime.datetime | None = None
     answer_began: datetime.datetime | None = None
+    body_end: forwarding.BodyEnd = forwarding.BodyEnd.UNKNOWN
     is_proven_sound: bool = False
     account: RequestAccount = RequestAccount()
 
--- a/src/cicadahook/net/answer_protocol.py
+++ b/src/cicadahook/net/answer_protocol.py
@@ -15,6 +15,7 @@
 from aiohttp import client_proto
 from aiohttp import http_exceptions
 
+from cicadahook.core import forwarding
 from cicadahook.net import answer_framing
 from cicadahook.net import logs
 from cicadahook.net import metrics
@@ -37,20 +38,29 @@
         max_body_bytes: bytes of a body at the most; None for any number, where
             bodies are passed on as they come.
         framing: follows the answer that is due; None before the first one.
+        peer: address of the other side.
         answers: number of answers that have been due on this connection.
         has_surplus: whether other bytes have come.
         has_unread_upload: whether the other side ended the connection before
             all bytes of the request had arrived there.
         has_ended_cleanly: whether it ended the connection after these, without
             a reset.
+        has_received_end: whether it ended the connection in order, by a FIN.
     """
 
     max_body_bytes: int | None = None
     framing: answer_framing.AnswerFraming | None = None
+    peer: tuple[str, int] | None = None
     answers: int = 0
     has_surplus: bool = False
     has_unread_upload: bool = False
     has_ended_cleanly: bool = False
+    has_received_end: bool = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin; the address of the other side is not known after the end."""
+        self.peer = transport.get_extra_info("peername")
+        super().connection_made(transport)
 
     @property
     def is_idle(self) -> bool:
@@ -83,6 +93,7 @@
     def eof_received(self) -> None:
         """Record whether the connection will be reset for what is unread."""
         super().eof_received()
+        self.has_received_end = True
         self.has_unread_upload = _has_unread_upload(self.transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -92,6 +103,7 @@
             and self.exception() is None
             and not self.has_unread_upload
         )
+        self._log_end(exc)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -128,18 +140,39 @@
         if self.has_surplus:
             return
         self.has_surplus = True
-        peer = self.transport and self.transport.get_extra_info("peername")
         metrics.count_surplus(place)
         logger.info(
             "Connection not used any more; bytes came that were not due.",
             extra={
-                "peer": peer,
+                "peer": self.peer,
                 "place": place,
                 "bytes": size,
                 "answers": self.answers,
             },
         )
 
+    def _log_end(self, error: BaseException | None) -> None:
+        """Log that the other side ended the connection before an answer.
+
+        Lines of one moment and peer show that the peer, or the way to it,
+        ended all its connections.
+        """
+        if self.framing is None or self.framing.has_ended:
+            return
+        if error is None and not self.has_received_end:
+            # This side has closed the connection.
+            return
+        logger.info(
+            "Connection ended within an answer.",
+            extra={
+                "peer": self.peer,
+                "error": repr(error) if error else None,
+                "due": self.framing.state.name.lower(),
+                "body_bytes": self.framing.body_size,
+                "answers": self.answers,
+            },
+        )
+
     def _abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -183,6 +216,19 @@
         return body
 
 
+def find_body_end(response: aiohttp.ClientResponse) -> forwarding.BodyEnd:
+    """Return what tells where the body of a response ends."""
+    if "Transfer-Encoding" in response.headers:
+        return forwarding.BodyEnd.LAST_CHUNK
+    if "Content-Length" in response.headers:
+        return forwarding.BodyEnd.LENGTH
+    protocol = getattr(response, "protocol", None)
+    if isinstance(protocol, AnswerHandler) and protocol.is_idle:
+        # The head allows no body, so the connection need not end.
+        return forwarding.BodyEnd.LENGTH
+    return forwarding.BodyEnd.CLOSE
+
+
 def check_end(response: aiohttp.ClientResponse) -> None:
     """Raise an error if a body without a length ended by a reset.
 
@@ -192,15 +238,10 @@
         aiohttp.ClientPayloadError: the connection was reset, or it was released
             before a reset could be detected.
     """
-    headers = response.headers
-    if "Content-Length" in headers or "Transfer-Encoding" in headers:
+    if find_body_end(response) is not forwarding.BodyEnd.CLOSE:
         return
     protocol = getattr(response, "protocol", None)
-    if isinstance(protocol, AnswerHandler) and (
-        # Without a body, the connection need not end.
-        protocol.is_idle
-        or protocol.has_ended_cleanly
-    ):
+    if isinstance(protocol, AnswerHandler) and protocol.has_ended_cleanly:
         return
     raise aiohttp.ClientPayloadError(
         "A body without a length ended by a reset."
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -114,6 +114,15 @@
     counter.add(1, {"place": place})
 
 
+def count_body_end(body_end: str, node: str) -> None:
+    """Count an answer of an upstream by what tells where its body ends."""
+    counter = create_counter(
+        "cicada_answer_ends",
+        "Answers of upstreams to callers, by what tells where they end.",
+    )
+    counter.add(1, {"body_end": body_end, "node": node})
+
+
 def count_unproven_refusal(reason: str, node: str) -> None:
     """Count a refusal that does not prove that its request has not run."""
     counter = create_counter(
--- a/src/cicadahook/net/peer_relay_client.py
+++ b/src/cicadahook/net/peer_relay_client.py
@@ -284,7 +284,13 @@
             forwarding.FailureKind.MALFORMED,
             f"status {head.status} by way of another node",
         )
-    return forwarding.AnswerHead(head.status, headers, head.is_event_stream)
+    try:
+        body_end = forwarding.BodyEnd(head.body_end)
+    except ValueError:
+        body_end = forwarding.BodyEnd.UNKNOWN
+    return forwarding.AnswerHead(
+        head.status, headers, head.is_event_stream, body_end
+    )
 
 
 def _encode_attempt(attempt: forwarding.Attempt) -> bytes:
--- a/src/cicadahook/net/peer_relay_messages.py
+++ b/src/cicadahook/net/peer_relay_messages.py
@@ -70,6 +70,8 @@
         failure: kind of the failure if there is no answer.
         detail: what was observed, for the log.
         is_refused: whether the node passes nothing on now.
+        body_end: what tells where the body of the upstream's answer ends; empty
+            if an older build sends the head.
     """
 
     status: int = 0
@@ -78,6 +80,7 @@
     failure: str = ""
     detail: str = ""
     is_refused: bool = False
+    body_end: str = ""
 
 
 ATTEMPTS: Final = codec.Codec(RelayedAttempt, "peer")
--- a/src/cicadahook/net/peer_relay_server.py
+++ b/src/cicadahook/net/peer_relay_server.py
@@ -270,6 +270,7 @@
                 head.status,
                 peer_relay_messages.pack_headers(head.headers),
                 head.is_event_stream,
+                body_end=str(head.body_end),
             )
         )
     )
--- a/src/cicadahook/net/request_log.py
+++ b/src/cicadahook/net/request_log.py
@@ -61,6 +61,7 @@
                 "sends": active.send_count if active else 0,
                 "instance": active.instance if active else "",
                 "has_begun": active.has_begun if active else False,
+                "events": active.sequence.count if active else 0,
             },
         )
 
@@ -107,6 +108,8 @@
                 "took_ms": self._get_elapsed_ms(active.request),
                 "resumed_id": active.request.resumed_id,
                 "last_event_id": active.sequence.last_id,
+                "events": active.sequence.count,
+                "body_end": str(active.body_end),
                 "software": active.software,
                 **fields,
             },
--- a/src/cicadahook/platform/answer_heads.py
+++ b/src/cicadahook/platform/answer_heads.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from cicadahook.core import forwarding
+from cicadahook.net import answer_protocol
 from cicadahook.net import header_fields
 from cicadahook.net import metrics
 from cicadahook.platform import headers as header_names
@@ -74,4 +75,5 @@
         status,
         header_fields.strip_hop_by_hop_headers(headers.items()),
         is_success and response.content_type == EVENT_STREAM,
+        answer_protocol.find_body_end(response),
     )
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -175,6 +175,7 @@
   failure @3 :Text;
   detail @4 :Text;
   isRefused @5 :Bool;
+  bodyEnd @6 :Text;
 }
 
 struct CopyRequest {
