Take an end that nothing states for a whole answer only if its upstream lives on

Callers saw streams end as complete before their last event, several at one node in the same moment.

Cause: an answer with neither a length nor chunks ends with its connection, and the node took each orderly end for its end. The kernel ends the connections of a killed process in order if nothing is unread, and proxies turn resets into such ends. The node then told its caller a last chunk, or a length, that nobody had stated. A second node that passed the answer on hid how it had ended.

Now such an answer is whole if a reply of the same start of the upstream comes to a question sent after the end: on a connection from before, or on a new one if no other connection to it was lost in the same moment. Else the attempt is cut. A stated end by way of a node of an older build is believed if another node can connect to the upstream. This works because a process that is dead, or another start of it, can't give that reply; see docs/design/retries.md.

The stand-in of test_node_answers.py answers queries now, as upstreams do, else it would be one that is gone; what the tests ask for is the same.

--- a/src/cicadahook/net/active_request.py
+++ b/src/cicadahook/net/active_request.py
@@ -140,6 +140,22 @@
     registry: tenants.TenantRegistry = tenants.NO_TENANTS
 
 
+@dataclasses.dataclass
+class AnswerProgress:
+    """How far the answer to an attempt has come.
+
+    Attributes:
+        began: when the upstream began to answer.
+        body_end: what tells where the body ends.
+        is_proven_sound: whether the answer shows that the request does not
+            crash upstreams.
+    """
+
+    began: datetime.datetime | None = None
+    body_end: forwarding.BodyEnd = forwarding.BodyEnd.UNKNOWN
+    is_proven_sound: bool = False
+
+
 @dataclasses.dataclass(eq=False)
 class ActiveRequest:
     """A request in progress.
@@ -163,10 +179,7 @@
             began the stream; None while any may.
         sent_at: when the last attempt was sent.
         first_chunk_at: when the first part of a stream was relayed.
-        answer_began: when the upstream of the last attempt began to answer.
-        body_end: what tells where the body of that answer ends.
-        is_proven_sound: whether that answer shows that the request does not
-            crash upstreams.
+        answer: the answer to the last attempt, as far as it has come.
         account: on whose account it runs.
     """
 
@@ -189,9 +202,7 @@
     required_software: str | None = None
     sent_at: datetime.datetime | None = None
     first_chunk_at: datetime.datetime | None = None
-    answer_began: datetime.datetime | None = None
-    body_end: forwarding.BodyEnd = forwarding.BodyEnd.UNKNOWN
-    is_proven_sound: bool = False
+    answer: AnswerProgress = dataclasses.field(default_factory=AnswerProgress)
     account: RequestAccount = RequestAccount()
 
     @functools.cached_property
--- a/src/cicadahook/net/answer_protocol.py
+++ b/src/cicadahook/net/answer_protocol.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Mapping
+import datetime
 import select
 import socket
 import types
@@ -15,6 +16,7 @@
 from aiohttp import client_proto
 from aiohttp import http_exceptions
 
+from cicadahook.core import answer_ends
 from cicadahook.core import forwarding
 from cicadahook.net import answer_framing
 from cicadahook.net import logs
@@ -46,6 +48,11 @@
         has_ended_cleanly: whether it ended the connection after these, without
             a reset.
         has_received_end: whether it ended the connection in order, by a FIN.
+        lost: where its loss is recorded; None if nobody asks for it.
+        opened: when it was opened; None without `lost`.
+        answered: when the last answer had come; None without `lost`.
+        ended: when the other side ended it, by a FIN or otherwise; None if it
+            did not, or without `lost`.
     """
 
     max_body_bytes: int | None = None
@@ -56,10 +63,16 @@
     has_unread_upload: bool = False
     has_ended_cleanly: bool = False
     has_received_end: bool = False
+    lost: answer_ends.LostConnections | None = None
+    opened: datetime.datetime | None = None
+    answered: datetime.datetime | None = None
+    ended: datetime.datetime | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin; the address of the other side is not known after the end."""
         self.peer = transport.get_extra_info("peername")
+        if self.lost is not None:
+            self.opened = self.lost.clock.now()
         super().connection_made(transport)
 
     @property
@@ -103,7 +116,9 @@
             and self.exception() is None
             and not self.has_unread_upload
         )
-        self._log_end(exc)
+        # Otherwise this side has closed the connection.
+        if exc is not None or self.has_received_end:
+            self._record_end(exc)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -123,6 +138,8 @@
             self._abort()
             return
         super().data_received(data[:size])
+        if self.lost is not None and self.framing.has_ended:
+            self.answered = self.lost.clock.now()
         if size < len(data):
             self._record_surplus("behind_an_answer", len(data) - size)
 
@@ -151,17 +168,33 @@
             },
         )
 
-    def _log_end(self, error: BaseException | None) -> None:
-        """Log that the other side ended the connection before an answer.
+    def _may_end(self, now: datetime.datetime) -> bool:
+        """Whether a server that is well may end the connection now.
+
+        It may do so to end an answer, if it has said so, or right behind an
+        answer if it keeps no connections.
+        """
+        if self.framing is None:
+            return False
+        if not self.framing.has_ended:
+            return self.framing.state is answer_framing.State.BODY_TO_CLOSE
+        return super().should_close or (
+            self.answered is not None
+            and now - self.answered < answer_ends.MOMENT
+        )
+
+    def _record_end(self, error: BaseException | None) -> None:
+        """Record that the other side ended the connection.
 
         Lines of one moment and peer show that the peer, or the way to it,
         ended all its connections.
         """
+        if self.lost is not None and self.peer is not None:
+            self.ended = self.lost.clock.now()
+            if not self.has_ended_cleanly or not self._may_end(self.ended):
+                self.lost.record(f"{self.peer[0]}:{self.peer[1]}")
         if self.framing is None or self.framing.has_ended:
             return
-        if error is None and not self.has_received_end:
-            # This side has closed the connection.
-            return
         logger.info(
             "Connection ended within an answer.",
             extra={
@@ -229,20 +262,24 @@
     return forwarding.BodyEnd.CLOSE
 
 
-def check_end(response: aiohttp.ClientResponse) -> None:
+def check_end(response: aiohttp.ClientResponse) -> datetime.datetime | None:
     """Raise an error if a body without a length ended by a reset.
 
     aiohttp takes any end of the connection for the end of such a body.
 
+    Returns:
+        When the connection ended, if only that tells the end of the body and
+        the session records losses; else None.
+
     Raises:
         aiohttp.ClientPayloadError: the connection was reset, or it was released
             before a reset could be detected.
     """
     if find_body_end(response) is not forwarding.BodyEnd.CLOSE:
-        return
+        return None
     protocol = getattr(response, "protocol", None)
     if isinstance(protocol, AnswerHandler) and protocol.has_ended_cleanly:
-        return
+        return protocol.ended
     raise aiohttp.ClientPayloadError(
         "A body without a length ended by a reset."
     )
@@ -255,6 +292,7 @@
     local_host: str = "",
     max_body_bytes: int | None = MAX_BODY_BYTES,
     headers: Mapping[str, str] = UNCOMPRESSED,
+    lost: answer_ends.LostConnections | None = None,
     **options: Any,
 ) -> aiohttp.ClientSession:
     """Return a session whose connections are `AnswerHandler`s.
@@ -270,6 +308,7 @@
         max_body_bytes: bytes of the body of an answer at the most; None for any
             number.
         headers: headers that are added to each request.
+        lost: where the loss of connections is recorded.
         **options: arguments of `aiohttp.ClientSession`.
     """
     connector = aiohttp.TCPConnector(
@@ -284,6 +323,7 @@
     def create_handler() -> AnswerHandler:
         handler = AnswerHandler(loop=loop)
         handler.max_body_bytes = max_body_bytes
+        handler.lost = lost
         return handler
 
     # aiohttp offers no other way to replace the protocol of its connections.
--- a/src/cicadahook/net/connection_pools.py
+++ b/src/cicadahook/net/connection_pools.py
@@ -10,6 +10,7 @@
 import aiohttp
 from aiohttp import client_proto
 
+from cicadahook.core import answer_ends
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
@@ -41,6 +42,7 @@
         resets: whether closing a connection resets it.
         max_body_bytes: bytes of the body of an answer at the most; None for any
             number.
+        lost: where the loss of connections is recorded.
         kept: which connections are kept.
         sessions: the sessions, a few dozen at most.
         sent: address and request id of the latest attempts, in order.
@@ -52,8 +54,10 @@
         *,
         resets: bool,
         max_body_bytes: int | None = None,
+        lost: answer_ends.LostConnections | None = None,
     ) -> None:
         self.clock = clock
+        self.lost = lost
         self.resets = resets
         self.max_body_bytes = max_body_bytes
         self.kept = kept_connections.KeptConnections("")
@@ -150,6 +154,7 @@
             resets=self.resets,
             keepalive=lifetime.total_seconds(),
             max_body_bytes=self.max_body_bytes,
+            lost=self.lost,
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT.total_seconds()
             ),
--- a/src/cicadahook/net/crash_guard.py
+++ b/src/cicadahook/net/crash_guard.py
@@ -77,7 +77,7 @@
             errors.RefusalError: the request must not be run now.
         """
         trial = self._begin_trial(active)
-        active.answer_began, active.is_proven_sound = None, False
+        active.answer = active_request.AnswerProgress()
         reserved_until: datetime.datetime | None = None
         try:
             yield
@@ -125,14 +125,14 @@
     ) -> None:
         """Record that an answer goes on, or that it is complete."""
         now = self.clock.now()
-        if active.answer_began is None:
-            active.answer_began = active.sent_at if is_complete else now
-        if active.is_proven_sound or active.answer_began is None:
+        if active.answer.began is None:
+            active.answer.began = active.sent_at if is_complete else now
+        if active.answer.is_proven_sound or active.answer.began is None:
             return
-        if is_complete or now - active.answer_began >= SOUND_PERIOD:
-            active.is_proven_sound = True
+        if is_complete or now - active.answer.began >= SOUND_PERIOD:
+            active.answer.is_proven_sound = True
             cleared = self.suspects.record_sound(
-                active.traits, active.answer_began
+                active.traits, active.answer.began
             )
             if cleared:
                 logger.info(
@@ -158,7 +158,7 @@
         elif (
             kind is forwarding.FailureKind.CUT
             and active.sent_at is not None
-            and not active.is_proven_sound
+            and not active.answer.is_proven_sound
         ):
             self.tracker.record_broken(
                 crash_tracker.BrokenRequest(
@@ -167,7 +167,7 @@
                     active.sent_at,
                     now,
                     active.request.id,
-                    active.answer_began is not None,
+                    active.answer.began is not None,
                 )
             )
             self._start_probe(instance)
--- a/src/cicadahook/net/forwarder.py
+++ b/src/cicadahook/net/forwarder.py
@@ -273,7 +273,6 @@
         active.possible_runs += 1
         active.instance, active.software = instance.id, instance.software
         active.sent_at = self.clock.now()
-        active.body_end = forwarding.BodyEnd.UNKNOWN
         self.drain.update_time_limit(active)
         failure: forwarding.FailureKind | None = None
         try:
@@ -315,7 +314,7 @@
                 retried, or is not the rest of the stream that has begun.
         """
         head = answer.head
-        active.body_end = head.body_end
+        active.answer.body_end = head.body_end
         metrics.count_body_end(str(head.body_end), self.node)
         if head.is_event_stream:
             await self.streams.relay(active, answer, placement)
--- a/src/cicadahook/net/peer_relay_client.py
+++ b/src/cicadahook/net/peer_relay_client.py
@@ -7,10 +7,11 @@
 
 import asyncio
 import collections
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 import contextlib
 import dataclasses
 import datetime
+import functools
 from typing import Final
 
 import aiohttp
@@ -43,10 +44,12 @@
     Attributes:
         head: status and headers.
         response: the other node's response, from which the body is read.
+        may_live: returns whether the upstream may live still.
     """
 
     head: forwarding.AnswerHead
     response: aiohttp.ClientResponse
+    may_live: Callable[[], Awaitable[bool]]
 
     async def read(self) -> bytes:
         """Return the complete body.
@@ -75,6 +78,14 @@
         with _translate_errors():
             async for chunk in self.response.content.iter_any():
                 yield chunk
+        if self.head.body_end is not forwarding.BodyEnd.UNKNOWN:
+            return
+        # An older build states an end where a connection ended.
+        if not await self.may_live():
+            raise forwarding.AttemptError(
+                forwarding.FailureKind.CUT,
+                "an end by way of another node, of an upstream that is gone",
+            )
 
 
 @contextlib.contextmanager
@@ -101,6 +112,8 @@
         roster: the other nodes.
         clock: the time.
         node: name of this node, for metrics.
+        is_reached_elsewhere: returns whether another node can connect to an
+            upstream.
         in_flight: attempts in progress, by name of the other node.
         session: connections to the other nodes.
     """
@@ -110,7 +123,9 @@
         reachability: reachability_lib.Reachability,
         nodes: roster.Roster,
         clock: clock_lib.Clock,
+        is_reached_elsewhere: active_request.ReachCheck,
     ) -> None:
+        self.is_reached_elsewhere = is_reached_elsewhere
         self.reachability = reachability
         self.roster = nodes
         self.clock = clock
@@ -177,7 +192,13 @@
             response = await self._post(attempt, peer)
             async with self._end_when_silent(peer, response):
                 head = await self._read_head(attempt, peer, response)
-                yield RelayedAnswer(head, response)
+                yield RelayedAnswer(
+                    head,
+                    response,
+                    functools.partial(
+                        self.is_reached_elsewhere, attempt.instance
+                    ),
+                )
             is_whole = True
         finally:
             self.in_flight[peer.name] -= 1
--- a/src/cicadahook/net/request_log.py
+++ b/src/cicadahook/net/request_log.py
@@ -109,7 +109,7 @@
                 "resumed_id": active.request.resumed_id,
                 "last_event_id": active.sequence.last_id,
                 "events": active.sequence.count,
-                "body_end": str(active.body_end),
+                "body_end": str(active.answer.body_end),
                 "software": active.software,
                 **fields,
             },
--- a/src/cicadahook/net/upstream_answers.py
+++ b/src/cicadahook/net/upstream_answers.py
@@ -1,8 +1,9 @@
 """Answers of upstreams as they are read, and what failed calls show."""
 
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 import contextlib
 import dataclasses
+import datetime
 import errno
 from typing import Final
 
@@ -33,12 +34,15 @@
         response: the response from which the body is read.
         buffer: bytes of all plain answers that are being read.
         watch_link: passes on what an error shows of the link.
+        check_end: checks that a body which ended with its connection is whole,
+            given when that was.
     """
 
     head: forwarding.AnswerHead
     response: aiohttp.ClientResponse
     buffer: "AnswerBuffer"
     watch_link: Callable[[], contextlib.AbstractContextManager[None]]
+    check_end: Callable[[datetime.datetime], Awaitable[None]]
 
     async def read(self) -> bytes:
         """Return the complete body.
@@ -79,7 +83,9 @@
     async def _iterate(self) -> AsyncIterator[bytes]:
         async for chunk in self.response.content.iter_any():
             yield chunk
-        answer_protocol.check_end(self.response)
+        ended = answer_protocol.check_end(self.response)
+        if ended is not None:
+            await self.check_end(ended)
 
 
 @dataclasses.dataclass
--- a/src/cicadahook/net/upstream_links.py
+++ b/src/cicadahook/net/upstream_links.py
@@ -80,13 +80,16 @@
             node=nodes.own.name,
         )
         client.links.listener = self.monitor.record
-        self.relays = peer_relay_client.RelayClient(
-            self.reachability, nodes, clock
-        )
-        self.paths = peer_relay_client.UpstreamPaths(client, self.relays)
         self.questions = peer_probes.ProbeClient(
             session, nodes, self.reachability, clock
         )
+        self.relays = peer_relay_client.RelayClient(
+            self.reachability,
+            nodes,
+            clock,
+            self.questions.is_reached_elsewhere,
+        )
+        self.paths = peer_relay_client.UpstreamPaths(client, self.relays)
 
     async def close(self) -> None:
         """Stop all probes and close the connections to other nodes."""
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -1,6 +1,6 @@
 """Client of upstreams: callers' requests, orders and engine reports."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 import contextlib
 import datetime
 import functools
@@ -14,10 +14,9 @@
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
 from cicadahook.core import upstream_statements
-from cicadahook.net import connection_pools
-from cicadahook.net import link_probe
 from cicadahook.net import logs
 from cicadahook.net import upstream_answers
+from cicadahook.net import upstream_calls
 from cicadahook.platform import answer_heads
 from cicadahook.platform import headers as header_names
 from cicadahook.platform import messages
@@ -25,9 +24,6 @@
 # An engine answers an order at once, and a repeated order does no harm, so
 # the time limit can be short.
 ORDER_TIMEOUT: Final = datetime.timedelta(milliseconds=120)
-REPORT_TIMEOUT: Final = datetime.timedelta(milliseconds=1000)
-# A report names a few hundred models, adapters and requests.
-MAX_REPORT_BYTES: Final = 1024 * 1024
 SKIPPED_AUTO_HEADERS: Final = (
     "User-Agent",
     "Accept",
@@ -51,34 +47,21 @@
 }
 
 
-class UpstreamClient:
-    """Keeps connections to upstreams open and sends requests on them.
+class UpstreamClient(upstream_calls.UpstreamCalls):
+    """Sends requests, orders and queries to upstreams.
 
     Attributes:
-        pools: connections for callers' requests.
-        order_pools: connections for orders and reports.
-        buffer: bytes of all plain answers that are being read.
         statement_listener: called with each answer's upstream, what it says
             of itself and when the call was sent.
-        links: passes on what calls show of the links.
     """
 
+    report_path = "/report"
+
     def __init__(self, clock: clock_lib.Clock) -> None:
-        self.clock = clock
-        self.links = upstream_answers.LinkWatch()
+        super().__init__(clock)
         self.statement_listener: StatementListener = (
             lambda instance, statement, sent: None
         )
-        self.buffer = upstream_answers.AnswerBuffer()
-        self.pools = connection_pools.ConnectionPools(clock, resets=False)
-        self.order_pools = connection_pools.ConnectionPools(
-            clock, resets=True, max_body_bytes=MAX_REPORT_BYTES
-        )
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self.pools.close()
-        await self.order_pools.close()
 
     @contextlib.asynccontextmanager
     async def send(
@@ -107,54 +90,52 @@
                 allow_redirects=False,
             )
         with self.pools.settle(attempt.instance, response):
-            self._record_statement(attempt.instance, response, sent, request.id)
+            self.record_statement(attempt.instance, response, sent, request.id)
+            head = answer_heads.decode(
+                response, request.id, self.pools.kept.node
+            )
+            if head.body_end is forwarding.BodyEnd.CLOSE:
+                self.prepare_end_check(attempt.instance)
             yield upstream_answers.UpstreamAnswer(
-                answer_heads.decode(response, request.id, self.pools.kept.node),
+                head,
                 response,
                 self.buffer,
                 functools.partial(self.links.watch, attempt.instance),
+                functools.partial(
+                    self.end_checks.check,
+                    attempt.instance,
+                    request_id=request.id,
+                ),
             )
 
     async def fetch_report(
         self, instance: inventory.Instance
     ) -> engine_orders.EngineReport | None:
         """Return the report of an engine, or None if it could not be read."""
-        sent = self.clock.now()
+        reply = await self.query(instance, self.report_path)
+        if reply is None or reply.response.status != 200:
+            return None
         try:
-            with self.links.watch(instance):
-                response = await self.order_pools.take(instance).get(
-                    f"http://{instance.address}/report",
-                    timeout=_create_timeout(REPORT_TIMEOUT),
-                )
-            with self.order_pools.settle(instance, response):
-                self._record_statement(instance, response, sent)
-                if response.status != 200:
-                    logger.info(
-                        "Engine report refused.",
-                        extra={
-                            "instance": instance.id,
-                            "status": response.status,
-                            "retry_after": response.headers.get(
-                                header_names.RETRY_AFTER
-                            ),
-                        },
-                    )
-                    return None
-                return messages.decode_report(await response.read())
-        except (
-            aiohttp.ClientError,
-            OSError,
-            messages.MessageError,
-        ) as error:
-            logger.info(
-                "Engine report could not be read.",
-                extra={"instance": instance.id, "error": repr(error)},
-            )
+            return messages.decode_report(reply.body)
+        except messages.MessageError as error:
+            self.log_unread(instance, error)
             return None
 
-    async def probe(self, instance: inventory.Instance) -> forwarding.LinkEvent:
-        """Return what a new connection shows of the link to an upstream."""
-        return await link_probe.probe(instance)
+    def create_query_headers(
+        self, instance: inventory.Instance
+    ) -> Mapping[str, str]:
+        """Return headers by which only `instance` answers a query."""
+        return {header_names.EXPECTED_INSTANCE: instance.id}
+
+    def is_same_start(
+        self, instance: inventory.Instance, reply: upstream_calls.QueryReply
+    ) -> bool:
+        """Whether a reply is of an upstream's start, as far as it tells."""
+        response = reply.response
+        named = response.headers.get(header_names.INSTANCE_ID, instance.id)
+        if named != instance.id or response.status == answer_heads.MISDIRECTED:
+            return False
+        return messages.find_start(reply.body) in (None, instance.born)
 
     async def send_order(
         self, instance: inventory.Instance, order: engine_orders.Order
@@ -185,10 +166,12 @@
                     f"http://{instance.address}/order",
                     json=body,
                     headers={header_names.EXPECTED_INSTANCE: instance.id},
-                    timeout=_create_timeout(ORDER_TIMEOUT),
+                    timeout=aiohttp.ClientTimeout(
+                        ORDER_TIMEOUT.total_seconds()
+                    ),
                 )
             with self.order_pools.settle(instance, response):
-                self._record_statement(instance, response, sent)
+                self.record_statement(instance, response, sent)
                 await response.read()
                 return ORDER_RESULTS_BY_STATUS.get(
                     response.status, engine_orders.OrderResult.UNKNOWN
@@ -198,7 +181,7 @@
         except (aiohttp.ClientError, OSError):
             return engine_orders.OrderResult.UNKNOWN
 
-    def _record_statement(
+    def record_statement(
         self,
         instance: inventory.Instance,
         response: aiohttp.ClientResponse,
@@ -228,7 +211,3 @@
                 },
             )
         self.statement_listener(instance, statement, sent)
-
-
-def _create_timeout(duration: datetime.timedelta) -> aiohttp.ClientTimeout:
-    return aiohttp.ClientTimeout(total=duration.total_seconds())
--- a/tests/node_links.py
+++ b/tests/node_links.py
@@ -84,6 +84,11 @@
         for writer in self.writers:
             reset(writer)
 
+    def end(self) -> None:
+        """End all open connections in order, as some proxies do."""
+        for writer in self.writers:
+            writer.close()
+
     def cut(self, kind: Cut) -> None:
         """Cut the link until it is opened again."""
         assert self.server is not None, "not open"
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Iterable
 import contextlib
+import datetime
 import os
 import pathlib
 import signal
@@ -14,6 +15,8 @@
 import aiohttp
 import pytest
 
+from cicadahook.core import answer_ends
+from cicadahook.core import clock as clock_lib
 from cicadahook.core import inventory
 import dying_upstream
 import node_cuts
@@ -205,6 +208,22 @@
     assert answers == [(200, WHOLE, True)] * REQUESTS
 
 
+@pytest.mark.parametrize("kind", CALLS)
+async def test_answers_that_a_proxy_ends_in_order_do_not_look_complete(
+    linked_testbed: node_testbed.NodeTestbed, kind: str
+) -> None:
+    testbed = linked_testbed
+    async with replace(testbed, kind, "close") as upstream:
+        calls = [
+            asyncio.create_task(call(testbed, kind, 0, number))
+            for number in range(REQUESTS)
+        ]
+        await asyncio.sleep(KILL_AFTER_SECONDS)
+        testbed.links[0][upstream.standin.id].end()
+        answers = await asyncio.gather(*calls)
+    assert not list_short(answers)
+
+
 async def test_an_upstream_that_restarted_confirms_no_end_of_its_former_start(
     testbed: node_testbed.NodeTestbed,
 ) -> None:
@@ -218,3 +237,51 @@
         time.sleep(dying_upstream.PART_SECONDS)
         answer = await task
     assert not list_short([answer])
+
+
+@pytest.fixture(name="lost")
+def create_lost_connections(
+    clock: clock_lib.ManualClock,
+) -> answer_ends.LostConnections:
+    """Return a record of lost connections."""
+    return answer_ends.LostConnections(clock)
+
+
+@pytest.mark.parametrize(
+    ("connected_ms", "lost_ms", "is_same_start", "verdict"),
+    (
+        (-100, None, True, "whole"),
+        (1, None, True, "whole"),
+        (-100, None, False, "restarted"),
+        (-100, 0, True, "whole"),
+        (1, 0, True, "common_end"),
+        (1, -50, True, "common_end"),
+        (1, -51, True, "whole"),
+    ),
+)
+def test_an_end_is_judged_by_what_the_upstream_does_afterwards(
+    lost: answer_ends.LostConnections,
+    clock: clock_lib.ManualClock,
+    connected_ms: int,
+    lost_ms: int | None,
+    is_same_start: bool,
+    verdict: str,
+) -> None:
+    millisecond = datetime.timedelta(milliseconds=1)
+    ended = clock.now() + 100 * millisecond
+    if lost_ms is not None:
+        lost.record("other:1")
+        clock.current = ended + lost_ms * millisecond
+        lost.record("upstream:1")
+    reply = answer_ends.Reply(ended + connected_ms * millisecond, is_same_start)
+    assert lost.judge("upstream:1", ended, reply) == verdict
+    assert lost.judge("upstream:1", ended, None) == "no_reply"
+
+
+def test_lost_connections_are_forgotten(
+    lost: answer_ends.LostConnections, clock: clock_lib.ManualClock
+) -> None:
+    lost.record("upstream:1")
+    clock.advance(2 * answer_ends.KEPT_PERIOD)
+    lost.record("upstream:2")
+    assert len(lost.losses) == 1
--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -69,6 +69,12 @@
             headers = dict(
                 line.lower().split(": ", 1) for line in lines[1:] if line
             )
+            if "x-request-id" not in headers:
+                # A query of what the upstream is.
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+                await writer.drain()
+                writer.close()
+                return
             name = headers["x-request-id"]
             kind = "text/event-stream" if "x-model" in headers else "text/plain"
             head = (
--- a/tests/test_node_tenants.py
+++ b/tests/test_node_tenants.py
@@ -12,6 +12,7 @@
 
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
+from cicadahook.core import inventory
 from cicadahook.core import kept_connections
 from cicadahook.core import reachability
 from cicadahook.core import roster
@@ -258,6 +259,10 @@
     """A node with two addresses was refused as a stranger."""
     senders = []
 
+    async def is_reached_elsewhere(instance: inventory.Instance) -> bool:
+        del instance
+        return True
+
     async def record(request: web.BaseRequest) -> web.Response:
         senders.append(request.remote)
         return web.Response()
@@ -270,6 +275,7 @@
         ),
         roster.Roster(own),
         clock,
+        is_reached_elsewhere,
     )
     async with caller_server.listen(
         web.Server(record), node_testbed.HOST, 0
