Share questions behind answers by the start of the upstream

A question that waits for its turn was shared by the id of the upstream alone. An answer of one start could be judged by the reply to a question about another one under the same id. Also, the end of the node's process cancels questions; those who wait for one take that for no reply now, instead of being cancelled with it. Found by reading; test_answer_ends.py holds as before.

--- a/src/cicadahook/net/end_checks.py
+++ b/src/cicadahook/net/end_checks.py
@@ -13,6 +13,9 @@
 from cicadahook.net import metrics
 
 Ask = Callable[[inventory.Instance], Awaitable[answer_ends.Reply | None]]
+Question = asyncio.Task[answer_ends.Reply | None]
+# Id, start and address of an upstream.
+Key = tuple[str, int, str]
 
 logger: Final = logs.create_logger("upstreams")
 
@@ -26,15 +29,15 @@
     Attributes:
         lost: connections that were lost.
         ask: asks an upstream for a reply; None if there is none in time.
-        running: questions that are being asked, by id of the upstream.
+        running: questions that are being asked, by upstream.
         waiting: questions that will be asked when those are answered.
     """
 
     def __init__(self, lost: answer_ends.LostConnections, ask: Ask) -> None:
         self.lost = lost
         self.ask = ask
-        self.running: dict[str, asyncio.Task[answer_ends.Reply | None]] = {}
-        self.waiting: dict[str, asyncio.Task[answer_ends.Reply | None]] = {}
+        self.running: dict[Key, Question] = {}
+        self.waiting: dict[Key, Question] = {}
 
     async def close(self) -> None:
         """Stop asking."""
@@ -63,7 +66,10 @@
         Raises:
             aiohttp.ClientPayloadError: that is not shown.
         """
-        reply = await asyncio.shield(self._ask_soon(instance))
+        question = self._ask_soon(instance)
+        # Others wait for it too, so it must not be cancelled.
+        await asyncio.wait({question})
+        reply = None if question.cancelled() else question.result()
         verdict = self.lost.judge(instance.address, ended, reply)
         metrics.count_end_check(str(verdict))
         logger.info(
@@ -82,23 +88,26 @@
                 f"A body without a length ended; it may not be whole: {verdict}"
             )
 
-    def _ask_soon(
-        self, instance: inventory.Instance
-    ) -> asyncio.Task[answer_ends.Reply | None]:
-        """Return a question that is not sent yet; tasks share it."""
-        task = self.waiting.get(instance.id)
-        if task is None:
-            task = asyncio.create_task(self._ask_in_turn(instance))
-            self.waiting[instance.id] = task
-        return task
+    def _ask_soon(self, instance: inventory.Instance) -> Question:
+        """Return a question that is not sent yet; answers share it."""
+        key = (instance.id, instance.born, instance.address)
+        question = self.waiting.get(key)
+        if question is None:
+            question = asyncio.create_task(self._ask_in_turn(key, instance))
+            self.waiting[key] = question
+        return question
 
     async def _ask_in_turn(
-        self, instance: inventory.Instance
+        self, key: Key, instance: inventory.Instance
     ) -> answer_ends.Reply | None:
-        while (earlier := self.running.get(instance.id)) is not None:
-            await asyncio.wait({earlier})
-        self.running[instance.id] = self.waiting.pop(instance.id)
+        try:
+            if (earlier := self.running.get(key)) is not None:
+                await asyncio.wait({earlier})
+        finally:
+            question = self.waiting.pop(key)
+        self.running[key] = question
         try:
             return await self.ask(instance)
         finally:
-            del self.running[instance.id]
+            if self.running.get(key) is question:
+                del self.running[key]
