Judge ends of answers by connections to the upstream instead of queries

A process that dies, or a link that breaks, ends all connections. So a node now keeps another connection to an upstream while an answer without a length comes, and the answer is whole if one from before its end is open 30 ms later and none was broken in that moment. Without one from before, none may have been lost, and a new one must be accepted and kept. Nothing is queried. An end that the node made itself is none of the answer any more. What a node of an older build passes on is believed unless other nodes say that they can't connect to the upstream.

--- a/src/cicadahook/core/answer_ends.py
+++ b/src/cicadahook/core/answer_ends.py
@@ -3,96 +3,141 @@
 An answer with neither a length nor chunks ends with its connection (RFC 9112,
 section 6.3). The kernel ends the connections of a killed process as the process
 itself does behind a whole answer, and what lies on the way may turn a reset
-into such an end. So the end alone shows nothing; a reply of the same process
-that was asked for afterwards does.
+into such an end. Both end the other connections to the upstream as well, so
+those tell how to take the end of one.
 """
 
 import collections
-import dataclasses
 import datetime
 import enum
-from typing import Final
+from typing import Final, Protocol
 
 from cicadahook.core import clock as clock_lib
 
 # The connections of a process that dies, or of a link that breaks, end within
-# some milliseconds; the node may read of it in several passes.
-MOMENT: Final = datetime.timedelta(milliseconds=50)
-# A question about an end is answered or given up within this time.
-KEPT_PERIOD: Final = datetime.timedelta(seconds=2)
-MAX_KEPT: Final = 4096
+# some milliseconds.
+MOMENT: Final = datetime.timedelta(milliseconds=30)
+MAX_LOSSES: Final = 64
 
 
 class Verdict(enum.StrEnum):
     """Whether an answer is whole, or why that is not shown."""
 
     WHOLE = "whole"
-    NO_REPLY = "no_reply"
-    RESTARTED = "restarted"
+    UNREACHABLE = "unreachable"  # the upstream accepts no connection
     COMMON_END = "common_end"  # other connections were lost with its own
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reply:
-    """A reply of an upstream to a question that was sent after an answer.
+class Loss(enum.Enum):
+    """How a connection was lost."""
+
+    IDLE = enum.auto()  # while it was kept; also upstreams that are well do so
+    BROKEN = enum.auto()  # by a reset, or where an answer was due
+
+
+class Connection(Protocol):
+    """An open connection to an upstream.
 
     Attributes:
-        connected: when its connection was opened.
-        is_same_start: whether it is of the start to which the request was
-            sent, as far as the reply tells.
+        opened: when it was opened.
     """
 
-    connected: datetime.datetime
-    is_same_start: bool
+    opened: datetime.datetime
+
+    @property
+    def is_watched(self) -> bool:
+        """Whether it is open, and its end would be noticed at once."""
 
+    @property
+    def may_end(self) -> bool:
+        """Whether an answer is due that may end with it."""
 
-class LostConnections:
-    """Remembers when connections to upstreams were lost.
 
-    A connection is lost if the other side ends it by a reset, within a head or
-    a body of stated size, or while it is kept for later requests.
+class UpstreamConnections:
+    """The connections of a node to the upstreams, and which were lost lately.
 
     Attributes:
         clock: the time.
-        losses: time and address of the latest losses, in order.
+        connections: open connections, by address of the upstream.
+        losses: time and kind of the latest losses, by address; of addresses
+            with open connections, or that a check has not ended for.
     """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
         self.clock = clock
-        self.losses: collections.deque[tuple[datetime.datetime, str]] = (
-            collections.deque(maxlen=MAX_KEPT)
-        )
+        self.connections: dict[str, set[Connection]] = {}
+        self.losses: dict[
+            str, collections.deque[tuple[datetime.datetime, Loss]]
+        ] = {}
+
+    def add(self, address: str, connection: Connection) -> None:
+        """Record that a connection was opened."""
+        self.connections.setdefault(address, set()).add(connection)
+
+    def remove(
+        self, address: str, connection: Connection, loss: Loss | None
+    ) -> None:
+        """Record the end of a connection.
 
-    def record(self, address: str) -> None:
-        """Record that a connection to an address was lost."""
+        Args:
+            address: `host:port` of the upstream.
+            connection: the connection.
+            loss: how it was lost; None if this node closed it, or its end was
+                due.
+        """
+        known = self.connections.get(address, set())
+        known.discard(connection)
         now = self.clock.now()
-        self.losses.append((now, address))
-        while self.losses[0][0] < now - KEPT_PERIOD:
-            self.losses.popleft()
+        if loss is not None:
+            losses = self.losses.setdefault(
+                address, collections.deque(maxlen=MAX_LOSSES)
+            )
+            losses.append((now, loss))
+        if not known:
+            self.connections.pop(address, None)
+        self._forget(now)
+
+    def _forget(self, now: datetime.datetime) -> None:
+        """Drop the losses of which no check will ask any more."""
+        outdated = [
+            address
+            for address, losses in self.losses.items()
+            if losses[-1][0] < now - 2 * MOMENT
+        ]
+        for address in outdated:
+            del self.losses[address]
+
+    def has_lasting(self, address: str) -> bool:
+        """Whether a connection is open whose end would be a loss."""
+        return any(
+            each.is_watched and not each.may_end
+            for each in self.connections.get(address, ())
+        )
 
-    def has_lost(self, address: str, moment: datetime.datetime) -> bool:
-        """Whether a connection to an address was lost at about a moment."""
+    def has_witness(self, address: str, moment: datetime.datetime) -> bool:
+        """Whether an open connection was there before a moment."""
         return any(
-            each == address and abs(time - moment) <= MOMENT
-            for time, each in self.losses
+            each.is_watched and each.opened < moment
+            for each in self.connections.get(address, ())
         )
 
-    def judge(
-        self, address: str, ended: datetime.datetime, reply: Reply | None
-    ) -> Verdict:
+    def judge(self, address: str, ended: datetime.datetime) -> Verdict:
         """Return whether an answer that ended with its connection is whole.
 
+        To be called when losses of the same moment are known, of an upstream
+        that accepts connections.
+
         Args:
             address: `host:port` of the upstream.
             ended: when the connection of the answer ended.
-            reply: what the upstream replied to a question sent after that;
-                None if it did not.
         """
-        if reply is None:
-            return Verdict.NO_REPLY
-        if not reply.is_same_start:
-            return Verdict.RESTARTED
-        # A new connection does not show that the link has been there all along.
-        if reply.connected >= ended and self.has_lost(address, ended):
+        kinds = {
+            loss
+            for time, loss in self.losses.get(address, ())
+            if abs(time - ended) <= MOMENT
+        }
+        if Loss.BROKEN in kinds:
+            return Verdict.COMMON_END
+        if kinds and not self.has_witness(address, ended):
             return Verdict.COMMON_END
         return Verdict.WHOLE
--- a/src/cicadahook/core/routes.py
+++ b/src/cicadahook/core/routes.py
@@ -149,13 +149,10 @@
         name: unique name.
         engines: properties of its engines; None if its upstreams are not model
             engines.
-        health_path: path at which its upstreams say whether they are well;
-            empty if there is none.
     """
 
     name: str
     engines: EnginePool | None = None
-    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadahook/net/answer_protocol.py
+++ b/src/cicadahook/net/answer_protocol.py
@@ -28,6 +28,7 @@
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
 # How long an unused connection is kept where its server states no time.
 KEEPALIVE_SECONDS: Final = 15.0
+UNKNOWN_TIME: Final = datetime.datetime.min.replace(tzinfo=datetime.UTC)
 UNCOMPRESSED: Final = types.MappingProxyType({"Accept-Encoding": "identity"})
 
 logger: Final = logs.create_logger("connections")
@@ -48,11 +49,11 @@
         has_ended_cleanly: whether it ended the connection after these, without
             a reset.
         has_received_end: whether it ended the connection in order, by a FIN.
-        lost: where its loss is recorded; None if nobody asks for it.
-        opened: when it was opened; None without `lost`.
-        answered: when the last answer had come; None without `lost`.
-        ended: when the other side ended it, by a FIN or otherwise; None if it
-            did not, or without `lost`.
+        connections: those to all upstreams, if it is one to an upstream, whose
+            end must be known.
+        opened: when it was opened.
+        answered: when the last answer had come.
+        ended: when the other side ended it; None if it has not.
     """
 
     max_body_bytes: int | None = None
@@ -63,23 +64,48 @@
     has_unread_upload: bool = False
     has_ended_cleanly: bool = False
     has_received_end: bool = False
-    lost: answer_ends.LostConnections | None = None
-    opened: datetime.datetime | None = None
-    answered: datetime.datetime | None = None
+    connections: answer_ends.UpstreamConnections | None = None
+    opened: datetime.datetime = UNKNOWN_TIME
+    answered: datetime.datetime = UNKNOWN_TIME
     ended: datetime.datetime | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin; the address of the other side is not known after the end."""
         self.peer = transport.get_extra_info("peername")
-        if self.lost is not None:
-            self.opened = self.lost.clock.now()
+        if self.connections is not None:
+            self.opened = self.connections.clock.now()
+            self.connections.add(self.address, self)
         super().connection_made(transport)
 
+    @property
+    def address(self) -> str:
+        """The `host:port` of the other side."""
+        return f"{self.peer[0]}:{self.peer[1]}" if self.peer else ""
+
+    @property
+    def is_watched(self) -> bool:
+        """Whether it is open, and its end would be noticed at once."""
+        return (
+            self.transport is not None
+            and not self.has_received_end
+            and not self.transport.is_closing()
+            and not self._reading_paused
+            and not self._buffer_paused
+        )
+
     @property
     def is_idle(self) -> bool:
         """Whether no answer is due."""
         return self.framing is None or self.framing.has_ended
 
+    @property
+    def may_end(self) -> bool:
+        """Whether an answer is due that may end with the connection."""
+        states = answer_framing.State
+        return self.framing is not None and (
+            self.framing.state in (states.HEAD, states.BODY_TO_CLOSE)
+        )
+
     @property
     def should_close(self) -> bool:
         """Whether the connection may not be used for another request."""
@@ -112,13 +138,12 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record how the connection ended."""
         self.has_ended_cleanly = (
-            exc is None
+            self.has_received_end
+            and exc is None
             and self.exception() is None
             and not self.has_unread_upload
         )
-        # Otherwise this side has closed the connection.
-        if exc is not None or self.has_received_end:
-            self._record_end(exc)
+        self._record_end(exc)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -138,8 +163,8 @@
             self._abort()
             return
         super().data_received(data[:size])
-        if self.lost is not None and self.framing.has_ended:
-            self.answered = self.lost.clock.now()
+        if self.connections is not None and self.framing.has_ended:
+            self.answered = self.connections.clock.now()
         if size < len(data):
             self._record_surplus("behind_an_answer", len(data) - size)
 
@@ -168,33 +193,21 @@
             },
         )
 
-    def _may_end(self, now: datetime.datetime) -> bool:
-        """Whether a server that is well may end the connection now.
-
-        It may do so to end an answer, if it has said so, or right behind an
-        answer if it keeps no connections.
-        """
-        if self.framing is None:
-            return False
-        if not self.framing.has_ended:
-            return self.framing.state is answer_framing.State.BODY_TO_CLOSE
-        return super().should_close or (
-            self.answered is not None
-            and now - self.answered < answer_ends.MOMENT
-        )
-
     def _record_end(self, error: BaseException | None) -> None:
-        """Record that the other side ended the connection.
+        """Record the end of the connection, and log one within an answer.
 
         Lines of one moment and peer show that the peer, or the way to it,
         ended all its connections.
         """
-        if self.lost is not None and self.peer is not None:
-            self.ended = self.lost.clock.now()
-            if not self.has_ended_cleanly or not self._may_end(self.ended):
-                self.lost.record(f"{self.peer[0]}:{self.peer[1]}")
-        if self.framing is None or self.framing.has_ended:
+        is_lost = error is not None or self.has_received_end
+        if self.connections is not None:
+            now = self.connections.clock.now()
+            loss = self._find_loss(now) if is_lost else None
+            self.ended = now if is_lost else None
+            self.connections.remove(self.address, self, loss)
+        if not is_lost or self.is_idle:
             return
+        assert self.framing is not None, "an answer is due"
         logger.info(
             "Connection ended within an answer.",
             extra={
@@ -206,6 +219,20 @@
             },
         )
 
+    def _find_loss(self, now: datetime.datetime) -> answer_ends.Loss | None:
+        """Return how the other side's end makes the connection a lost one.
+
+        None if it ends an answer, was announced, or comes right behind an
+        answer of a server that keeps no connections.
+        """
+        if self.framing is not None and not self.framing.has_ended:
+            is_due = self.framing.state is answer_framing.State.BODY_TO_CLOSE
+            is_end = is_due and self.has_ended_cleanly
+            return None if is_end else answer_ends.Loss.BROKEN
+        if super().should_close or now - self.answered < answer_ends.MOMENT:
+            return None
+        return answer_ends.Loss.IDLE
+
     def _abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -292,7 +319,7 @@
     local_host: str = "",
     max_body_bytes: int | None = MAX_BODY_BYTES,
     headers: Mapping[str, str] = UNCOMPRESSED,
-    lost: answer_ends.LostConnections | None = None,
+    connections: answer_ends.UpstreamConnections | None = None,
     **options: Any,
 ) -> aiohttp.ClientSession:
     """Return a session whose connections are `AnswerHandler`s.
@@ -308,7 +335,7 @@
         max_body_bytes: bytes of the body of an answer at the most; None for any
             number.
         headers: headers that are added to each request.
-        lost: where the loss of connections is recorded.
+        connections: where those of the session are recorded.
         **options: arguments of `aiohttp.ClientSession`.
     """
     connector = aiohttp.TCPConnector(
@@ -323,7 +350,7 @@
     def create_handler() -> AnswerHandler:
         handler = AnswerHandler(loop=loop)
         handler.max_body_bytes = max_body_bytes
-        handler.lost = lost
+        handler.connections = connections
         return handler
 
     # aiohttp offers no other way to replace the protocol of its connections.
--- a/src/cicadahook/net/connection_pools.py
+++ b/src/cicadahook/net/connection_pools.py
@@ -42,7 +42,7 @@
         resets: whether closing a connection resets it.
         max_body_bytes: bytes of the body of an answer at the most; None for any
             number.
-        lost: where the loss of connections is recorded.
+        connections: where its connections are recorded; None for nowhere.
         kept: which connections are kept.
         sessions: the sessions, a few dozen at most.
         sent: address and request id of the latest attempts, in order.
@@ -54,10 +54,10 @@
         *,
         resets: bool,
         max_body_bytes: int | None = None,
-        lost: answer_ends.LostConnections | None = None,
+        connections: answer_ends.UpstreamConnections | None = None,
     ) -> None:
         self.clock = clock
-        self.lost = lost
+        self.connections = connections
         self.resets = resets
         self.max_body_bytes = max_body_bytes
         self.kept = kept_connections.KeptConnections("")
@@ -154,7 +154,7 @@
             resets=self.resets,
             keepalive=lifetime.total_seconds(),
             max_body_bytes=self.max_body_bytes,
-            lost=self.lost,
+            connections=self.connections,
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT.total_seconds()
             ),
--- a/src/cicadahook/net/end_checks.py
+++ b/src/cicadahook/net/end_checks.py
@@ -1,86 +1,182 @@
-"""Asks upstreams whether they live on behind answers that end unstated."""
+"""Checks answers that end with their connection; see `core.answer_ends`."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import collections
+from collections.abc import Awaitable, Callable, Iterator
+import contextlib
 import datetime
+import functools
 from typing import Final
 
 import aiohttp
 
 from cicadahook.core import answer_ends
+from cicadahook.core import forwarding
 from cicadahook.core import inventory
+from cicadahook.net import answer_protocol
 from cicadahook.net import logs
 from cicadahook.net import metrics
 
-Ask = Callable[[inventory.Instance], Awaitable[answer_ends.Reply | None]]
-Question = asyncio.Task[answer_ends.Reply | None]
-# Id, start and address of an upstream.
-Key = tuple[str, int, str]
+CONNECT_TIMEOUT: Final = datetime.timedelta(milliseconds=500)
+# Kept connections, which serve as witnesses too, are used or dropped meanwhile.
+HOLD_PERIOD: Final = datetime.timedelta(milliseconds=200)
 
-logger: Final = logs.create_logger("upstreams")
+EndCheck = Callable[[datetime.datetime], Awaitable[None]]
+
+logger: Final = logs.create_logger("connections")
+
+
+class Witness(asyncio.Protocol):
+    """A connection on which nothing is sent, which shows when others are lost.
+
+    Attributes:
+        address: `host:port` of the upstream.
+        connections: the connections to the upstreams, of which it is one.
+        opened: when it was opened.
+        transport: the connection; None when it has ended.
+        is_closed: whether this side has closed it.
+        may_end: whether an answer is due that may end with it.
+    """
+
+    may_end = False
+
+    def __init__(
+        self, address: str, connections: answer_ends.UpstreamConnections
+    ) -> None:
+        self.address = address
+        self.connections = connections
+        self.opened = connections.clock.now()
+        self.transport: asyncio.BaseTransport | None = None
+        self.is_closed = False
+
+    @property
+    def is_watched(self) -> bool:
+        """Whether it is open, and its end would be noticed at once."""
+        return self.transport is not None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin."""
+        self.transport = transport
+        self.connections.add(self.address, self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Record the loss, unless this side has closed the connection."""
+        self.transport = None
+        loss = None if self.is_closed else answer_ends.Loss.IDLE
+        self.connections.remove(self.address, self, loss)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.is_closed = True
+        if self.transport is not None:
+            self.transport.close()
 
 
 class EndChecker:
     """Checks that answers which ended with their connection are whole.
 
-    A question tells of all answers that ended before it was sent, so each
-    upstream is asked once at a time.
-
     Attributes:
-        lost: connections that were lost.
-        ask: asks an upstream for a reply; None if there is none in time.
-        running: questions that are being asked, by upstream.
-        waiting: questions that will be asked when those are answered.
+        connections: the connections to the upstreams.
+        node: name of the node, for metrics.
+        holders: running answers that end so, by address of the upstream.
+        tasks: hold a witness for them.
     """
 
-    def __init__(self, lost: answer_ends.LostConnections, ask: Ask) -> None:
-        self.lost = lost
-        self.ask = ask
-        self.running: dict[Key, Question] = {}
-        self.waiting: dict[Key, Question] = {}
+    def __init__(self, connections: answer_ends.UpstreamConnections) -> None:
+        self.connections = connections
+        self.node = ""
+        self.holders: collections.Counter[str] = collections.Counter()
+        self.tasks: dict[str, asyncio.Task[None]] = {}
 
-    async def close(self) -> None:
-        """Stop asking."""
-        tasks = [*self.running.values(), *self.waiting.values()]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+    @contextlib.contextmanager
+    def watch(
+        self, attempt: forwarding.Attempt, response: aiohttp.ClientResponse
+    ) -> Iterator[EndCheck]:
+        """Yield a check of an answer's end, for answers that end so.
 
-    def prepare(self, instance: inventory.Instance) -> None:
-        """Ask an upstream that has begun such an answer, for a connection."""
-        self._ask_soon(instance)
+        Meanwhile a connection is kept besides that of such an answer.
+        """
+        check = functools.partial(
+            self.check, attempt.instance, attempt.request.id
+        )
+        body_end = answer_protocol.find_body_end(response)
+        address = attempt.instance.address
+        ends_with_connection = body_end is forwarding.BodyEnd.CLOSE
+        if ends_with_connection:
+            self._begin(address)
+        try:
+            yield check
+        finally:
+            if ends_with_connection:
+                self._end(address)
+
+    def _begin(self, address: str) -> None:
+        self.holders[address] += 1
+        if address not in self.tasks:
+            self.tasks[address] = asyncio.create_task(self._hold(address))
+
+    def _end(self, address: str) -> None:
+        self.holders[address] -= 1
+        if not self.holders[address]:
+            del self.holders[address]
+            self.tasks.pop(address).cancel()
+
+    async def _hold(self, address: str) -> None:
+        """Have a connection to an upstream until cancelled."""
+        witness: Witness | None = None
+        try:
+            while True:
+                if not self.connections.has_lasting(address):
+                    witness = await self._connect(address)
+                await asyncio.sleep(HOLD_PERIOD.total_seconds())
+        finally:
+            if witness is not None:
+                witness.close()
+
+    async def _connect(self, address: str) -> Witness | None:
+        """Return a new connection to an upstream; None if it accepts none."""
+        host, port = address.rsplit(":", 1)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+                _, witness = await loop.create_connection(
+                    lambda: Witness(address, self.connections), host, int(port)
+                )
+        except OSError as error:
+            logger.info(
+                "Upstream accepts no connection behind an answer.",
+                extra={"address": address, "error": repr(error)},
+            )
+            return None
+        metrics.count_connection(self.node)
+        return witness
 
     async def check(
         self,
         instance: inventory.Instance,
-        ended: datetime.datetime,
         request_id: str,
+        ended: datetime.datetime,
     ) -> None:
         """Check that an answer is whole.
 
         Args:
             instance: the upstream that answered.
-            ended: when the connection of the answer ended.
             request_id: id of the request, for the log.
+            ended: when the connection of the answer ended.
 
         Raises:
             aiohttp.ClientPayloadError: that is not shown.
         """
-        question = self._ask_soon(instance)
-        # Others wait for it too, so it must not be cancelled.
-        await asyncio.wait({question})
-        reply = None if question.cancelled() else question.result()
-        verdict = self.lost.judge(instance.address, ended, reply)
-        metrics.count_end_check(str(verdict))
+        verdict = await self._find_verdict(instance.address, ended)
+        took = self.connections.clock.now() - ended
+        metrics.count_end_check(str(verdict), self.node)
         logger.info(
             "End of an answer without a length checked.",
             extra={
                 "request_id": request_id,
                 "instance": instance.id,
                 "verdict": str(verdict),
-                "took_ms": int(
-                    (self.lost.clock.now() - ended).total_seconds() * 1000
-                ),
+                "took_ms": int(took.total_seconds() * 1000),
             },
         )
         if verdict is not answer_ends.Verdict.WHOLE:
@@ -88,26 +184,21 @@
                 f"A body without a length ended; it may not be whole: {verdict}"
             )
 
-    def _ask_soon(self, instance: inventory.Instance) -> Question:
-        """Return a question that is not sent yet; answers share it."""
-        key = (instance.id, instance.born, instance.address)
-        question = self.waiting.get(key)
-        if question is None:
-            question = asyncio.create_task(self._ask_in_turn(key, instance))
-            self.waiting[key] = question
-        return question
-
-    async def _ask_in_turn(
-        self, key: Key, instance: inventory.Instance
-    ) -> answer_ends.Reply | None:
-        try:
-            if (earlier := self.running.get(key)) is not None:
-                await asyncio.wait({earlier})
-        finally:
-            question = self.waiting.pop(key)
-        self.running[key] = question
+    async def _find_verdict(
+        self, address: str, ended: datetime.datetime
+    ) -> answer_ends.Verdict:
+        late: Witness | None = None
+        if not self.connections.has_witness(address, ended):
+            late = await self._connect(address)
+            if late is None:
+                return answer_ends.Verdict.UNREACHABLE
         try:
-            return await self.ask(instance)
+            # A proxy accepts connections to an upstream that is gone, and
+            # closes them at once.
+            await asyncio.sleep(answer_ends.MOMENT.total_seconds())
+            if late is not None and not late.is_watched:
+                return answer_ends.Verdict.UNREACHABLE
+            return self.connections.judge(address, ended)
         finally:
-            if self.running.get(key) is question:
-                del self.running[key]
+            if late is not None:
+                late.close()
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -123,13 +123,13 @@
     counter.add(1, {"body_end": body_end, "node": node})
 
 
-def count_end_check(verdict: str) -> None:
+def count_end_check(verdict: str, node: str) -> None:
     """Count an answer without a length by what its end was found to be."""
     counter = create_counter(
         "cicada_end_checks",
         "Answers that ended with their connection, by verdict on the end.",
     )
-    counter.add(1, {"verdict": verdict})
+    counter.add(1, {"verdict": verdict, "node": node})
 
 
 def count_unproven_refusal(reason: str, node: str) -> None:
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -168,10 +168,6 @@
             ),
         )
         platform.upstreams.statement_listener = self.statement_recorder.record
-        platform.upstreams.find_service = self._find_service
-        platform.upstreams.acquire_call = lambda instance: (
-            statements.acquire_order(instance, clock.now())
-        )
         self.origins = stream_origins.StreamOrigins(
             is_first_start=settings.is_first_start
         )
@@ -364,10 +360,6 @@
         self.leadership.apply_era(era)
         self.forwarder.resumption.apply_era()
 
-    def _find_service(self, name: str) -> routes.Service | None:
-        configuration = self.forwarder.configuration
-        return configuration.services.get(name) if configuration else None
-
     def apply_configuration(self, configuration: routes.Configuration) -> None:
         """Replace the configuration by a newer one."""
         self.forwarder.configuration = configuration
--- a/src/cicadahook/net/node_platform.py
+++ b/src/cicadahook/net/node_platform.py
@@ -20,15 +20,10 @@
     """Client of the upstreams for requests, orders and reports.
 
     Attributes:
-        find_service: returns the service of a name, or None.
-        acquire_call: returns whether a call beside callers' requests may be
-            sent to an upstream now, and records it if so.
         statement_listener: called with each answer's upstream, what it says
             of itself and when the call was sent.
     """
 
-    find_service: Callable[[str], routes.Service | None]
-    acquire_call: Callable[[inventory_lib.Instance], bool]
     statement_listener: Callable[
         [
             inventory_lib.Instance,
--- a/src/cicadahook/net/peer_probes.py
+++ b/src/cicadahook/net/peer_probes.py
@@ -104,6 +104,17 @@
 
     async def is_reached_elsewhere(self, instance: inventory.Instance) -> bool:
         """Return whether another node can connect to an upstream."""
+        return True in await self._ask_all(instance)
+
+    async def is_gone(self, instance: inventory.Instance) -> bool:
+        """Return whether other nodes say that they can't connect to it.
+
+        False if none of them could be asked.
+        """
+        answers = await self._ask_all(instance)
+        return False in answers and True not in answers
+
+    async def _ask_all(self, instance: inventory.Instance) -> list[bool | None]:
         now = self.clock.now()
         peers = [
             status.node
@@ -111,14 +122,14 @@
             if (status := self.roster.find_recent(name, now)) is not None
         ]
         question = ProbeRequest(instance.id, instance.born)
-        answers = await asyncio.gather(
+        return await asyncio.gather(
             *(self._ask(peer, question) for peer in peers[:MAX_ASKED])
         )
-        return any(answers)
 
     async def _ask(
         self, peer: roster_lib.NodeRecord, question: ProbeRequest
-    ) -> bool:
+    ) -> bool | None:
+        """Return a node's answer; None if it gave none."""
         try:
             async with self.session.post(
                 f"http://{peer.peer_address}{PROBE_PATH}",
@@ -135,4 +146,4 @@
             "Node could not be asked for its link to an upstream.",
             extra={"peer": peer.name, "error": reason},
         )
-        return False
+        return None
--- a/src/cicadahook/net/peer_relay_client.py
+++ b/src/cicadahook/net/peer_relay_client.py
@@ -44,12 +44,12 @@
     Attributes:
         head: status and headers.
         response: the other node's response, from which the body is read.
-        may_live: returns whether the upstream may live still.
+        is_gone: returns whether the upstream is known to have ended.
     """
 
     head: forwarding.AnswerHead
     response: aiohttp.ClientResponse
-    may_live: Callable[[], Awaitable[bool]]
+    is_gone: Callable[[], Awaitable[bool]]
 
     async def read(self) -> bytes:
         """Return the complete body.
@@ -80,8 +80,8 @@
                 yield chunk
         if self.head.body_end is not forwarding.BodyEnd.UNKNOWN:
             return
-        # An older build states an end where a connection ended.
-        if not await self.may_live():
+        # A node of an older build states each end, whatever it saw of it.
+        if await self.is_gone():
             raise forwarding.AttemptError(
                 forwarding.FailureKind.CUT,
                 "an end by way of another node, of an upstream that is gone",
@@ -112,8 +112,7 @@
         roster: the other nodes.
         clock: the time.
         node: name of this node, for metrics.
-        is_reached_elsewhere: returns whether another node can connect to an
-            upstream.
+        is_gone: returns whether an upstream is known to have ended.
         in_flight: attempts in progress, by name of the other node.
         session: connections to the other nodes.
     """
@@ -123,9 +122,9 @@
         reachability: reachability_lib.Reachability,
         nodes: roster.Roster,
         clock: clock_lib.Clock,
-        is_reached_elsewhere: active_request.ReachCheck,
+        is_gone: active_request.ReachCheck,
     ) -> None:
-        self.is_reached_elsewhere = is_reached_elsewhere
+        self.is_gone = is_gone
         self.reachability = reachability
         self.roster = nodes
         self.clock = clock
@@ -195,9 +194,7 @@
                 yield RelayedAnswer(
                     head,
                     response,
-                    functools.partial(
-                        self.is_reached_elsewhere, attempt.instance
-                    ),
+                    functools.partial(self.is_gone, attempt.instance),
                 )
             is_whole = True
         finally:
--- a/src/cicadahook/net/upstream_links.py
+++ b/src/cicadahook/net/upstream_links.py
@@ -87,7 +87,7 @@
             self.reachability,
             nodes,
             clock,
-            self.questions.is_reached_elsewhere,
+            self.questions.is_gone,
         )
         self.paths = peer_relay_client.UpstreamPaths(client, self.relays)
 
--- a/src/cicadahook/platform/messages.py
+++ b/src/cicadahook/platform/messages.py
@@ -23,7 +23,6 @@
 MAX_PORT: Final = 65535
 # Ids are sent in headers.
 INSTANCE_ID: Final = re.compile(r"[!-~]{1,200}")
-HEALTH_PATH: Final = re.compile(r"/[!-~]{0,1023}")
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=1024)]
 Text = Annotated[str, msgspec.Meta(max_length=1024)]
@@ -96,12 +95,6 @@
     born: Counter = 0
 
 
-class ReplyFields(msgspec.Struct, frozen=True):
-    """What each upstream's reply says of its start."""
-
-    born: Counter | None = None
-
-
 class SplitFields(msgspec.Struct, frozen=True):
     """A service's part of a route."""
 
@@ -158,7 +151,6 @@
 
     name: Name
     inference_engine: EngineFields | None = None
-    health_path: Text | None = None
 
 
 class LimitFields(msgspec.Struct, frozen=True):
@@ -182,7 +174,6 @@
 
 CONFIGURATIONS: Final = msgspec.json.Decoder(ConfigurationFields, strict=False)
 INSTANCES: Final = msgspec.json.Decoder(InstanceFields)
-REPLIES: Final = msgspec.json.Decoder(ReplyFields)
 REPORTS: Final = msgspec.json.Decoder(ReportFields)
 
 
@@ -262,11 +253,8 @@
 
 def _create_service(fields: ServiceFields) -> routes.Service:
     engine = fields.inference_engine
-    path = fields.health_path or ""
     return routes.Service(
-        fields.name,
-        _create_engines(engine) if engine else None,
-        path if HEALTH_PATH.fullmatch(path) else "",
+        fields.name, _create_engines(engine) if engine else None
     )
 
 
@@ -325,14 +313,6 @@
         raise MessageError(f"bad entry of {name}: {error!r}") from error
 
 
-def find_start(value: bytes) -> int | None:
-    """Return the start that a reply names, or None if it names none."""
-    try:
-        return REPLIES.decode(value).born
-    except msgspec.DecodeError:
-        return None
-
-
 def decode_report(value: bytes) -> engine_orders.EngineReport:
     """Return the report of an engine.
 
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -1,6 +1,6 @@
 """Client of upstreams: callers' requests, orders and engine reports."""
 
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable
 import contextlib
 import datetime
 import functools
@@ -16,7 +16,7 @@
 from cicadahook.core import upstream_statements
 from cicadahook.net import logs
 from cicadahook.net import upstream_answers
-from cicadahook.net import upstream_calls
+from cicadahook.net import upstream_pools
 from cicadahook.platform import answer_heads
 from cicadahook.platform import headers as header_names
 from cicadahook.platform import messages
@@ -24,6 +24,7 @@
 # An engine answers an order at once, and a repeated order does no harm, so
 # the time limit can be short.
 ORDER_TIMEOUT: Final = datetime.timedelta(milliseconds=120)
+REPORT_TIMEOUT: Final = datetime.timedelta(milliseconds=1000)
 SKIPPED_AUTO_HEADERS: Final = (
     "User-Agent",
     "Accept",
@@ -47,16 +48,14 @@
 }
 
 
-class UpstreamClient(upstream_calls.UpstreamCalls):
-    """Sends requests, orders and queries to upstreams.
+class UpstreamClient(upstream_pools.UpstreamPools):
+    """Sends callers' requests, orders and report queries to upstreams.
 
     Attributes:
         statement_listener: called with each answer's upstream, what it says
             of itself and when the call was sent.
     """
 
-    report_path = "/report"
-
     def __init__(self, clock: clock_lib.Clock) -> None:
         super().__init__(clock)
         self.statement_listener: StatementListener = (
@@ -90,53 +89,55 @@
                 allow_redirects=False,
             )
         with self.pools.settle(attempt.instance, response):
-            self.record_statement(attempt.instance, response, sent, request.id)
-            head = answer_heads.decode(
-                response, request.id, self.pools.kept.node
-            )
-            if head.body_end is forwarding.BodyEnd.CLOSE:
-                self.prepare_end_check(attempt.instance)
-            yield upstream_answers.UpstreamAnswer(
-                head,
-                response,
-                self.buffer,
-                functools.partial(self.links.watch, attempt.instance),
-                functools.partial(
-                    self.end_checks.check,
-                    attempt.instance,
-                    request_id=request.id,
-                ),
-            )
+            self._record_statement(attempt.instance, response, sent, request.id)
+            with self.end_checks.watch(attempt, response) as check_end:
+                yield upstream_answers.UpstreamAnswer(
+                    answer_heads.decode(
+                        response, request.id, self.pools.kept.node
+                    ),
+                    response,
+                    self.buffer,
+                    functools.partial(self.links.watch, attempt.instance),
+                    check_end,
+                )
 
     async def fetch_report(
         self, instance: inventory.Instance
     ) -> engine_orders.EngineReport | None:
         """Return the report of an engine, or None if it could not be read."""
-        reply = await self.query(instance, self.report_path)
-        if reply is None or reply.response.status != 200:
-            return None
+        sent = self.clock.now()
         try:
-            return messages.decode_report(reply.body)
-        except messages.MessageError as error:
-            self.log_unread(instance, error)
+            with self.links.watch(instance):
+                response = await self.order_pools.take(instance).get(
+                    f"http://{instance.address}/report",
+                    timeout=_create_timeout(REPORT_TIMEOUT),
+                )
+            with self.order_pools.settle(instance, response):
+                self._record_statement(instance, response, sent)
+                if response.status != 200:
+                    logger.info(
+                        "Engine report refused.",
+                        extra={
+                            "instance": instance.id,
+                            "status": response.status,
+                            "retry_after": response.headers.get(
+                                header_names.RETRY_AFTER
+                            ),
+                        },
+                    )
+                    return None
+                return messages.decode_report(await response.read())
+        except (
+            aiohttp.ClientError,
+            OSError,
+            messages.MessageError,
+        ) as error:
+            logger.info(
+                "Engine report could not be read.",
+                extra={"instance": instance.id, "error": repr(error)},
+            )
             return None
 
-    def create_query_headers(
-        self, instance: inventory.Instance
-    ) -> Mapping[str, str]:
-        """Return headers by which only `instance` answers a query."""
-        return {header_names.EXPECTED_INSTANCE: instance.id}
-
-    def is_same_start(
-        self, instance: inventory.Instance, reply: upstream_calls.QueryReply
-    ) -> bool:
-        """Whether a reply is of an upstream's start, as far as it tells."""
-        response = reply.response
-        named = response.headers.get(header_names.INSTANCE_ID, instance.id)
-        if named != instance.id or response.status == answer_heads.MISDIRECTED:
-            return False
-        return messages.find_start(reply.body) in (None, instance.born)
-
     async def send_order(
         self, instance: inventory.Instance, order: engine_orders.Order
     ) -> engine_orders.OrderResult:
@@ -166,12 +167,10 @@
                     f"http://{instance.address}/order",
                     json=body,
                     headers={header_names.EXPECTED_INSTANCE: instance.id},
-                    timeout=aiohttp.ClientTimeout(
-                        ORDER_TIMEOUT.total_seconds()
-                    ),
+                    timeout=_create_timeout(ORDER_TIMEOUT),
                 )
             with self.order_pools.settle(instance, response):
-                self.record_statement(instance, response, sent)
+                self._record_statement(instance, response, sent)
                 await response.read()
                 return ORDER_RESULTS_BY_STATUS.get(
                     response.status, engine_orders.OrderResult.UNKNOWN
@@ -181,7 +180,7 @@
         except (aiohttp.ClientError, OSError):
             return engine_orders.OrderResult.UNKNOWN
 
-    def record_statement(
+    def _record_statement(
         self,
         instance: inventory.Instance,
         response: aiohttp.ClientResponse,
@@ -211,3 +210,7 @@
                 },
             )
         self.statement_listener(instance, statement, sent)
+
+
+def _create_timeout(duration: datetime.timedelta) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(total=duration.total_seconds())
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Iterable
 import contextlib
+import dataclasses
 import datetime
 import os
 import pathlib
@@ -10,14 +11,17 @@
 import subprocess
 import sys
 import time
-from typing import Final
+from typing import Final, cast
 
 import aiohttp
 import pytest
 
 from cicadahook.core import answer_ends
 from cicadahook.core import clock as clock_lib
+from cicadahook.core import forwarding
 from cicadahook.core import inventory
+from cicadahook.core import kept_connections
+from cicadahook.net import peer_relay_client
 import dying_upstream
 import node_cuts
 import node_testbed
@@ -208,22 +212,72 @@
     assert answers == [(200, WHOLE, True)] * REQUESTS
 
 
+@pytest.mark.parametrize("node", (0, 1))
 @pytest.mark.parametrize("kind", CALLS)
 async def test_answers_that_a_proxy_ends_in_order_do_not_look_complete(
-    linked_testbed: node_testbed.NodeTestbed, kind: str
+    linked_testbed: node_testbed.NodeTestbed,
+    monkeypatch: pytest.MonkeyPatch,
+    kind: str,
+    node: int,
 ) -> None:
     testbed = linked_testbed
+    # Unused connections are not kept for as long as the answers last.
+    monkeypatch.setattr(
+        kept_connections, "DEFAULT_LIFETIME", datetime.timedelta(seconds=0.1)
+    )
     async with replace(testbed, kind, "close") as upstream:
         calls = [
-            asyncio.create_task(call(testbed, kind, 0, number))
+            asyncio.create_task(call(testbed, kind, node, number))
             for number in range(REQUESTS)
         ]
         await asyncio.sleep(KILL_AFTER_SECONDS)
-        testbed.links[0][upstream.standin.id].end()
+        testbed.links[node][upstream.standin.id].end()
         answers = await asyncio.gather(*calls)
     assert not list_short(answers)
 
 
+async def test_a_single_answer_that_a_proxy_ends_does_not_look_complete(
+    linked_testbed: node_testbed.NodeTestbed,
+) -> None:
+    async with replace(linked_testbed, "plain", "close") as upstream:
+        task = asyncio.create_task(call(linked_testbed, "plain", 1, 1))
+        await asyncio.sleep(KILL_AFTER_SECONDS)
+        linked_testbed.links[1][upstream.standin.id].end()
+        answer = await task
+    assert not list_short([answer])
+
+
+class FakeResponse:
+    """The whole body of a response of another node."""
+
+    def __init__(self) -> None:
+        self.content = self
+
+    async def iter_any(self) -> AsyncIterator[bytes]:
+        """Yield the body."""
+        yield WHOLE
+
+
+@pytest.mark.parametrize("is_gone", (False, True))
+@pytest.mark.parametrize("body_end", forwarding.BodyEnd)
+async def test_an_end_by_way_of_an_older_build_needs_an_upstream_that_lives(
+    body_end: forwarding.BodyEnd, is_gone: bool
+) -> None:
+    async def ask() -> bool:
+        return is_gone
+
+    answer = peer_relay_client.RelayedAnswer(
+        forwarding.AnswerHead(200, (), body_end=body_end),
+        cast(aiohttp.ClientResponse, FakeResponse()),
+        ask,
+    )
+    if is_gone and body_end is forwarding.BodyEnd.UNKNOWN:
+        with pytest.raises(forwarding.AttemptError, match="cut"):
+            await answer.read()
+    else:
+        assert await answer.read() == WHOLE
+
+
 async def test_an_upstream_that_restarted_confirms_no_end_of_its_former_start(
     testbed: node_testbed.NodeTestbed,
 ) -> None:
@@ -239,49 +293,87 @@
     assert not list_short([answer])
 
 
-@pytest.fixture(name="lost")
-def create_lost_connections(
+@dataclasses.dataclass(eq=False)
+class FakeConnection:
+    """A connection without a socket.
+
+    Attributes:
+        opened: when it was opened.
+        is_watched: whether its end would be noticed.
+        may_end: whether an answer is due that may end with it.
+    """
+
+    opened: datetime.datetime
+    is_watched: bool = True
+    may_end: bool = False
+
+
+@pytest.fixture(name="connections")
+def create_connections(
     clock: clock_lib.ManualClock,
-) -> answer_ends.LostConnections:
-    """Return a record of lost connections."""
-    return answer_ends.LostConnections(clock)
+) -> answer_ends.UpstreamConnections:
+    """Return the connections of a node that has none."""
+    return answer_ends.UpstreamConnections(clock)
+
+
+IDLE, BROKEN = answer_ends.Loss.IDLE, answer_ends.Loss.BROKEN
 
 
 @pytest.mark.parametrize(
-    ("connected_ms", "lost_ms", "is_same_start", "verdict"),
+    ("has_witness", "lost_ms", "loss", "verdict"),
     (
-        (-100, None, True, "whole"),
-        (1, None, True, "whole"),
-        (-100, None, False, "restarted"),
-        (-100, 0, True, "whole"),
-        (1, 0, True, "common_end"),
-        (1, -50, True, "common_end"),
-        (1, -51, True, "whole"),
+        (False, 0, None, "whole"),
+        (True, 0, None, "whole"),
+        (False, 0, IDLE, "common_end"),
+        (True, 0, IDLE, "whole"),
+        (False, 0, BROKEN, "common_end"),
+        (True, 0, BROKEN, "common_end"),
+        (False, -30, IDLE, "common_end"),
+        (False, 30, IDLE, "common_end"),
+        (False, -31, BROKEN, "whole"),
+        (False, 31, BROKEN, "whole"),
     ),
 )
-def test_an_end_is_judged_by_what_the_upstream_does_afterwards(
-    lost: answer_ends.LostConnections,
+def test_an_end_is_judged_by_the_other_connections(
+    connections: answer_ends.UpstreamConnections,
     clock: clock_lib.ManualClock,
-    connected_ms: int,
-    lost_ms: int | None,
-    is_same_start: bool,
+    has_witness: bool,
+    lost_ms: int,
+    loss: answer_ends.Loss | None,
     verdict: str,
 ) -> None:
-    millisecond = datetime.timedelta(milliseconds=1)
-    ended = clock.now() + 100 * millisecond
-    if lost_ms is not None:
-        lost.record("other:1")
-        clock.current = ended + lost_ms * millisecond
-        lost.record("upstream:1")
-    reply = answer_ends.Reply(ended + connected_ms * millisecond, is_same_start)
-    assert lost.judge("upstream:1", ended, reply) == verdict
-    assert lost.judge("upstream:1", ended, None) == "no_reply"
-
-
-def test_lost_connections_are_forgotten(
-    lost: answer_ends.LostConnections, clock: clock_lib.ManualClock
+    address, began = "upstream:1", clock.now()
+    ended = began + datetime.timedelta(seconds=1)
+    for each in (FakeConnection(ended), FakeConnection(began, False)):
+        connections.add(address, each)
+    if has_witness:
+        connections.add(address, FakeConnection(began))
+    other = FakeConnection(began)
+    connections.add(address, other)
+    clock.current = ended + datetime.timedelta(milliseconds=lost_ms)
+    connections.remove(address, other, loss)
+    connections.remove("another:1", FakeConnection(began), BROKEN)
+    assert connections.has_witness(address, ended) is has_witness
+    assert connections.judge(address, ended) == verdict
+
+
+def test_a_connection_that_may_end_with_an_answer_is_not_lasting(
+    connections: answer_ends.UpstreamConnections, clock: clock_lib.ManualClock
+) -> None:
+    began = clock.now()
+    connections.add("upstream:1", FakeConnection(began, may_end=True))
+    assert not connections.has_lasting("upstream:1")
+    connections.add("upstream:1", FakeConnection(began))
+    assert connections.has_lasting("upstream:1")
+
+
+def test_connections_and_losses_are_forgotten(
+    connections: answer_ends.UpstreamConnections, clock: clock_lib.ManualClock
 ) -> None:
-    lost.record("upstream:1")
-    clock.advance(2 * answer_ends.KEPT_PERIOD)
-    lost.record("upstream:2")
-    assert len(lost.losses) == 1
+    for number in range(5):
+        connection = FakeConnection(clock.now())
+        connections.add(f"upstream:{number}", connection)
+        clock.advance(3 * answer_ends.MOMENT)
+        connections.remove(f"upstream:{number}", connection, IDLE)
+    assert not connections.connections
+    assert len(connections.losses) == 1
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -18,7 +18,7 @@
 from cicadahook.net import answer_protocol
 from cicadahook.net import engine_client
 from cicadahook.net import node_peers
-from cicadahook.net import upstream_calls
+from cicadahook.net import upstream_pools
 from cicadahook.platform import metadata_store
 from cicadahook.platform import upstream_client
 from cicadahook.programs import daemon
@@ -70,7 +70,7 @@
     return inventory.Instance("e1", "engines", address, "zone", 8)
 
 
-@register("report", upstream_calls.MAX_REPORT_BYTES)
+@register("report", upstream_pools.MAX_REPORT_BYTES)
 async def fetch_report(address: str) -> object:
     """Ask an engine for its report."""
     client = upstream_client.UpstreamClient(clock_lib.ManualClock())
@@ -80,7 +80,7 @@
         await client.close()
 
 
-@register("order", upstream_calls.MAX_REPORT_BYTES)
+@register("order", upstream_pools.MAX_REPORT_BYTES)
 async def send_order(address: str) -> object:
     """Send an order to an engine."""
     client = upstream_client.UpstreamClient(clock_lib.ManualClock())
--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -70,7 +70,7 @@
                 line.lower().split(": ", 1) for line in lines[1:] if line
             )
             if "x-request-id" not in headers:
-                # A query of what the upstream is.
+                # The report of an engine, or the health of another upstream.
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
                 await writer.drain()
                 writer.close()
--- a/tests/test_node_tenants.py
+++ b/tests/test_node_tenants.py
@@ -259,9 +259,9 @@
     """A node with two addresses was refused as a stranger."""
     senders = []
 
-    async def is_reached_elsewhere(instance: inventory.Instance) -> bool:
+    async def is_gone(instance: inventory.Instance) -> bool:
         del instance
-        return True
+        return False
 
     async def record(request: web.BaseRequest) -> web.Response:
         senders.append(request.remote)
@@ -275,7 +275,7 @@
         ),
         roster.Roster(own),
         clock,
-        is_reached_elsewhere,
+        is_gone,
     )
     async with caller_server.listen(
         web.Server(record), node_testbed.HOST, 0
