Take a connection that an upstream rejects at once for no loss

An upstream that has enough connections resets further ones. Such a reset within 30 ms of an answer's end made a sound answer a broken one, and a node went on to open connections to an upstream that was full.

--- a/src/cicadahook/core/answer_ends.py
+++ b/src/cicadahook/core/answer_ends.py
@@ -107,6 +107,13 @@
         for address in outdated:
             del self.losses[address]
 
+    def is_new(self, connection: Connection) -> bool:
+        """Whether a connection was opened within this moment.
+
+        An upstream that has enough connections ends further ones at once.
+        """
+        return self.clock.now() - connection.opened < MOMENT
+
     def has_lasting(self, address: str) -> bool:
         """Whether a connection is open whose end would be a loss."""
         return any(
--- a/src/cicadahook/net/end_checks.py
+++ b/src/cicadahook/net/end_checks.py
@@ -35,6 +35,7 @@
         opened: when it was opened.
         transport: the connection; None when it has ended.
         is_closed: whether this side has closed it.
+        was_rejected: whether the upstream has ended it at once.
         may_end: whether an answer is due that may end with it.
     """
 
@@ -47,7 +48,7 @@
         self.connections = connections
         self.opened = connections.clock.now()
         self.transport: asyncio.BaseTransport | None = None
-        self.is_closed = False
+        self.is_closed = self.was_rejected = False
 
     @property
     def is_watched(self) -> bool:
@@ -62,8 +63,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the loss, unless this side has closed the connection."""
         self.transport = None
-        loss = None if self.is_closed else answer_ends.Loss.IDLE
-        self.connections.remove(self.address, self, loss)
+        self.was_rejected = not self.is_closed and self.connections.is_new(self)
+        is_lost = not self.is_closed and not self.was_rejected
+        self.connections.remove(
+            self.address, self, answer_ends.Loss.IDLE if is_lost else None
+        )
 
     def close(self) -> None:
         """Close the connection."""
@@ -122,13 +126,17 @@
             self.tasks.pop(address).cancel()
 
     async def _hold(self, address: str) -> None:
-        """Have a connection to an upstream until cancelled."""
+        """Have a connection to an upstream until it accepts none."""
         witness: Witness | None = None
         try:
             while True:
                 if not self.connections.has_lasting(address):
                     witness = await self._connect(address)
+                    if witness is None:
+                        return
                 await asyncio.sleep(HOLD_PERIOD.total_seconds())
+                if witness is not None and witness.was_rejected:
+                    return
         finally:
             if witness is not None:
                 witness.close()
