Believe an end while another connection shows that the upstream is well

A reset is another kind of end, and a connection that is open still shows that process and link live on. An orderly end within an answer stays a sign of the opposite.

--- a/src/cicadahook/core/answer_ends.py
+++ b/src/cicadahook/core/answer_ends.py
@@ -32,7 +32,8 @@
     """How a connection was lost."""
 
     IDLE = enum.auto()  # while it was kept; also upstreams that are well do so
-    BROKEN = enum.auto()  # by a reset, or where an answer was due
+    RESET = enum.auto()  # also single ones, by an upstream that is faulty
+    CUT = enum.auto()  # as the end of an answer, where another one was due
 
 
 class Connection(Protocol):
@@ -59,8 +60,7 @@
     Attributes:
         clock: the time.
         connections: open connections, by address of the upstream.
-        losses: time and kind of the latest losses, by address; of addresses
-            with open connections, or that a check has not ended for.
+        losses: time and kind of the losses of the last moments, by address.
     """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
@@ -143,8 +143,7 @@
             for time, loss in self.losses.get(address, ())
             if abs(time - ended) <= MOMENT
         }
-        if Loss.BROKEN in kinds:
-            return Verdict.COMMON_END
-        if kinds and not self.has_witness(address, ended):
+        has_witness = self.has_witness(address, ended)
+        if Loss.CUT in kinds or (kinds and not has_witness):
             return Verdict.COMMON_END
         return Verdict.WHOLE
--- a/src/cicadahook/net/answer_protocol.py
+++ b/src/cicadahook/net/answer_protocol.py
@@ -201,7 +201,7 @@
         """
         is_lost = error is not None or self.has_received_end
         if self.connections is not None:
-            loss = self._find_loss(self.connections) if is_lost else None
+            loss = self._find_loss(self.connections, error) if is_lost else None
             self.ended = self.connections.clock.now() if is_lost else None
             self.connections.remove(self.address, self, loss)
         if not is_lost or self.is_idle:
@@ -219,7 +219,9 @@
         )
 
     def _find_loss(
-        self, connections: answer_ends.UpstreamConnections
+        self,
+        connections: answer_ends.UpstreamConnections,
+        error: BaseException | None,
     ) -> answer_ends.Loss | None:
         """Return how the other side's end makes the connection a lost one.
 
@@ -233,7 +235,9 @@
             is_rejection = (
                 self.framing.state is states.HEAD and connections.is_new(self)
             )
-            return None if is_end or is_rejection else answer_ends.Loss.BROKEN
+            if is_end or is_rejection:
+                return None
+            return answer_ends.Loss.RESET if error else answer_ends.Loss.CUT
         idle_time = connections.clock.now() - self.answered
         if super().should_close or idle_time < answer_ends.MOMENT:
             return None
--- a/src/cicadahook/net/upstream_links.py
+++ b/src/cicadahook/net/upstream_links.py
@@ -16,6 +16,7 @@
 from cicadahook.core import upstream_statements
 from cicadahook.net import active_request
 from cicadahook.net import connection_pools
+from cicadahook.net import end_checks
 from cicadahook.net import link_monitor
 from cicadahook.net import peer_probes
 from cicadahook.net import peer_relay_client
@@ -31,10 +32,12 @@
     Attributes:
         links: passes on what its calls show of the links.
         pools: its connections to upstreams.
+        end_checks: checks answers that end with their connection.
     """
 
     links: upstream_answers.LinkWatch
     pools: connection_pools.ConnectionPools
+    end_checks: end_checks.EndChecker
 
 
 class UpstreamLinks:
@@ -67,6 +70,7 @@
         self.clock = clock
         self.generator = generator
         client.pools.kept = kept_connections.KeptConnections(nodes.own.name)
+        client.end_checks.node = nodes.own.name
         self.reachability = reachability_lib.Reachability(
             generator, client.pools.kept
         )
