Take no end that this side makes for the end of an answer without a length

Callers of a process that stops could get the begin of an answer as a whole one: a body with neither a length nor chunks that was still being read when the session was closed was returned as complete, and without a question to the upstream, as the connection had no end made by the other side.

Cause: `has_ended_cleanly` was true for each end without an error, also where this side closed the connection. aiohttp takes that for the end of the body.

test_a_connection_that_this_side_ends_ends_no_answer failed before (the read returned the bytes that had come). Now an orderly end needs a FIN that was received, which is recorded before the connection is lost. `check_end` raises otherwise, so all readers that use it are covered (own calls, nodes, entries).

--- a/src/cicadahook/net/answer_protocol.py
+++ b/src/cicadahook/net/answer_protocol.py
@@ -112,7 +112,8 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record how the connection ended."""
         self.has_ended_cleanly = (
-            exc is None
+            self.has_received_end
+            and exc is None
             and self.exception() is None
             and not self.has_unread_upload
         )
@@ -263,17 +264,18 @@
 
 
 def check_end(response: aiohttp.ClientResponse) -> datetime.datetime | None:
-    """Raise an error if a body without a length ended by a reset.
+    """Raise an error if a body without a length did not end by a FIN.
 
-    aiohttp takes any end of the connection for the end of such a body.
+    aiohttp takes any end of the connection for the end of such a body, also
+    one that this side has made.
 
     Returns:
         When the connection ended, if only that tells the end of the body and
         the session records losses; else None.
 
     Raises:
-        aiohttp.ClientPayloadError: the connection was reset, or it was released
-            before a reset could be detected.
+        aiohttp.ClientPayloadError: the connection was reset, this side ended
+            it, or it was released before a reset could be detected.
     """
     if find_body_end(response) is not forwarding.BodyEnd.CLOSE:
         return None
@@ -281,7 +283,7 @@
     if isinstance(protocol, AnswerHandler) and protocol.has_ended_cleanly:
         return protocol.ended
     raise aiohttp.ClientPayloadError(
-        "A body without a length ended by a reset."
+        "A body without a length did not end in order."
     )
 
 
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -18,6 +18,7 @@
 from cicadahook.core import answer_ends
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import inventory
+from cicadahook.net import answer_protocol
 import dying_upstream
 import node_cuts
 import node_testbed
@@ -239,6 +240,30 @@
     assert not list_short([answer])
 
 
+async def test_a_connection_that_this_side_ends_ends_no_answer() -> None:
+    ended = asyncio.Event()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(dying_upstream.HEAD_END)
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + WHOLE)
+        await reader.read()
+        writer.close()
+        ended.set()
+
+    server = await asyncio.start_server(serve, node_testbed.HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    session = answer_protocol.open_session()
+    async with server:
+        response = await session.get(f"http://{node_testbed.HOST}:{port}/")
+        await response.content.readany()
+        await session.close()
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await response.read()
+        await ended.wait()
+
+
 @pytest.fixture(name="lost")
 def create_lost_connections(
     clock: clock_lib.ManualClock,
