Take a service's answer without a length for whole only if the service lives on

Callers of plain services got the begin of an answer as a complete one, with a length, when the service was killed in the middle. For a call with a key the short answer was recorded, and all resends got it.

Cause: an answer with neither a length nor chunks ends with its connection, and the entry took each orderly end for its end. The kernel ends the connections of a killed process that way.

Now the entry checks such an end as nodes do (end_checks, answer_ends): it asks the service at its health path when the answer begins and behind its end. The answer counts if a reply comes on a connection from before, or on a new one and no other connection was lost in the same moment. Else the attempt is cut: an idempotent call is repeated, any other is unknown, and so is its key's record. This works as a dead process gives no reply, and another start of it can't hold the connection of the question before. The check ends with the call's time limit, which now bounds the whole attempt.

test_endless_answers.py calls the service by the sessions that entries use now; what it asks for is the same. The process that tests kill is started by dying_upstream.py, for both files.

--- a/src/cicadahook/net/answer_protocol.py
+++ b/src/cicadahook/net/answer_protocol.py
@@ -263,6 +263,13 @@
     return forwarding.BodyEnd.CLOSE
 
 
+def find_opened(response: aiohttp.ClientResponse) -> datetime.datetime | None:
+    """Return when the connection of a response was opened, if recorded."""
+    protocol = getattr(response, "protocol", None)
+    opened: datetime.datetime | None = getattr(protocol, "opened", None)
+    return opened
+
+
 def check_end(response: aiohttp.ClientResponse) -> datetime.datetime | None:
     """Raise an error if a body without a length did not end by a FIN.
 
--- a/src/cicadahook/net/entry.py
+++ b/src/cicadahook/net/entry.py
@@ -33,6 +33,7 @@
 from cicadahook.net import relay
 from cicadahook.net import request_parsing
 from cicadahook.net import service_calls
+from cicadahook.net import service_connections
 from cicadahook.net import shutdown_limit
 from cicadahook.net import suspect_trials
 from cicadahook.net import upstream_connections
@@ -147,12 +148,13 @@
             claims.ClaimStore(keyvalue.KeyValueClient(mode.key_value, session)),
             clock,
         )
+        self.service_connections = service_connections.ServiceConnections(clock)
         self.services = service_calls.ServiceCallsApi(
             mode.name,
             clock,
             self.dispatcher,
             service_calls.ServiceCallComponents(
-                fresh_session,
+                self.service_connections,
                 self.call_runner,
                 self.peers,
                 self.policy,
--- a/src/cicadahook/net/service_calls.py
+++ b/src/cicadahook/net/service_calls.py
@@ -29,6 +29,7 @@
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import request_parsing
+from cicadahook.net import service_connections
 from cicadahook.net import shutdown_limit
 
 ANSWER_GRACE: Final = datetime.timedelta(seconds=10)
@@ -72,14 +73,14 @@
     """The components that calls of services are made with.
 
     Attributes:
-        session: opens a new connection for each call.
+        connections: connections to services.
         call_runner: runs non-idempotent calls.
         peers: client for other entries.
         policy: decides on retries.
         shutdown: ends open requests before the process is killed.
     """
 
-    session: aiohttp.ClientSession
+    connections: service_connections.ServiceConnections
     call_runner: at_most_once.AtMostOnceRunner
     peers: entry_peers.PeerClient
     policy: retry.RetryPolicy
@@ -99,7 +100,7 @@
         self.name = name
         self.clock = clock
         self.dispatcher = dispatcher
-        self.session = components.session
+        self.connections = components.connections
         self.call_runner = components.call_runner
         self.peers = components.peers
         self.policy = components.policy
@@ -362,20 +363,25 @@
         if not call.request.is_idempotent:
             left += ANSWER_GRACE
         sent = {"Content-Type": call.content_type}
-        async with self.session.request(
-            call.method,
-            f"http://{grant.upstream.address}{call.path}",
-            data=call.body,
-            headers=sent,
-            timeout=aiohttp.ClientTimeout(
-                total=left.total_seconds(),
-                sock_connect=CONNECT_TIMEOUT.total_seconds(),
-            ),
-            allow_redirects=False,
-            middlewares=(forbid_resend,),
-        ) as response:
+        async with (
+            asyncio.timeout(left.total_seconds()),
+            self.connections.calls.request(
+                call.method,
+                f"http://{grant.upstream.address}{call.path}",
+                data=call.body,
+                headers=sent,
+                timeout=aiohttp.ClientTimeout(
+                    total=None, sock_connect=CONNECT_TIMEOUT.total_seconds()
+                ),
+                allow_redirects=False,
+                middlewares=(forbid_resend,),
+            ) as response,
+        ):
+            body = await self.connections.read(
+                response, grant.upstream, call.request.id
+            )
             return keyed_calls.Answer(
-                response.status, response.content_type, await response.read()
+                response.status, response.content_type, body
             )
 
 
--- a/src/cicadahook/net/upstream_calls.py
+++ b/src/cicadahook/net/upstream_calls.py
@@ -14,6 +14,7 @@
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
 from cicadahook.core import routes
+from cicadahook.net import answer_protocol
 from cicadahook.net import connection_pools
 from cicadahook.net import end_checks
 from cicadahook.net import link_probe
@@ -142,8 +143,7 @@
         except (aiohttp.ClientError, OSError) as error:
             self.log_unread(instance, error)
             return None
-        protocol = getattr(response, "protocol", None)
-        opened = getattr(protocol, "opened", None)
+        opened = answer_protocol.find_opened(response)
         return QueryReply(response, body, opened or self.clock.now())
 
     def log_unread(
--- a/src/cicadahook/net/upstream_connections.py
+++ b/src/cicadahook/net/upstream_connections.py
@@ -19,6 +19,7 @@
 from cicadahook.net import logs
 
 PROBE_TIMEOUT: Final = datetime.timedelta(seconds=1)
+SERVICE_HEALTH_PATH: Final = "/healthz"
 
 logger: Final = logs.create_logger("connections")
 
@@ -126,7 +127,7 @@
         timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT.total_seconds())
         try:
             async with self.fresh_session.get(
-                f"http://{address}/healthz", timeout=timeout
+                f"http://{address}{SERVICE_HEALTH_PATH}", timeout=timeout
             ):
                 return ProbeResult(is_alive=True)
         except (aiohttp.ClientError, TimeoutError) as error:
--- a/src/cicadahook/programs/entry.py
+++ b/src/cicadahook/programs/entry.py
@@ -84,6 +84,7 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await self.task
         await self.entry.connections.close()
+        await self.entry.service_connections.close()
         await self.fresh_session.close()
         await self.call_session.close()
 
--- a/tests/dying_upstream.py
+++ b/tests/dying_upstream.py
@@ -9,12 +9,66 @@
 import contextlib
 import json
 import os
+import pathlib
+import signal
+import subprocess
+import sys
 from typing import Final
 
 HOST: Final = "127.0.0.1"
 PART_SECONDS: Final = 0.05
 FRAMINGS: Final = ("close", "chunked", "length")
 HEAD_END: Final = b"\r\n\r\n"
+# Calls that name no request; others without a name ask what the upstream is.
+CALL_PATHS: Final = ("/bookings", "/pages")
+
+
+class Child:
+    """An upstream that runs in a process of its own.
+
+    Attributes:
+        framing: how it tells the ends of its answers.
+        born: time of its start that it reports.
+        count: number of the parts of an answer.
+        port: its port.
+        pid: id of the process; 0 if there is none.
+    """
+
+    def __init__(self, framing: str, born: int, count: int) -> None:
+        self.framing = framing
+        self.born = born
+        self.count = count
+        self.port = self.pid = 0
+
+    @property
+    def address(self) -> str:
+        """Its `host:port`."""
+        return f"{HOST}:{self.port}"
+
+    def start(self) -> None:
+        """Start the process and wait until it accepts connections."""
+        # pylint: disable-next=consider-using-with
+        child = subprocess.Popen(
+            [
+                sys.executable,
+                str(pathlib.Path(__file__)),
+                f"--framing={self.framing}",
+                f"--born={self.born}",
+                f"--count={self.count}",
+                f"--port={self.port}",
+            ],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        assert child.stdout is not None, "no output"
+        self.port, self.pid = map(int, child.stdout.readline().split())
+
+    def kill(self) -> None:
+        """Kill the process; the kernel ends its connections."""
+        if self.pid:
+            os.kill(self.pid, signal.SIGKILL)
+            os.waitpid(self.pid, 0)
+            self.pid = 0
 
 
 def create_parts(count: int) -> list[bytes]:
@@ -55,7 +109,7 @@
         if line
     )
     await reader.readexactly(int(headers.get("content-length", "0")))
-    if "x-request-id" not in headers:
+    if "x-request-id" not in headers and path not in CALL_PATHS:
         report = {"models": [], "busy": False, "sequence_number": 0}
         body = json.dumps({**report, "born": born}).encode()
         status = b"409 Conflict" if path == "/order" else b"200 OK"
@@ -66,7 +120,7 @@
         await writer.drain()
         return True
     parts = create_parts(count)
-    name = headers["x-request-id"]
+    name = headers.get("x-request-id", "")
     kind = "text/event-stream" if "x-model" in headers else "text/plain"
     lines = [
         "HTTP/1.1 200 OK",
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -4,11 +4,6 @@
 from collections.abc import AsyncIterator, Iterable
 import contextlib
 import datetime
-import os
-import pathlib
-import signal
-import subprocess
-import sys
 import time
 from typing import Final
 
@@ -24,7 +19,6 @@
 import node_testbed
 import node_upstreams
 
-PROGRAM: Final = pathlib.Path(dying_upstream.__file__)
 REQUESTS: Final = 6
 PARTS: Final = 12
 WHOLE: Final = b"".join(dying_upstream.create_parts(PARTS))
@@ -36,47 +30,18 @@
 }
 
 
-class DyingUpstream:
+class DyingUpstream(dying_upstream.Child):
     """A process that takes the place of a stand-in.
 
     Attributes:
         standin: the stand-in.
-        framing: how it tells the ends of its answers.
-        port: its port.
-        pid: id of the process.
     """
 
     def __init__(
         self, standin: node_upstreams.UpstreamStandin, framing: str
     ) -> None:
+        super().__init__(framing, standin.born, PARTS)
         self.standin = standin
-        self.framing = framing
-        self.port = self.pid = 0
-
-    def start(self) -> None:
-        """Start the process and wait until it accepts connections."""
-        # pylint: disable-next=consider-using-with
-        child = subprocess.Popen(
-            [
-                sys.executable,
-                str(PROGRAM),
-                f"--framing={self.framing}",
-                f"--born={self.standin.born}",
-                f"--count={PARTS}",
-                f"--port={self.port}",
-            ],
-            stdout=subprocess.PIPE,
-            text=True,
-        )
-        assert child.stdout is not None, "no output"
-        self.port, self.pid = map(int, child.stdout.readline().split())
-
-    def kill(self) -> None:
-        """Kill the process; the kernel ends its connections."""
-        if self.pid:
-            os.kill(self.pid, signal.SIGKILL)
-            os.waitpid(self.pid, 0)
-            self.pid = 0
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -15,9 +15,11 @@
 from cicadahook.core import inventory
 from cicadahook.core import roster
 from cicadahook.core import residency
+from cicadahook.core import view
 from cicadahook.net import answer_protocol
 from cicadahook.net import engine_client
 from cicadahook.net import node_peers
+from cicadahook.net import service_connections
 from cicadahook.net import upstream_calls
 from cicadahook.platform import metadata_store
 from cicadahook.platform import upstream_client
@@ -132,12 +134,17 @@
 @register("plain service of an entry", answer_protocol.MAX_BODY_BYTES)
 async def call_service(address: str) -> object:
     """Call a plain service as an entry does."""
-    async with daemon.create_fresh_session() as session:
-        try:
-            async with session.get(f"http://{address}/") as response:
-                return await response.read()
-        except aiohttp.ClientError:
-            return None
+    connections = service_connections.ServiceConnections(
+        clock_lib.ManualClock()
+    )
+    service = view.Upstream(address, "zone", view.UpstreamKind.SERVICE)
+    try:
+        async with connections.calls.get(f"http://{address}/") as response:
+            return await connections.read(response, service, "r1")
+    except aiohttp.ClientError:
+        return None
+    finally:
+        await connections.close()
 
 
 @pytest.mark.parametrize("kind", ENDLESS)
