Believe other entries only answers whose end they state

A call passed to the entry that owns its key returned the begin of an answer as the whole one, and a control took the begin of an entry's counters for all of them, if their end was not stated and the connection ended in order within them. Entries state a length, so callers met this only where something on the way took it out.

Cause: both bodies are raw text, each begin of which can be read, and an orderly end was taken for the end of a body without a length.

Eight other calls of entries, controls and nodes, the stream of an engine, and the messages between nodes held: no begin of their JSON object or list, packed message or compressed data can be decoded.

Now both calls refuse a body that only the end of the connection would end. The owner of a key runs it once, so the call is passed to it again, and its outcome is unknown if that fails too.

--- a/src/cicadahook/net/answer_protocol.py
+++ b/src/cicadahook/net/answer_protocol.py
@@ -263,6 +263,17 @@
     return forwarding.BodyEnd.CLOSE
 
 
+async def read_stated(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of an answer whose server always states where it ends.
+
+    Raises:
+        aiohttp.ClientPayloadError: it is not complete, or not stated to be.
+    """
+    if find_body_end(response) is forwarding.BodyEnd.CLOSE:
+        raise aiohttp.ClientPayloadError("The end of a body is not stated.")
+    return await response.read()
+
+
 def find_opened(response: aiohttp.ClientResponse) -> datetime.datetime | None:
     """Return when the connection of a response was opened, if recorded."""
     protocol = getattr(response, "protocol", None)
--- a/src/cicadahook/net/entry_metrics.py
+++ b/src/cicadahook/net/entry_metrics.py
@@ -14,6 +14,7 @@
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import dashboard
 from cicadahook.core import view
+from cicadahook.net import answer_protocol
 from cicadahook.net import logs
 
 ENTRY_EXPIRY: Final = datetime.timedelta(seconds=10)
@@ -107,7 +108,8 @@
         url = f"http://{self.entry}/metrics"
         try:
             async with self.session.get(url, timeout=timeout) as response:
-                totals = _parse_totals(await response.text(), self.node)
+                content = await answer_protocol.read_stated(response)
+                totals = _parse_totals(content.decode(), self.node)
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             logger.info(
                 "Counters of entry %s could not be read: %r.",
--- a/src/cicadahook/net/entry_peers.py
+++ b/src/cicadahook/net/entry_peers.py
@@ -23,6 +23,7 @@
 from cicadahook.core import idempotency_keys
 from cicadahook.core import keyed_calls
 from cicadahook.core import view
+from cicadahook.net import answer_protocol
 from cicadahook.net import logs
 from cicadahook.net import request_parsing
 
@@ -172,7 +173,7 @@
             ),
             allow_redirects=False,
         ) as response:
-            body = await response.read()
+            body = await answer_protocol.read_stated(response)
             return ForwardedAnswer(
                 response.status,
                 response.content_type,
