Take an empty body that was cut for no answer of the key-value service

Reads and writes of keys, lists and leases raised a TypeError, which no caller expects, in place of KeyValueUnavailableError, where the service's connection ended in order right behind the head of an answer without a length.

Cause: aiohttp decodes an empty body of JSON as None, and the client read the fields of that. Claims, leases and watches catch only the errors of the client.

Evidence: four cases of test_cut_answers.py (a key, keys, a write, a lease) failed with the TypeError before.

Now an empty body that only the end of the connection ended is a failed call with an unknown outcome. Any other begin of a JSON object could not be decoded before. Empty bodies of a stated length are left as they were: calls that use no field take them.

--- a/src/cicadahook/net/keyvalue.py
+++ b/src/cicadahook/net/keyvalue.py
@@ -16,7 +16,9 @@
 
 from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
+from cicadahook.core import forwarding
 from cicadahook.core import keyvalue_limits
+from cicadahook.net import answer_protocol
 from cicadahook.net import clock as net_clock
 from cicadahook.net import metrics
 
@@ -333,7 +335,11 @@
                     raise errors.KeyValueUnavailableError(
                         f"{method} {path}: status {response.status}"
                     )
-                return response.status, await response.json()
+                answer = await response.json()
+                body_end = answer_protocol.find_body_end(response)
+                if answer is None and body_end is forwarding.BodyEnd.CLOSE:
+                    raise aiohttp.ClientPayloadError("An empty body was cut.")
+                return response.status, answer
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise errors.KeyValueUnavailableError(
                 f"{method} {path}: {error!r}"
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -25,6 +25,7 @@
 from cicadahook.net import entry_metrics
 from cicadahook.net import entry_peers
 from cicadahook.net import fleet
+from cicadahook.net import keyvalue
 from cicadahook.net import node_peers
 from cicadahook.net import peer_probes
 from cicadahook.net import store_relay_messages
@@ -85,6 +86,49 @@
     return collector.scrapes
 
 
+def create_client(
+    address: str, session: aiohttp.ClientSession
+) -> keyvalue.KeyValueClient:
+    """Return a client of the key-value service."""
+    return keyvalue.KeyValueClient(address, session)
+
+
+@register("key", encode(key="k", value="12", revision=123))
+async def get_key(address: str, session: aiohttp.ClientSession) -> object:
+    """Read a key, as claims and leases do."""
+    try:
+        return await create_client(address, session).get("k")
+    except errors.KeyValueUnavailableError:
+        return None
+
+
+@register("keys", encode(entries=[], revision=123))
+async def list_keys(address: str, session: aiohttp.ClientSession) -> object:
+    """List keys, as members and tables do."""
+    try:
+        return await create_client(address, session).list("k")
+    except errors.KeyValueUnavailableError:
+        return None
+
+
+@register("write of a key", encode(revision=123))
+async def put_key(address: str, session: aiohttp.ClientSession) -> object:
+    """Write a key, as claims and leases do."""
+    try:
+        return await create_client(address, session).put("k", "v", 1)
+    except errors.KeyValueUnavailableError:
+        return None
+
+
+@register("lease", encode(lease="lease-123"))
+async def grant(address: str, session: aiohttp.ClientSession) -> object:
+    """Ask for a lease."""
+    try:
+        return await create_client(address, session).grant(SECOND)
+    except errors.KeyValueUnavailableError:
+        return None
+
+
 @register(
     "state of an engine",
     encode(
