--- a/src/cicadahook/core/answer_ends.py
+++ b/src/cicadahook/core/answer_ends.py
@@ -110,7 +110,7 @@
     def is_new(self, connection: Connection) -> bool:
         """Whether a connection was opened within this moment.
 
-        An upstream that has enough connections ends further ones at once.
+        An upstream that has enough connections resets further ones at once.
         """
         return self.clock.now() - connection.opened < MOMENT
 
--- a/src/cicadahook/net/answer_protocol.py
+++ b/src/cicadahook/net/answer_protocol.py
@@ -232,12 +232,11 @@
         if self.framing is not None and not self.framing.has_ended:
             is_due = self.framing.state is states.BODY_TO_CLOSE
             is_end = is_due and self.has_ended_cleanly
-            is_rejection = (
-                self.framing.state is states.HEAD and connections.is_new(self)
-            )
-            if is_end or is_rejection:
-                return None
-            return answer_ends.Loss.RESET if error else answer_ends.Loss.CUT
+            if error is None:
+                return None if is_end else answer_ends.Loss.CUT
+            is_head_due = self.framing.state is states.HEAD
+            is_rejection = is_head_due and connections.is_new(self)
+            return None if is_rejection else answer_ends.Loss.RESET
         idle_time = connections.clock.now() - self.answered
         if super().should_close or idle_time < answer_ends.MOMENT:
             return None
@@ -299,18 +298,30 @@
     return forwarding.BodyEnd.CLOSE
 
 
+async def read_stated(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of an answer whose server always states where it ends.
+
+    Raises:
+        aiohttp.ClientPayloadError: it is not complete, or not stated to be.
+    """
+    if find_body_end(response) is forwarding.BodyEnd.CLOSE:
+        raise aiohttp.ClientPayloadError("The end of a body is not stated.")
+    return await response.read()
+
+
 def check_end(response: aiohttp.ClientResponse) -> datetime.datetime | None:
-    """Raise an error if a body without a length ended by a reset.
+    """Raise an error if a body without a length did not end by a FIN.
 
-    aiohttp takes any end of the connection for the end of such a body.
+    aiohttp takes any end of the connection for the end of such a body, also
+    one that this side has made.
 
     Returns:
-        When the connection ended, if only that tells the end of the body and
-        the session records losses; else None.
+        When the connection ended, if only that tells the end of the body; None
+        if the body states its end, or the connection is none to an upstream.
 
     Raises:
-        aiohttp.ClientPayloadError: the connection was reset, or it was released
-            before a reset could be detected.
+        aiohttp.ClientPayloadError: the connection was reset, this side ended
+            it, or it was released before a reset could be detected.
     """
     if find_body_end(response) is not forwarding.BodyEnd.CLOSE:
         return None
@@ -318,7 +329,7 @@
     if isinstance(protocol, AnswerHandler) and protocol.has_ended_cleanly:
         return protocol.ended
     raise aiohttp.ClientPayloadError(
-        "A body without a length ended by a reset."
+        "A body without a length did not end in order."
     )
 
 
--- a/src/cicadahook/net/end_checks.py
+++ b/src/cicadahook/net/end_checks.py
@@ -12,7 +12,6 @@
 
 from cicadahook.core import answer_ends
 from cicadahook.core import forwarding
-from cicadahook.core import inventory
 from cicadahook.net import answer_protocol
 from cicadahook.net import logs
 from cicadahook.net import metrics
@@ -35,7 +34,7 @@
         opened: when it was opened.
         transport: the connection; None when it has ended.
         is_closed: whether this side has closed it.
-        was_rejected: whether the upstream has ended it at once.
+        was_rejected: whether the upstream has reset it at once.
         may_end: whether an answer is due that may end with it.
     """
 
@@ -63,7 +62,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the loss, unless this side has closed the connection."""
         self.transport = None
-        self.was_rejected = not self.is_closed and self.connections.is_new(self)
+        self.was_rejected = exc is not None and self.connections.is_new(self)
         is_lost = not self.is_closed and not self.was_rejected
         self.connections.remove(
             self.address, self, answer_ends.Loss.IDLE if is_lost else None
@@ -86,25 +85,29 @@
         tasks: hold a witness for them.
     """
 
-    def __init__(self, connections: answer_ends.UpstreamConnections) -> None:
+    def __init__(
+        self, connections: answer_ends.UpstreamConnections, node: str = ""
+    ) -> None:
         self.connections = connections
-        self.node = ""
+        self.node = node
         self.holders: collections.Counter[str] = collections.Counter()
         self.tasks: dict[str, asyncio.Task[None]] = {}
 
     @contextlib.contextmanager
     def watch(
-        self, attempt: forwarding.Attempt, response: aiohttp.ClientResponse
+        self, response: aiohttp.ClientResponse, address: str, request_id: str
     ) -> Iterator[EndCheck]:
         """Yield a check of an answer's end, for answers that end so.
 
         Meanwhile a connection is kept besides that of such an answer.
+
+        Args:
+            response: the answer.
+            address: `host:port` of the upstream that gives it.
+            request_id: id of the request, for the log.
         """
-        check = functools.partial(
-            self.check, attempt.instance, attempt.request.id
-        )
+        check = functools.partial(self.check, address, request_id)
         body_end = answer_protocol.find_body_end(response)
-        address = attempt.instance.address
         ends_with_connection = body_end is forwarding.BodyEnd.CLOSE
         if ends_with_connection:
             self._begin(address)
@@ -160,29 +163,26 @@
         return witness
 
     async def check(
-        self,
-        instance: inventory.Instance,
-        request_id: str,
-        ended: datetime.datetime,
+        self, address: str, request_id: str, ended: datetime.datetime
     ) -> None:
         """Check that an answer is whole.
 
         Args:
-            instance: the upstream that answered.
+            address: `host:port` of the upstream that gave it.
             request_id: id of the request, for the log.
             ended: when the connection of the answer ended.
 
         Raises:
             aiohttp.ClientPayloadError: that is not shown.
         """
-        verdict = await self._find_verdict(instance.address, ended)
+        verdict = await self._find_verdict(address, ended)
         took = self.connections.clock.now() - ended
         metrics.count_end_check(str(verdict), self.node)
         logger.info(
             "End of an answer without a length checked.",
             extra={
                 "request_id": request_id,
-                "instance": instance.id,
+                "address": address,
                 "verdict": str(verdict),
                 "took_ms": int(took.total_seconds() * 1000),
             },
--- a/src/cicadahook/platform/upstream_client.py
+++ b/src/cicadahook/platform/upstream_client.py
@@ -90,7 +90,9 @@
             )
         with self.pools.settle(attempt.instance, response):
             self._record_statement(attempt.instance, response, sent, request.id)
-            with self.end_checks.watch(attempt, response) as check_end:
+            with self.end_checks.watch(
+                response, attempt.instance.address, request.id
+            ) as check_end:
                 yield upstream_answers.UpstreamAnswer(
                     answer_heads.decode(
                         response, request.id, self.pools.kept.node
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -5,11 +5,6 @@
 import contextlib
 import dataclasses
 import datetime
-import os
-import pathlib
-import signal
-import subprocess
-import sys
 import time
 from typing import Final, cast
 
@@ -21,13 +16,13 @@
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
 from cicadahook.core import kept_connections
+from cicadahook.net import answer_protocol
 from cicadahook.net import peer_relay_client
 import dying_upstream
 import node_cuts
 import node_testbed
 import node_upstreams
 
-PROGRAM: Final = pathlib.Path(dying_upstream.__file__)
 REQUESTS: Final = 6
 PARTS: Final = 12
 WHOLE: Final = b"".join(dying_upstream.create_parts(PARTS))
@@ -39,47 +34,18 @@
 }
 
 
-class DyingUpstream:
+class DyingUpstream(dying_upstream.Child):
     """A process that takes the place of a stand-in.
 
     Attributes:
         standin: the stand-in.
-        framing: how it tells the ends of its answers.
-        port: its port.
-        pid: id of the process.
     """
 
     def __init__(
         self, standin: node_upstreams.UpstreamStandin, framing: str
     ) -> None:
+        super().__init__(framing, standin.born, PARTS)
         self.standin = standin
-        self.framing = framing
-        self.port = self.pid = 0
-
-    def start(self) -> None:
-        """Start the process and wait until it accepts connections."""
-        # pylint: disable-next=consider-using-with
-        child = subprocess.Popen(
-            [
-                sys.executable,
-                str(PROGRAM),
-                f"--framing={self.framing}",
-                f"--born={self.standin.born}",
-                f"--count={PARTS}",
-                f"--port={self.port}",
-            ],
-            stdout=subprocess.PIPE,
-            text=True,
-        )
-        assert child.stdout is not None, "no output"
-        self.port, self.pid = map(int, child.stdout.readline().split())
-
-    def kill(self) -> None:
-        """Kill the process; the kernel ends its connections."""
-        if self.pid:
-            os.kill(self.pid, signal.SIGKILL)
-            os.waitpid(self.pid, 0)
-            self.pid = 0
 
 
 @contextlib.asynccontextmanager
@@ -293,6 +259,30 @@
     assert not list_short([answer])
 
 
+async def test_a_connection_that_this_side_ends_ends_no_answer() -> None:
+    ended = asyncio.Event()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(dying_upstream.HEAD_END)
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + WHOLE)
+        await reader.read()
+        writer.close()
+        ended.set()
+
+    server = await asyncio.start_server(serve, node_testbed.HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    session = answer_protocol.open_session()
+    async with server:
+        response = await session.get(f"http://{node_testbed.HOST}:{port}/")
+        await response.content.readany()
+        await session.close()
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await response.read()
+        await ended.wait()
+
+
 @dataclasses.dataclass(eq=False)
 class FakeConnection:
     """A connection without a socket.
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -18,6 +18,7 @@
 from cicadahook.net import answer_protocol
 from cicadahook.net import engine_client
 from cicadahook.net import node_peers
+from cicadahook.net import service_connections
 from cicadahook.net import upstream_pools
 from cicadahook.platform import metadata_store
 from cicadahook.platform import upstream_client
@@ -132,12 +133,16 @@
 @register("plain service of an entry", answer_protocol.MAX_BODY_BYTES)
 async def call_service(address: str) -> object:
     """Call a plain service as an entry does."""
-    async with daemon.create_fresh_session() as session:
-        try:
-            async with session.get(f"http://{address}/") as response:
-                return await response.read()
-        except aiohttp.ClientError:
-            return None
+    connections = service_connections.ServiceConnections(
+        clock_lib.ManualClock(), "entry"
+    )
+    try:
+        async with connections.calls.get(f"http://{address}/") as response:
+            return await connections.read(response, address, "r1")
+    except aiohttp.ClientError:
+        return None
+    finally:
+        await connections.close()
 
 
 @pytest.mark.parametrize("kind", ENDLESS)
--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -91,7 +91,8 @@
     for upstream in replaced:
         testbed.store.delete(f"servers/{upstream.id}")
     entry = {**first.describe(), "address": f"{node_testbed.HOST}:{port}"}
-    testbed.store.put(f"servers/raw-{first.service}", entry)
+    key = f"servers/raw-{first.service}-{port}"
+    testbed.store.put(key, entry)
     for program in testbed.programs:
         node = program.node
         assert node is not None
@@ -105,6 +106,7 @@
     try:
         yield closed
     finally:
+        testbed.store.delete(key)
         server.close()
 
 
