Move checks of upstreams' statements and a fault out of large modules of the soak

The checks of limits, rests, leaving, falls and fatal parts are functions of statement_checks.py now, the crash of an upstream stands in end_faults.py, and the room of brittle stand-ins in brittle_state.py.

test_node_soak.py and test_node_brittle.py pass.

--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -11,6 +11,8 @@
 from aiohttp import web
 import multidict
 
+import brittle_state
+
 RESET = struct.pack("ii", 1, 0)
 LIMIT_HEADER = "Server-Limit"
 BRITTLE_HEADER = "Server-Brittle"
@@ -74,57 +76,6 @@
     restarting: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
 
 
-@dataclasses.dataclass
-class BrittleState:
-    """Room of an upstream that fails when it rejects too much.
-
-    Attributes:
-        bound: rejections in a second beyond which it crashes.
-        slots: requests that it runs at once.
-        queue: requests that wait for a slot at the most.
-        run_seconds: time that a request takes.
-        waiting: requests that wait for a slot.
-        running: requests that have one.
-        rejections: when it rejected a request, by the event loop's clock.
-    """
-
-    bound: float
-    slots: int
-    queue: int
-    run_seconds: float
-    waiting: int = 0
-    running: int = 0
-    rejections: list[float] = dataclasses.field(default_factory=list)
-
-    def __post_init__(self) -> None:
-        self.free = asyncio.Semaphore(self.slots)
-
-    def is_full(self) -> bool:
-        """Whether another request would neither run nor wait."""
-        return self.waiting + self.running >= self.slots + self.queue
-
-    def reject(self, now: float) -> bool:
-        """Record a rejection; return whether it is one too many."""
-        self.rejections.append(now)
-        recent = [time for time in self.rejections if now - time < 1]
-        return len(recent) > self.bound
-
-    async def run(self) -> None:
-        """Run one request."""
-        self.waiting += 1
-        try:
-            async with self.free:
-                self.waiting -= 1
-                self.running += 1
-                try:
-                    await asyncio.sleep(self.run_seconds)
-                finally:
-                    self.running -= 1
-                    self.waiting += 1
-        finally:
-            self.waiting -= 1
-
-
 class UpstreamStandin:
     """Stand-in of an upstream that records what it receives.
 
@@ -192,7 +143,7 @@
         self.limit: float | str | None = None
         self.calls: list[float] = []
         self.crash_state = CrashState()
-        self.brittle: BrittleState | None = None
+        self.brittle: brittle_state.BrittleState | None = None
 
     def describe(self) -> dict[str, Any]:
         """Return its registration in the store."""
--- a/tests/soak/node_checker.py
+++ b/tests/soak/node_checker.py
@@ -38,11 +38,6 @@
 # Statuses of nodes which leave open whether the request was run.
 UNCERTAIN_STATUSES: Final = frozenset({500, 502, 504})
 NODE_FAULT_KINDS: Final = frozenset({"kill", "freeze"})
-# A service's upstreams may fall over this often while they are brittle.
-ALLOWED_FALLS: Final = 2
-# After a rejection with a rest, requests that cross it are tolerated.
-REST_GRACE_SECONDS: Final = 0.5
-REST_SLACK: Final = 2
 # Target name of the store stand-in.
 STORE: Final = "store"
 # Target name of the soak's own process: its callers, upstreams and links.
@@ -50,15 +45,6 @@
 # Nodes answer slightly before the deadline of a request.
 DEADLINE_SLACK_SECONDS: Final = 0.1
 
-# In this time an upstream gets at most 1.5 times what its limit allows, and
-# LIMIT_SLACK requests more.
-LIMIT_WINDOW_SECONDS: Final = 4.0
-LIMIT_SLACK: Final = 5
-# From CONTACT_SECONDS after this crash on a part of prompts, at most
-# FATAL_PART_SLACK more requests with it reach upstreams.
-FATAL_PART_CRASHES: Final = 5
-FATAL_PART_SLACK: Final = 3
-
 
 class Outcome(enum.StrEnum):
     """How a request ended for its caller."""
@@ -335,7 +321,7 @@
         ]
         self.results.counts["streams_resumed"] += 1
         if begun and begun[-1].software != run.software:
-            self._record_violation("streams hold one software version", call)
+            self.record_violation("streams hold one software version", call)
 
     def check_call(self, call: Call) -> None:
         """Count a call that has ended and check its outcome."""
@@ -354,38 +340,38 @@
                     SOAK_PROCESS, call.began, call.ended
                 )
                 if not (is_process_late or self._is_node_disturbed(call)):
-                    self._record_violation("a final answer in time", call)
+                    self.record_violation("a final answer in time", call)
             case Outcome.MALFORMED:
-                self._record_violation(
+                self.record_violation(
                     f"only answers come: {call.content!r}", call
                 )
 
     def _check_answer(self, call: Call) -> None:
         is_signed = "x-response-signature" in call.headers
         if call.headers.get("x-request-id") != call.id:
-            self._record_violation("answers have the right id", call)
+            self.record_violation("answers have the right id", call)
         if 200 <= call.status < 300:
             signature = call.headers.get("x-response-signature")
             is_whole = call.content == _create_expected_answer(call)
             if signature != f"sig-{call.id}" or not is_whole:
-                self._record_violation("successes are whole and own", call)
+                self.record_violation("successes are whole and own", call)
         elif is_signed:
             statuses = {run.status for run in self.runs[call.id]}
             if call.status not in statuses:
-                self._record_violation("failures are the upstream's", call)
+                self.record_violation("failures are the upstream's", call)
         elif call.status not in NOT_RUN_STATUSES | UNCERTAIN_STATUSES:
-            self._record_violation("proper requests are not denied", call)
+            self.record_violation("proper requests are not denied", call)
         elif (
             call.status in UNCERTAIN_STATUSES
             and self._is_unexcused_failure_late_in_stop(call)
         ):
-            self._record_violation(
+            self.record_violation(
                 "what is sent late is answered or refused", call
             )
 
     def _is_unexcused_failure_late_in_stop(self, call: Call) -> bool:
         """Return whether no fault excuses a failure late in a planned stop."""
-        stop = self._find_stop(call)
+        stop = self.find_stop(call)
         if stop is None or call.sent is None:
             return False
         return (
@@ -403,20 +389,20 @@
     def _check_cut(self, call: Call) -> None:
         """Check a connection that ended before the answer did."""
         if not _create_expected_answer(call).startswith(call.content):
-            self._record_violation("streams are whole up to their cut", call)
+            self.record_violation("streams are whole up to their cut", call)
         excuse = self._find_excuse(call)
         if excuse:
             self.results.counts[f"cut_{excuse}"] += 1
-        elif self._find_stop(call):
-            self._record_violation("a planned stop loses no request", call)
+        elif self.find_stop(call):
+            self.record_violation("a planned stop loses no request", call)
         else:
-            self._record_violation("no request is cut", call)
+            self.record_violation("no request is cut", call)
 
     def _find_excuse(self, call: Call) -> str:
         """Return the reason that allows a cut, or an empty string."""
         assert call.sent is not None, "cut before it was sent"
         runs = self.runs[call.id]
-        stop = self._find_stop(call)
+        stop = self.find_stop(call)
         if self._is_node_disturbed(call):
             return "by_node_fault"
         if not runs and call.ended <= call.sent + LOSS_SLACK_SECONDS:
@@ -479,155 +465,13 @@
             for stop in self.stops
         )
 
-    def _find_stop(self, call: Call) -> PlannedStop | None:
+    def find_stop(self, call: Call) -> PlannedStop | None:
         """Return the last planned stop of the node that overlaps a call."""
         for stop in reversed(self.stops):
             if stop.node == call.node and stop.signalled <= call.ended:
                 return stop if call.began <= stop.ended else None
         return None
 
-    def check_limit(
-        self, upstream: str, rate: float, began: float, calls: list[float]
-    ) -> None:
-        """Check the calls to an upstream that has named a limit.
-
-        Args:
-            upstream: name of the upstream.
-            rate: the limit, in requests per second.
-            began: when it was named first.
-            calls: when the upstream got calls.
-        """
-        late = [time for time in calls if time >= began + CONTACT_SECONDS]
-        for first in late:
-            end = first + LIMIT_WINDOW_SECONDS
-            count = sum(first <= time < end for time in late)
-            allowed = 1.5 * rate * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
-            if count > allowed and not self.is_disturbed(
-                SOAK_PROCESS, began, end
-            ):
-                self.results.record_violation(
-                    "named limits are kept",
-                    f"{upstream}: {count} calls in {LIMIT_WINDOW_SECONDS} s at"
-                    f" {rate} a second, {first - began:.3f} s after its naming",
-                )
-                return
-
-    def check_falls(self, name: str, falls: int) -> None:
-        """Check how often a brittle upstream fell over.
-
-        The users' rule: at most 2 times and a tenth of the upstreams.
-        """
-        self.results.counts["brittle_falls"] += falls
-        if falls > ALLOWED_FALLS:
-            self.results.record_violation(
-                "brittle upstreams keep up", f"{name} fell {falls} times"
-            )
-
-    def check_rest(
-        self,
-        name: str,
-        rest: float,
-        began: float,
-        arrivals: list[tuple[float, str]],
-    ) -> None:
-        """Check that nodes gave an upstream the rest that it asked for.
-
-        The users' rule: after `REST_GRACE_SECONDS`, at most `REST_SLACK`
-        requests of the node that was rejected.
-        """
-        nodes = {
-            call.node
-            for _, request_id in arrivals
-            if (call := self.calls.get(request_id)) is not None
-        }
-        for node in nodes - self._list_excused(began):
-            own = [
-                at
-                for at, request_id in arrivals
-                if request_id in self.calls
-                and self.calls[request_id].node == node
-            ]
-            for first in own:
-                late = [
-                    at
-                    for at in own
-                    if first + REST_GRACE_SECONDS < at < first + rest
-                ]
-                if len(late) > REST_SLACK:
-                    self.results.record_violation(
-                        "upstreams get their rest",
-                        f"{name}: {len(late)} requests of {node} in {rest} s",
-                    )
-                    break
-        self.results.counts["checked_rests"] += 1
-
-    def check_leaving(
-        self, name: str, arrivals: list[tuple[float, str]]
-    ) -> None:
-        """Check that an upstream that says it leaves gets no new requests."""
-        if not arrivals:
-            return
-        first = arrivals[0][0]
-        late = [
-            request_id
-            for _, request_id in arrivals
-            if (call := self.calls.get(request_id)) is not None
-            and call.node not in self._list_excused(first)
-            and call.began > first + DRAIN_SECONDS + ANSWER_SLACK_SECONDS
-        ]
-        if late:
-            self.results.record_violation(
-                "leaving upstreams get nothing new", f"{name}: {late}"
-            )
-        self.results.counts["checked_leavings"] += 1
-
-    def _list_excused(self, begin: float) -> set[str]:
-        """Return the nodes that a fault or stop since `begin` excuses.
-
-        Where links are cut, requests come from other nodes than their callers
-        chose.
-        """
-        disturbed = self.list_disturbed(time.monotonic() - begin)
-        if any(
-            each.kind == "cut" and each.target in disturbed
-            for each in self.disturbances
-        ):
-            return {call.node for call in self.calls.values()}
-        return disturbed
-
-    def check_fatal_part(
-        self, crashes: list[float], arrivals: list[tuple[float, str]]
-    ) -> None:
-        """Check the requests with a part that crashes upstreams.
-
-        Args:
-            crashes: when upstreams crashed on it, in order.
-            arrivals: when such requests reached an upstream, with their ids.
-        """
-        self.results.counts["crashes_by_part"] += len(crashes)
-        if len(crashes) < FATAL_PART_CRASHES:
-            return
-        begin = crashes[FATAL_PART_CRASHES - 1] + CONTACT_SECONDS
-        late = [
-            (at, request_id)
-            for at, request_id in arrivals
-            if at > begin
-            and not any(
-                self.is_disturbed(target, begin, at, CONTACT_SECONDS)
-                for target in (STORE, self.calls[request_id].node)
-            )
-            and not any(
-                stop.node == self.calls[request_id].node
-                and at - CONTACT_SECONDS <= stop.ended
-                for stop in self.stops
-            )
-        ]
-        if len(late) > FATAL_PART_SLACK:
-            self.results.record_violation(
-                "parts that crash upstreams stop reaching them",
-                f"{len(late)} requests after {len(crashes)} crashes: {late}",
-            )
-
     def check_runs(self) -> None:
         """Compare the runs of all requests with their answers.
 
@@ -638,21 +482,22 @@
             if call is None or call.kind.is_repeatable:
                 continue
             if len(runs) > 1:
-                self._record_violation(
+                self.record_violation(
                     f"at most once, ran {len(runs)} times", call
                 )
             if (
                 call.outcome is Outcome.ANSWERED
                 and call.status in NOT_RUN_STATUSES
             ):
-                self._record_violation("refused is not run", call)
+                self.record_violation("refused is not run", call)
 
-    def _record_violation(self, promise: str, call: Call) -> None:
+    def record_violation(self, promise: str, call: Call) -> None:
+        """Record that a promise did not hold for a call."""
         runs = [
             (run.upstream, round(run.began - call.began, 3), run.status)
             for run in self.runs[call.id]
         ]
-        stop = self._find_stop(call)
+        stop = self.find_stop(call)
         since = (
             f", {call.began - stop.signalled:.3f} s after SIGTERM"
             if stop
--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -15,11 +15,12 @@
 
 import aiohttp
 
+import brittle_state
 import node_links
 import node_process
-import node_upstreams
 from soak import node_checker
 from soak import node_system
+from soak import statement_checks
 
 # Ranges from which the time between two faults and their lengths are drawn.
 FAULT_PAUSE_SECONDS: Final = (0.3, 2.0)
@@ -319,20 +320,6 @@
             node.child.send_signal(signal.SIGHUP)
 
 
-@register
-async def crash(injector: FaultInjector, rng: random.Random) -> None:
-    """Close an upstream without notice; restart it under the same id."""
-    async with injector.reserve_upstream(rng, "crash") as upstream:
-        if upstream is None:
-            return
-        with injector.record_disturbance("crash", upstream.name):
-            upstream.link.close()
-            upstream.restart_as(upstream.id)
-            await sleep_fault_duration(rng)
-            await upstream.link.open()
-            injector.system.register_upstream(upstream.name)
-
-
 @register
 async def leave(injector: FaultInjector, rng: random.Random) -> None:
     """Replace an upstream that leaves, with or without a leaving mark."""
@@ -376,7 +363,9 @@
         upstream.limit = rate = rng.choice(LIMIT_RATES)
         began = time.monotonic()
         await asyncio.sleep(rng.uniform(*LIMIT_DURATION_SECONDS))
-        injector.checker.check_limit(upstream.name, rate, began, upstream.calls)
+        statement_checks.check_limit(
+            injector.checker, upstream.name, rate, began, upstream.calls
+        )
         upstream.limit = None
 
 
@@ -415,7 +404,8 @@
         while time.monotonic() < end:
             group.create_task(_send_fatal(injector, rng, part))
             await asyncio.sleep(rng.expovariate(FATAL_REQUESTS_PER_SECOND))
-    injector.checker.check_fatal_part(
+    statement_checks.check_fatal_part(
+        injector.checker,
         sorted(
             at
             for name, engine in engines.items()
@@ -513,15 +503,17 @@
         if upstream is None or upstream.service != "plain":
             return
         falls = len(upstream.crash_state.times)
-        upstream.brittle = node_upstreams.BrittleState(
+        upstream.brittle = brittle_state.BrittleState(
             rng.choice(BRITTLE_BOUNDS),
             BRITTLE_SLOTS,
             BRITTLE_QUEUE,
             BRITTLE_RUN_SECONDS,
         )
         await asyncio.sleep(rng.uniform(*BRITTLE_SECONDS))
-        injector.checker.check_falls(
-            upstream.name, len(upstream.crash_state.times) - falls
+        statement_checks.check_falls(
+            injector.checker,
+            upstream.name,
+            len(upstream.crash_state.times) - falls,
         )
         upstream.brittle = None
         await asyncio.sleep(upstream.crash_state.restart_seconds)
@@ -539,8 +531,12 @@
             upstream.mode, upstream.rest = "full", rest
             await asyncio.sleep(rng.uniform(1.0, 2.0) * rest)
             upstream.mode, upstream.rest = "ok", None
-        injector.checker.check_rest(
-            upstream.name, rest, began, upstream.list_arrivals(began)
+        statement_checks.check_rest(
+            injector.checker,
+            upstream.name,
+            rest,
+            began,
+            upstream.list_arrivals(began),
         )
 
 
@@ -553,8 +549,8 @@
         began = time.monotonic()
         upstream.says_leaving = True
         await asyncio.sleep(rng.uniform(*LEAVING_SECONDS))
-        injector.checker.check_leaving(
-            upstream.name, upstream.list_arrivals(began)
+        statement_checks.check_leaving(
+            injector.checker, upstream.name, upstream.list_arrivals(began)
         )
         await injector.replace(upstream, rng, "say_leaving")
 
--- a/tests/soak/node_run.py
+++ b/tests/soak/node_run.py
@@ -32,15 +32,18 @@
 # pylint: disable=wrong-import-position
 import conftest
 import older_build
+from soak import end_faults
 from soak import node_callers
 from soak import node_checker
 from soak import node_faults
 from soak import node_system
 from soak import order_checker
 from soak import results as results_lib
-from soak import store_faults as _  # Registers its kinds of faults.
-from soak import stray_faults as __  # Registers its kinds of faults.
+from soak import store_faults
+from soak import stray_faults
 
+# Each registers kinds of faults.
+FAULT_MODULES: Final = (end_faults, store_faults, stray_faults)
 BROKEN_EXIT_CODE: Final = 1
 FAILED_EXIT_CODE: Final = 3
 GRACE_SECONDS: Final = (3.0, 8.0)
--- a/tests/test_node_brittle.py
+++ b/tests/test_node_brittle.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+import brittle_state
 import node_testbed
 import node_upstreams
 import test_node_limits
@@ -23,7 +24,7 @@
 
 def make_brittle(upstream: node_upstreams.UpstreamStandin) -> None:
     """Let an upstream be brittle, with a long queue."""
-    upstream.brittle = node_upstreams.BrittleState(
+    upstream.brittle = brittle_state.BrittleState(
         BOUND, SLOTS, LONG_QUEUE, RUN_SECONDS
     )
     upstream.crash_state.restart_seconds = RESTART_SECONDS
