Soak nodes with upstreams and proxies that end connections in order

A crash of the soak's upstreams reset their connections, and only streams had no length. So the soak could not find that nodes took the end of a killed process for the end of an answer.

Every second plain answer has no length either, and is sent in parts. The stand-ins answer questions about their health. A link ends or resets also the connections that it has accepted and not connected yet.

--- a/tests/node_links.py
+++ b/tests/node_links.py
@@ -70,14 +70,17 @@
             self._serve, self.host, self.port, reuse_address=True
         )
 
-    def close(self) -> None:
-        """Stop accepting connections and reset the open ones."""
+    def close(self, *, in_order: bool = False) -> None:
+        """Stop accepting connections; reset the open ones or end them."""
         if self.server is not None:
             self.server.close()
         for sock in self.silent_sockets:
             sock.close()
         self.silent_sockets.clear()
-        self.reset()
+        if in_order:
+            self.end()
+        else:
+            self.reset()
 
     def reset(self) -> None:
         """Reset all open connections."""
@@ -115,12 +118,15 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        # It may end or be reset before there is one to the upstream.
+        self.writers.add(writer)
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(
                 HOST, self.upstream_port
             )
         except OSError:
             # At the end of the run the stand-in stops before the link does.
+            self.writers.discard(writer)
             writer.close()
             return
         both = {writer, upstream_writer}
@@ -197,17 +203,22 @@
             if name not in self.cut_nodes:
                 await link.open()
 
-    def close(self) -> None:
-        """Stop accepting connections and reset the open ones."""
+    def close(self, *, in_order: bool = False) -> None:
+        """Stop accepting connections; reset the open ones or end them."""
         self.is_open = False
         for link in self.links.values():
-            link.close()
+            link.close(in_order=in_order)
 
     def reset(self) -> None:
         """Reset all open connections."""
         for link in self.links.values():
             link.reset()
 
+    def end(self) -> None:
+        """End all open connections in order."""
+        for link in self.links.values():
+            link.end()
+
     def cut(self, node: str, kind: Cut) -> None:
         """Cut the link of one node."""
         self.cut_nodes.add(node)
--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -17,6 +17,7 @@
 LIMIT_HEADER = "Server-Limit"
 BRITTLE_HEADER = "Server-Brittle"
 LEAVING_HEADER = "Server-Leaving"
+HEALTH_PATH = "/health"
 
 
 @dataclasses.dataclass
@@ -207,6 +208,8 @@
                     }
                 )
             )
+        if request.path == HEALTH_PATH:
+            return self._name_limit(self._tell_health(request))
         if request.path == "/order":
             order = json.loads(await request.read())
             return self._name_limit(self._order(order))
@@ -254,6 +257,17 @@
             response.headers[LIMIT_HEADER] = str(self.limit)
         return response
 
+    def _tell_health(self, request: web.BaseRequest) -> web.Response:
+        """Return the answer to a question about its health."""
+        is_meant = (
+            request.headers.get("X-Expected-Instance", self.id) == self.id
+        )
+        return web.json_response(
+            {"born": self.born},
+            status=200 if is_meant else 421,
+            headers={"X-Instance-Id": self.id},
+        )
+
     def _reject(self, request: web.BaseRequest) -> web.Response | None:
         """Return the answer to a request that it does not run, else None."""
         expected = request.headers.get("X-Expected-Instance", self.id)
@@ -312,6 +326,11 @@
             await self._reset(request, headers)
         if "X-Model" in request.headers:
             return await self._stream(request, headers)
+        return await self._answer_plainly(request, headers, body)
+
+    async def _answer_plainly(
+        self, request: web.BaseRequest, headers: dict[str, str], body: bytes
+    ) -> web.StreamResponse:
         answer = await self._create_answer(request, body)
         return web.Response(body=answer, headers=headers)
 
--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -28,6 +28,8 @@
 FREEZE_IN_STOP_SECONDS: Final = (0.1, 1.0)
 STOP_AFTER_START_SECONDS: Final = (0.0, 2.0)
 SECOND_STOP_DELAY_SECONDS: Final = 0.5
+# This share of crashes ends all connections in order; the others reset them.
+IN_ORDER_SHARE: Final = 0.5
 SECOND_SIGNAL_SHARE: Final = 0.3
 # This share of leaving upstreams is not marked; only their entry is removed.
 UNANNOUNCED_LEAVE_SHARE: Final = 0.3
@@ -171,7 +173,10 @@
     ) -> AsyncIterator[node_system.Upstream | None]:
         """Reserve an upstream without a fault; yield None if there is none."""
         name = self.reserve_target(rng, list(self.system.upstreams), kind)
-        yield self.system.upstreams.get(name)
+        upstream = self.system.upstreams.get(name)
+        if upstream is not None:
+            upstream.dies_in_order = rng.random() < IN_ORDER_SHARE
+        yield upstream
         self.busy_targets.discard(name)
 
     def has_calm_helper(self) -> bool:
@@ -202,7 +207,6 @@
     ) -> None:
         """End an upstream, and start it under another id some time later."""
         with self.record_disturbance(kind, upstream.name):
-            upstream.link.close()
             self.system.store.delete(f"servers/{upstream.id}")
             upstream.restart_as(f"{upstream.name}-{rng.randrange(1 << 32):x}")
             upstream.software = software or upstream.software
@@ -399,6 +403,7 @@
     }
     for engine in engines.values():
         engine.crash_state.fatal_parts = {part}
+        engine.dies_in_order = rng.random() < IN_ORDER_SHARE
     end = time.monotonic() + rng.uniform(*FATAL_PART_SECONDS)
     async with asyncio.TaskGroup() as group:
         while time.monotonic() < end:
--- a/tests/soak/node_system.py
+++ b/tests/soak/node_system.py
@@ -34,12 +34,13 @@
 LOAD_SECONDS: Final = 0.6
 POLL_SECONDS: Final = 0.2
 PROBE_SECONDS: Final = 2.0
+PLAIN_PARTS: Final = 3
 UPSTREAM_NAMES: Final = ("p1", "p2", "p3", "e1", "e2", "e3", "e4")
 MODELS: Final = ("big", "small", "other")
 
 
-class ClosingStream(web.StreamResponse):
-    """A stream without a length, which ends with its connection."""
+class ClosingResponse(web.StreamResponse):
+    """An answer without a length, which ends with its connection."""
 
     _length_check = False
 
@@ -59,9 +60,12 @@
         leaving_since: monotonic time since which its entry is marked as
             leaving or removed; None while it is ready.
         strays: what it sends beside its answers; None for nothing.
+        dies_in_order: whether all its connections end in order when it
+            crashes, instead of by a reset.
     """
 
     strays: stray_bytes.StrayBytes | None = None
+    dies_in_order: bool = False
 
     def __init__(
         self,
@@ -78,7 +82,8 @@
         self.address = f"{node_testbed.HOST}:{link.port}"
 
     def restart_as(self, name: str) -> None:
-        """Restart under an id, with no models loaded."""
+        """End all connections and restart under an id, with no models."""
+        self.link.close(in_order=self.dies_in_order)
         self.restart()
         self.id = name
         self.state = "ready"
@@ -114,18 +119,46 @@
         """Crash, which excuses what the upstream breaks off."""
         disturbance = self.checker.begin_disturbance("crash", self.name)
         disturbance.ended = time.monotonic() + self.crash_state.restart_seconds
-        for transport in self.crash_state.transports:
-            node_links.reset(transport)
+        if self.dies_in_order:
+            self.link.end()
+        else:
+            for transport in self.crash_state.transports:
+                node_links.reset(transport)
         super().crash()
 
+    @property
+    def states_ends(self) -> bool:
+        """Whether its next answer states its end."""
+        # Stray bytes would be part of a body without a length.
+        return self.strays is not None or len(self.arrivals) % 2 == 1
+
     async def _stream(
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
-        # Stray bytes would be part of a body without a length.
-        has_length = self.strays is not None or len(self.arrivals) % 2
-        self.stream_type = web.StreamResponse if has_length else ClosingStream
+        self.stream_type = (
+            web.StreamResponse if self.states_ends else ClosingResponse
+        )
         return await super()._stream(request, headers)
 
+    async def _answer_plainly(
+        self, request: web.BaseRequest, headers: dict[str, str], body: bytes
+    ) -> web.StreamResponse:
+        if self.states_ends:
+            return await super()._answer_plainly(request, headers, body)
+        answer = node_checker.create_plain_answer(
+            request.raw_path, request.headers["X-Request-Id"], body
+        )
+        count, seconds = node_checker.parse_work(request.path)
+        size = -(-len(answer) // PLAIN_PARTS)
+        response = ClosingResponse(headers=headers)
+        response.force_close()
+        await response.prepare(request)
+        for begin in range(0, len(answer), size):
+            await asyncio.sleep(count * seconds / PLAIN_PARTS)
+            await response.write(answer[begin : begin + size])
+        await response.write_eof()
+        return response
+
     async def _answer(
         self, request: web.BaseRequest, body: bytes
     ) -> web.StreamResponse:
