Check in the soak that sound answers without a length stay whole

A node that took each end for a cut would have kept the soak's other promises for requests that it may repeat, as another upstream answers them.

Upstreams record which answers without a length they sent whole. One is cut if its request runs again after it, or its caller gets another status or no whole answer. That is a violation unless a fault of the upstream, its links or the node, a planned stop of the node or the deadline overlaps. The summary counts `whole_unstated`, `whole_unstated_cut_excused` and `whole_unstated_cut`.

--- a/tests/soak/node_checker.py
+++ b/tests/soak/node_checker.py
@@ -148,6 +148,8 @@
         status: status of the answer; 0 before it is known.
         software: version of the upstream's software.
         is_resumed: whether it goes on with a stream.
+        is_whole_unstated: whether its answer was sent whole, and only the end
+            of the connection told that it was.
     """
 
     upstream: str
@@ -156,6 +158,7 @@
     status: int = 0
     software: str = ""
     is_resumed: bool = False
+    is_whole_unstated: bool = False
 
 
 @dataclasses.dataclass
--- a/tests/soak/node_run.py
+++ b/tests/soak/node_run.py
@@ -32,6 +32,7 @@
 # pylint: disable=wrong-import-position
 import conftest
 import older_build
+from soak import end_checker
 from soak import end_faults
 from soak import node_callers
 from soak import node_checker
@@ -103,6 +104,7 @@
         await asyncio.gather(*map(system.stop, system.nodes))
         await asyncio.sleep(SETTLE_SECONDS)
         system.checker.check_runs()
+        end_checker.check(system.checker)
         order_checker.check(system)
     results.counts["grace_seconds"] = int(grace_seconds)
     results.counts["calls"] = len(system.checker.calls)
--- a/tests/soak/node_system.py
+++ b/tests/soak/node_system.py
@@ -40,14 +40,24 @@
 
 
 class ClosingResponse(web.StreamResponse):
-    """An answer without a length, which ends with its connection."""
+    """An answer without a length, which ends with its connection.
 
+    Attributes:
+        is_whole: whether its end was sent.
+    """
+
+    is_whole: bool = False
     _length_check = False
 
     def enable_chunked_encoding(self, chunk_size: int | None = None) -> None:
         """Let the end of the connection end the stream instead."""
         self.force_close()
 
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Send the end."""
+        await super().write_eof(data)
+        self.is_whole = True
+
 
 class Upstream(node_upstreams.UpstreamStandin):
     """An upstream behind a link, which records its runs.
@@ -173,6 +183,7 @@
         try:
             response = await super()._answer(request, body)
             run.status = response.status
+            run.is_whole_unstated = getattr(response, "is_whole", False)
             return response
         finally:
             run.ended = time.monotonic()
