Add a failing test of a single answer that a proxy ends early

Cause: a kept connection whose other side ends it within 50 ms of its last reply counts as that of a server which keeps none, so it does not count as lost (`_may_end`). The query at the begin of an answer has its reply just then, so for its first 50 ms an answer has no connection that shows the end of a link.

--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -224,6 +224,21 @@
     assert not list_short(answers)
 
 
+@pytest.mark.parametrize("after_seconds", (0.02, 0.04, 0.075))
+@pytest.mark.parametrize("kind", CALLS)
+async def test_the_only_answer_that_a_proxy_ends_early_does_not_look_complete(
+    linked_testbed: node_testbed.NodeTestbed, kind: str, after_seconds: float
+) -> None:
+    """The connection kept besides it had its last reply just before."""
+    testbed = linked_testbed
+    async with replace(testbed, kind, "close") as upstream:
+        task = asyncio.create_task(call(testbed, kind, 0, 1))
+        await asyncio.sleep(after_seconds)
+        testbed.links[0][upstream.standin.id].end()
+        answer = await task
+    assert not list_short([answer])
+
+
 async def test_an_upstream_that_restarted_confirms_no_end_of_its_former_start(
     testbed: node_testbed.NodeTestbed,
 ) -> None:
