--- a/tests/node_upstreams.py
+++ b/tests/node_upstreams.py
@@ -11,10 +11,13 @@
 from aiohttp import web
 import multidict
 
+import brittle_state
+
 RESET = struct.pack("ii", 1, 0)
 LIMIT_HEADER = "Server-Limit"
 BRITTLE_HEADER = "Server-Brittle"
 LEAVING_HEADER = "Server-Leaving"
+HEALTH_PATH = "/health"
 
 
 @dataclasses.dataclass
@@ -74,57 +77,6 @@
     restarting: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
 
 
-@dataclasses.dataclass
-class BrittleState:
-    """Room of an upstream that fails when it rejects too much.
-
-    Attributes:
-        bound: rejections in a second beyond which it crashes.
-        slots: requests that it runs at once.
-        queue: requests that wait for a slot at the most.
-        run_seconds: time that a request takes.
-        waiting: requests that wait for a slot.
-        running: requests that have one.
-        rejections: when it rejected a request, by the event loop's clock.
-    """
-
-    bound: float
-    slots: int
-    queue: int
-    run_seconds: float
-    waiting: int = 0
-    running: int = 0
-    rejections: list[float] = dataclasses.field(default_factory=list)
-
-    def __post_init__(self) -> None:
-        self.free = asyncio.Semaphore(self.slots)
-
-    def is_full(self) -> bool:
-        """Whether another request would neither run nor wait."""
-        return self.waiting + self.running >= self.slots + self.queue
-
-    def reject(self, now: float) -> bool:
-        """Record a rejection; return whether it is one too many."""
-        self.rejections.append(now)
-        recent = [time for time in self.rejections if now - time < 1]
-        return len(recent) > self.bound
-
-    async def run(self) -> None:
-        """Run one request."""
-        self.waiting += 1
-        try:
-            async with self.free:
-                self.waiting -= 1
-                self.running += 1
-                try:
-                    await asyncio.sleep(self.run_seconds)
-                finally:
-                    self.running -= 1
-                    self.waiting += 1
-        finally:
-            self.waiting -= 1
-
-
 class UpstreamStandin:
     """Stand-in of an upstream that records what it receives.
 
@@ -192,7 +144,7 @@
         self.limit: float | str | None = None
         self.calls: list[float] = []
         self.crash_state = CrashState()
-        self.brittle: BrittleState | None = None
+        self.brittle: brittle_state.BrittleState | None = None
 
     def describe(self) -> dict[str, Any]:
         """Return its registration in the store."""
@@ -256,6 +208,8 @@
                     }
                 )
             )
+        if request.path == HEALTH_PATH:
+            return self._name_limit(self._tell_health(request))
         if request.path == "/order":
             order = json.loads(await request.read())
             return self._name_limit(self._order(order))
@@ -303,6 +257,17 @@
             response.headers[LIMIT_HEADER] = str(self.limit)
         return response
 
+    def _tell_health(self, request: web.BaseRequest) -> web.Response:
+        """Return the answer to a question about its health."""
+        is_meant = (
+            request.headers.get("X-Expected-Instance", self.id) == self.id
+        )
+        return web.json_response(
+            {"born": self.born},
+            status=200 if is_meant else 421,
+            headers={"X-Instance-Id": self.id},
+        )
+
     def _reject(self, request: web.BaseRequest) -> web.Response | None:
         """Return the answer to a request that it does not run, else None."""
         expected = request.headers.get("X-Expected-Instance", self.id)
@@ -361,6 +326,11 @@
             await self._reset(request, headers)
         if "X-Model" in request.headers:
             return await self._stream(request, headers)
+        return await self._answer_plainly(request, headers, body)
+
+    async def _answer_plainly(
+        self, request: web.BaseRequest, headers: dict[str, str], body: bytes
+    ) -> web.StreamResponse:
         answer = await self._create_answer(request, body)
         return web.Response(body=answer, headers=headers)
 
--- a/tests/soak/node_run.py
+++ b/tests/soak/node_run.py
@@ -32,15 +32,19 @@
 # pylint: disable=wrong-import-position
 import conftest
 import older_build
+from soak import end_checker
+from soak import end_faults
 from soak import node_callers
 from soak import node_checker
 from soak import node_faults
 from soak import node_system
 from soak import order_checker
 from soak import results as results_lib
-from soak import store_faults as _  # Registers its kinds of faults.
-from soak import stray_faults as __  # Registers its kinds of faults.
+from soak import store_faults
+from soak import stray_faults
 
+# Each registers kinds of faults.
+FAULT_MODULES: Final = (end_faults, store_faults, stray_faults)
 BROKEN_EXIT_CODE: Final = 1
 FAILED_EXIT_CODE: Final = 3
 GRACE_SECONDS: Final = (3.0, 8.0)
@@ -100,6 +104,7 @@
         await asyncio.gather(*map(system.stop, system.nodes))
         await asyncio.sleep(SETTLE_SECONDS)
         system.checker.check_runs()
+        end_checker.check(system.checker)
         order_checker.check(system)
     results.counts["grace_seconds"] = int(grace_seconds)
     results.counts["calls"] = len(system.checker.calls)
