Add a test of answers by way of a node that stops

A node that passes answers on for another one and is stopped closes its own connections to upstreams in the end. Chunked answers were cut.

--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -25,6 +25,8 @@
 
 REQUESTS: Final = 6
 PARTS: Final = 12
+# Longer than the grace period of a node.
+LONG_PARTS: Final = 60
 WHOLE: Final = b"".join(dying_upstream.create_parts(PARTS))
 # In the middle of all answers, between two parts.
 KILL_AFTER_SECONDS: Final = 5.5 * dying_upstream.PART_SECONDS
@@ -42,19 +44,25 @@
     """
 
     def __init__(
-        self, standin: node_upstreams.UpstreamStandin, framing: str
+        self,
+        standin: node_upstreams.UpstreamStandin,
+        framing: str,
+        count: int,
     ) -> None:
-        super().__init__(framing, standin.born, PARTS)
+        super().__init__(framing, standin.born, count)
         self.standin = standin
 
 
 @contextlib.asynccontextmanager
 async def replace(
-    testbed: node_testbed.NodeTestbed, kind: str, framing: str
+    testbed: node_testbed.NodeTestbed,
+    kind: str,
+    framing: str,
+    count: int = PARTS,
 ) -> AsyncIterator[DyingUpstream]:
     """Let a process take the place of all upstreams of a service."""
     standins = testbed.engines if kind == "stream" else testbed.plain
-    upstream = DyingUpstream(standins[0], framing)
+    upstream = DyingUpstream(standins[0], framing, count)
     upstream.start()
     try:
         for other in standins[1:]:
@@ -178,6 +186,32 @@
     assert answers == [(200, WHOLE, True)] * REQUESTS
 
 
+@pytest.mark.parametrize("framing", dying_upstream.FRAMINGS)
+@pytest.mark.parametrize("kind", CALLS)
+async def test_answers_by_way_of_a_node_that_stops_do_not_look_complete(
+    linked_testbed: node_testbed.NodeTestbed, kind: str, framing: str
+) -> None:
+    testbed = linked_testbed
+    configuration = node_testbed.create_configuration(version=2)
+    for route in configuration["routes"]:
+        route["timeout_ms"] = 10_000
+    testbed.store.put("op/config", configuration)
+    async with replace(testbed, kind, framing, LONG_PARTS):
+        await cut_links(testbed, kind)
+        calls = [
+            asyncio.create_task(
+                call(testbed, kind, node_cuts.CUT_OFF, 100 + number)
+            )
+            for number in range(REQUESTS)
+        ]
+        await asyncio.sleep(KILL_AFTER_SECONDS)
+        testbed.programs[node_cuts.IN_TOUCH].stopped.set()
+        answers = await asyncio.gather(*calls)
+    assert not any(
+        status == 200 and is_complete for status, _, is_complete in answers
+    )
+
+
 @pytest.mark.parametrize("node", (0, 1))
 @pytest.mark.parametrize("kind", CALLS)
 async def test_answers_that_a_proxy_ends_in_order_do_not_look_complete(
@@ -267,7 +301,7 @@
         await asyncio.sleep(KILL_AFTER_SECONDS)
         # Nodes of this process stand still meanwhile.
         upstream.kill()
-        upstream.standin.born += 1
+        upstream.born += 1
         upstream.start()
         time.sleep(dying_upstream.PART_SECONDS)
         answer = await task
