Doubt an end by way of a node of an older build that ends itself

A node of an earlier build that passes answers on and is stopped states an end for answers without a length when it closes its connections, right before its process ends. The first node, of this build, can't see that in the answer. It waits 300 ms now if that node stops, and takes the answer for cut if nothing listens there any more.

--- a/src/cicadahook/net/peer_relay_client.py
+++ b/src/cicadahook/net/peer_relay_client.py
@@ -32,6 +32,8 @@
 CONNECT_TIMEOUT: Final = datetime.timedelta(milliseconds=300)
 # A node accepts a request before it sends it.
 ACCEPT_TIMEOUT: Final = datetime.timedelta(seconds=1)
+# A node that has closed its connections ends within this time.
+EXIT_PERIOD: Final = datetime.timedelta(milliseconds=300)
 SILENCE_POLL_PERIOD: Final = datetime.timedelta(milliseconds=250)
 
 logger: Final = logs.create_logger("relay")
@@ -44,12 +46,13 @@
     Attributes:
         head: status and headers.
         response: the other node's response, from which the body is read.
-        is_gone: returns whether the upstream is known to have ended.
+        may_be_cut: returns whether an end that an older build has stated may
+            be none of the answer.
     """
 
     head: forwarding.AnswerHead
     response: aiohttp.ClientResponse
-    is_gone: Callable[[], Awaitable[bool]]
+    may_be_cut: Callable[[], Awaitable[bool]]
 
     async def read(self) -> bytes:
         """Return the complete body.
@@ -81,10 +84,10 @@
         if self.head.body_end is not forwarding.BodyEnd.UNKNOWN:
             return
         # A node of an older build states each end, whatever it saw of it.
-        if await self.is_gone():
+        if await self.may_be_cut():
             raise forwarding.AttemptError(
                 forwarding.FailureKind.CUT,
-                "an end by way of another node, of an upstream that is gone",
+                "an end by way of a node of an older build",
             )
 
 
@@ -194,7 +197,7 @@
                 yield RelayedAnswer(
                     head,
                     response,
-                    functools.partial(self.is_gone, attempt.instance),
+                    functools.partial(self.may_be_cut, attempt.instance, peer),
                 )
             is_whole = True
         finally:
@@ -205,6 +208,21 @@
                 else:
                     response.close()
 
+    async def may_be_cut(
+        self, instance: inventory.Instance, peer: roster.NodeRecord
+    ) -> bool:
+        """Return whether an end stated by an older build may be no end.
+
+        Such a node states one if its upstream has died, and where it closes its
+        connections to upstreams, right before its process ends.
+        """
+        status = self.roster.find_recent(peer.name, self.clock.now())
+        if status is None or status.has_left or not status.is_ready:
+            await asyncio.sleep(EXIT_PERIOD.total_seconds())
+            if not await _is_listening(peer.peer_address):
+                return True
+        return await self.is_gone(instance)
+
     async def _post(
         self, attempt: forwarding.Attempt, peer: roster.NodeRecord
     ) -> aiohttp.ClientResponse:
@@ -287,6 +305,18 @@
             task.cancel()
 
 
+async def _is_listening(address: str) -> bool:
+    """Return whether a node accepts a connection."""
+    host, port = address.rsplit(":", 1)
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 def _decode_answer_head(
     head: peer_relay_messages.RelayedHead,
 ) -> forwarding.AnswerHead:
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import datetime
+import random
 import time
 from typing import Final, cast
 
@@ -16,6 +17,8 @@
 from cicadahook.core import forwarding
 from cicadahook.core import inventory
 from cicadahook.core import kept_connections
+from cicadahook.core import reachability
+from cicadahook.core import roster
 from cicadahook.net import answer_protocol
 from cicadahook.net import peer_relay_client
 import dying_upstream
@@ -273,26 +276,65 @@
         yield WHOLE
 
 
-@pytest.mark.parametrize("is_gone", (False, True))
+@pytest.mark.parametrize("may_be_cut", (False, True))
 @pytest.mark.parametrize("body_end", forwarding.BodyEnd)
-async def test_an_end_by_way_of_an_older_build_needs_an_upstream_that_lives(
-    body_end: forwarding.BodyEnd, is_gone: bool
+async def test_only_an_end_by_way_of_an_older_build_is_doubted(
+    body_end: forwarding.BodyEnd, may_be_cut: bool
 ) -> None:
     async def ask() -> bool:
-        return is_gone
+        return may_be_cut
 
     answer = peer_relay_client.RelayedAnswer(
         forwarding.AnswerHead(200, (), body_end=body_end),
         cast(aiohttp.ClientResponse, FakeResponse()),
         ask,
     )
-    if is_gone and body_end is forwarding.BodyEnd.UNKNOWN:
+    if may_be_cut and body_end is forwarding.BodyEnd.UNKNOWN:
         with pytest.raises(forwarding.AttemptError, match="cut"):
             await answer.read()
     else:
         assert await answer.read() == WHOLE
 
 
+@pytest.mark.parametrize(
+    ("is_listening", "is_gone", "may_be_cut"),
+    (
+        (True, False, False),
+        (True, True, True),
+        (False, False, True),
+    ),
+)
+async def test_a_node_of_an_older_build_that_ends_states_no_end(
+    clock: clock_lib.ManualClock,
+    is_listening: bool,
+    is_gone: bool,
+    may_be_cut: bool,
+) -> None:
+    async def ask(instance: inventory.Instance) -> bool:
+        del instance
+        return is_gone
+
+    own = roster.NodeRecord("n0", "zone", "region", "", "127.0.0.1:1", 1)
+    server = await asyncio.start_server(lambda *_: None, node_testbed.HOST, 0)
+    address = f"{node_testbed.HOST}:{server.sockets[0].getsockname()[1]}"
+    if not is_listening:
+        server.close()
+    # No status of it is known, as behind a node that has left.
+    peer = roster.NodeRecord("n1", "zone", "region", "", address, 1)
+    client = peer_relay_client.RelayClient(
+        reachability.Reachability(
+            random.Random(1), kept_connections.KeptConnections("n0")
+        ),
+        roster.Roster(own),
+        clock,
+        ask,
+    )
+    instance = inventory.Instance("e1", "engines", "127.0.0.1:1", "zone", 1)
+    assert await client.may_be_cut(instance, peer) is may_be_cut
+    await client.close()
+    server.close()
+
+
 async def test_an_upstream_that_restarted_confirms_no_end_of_its_former_start(
     testbed: node_testbed.NodeTestbed,
 ) -> None:
