Connect to an upstream whose witness is gone without a loss

Where the only other connection was closed by this node, or rejected, within the moment behind an answer's end, nothing showed that the upstream lives on, and the answer was believed. A new connection is asked for then too. Losses are kept for two seconds, so that one is still known after a slow connection.

--- a/src/cicadahook/core/answer_ends.py
+++ b/src/cicadahook/core/answer_ends.py
@@ -17,6 +17,8 @@
 # The connections of a process that dies, or of a link that breaks, end within
 # some milliseconds.
 MOMENT: Final = datetime.timedelta(milliseconds=30)
+# A check that has to connect to the upstream is done within this time.
+KEPT_PERIOD: Final = datetime.timedelta(seconds=2)
 MAX_LOSSES: Final = 64
 
 
@@ -60,7 +62,7 @@
     Attributes:
         clock: the time.
         connections: open connections, by address of the upstream.
-        losses: time and kind of the losses of the last moments, by address.
+        losses: time and kind of the latest losses, by address.
     """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
@@ -102,7 +104,7 @@
         outdated = [
             address
             for address, losses in self.losses.items()
-            if losses[-1][0] < now - 2 * MOMENT
+            if losses[-1][0] < now - KEPT_PERIOD
         ]
         for address in outdated:
             del self.losses[address]
--- a/src/cicadahook/net/end_checks.py
+++ b/src/cicadahook/net/end_checks.py
@@ -195,18 +195,22 @@
     async def _find_verdict(
         self, address: str, ended: datetime.datetime
     ) -> answer_ends.Verdict:
-        late: Witness | None = None
-        if not self.connections.has_witness(address, ended):
-            late = await self._connect(address)
-            if late is None:
-                return answer_ends.Verdict.UNREACHABLE
+        connections = self.connections
+        if connections.has_witness(address, ended):
+            await asyncio.sleep(answer_ends.MOMENT.total_seconds())
+            verdict = connections.judge(address, ended)
+            is_shown = connections.has_witness(address, ended)
+            if is_shown or verdict is not answer_ends.Verdict.WHOLE:
+                return verdict
+        witness = await self._connect(address)
+        if witness is None:
+            return answer_ends.Verdict.UNREACHABLE
         try:
             # A proxy accepts connections to an upstream that is gone, and
             # closes them at once.
             await asyncio.sleep(answer_ends.MOMENT.total_seconds())
-            if late is not None and not late.is_watched:
+            if not witness.is_watched:
                 return answer_ends.Verdict.UNREACHABLE
-            return self.connections.judge(address, ended)
+            return connections.judge(address, ended)
         finally:
-            if late is not None:
-                late.close()
+            witness.close()
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -458,7 +458,7 @@
     for number in range(5):
         connection = FakeConnection(clock.now())
         connections.add(f"upstream:{number}", connection)
-        clock.advance(3 * answer_ends.MOMENT)
+        clock.advance(2 * answer_ends.KEPT_PERIOD)
         connections.remove(f"upstream:{number}", connection, IDLE)
     assert not connections.connections
     assert len(connections.losses) == 1
