--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -75,6 +75,7 @@
 
     Attributes:
         is_silent: whether nothing gets through, also of calls under way.
+        is_rejecting: whether the store turns all calls of this node away.
         watches: number of watches.
     """
 
@@ -82,6 +83,7 @@
         self.store = store
         self.eras = store_api.EraTracker()
         self.is_silent = False
+        self.is_rejecting = False
         self.watches = 0
         self.cuts = asyncio.Event()
 
@@ -135,6 +137,8 @@
         return self.store.log.list_after(position)
 
     async def _check(self, limit: datetime.timedelta) -> None:
+        if self.is_rejecting:
+            raise errors.KeyValueUnavailableError("status 503")
         if self.is_silent:
             await asyncio.sleep(max(0.0, limit.total_seconds()))
             raise errors.KeyValueUnavailableError("not answered")
--- a/tests/test_stale_pictures.py
+++ b/tests/test_stale_pictures.py
@@ -18,6 +18,7 @@
 import store_positions
 
 NODES = 12
+SMALL_FLEET = 4
 # The users' rule for fleets of this size: a request comes no later than this
 # after the leaving of its upstream was acknowledged.
 DRAIN_SECONDS = 3.0
@@ -28,10 +29,12 @@
     return [node for node in nodes if node.is_watcher]
 
 
-async def wait_for_followers(nodes: list[store_fleet.Node]) -> None:
-    """Wait until most nodes follow others."""
+async def wait_for_followers(
+    nodes: list[store_fleet.Node], watchers: int = 3
+) -> None:
+    """Wait until all nodes but the watchers follow others."""
     async with asyncio.timeout(10):
-        while len(list_watchers(nodes)) != 3:
+        while len(list_watchers(nodes)) != watchers:
             await asyncio.sleep(0.05)
 
 
@@ -62,6 +65,36 @@
         assert max(delays.values()) < DRAIN_SECONDS, delays
 
 
+@pytest.mark.parametrize("fault", ["is_silent", "is_rejecting"])
+@pytest.mark.parametrize(
+    ("size", "watchers", "followers"),
+    [(NODES, 2, 5), (NODES, 3, 5), (SMALL_FLEET, 2, 0)],
+)
+async def test_nodes_that_the_store_turns_away_learn_of_changes_in_time(
+    unused_port: int, fault: str, size: int, watchers: int, followers: int
+) -> None:
+    async with store_fleet.run(size, unused_port) as (store, nodes):
+        await wait_for_followers(nodes, 3 if followers else size)
+        watching = list_watchers(nodes)
+        following = [node for node in nodes if node not in watching]
+        turned_away = watching[:watchers] + following[:followers]
+        for node in turned_away:
+            setattr(node.link, fault, True)
+        acknowledged = {}
+        for number in range(5):
+            acknowledged[f"change-{number}"] = store.put(f"change-{number}")
+            await asyncio.sleep(1)
+        await asyncio.sleep(DRAIN_SECONDS)
+        never = asyncio.get_running_loop().time()
+        late = {
+            (node.record.name, key): delay
+            for node in nodes
+            for key, since in acknowledged.items()
+            if (delay := node.heard.get(key, never) - since) >= DRAIN_SECONDS
+        }
+        assert not late
+
+
 @pytest.mark.parametrize(
     ("took", "is_empty", "complete"),
     [(1.1, True, 1.0), (1.1, False, 0.0), (0.4, True, 0.0)],
