Log whether the store answers a node, late changes and a held up event loop

A node now logs when the store no longer answers its calls and when it does again, by how much its event loop was late, and which source told of changes that may be over 2 s old.

--- a/src/cicadahook/core/store_api.py
+++ b/src/cicadahook/core/store_api.py
@@ -13,6 +13,7 @@
 from typing import Final, Protocol
 
 from cicadahook.core import errors
+from cicadahook.core import store_contact
 
 # Era of a store that names none, and of one that never lost a write.
 FIRST_ERA: Final = 1
@@ -163,9 +164,11 @@
 
     Attributes:
         eras: the newest era that the store or another node has named.
+        contact: whether the store answers this node.
     """
 
     eras: EraTracker
+    contact: store_contact.StoreContact
 
     async def list_items(self, prefix: str) -> Listing:
         """Return all items whose key begins with `prefix`."""
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -96,6 +96,14 @@
     histogram.record(age.total_seconds(), {"source": source})
 
 
+def record_loop_delay(delay: datetime.timedelta) -> None:
+    """Record how late the event loop ran a timer."""
+    histogram = create_histogram(
+        "cicada_loop_delay", "Delays of timers by a busy event loop."
+    )
+    histogram.record(delay.total_seconds())
+
+
 def count_store_era(node: str) -> None:
     """Count an era of the store that began while this node ran."""
     counter = create_counter(
--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -32,6 +32,8 @@
 MAX_WAIT: Final = datetime.timedelta(milliseconds=500)
 # Time for the way to another node and back.
 ANSWER_SLACK: Final = datetime.timedelta(milliseconds=400)
+# Changes that may be older are logged.
+LATE_MS: Final = 2000
 
 # Returns the value of a key as other nodes may know it.
 Redaction = Callable[[str, bytes], bytes]
@@ -268,15 +270,18 @@
             if self.age.exceeds(picture_age.MAX_FOLLOWED_AGE):
                 break
             self._set_direct(False)
+            before, sent = self.age.get_age_ms(), self.clock.now()
             changes = await self._follow(peer, position, wait)
             if changes is not None:
+                self._log_late(changes, peer.name, before, sent)
                 metrics.count_watch_answer("node")
                 self._advance(changes.position)
                 return _select(changes, prefix)
         self._set_direct(True)
         wait = self.age.plan_watch(wait)
-        sent = self.clock.now()
+        before, sent = self.age.get_age_ms(), self.clock.now()
         changes = await self.store.watch(prefix, position, wait)
+        self._log_late(changes, "store", before, sent)
         self._confirm(
             picture_age.find_end_of_silence(
                 sent, self.clock.now(), wait, is_empty=not changes.changes
@@ -330,6 +335,34 @@
         is_of_newest_era = answer.era >= self.store.eras.current
         return is_of_newest_era and answer.position >= self.position
 
+    def _log_late(
+        self,
+        changes: store_api.Changes,
+        source: str,
+        before: int | None,
+        sent: datetime.datetime,
+    ) -> None:
+        """Log changes that may have been made long ago.
+
+        Args:
+            changes: the changes.
+            source: who told of them.
+            before: age of the picture when they were asked for, in ms.
+            sent: when that was.
+        """
+        took_ms = (self.clock.now() - sent) // messages.MILLISECOND
+        if not changes.changes or (before or 0) + took_ms < LATE_MS:
+            return
+        logger.info(
+            "Changes in the store may have come late.",
+            extra={
+                "source": source,
+                "picture_age_ms": before,
+                "took_ms": took_ms,
+                "position": str(changes.position),
+            },
+        )
+
     def _advance(self, position: store_api.Position) -> None:
         if position > self.position:
             self.position, self.advanced = position, self.clock.now()
--- a/src/cicadahook/platform/metadata_store.py
+++ b/src/cicadahook/platform/metadata_store.py
@@ -7,8 +7,10 @@
 import aiohttp
 import msgspec
 
+from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
 from cicadahook.core import store_api
+from cicadahook.core import store_contact
 from cicadahook.net import answer_protocol
 
 # The store is specified to answer within 4 ms; a slow one may take far longer.
@@ -68,11 +70,13 @@
 
     Attributes:
         eras: the newest era that the store or another node has named.
+        contact: whether the store answers this node.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, clock: clock_lib.Clock) -> None:
         self.base_url = f"http://{address}"
         self.eras = store_api.EraTracker()
+        self.contact = store_contact.StoreContact(clock)
         self.session = answer_protocol.open_session()
 
     async def close(self) -> None:
@@ -231,6 +235,7 @@
                     raise errors.KeyValueUnavailableError(
                         f"{method} {path}: answer of the earlier era {era}"
                     )
+                self.contact.record_answer()
                 return response.status, era, fields
         except (
             aiohttp.ClientError,
--- a/src/cicadahook/programs/node_daemon.py
+++ b/src/cicadahook/programs/node_daemon.py
@@ -20,10 +20,12 @@
 from cicadahook.net import caller_server as caller_server_lib
 from cicadahook.net import client_server
 from cicadahook.net import clock as clock_lib
+from cicadahook.net import delay_monitor
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import node as node_lib
 from cicadahook.net import node_platform
+from cicadahook.net import tasks
 from cicadahook.platform import caller_server
 from cicadahook.platform import messages
 from cicadahook.platform import metadata_store
@@ -67,7 +69,9 @@
         for signal_number in early_signals.STOP_SIGNALS:
             loop.add_signal_handler(signal_number, self.stopped.set)
         loop.add_signal_handler(signal.SIGHUP, self._log_reload_request)
-        store = metadata_store.PlatformStore(self.settings.store_address)
+        store = metadata_store.PlatformStore(
+            self.settings.store_address, self.clock
+        )
         client = upstream_client.UpstreamClient(self.clock)
         platform = node_platform.Platform(
             store,
@@ -80,6 +84,10 @@
         )
         node = node_lib.Node(self.settings, platform, self.clock)
         self.node = node
+        monitor = delay_monitor.DelayMonitor(self.clock, store.contact)
+        monitoring = asyncio.create_task(
+            tasks.keep_running(monitor.run, logger)
+        )
         callers = caller_server_lib.CallerServer(
             node.forwarder, caller_server.HeadDecoder(), self.clock
         )
@@ -98,6 +106,7 @@
                 await self.stopped.wait()
                 await self._drain(node, callers)
         finally:
+            monitoring.cancel()
             await node.stop()
             await client.close()
             await store.close()
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -172,7 +172,7 @@
 async def list_items(address: str, session: aiohttp.ClientSession) -> object:
     """List the items of the platform's store."""
     del session
-    store = metadata_store.PlatformStore(address)
+    store = metadata_store.PlatformStore(address, clock_lib.ManualClock())
     try:
         return await store.list_items("")
     except errors.KeyValueUnavailableError:
@@ -185,7 +185,7 @@
 async def watch_store(address: str, session: aiohttp.ClientSession) -> object:
     """Watch the platform's store."""
     del session
-    store = metadata_store.PlatformStore(address)
+    store = metadata_store.PlatformStore(address, clock_lib.ManualClock())
     try:
         return await store.watch("", store_api.Position(1, 1), SECOND)
     except errors.KeyValueUnavailableError:
@@ -198,7 +198,7 @@
 async def write_store(address: str, session: aiohttp.ClientSession) -> object:
     """Write to the platform's store."""
     del session
-    store = metadata_store.PlatformStore(address)
+    store = metadata_store.PlatformStore(address, clock_lib.ManualClock())
     try:
         return await store.write(store_api.Write(deletes=("key",)))
     except errors.KeyValueUnavailableError:
@@ -211,7 +211,7 @@
 async def grant_lease(address: str, session: aiohttp.ClientSession) -> object:
     """Ask the platform's store for a lease."""
     del session
-    store = metadata_store.PlatformStore(address)
+    store = metadata_store.PlatformStore(address, clock_lib.ManualClock())
     try:
         return await store.grant_lease(SECOND)
     except errors.KeyValueUnavailableError:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -98,7 +98,7 @@
 @register("store", answer_protocol.MAX_BODY_BYTES)
 async def read_store(address: str) -> object:
     """List the items of the store."""
-    store = metadata_store.PlatformStore(address)
+    store = metadata_store.PlatformStore(address, clock_lib.ManualClock())
     try:
         return await store.list_items("")
     except errors.KeyValueUnavailableError:
--- a/tests/test_joined_answers.py
+++ b/tests/test_joined_answers.py
@@ -314,7 +314,9 @@
 async def play_writes(upstream: StrayUpstream) -> tuple[int | None, ...]:
     """Return the revisions of three writes, of which one meets stray bytes."""
     async with upstream.run() as instance:
-        store = metadata_store.PlatformStore(instance.address)
+        store = metadata_store.PlatformStore(
+            instance.address, clock_lib.SystemClock()
+        )
         try:
             first = await write(store)
             await pass_stray(upstream)
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -10,6 +10,7 @@
 import multidict
 import pytest
 
+from cicadahook.core import clock as clock_lib
 from cicadahook.core import errors
 from cicadahook.core import forwarding
 from cicadahook.core import routes
@@ -289,7 +290,9 @@
     async with caller_server.listen(
         web.Server(list_items), "127.0.0.1", unused_port
     ):
-        store = metadata_store.PlatformStore(f"127.0.0.1:{unused_port}")
+        store = metadata_store.PlatformStore(
+            f"127.0.0.1:{unused_port}", clock_lib.ManualClock()
+        )
         listing = await store.list_items("")
         await store.close()
     assert [item.value for item in listing.items] == [b"", b"b"]
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -326,7 +326,9 @@
 ]:
     """Run a store, and a client of it."""
     standin = node_store.StoreStandin()
-    store = metadata_store.PlatformStore(f"127.0.0.1:{unused_port}")
+    store = metadata_store.PlatformStore(
+        f"127.0.0.1:{unused_port}", clock_lib.ManualClock()
+    )
     async with caller_server.listen(
         web.Server(standin.handle), "127.0.0.1", unused_port
     ):
