--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -33,6 +33,7 @@
 from cicadahook.core import upstream_statements
 from cicadahook.net import active_request
 from cicadahook.net import address_directory
+from cicadahook.net import change_feed
 from cicadahook.net import copy_requests
 from cicadahook.net import forwarder
 from cicadahook.net import holder_lease
@@ -55,7 +56,6 @@
 from cicadahook.net import upstream_links
 from cicadahook.net import version_recorder
 
-OWN_PREFIX: Final = "cicada/"
 RESTART_PAUSE: Final = datetime.timedelta(milliseconds=200)
 MAINTENANCE_PERIOD: Final = datetime.timedelta(milliseconds=250)
 
@@ -256,7 +256,7 @@
                 self.clock,
                 self.apply_inventory,
             ),
-            OWN_PREFIX: self.own_keys,
+            store_listeners.OWN_PREFIX: self.own_keys,
             **self.forwarder.resumption.recorders,
             "": self.relayed_store.feed,
         }
@@ -323,8 +323,7 @@
     def accepts_relayed(self, host: str) -> bool:
         """Whether a host may pass requests on through this node.
 
-        Where upstreams are told the tenant, only nodes of the system may name
-        it.
+        Only nodes of the system may name the tenant that upstreams are told.
         """
         return (
             not self.forwarder.admission.needs_keys
@@ -394,7 +393,7 @@
             {
                 node_peers.COPIES_PATH: copies.handle,
                 stream_resumption.ORIGINS_PATH: answers.handle,
-                store_relay.CHANGES_PATH: self.relayed_store.feed.handle,
+                change_feed.CHANGES_PATH: self.relayed_store.feed.handle,
                 peer_relay_messages.RELAY_PATH: self.relay_server.handle,
                 peer_probes.PROBE_PATH: peer_probes.ProbeServer(
                     self.components.inventory, self.links.find_out_reached
--- a/src/cicadahook/net/node_platform.py
+++ b/src/cicadahook/net/node_platform.py
@@ -9,8 +9,8 @@
 from cicadahook.core import routes
 from cicadahook.core import store_api
 from cicadahook.core import upstream_statements
+from cicadahook.net import change_feed
 from cicadahook.net import order_sender
-from cicadahook.net import store_relay
 from cicadahook.net import upstream_links
 
 
@@ -55,4 +55,4 @@
     instance_prefix: str
     decode_configuration: Callable[[bytes], routes.Configuration]
     decode_instance: Callable[[str, bytes], inventory_lib.Instance]
-    redact: store_relay.Redaction = store_relay.keep_value
+    redact: change_feed.Redaction = change_feed.keep_value
--- a/src/cicadahook/net/store_listeners.py
+++ b/src/cicadahook/net/store_listeners.py
@@ -21,6 +21,8 @@
 from cicadahook.core import store_api
 from cicadahook.net import logs
 
+# The system's own keys, and those of its nodes.
+OWN_PREFIX: Final = "cicada/"
 NODE_PREFIX: Final = "cicada/nodes/"
 # A version with a thousand malformed entries still fits into one line.
 MAX_PROBLEMS: Final = 10
--- a/tests/test_stale_pictures.py
+++ b/tests/test_stale_pictures.py
@@ -10,9 +10,9 @@
 from cicadahook.core import inventory
 from cicadahook.core import picture_age
 from cicadahook.core import store_api
+from cicadahook.net import change_feed
 from cicadahook.net import clock as system_clock
 from cicadahook.net import store_listeners
-from cicadahook.net import store_relay
 from cicadahook.net import store_relay_messages
 import store_fleet
 import store_positions
@@ -111,7 +111,7 @@
 
 
 async def test_a_watcher_vouches_only_for_the_revision_that_it_knows() -> None:
-    feed = store_relay.ChangeFeed(
+    feed = change_feed.ChangeFeed(
         lambda: True, picture_age.PictureAge(system_clock.SystemClock())
     )
     feed.apply_listing(
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -19,6 +19,7 @@
 from cicadahook.core import status_schedule
 from cicadahook.core import store_api
 from cicadahook.core import store_sources
+from cicadahook.net import change_feed
 from cicadahook.net import clock as system_clock
 from cicadahook.net import store_relay
 from cicadahook.platform import caller_server
@@ -297,7 +298,7 @@
         self.is_frozen = False
         self.body: bytes | None = None
         clock = system_clock.SystemClock()
-        self.feed = store_relay.ChangeFeed(
+        self.feed = change_feed.ChangeFeed(
             lambda: self.is_current, picture_age.PictureAge(clock)
         )
         self.feed.log = self.store.log
@@ -457,6 +458,6 @@
 ) -> None:
     watcher = fleet.sources.list_watchers(fleet.follower.clock.now())[0]
     async with fleet.follower.session.post(
-        f"http://{watcher.peer_address}{store_relay.CHANGES_PATH}", data=body
+        f"http://{watcher.peer_address}{change_feed.CHANGES_PATH}", data=body
     ) as response:
         assert response.status == 400
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -13,8 +13,8 @@
 from cicadahook.core import picture_age
 from cicadahook.core import store_api
 from cicadahook.core import tenants
+from cicadahook.net import change_feed
 from cicadahook.net import store_listeners
-from cicadahook.net import store_relay
 from cicadahook.net import store_relay_messages
 from cicadahook.platform import messages
 
@@ -242,7 +242,7 @@
     clock = clock_lib.ManualClock()
     age = picture_age.PictureAge(clock)
     age.confirm(clock.now())
-    feed = store_relay.ChangeFeed(lambda: True, age, messages.redact_item)
+    feed = change_feed.ChangeFeed(lambda: True, age, messages.redact_item)
     item = store_api.Item(
         messages.CONFIGURATION_KEY,
         json.dumps(CONFIGURATION).encode(),
