Ask the next source of changes before the one before has used its time up

Cause: each hop waited for its own time limit before the next one was tried: two watchers 0.9 s each, a watch its wait and 1.5 s, the watch again 1.6 s on another kept connection, which may be dead too, then a listing of 1.5 s. A watcher of another node had nobody else to ask meanwhile.

Now a source that is late is not waited for alone. The next one is asked 0.2 s (nodes) or 0.3 s (the store) after an answer was due, the store a second time on a new connection 0.1 s before other nodes; the first answer counts. While the store keeps silent, the other nodes are asked again every 0.25 s. What a question entails (the age of the picture, the source) is recorded for the answer that counts only.

The test file of the stand-in fleet has dead connections and leases now.

--- a/src/cicadahook/core/errors.py
+++ b/src/cicadahook/core/errors.py
@@ -95,6 +95,10 @@
     """The call was held back by the budget or breaker and had no effect."""
 
 
+class KeyValueRejectedError(KeyValueUnavailableError):
+    """The service answered that it does not serve the call now."""
+
+
 class KeyValueConflictError(KeyValueError):
     """A compare-and-swap found another revision than the expected one."""
 
--- a/src/cicadahook/core/store_api.py
+++ b/src/cicadahook/core/store_api.py
@@ -170,14 +170,32 @@
     eras: EraTracker
     contact: store_contact.StoreContact
 
-    async def list_items(self, prefix: str) -> Listing:
-        """Return all items whose key begins with `prefix`."""
+    async def list_items(
+        self, prefix: str, *, is_fresh: bool = False
+    ) -> Listing:
+        """Return all items whose key begins with `prefix`.
+
+        Args:
+            prefix: beginning of the keys.
+            is_fresh: whether to use a new connection, as kept ones may be dead.
+        """
 
     async def watch(
-        self, prefix: str, position: Position, wait: datetime.timedelta
+        self,
+        prefix: str,
+        position: Position,
+        wait: datetime.timedelta,
+        *,
+        is_fresh: bool = False,
     ) -> Changes:
         """Return the changes after `position`, waiting up to `wait` for one.
 
+        Args:
+            prefix: beginning of the keys.
+            position: where the changes begin.
+            wait: how long to wait.
+            is_fresh: whether to use a new connection, as kept ones may be dead.
+
         Raises:
             HistoryLostError: changes are missing, or the store is in another
                 era; list the items again.
--- a/src/cicadahook/core/store_sources.py
+++ b/src/cicadahook/core/store_sources.py
@@ -22,8 +22,12 @@
 # Watchers that a node asks before it watches the store by itself. Each may keep
 # it waiting, and changes must reach it in time.
 MAX_SOURCES: Final = 2
-# A watcher that did not answer, or watches no more, is left out for this time.
+# A watcher that did not answer is left out for this time.
 AVOIDED_PERIOD: Final = datetime.timedelta(seconds=3)
+# One that does not watch the store is left out for less, as it may begin to.
+NOT_WATCHING_PERIOD: Final = datetime.timedelta(seconds=1)
+# Stands for the store itself among the sources of changes.
+STORE: Final = None
 
 
 class StoreSources:
@@ -38,9 +42,36 @@
         self.roster = roster
         self.avoided: dict[str, datetime.datetime] = {}
 
-    def avoid(self, name: str, now: datetime.datetime) -> None:
+    def avoid(
+        self,
+        name: str,
+        now: datetime.datetime,
+        period: datetime.timedelta = AVOIDED_PERIOD,
+    ) -> None:
         """Leave out a node that could not tell of changes."""
-        self.avoided[name] = now + AVOIDED_PERIOD
+        self.avoided[name] = now + period
+
+    def plan(
+        self, now: datetime.datetime, *, is_stale: bool
+    ) -> tuple[roster_lib.NodeRecord | None, ...]:
+        """Return whom to ask for changes, in this order, until one answers.
+
+        Args:
+            now: the time.
+            is_stale: whether what this node knows is too old to wait for
+                others first.
+
+        Returns:
+            Nodes, and `STORE` once.
+        """
+        nodes = self.list_nodes(now)
+        return (STORE, *nodes) if is_stale else (*nodes, STORE)
+
+    def list_nodes(
+        self, now: datetime.datetime
+    ) -> tuple[roster_lib.NodeRecord, ...]:
+        """Return the other nodes that may tell of changes, the nearest first."""
+        return self.list_watchers(now)
 
     def list_watchers(
         self, now: datetime.datetime
--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -1,10 +1,15 @@
 """Learns of changes in the store from it, or from nodes that watch it.
 
-What these answer is in `change_feed`.
+`RelayedStore` has the calls of the store that a watcher makes. Whom it asks is
+decided by `store_sources`, what other nodes answer by `change_feed`.
 """
 
+import asyncio
+from collections.abc import Callable, Coroutine, Iterator
+import dataclasses
 import datetime
-from typing import Final
+import functools
+from typing import Any, Final, Generic, TypeVar
 import zlib
 
 import aiohttp
@@ -17,27 +22,81 @@
 from cicadahook.core import store_api
 from cicadahook.core import store_sources
 from cicadahook.net import change_feed
+from cicadahook.net import first_answer
 from cicadahook.net import logs
 from cicadahook.net import metrics
 from cicadahook.net import store_relay_messages as messages
 
 # Time for the way to another node and back.
 ANSWER_SLACK: Final = datetime.timedelta(milliseconds=400)
+# The same where all items come back, which takes longer on a narrow link.
+LISTING_TIMEOUT: Final = datetime.timedelta(seconds=1)
+# Until other nodes are asked once more, while the store does not answer.
+NEXT_ROUND_PAUSE: Final = datetime.timedelta(milliseconds=250)
 # Changes that may be older are logged.
-LATE_MS: Final = 2000
+LATE_AGE: Final = datetime.timedelta(seconds=2)
+
+T = TypeVar("T")
 
 logger: Final = logs.create_logger("watch")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Patience:
+    """How long to wait for a source before the next one is asked too.
+
+    Attributes:
+        store: how long for the store.
+        node: how long for another node.
+        retry: how long for the store, when it is asked again.
+    """
+
+    store: datetime.timedelta
+    node: datetime.timedelta
+    retry: datetime.timedelta = datetime.timedelta(milliseconds=100)
+
+    def after(
+        self, store_wait: datetime.timedelta, node_wait: datetime.timedelta
+    ) -> "Patience":
+        """Return the patience with sources that wait for a change."""
+        return dataclasses.replace(
+            self, store=self.store + store_wait, node=self.node + node_wait
+        )
+
+
+# Answers to watches, beyond the wait for a change.
+WATCH_PATIENCE: Final = Patience(
+    store=datetime.timedelta(milliseconds=300),
+    node=datetime.timedelta(milliseconds=200),
+)
+LISTING_PATIENCE: Final = Patience(
+    store=datetime.timedelta(milliseconds=600),
+    node=datetime.timedelta(milliseconds=600),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told(Generic[T]):
+    """What a source tells.
+
+    Attributes:
+        source: the node that tells it; `store_sources.STORE` for the store.
+        content: the changes or items.
+        complete: up to when they are complete, if it tells.
+    """
+
+    source: roster_lib.NodeRecord | None
+    content: T
+    complete: datetime.datetime | None
+
+
 class RelayedStore:
     """The store, whose changes come from other nodes where these watch it.
 
-    It has the calls of `store_api.Store` that a watcher makes.
-
     Attributes:
         store: the store itself.
-        sources: chooses the nodes to follow.
-        session: session for calls to them.
+        sources: chooses whom to ask.
+        session: session for calls to other nodes.
         clock: the time.
         age: how old this node's picture of the store may be.
         feed: tells other nodes of what this one learns.
@@ -71,33 +130,31 @@
 
     def get_pause(self) -> datetime.timedelta:
         """Return the pause after changes; followers need none."""
-        now = self.clock.now()
-        if not self.is_direct and self.sources.list_watchers(now):
+        if not self.is_direct:
             return datetime.timedelta()
         return self.age.plan_pause(
             node_lifecycle.plan_watch_pause(
-                self.sources.roster.count_nodes(now)
+                self.sources.roster.count_nodes(self.clock.now())
             )
         )
 
     async def list_items(self, prefix: str) -> store_api.Listing:
-        """Return all items; those of another node while the store is away."""
-        self._set_direct(True)
-        sent = self.clock.now()
-        try:
-            listing = await self.store.list_items(prefix)
-        except errors.KeyValueUnavailableError:
-            self._set_direct(False)
-            for peer in self.sources.list_watchers(self.clock.now()):
-                sent = self.clock.now()
-                answer = await self._ask(peer, messages.FollowRequest(-1))
-                if answer is not None and self._is_usable(answer):
-                    self._confirm_told(answer, sent)
-                    return messages.create_listing(answer, prefix)
-            raise
-        self._confirm(sent)
-        self.position, self.advanced = listing.position, self.clock.now()
-        return listing
+        """Return all items; those of another node if the store is away.
+
+        Raises:
+            errors.KeyValueUnavailableError: nobody answered.
+        """
+        told = await self._ask_in_turn(
+            functools.partial(self._list_store, prefix),
+            functools.partial(self._list_node, prefix),
+            LISTING_PATIENCE,
+            is_stale=True,
+        )
+        self._accept(told)
+        if told.source is store_sources.STORE:
+            self.position = told.content.position
+            self.advanced = self.clock.now()
+        return told.content
 
     async def watch(
         self,
@@ -114,148 +171,257 @@
         """
         if position.era < self.store.eras.current:
             raise store_api.HistoryLostError(f"{position} is of an earlier era")
-        for peer in self.sources.list_watchers(self.clock.now()):
-            if self.age.exceeds(picture_age.MAX_FOLLOWED_AGE):
-                break
-            self._set_direct(False)
-            before, sent = self.age.get_age_ms(), self.clock.now()
-            changes = await self._follow(peer, position, wait)
-            if changes is not None:
-                self._log_late(changes, peer.name, before, sent)
-                metrics.count_watch_answer("node")
-                self._advance(changes.position)
-                return _select(changes, prefix)
-        self._set_direct(True)
-        wait = self.age.plan_watch(wait)
-        before, sent = self.age.get_age_ms(), self.clock.now()
-        changes = await self.store.watch(prefix, position, wait)
-        self._log_late(changes, "store", before, sent)
-        self._confirm(
-            picture_age.find_end_of_silence(
-                sent, self.clock.now(), wait, is_empty=not changes.changes
+        store_wait = self.age.plan_watch(wait)
+        node_wait = min(
+            wait,
+            change_feed.MAX_WAIT,
+            self.age.get_rest(picture_age.MAX_FOLLOWED_AGE),
+        )
+        before, sent = self.age.get_age(), self.clock.now()
+        told = await self._ask_in_turn(
+            functools.partial(self._watch_store, prefix, position, store_wait),
+            functools.partial(self._follow, prefix, position, node_wait),
+            WATCH_PATIENCE.after(store_wait, node_wait),
+            is_stale=self.age.exceeds(picture_age.MAX_FOLLOWED_AGE),
+        )
+        self._log_late(told, before, sent)
+        self._accept(told)
+        if told.content.position > self.position:
+            self.position = told.content.position
+            self.advanced = self.clock.now()
+        metrics.count_watch_answer(
+            "store" if told.source is store_sources.STORE else "node"
+        )
+        return told.content
+
+    async def _ask_in_turn(
+        self,
+        ask_store: Callable[[bool], Coroutine[Any, Any, Told[T]]],
+        ask_node: Callable[
+            [roster_lib.NodeRecord], Coroutine[Any, Any, Told[T] | None]
+        ],
+        patience: Patience,
+        *,
+        is_stale: bool,
+    ) -> Told[T]:
+        """Return what the first source tells that is able to.
+
+        Args:
+            ask_store: asks the store, on a new connection or not.
+            ask_node: asks another node.
+            patience: how long to wait before the next source is asked too.
+            is_stale: see `store_sources.StoreSources.plan`.
+
+        Raises:
+            errors.KeyValueUnavailableError: there is none.
+        """
+        failures: list[errors.KeyValueUnavailableError] = []
+
+        async def try_store(is_fresh: bool) -> Told[T] | None:
+            try:
+                return await ask_store(is_fresh)
+            except errors.KeyValueUnavailableError as error:
+                failures.append(error)
+                return None
+
+        def ask(node: roster_lib.NodeRecord) -> first_answer.Question[Told[T]]:
+            return first_answer.Question(
+                functools.partial(ask_node, node), patience.node
             )
+
+        def create_questions() -> Iterator[first_answer.Question[Told[T]]]:
+            tries = 1
+            for source in self.sources.plan(
+                self.clock.now(), is_stale=is_stale
+            ):
+                if source is not store_sources.STORE:
+                    yield ask(source)
+                    continue
+                yield first_answer.Question(
+                    functools.partial(try_store, False), patience.store
+                )
+                if not any(map(_is_rejection, failures)):
+                    # The kept connection may be dead.
+                    tries += 1
+                    yield first_answer.Question(
+                        functools.partial(try_store, True), patience.retry
+                    )
+            # While the store keeps silent, other nodes become watchers.
+            while len(failures) < tries:
+                yield first_answer.Question(_pause, 2 * NEXT_ROUND_PAUSE)
+                yield from map(ask, self.sources.list_nodes(self.clock.now()))
+
+        told = await first_answer.get(create_questions())
+        if told is None:
+            raise failures[0]
+        return told
+
+    async def _list_store(
+        self, prefix: str, is_fresh: bool
+    ) -> Told[store_api.Listing]:
+        """Return all items of the store."""
+        sent = self.clock.now()
+        listing = await self.store.list_items(prefix, is_fresh=is_fresh)
+        return Told(store_sources.STORE, listing, sent)
+
+    async def _list_node(
+        self, prefix: str, node: roster_lib.NodeRecord
+    ) -> Told[store_api.Listing] | None:
+        """Return all items of a node, if they are no older than what is known.
+
+        They must not be of an earlier era either.
+        """
+        sent = self.clock.now()
+        answer = await self._ask(
+            node, messages.FollowRequest(-1), LISTING_PATIENCE, LISTING_TIMEOUT
+        )
+        if (
+            answer is None
+            or answer.era < self.store.eras.current
+            or answer.position < self.position
+        ):
+            return None
+        return Told(
+            node,
+            messages.create_listing(answer, prefix),
+            messages.find_completeness(answer, sent),
         )
-        self._advance(changes.position)
-        metrics.count_watch_answer("store")
-        return changes
+
+    async def _watch_store(
+        self,
+        prefix: str,
+        position: store_api.Position,
+        wait: datetime.timedelta,
+        is_fresh: bool,
+    ) -> Told[store_api.Changes]:
+        """Return the changes of which the store tells."""
+        sent = self.clock.now()
+        changes = await self.store.watch(
+            prefix, position, wait, is_fresh=is_fresh
+        )
+        complete = picture_age.find_end_of_silence(
+            sent, self.clock.now(), wait, is_empty=not changes.changes
+        )
+        return Told(store_sources.STORE, changes, complete)
 
     async def _follow(
         self,
-        peer: roster_lib.NodeRecord,
+        prefix: str,
         position: store_api.Position,
         wait: datetime.timedelta,
-    ) -> store_api.Changes | None:
-        """Return the changes of which a watcher tells.
+        node: roster_lib.NodeRecord,
+    ) -> Told[store_api.Changes] | None:
+        """Return the changes of which a node tells.
 
         Returns:
             None if it gives no answer, or one that is too old.
         """
-        wait = min(
-            wait,
-            change_feed.MAX_WAIT,
-            self.age.get_rest(picture_age.MAX_FOLLOWED_AGE),
-        )
         sent = self.clock.now()
         answer = await self._ask(
-            peer,
+            node,
             messages.FollowRequest(
                 position.revision, wait // messages.MILLISECOND, position.era
             ),
+            WATCH_PATIENCE.after(wait, wait),
+            wait + ANSWER_SLACK,
         )
         if answer is None:
             return None
         if answer.era != position.era:
-            self._avoid(peer, position, f"era {answer.era}")
+            self._avoid(node, position, f"era {answer.era}")
             return None
-        as_of = messages.find_completeness(answer, sent)
+        complete = messages.find_completeness(answer, sent)
         is_behind = answer.position < position
-        if is_behind and as_of is not None and as_of > self.advanced:
-            self._avoid(peer, position, f"position {answer.position}")
+        if is_behind and complete is not None and complete > self.advanced:
+            self._avoid(node, position, f"position {answer.position}")
             return None
-        self._confirm_told(answer, sent)
-        if not answer.changes and self.age.exceeds(
-            picture_age.MAX_FOLLOWED_AGE
-        ):
-            self._avoid(peer, position, "picture too old")
+        if not answer.changes and self._is_too_old(complete):
+            self._avoid(node, position, "picture too old")
             return None
-        return messages.create_changes(answer)
+        changes = messages.create_changes(answer)
+        return Told(node, _select(changes, prefix), complete)
 
-    def _is_usable(self, answer: messages.FollowAnswer) -> bool:
-        """Whether a watcher's items are no older than what is known."""
-        is_of_newest_era = answer.era >= self.store.eras.current
-        return is_of_newest_era and answer.position >= self.position
+    def _is_too_old(self, complete: datetime.datetime | None) -> bool:
+        """Whether the picture would still be too old with an answer."""
+        known = [
+            moment
+            for moment in (complete, self.age.confirmed)
+            if moment is not None
+        ]
+        limit = self.clock.now() - picture_age.MAX_FOLLOWED_AGE
+        return bool(known) and max(known) < limit
+
+    def _accept(self, told: Told[Any]) -> None:
+        """Record who has told what this node is to believe now."""
+        is_direct = told.source is store_sources.STORE
+        if is_direct != self.is_direct:
+            logger.info(
+                "Source of changes in the store changed.",
+                extra={"is_direct": is_direct},
+            )
+        self.is_direct = is_direct
+        source = "store" if told.source is store_sources.STORE else "node"
+        if told.complete is None:
+            return
+        age = self.age.get_age()
+        if age is not None:
+            metrics.record_picture_age(age, source)
+        self.age.confirm(told.complete)
 
     def _log_late(
         self,
-        changes: store_api.Changes,
-        source: str,
-        before: int | None,
+        told: Told[store_api.Changes],
+        before: datetime.timedelta | None,
         sent: datetime.datetime,
     ) -> None:
         """Log changes that may have been made long ago.
 
         Args:
-            changes: the changes.
-            source: who told of them.
-            before: age of the picture when they were asked for, in ms.
+            told: the changes.
+            before: age of the picture when they were asked for.
             sent: when that was.
         """
-        took_ms = (self.clock.now() - sent) // messages.MILLISECOND
-        if not changes.changes or (before or 0) + took_ms < LATE_MS:
+        took = self.clock.now() - sent
+        possible_age = took if before is None else before + took
+        if not told.content.changes or possible_age < LATE_AGE:
             return
         logger.info(
             "Changes in the store may have come late.",
             extra={
-                "source": source,
-                "picture_age_ms": before,
-                "took_ms": took_ms,
-                "position": str(changes.position),
+                "source": told.source.name if told.source else "store",
+                "picture_age_ms": before and before // messages.MILLISECOND,
+                "took_ms": took // messages.MILLISECOND,
+                "position": str(told.content.position),
             },
         )
 
-    def _advance(self, position: store_api.Position) -> None:
-        if position > self.position:
-            self.position, self.advanced = position, self.clock.now()
-
-    def _set_direct(self, is_direct: bool) -> None:
-        if is_direct != self.is_direct:
-            logger.info(
-                "Source of changes in the store changed.",
-                extra={"is_direct": is_direct},
-            )
-        self.is_direct = is_direct
-
-    def _confirm(self, as_of: datetime.datetime) -> None:
-        """Record up to when the picture is complete."""
-        age = self.age.get_age()
-        if age is not None:
-            metrics.record_picture_age(
-                age, "store" if self.is_direct else "node"
-            )
-        self.age.confirm(as_of)
-
-    def _confirm_told(
-        self, answer: messages.FollowAnswer, sent: datetime.datetime
-    ) -> None:
-        """Record up to when a watcher's answer makes the picture complete."""
-        as_of = messages.find_completeness(answer, sent)
-        if as_of is not None:
-            self._confirm(as_of)
-
     async def _ask(
-        self, peer: roster_lib.NodeRecord, question: messages.FollowRequest
+        self,
+        node: roster_lib.NodeRecord,
+        question: messages.FollowRequest,
+        patience: Patience,
+        timeout: datetime.timedelta,
     ) -> messages.FollowAnswer | None:
-        """Return a watcher's answer; avoid one that has none for a while."""
-        wait = question.wait_ms * messages.MILLISECOND + ANSWER_SLACK
+        """Return a node's answer; avoid one that has none for a while."""
+        sent = self.clock.now()
+        position = store_api.Position(question.era, question.after)
+        period = store_sources.AVOIDED_PERIOD
         try:
             async with self.session.post(
-                f"http://{peer.peer_address}{change_feed.CHANGES_PATH}",
+                f"http://{node.peer_address}{change_feed.CHANGES_PATH}",
                 data=msgspec.msgpack.encode(question),
-                timeout=aiohttp.ClientTimeout(wait.total_seconds()),
+                timeout=aiohttp.ClientTimeout(timeout.total_seconds()),
             ) as response:
                 if response.status == 200:
                     return messages.decode(await response.read())
                 reason = f"status {response.status}"
+                if response.status == 503:
+                    period = store_sources.NOT_WATCHING_PERIOD
+        except asyncio.CancelledError:
+            # Another source was faster.
+            if self.clock.now() - sent >= patience.node:
+                self._avoid(node, position, "late")
+            raise
         except (
             aiohttp.ClientError,
             OSError,
@@ -264,23 +430,22 @@
             ValueError,
         ) as error:
             reason = repr(error)
-        self._avoid(
-            peer, store_api.Position(question.era, question.after), reason
-        )
+        self._avoid(node, position, reason, period)
         return None
 
     def _avoid(
         self,
-        peer: roster_lib.NodeRecord,
+        node: roster_lib.NodeRecord,
         position: store_api.Position,
         reason: str,
+        period: datetime.timedelta = store_sources.AVOIDED_PERIOD,
     ) -> None:
-        """Leave a watcher out for a while."""
-        self.sources.avoid(peer.name, self.clock.now())
+        """Leave a node out for a while."""
+        self.sources.avoid(node.name, self.clock.now(), period)
         logger.info(
             "Node could not be followed for changes in the store.",
             extra={
-                "peer": peer.name,
+                "peer": node.name,
                 "error": reason,
                 "position": str(position),
                 "picture_age_ms": self.age.get_age_ms(),
@@ -288,6 +453,16 @@
         )
 
 
+async def _pause() -> None:
+    """Wait before the other nodes are asked once more."""
+    await asyncio.sleep(NEXT_ROUND_PAUSE.total_seconds())
+
+
+def _is_rejection(error: errors.KeyValueUnavailableError) -> bool:
+    """Whether the store answers, but not the calls of this node."""
+    return isinstance(error, errors.KeyValueRejectedError)
+
+
 def _select(changes: store_api.Changes, prefix: str) -> store_api.Changes:
     """Return the changes of keys that begin with `prefix`."""
     return store_api.Changes(
--- a/src/cicadahook/platform/metadata_store.py
+++ b/src/cicadahook/platform/metadata_store.py
@@ -69,6 +69,8 @@
     """Implements `store_api.Store` by the metadata store's HTTP calls.
 
     Attributes:
+        session: session whose connections are kept.
+        fresh_session: session whose connections are used once.
         eras: the newest era that the store or another node has named.
         contact: whether the store answers this node.
     """
@@ -78,12 +80,16 @@
         self.eras = store_api.EraTracker()
         self.contact = store_contact.StoreContact(clock)
         self.session = answer_protocol.open_session()
+        self.fresh_session = answer_protocol.open_session(keepalive=0)
 
     async def close(self) -> None:
         """Close all connections."""
         await self.session.close()
+        await self.fresh_session.close()
 
-    async def list_items(self, prefix: str) -> store_api.Listing:
+    async def list_items(
+        self, prefix: str, *, is_fresh: bool = False
+    ) -> store_api.Listing:
         """Return all items below `prefix`, page by page.
 
         The pages are not one snapshot. The position is that of the first page,
@@ -94,7 +100,11 @@
         query = {"path_prefix": prefix}
         for _ in range(MAX_PAGES):
             _, era, page = await self._call(
-                "GET", "/kv-range", PageFields, query=query
+                "GET",
+                "/kv-range",
+                PageFields,
+                query=query,
+                is_fresh=is_fresh,
             )
             if page is None:
                 raise errors.KeyValueUnavailableError("GET /kv-range: no page")
@@ -113,6 +123,8 @@
         prefix: str,
         position: store_api.Position,
         wait: datetime.timedelta,
+        *,
+        is_fresh: bool = False,
     ) -> store_api.Changes:
         """Wait up to `wait` for changes below `prefix` after `position`.
 
@@ -131,6 +143,7 @@
             WatchFields,
             query=query,
             timeout=wait + WATCH_TIMEOUT_MARGIN,
+            is_fresh=is_fresh,
         )
         if answer is None or era != position.era:
             raise store_api.HistoryLostError(f"era {era}, after {position}")
@@ -205,15 +218,18 @@
         query: dict[str, str] | None = None,
         body: Fields | None = None,
         timeout: datetime.timedelta = CALL_TIMEOUT,
+        is_fresh: bool = False,
     ) -> tuple[int, int, AnswerT | None]:
         """Return status and era of one call, and its answer if it succeeded.
 
         Raises:
             errors.KeyValueUnavailableError: there was no answer, one that
                 leaves the outcome unknown, or one of an earlier era.
+            errors.KeyValueRejectedError: the store turned the call away.
         """
+        session = self.fresh_session if is_fresh else self.session
         try:
-            async with self.session.request(
+            async with session.request(
                 method,
                 self.base_url + path,
                 params=query,
@@ -222,7 +238,7 @@
             ) as response:
                 content = await response.read()
                 if response.status not in (200, 404, 410, 412):
-                    raise errors.KeyValueUnavailableError(
+                    raise errors.KeyValueRejectedError(
                         f"{method} {path}: status {response.status}"
                     )
                 fields = None
--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -15,8 +15,10 @@
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import status_schedule
 from cicadahook.core import store_api
+from cicadahook.core import store_contact
 from cicadahook.core import store_sources
 from cicadahook.net import clock as system_clock
+from cicadahook.net import holder_lease
 from cicadahook.net import store_relay
 from cicadahook.net import store_watcher
 from cicadahook.platform import caller_server
@@ -74,16 +76,23 @@
     """A node's link to the store.
 
     Attributes:
+        contact: whether the store answers this node.
         is_silent: whether nothing gets through, also of calls under way.
         is_rejecting: whether the store turns all calls of this node away.
+        dead_connections: number of kept connections that fell silent and have
+            not been used since.
+        falls: number of times that all connections fell silent.
         watches: number of watches.
     """
 
     def __init__(self, store: Store) -> None:
         self.store = store
         self.eras = store_api.EraTracker()
+        self.contact = store_contact.StoreContact(system_clock.SystemClock())
         self.is_silent = False
         self.is_rejecting = False
+        self.dead_connections = 0
+        self.falls = 0
         self.watches = 0
         self.cuts = asyncio.Event()
 
@@ -92,10 +101,18 @@
         self.cuts.set()
         self.cuts = asyncio.Event()
 
-    async def list_items(self, prefix: str) -> store_api.Listing:
+    def silence_connections(self, unused: int) -> None:
+        """Let all connections fall silent, among them some that are unused."""
+        self.falls += 1
+        self.dead_connections = unused
+
+    async def list_items(
+        self, prefix: str, *, is_fresh: bool = False
+    ) -> store_api.Listing:
         """Return all items."""
         del prefix
-        await self._check(metadata_store.CALL_TIMEOUT)
+        await self._connect(metadata_store.CALL_TIMEOUT, is_fresh=is_fresh)
+        self.contact.record_answer()
         self.eras.observe(self.store.log.position.era)
         return self.store.log.create_listing()
 
@@ -104,6 +121,8 @@
         prefix: str,
         position: store_api.Position,
         wait: datetime.timedelta,
+        *,
+        is_fresh: bool = False,
     ) -> store_api.Changes:
         """Return the changes after a revision."""
         del prefix
@@ -111,7 +130,8 @@
         loop = asyncio.get_running_loop()
         sent = loop.time()
         limit = wait + metadata_store.WATCH_TIMEOUT_MARGIN
-        await self._check(limit)
+        await self._connect(limit, is_fresh=is_fresh)
+        falls = self.falls
         if position > self.store.log.position:
             raise store_api.HistoryLostError("no such revision")
         if self.store.log.position <= position:
@@ -129,19 +149,43 @@
             if is_cut:
                 raise errors.KeyValueUnavailableError("reset")
         elapsed = datetime.timedelta(seconds=loop.time() - sent)
+        if falls != self.falls:
+            await self._hang(limit - elapsed)
         await self._check(limit - elapsed)
+        self.contact.record_answer()
         era = self.store.log.position.era
         self.eras.observe(era)
         if position.era != era:
             raise store_api.HistoryLostError(f"era {era}")
         return self.store.log.list_after(position)
 
+    async def renew_leases(self) -> None:
+        """Renew a lease again and again, as all nodes do."""
+        while True:
+            with contextlib.suppress(errors.KeyValueUnavailableError):
+                await self._connect(metadata_store.CALL_TIMEOUT)
+                self.contact.record_answer()
+            await asyncio.sleep(holder_lease.RENEWAL_PERIOD.total_seconds())
+
+    async def _connect(
+        self, limit: datetime.timedelta, *, is_fresh: bool = False
+    ) -> None:
+        """Begin a call, on a kept connection if there is one."""
+        if self.dead_connections and not is_fresh:
+            self.dead_connections -= 1
+            await self._hang(limit)
+        await self._check(limit)
+
     async def _check(self, limit: datetime.timedelta) -> None:
         if self.is_rejecting:
-            raise errors.KeyValueUnavailableError("status 503")
+            raise errors.KeyValueRejectedError("status 503")
         if self.is_silent:
-            await asyncio.sleep(max(0.0, limit.total_seconds()))
-            raise errors.KeyValueUnavailableError("not answered")
+            await self._hang(limit)
+
+    async def _hang(self, limit: datetime.timedelta) -> None:
+        """Get no answer."""
+        await asyncio.sleep(max(0.0, limit.total_seconds()))
+        raise errors.KeyValueUnavailableError("not answered")
 
 
 class Node:
@@ -219,17 +263,17 @@
     return [roster_lib.Roster(record) for record in records]
 
 
-async def tell(rosters: list[roster_lib.Roster]) -> None:
+async def tell(nodes: list[Node]) -> None:
     """Let all nodes hear each other until cancelled."""
     clock = system_clock.SystemClock()
     number = 0
     while True:
         number += 1
-        for roster in rosters:
-            for other in rosters:
-                roster.record_status(
+        for node in nodes:
+            for other in nodes:
+                node.relayed.sources.roster.record_status(
                     roster_lib.NodeStatus(
-                        other.own,
+                        other.record,
                         number,
                         True,
                         False,
@@ -259,9 +303,11 @@
                     int(node.record.peer_address.rsplit(":", 1)[1]),
                 )
             )
-        tasks = [asyncio.create_task(tell(rosters))]
+        tasks = [asyncio.create_task(tell(nodes))]
         await asyncio.sleep(0.05)
-        tasks += [asyncio.create_task(node.watcher.run()) for node in nodes]
+        for node in nodes:
+            tasks.append(asyncio.create_task(node.watcher.run()))
+            tasks.append(asyncio.create_task(node.link.renew_leases()))
         try:
             yield store, nodes
         finally:
--- a/tests/test_stale_pictures.py
+++ b/tests/test_stale_pictures.py
@@ -95,6 +95,24 @@
         assert not late
 
 
+async def test_connections_that_fall_silent_make_no_change_late(
+    unused_port: int,
+) -> None:
+    async with store_fleet.run(NODES, unused_port) as (store, nodes):
+        await wait_for_followers(nodes)
+        await asyncio.sleep(0.5)
+        for node in nodes:
+            node.link.silence_connections(unused=2)
+        acknowledged = store.put("change")
+        await asyncio.sleep(2 * DRAIN_SECONDS)
+        delays = {
+            node.record.name: node.heard.get("change", acknowledged + 99)
+            - acknowledged
+            for node in nodes
+        }
+        assert max(delays.values()) < DRAIN_SECONDS, delays
+
+
 @pytest.mark.parametrize(
     ("took", "is_empty", "complete"),
     [(1.1, True, 1.0), (1.1, False, 0.0), (0.4, True, 0.0)],
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -256,9 +256,11 @@
         if self.is_down:
             raise errors.KeyValueUnavailableError("down")
 
-    async def list_items(self, prefix: str) -> store_api.Listing:
+    async def list_items(
+        self, prefix: str, *, is_fresh: bool = False
+    ) -> store_api.Listing:
         """Return all items."""
-        del prefix
+        del prefix, is_fresh
         self.listings += 1
         self._check()
         return self.log.create_listing()
@@ -268,9 +270,11 @@
         prefix: str,
         position: store_api.Position,
         wait: datetime.timedelta,
+        *,
+        is_fresh: bool = False,
     ) -> store_api.Changes:
         """Return the changes after a position."""
-        del prefix
+        del prefix, is_fresh
         self.watches += 1
         self._check()
         if self.log.position <= position:
