Let nodes that the store answers inform those that it turns away

What callers saw: while the store turned some nodes away and served the others, those nodes went by an old configuration and old entries of upstreams for as long as it lasted.

Cause: whether a node watches the store for others was decided by its name alone. A watcher that the store turned away kept its role and had no sources itself; its followers asked two of the three watchers and then the store. In fleets of fewer than nine nodes nobody was asked at all.

Now each node tells in its statuses when the store has not answered it for 1.5 s (`lacks_store`, at once to all nodes; older builds don't send it and are treated as before). Watchers are chosen among the nodes that the store answers. A node that it turns away follows these, in fleets of any size, and asks all of them before the store; a watcher asks the other ones where the store fails or is late. Where the store answers nobody, nobody else is asked.

--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -105,6 +105,8 @@
             the build is older than that list.
         wants_grants: whether it needs the grants of all others as holder.
         allowances: what it has charged to each tenant that has a limit.
+        lacks_store: whether the store does not answer it; nodes of older builds
+            do not tell.
     """
 
     node: NodeRecord
@@ -128,6 +130,7 @@
     capabilities: tuple[str, ...] = ()
     wants_grants: bool = False
     allowances: tuple[token_buckets.AllowanceStatement, ...] = ()
+    lacks_store: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadahook/core/status_schedule.py
+++ b/src/cicadahook/core/status_schedule.py
@@ -81,7 +81,12 @@
 
         A holder that wants grants needs all nodes to know its newest status.
         """
-        news = (status.is_holder, status.fence, status.withdrawn)
+        news = (
+            status.is_holder,
+            status.fence,
+            status.withdrawn,
+            status.lacks_store,
+        )
         if news != self.news:
             self.news = news
             self.urgent_until = now + URGENT_PERIOD
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -219,7 +219,7 @@
         )
         self.relayed_store = store_relay.RelayedStore(
             platform.store,
-            store_sources.StoreSources(self.roster),
+            store_sources.StoreSources(self.roster, platform.store.contact),
             self.copy_client.session,
             age,
             platform.redact,
@@ -235,6 +235,7 @@
                 self.links,
                 self.origins,
                 self.is_ready,
+                platform.store.contact,
             ),
             clock,
         )
--- a/src/cicadahook/net/status_reporter.py
+++ b/src/cicadahook/net/status_reporter.py
@@ -12,6 +12,7 @@
 from cicadahook.core import order_holder
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import status_schedule
+from cicadahook.core import store_contact
 from cicadahook.core import stream_origins
 from cicadahook.net import codec
 from cicadahook.net import forwarder as forwarder_lib
@@ -98,6 +99,7 @@
         links: the links to the upstreams.
         origins: software versions that began streams.
         is_ready: returns whether this node accepts new callers.
+        contact: whether the store answers this node.
     """
 
     roster: roster_lib.Roster
@@ -108,6 +110,7 @@
     links: upstream_links.UpstreamLinks
     origins: stream_origins.StreamOrigins
     is_ready: Callable[[], bool]
+    contact: store_contact.StoreContact
 
 
 class StatusReporter:
@@ -210,6 +213,7 @@
             capabilities=status_schedule.CAPABILITIES,
             wants_grants=sources.holder_state.wants_grants(now),
             allowances=components.allowances.list_statements(now),
+            lacks_store=sources.contact.is_lost(),
         )
 
     def list_loads(self) -> tuple[expected_waits.LoadStatement, ...]:
--- a/src/cicadahook/platform/metadata_store.py
+++ b/src/cicadahook/platform/metadata_store.py
@@ -100,11 +100,7 @@
         query = {"path_prefix": prefix}
         for _ in range(MAX_PAGES):
             _, era, page = await self._call(
-                "GET",
-                "/kv-range",
-                PageFields,
-                query=query,
-                is_fresh=is_fresh,
+                "GET", "/kv-range", PageFields, query=query, is_fresh=is_fresh
             )
             if page is None:
                 raise errors.KeyValueUnavailableError("GET /kv-range: no page")
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -137,6 +137,7 @@
   capabilities @21 :List(Text);
   wantsGrants @22 :Bool;
   allowances @23 :List(AllowanceStatement);
+  lacksStore @24 :Bool;
 }
 
 struct ProbeRequest {
--- a/tests/node_links.py
+++ b/tests/node_links.py
@@ -16,6 +16,7 @@
 HOST: Final = "127.0.0.1"
 READ_BYTES: Final = 65_536
 DELAY_SECONDS: Final = 0.15
+SILENCE_POLL_SECONDS: Final = 0.05
 # Fills the queue of a socket that accepts nothing.
 FILLING_CONNECTIONS: Final = 3
 
@@ -238,6 +239,9 @@
     Attributes:
         store: the store.
         addresses: `host:port` of the node's link by the upstream's address.
+        is_rejecting: whether the store turns this node away.
+        is_silent: whether it does so without an answer, also to calls that
+            have arrived.
     """
 
     def __init__(
@@ -245,10 +249,16 @@
     ) -> None:
         self.store = store
         self.addresses = addresses
+        self.is_rejecting = False
+        self.is_silent = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
+        if self.is_rejecting or self.is_silent:
+            await self._keep_silent()
+            return web.Response(status=503)
         response = await self.store.handle(request)
+        await self._keep_silent()
         if not isinstance(response, web.Response) or not response.text:
             return response
         content = json.loads(response.text)
@@ -262,6 +272,10 @@
             headers=node_store.create_headers(self.store.era),
         )
 
+    async def _keep_silent(self) -> None:
+        while self.is_silent:
+            await asyncio.sleep(SILENCE_POLL_SECONDS)
+
     def _translate(self, row: dict[str, Any]) -> dict[str, Any]:
         if not row["key"].startswith("servers/") or "value" not in row:
             return row
--- a/tests/soak/node_system.py
+++ b/tests/soak/node_system.py
@@ -210,6 +210,8 @@
         checker: records the calls, runs and faults.
         store: the store stand-in.
         upstreams: the upstreams by name.
+        views: the store as each node sees it, by the node's name.
+        version: version of the newest configuration.
         hosts: loopback address of each node, by its name.
         nodes: the node processes.
     """
@@ -228,6 +230,8 @@
             f"n{number}": node_process.create_host(base, number)
             for number in range(1, NODE_COUNT + 1)
         }
+        self.views: dict[str, node_links.StoreView] = {}
+        self.version = 0
         self.upstreams: dict[str, Upstream] = {}
         for offset, name in enumerate(UPSTREAM_NAMES):
             service = "plain" if name.startswith("p") else "engines"
@@ -268,8 +272,8 @@
                 await upstream.link.open()
                 stack.callback(upstream.link.close)
                 self.register_upstream(name)
-            for host in self.hosts.values():
-                view = node_links.StoreView(
+            for name, host in self.hosts.items():
+                view = self.views[name] = node_links.StoreView(
                     self.store,
                     {
                         upstream.address: f"{host}:{upstream.link.port}"
@@ -281,7 +285,7 @@
                         web.Server(view.handle), host, self.base
                     )
                 )
-            self.store.put("op/config", create_configuration())
+            self.configure()
             try:
                 await asyncio.gather(
                     *(node.start(session) for node in self.nodes)
@@ -290,6 +294,13 @@
             finally:
                 await asyncio.gather(*map(_kill, self.nodes))
 
+    def configure(self) -> str:
+        """Write a configuration; return a path that only it allows."""
+        self.version += 1
+        path = f"/version-{self.version}/"
+        self.store.put("op/config", create_configuration(self.version, path))
+        return path
+
     def register_upstream(self, name: str) -> None:
         """Write the entry of an upstream to the store."""
         upstream = self.upstreams[name]
@@ -413,9 +424,14 @@
     return headers
 
 
-def create_configuration() -> dict[str, Any]:
-    """Return the configuration that the operators write to the store."""
-    configuration = node_testbed.create_configuration()
+def create_configuration(version: int, path: str) -> dict[str, Any]:
+    """Return the configuration that the operators write to the store.
+
+    Args:
+        version: its version.
+        path: path of a route to a service without upstreams.
+    """
+    configuration = node_testbed.create_configuration(version)
     seconds = {
         kind.name: kind.timeout_seconds for kind in node_checker.REQUEST_KINDS
     }
@@ -423,6 +439,15 @@
         route["timeout_ms"] = int(seconds[route["name"]] * 1000)
     for model in configuration["services"][1]["inference_engine"]["models"]:
         model["load_time_s"] = LOAD_SECONDS
+    configuration["services"].append({"name": "none", "health_path": "/health"})
+    configuration["routes"].append(
+        {
+            **configuration["routes"][0],
+            "name": "version",
+            "path_prefix": path,
+            "service_name": "none",
+        }
+    )
     return configuration
 
 
--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -210,7 +210,7 @@
         self.age = picture_age.PictureAge(system_clock.SystemClock())
         self.relayed = store_relay.RelayedStore(
             self.link,  # type: ignore[arg-type]
-            store_sources.StoreSources(roster),
+            store_sources.StoreSources(roster, self.link.contact),
             session,
             self.age,
         )
@@ -281,6 +281,7 @@
                         0,
                         0,
                         capabilities=status_schedule.CAPABILITIES,
+                        lacks_store=other.link.contact.is_lost(),
                     ),
                     clock.now(),
                 )
--- a/tests/test_statuses.py
+++ b/tests/test_statuses.py
@@ -113,11 +113,13 @@
     fields = msgspec.to_builtins(create_status())
     for name in ("loads", "wanted", "capabilities", "wants_grants"):
         del fields[name]
+    del fields["lacks_store"]
     decoded = status_codec.decode(
         status_codec.pack(msgspec.msgpack.encode(fields))
     )
     assert (decoded.loads, decoded.capabilities) == ((), ())
     assert not decoded.wants_grants
+    assert not decoded.lacks_store
 
 
 @pytest.mark.parametrize(
@@ -264,6 +266,7 @@
         {"has_left": True},
         {"withdrawn": (roster_lib.WithdrawnCopy("i-1", "m1"),)},
         {"is_holder": True, "fence": 9},
+        {"lacks_store": True},
     ],
 )
 def test_all_nodes_are_told_at_once_of(change: dict[str, object]) -> None:
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -18,6 +18,7 @@
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import status_schedule
 from cicadahook.core import store_api
+from cicadahook.core import store_contact
 from cicadahook.core import store_sources
 from cicadahook.net import change_feed
 from cicadahook.net import clock as system_clock
@@ -131,11 +132,20 @@
     return rosters
 
 
+def create_sources(
+    roster: roster_lib.Roster, clock: clock_lib.Clock | None = None
+) -> store_sources.StoreSources:
+    """Return the sources of a node that the store answers."""
+    return store_sources.StoreSources(
+        roster,
+        store_contact.StoreContact(clock or clock_lib.ManualClock(NOW)),
+    )
+
+
 def count_direct(rosters: list[roster_lib.Roster]) -> int:
     """Return how many of the nodes watch the store by themselves."""
     return sum(
-        not store_sources.StoreSources(roster).list_watchers(NOW)
-        for roster in rosters
+        not create_sources(roster).list_watchers(NOW) for roster in rosters
     )
 
 
@@ -146,7 +156,7 @@
     rosters = create_rosters(size)
     followed: collections.Counter[roster_lib.NodeRecord] = collections.Counter()
     for roster in rosters:
-        watchers = store_sources.StoreSources(roster).list_watchers(NOW)
+        watchers = create_sources(roster).list_watchers(NOW)
         followed.update(watchers[:1])
     count = max(
         store_sources.MIN_WATCHERS, size // store_sources.NODES_PER_WATCHER
@@ -159,7 +169,7 @@
 
 def test_followers_prefer_a_watcher_of_their_zone() -> None:
     for roster in create_rosters(64):
-        watchers = store_sources.StoreSources(roster).list_watchers(NOW)
+        watchers = create_sources(roster).list_watchers(NOW)
         is_own = [record.zone == roster.own.zone for record in watchers]
         assert is_own == sorted(is_own, reverse=True)
         assert len(watchers) in (0, store_sources.MAX_SOURCES)
@@ -186,25 +196,106 @@
 
 def test_nodes_that_do_not_answer_are_left_out_for_a_while() -> None:
     for roster in create_rosters(32):
-        sources = store_sources.StoreSources(roster)
+        sources = create_sources(roster)
         watchers = sources.list_watchers(NOW)
-        for number, watcher in enumerate(watchers):
-            assert watcher == sources.list_watchers(NOW)[0]
-            sources.avoid(watcher.name, NOW)
-            assert len(sources.list_watchers(NOW)) == len(watchers) - number - 1
+        if not watchers:
+            continue
+        left = [each for each in sources.plan(NOW, is_stale=False) if each]
+        assert len(left) == store_sources.MIN_WATCHERS
+        while left:
+            assert sources.list_watchers(NOW) == tuple(left[:2])
+            sources.avoid(left.pop(0).name, NOW)
+        assert sources.plan(NOW, is_stale=False) == (store_sources.STORE,)
         later = NOW + store_sources.AVOIDED_PERIOD
         for name, (_, status) in list(roster.statuses.items()):
             roster.statuses[name] = (later, status)
         assert sources.list_watchers(later) == watchers
 
 
+def turn_away(rosters: list[roster_lib.Roster], names: set[str]) -> None:
+    """Let nodes say that the store does not answer them."""
+    for roster in rosters:
+        for received_at, status in list(roster.statuses.values()):
+            roster.record_status(
+                dataclasses.replace(
+                    status, number=2, lacks_store=status.node.name in names
+                ),
+                received_at,
+            )
+
+
+def create_lost_sources(
+    roster: roster_lib.Roster,
+) -> store_sources.StoreSources:
+    """Return the sources of a node that the store does not answer."""
+    sources = create_sources(roster)
+    sources.contact.answered -= 2 * store_contact.MAX_SILENCE
+    return sources
+
+
+@pytest.mark.parametrize("size", [4, 12, 64])
+def test_watchers_that_the_store_turns_away_lose_their_role(size: int) -> None:
+    rosters = create_rosters(size)
+    direct = [
+        roster.own.name
+        for roster in rosters
+        if not create_sources(roster).list_watchers(NOW)
+    ]
+    lost = set(direct[: size - 1])
+    turn_away(rosters, lost)
+    followed: set[str] = set()
+    for roster in rosters:
+        is_lost = roster.own.name in lost
+        create = create_lost_sources if is_lost else create_sources
+        watchers = create(roster).list_watchers(NOW)
+        followed.update(watcher.name for watcher in watchers)
+        assert watchers or not is_lost
+    assert followed and not followed & lost
+
+
+def test_a_node_asks_those_first_that_can_tell_it_soonest() -> None:
+    rosters = create_rosters(32)
+    for roster in rosters:
+        sources = create_sources(roster)
+        plan = sources.plan(NOW, is_stale=False)
+        stale = sources.plan(NOW, is_stale=True)
+        place = store_sources.MAX_SOURCES if sources.list_watchers(NOW) else 0
+        assert plan.index(store_sources.STORE) == place
+        assert stale.index(store_sources.STORE) == 0
+        assert len(plan) == len(stale) == len(set(plan)) >= 3
+
+
+def test_a_node_that_the_store_turns_away_asks_others_whatever_they_did() -> (
+    None
+):
+    rosters = create_rosters(32)
+    turn_away(rosters, {rosters[0].own.name})
+    sources = create_lost_sources(rosters[0])
+    plan = sources.plan(NOW, is_stale=False)
+    *nodes, last = plan
+    assert len(nodes) >= store_sources.MIN_WATCHERS
+    assert last is store_sources.STORE
+    for node in nodes:
+        assert node is not None
+        sources.avoid(node.name, NOW)
+    assert sources.plan(NOW, is_stale=False) == plan
+
+
+def test_nobody_is_asked_while_the_store_answers_nobody() -> None:
+    rosters = create_rosters(32)
+    turn_away(rosters, {roster.own.name for roster in rosters})
+    for roster in rosters:
+        plan = create_lost_sources(roster).plan(NOW, is_stale=False)
+        assert plan == (store_sources.STORE,)
+
+
 def test_nodes_that_leave_or_are_silent_are_not_followed() -> None:
     roster = next(
         each
         for each in create_rosters(32)
-        if store_sources.StoreSources(each).list_watchers(NOW)
+        if create_sources(each).list_watchers(NOW)
     )
-    sources = store_sources.StoreSources(roster)
+    sources = create_sources(roster)
     for watcher in sources.list_watchers(NOW):
         status = roster.statuses[watcher.name][1]
         roster.record_status(
@@ -310,9 +401,9 @@
         roster = next(
             each
             for each in rosters
-            if store_sources.StoreSources(each).list_watchers(clock.now())
+            if create_sources(each, clock).list_watchers(clock.now())
         )
-        self.sources = store_sources.StoreSources(roster)
+        self.sources = create_sources(roster, clock)
         self.follower = store_relay.RelayedStore(
             self.store,  # type: ignore[arg-type]
             self.sources,
