Tell followers of a key's newest value only

Cause: a watcher told each of its 21 followers of every version since the follower's last one, each with the whole configuration of some 30 KB. On a VM with 5 Mbit/s that took longer than the versions' pause: the two such watchers of the fleet read the store every 1.1 s instead of every 0.8 s, and answers came late or not in time.

A change log now leaves out values that have been replaced since. Listings have always done so, and what listens to changes must cope with either.

--- a/src/cicadahook/core/change_log.py
+++ b/src/cicadahook/core/change_log.py
@@ -52,6 +52,9 @@
     def list_after(self, position: store_api.Position) -> store_api.Changes:
         """Return the changes after a position, up to the one that is known.
 
+        Values that have been replaced are left out, as they may be large and
+        many nodes ask. Deletions remain.
+
         Raises:
             store_api.HistoryLostError: some of them are not known any more.
         """
@@ -59,7 +62,12 @@
             raise store_api.HistoryLostError(
                 f"changes are known after {self.begins}, not {position}"
             )
-        later = tuple(
-            change for change in self.changes if change.position > position
-        )
-        return store_api.Changes(later, self.position)
+        later: list[store_api.Change] = []
+        replaced: set[str] = set()
+        for change in reversed(self.changes):
+            if change.position <= position:
+                continue
+            if change.value is None or change.key not in replaced:
+                later.append(change)
+            replaced.add(change.key)
+        return store_api.Changes(tuple(reversed(later)), self.position)
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import datetime
+import random
 
 import aiohttp
 from aiohttp import web
@@ -23,6 +24,7 @@
 from cicadahook.net import change_feed
 from cicadahook.net import clock as system_clock
 from cicadahook.net import store_relay
+from cicadahook.net import store_relay_messages
 from cicadahook.platform import caller_server
 import store_positions
 
@@ -74,6 +76,46 @@
     )
 
 
+def test_a_log_tells_of_values_that_still_hold_however_often_they_changed() -> (
+    None
+):
+    log = change_log.ChangeLog()
+    at = store_positions.at
+    log.apply_listing(store_api.Listing((), at(5)))
+    changes = (
+        create_change(6, "k1"),
+        create_change(7, "k2"),
+        create_change(8, "k1"),
+        store_api.Change("k1", None, at(9)),
+        create_change(10, "k1"),
+        create_change(11, "k1"),
+    )
+    log.apply_changes(store_api.Changes(changes, at(12)))
+    told = log.list_after(at(5))
+    assert list_revisions(told) == [7, 9, 11]
+    assert told.position == at(12)
+    assert list_revisions(log.list_after(at(10))) == [11]
+
+
+async def test_a_series_of_configurations_costs_a_watcher_one_for_a_follower() -> (
+    None
+):
+    clock = clock_lib.ManualClock()
+    feed = change_feed.ChangeFeed(lambda: True, picture_age.PictureAge(clock))
+    feed.apply_listing(
+        store_api.Listing((), store_positions.at(5)), is_after_outage=False
+    )
+    sizes = []
+    for number in range(6, 16):
+        position = store_positions.at(number)
+        value = random.Random(number).randbytes(30_000)
+        change = store_api.Change("op/config", value, position)
+        feed.apply_changes(store_api.Changes((change,), position))
+        answer = await feed.answer(store_relay_messages.FollowRequest(5))
+        sizes.append(len(feed.encoder.encode(answer)))
+    assert max(sizes) < 1.1 * sizes[0]
+
+
 def test_a_log_says_when_it_lacks_changes(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
