Let nodes with wide links watch the store for the others

Watchers were chosen by a hash of their names alone.

A node's record now says whether its link is narrower than what brings a configuration of 64 KiB to 32 followers in half a second. Such nodes watch only where there are not enough others, whatever the zone. Nodes of older builds don't say and count as wide; while builds run side by side they may choose other watchers, find that these don't watch, and ask the store.

test_nodes_with_narrow_links_watch_only_where_others_lack.

--- a/src/cicadahook/core/node_lifecycle.py
+++ b/src/cicadahook/core/node_lifecycle.py
@@ -52,6 +52,8 @@
             counted.
         is_first_start: whether the whole system starts for the first time.
         allowance_window: over which span the use of tenants is counted.
+        link_mbps: bandwidth of the machine's link, in Mbit/s; 0 if its settings
+            do not say.
         memory_mb: memory of the machine; 0 if its settings do not say.
         file_descriptors: descriptors that the process may open; 0 if its
             settings do not say.
@@ -75,6 +77,7 @@
     load_window: datetime.timedelta
     is_first_start: bool = False
     allowance_window: tenants.AllowanceWindow = tenants.AllowanceWindow()
+    link_mbps: float = 0.0
     memory_mb: int = 0
     file_descriptors: int = 0
 
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -46,6 +46,8 @@
         front_address: `host:port` for callers.
         peer_address: `host:port` for other nodes.
         incarnation: start time of its process, in Unix milliseconds.
+        has_narrow_link: whether its own link is too narrow to serve many other
+            nodes; nodes of older builds do not tell.
     """
 
     name: str
@@ -54,6 +56,7 @@
     front_address: str
     peer_address: str
     incarnation: int
+    has_narrow_link: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadahook/core/store_sources.py
+++ b/src/cicadahook/core/store_sources.py
@@ -22,6 +22,9 @@
 # Watchers of a region, and how many nodes each of them serves at the most.
 MIN_WATCHERS: Final = 3
 NODES_PER_WATCHER: Final = 32
+# A configuration of 64 KiB reaches as many followers in half a second. Nodes
+# with narrower links watch only if there are not enough others.
+MIN_LINK_MBPS: Final = 34.0
 # Watchers that a node asks before it asks the store. Each may keep it waiting,
 # and changes must reach it in time.
 MAX_SOURCES: Final = 2
@@ -177,9 +180,14 @@
     for record in ranked:
         turns[record.name] = chosen_in[record.zone]
         chosen_in[record.zone] += 1
-    return sorted(ranked, key=lambda record: turns[record.name])[:count]
+    ranked.sort(key=lambda record: (record.has_narrow_link, turns[record.name]))
+    return ranked[:count]
 
 
-def _rank(record: roster_lib.NodeRecord) -> tuple[int, str]:
+def _rank(record: roster_lib.NodeRecord) -> tuple[bool, int, str]:
     """Return a rank by which all nodes choose the same watchers."""
-    return hashing.hash64(record.name, seed=1), record.name
+    return (
+        record.has_narrow_link,
+        hashing.hash64(record.name, seed=1),
+        record.name,
+    )
--- a/src/cicadahook/net/store_listeners.py
+++ b/src/cicadahook/net/store_listeners.py
@@ -19,6 +19,7 @@
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import routes
 from cicadahook.core import store_api
+from cicadahook.core import store_sources
 from cicadahook.net import logs
 
 # The system's own keys, and those of its nodes.
@@ -43,6 +44,7 @@
         settings.front_address,
         settings.peer_address,
         int(time.time() * 1000),
+        0.0 < settings.link_mbps < store_sources.MIN_LINK_MBPS,
     )
 
 
--- a/src/cicadahook/platform/metadata_store.py
+++ b/src/cicadahook/platform/metadata_store.py
@@ -221,7 +221,6 @@
         Raises:
             errors.KeyValueUnavailableError: there was no answer, one that
                 leaves the outcome unknown, or one of an earlier era.
-            errors.KeyValueRejectedError: the store turned the call away.
         """
         session = self.fresh_session if is_fresh else self.session
         try:
--- a/src/cicadahook/platform/settings.py
+++ b/src/cicadahook/platform/settings.py
@@ -62,6 +62,7 @@
                 _read_seconds(bounds.get("quota_window_s", 0)),
                 float(bounds.get("quota_slack", 0)),
             ),
+            link_mbps=float(machine.get("link_mbps", 0.0)),
             memory_mb=int(machine.get("memory_mb", 0)),
             file_descriptors=int(machine.get("file_descriptors", 0)),
         )
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -10,6 +10,7 @@
   frontAddress @3 :Text;
   peerAddress @4 :Text;
   incarnation @5 :UInt64;
+  hasNarrowLink @6 :Bool;
 }
 
 struct InstanceLoad {
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -295,6 +295,34 @@
     assert followed and not followed & lost
 
 
+@pytest.mark.parametrize("wide", [0, 1, 5])
+def test_nodes_with_narrow_links_watch_only_where_others_lack(
+    wide: int,
+) -> None:
+    # All those with wide links are in one zone.
+    rosters = create_rosters(64)
+    records = {
+        roster.own.name: dataclasses.replace(
+            roster.own,
+            has_narrow_link=number % ZONES != 0 or number // ZONES >= wide,
+        )
+        for number, roster in enumerate(rosters)
+    }
+    watchers = set()
+    for roster in rosters:
+        roster.own = records[roster.own.name]
+        for received_at, status in list(roster.statuses.values()):
+            roster.statuses[status.node.name] = (
+                received_at,
+                dataclasses.replace(status, node=records[status.node.name]),
+            )
+        if not create_sources(roster).list_watchers(NOW):
+            watchers.add(roster.own)
+    assert len(watchers) == store_sources.MIN_WATCHERS
+    narrow = sum(record.has_narrow_link for record in watchers)
+    assert narrow == max(0, store_sources.MIN_WATCHERS - wide)
+
+
 def test_a_node_asks_those_first_that_can_tell_it_soonest() -> None:
     rosters = create_rosters(32)
     for roster in rosters:
