--- a/src/cicadahook/core/picture_age.py
+++ b/src/cicadahook/core/picture_age.py
@@ -11,12 +11,12 @@
 from cicadahook.core import clock as clock_lib
 
 # Where nodes follow others, a change must be in force within 3 s. These limits
-# leave the last second for a watcher that does not answer and for the store.
+# leave the last second for sources that do not answer, see `net.store_relay`.
 # While the store answers, watches end so early that no picture gets older.
 TARGET_AGE: Final = datetime.timedelta(milliseconds=1200)
 # A watcher with an older picture tells others nothing.
 MAX_TOLD_AGE: Final = datetime.timedelta(milliseconds=1500)
-# A follower with an older picture asks the store itself.
+# A follower with an older picture asks the store first.
 MAX_FOLLOWED_AGE: Final = datetime.timedelta(seconds=2)
 # Shortest time that the store waits for a change.
 MIN_WAIT: Final = datetime.timedelta(milliseconds=100)
--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -55,10 +55,10 @@
     node: datetime.timedelta
     retry: datetime.timedelta = datetime.timedelta(milliseconds=100)
 
-    def after(
+    def extend(
         self, store_wait: datetime.timedelta, node_wait: datetime.timedelta
     ) -> "Patience":
-        """Return the patience with sources that wait for a change."""
+        """Return the patience with sources that wait that long themselves."""
         return dataclasses.replace(
             self, store=self.store + store_wait, node=self.node + node_wait
         )
@@ -181,7 +181,7 @@
         told = await self._ask_in_turn(
             functools.partial(self._watch_store, prefix, position, store_wait),
             functools.partial(self._follow, prefix, position, node_wait),
-            WATCH_PATIENCE.after(store_wait, node_wait),
+            WATCH_PATIENCE.extend(store_wait, node_wait),
             is_stale=self.age.exceeds(picture_age.MAX_FOLLOWED_AGE),
         )
         self._log_late(told, before, sent)
@@ -322,7 +322,7 @@
             messages.FollowRequest(
                 position.revision, wait // messages.MILLISECOND, position.era
             ),
-            WATCH_PATIENCE.after(wait, wait),
+            WATCH_PATIENCE.extend(wait, wait),
             wait + ANSWER_SLACK,
         )
         if answer is None:
