--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -6,10 +6,9 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterator
-import dataclasses
 import datetime
 import functools
-from typing import Any, Final, Generic, TypeVar
+from typing import Any, Final, TypeVar
 import zlib
 
 import aiohttp
@@ -25,6 +24,7 @@
 from cicadahook.net import first_answer
 from cicadahook.net import logs
 from cicadahook.net import metrics
+from cicadahook.net import source_answers
 from cicadahook.net import store_relay_messages as messages
 
 # Time for the way to another node and back.
@@ -41,55 +41,6 @@
 logger: Final = logs.create_logger("watch")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Patience:
-    """How long to wait for a source before the next one is asked too.
-
-    Attributes:
-        store: how long for the store.
-        node: how long for another node.
-        retry: how long for the store, when it is asked again.
-    """
-
-    store: datetime.timedelta
-    node: datetime.timedelta
-    retry: datetime.timedelta = datetime.timedelta(milliseconds=100)
-
-    def extend(
-        self, store_wait: datetime.timedelta, node_wait: datetime.timedelta
-    ) -> "Patience":
-        """Return the patience with sources that wait that long themselves."""
-        return dataclasses.replace(
-            self, store=self.store + store_wait, node=self.node + node_wait
-        )
-
-
-# Answers to watches, beyond the wait for a change.
-WATCH_PATIENCE: Final = Patience(
-    store=datetime.timedelta(milliseconds=300),
-    node=datetime.timedelta(milliseconds=200),
-)
-LISTING_PATIENCE: Final = Patience(
-    store=datetime.timedelta(milliseconds=600),
-    node=datetime.timedelta(milliseconds=600),
-)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Told(Generic[T]):
-    """What a source tells.
-
-    Attributes:
-        source: the node that tells it; `store_sources.STORE` for the store.
-        content: the changes or items.
-        complete: up to when they are complete, if it tells.
-    """
-
-    source: roster_lib.NodeRecord | None
-    content: T
-    complete: datetime.datetime | None
-
-
 class RelayedStore:
     """The store, whose changes come from other nodes where these watch it.
 
@@ -144,17 +95,17 @@
         Raises:
             errors.KeyValueUnavailableError: nobody answered.
         """
-        told = await self._ask_in_turn(
+        answer = await self._ask_in_turn(
             functools.partial(self._list_store, prefix),
             functools.partial(self._list_node, prefix),
-            LISTING_PATIENCE,
+            source_answers.LISTING_PATIENCE,
             is_stale=True,
         )
-        self._accept(told)
-        if told.source is store_sources.STORE:
-            self.position = told.content.position
+        self._accept(answer)
+        if answer.source is store_sources.STORE:
+            self.position = answer.content.position
             self.advanced = self.clock.now()
-        return told.content
+        return answer.content
 
     async def watch(
         self,
@@ -178,32 +129,35 @@
             self.age.get_rest(picture_age.MAX_FOLLOWED_AGE),
         )
         before, sent = self.age.get_age(), self.clock.now()
-        told = await self._ask_in_turn(
+        answer = await self._ask_in_turn(
             functools.partial(self._watch_store, prefix, position, store_wait),
             functools.partial(self._follow, prefix, position, node_wait),
-            WATCH_PATIENCE.extend(store_wait, node_wait),
+            source_answers.WATCH_PATIENCE.extend(store_wait, node_wait),
             is_stale=self.age.exceeds(picture_age.MAX_FOLLOWED_AGE),
         )
-        self._log_late(told, before, sent)
-        self._accept(told)
-        if told.content.position > self.position:
-            self.position = told.content.position
+        self._log_late(answer, before, sent)
+        self._accept(answer)
+        if answer.content.position > self.position:
+            self.position = answer.content.position
             self.advanced = self.clock.now()
         metrics.count_watch_answer(
-            "store" if told.source is store_sources.STORE else "node"
+            "store" if answer.source is store_sources.STORE else "node"
         )
-        return told.content
+        return answer.content
 
     async def _ask_in_turn(
         self,
-        ask_store: Callable[[bool], Coroutine[Any, Any, Told[T]]],
+        ask_store: Callable[
+            [bool], Coroutine[Any, Any, source_answers.SourceAnswer[T]]
+        ],
         ask_node: Callable[
-            [roster_lib.NodeRecord], Coroutine[Any, Any, Told[T] | None]
+            [roster_lib.NodeRecord],
+            Coroutine[Any, Any, source_answers.SourceAnswer[T] | None],
         ],
-        patience: Patience,
+        patience: source_answers.Patience,
         *,
         is_stale: bool,
-    ) -> Told[T]:
+    ) -> source_answers.SourceAnswer[T]:
         """Return what the first source tells that is able to.
 
         Args:
@@ -217,19 +171,25 @@
         """
         failures: list[errors.KeyValueUnavailableError] = []
 
-        async def try_store(is_fresh: bool) -> Told[T] | None:
+        async def try_store(
+            is_fresh: bool,
+        ) -> source_answers.SourceAnswer[T] | None:
             try:
                 return await ask_store(is_fresh)
             except errors.KeyValueUnavailableError as error:
                 failures.append(error)
                 return None
 
-        def ask(node: roster_lib.NodeRecord) -> first_answer.Question[Told[T]]:
+        def ask(
+            node: roster_lib.NodeRecord,
+        ) -> first_answer.Question[source_answers.SourceAnswer[T]]:
             return first_answer.Question(
                 functools.partial(ask_node, node), patience.node
             )
 
-        def create_questions() -> Iterator[first_answer.Question[Told[T]]]:
+        def create_questions() -> (
+            Iterator[first_answer.Question[source_answers.SourceAnswer[T]]]
+        ):
             tries = 1
             for source in self.sources.plan(
                 self.clock.now(), is_stale=is_stale
@@ -251,29 +211,32 @@
                 yield first_answer.Question(_pause, 2 * NEXT_ROUND_PAUSE)
                 yield from map(ask, self.sources.list_nodes(self.clock.now()))
 
-        told = await first_answer.get(create_questions())
-        if told is None:
+        answer = await first_answer.get(create_questions())
+        if answer is None:
             raise failures[0]
-        return told
+        return answer
 
     async def _list_store(
         self, prefix: str, is_fresh: bool
-    ) -> Told[store_api.Listing]:
+    ) -> source_answers.SourceAnswer[store_api.Listing]:
         """Return all items of the store."""
         sent = self.clock.now()
         listing = await self.store.list_items(prefix, is_fresh=is_fresh)
-        return Told(store_sources.STORE, listing, sent)
+        return source_answers.SourceAnswer(store_sources.STORE, listing, sent)
 
     async def _list_node(
         self, prefix: str, node: roster_lib.NodeRecord
-    ) -> Told[store_api.Listing] | None:
+    ) -> source_answers.SourceAnswer[store_api.Listing] | None:
         """Return all items of a node, if they are no older than what is known.
 
         They must not be of an earlier era either.
         """
         sent = self.clock.now()
         answer = await self._ask(
-            node, messages.FollowRequest(-1), LISTING_PATIENCE, LISTING_TIMEOUT
+            node,
+            messages.FollowRequest(-1),
+            source_answers.LISTING_PATIENCE,
+            LISTING_TIMEOUT,
         )
         if (
             answer is None
@@ -281,7 +244,7 @@
             or answer.position < self.position
         ):
             return None
-        return Told(
+        return source_answers.SourceAnswer(
             node,
             messages.create_listing(answer, prefix),
             messages.find_completeness(answer, sent),
@@ -293,7 +256,7 @@
         position: store_api.Position,
         wait: datetime.timedelta,
         is_fresh: bool,
-    ) -> Told[store_api.Changes]:
+    ) -> source_answers.SourceAnswer[store_api.Changes]:
         """Return the changes of which the store tells."""
         sent = self.clock.now()
         changes = await self.store.watch(
@@ -302,7 +265,9 @@
         complete = picture_age.find_end_of_silence(
             sent, self.clock.now(), wait, is_empty=not changes.changes
         )
-        return Told(store_sources.STORE, changes, complete)
+        return source_answers.SourceAnswer(
+            store_sources.STORE, changes, complete
+        )
 
     async def _follow(
         self,
@@ -310,7 +275,7 @@
         position: store_api.Position,
         wait: datetime.timedelta,
         node: roster_lib.NodeRecord,
-    ) -> Told[store_api.Changes] | None:
+    ) -> source_answers.SourceAnswer[store_api.Changes] | None:
         """Return the changes of which a node tells.
 
         Returns:
@@ -322,7 +287,7 @@
             messages.FollowRequest(
                 position.revision, wait // messages.MILLISECOND, position.era
             ),
-            WATCH_PATIENCE.extend(wait, wait),
+            source_answers.WATCH_PATIENCE.extend(wait, wait),
             wait + ANSWER_SLACK,
         )
         if answer is None:
@@ -339,7 +304,9 @@
             self._avoid(node, position, "picture too old")
             return None
         changes = messages.create_changes(answer)
-        return Told(node, _select(changes, prefix), complete)
+        return source_answers.SourceAnswer(
+            node, _select(changes, prefix), complete
+        )
 
     def _is_too_old(self, complete: datetime.datetime | None) -> bool:
         """Whether the picture would still be too old with an answer."""
@@ -351,47 +318,47 @@
         limit = self.clock.now() - picture_age.MAX_FOLLOWED_AGE
         return bool(known) and max(known) < limit
 
-    def _accept(self, told: Told[Any]) -> None:
-        """Record who has told what this node is to believe now."""
-        is_direct = told.source is store_sources.STORE
+    def _accept(self, answer: source_answers.SourceAnswer[Any]) -> None:
+        """Record who has answer what this node is to believe now."""
+        is_direct = answer.source is store_sources.STORE
         if is_direct != self.is_direct:
             logger.info(
                 "Source of changes in the store changed.",
                 extra={"is_direct": is_direct},
             )
         self.is_direct = is_direct
-        source = "store" if told.source is store_sources.STORE else "node"
-        if told.complete is None:
+        source = "store" if answer.source is store_sources.STORE else "node"
+        if answer.complete is None:
             return
         age = self.age.get_age()
         if age is not None:
             metrics.record_picture_age(age, source)
-        self.age.confirm(told.complete)
+        self.age.confirm(answer.complete)
 
     def _log_late(
         self,
-        told: Told[store_api.Changes],
+        answer: source_answers.SourceAnswer[store_api.Changes],
         before: datetime.timedelta | None,
         sent: datetime.datetime,
     ) -> None:
         """Log changes that may have been made long ago.
 
         Args:
-            told: the changes.
+            answer: the changes.
             before: age of the picture when they were asked for.
             sent: when that was.
         """
         took = self.clock.now() - sent
         possible_age = took if before is None else before + took
-        if not told.content.changes or possible_age < LATE_AGE:
+        if not answer.content.changes or possible_age < LATE_AGE:
             return
         logger.info(
             "Changes in the store may have come late.",
             extra={
-                "source": told.source.name if told.source else "store",
+                "source": answer.source.name if answer.source else "store",
                 "picture_age_ms": before and before // messages.MILLISECOND,
                 "took_ms": took // messages.MILLISECOND,
-                "position": str(told.content.position),
+                "position": str(answer.content.position),
             },
         )
 
@@ -399,7 +366,7 @@
         self,
         node: roster_lib.NodeRecord,
         question: messages.FollowRequest,
-        patience: Patience,
+        patience: source_answers.Patience,
         timeout: datetime.timedelta,
     ) -> messages.FollowAnswer | None:
         """Return a node's answer; avoid one that has none for a while."""
