Say who named the era of the store that a node believes

When a node rejects the store's answers as those of an earlier era, neither its logs nor its metrics told which era it believes and who named it, so that a return of the store from a copy looked like a false era of another node.

The tracker of the era, now a module of its own, keeps the source and the time; the message of a rejected answer, the log line of a new era and the metric `cicada_store_eras` name the source.

--- a/src/cicadahook/core/store_api.py
+++ b/src/cicadahook/core/store_api.py
@@ -7,13 +7,13 @@
 The HTTP client that implements it is `platform.metadata_store`.
 """
 
-from collections.abc import Callable
 import dataclasses
 import datetime
 from typing import Final, Protocol
 
 from cicadahook.core import errors
 from cicadahook.core import store_contact
+from cicadahook.core import store_eras
 
 # Era of a store that names none, and of one that never lost a write.
 FIRST_ERA: Final = 1
@@ -51,27 +51,6 @@
 ORIGIN: Final = Position(0, 0)
 
 
-class EraTracker:
-    """The newest era of the store that a node knows of.
-
-    Attributes:
-        current: the era; 0 before the first answer of the store.
-        listeners: called with each newer era.
-    """
-
-    def __init__(self) -> None:
-        self.current = 0
-        self.listeners: list[Callable[[int], None]] = []
-
-    def observe(self, era: int) -> bool:
-        """Record an era; return whether it is not older than the newest."""
-        if era > self.current:
-            self.current = era
-            for listener in self.listeners:
-                listener(era)
-        return era == self.current
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Item:
     """A key with its value.
@@ -167,7 +146,7 @@
         contact: whether the store answers this node.
     """
 
-    eras: EraTracker
+    eras: store_eras.EraTracker
     contact: store_contact.StoreContact
 
     async def list_items(
--- a/src/cicadahook/net/holder_lease.py
+++ b/src/cicadahook/net/holder_lease.py
@@ -13,6 +13,7 @@
 from cicadahook.core import errors
 from cicadahook.core import order_holder
 from cicadahook.core import store_api
+from cicadahook.core import store_eras
 from cicadahook.net import logs
 from cicadahook.net import metrics
 
@@ -92,7 +93,7 @@
             await self._resign_if_cut_off()
             await self._wait()
 
-    def apply_era(self, era: int) -> None:
+    def apply_era(self, change: store_eras.EraChange) -> None:
         """Give up what rests on an earlier era of the store.
 
         The lease may be lost, and its number that of another node's by now. The
@@ -102,19 +103,25 @@
         state = self.holder_state
         previous, newest_term = state.era, state.newest_term
         if not state.record_era(
-            era, self.clock.now(), is_granted=self.is_granted()
+            change.era, self.clock.now(), is_granted=self.is_granted()
         ):
             return
         if not previous:
+            logger.info(
+                "Era of the store is known.",
+                extra={"era": change.era, "source": change.source},
+            )
             return
         self._drop_lease()
         if state.is_continuing:
             self.era_began.set()
-        metrics.count_store_era(state.name)
+        is_own = change.source == store_eras.STORE
+        metrics.count_store_era(state.name, "store" if is_own else "node")
         logger.warning(
             "Store returned from an older copy; its leases are given up.",
             extra={
-                "era": era,
+                "era": change.era,
+                "source": change.source,
                 "previous_era": previous,
                 "newest_term": newest_term,
                 "was_holder": state.is_continuing,
--- a/src/cicadahook/net/metrics.py
+++ b/src/cicadahook/net/metrics.py
@@ -104,13 +104,18 @@
     histogram.record(delay.total_seconds())
 
 
-def count_store_era(node: str) -> None:
-    """Count an era of the store that began while this node ran."""
+def count_store_era(node: str, source: str) -> None:
+    """Count an era of the store that began while this node ran.
+
+    Args:
+        node: name of this node.
+        source: "store" if the store named the era itself, else "node".
+    """
     counter = create_counter(
         "cicada_store_eras",
-        "Returns of the store from an older copy of itself.",
+        "Returns of the store from an older copy of itself, by who named them.",
     )
-    counter.add(1, {"node": node})
+    counter.add(1, {"node": node, "source": source})
 
 
 def count_surplus(place: str) -> None:
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -28,6 +28,7 @@
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import routes
 from cicadahook.core import store_api
+from cicadahook.core import store_eras
 from cicadahook.core import store_sources
 from cicadahook.core import stream_origins
 from cicadahook.core import upstream_statements
@@ -355,9 +356,9 @@
         services = {each.name for each in configuration.list_engine_services()}
         return self.links.is_cut_off(services)
 
-    def apply_era(self, era: int) -> None:
+    def apply_era(self, change: store_eras.EraChange) -> None:
         """Give up what rests on an earlier era of the store."""
-        self.leadership.apply_era(era)
+        self.leadership.apply_era(change)
         self.forwarder.resumption.apply_era()
 
     def apply_configuration(self, configuration: routes.Configuration) -> None:
--- a/src/cicadahook/net/status_receiver.py
+++ b/src/cicadahook/net/status_receiver.py
@@ -9,7 +9,7 @@
 from cicadahook.core import order_holder
 from cicadahook.core import residency as residency_lib
 from cicadahook.core import roster as roster_lib
-from cicadahook.core import store_api
+from cicadahook.core import store_eras
 from cicadahook.core import stream_origins
 from cicadahook.core import terms
 from cicadahook.net import copy_requests
@@ -42,7 +42,7 @@
     links: upstream_links.UpstreamLinks
     origins: stream_origins.StreamOrigins
     copies: copy_requests.CopyRequester
-    eras: store_api.EraTracker
+    eras: store_eras.EraTracker
 
 
 class StatusReceiver:
@@ -62,7 +62,9 @@
         targets = self.targets
         components = targets.forwarder.components
         if targets.roster.record_status(status, self.clock.now()):
-            targets.eras.observe(terms.find_era(status.newest_term))
+            targets.eras.observe(
+                terms.find_era(status.newest_term), status.node.name
+            )
             targets.holder_state.record_term(status.newest_term)
             if status.grant.holder == targets.roster.own.name:
                 targets.grants.receive(
--- a/src/cicadahook/platform/metadata_store.py
+++ b/src/cicadahook/platform/metadata_store.py
@@ -11,6 +11,7 @@
 from cicadahook.core import errors
 from cicadahook.core import store_api
 from cicadahook.core import store_contact
+from cicadahook.core import store_eras
 from cicadahook.net import answer_protocol
 
 # The store is specified to answer within 4 ms; a slow one may take far longer.
@@ -77,7 +78,7 @@
 
     def __init__(self, address: str, clock: clock_lib.Clock) -> None:
         self.base_url = f"http://{address}"
-        self.eras = store_api.EraTracker()
+        self.eras = store_eras.EraTracker(clock)
         self.contact = store_contact.StoreContact(clock)
         self.session = answer_protocol.open_session()
         self.fresh_session = answer_protocol.open_session(keepalive=0)
@@ -244,7 +245,8 @@
                 era = _decode_era(response.headers.get(ERA_HEADER))
                 if not self.eras.observe(era):
                     raise errors.KeyValueUnavailableError(
-                        f"{method} {path}: answer of the earlier era {era}"
+                        f"{method} {path}: answer of the earlier era {era};"
+                        f" {self.eras.describe()}"
                     )
                 self.contact.record_answer()
                 return response.status, era, fields
--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -16,6 +16,7 @@
 from cicadahook.core import status_schedule
 from cicadahook.core import store_api
 from cicadahook.core import store_contact
+from cicadahook.core import store_eras
 from cicadahook.core import store_sources
 from cicadahook.net import clock as system_clock
 from cicadahook.net import holder_lease
@@ -87,8 +88,9 @@
 
     def __init__(self, store: Store) -> None:
         self.store = store
-        self.eras = store_api.EraTracker()
-        self.contact = store_contact.StoreContact(system_clock.SystemClock())
+        clock = system_clock.SystemClock()
+        self.eras = store_eras.EraTracker(clock)
+        self.contact = store_contact.StoreContact(clock)
         self.is_silent = False
         self.is_rejecting = False
         self.dead_connections = 0
