Read no era of the store out of a fence

What callers saw: once a term of the order holder began at a revision of the store over 2**32, no node put a new configuration in force, requests reached upstreams that were draining, and a node that started beside others never became ready.

Cause: a fence is era x 2**32 + revision. Nodes read the era of the store back from the newest fence of each status (`terms.find_era`), as if a revision had 32 bits; in era 1 read as era 2. They then rejected all answers of the store as late ones of era 1, for good.

Change: statuses name the era in a field of their own (`era`; 0 is "not told", as with older builds), and `find_era` is gone. Fences stay the same numbers in all builds, so none goes down during an update.

--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -110,6 +110,8 @@
         allowances: what it has charged to each tenant that has a limit.
         lacks_store: whether the store does not answer it; nodes of older builds
             do not tell.
+        era: era of the store to which `fence` and `newest_term` belong; 0 if
+            it knows of none, or its build is older than this field.
     """
 
     node: NodeRecord
@@ -134,6 +136,7 @@
     wants_grants: bool = False
     allowances: tuple[token_buckets.AllowanceStatement, ...] = ()
     lacks_store: bool = False
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadahook/core/terms.py
+++ b/src/cicadahook/core/terms.py
@@ -1,16 +1,18 @@
 """Fences of the terms of order holders, and the eras that their keys name.
 
 A fence is made of the era of the store and the revision at which the term
-began, so that it rises over all eras. The value of a key names the holder, its
-process and the era in which it was written.
+began, so that it rises over all eras. It is a number to compare only: revisions
+have no limit, so the era can't be read back from it. The value of a key names
+the holder, its process and the era in which it was written.
 """
 
 from typing import Final
 
 from cicadahook.core import store_api
 
-# Bits of a fence that hold the revision, below those of the era.
-FENCE_REVISION_BITS: Final = 32
+# By how much fences rise from one era to the next. The copy from which the
+# store returns is seconds old, so that it lacks far fewer revisions.
+FENCES_PER_ERA: Final = 1 << 32
 
 
 def compute_fence(position: store_api.Position) -> int:
@@ -19,12 +21,7 @@
     In the first era it is the revision, as with nodes of older builds.
     """
     elapsed = position.era - store_api.FIRST_ERA
-    return (elapsed << FENCE_REVISION_BITS) + position.revision
-
-
-def find_era(fence: int) -> int:
-    """Return the era of a fence."""
-    return (fence >> FENCE_REVISION_BITS) + store_api.FIRST_ERA
+    return elapsed * FENCES_PER_ERA + position.revision
 
 
 def names_era(item: store_api.Item) -> bool:
--- a/src/cicadahook/net/status_receiver.py
+++ b/src/cicadahook/net/status_receiver.py
@@ -11,7 +11,6 @@
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import store_eras
 from cicadahook.core import stream_origins
-from cicadahook.core import terms
 from cicadahook.net import copy_requests
 from cicadahook.net import forwarder as forwarder_lib
 from cicadahook.net import logs
@@ -62,9 +61,7 @@
         targets = self.targets
         components = targets.forwarder.components
         if targets.roster.record_status(status, self.clock.now()):
-            targets.eras.observe(
-                terms.find_era(status.newest_term), status.node.name
-            )
+            targets.eras.observe(status.era, status.node.name)
             targets.holder_state.record_term(status.newest_term)
             if status.grant.holder == targets.roster.own.name:
                 targets.grants.receive(
--- a/src/cicadahook/net/status_reporter.py
+++ b/src/cicadahook/net/status_reporter.py
@@ -214,6 +214,7 @@
             wants_grants=sources.holder_state.wants_grants(now),
             allowances=components.allowances.list_statements(now),
             lacks_store=sources.contact.is_lost(),
+            era=sources.holder_state.era,
         )
 
     def list_loads(self) -> tuple[expected_waits.LoadStatement, ...]:
--- a/src/cicadahook/schema/peer.capnp
+++ b/src/cicadahook/schema/peer.capnp
@@ -139,6 +139,7 @@
   wantsGrants @22 :Bool;
   allowances @23 :List(AllowanceStatement);
   lacksStore @24 :Bool;
+  era @25 :UInt64;
 }
 
 struct ProbeRequest {
