Grant nothing to a holder of an earlier era, whatever its fence

What could happen: after a return of the store from a copy at a revision over 2**32, a node that knows of the new era still granted a holder of the earlier era that has not heard of it to go on. Only the grant that the next holder itself refuses kept the two apart.

Cause: the lowest fence of an era, era x 2**32, was taken for higher than all fences of the era before. That holds only for revisions below 2**32. A term of another era also ended the own one by its number alone.

Change: grants and the end of the own term compare the era that the status names first, and fences only within an era. Statuses of older builds name none; their numbers are compared as before.

--- a/src/cicadahook/core/order_holder.py
+++ b/src/cicadahook/core/order_holder.py
@@ -72,8 +72,8 @@
         keys_read_at: when the keys were first read in this era; None if not
             yet.
         is_term_leased: whether the present lease is that of the own term.
-        newest_term: highest fence that this node knows of; the lowest of the
-            era if it knows of no term in it.
+        newest_term: highest fence that this node knows of. Before it knows of
+            a term in the era, it may be one of the era before.
         resigned_fence: fence of the newest own term that this process has
             resigned from; 0 if none.
     """
@@ -176,10 +176,18 @@
             if fence not in (self.fence, self.resigned_fence):
                 self._begin_term(fence, previous, known_pause_end, now)
         elif term is not None:
-            self.record_term(terms.find_key_fence(term))
+            self.record_term(terms.find_key_fence(term), self.era)
 
-    def record_term(self, fence: int) -> None:
-        """Record a term; one that is newer than the own ends the own term."""
+    def record_term(self, fence: int, era: int) -> None:
+        """Record a term; one that is newer than the own ends the own term.
+
+        Args:
+            fence: its fence.
+            era: era in which it is known to be the newest; 0 if that is not
+                told. One of another era says nothing of this one.
+        """
+        if era not in (0, self.era):
+            return
         self.newest_term = max(self.newest_term, fence)
         if fence > self.fence:
             self.fence = 0
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -255,12 +255,21 @@
         known = self.statuses.keys() | self.registered.keys()
         return frozenset(known - removed - {self.own.name})
 
-    def create_grant(self, term: int, now: datetime.datetime) -> grants.Grant:
-        """Return the grant of this node, which knows of terms up to `term`."""
+    def create_grant(
+        self, term: int, era: int, now: datetime.datetime
+    ) -> grants.Grant:
+        """Return the grant of this node.
+
+        Args:
+            term: fence of the newest term that this node knows of.
+            era: era of the store that this node believes. A term of an earlier
+                one may have a higher fence than `term`.
+            now: the time.
+        """
         holders = [
             status
             for _, status in self.list_recent(now)
-            if status.fence and status.fence >= term
+            if status.fence and status.fence >= term and status.era in (0, era)
         ]
         if not holders:
             return grants.Grant()
--- a/src/cicadahook/net/status_receiver.py
+++ b/src/cicadahook/net/status_receiver.py
@@ -62,7 +62,7 @@
         components = targets.forwarder.components
         if targets.roster.record_status(status, self.clock.now()):
             targets.eras.observe(status.era, status.node.name)
-            targets.holder_state.record_term(status.newest_term)
+            targets.holder_state.record_term(status.newest_term, status.era)
             if status.grant.holder == targets.roster.own.name:
                 targets.grants.receive(
                     status.node.name, status.grant, targets.holder_state.fence
--- a/src/cicadahook/net/status_reporter.py
+++ b/src/cicadahook/net/status_reporter.py
@@ -236,7 +236,7 @@
         if not holder_state.has_read_keys:
             return grants.Grant()
         return self.sources.roster.create_grant(
-            holder_state.newest_term, self.clock.now()
+            holder_state.newest_term, holder_state.era, self.clock.now()
         )
 
 
--- a/tests/test_holder_stateful.py
+++ b/tests/test_holder_stateful.py
@@ -25,6 +25,8 @@
 NAMES = ("n1", "n2", "n3")
 FAULTS = ("", "", "", "no_renewal", "no_view", "lost_answer", "late_write")
 MAX_COPIES = 40
+# Of the store when the nodes start; also where 32 bits end, and far beyond.
+REVISIONS = (1, 2**32 - 40, 2**32 + 2**31, 2**60)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,7 +77,9 @@
         self.grants.record_status(self.number, now)
         grant = grants.Grant()
         if self.holder_state.has_read_keys:
-            grant = self.roster.create_grant(self.holder_state.newest_term, now)
+            grant = self.roster.create_grant(
+                self.holder_state.newest_term, self.holder_state.era, now
+            )
         return roster_lib.NodeStatus(
             self.roster.own,
             self.number,
@@ -94,7 +98,7 @@
         """Process another node's status."""
         if self.roster.record_status(status, now):
             self.hear_era(status.era, now)
-            self.holder_state.record_term(status.newest_term)
+            self.holder_state.record_term(status.newest_term, status.era)
             if status.grant.holder == self.holder_state.name:
                 self.grants.receive(
                     status.node.name, status.grant, self.holder_state.fence
@@ -120,6 +124,11 @@
         self.is_store_up = True
         self.delayed: list[roster_lib.NodeStatus] = []
 
+    @stateful.initialize(revision=st.sampled_from(REVISIONS))
+    def start_store(self, revision: int) -> None:
+        """Let the store have made many changes before."""
+        self.revision = revision
+
     def _create(self, name: str) -> "SimulatedNode":
         self.starts = getattr(self, "starts", 0) + 1
         record = roster_lib.NodeRecord(
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -52,11 +52,13 @@
     return write
 
 
-def create_holder(name: str) -> order_holder.HolderStateMachine:
-    """Return a node that is holder in the first era, with fence 30."""
+def create_holder(
+    name: str, revision: int = 30
+) -> order_holder.HolderStateMachine:
+    """Return a node that is holder in the first era since a revision."""
     state = create_holder_state(name)
-    state.observe_keys(None, None, None, at(29), NOW)
-    win(state, at(30), NOW)
+    state.observe_keys(None, None, None, at(revision - 1), NOW)
+    win(state, at(revision), NOW)
     assert state.can_send(NOW, is_granted=False)
     return state
 
@@ -220,28 +222,56 @@
     assert terms.compute_fence(at(30)) == 30
 
 
-def test_a_node_in_a_newer_era_grants_nothing_to_an_earlier_term() -> None:
-    holder = create_holder("n3")
+@pytest.mark.parametrize("revision", [30, 2**32 + 30, 2**53, 2**62])
+def test_a_node_in_a_newer_era_grants_nothing_to_an_earlier_term(
+    revision: int,
+) -> None:
+    """Guards against fences of a new era below those of the one before."""
+    holder = create_holder("n3", revision)
     record = roster_lib.NodeRecord("n3", "z", "r", "f:1", "p:1", 1)
     known = roster_lib.Roster(
         roster_lib.NodeRecord("n1", "z", "r", "f:2", "p:2", 1)
     )
     known.record_status(
         roster_lib.NodeStatus(
-            record, 1, True, True, False, holder.fence, holder.newest_term
+            record,
+            1,
+            True,
+            True,
+            False,
+            holder.fence,
+            holder.newest_term,
+            era=holder.era,
         ),
         NOW,
     )
     peer = create_holder_state("n1")
-    peer.observe_keys(None, None, None, at(30), NOW)
-    assert known.create_grant(peer.newest_term, NOW).holder == "n3"
+    peer.observe_keys(None, None, None, at(revision), NOW)
+    assert known.create_grant(peer.newest_term, peer.era, NOW).holder == "n3"
+    peer.record_era(2, NOW, is_granted=False)
+    assert not known.create_grant(peer.newest_term, peer.era, NOW).holder
+
+
+def test_a_newer_era_ends_the_term_of_a_holder_of_an_older_build() -> None:
+    # Such a build compares the numbers alone.
+    holder = create_holder("n3")
+    peer = create_holder_state("n1")
     peer.record_era(2, NOW, is_granted=False)
-    assert not known.create_grant(peer.newest_term, NOW).holder
-    # Its status ends the term, also at a node of an older build.
-    holder.record_term(peer.newest_term)
+    holder.record_term(peer.newest_term, 0)
     assert not holder.can_send(NOW, is_granted=True)
 
 
+def test_a_term_of_another_era_ends_no_term_of_this_one() -> None:
+    holder = create_holder("n3")
+    holder.record_era(2, NOW, is_granted=False)
+    holder.observe_keys(None, None, None, at(31, 2), NOW)
+    win(holder, at(32, 2), NOW)
+    for era in (1, 3):
+        # The store has not named the later one to this node.
+        holder.record_term(2**62, era)
+    assert holder.can_send(NOW, is_granted=True)
+
+
 # Upstreams and versions.
 
 
