Believe the store about its era, not other nodes

What callers saw: one status with a wrong era, or one such answer on changes of the store, and a node rejected all of the store's answers until its process ended: no configuration, no drain, no lease. A node that started heard of the wrong era before it had asked and never became ready.

Cause: the era that a node believes only rose, any node could raise it, and the store, which names its era in each answer, was never asked. Positions that came with items of other nodes were taken without a check, too.

Change: another node is believed only while the store does not answer, and only until it answers a call that was sent after the claim. If it denies the claim then, the node goes back, lists all items anew and resigns from its term. The reason for the check stays: late answers of an earlier era are dropped, and no answer denies an era that the store itself has named.

--- a/src/cicadahook/core/inventory.py
+++ b/src/cicadahook/core/inventory.py
@@ -7,6 +7,7 @@
 from cicadahook.core import leaving_upstreams
 from cicadahook.core import picture_age
 from cicadahook.core import store_api
+from cicadahook.core import store_eras
 
 # Time after the end of a store outage within which upstreams register again.
 REREGISTRATION_PERIOD = datetime.timedelta(seconds=2)
@@ -142,6 +143,11 @@
         self.instances[entry.id] = entry
         self.seen[(entry.id, entry.software)] = entry
 
+    def apply_era(self, change: store_eras.EraChange) -> None:
+        """Accept an earlier position if the store denies a later era."""
+        if self.position.era > change.era:
+            self.position = store_api.ORIGIN
+
     def take_seen(self) -> tuple[tuple[Instance, ...], bool]:
         """Return all registrations since the last call.
 
--- a/src/cicadahook/core/order_holder.py
+++ b/src/cicadahook/core/order_holder.py
@@ -134,14 +134,30 @@
         elif self.is_continuing:
             end = self.continuing_until
             self.is_continuing = end is not None and now < end
+        known_term = self.newest_term
+        self._enter_era(era, now)
+        self.newest_term = max(self.newest_term, known_term)
+        return True
+
+    def return_to_era(self, era: int, now: datetime.datetime) -> None:
+        """Go back to the era of the store, which has denied a later one.
+
+        The own term ended with the era that was believed. It is left to all
+        nodes, as it was not renewed meanwhile.
+        """
+        self.resigned_fence = self.last_fence
+        self.is_continuing = False
+        self.continuing_until = None
+        self._enter_era(era, now)
+
+    def _enter_era(self, era: int, now: datetime.datetime) -> None:
+        """Forget what held in another era."""
         self.era, self.era_seen_at = era, now
         self.fence = 0
         self.holder = self.term = self.pause_end = None
         self.keys_read_at = None
         self.record_lease_end()
-        lowest = terms.compute_fence(store_api.Position(era, 0))
-        self.newest_term = max(self.newest_term, lowest)
-        return True
+        self.newest_term = terms.compute_fence(store_api.Position(era, 0))
 
     def observe_keys(
         self,
--- a/src/cicadahook/core/store_api.py
+++ b/src/cicadahook/core/store_api.py
@@ -142,7 +142,7 @@
     may still do so.
 
     Attributes:
-        eras: the newest era that the store or another node has named.
+        eras: the era of the store.
         contact: whether the store answers this node.
     """
 
--- a/src/cicadahook/core/version_records.py
+++ b/src/cicadahook/core/version_records.py
@@ -109,7 +109,7 @@
         bound_since: since when this node has seen a record without a gap and no
             node of an older build; all nodes name versions in the record before
             they use them.
-        era: newest era of the store in which the record was seen; 0 before.
+        era: era of the store in which the record was last seen; 0 before.
     """
 
     def __init__(self, *, is_first_start: bool = False) -> None:
@@ -133,10 +133,10 @@
         self.stored = StoredRecord(record, item.position) if item else None
 
     def _record_era(self, era: int) -> None:
-        """Forget what held in an earlier era: the store may have lost it."""
-        if 0 < self.era < era:
+        """Forget what held in another era: the store may have lost it."""
+        if 0 < self.era != era:
             self.bound_since, self.is_first_start = None, False
-        self.era = max(self.era, era)
+        self.era = era
 
     def may_begin(self, instance: inventory.Instance) -> bool:
         """Whether a stream that may be resumed may begin at an upstream."""
--- a/src/cicadahook/net/holder_lease.py
+++ b/src/cicadahook/net/holder_lease.py
@@ -94,13 +94,21 @@
             await self._wait()
 
     def apply_era(self, change: store_eras.EraChange) -> None:
-        """Give up what rests on an earlier era of the store.
+        """Give up what rests on another era of the store.
 
         The lease may be lost, and its number that of another node's by now. The
         others get theirs at their next renewal, so that they do not all write
         at once.
         """
         state = self.holder_state
+        if change.is_denial:
+            state.return_to_era(change.era, self.clock.now())
+            self._drop_lease()
+            logger.warning(
+                "Store denies the era that another node named.",
+                extra={"era": change.era, "previous_era": change.previous},
+            )
+            return
         previous, newest_term = state.era, state.newest_term
         if not state.record_era(
             change.era, self.clock.now(), is_granted=self.is_granted()
--- a/src/cicadahook/net/node.py
+++ b/src/cicadahook/net/node.py
@@ -28,7 +28,6 @@
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import routes
 from cicadahook.core import store_api
-from cicadahook.core import store_eras
 from cicadahook.core import store_sources
 from cicadahook.core import stream_origins
 from cicadahook.core import upstream_statements
@@ -214,7 +213,6 @@
             self.is_cut_off_from_engines,
             is_granted=self.is_granted,
         )
-        platform.store.eras.listeners.append(self.apply_era)
         self.own_keys = store_listeners.OwnKeysListener(
             self.roster, self.holder_state, clock
         )
@@ -225,6 +223,12 @@
             age,
             platform.redact,
         )
+        platform.store.eras.listeners += [
+            self.leadership.apply_era,
+            inventory.apply_era,
+            self.relayed_store.apply_era,
+            self.forwarder.resumption.apply_era,
+        ]
         self.reporter = status_reporter.StatusReporter(
             status_reporter.StatusEndpoint(self.receiver.receive),
             status_reporter.StatusSources(
@@ -356,11 +360,6 @@
         services = {each.name for each in configuration.list_engine_services()}
         return self.links.is_cut_off(services)
 
-    def apply_era(self, change: store_eras.EraChange) -> None:
-        """Give up what rests on an earlier era of the store."""
-        self.leadership.apply_era(change)
-        self.forwarder.resumption.apply_era()
-
     def apply_configuration(self, configuration: routes.Configuration) -> None:
         """Replace the configuration by a newer one."""
         self.forwarder.configuration = configuration
--- a/src/cicadahook/net/status_receiver.py
+++ b/src/cicadahook/net/status_receiver.py
@@ -31,7 +31,7 @@
         links: the links to the upstreams.
         origins: software versions that began streams.
         copies: requests copies from the holder of orders.
-        eras: the newest era of the store.
+        eras: the era of the store.
     """
 
     roster: roster_lib.Roster
@@ -61,7 +61,7 @@
         targets = self.targets
         components = targets.forwarder.components
         if targets.roster.record_status(status, self.clock.now()):
-            targets.eras.observe(status.era, status.node.name)
+            self.hear_era(status)
             targets.holder_state.record_term(status.newest_term, status.era)
             if status.grant.holder == targets.roster.own.name:
                 targets.grants.receive(
@@ -98,6 +98,21 @@
             )
             targets.forwarder.crash_guard.merge(status.crash_suspects)
 
+    def hear_era(self, status: roster_lib.NodeStatus) -> None:
+        """Record the era that a node has from the store."""
+        if status.lacks_store:
+            return
+        eras = self.targets.eras
+        if eras.hear(status.era, status.node.name):
+            logger.info(
+                "Another node names an era that the store has not named.",
+                extra={
+                    "era": status.era,
+                    "node": status.node.name,
+                    "known_era": eras.current,
+                },
+            )
+
     def withdraw(self, copies: Iterable[roster_lib.WithdrawnCopy]) -> None:
         """Route no more requests to copies that engines must unload."""
         now = self.clock.now()
--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -19,6 +19,7 @@
 from cicadahook.core import picture_age
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import store_api
+from cicadahook.core import store_eras
 from cicadahook.core import store_sources
 from cicadahook.net import change_feed
 from cicadahook.net import first_answer
@@ -55,6 +56,7 @@
         position: newest position that was read; items of other nodes must not
             be older.
         advanced: when that position was read.
+        must_list: whether what was read may be of an era that never began.
     """
 
     def __init__(
@@ -74,11 +76,18 @@
         self.is_direct = False
         self.position = store_api.ORIGIN
         self.advanced = self.clock.now()
+        self.must_list = False
 
     def is_current(self) -> bool:
         """Whether this node watches the store itself and is answered."""
         return self.is_direct and not self.age.exceeds(picture_age.MAX_TOLD_AGE)
 
+    def apply_era(self, change: store_eras.EraChange) -> None:
+        """List all items anew if the store denies an era."""
+        self.must_list = self.must_list or change.is_denial
+        if self.position.era > change.era:
+            self.position = store_api.ORIGIN
+
     def get_pause(self) -> datetime.timedelta:
         """Return the pause after changes; followers need none."""
         if not self.is_direct:
@@ -95,6 +104,7 @@
         Raises:
             errors.KeyValueUnavailableError: nobody answered.
         """
+        self.must_list = False
         answer = await self._ask_in_turn(
             functools.partial(self._list_store, prefix),
             functools.partial(self._list_node, prefix),
@@ -120,8 +130,8 @@
                 a newer era.
             errors.KeyValueUnavailableError: nobody answered.
         """
-        if position.era < self.store.eras.current:
-            raise store_api.HistoryLostError(f"{position} is of an earlier era")
+        if position.era < self.store.eras.current or self.must_list:
+            raise store_api.HistoryLostError(f"{position} is of another era")
         store_wait = self.age.plan_watch(wait)
         node_wait = min(
             wait,
@@ -229,7 +239,7 @@
     ) -> source_answers.SourceAnswer[store_api.Listing] | None:
         """Return all items of a node, if they are no older than what is known.
 
-        They must not be of an earlier era either.
+        They must be of the era that is believed.
         """
         sent = self.clock.now()
         answer = await self._ask(
@@ -238,9 +248,11 @@
             source_answers.LISTING_PATIENCE,
             LISTING_TIMEOUT,
         )
+        if answer is None:
+            return None
+        self.store.eras.hear(answer.era, node.name)
         if (
-            answer is None
-            or answer.era < self.store.eras.current
+            answer.era != self.store.eras.current
             or answer.position < self.position
         ):
             return None
--- a/src/cicadahook/net/stream_resumption.py
+++ b/src/cicadahook/net/stream_resumption.py
@@ -15,6 +15,7 @@
 from cicadahook.core import inventory
 from cicadahook.core import origin_records
 from cicadahook.core import roster as roster_lib
+from cicadahook.core import store_eras
 from cicadahook.core import stream_origins
 from cicadahook.core import version_records
 from cicadahook.net import active_request
@@ -94,8 +95,9 @@
         self.random = generator
         self.node = node
 
-    def apply_era(self) -> None:
-        """Give up what rests on an earlier era of the store."""
+    def apply_era(self, change: store_eras.EraChange) -> None:
+        """Give up what rests on another era of the store."""
+        del change
         for recorder in self.recorders.values():
             recorder.apply_era()
 
--- a/src/cicadahook/platform/metadata_store.py
+++ b/src/cicadahook/platform/metadata_store.py
@@ -72,14 +72,14 @@
     Attributes:
         session: session whose connections are kept.
         fresh_session: session whose connections are used once.
-        eras: the newest era that the store or another node has named.
+        eras: the era of the store.
         contact: whether the store answers this node.
     """
 
     def __init__(self, address: str, clock: clock_lib.Clock) -> None:
         self.base_url = f"http://{address}"
-        self.eras = store_eras.EraTracker(clock)
         self.contact = store_contact.StoreContact(clock)
+        self.eras = store_eras.EraTracker(self.contact)
         self.session = answer_protocol.open_session()
         self.fresh_session = answer_protocol.open_session(keepalive=0)
 
@@ -224,6 +224,7 @@
                 leaves the outcome unknown, or one of an earlier era.
         """
         session = self.fresh_session if is_fresh else self.session
+        sent = self.contact.clock.now()
         try:
             async with session.request(
                 method,
@@ -243,7 +244,7 @@
                         content.strip() or b"{}", type=answer_type
                     )
                 era = _decode_era(response.headers.get(ERA_HEADER))
-                if not self.eras.observe(era):
+                if not self.eras.observe(era, sent):
                     raise errors.KeyValueUnavailableError(
                         f"{method} {path}: answer of the earlier era {era};"
                         f" {self.eras.describe()}"
--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -89,8 +89,8 @@
     def __init__(self, store: Store) -> None:
         self.store = store
         clock = system_clock.SystemClock()
-        self.eras = store_eras.EraTracker(clock)
         self.contact = store_contact.StoreContact(clock)
+        self.eras = store_eras.EraTracker(self.contact)
         self.is_silent = False
         self.is_rejecting = False
         self.dead_connections = 0
@@ -113,9 +113,10 @@
     ) -> store_api.Listing:
         """Return all items."""
         del prefix
+        sent = self.contact.clock.now()
         await self._connect(metadata_store.CALL_TIMEOUT, is_fresh=is_fresh)
         self.contact.record_answer()
-        self.eras.observe(self.store.log.position.era)
+        self.eras.observe(self.store.log.position.era, sent)
         return self.store.log.create_listing()
 
     async def watch(
@@ -129,6 +130,7 @@
         """Return the changes after a revision."""
         del prefix
         self.watches += 1
+        asked = self.contact.clock.now()
         loop = asyncio.get_running_loop()
         sent = loop.time()
         limit = wait + metadata_store.WATCH_TIMEOUT_MARGIN
@@ -156,7 +158,7 @@
         await self._check(limit - elapsed)
         self.contact.record_answer()
         era = self.store.log.position.era
-        self.eras.observe(era)
+        self.eras.observe(era, asked)
         if position.era != era:
             raise store_api.HistoryLostError(f"era {era}")
         return self.store.log.list_after(position)
--- a/tests/test_holder_stateful.py
+++ b/tests/test_holder_stateful.py
@@ -19,6 +19,7 @@
 from cicadahook.core import order_holder
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import store_api
+import simulated_node
 
 PAUSE = datetime.timedelta(seconds=3)
 LEASE = datetime.timedelta(seconds=3)
@@ -46,65 +47,6 @@
     holder_lease: int
 
 
-@dataclasses.dataclass
-class SimulatedNode:
-    """Holder state, roster and grants of one node."""
-
-    holder_state: order_holder.HolderStateMachine
-    roster: roster_lib.Roster
-    grants: grants.ReceivedGrants
-    number: int = 0
-    has_left: bool = False
-    lease: int = 0
-
-    def hear_era(self, era: int, now: datetime.datetime) -> None:
-        """Process the era that an answer or another node's status names."""
-        needed = self.roster.list_required_granters(now)
-        is_granted = self.grants.is_complete(needed, now)
-        if self.holder_state.record_era(era, now, is_granted=is_granted):
-            self.lease = 0
-
-    def can_send(self, now: datetime.datetime) -> bool:
-        """Return whether the node may send an order by its own knowledge."""
-        needed = self.roster.list_required_granters(now)
-        return self.holder_state.can_send(
-            now, self.grants.is_complete(needed, now)
-        )
-
-    def create_status(self, now: datetime.datetime) -> roster_lib.NodeStatus:
-        """Return the node's next status."""
-        self.number += 1
-        self.grants.record_status(self.number, now)
-        grant = grants.Grant()
-        if self.holder_state.has_read_keys:
-            grant = self.roster.create_grant(
-                self.holder_state.newest_term, self.holder_state.era, now
-            )
-        return roster_lib.NodeStatus(
-            self.roster.own,
-            self.number,
-            True,
-            self.can_send(now),
-            self.has_left,
-            self.holder_state.fence,
-            self.holder_state.newest_term,
-            grant,
-            era=self.holder_state.era,
-        )
-
-    def receive_status(
-        self, status: roster_lib.NodeStatus, now: datetime.datetime
-    ) -> None:
-        """Process another node's status."""
-        if self.roster.record_status(status, now):
-            self.hear_era(status.era, now)
-            self.holder_state.record_term(status.newest_term, status.era)
-            if status.grant.holder == self.holder_state.name:
-                self.grants.receive(
-                    status.node.name, status.grant, self.holder_state.fence
-                )
-
-
 class HolderSimulation(stateful.RuleBasedStateMachine):
     """Three nodes, their leases and the store."""
 
@@ -129,7 +71,7 @@
         """Let the store have made many changes before."""
         self.revision = revision
 
-    def _create(self, name: str) -> "SimulatedNode":
+    def _create(self, name: str) -> simulated_node.SimulatedNode:
         self.starts = getattr(self, "starts", 0) + 1
         record = roster_lib.NodeRecord(
             name, "z", "r", "f:1", "p:1", self.starts
@@ -142,7 +84,9 @@
         holder_state = order_holder.HolderStateMachine(
             name, str(self.starts), PAUSE, LEASE
         )
-        return SimulatedNode(holder_state, known, grants.ReceivedGrants())
+        return simulated_node.SimulatedNode(
+            holder_state, known, grants.ReceivedGrants()
+        )
 
     @property
     def owner(self) -> str:
@@ -205,6 +149,19 @@
                 self._send(holder)
             self.sends_keep_the_pause()
 
+    @stateful.rule(
+        name=st.sampled_from(NAMES),
+        step=st.integers(1, 3),
+        rounds=st.integers(0, 10),
+    )
+    def name_false_era(self, name: str, step: int, rounds: int) -> None:
+        """Let a node, often the holder, believe an era that never began."""
+        node = self.nodes[self.owner or name]
+        node.hear_era(self.era + step, self.now)
+        for _ in range(rounds):
+            self.run_nodes(list(NAMES), 200, "", False)
+            self.sends_keep_the_pause()
+
     @stateful.rule()
     def execute_late_writes(self) -> None:
         """Carry out calls that got no answer, where their condition holds."""
@@ -322,7 +279,7 @@
 
     def _renew(self, name: str) -> None:
         node = self.nodes[name]
-        node.hear_era(self.era, self.now)
+        node.hear_store(self.era, self.now)
         sent = self.now
         end = self.lease_ends.get(node.lease)
         if end is None or end <= self.now:
@@ -334,7 +291,7 @@
         node.holder_state.record_renewal(sent)
 
     def _observe_keys(self, name: str) -> None:
-        self.nodes[name].hear_era(self.era, self.now)
+        self.nodes[name].hear_store(self.era, self.now)
         self.nodes[name].holder_state.observe_keys(
             self.items.get(order_holder.HOLDER_KEY),
             self.items.get(order_holder.TERM_KEY),
@@ -359,7 +316,7 @@
         self._write(write)
         self.holder_lease = node.lease
         if fault != "lost_answer":
-            node.hear_era(self.era, self.now)
+            node.hear_store(self.era, self.now)
             node.holder_state.record_won_term(
                 write, store_api.Position(self.era, self.revision), self.now
             )
--- a/tests/test_large_revisions.py
+++ b/tests/test_large_revisions.py
@@ -11,14 +11,11 @@
 from cicadahook.programs import node_daemon as node_program
 import conftest
 import node_testbed
+import route_checks
 
-# Time in which a change of the store must be in force at all nodes.
-APPLY_SECONDS = 2.0
 # Statuses of the holder have reached all nodes by then.
 STATUS_SECONDS = 0.6
 READY_SECONDS = 5.0
-POLL_SECONDS = 0.05
-ROUTE = "/extra/"
 # Changes after a holder was chosen.
 WRITES = 30
 
@@ -41,22 +38,6 @@
         yield testbed
 
 
-async def apply_configuration(testbed: node_testbed.NodeTestbed) -> None:
-    """Add a route; fail if a node does not serve it in time."""
-    configuration = node_testbed.create_configuration(version=2)
-    configuration["routes"].append(
-        {**configuration["routes"][0], "name": "extra", "path_prefix": ROUTE}
-    )
-    testbed.store.put("op/config", configuration)
-    for number in range(len(testbed.programs)):
-        async with asyncio.timeout(APPLY_SECONDS):
-            while True:
-                async with testbed.call(f"{ROUTE}1", number) as response:
-                    if response.status == 200:
-                        break
-                await asyncio.sleep(POLL_SECONDS)
-
-
 async def restart(testbed: node_testbed.NodeTestbed, number: int) -> None:
     """Stop a node and start it again; fail if it is not ready in time."""
     testbed.programs[number].stopped.set()
@@ -86,7 +67,7 @@
     large: node_testbed.NodeTestbed,
 ) -> None:
     """Guards against fences that are taken for a later era of the store."""
-    await apply_configuration(large)
+    await route_checks.apply_configuration(large)
     assert find_eras(large) == [1, 1]
 
 
@@ -102,7 +83,7 @@
         roster_lib.NodeStatus(record, 1, True, True, False, fence, fence)
     )
     assert find_eras(large) == [1, 1]
-    await apply_configuration(large)
+    await route_checks.apply_configuration(large)
 
 
 async def test_nodes_that_are_replaced_one_after_the_other_become_ready(
@@ -112,7 +93,7 @@
     for number in range(len(large.programs)):
         await restart(large, number)
         await asyncio.sleep(STATUS_SECONDS)
-    await apply_configuration(large)
+    await route_checks.apply_configuration(large)
 
 
 async def test_the_return_of_the_store_is_noticed(
@@ -124,5 +105,5 @@
         lambda: any(map(node_testbed.can_order, large.programs)), 15.0
     )
     await asyncio.sleep(STATUS_SECONDS)
-    await apply_configuration(large)
+    await route_checks.apply_configuration(large)
     assert find_eras(large) == [2, 2]
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -382,7 +382,7 @@
     standin: tuple[node_store.StoreStandin, metadata_store.PlatformStore],
 ) -> None:
     _, store = standin
-    store.eras.observe(2)
+    store.eras.observe(2, NOW)
     with pytest.raises(errors.KeyValueUnavailableError):
         await store.list_items("")
 
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -20,7 +20,6 @@
 from cicadahook.core import status_schedule
 from cicadahook.core import store_api
 from cicadahook.core import store_contact
-from cicadahook.core import store_eras
 from cicadahook.core import store_sources
 from cicadahook.net import change_feed
 from cicadahook.net import clock as system_clock
@@ -397,7 +396,7 @@
         self.log.apply_listing(
             store_api.Listing((create_item(1),), store_positions.at(1))
         )
-        self.eras = store_eras.EraTracker(clock_lib.ManualClock())
+        self.eras = store_positions.create_eras()
         self.news = asyncio.Event()
         self.is_down = False
         self.watches = 0
--- a/tests/test_version_recorder.py
+++ b/tests/test_version_recorder.py
@@ -13,6 +13,7 @@
 from cicadahook.core import roster as roster_lib
 from cicadahook.core import status_schedule
 from cicadahook.core import store_api
+from cicadahook.core import store_eras
 from cicadahook.core import stream_origins
 from cicadahook.core import version_records
 from cicadahook.net import stream_resumption
@@ -232,7 +233,7 @@
     )
     for recorder in resumption.recorders.values():
         recorder.lease = 5
-    resumption.apply_era()
+    resumption.apply_era(store_eras.EraChange(2, 1, store_eras.STORE))
     assert not any(each.lease for each in resumption.recorders.values())
 
 
