Ask the store before a newer term ends the own one

What callers saw: one status that names too high a newest term, and no node sent orders any more: models and adapters that were not loaded stayed so until all processes had ended at the same time.

Cause: nodes took the newest term of a status for true, ended their own and passed the number on, so that it came back from all others, also to processes that had just started. The keys in the store, which tell it, corrected nothing.

Change: only what the keys tell is kept and passed on. While another node names a newer term, the holder's lease does not count; it counts again once the store has answered a renewal that was sent later, and the term is then not heard of again. Grants of all others let the holder go on meanwhile.

--- a/src/cicadahook/core/order_holder.py
+++ b/src/cicadahook/core/order_holder.py
@@ -22,6 +22,7 @@
 from typing import Final
 
 from cicadahook.core import grants
+from cicadahook.core import known_terms as known_terms_lib
 from cicadahook.core import store_api
 from cicadahook.core import terms
 
@@ -72,10 +73,9 @@
         keys_read_at: when the keys were first read in this era; None if not
             yet.
         is_term_leased: whether the present lease is that of the own term.
-        newest_term: highest fence that this node knows of. Before it knows of
-            a term in the era, it may be one of the era before.
         resigned_fence: fence of the newest own term that this process has
             resigned from; 0 if none.
+        known_terms: the newest term, by the store and by other nodes.
     """
 
     name: str
@@ -96,8 +96,10 @@
     valid_until: datetime.datetime | None = None
     keys_read_at: datetime.datetime | None = None
     is_term_leased: bool = False
-    newest_term: int = 0
     resigned_fence: int = 0
+    known_terms: known_terms_lib.KnownTerms = dataclasses.field(
+        default_factory=known_terms_lib.KnownTerms
+    )
 
     @property
     def value(self) -> bytes:
@@ -107,6 +109,11 @@
         """
         return f"{self.name} {self.token} {self.era}".encode()
 
+    @property
+    def newest_term(self) -> int:
+        """Return the highest fence that the store has told this node."""
+        return self.known_terms.newest
+
     @property
     def has_read_keys(self) -> bool:
         """Whether the keys have been read since the start."""
@@ -134,9 +141,9 @@
         elif self.is_continuing:
             end = self.continuing_until
             self.is_continuing = end is not None and now < end
-        known_term = self.newest_term
+        newest_term = self.newest_term
         self._enter_era(era, now)
-        self.newest_term = max(self.newest_term, known_term)
+        self.known_terms.record(newest_term)
         return True
 
     def return_to_era(self, era: int, now: datetime.datetime) -> None:
@@ -157,7 +164,9 @@
         self.holder = self.term = self.pause_end = None
         self.keys_read_at = None
         self.record_lease_end()
-        self.newest_term = terms.compute_fence(store_api.Position(era, 0))
+        self.known_terms = known_terms_lib.KnownTerms(
+            terms.compute_fence(store_api.Position(era, 0))
+        )
 
     def observe_keys(
         self,
@@ -192,21 +201,25 @@
             if fence not in (self.fence, self.resigned_fence):
                 self._begin_term(fence, previous, known_pause_end, now)
         elif term is not None:
-            self.record_term(terms.find_key_fence(term), self.era)
+            newest = terms.find_key_fence(term)
+            self.known_terms.record(newest)
+            if newest > self.fence:
+                self.fence = 0
 
-    def record_term(self, fence: int, era: int) -> None:
-        """Record a term; one that is newer than the own ends the own term.
+    def hear_term(self, fence: int, era: int, now: datetime.datetime) -> None:
+        """Record a term that another node names.
+
+        If it is newer than the own one, the own lease does not count until the
+        store has renewed it once more.
 
         Args:
             fence: its fence.
-            era: era in which it is known to be the newest; 0 if that is not
+            era: era in which it is said to be the newest; 0 if that is not
                 told. One of another era says nothing of this one.
+            now: the time.
         """
-        if era not in (0, self.era):
-            return
-        self.newest_term = max(self.newest_term, fence)
-        if fence > self.fence:
-            self.fence = 0
+        if era in (0, self.era):
+            self.known_terms.hear(fence, now)
 
     def record_won_term(
         self,
@@ -233,6 +246,8 @@
 
     def record_renewal(self, sent: datetime.datetime) -> None:
         """Record that a lease renewal sent at `sent` has been answered."""
+        if self.fence and self.is_term_leased:
+            self.known_terms.deny_claims(sent)
         self.valid_until = sent + self.lease_duration - VALIDITY_MARGIN
 
     def record_lease_end(self) -> None:
@@ -246,9 +261,7 @@
 
     def wants_grants(self, now: datetime.datetime) -> bool:
         """Return whether the holder may soon have to go on without a lease."""
-        is_leased = self.is_term_leased and self.is_leased(
-            now + GRANT_REQUEST_LEAD
-        )
+        is_leased = self._is_term_valid(now + GRANT_REQUEST_LEAD)
         return self.fence > 0 and not is_leased
 
     def can_send(self, now: datetime.datetime, is_granted: bool) -> bool:
@@ -259,10 +272,14 @@
             is_granted: whether all other nodes grant permission.
         """
         is_due = self.may_send_from is not None and now >= self.may_send_from
-        is_leased = self.is_term_leased and self.is_leased(now)
-        is_allowed = is_leased or is_granted
+        is_allowed = self._is_term_valid(now) or is_granted
         return self.fence > 0 and is_due and is_allowed
 
+    def _is_term_valid(self, now: datetime.datetime) -> bool:
+        """Whether the lease of the own term is valid, and none is newer."""
+        is_leased = self.is_term_leased and self.is_leased(now)
+        return is_leased and self.known_terms.claimed <= self.fence
+
     def is_vacant(self) -> bool:
         """Return whether no other live process is known to be holder."""
         holder = self.holder
@@ -291,7 +308,7 @@
             store_api.Put(HOLDER_KEY, self.value, lease),
             store_api.Put(TERM_KEY, self.value),
         ]
-        if self._is_own_pause_over(self.term, self.pause_end):
+        if self._is_pause_over(self.term, self.pause_end):
             puts.append(store_api.Put(PAUSE_END_KEY, self.value))
         return store_api.Write(
             expected=(
@@ -311,7 +328,7 @@
             return None
         if self.may_send_from is None or now < self.may_send_from:
             return None
-        if self._is_own_pause_over(self.term, self.pause_end):
+        if self._is_pause_over(self.term, self.pause_end):
             return None
         return store_api.Write(
             expected=((HOLDER_KEY, self.holder.position),),
@@ -354,13 +371,13 @@
         the previous term was that of this process, its pause continues.
         """
         self.fence = fence
-        self.newest_term = max(self.newest_term, fence)
+        self.known_terms.record(fence)
         self.is_term_leased = True
         is_first = previous is None or terms.find_key_era(previous) < self.era
         is_own = is_first and self.is_continuing
         if previous is not None and not is_first:
             is_own = terms.find_key_fence(previous) == self.last_fence
-        is_resumed = self._is_own_pause_over(previous, pause_end)
+        is_resumed = self._is_pause_over(previous, pause_end)
         is_alone = previous is None and self.era <= store_api.FIRST_ERA
         if is_own and self.may_send_from is not None:
             # A pause that has begun is completed, not skipped or restarted.
@@ -407,23 +424,13 @@
 
         This process counts as another one in each era.
         """
-        return self._is_own(holder) and holder.value != self.value
-
-    def _is_own(self, item: store_api.Item) -> bool:
-        return item.value.split(b" ")[0] == self.name.encode()
+        return terms.is_of(self.name, holder) and holder.value != self.value
 
-    def _is_own_pause_over(
+    def _is_pause_over(
         self, term: store_api.Item | None, pause_end: store_api.Item | None
     ) -> bool:
         """Return whether a term of this era is this node's, its pause over."""
-        return (
-            term is not None
-            and pause_end is not None
-            and self._is_own(term)
-            and terms.find_key_era(term) == self.era
-            and pause_end.value == term.value
-            and pause_end.position >= term.position
-        )
+        return terms.is_pause_over(self.name, self.era, term, pause_end)
 
     def _must_wait_for_last_holder(self, now: datetime.datetime) -> bool:
         """Return whether the last holder, another node, still has priority.
@@ -434,7 +441,7 @@
         if term is None or self.is_continuing:
             return False
         if terms.find_key_era(term) == self.era and (
-            self.holder is not None or self._is_own(term)
+            self.holder is not None or terms.is_of(self.name, term)
         ):
             return False
         assert (
--- a/src/cicadahook/core/roster.py
+++ b/src/cicadahook/core/roster.py
@@ -93,7 +93,7 @@
             of the last full message still apply.
         fence: fencing number of its term as holder of orders; 0 if it has no
             term.
-        newest_term: highest fencing number that it knows of.
+        newest_term: highest fencing number that the store has told it.
         grant: its grant to the holder that it knows.
         loads: its load on each upstream.
         wanted: recent demand on it, by model.
--- a/src/cicadahook/core/terms.py
+++ b/src/cicadahook/core/terms.py
@@ -44,3 +44,32 @@
     return compute_fence(
         store_api.Position(find_key_era(term), term.position.revision)
     )
+
+
+def is_of(name: str, item: store_api.Item) -> bool:
+    """Whether the value of a key names a node."""
+    return item.value.split(b" ")[0] == name.encode()
+
+
+def is_pause_over(
+    name: str,
+    era: int,
+    term: store_api.Item | None,
+    pause_end: store_api.Item | None,
+) -> bool:
+    """Whether a term is a node's, of an era, and its handover pause is over.
+
+    Args:
+        name: name of the node.
+        era: the era.
+        term: the key of the term, or None if there is none.
+        pause_end: the key of the newest term whose pause is over, or None.
+    """
+    return (
+        term is not None
+        and pause_end is not None
+        and is_of(name, term)
+        and find_key_era(term) == era
+        and pause_end.value == term.value
+        and pause_end.position >= term.position
+    )
--- a/src/cicadahook/net/status_receiver.py
+++ b/src/cicadahook/net/status_receiver.py
@@ -62,7 +62,9 @@
         components = targets.forwarder.components
         if targets.roster.record_status(status, self.clock.now()):
             self.hear_era(status)
-            targets.holder_state.record_term(status.newest_term, status.era)
+            targets.holder_state.hear_term(
+                status.newest_term, status.era, self.clock.now()
+            )
             if status.grant.holder == targets.roster.own.name:
                 targets.grants.receive(
                     status.node.name, status.grant, targets.holder_state.fence
--- a/tests/test_holder_stateful.py
+++ b/tests/test_holder_stateful.py
@@ -162,6 +162,15 @@
             self.run_nodes(list(NAMES), 200, "", False)
             self.sends_keep_the_pause()
 
+    @stateful.rule(fence=st.integers(1, 2**63), rounds=st.integers(0, 10))
+    def name_false_term(self, fence: int, rounds: int) -> None:
+        """Let all nodes hear of a term that never began."""
+        for node in self.nodes.values():
+            node.holder_state.hear_term(fence, self.era, self.now)
+        for _ in range(rounds):
+            self.run_nodes(list(NAMES), 200, "", False)
+            self.sends_keep_the_pause()
+
     @stateful.rule()
     def execute_late_writes(self) -> None:
         """Carry out calls that got no answer, where their condition holds."""
