Send statuses whatever the size of a number in them

What callers saw: at a store whose revision is over 64 bits no node hears of any other, so that none becomes holder of orders. An odd number in another node's status (a negative one, to be passed on in the grant) ended the statuses to nodes of older builds, and with them the task that sends all statuses.

Cause: the encoders raise for a number that has no place in a message, and the error ended the sender of statuses, again and again.

Change: fences in statuses are cut down to 64 bits, changes at larger revisions are read from the store only, and a status that cannot be encoded in one form is logged and still sent in the other. Negative numbers are rejected when a status is read. A holder whose fence is over 2**53 logs that engines may round it.

--- a/src/cicadahook/net/change_feed.py
+++ b/src/cicadahook/net/change_feed.py
@@ -13,6 +13,7 @@
 from cicadahook.core import errors
 from cicadahook.core import picture_age
 from cicadahook.core import store_api
+from cicadahook.net import codec
 from cicadahook.net import store_relay_messages as messages
 
 CHANGES_PATH: Final = "/changes"
@@ -162,3 +163,5 @@
     def _check_current(self) -> None:
         if not self.is_current() or self.log.position == store_api.ORIGIN:
             raise errors.KeyValueUnavailableError("the store is not watched")
+        if self.log.position.revision > codec.MAX_NUMBER:
+            raise errors.KeyValueUnavailableError("the revision is too large")
--- a/src/cicadahook/net/codec.py
+++ b/src/cicadahook/net/codec.py
@@ -14,6 +14,13 @@
 
 MessageT = TypeVar("MessageT")
 
+# Numbers in messages have at most 64 bits.
+MAX_NUMBER: Final = 2**64 - 1
+
+
+class EncodeError(errors.CicadaError):
+    """A value of a message has no place in its encoded form."""
+
 
 class DecodeError(errors.CicadaError):
     """A message is not valid Cap'n Proto or contains invalid values."""
@@ -35,11 +42,18 @@
         self.struct = getattr(load_schema(schema), message_type.__name__)
 
     def encode(self, message: MessageT) -> bytes:
-        """Return the bytes of `message`."""
+        """Return the bytes of `message`.
+
+        Raises:
+            EncodeError: the schema has no place for a value.
+        """
         fields = self.adapter.dump_python(message, mode="json")
-        encoded: bytes = self.struct.new_message(
-            **_rename(fields, _to_camel)
-        ).to_bytes_packed()
+        try:
+            encoded: bytes = self.struct.new_message(
+                **_rename(fields, _to_camel)
+            ).to_bytes_packed()
+        except (capnp.KjException, OverflowError) as error:
+            raise EncodeError(f"{self.struct}: {error}") from error
         return encoded
 
     def decode(self, data: bytes) -> MessageT:
--- a/src/cicadahook/net/holder_lease.py
+++ b/src/cicadahook/net/holder_lease.py
@@ -26,6 +26,9 @@
 # about 4 ms.
 LEAVE_TIMEOUT: Final = datetime.timedelta(milliseconds=200)
 
+# Larger integers are rounded by programs that read JSON numbers as doubles.
+MAX_EXACT_FENCE: Final = 2**53
+
 logger: Final = logs.create_logger("leadership")
 
 
@@ -248,6 +251,12 @@
                 extra={"position": str(position)},
             )
             return
+        if self.holder_state.fence > MAX_EXACT_FENCE:
+            logger.warning(
+                "Engines that read numbers as floating-point ones may not tell"
+                " the fence of this term from that of the next.",
+                extra={"fence": self.holder_state.fence},
+            )
         logger.info(
             "Became holder of orders.",
             extra={
--- a/src/cicadahook/net/status_codec.py
+++ b/src/cicadahook/net/status_codec.py
@@ -30,10 +30,16 @@
     Args:
         status: the status.
         is_compact: whether the receiver reads the compact form.
+
+    Raises:
+        codec.EncodeError: the form has no place for a value.
     """
     if not is_compact:
         return _SCHEMA_CODEC.encode(status)
-    return pack(_ENCODER.encode(status))
+    try:
+        return pack(_ENCODER.encode(status))
+    except OverflowError as error:
+        raise codec.EncodeError(f"compact status: {error}") from error
 
 
 def pack(content: bytes) -> bytes:
@@ -51,11 +57,24 @@
         return _SCHEMA_CODEC.decode(data)
     try:
         content = _decompress(data[len(COMPACT_PREFIX) :])
-        return _DECODER.decode(content)
+        status = _DECODER.decode(content)
+        _check_numbers(status)
+        return status
     except (zlib.error, RecursionError, ValueError) as error:
         raise codec.DecodeError(f"bad compact status: {error}") from error
 
 
+def _check_numbers(status: roster.NodeStatus) -> None:
+    """Reject numbers that this node could not pass on in the other form.
+
+    Raises:
+        ValueError: one is negative.
+    """
+    numbers = (status.number, status.fence, status.newest_term, status.era)
+    if min(numbers) < 0:
+        raise ValueError(f"negative number among {numbers}")
+
+
 def _decompress(data: bytes) -> bytes:
     """Return the content of `data`, which must be complete and not too long.
 
--- a/src/cicadahook/net/status_reporter.py
+++ b/src/cicadahook/net/status_reporter.py
@@ -75,7 +75,18 @@
         listed = tuple(peers)
         if self.transport is None or not listed:
             return
-        data = status_codec.encode(status, is_compact=is_compact)
+        try:
+            data = status_codec.encode(status, is_compact=is_compact)
+        except codec.EncodeError as error:
+            logger.error(
+                "Status not sent; it cannot be encoded.",
+                extra={
+                    "error": str(error),
+                    "is_compact": is_compact,
+                    "peers": len(listed),
+                },
+            )
+            return
         for peer in listed:
             host, port = peer.peer_address.rsplit(":", 1)
             self.transport.sendto(data, (host, int(port)))
@@ -185,8 +196,9 @@
             is_ready=sources.is_ready(),
             is_holder=sources.orderer.can_send(),
             has_left=self.has_left,
-            fence=sources.holder_state.fence,
-            newest_term=sources.holder_state.newest_term,
+            # A fence that is cut down to the largest number gets no grants.
+            fence=min(sources.holder_state.fence, codec.MAX_NUMBER),
+            newest_term=min(sources.holder_state.newest_term, codec.MAX_NUMBER),
             grant=self._create_grant(),
             loads=components.balancer.list_own_loads(),
             wanted=tuple(
--- a/src/cicadahook/net/store_relay.py
+++ b/src/cicadahook/net/store_relay.py
@@ -251,10 +251,8 @@
         if answer is None:
             return None
         self.store.eras.hear(answer.era, node.name)
-        if (
-            answer.era != self.store.eras.current
-            or answer.position < self.position
-        ):
+        is_older = answer.position < self.position
+        if answer.era != self.store.eras.current or is_older:
             return None
         return source_answers.SourceAnswer(
             node,
@@ -404,6 +402,8 @@
         except (
             aiohttp.ClientError,
             OSError,
+            # The revision has no place in the question.
+            OverflowError,
             RecursionError,
             zlib.error,
             ValueError,
--- a/tests/test_large_revisions.py
+++ b/tests/test_large_revisions.py
@@ -21,7 +21,7 @@
 
 
 @pytest.fixture(
-    name="large", params=[2**32 - 25, 5_000_000_000, 2**53, 2**63 - 2**40]
+    name="large", params=[2**32 - 25, 5_000_000_000, 2**53, 2**63, 2**64]
 )
 async def run_testbed(
     request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch
--- a/tests/test_statuses.py
+++ b/tests/test_statuses.py
@@ -1,8 +1,10 @@
 """Tests of the statuses between nodes: their forms, recipients and cost."""
 
+import asyncio
 import dataclasses
 import datetime
 import time
+from unittest import mock
 
 import msgspec
 import pytest
@@ -16,6 +18,7 @@
 from cicadahook.core import status_schedule
 from cicadahook.net import codec
 from cicadahook.net import status_codec
+from cicadahook.net import status_reporter
 import store_positions
 
 NOW = clock_lib.EPOCH
@@ -76,6 +79,27 @@
     return roster
 
 
+def test_a_field_that_one_form_cannot_hold_ends_no_status() -> None:
+    """Guards against one odd number that keeps a node from all others."""
+    endpoint = status_reporter.StatusEndpoint(lambda _: None)
+    endpoint.transport = transport = mock.create_autospec(
+        asyncio.DatagramTransport
+    )
+    status = dataclasses.replace(create_status(), grant=grants.Grant("n", -1))
+    endpoint.send(status, [create_record("n2")], is_compact=False)
+    transport.sendto.assert_not_called()
+    endpoint.send(status, [create_record("n3")], is_compact=True)
+    transport.sendto.assert_called_once()
+
+
+@pytest.mark.parametrize("name", ["number", "fence", "newest_term", "era"])
+def test_a_status_with_a_negative_number_is_dropped(name: str) -> None:
+    fields = msgspec.to_builtins(create_status()) | {name: -1}
+    data = status_codec.pack(msgspec.msgpack.encode(fields))
+    with pytest.raises(codec.DecodeError):
+        status_codec.decode(data)
+
+
 @pytest.mark.parametrize("is_compact", [True, False])
 def test_a_status_arrives_as_it_was_sent(is_compact: bool) -> None:
     status = create_status()
