Take a number that is too large in a configuration for the limit

What callers saw: one number of a configuration over a width that nodes chose (2**31 attempts, a time-out of over a century, a version over 2**63) and no node put that configuration in force, though the store had accepted it. A tenant with such a number was left out, and its keys were rejected.

Cause: the decoder's limits reject the whole of what a number stands in.

Change: numbers of the configuration and of tenants have no upper limit when they are read; core/number_limits.py takes what is over a limit for the limit. Entries of upstreams, which other writers may spoil, are checked as before.

--- a/src/cicadahook/core/store_eras.py
+++ b/src/cicadahook/core/store_eras.py
@@ -100,7 +100,7 @@
 
     def describe(self) -> str:
         """Return the era that is believed and its source, for messages."""
-        return f"era {self.current}, named by {self.source} at {self.since}"
+        return f"believed: {self.current} by {self.source}, {self.since}"
 
     def _enter(self, era: int, source: str) -> None:
         change = EraChange(era, self.current, source)
--- a/src/cicadahook/platform/messages.py
+++ b/src/cicadahook/platform/messages.py
@@ -15,6 +15,7 @@
 from cicadahook.core import engine_orders
 from cicadahook.core import errors
 from cicadahook.core import inventory
+from cicadahook.core import number_limits as limits
 from cicadahook.core import routes
 from cicadahook.platform import tenant_messages
 
@@ -28,12 +29,7 @@
 Text = Annotated[str, msgspec.Meta(max_length=1024)]
 # Counters are sent on as 64-bit numbers.
 Counter = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
-Count = Annotated[int, msgspec.Meta(ge=0, lt=2**31)]
 PositiveCount = Annotated[int, msgspec.Meta(ge=1, lt=2**31)]
-Amount = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
-# A century; a longer time has no end here.
-Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=3.2e12)]
-Seconds = Annotated[float, msgspec.Meta(ge=0, le=3.2e9)]
 
 
 class MessageError(errors.CicadaError):
@@ -99,7 +95,7 @@
     """A service's part of a route."""
 
     service_name: Name
-    weight: Amount
+    weight: limits.Amount
 
 
 class RouteFields(msgspec.Struct, frozen=True):
@@ -108,15 +104,15 @@
     hostname: Text
     path_prefix: Text
     route_kind: routes.RouteKind
-    timeout_ms: Milliseconds
+    timeout_ms: limits.Amount
     name: Text = ""
-    target_latency_ms: Milliseconds | None = None
-    priority: Count = 5
+    target_latency_ms: limits.Amount | None = None
+    priority: limits.Natural = 5
     service_name: Text = ""
     traffic_split: tuple[SplitFields, ...] | None = None
-    max_attempts: Count = 1
+    max_attempts: limits.Natural = 1
     resumable: bool | None = None
-    target_gap_ms: Milliseconds | None = None
+    target_gap_ms: limits.Amount | None = None
     anonymous_access: bool | None = None
 
 
@@ -128,22 +124,22 @@
     """
 
     name: Name
-    weights_mb: Amount
-    load_time_s: Seconds
-    adapters: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 0
-    adapter_size_mb: Amount = 0
-    disk_load_s: Seconds | None = None
-    warm_s: Seconds | None = None
+    weights_mb: limits.Amount
+    load_time_s: limits.Amount
+    adapters: limits.Natural = 0
+    adapter_size_mb: limits.Amount = 0
+    disk_load_s: limits.Amount | None = None
+    warm_s: limits.Amount | None = None
 
 
 class EngineFields(msgspec.Struct, frozen=True):
     """The engines of a service."""
 
-    weights_mb: Amount
+    weights_mb: limits.Amount
     models: tuple[ModelFields, ...] = ()
-    adapter_slots: Count = 0
-    slots: Count = 1
-    loads_per_s: Amount = 0
+    adapter_slots: limits.Natural = 0
+    slots: limits.Natural = 1
+    loads_per_s: limits.Amount = 0
 
 
 class ServiceFields(msgspec.Struct, frozen=True):
@@ -156,16 +152,16 @@
 class LimitFields(msgspec.Struct, frozen=True):
     """What callers may send."""
 
-    max_header_bytes: Counter | None = None
-    max_body_bytes: Counter | None = None
-    header_timeout_ms: Milliseconds | None = None
-    idle_timeout_ms: Milliseconds | None = None
+    max_header_bytes: limits.Natural | None = None
+    max_body_bytes: limits.Natural | None = None
+    header_timeout_ms: limits.Amount | None = None
+    idle_timeout_ms: limits.Amount | None = None
 
 
 class ConfigurationFields(msgspec.Struct, frozen=True):
     """The operators' configuration."""
 
-    version: Counter
+    version: limits.Natural
     routes: tuple[RouteFields, ...]
     services: tuple[ServiceFields, ...]
     limits: LimitFields = LimitFields()
@@ -225,8 +221,8 @@
         ValueError: it names no service.
     """
     services = tuple(
-        routes.WeightedService(part.service_name, part.weight)
-        for part in fields.traffic_split or ()
+        routes.WeightedService(p.service_name, limits.cap_amount(p.weight))
+        for p in fields.traffic_split or ()
     )
     if not services:
         if not fields.service_name:
@@ -242,9 +238,9 @@
         target_latency=decode_milliseconds(fields.target_latency_ms)
         if fields.target_latency_ms
         else timeout,
-        priority=fields.priority,
+        priority=limits.cap_count(fields.priority),
         services=services,
-        max_attempts=fields.max_attempts,
+        max_attempts=limits.cap_count(fields.max_attempts),
         is_resumable=bool(fields.resumable),
         target_pause=decode_milliseconds(fields.target_gap_ms or 0),
         is_anonymous=bool(fields.anonymous_access),
@@ -262,10 +258,10 @@
     models = (_create_model(model) for model in fields.models)
     return routes.EnginePool(
         models={model.name: model for model in models},
-        memory_mb=fields.weights_mb,
-        adapter_slots=fields.adapter_slots,
-        slots=fields.slots,
-        loads_per_second=fields.loads_per_s,
+        memory_mb=limits.cap_amount(fields.weights_mb),
+        adapter_slots=limits.cap_count(fields.adapter_slots),
+        slots=limits.cap_count(fields.slots),
+        loads_per_second=limits.cap_amount(fields.loads_per_s),
     )
 
 
@@ -274,12 +270,12 @@
     disk_load = fields.disk_load_s or fields.load_time_s
     return routes.Model(
         name=fields.name,
-        size_mb=fields.weights_mb,
-        adapter_mb=fields.adapter_size_mb,
-        adapters=frozenset(f"a{n + 1}" for n in range(fields.adapters)),
-        store_load=datetime.timedelta(seconds=fields.load_time_s),
-        disk_load=datetime.timedelta(seconds=disk_load),
-        memory_load=datetime.timedelta(seconds=fields.warm_s or disk_load),
+        size_mb=limits.cap_amount(fields.weights_mb),
+        adapter_mb=limits.cap_amount(fields.adapter_size_mb),
+        adapters=limits.name_adapters(fields.adapters),
+        store_load=limits.create_duration(fields.load_time_s),
+        disk_load=limits.create_duration(disk_load),
+        memory_load=limits.create_duration(fields.warm_s or disk_load),
     )
 
 
@@ -366,5 +362,5 @@
 
 
 def decode_milliseconds(value: float) -> datetime.timedelta:
-    """Return a number of milliseconds as a duration."""
-    return datetime.timedelta(milliseconds=float(value))
+    """Return a number of milliseconds as a duration, a century at the most."""
+    return limits.create_duration(float(value) / 1000)
--- a/src/cicadahook/platform/metadata_store.py
+++ b/src/cicadahook/platform/metadata_store.py
@@ -246,8 +246,7 @@
                 era = _decode_era(response.headers.get(ERA_HEADER))
                 if not self.eras.observe(era, sent):
                     raise errors.KeyValueUnavailableError(
-                        f"{method} {path}: answer of the earlier era {era};"
-                        f" {self.eras.describe()}"
+                        f"{method} {path}: era {era}; {self.eras.describe()}"
                     )
                 self.contact.record_answer()
                 return response.status, era, fields
--- a/src/cicadahook/platform/tenant_messages.py
+++ b/src/cicadahook/platform/tenant_messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cicadahook.core import number_limits as limits
 from cicadahook.core import tenants as tenants_lib
 
 TENANTS_FIELD: Final = "tenants"
@@ -15,8 +16,6 @@
 
 # Upstreams get the name in a header.
 Name = Annotated[str, msgspec.Meta(max_length=200, pattern=r"^[ -~]+\Z")]
-Amount = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
-Count = Annotated[int, msgspec.Meta(ge=0, lt=2**31)]
 
 TEXTS: Final = msgspec.json.Decoder(tuple[str, ...] | None, strict=False)
 
@@ -38,11 +37,11 @@
 
     api_keys: tuple[str, ...] | None = None
     key_digests: tuple[str, ...] | None = None
-    priority: Count | None = None
+    priority: limits.Natural | None = None
     unit: str | None = None
-    plain_tokens: Count | None = None
-    rate_per_s: Amount | None = None
-    burst_size: Amount | None = None
+    plain_tokens: limits.Natural | None = None
+    rate_per_s: limits.Amount | None = None
+    burst_size: limits.Amount | None = None
 
 
 def decode_tenants(value: msgspec.Raw) -> tenants_lib.TenantRegistry:
@@ -87,12 +86,14 @@
     allowance = None
     if fields.rate_per_s and fields.unit in UNITS:
         allowance = tenants_lib.Allowance(
-            rate=fields.rate_per_s,
-            burst=fields.burst_size or 0.0,
+            rate=limits.cap_amount(fields.rate_per_s),
+            burst=limits.cap_amount(fields.burst_size or 0.0),
             counts_tokens=fields.unit == TOKEN_UNIT,
-            default_tokens=fields.plain_tokens or 0,
+            default_tokens=limits.cap_count(fields.plain_tokens or 0),
         )
-    return tenants_lib.Tenant(fields.name, fields.priority, allowance)
+    return tenants_lib.Tenant(
+        fields.name, limits.cap_priority(fields.priority), allowance
+    )
 
 
 def redact_keys(value: bytes) -> bytes:
