Let the soak of nodes begin at large revisions and send false statuses

Change: the store of a soak begins at one of five revisions, drawn from the seed by a generator of its own, so that earlier seeds keep their faults; the new fault `send_false_statuses` sends nodes statuses in both forms that name later eras and newer terms.

--- a/tests/soak/node_run.py
+++ b/tests/soak/node_run.py
@@ -40,11 +40,14 @@
 from soak import node_system
 from soak import order_checker
 from soak import results as results_lib
+from soak import status_faults
 from soak import store_faults
 from soak import stray_faults
 
 # Each registers kinds of faults.
-FAULT_MODULES: Final = (end_faults, store_faults, stray_faults)
+FAULT_MODULES: Final = (end_faults, status_faults, store_faults, stray_faults)
+# Of the store at the start; a part of the runs crosses the end of 32 bits.
+REVISIONS: Final = (1, 2**32 - 500, 5_000_000_000, 2**53, 2**62)
 BROKEN_EXIT_CODE: Final = 1
 FAILED_EXIT_CODE: Final = 3
 GRACE_SECONDS: Final = (3.0, 8.0)
@@ -82,6 +85,8 @@
     system = node_system.System(
         conftest.find_base_port(), grace_seconds, logs, results
     )
+    # A generator of its own, so that earlier seeds keep their faults.
+    system.store.revision = random.Random(f"store {seed}").choice(REVISIONS)
     for node in system.nodes:
         node.retry_slack = retry_slack
         node.source = older_build.extract(build, logs) if build else None
