--- a/tests/test_false_eras.py
+++ b/tests/test_false_eras.py
@@ -4,6 +4,7 @@
 import dataclasses
 import datetime
 
+from aiohttp import web
 import pytest
 
 from cicadahook.core import clock as clock_lib
@@ -12,6 +13,9 @@
 from cicadahook.core import store_api
 from cicadahook.core import store_contact
 from cicadahook.core import store_eras
+from cicadahook.platform import caller_server
+from cicadahook.platform import metadata_store
+import node_store
 import node_testbed
 import route_checks
 import store_fleet
@@ -94,6 +98,27 @@
         assert nodes[0].relayed.position.era == store_api.FIRST_ERA
 
 
+async def test_the_first_return_of_a_store_whose_eras_begin_at_zero_is_noticed(
+    unused_port: int,
+) -> None:
+    """Guards against a return of the store that reads as no new era."""
+    server = node_store.StoreStandin()
+    server.era = 0
+    store = metadata_store.PlatformStore(
+        f"127.0.0.1:{unused_port}", clock_lib.ManualClock()
+    )
+    changes: list[store_eras.EraChange] = []
+    store.eras.listeners.append(changes.append)
+    async with caller_server.listen(
+        web.Server(server.handle), "127.0.0.1", unused_port
+    ):
+        await store.list_items("")
+        server.come_back(server.take_copy())
+        await store.list_items("")
+        await store.close()
+    assert len(changes) == 2, "one at the start, one at the return"
+
+
 def send_false_era(testbed: node_testbed.NodeTestbed, number: int) -> None:
     """Send each node a status that names an era that never began."""
     for program in testbed.programs:
