--- a/src/cicadahook/platform/messages.py
+++ b/src/cicadahook/platform/messages.py
@@ -221,8 +221,8 @@
         ValueError: it names no service.
     """
     services = tuple(
-        routes.WeightedService(p.service_name, limits.cap_amount(p.weight))
-        for p in fields.traffic_split or ()
+        routes.WeightedService(row.service_name, limits.cap_amount(row.weight))
+        for row in fields.traffic_split or ()
     )
     if not services:
         if not fields.service_name:
--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -320,3 +320,12 @@
     """Whether a node may send orders."""
     assert program.node is not None, "not started"
     return program.node.orderer.can_send()
+
+
+def list_eras(testbed: NodeTestbed) -> list[int]:
+    """Return the era of the store that each running node believes."""
+    return [
+        program.node.relayed_store.store.eras.current
+        for program in testbed.programs
+        if program.node is not None
+    ]
--- a/tests/test_false_eras.py
+++ b/tests/test_false_eras.py
@@ -131,15 +131,6 @@
         )
 
 
-def find_eras(testbed: node_testbed.NodeTestbed) -> set[int]:
-    """Return the eras that nodes believe."""
-    return {
-        program.node.relayed_store.store.eras.current
-        for program in testbed.programs
-        if program.node is not None
-    }
-
-
 async def test_a_false_era_ends_no_hearing_of_the_store(
     testbed: node_testbed.NodeTestbed,
 ) -> None:
@@ -147,7 +138,7 @@
     for number in range(10):
         send_false_era(testbed, number)
         await asyncio.sleep(roster_lib.STATUS_PERIOD.total_seconds())
-    assert find_eras(testbed) == {1}
+    assert set(node_testbed.list_eras(testbed)) == {1}
     assert any(map(node_testbed.can_order, testbed.programs))
     await route_checks.apply_configuration(testbed)
 
@@ -159,10 +150,10 @@
     testbed.store.faults.is_down = True
     await asyncio.sleep(2 * SILENCE.total_seconds())
     send_false_era(testbed, 1)
-    assert find_eras(testbed) == {FALSE_ERA}
+    assert set(node_testbed.list_eras(testbed)) == {FALSE_ERA}
     testbed.store.faults.is_down = False
     await route_checks.apply_configuration(testbed)
-    assert find_eras(testbed) == {1}
+    assert set(node_testbed.list_eras(testbed)) == {1}
     await node_testbed.wait_until(
         lambda: any(map(node_testbed.can_order, testbed.programs)),
         HOLDER_SECONDS,
--- a/tests/test_large_revisions.py
+++ b/tests/test_large_revisions.py
@@ -54,21 +54,12 @@
     )
 
 
-def find_eras(testbed: node_testbed.NodeTestbed) -> list[int]:
-    """Return the era that each node believes."""
-    return [
-        program.node.relayed_store.store.eras.current
-        for program in testbed.programs
-        if program.node is not None
-    ]
-
-
 async def test_a_configuration_is_in_force_in_time(
     large: node_testbed.NodeTestbed,
 ) -> None:
     """Guards against fences that are taken for a later era of the store."""
     await route_checks.apply_configuration(large)
-    assert find_eras(large) == [1, 1]
+    assert node_testbed.list_eras(large) == [1, 1]
 
 
 async def test_a_status_of_an_older_build_names_no_era(
@@ -82,7 +73,7 @@
     node.receiver.receive(
         roster_lib.NodeStatus(record, 1, True, True, False, fence, fence)
     )
-    assert find_eras(large) == [1, 1]
+    assert node_testbed.list_eras(large) == [1, 1]
     await route_checks.apply_configuration(large)
 
 
@@ -106,4 +97,4 @@
     )
     await asyncio.sleep(STATUS_SECONDS)
     await route_checks.apply_configuration(large)
-    assert find_eras(large) == [2, 2]
+    assert node_testbed.list_eras(large) == [2, 2]
